Lay out the workspace, core types, messages and interfaces

Cause: nothing existed. Ruled out: one package for all (no narrow interfaces), protobuf (a generator for no gain; typed msgpack lists are checked on decode).

--- /dev/null
+++ b/packages/lagoonsail-config/src/lagoonsail_config/__init__.py
@@ -0,0 +1,1 @@
+"""Checked settings of a process and the service documents of the teams."""
--- /dev/null
+++ b/packages/lagoonsail-core/src/lagoonsail_core/green.py
@@ -0,0 +1,26 @@
+"""The one place that imports eventlet, and urllib3 on top of it.
+
+Nothing is monkey patched: gRPC needs real threads, so sockets, time and queues are
+taken from eventlet where they are wanted.
+"""
+
+from __future__ import annotations
+
+import warnings
+
+with warnings.catch_warnings():
+    # The users chose eventlet; its notice at import would repeat in every process.
+    warnings.filterwarnings("ignore", message="(?s).*Eventlet is deprecated")
+    import eventlet
+    import eventlet.debug
+    import eventlet.event
+    import eventlet.green.select as green_select
+    import eventlet.green.socket as green_socket
+    import eventlet.hubs
+    import eventlet.queue
+    import eventlet.semaphore
+    import eventlet.wsgi
+
+urllib3 = eventlet.import_patched("urllib3")
+
+__all__ = ["eventlet", "green_select", "green_socket", "urllib3"]
--- /dev/null
+++ b/packages/lagoonsail-core/src/lagoonsail_core/messages.py
@@ -0,0 +1,384 @@
+"""The messages that routers exchange, and their encoding.
+
+A frame is one write on a stream between two routers: a logical time and a list of
+messages. Each message is a list that begins with its tag. Decoding checks every
+field, since a frame may come from a faulty or hostile peer.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, fields
+from typing import get_args, get_origin, get_type_hints
+
+import msgpack
+
+from lagoonsail_core.errors import LagoonsailError
+
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+"""Largest frame that is accepted."""
+
+
+class FrameError(LagoonsailError):
+    """A frame that is not well formed."""
+
+    def __init__(self, problem: str) -> None:
+        super().__init__(problem, "run the same version of lagoonsail on both routers")
+
+
+@dataclass(slots=True)
+class Hello:
+    """First message of each side of a stream."""
+
+    router: str
+    """Name of the sender."""
+    incarnation: int
+    """Number that differs for each start of the sender."""
+    region: str
+    """Region of the sender."""
+    sent_ms: float
+    """Sender's monotonic time."""
+
+
+@dataclass(slots=True)
+class Heartbeat:
+    """Sent on every stream at each heartbeat interval, in both directions."""
+
+    sent_ms: float
+    """Sender's monotonic time."""
+    config_digest: int
+    """Hash over the sender's keys and revisions of configuration."""
+
+
+@dataclass(slots=True)
+class ConfigOffer:
+    """The revisions that the sender holds; an answer to a differing digest."""
+
+    revisions: dict[str, int]
+    """Revision by key."""
+
+
+@dataclass(slots=True)
+class ConfigPush:
+    """Entries of configuration that the receiver lacks."""
+
+    entries: list[list]
+    """Triples of key, revision and value; an empty value is a deletion."""
+
+
+@dataclass(slots=True)
+class SlotRequest:
+    """Asks the owner of a shard for a slot on one of its backend servers."""
+
+    ticket: int
+    """Number of the request, unique for the sender's incarnation."""
+    shard: str
+    """The shard that is asked."""
+    account: str
+    """Client account, unqualified."""
+    estimate: float
+    """Expected cost in the service's unit; 0 where there is no hint."""
+    prefix: list[int]
+    """Hashes of the prompt's prefixes, shortest first; empty for plain services."""
+    key: int
+    """Hash of the idempotency key of a call that may not be repeated, else 0."""
+    age_ms: float
+    """How long the request has waited at the sender already."""
+
+
+@dataclass(slots=True)
+class SlotCancel:
+    """Withdraws a slot request that has not been granted."""
+
+    ticket: int
+    """Ticket of the request."""
+
+
+@dataclass(slots=True)
+class SlotGrant:
+    """Gives a slot on a backend server; valid only until its start deadline."""
+
+    ticket: int
+    """Ticket of the request that is granted."""
+    slot: int
+    """Number of the slot, unique in the epoch."""
+    shard: str
+    """Shard of the server."""
+    epoch: int
+    """Fencing number of the owner; grows with each change of owner."""
+    server: str
+    """Name of the backend server, unqualified."""
+    basis_ms: float
+    """Receiver's own monotonic time from which the start window counts."""
+
+
+@dataclass(slots=True)
+class SlotRefusal:
+    """Says that a slot request will not be granted."""
+
+    ticket: int
+    """Ticket of the request."""
+    reason: str
+    """One of the REFUSED constants."""
+
+
+@dataclass(slots=True)
+class SlotStart:
+    """Says that the request was sent to the backend server."""
+
+    shard: str
+    """Shard of the server."""
+    epoch: int
+    """Epoch of the grant."""
+    slot: int
+    """Slot number."""
+
+
+@dataclass(slots=True)
+class SlotProgress:
+    """Cost of a running request so far."""
+
+    shard: str
+    """Shard of the server."""
+    epoch: int
+    """Epoch of the grant."""
+    slot: int
+    """Slot number."""
+    cost: float
+    """Cost so far, in the service's unit."""
+
+
+@dataclass(slots=True)
+class SlotDone:
+    """Gives a slot back."""
+
+    shard: str
+    """Shard of the server."""
+    epoch: int
+    """Epoch of the grant."""
+    slot: int
+    """Slot number."""
+    outcome: str
+    """One of the OUTCOME constants."""
+    cost: float
+    """Whole cost in the service's unit."""
+    server_incarnation: str
+    """Incarnation that the server reported, empty if it reported none."""
+    first_ms: float
+    """Time from sending until the first byte of the answer."""
+    duration_ms: float
+    """Time from sending until the end."""
+
+
+@dataclass(slots=True)
+class Inventory:
+    """What the sender runs and remembers of a shard; sent to a new owner."""
+
+    shard: str
+    """The shard."""
+    running: list[list]
+    """Epoch, slot, server, account, cost so far and age_ms of each running request."""
+    digest_epoch: int
+    """Epoch of the newest service digest that the sender has seen."""
+    digest_sequence: int
+    """Sequence of that digest."""
+    service: dict[str, float]
+    """Normalised service by account in that digest."""
+
+
+@dataclass(slots=True)
+class InventoryTaken:
+    """Says that the owner has taken over the sender's running requests."""
+
+    shard: str
+    """The shard."""
+    epoch: int
+    """Epoch of the owner; slots that were reported keep epoch and slot number."""
+
+
+@dataclass(slots=True)
+class ServiceDigest:
+    """Normalised service of the accounts at the owner of a shard."""
+
+    shard: str
+    """The shard."""
+    epoch: int
+    """Epoch of the owner."""
+    sequence: int
+    """Grows with each digest of the epoch."""
+    service: dict[str, float]
+    """Normalised service by account."""
+    waiting: int
+    """Requests that wait at the shard."""
+    free: int
+    """Slots that are free in the shard."""
+
+
+@dataclass(slots=True)
+class RenewRequest:
+    """Asks a peer to renew the sender's lease at the key-value service."""
+
+    nonce: int
+    """Number of the attempt."""
+    lease: int
+    """Lease at the key-value service."""
+
+
+@dataclass(slots=True)
+class RenewResult:
+    """Answer to a renewal through a peer."""
+
+    nonce: int
+    """Number of the attempt."""
+    ttl_ms: float
+    """Remaining time of the lease; 0 if it has lapsed, -1 if the service is down."""
+
+
+@dataclass(slots=True)
+class PromiseRequest:
+    """Asks a member not to take over the sender's shards for a while."""
+
+    nonce: int
+    """Number of the attempt."""
+    duration_ms: float
+    """How long, from the receipt of this message."""
+
+
+@dataclass(slots=True)
+class PromiseResult:
+    """Answer to a promise request."""
+
+    nonce: int
+    """Number of the attempt."""
+    promised: bool
+    """Whether the sender will take over nothing from the receiver meanwhile."""
+    reason: str
+    """Why it was not promised, else empty."""
+
+
+REFUSED_NOT_OWNER = "not_owner"
+"""The receiver of the slot request does not own the shard now."""
+REFUSED_QUEUE_FULL = "queue_full"
+"""The account has too many requests waiting at the owner."""
+REFUSED_DUPLICATE = "duplicate_key"
+"""A call with the same idempotency key has been sent before."""
+REFUSED_KEYS_UNAVAILABLE = "keys_unavailable"
+"""The key-value service cannot record the idempotency key now."""
+
+OUTCOME_WHOLE = "whole"
+"""The answer arrived whole."""
+OUTCOME_NOT_RUN = "not_run"
+"""No byte of the request reached the server."""
+OUTCOME_REFUSED = "refused"
+"""The server refused the request without running it."""
+OUTCOME_BROKEN = "broken"
+"""The answer broke off or never came."""
+OUTCOME_CANCELLED = "cancelled"
+"""The caller went away."""
+
+_TAGS: dict[str, type] = {
+    "hello": Hello,
+    "beat": Heartbeat,
+    "offer": ConfigOffer,
+    "push": ConfigPush,
+    "ask": SlotRequest,
+    "cancel": SlotCancel,
+    "grant": SlotGrant,
+    "refuse": SlotRefusal,
+    "start": SlotStart,
+    "cost": SlotProgress,
+    "done": SlotDone,
+    "inv": Inventory,
+    "taken": InventoryTaken,
+    "digest": ServiceDigest,
+    "renew": RenewRequest,
+    "renewed": RenewResult,
+    "promise": PromiseRequest,
+    "promised": PromiseResult,
+}
+_TAG_OF = {kind: tag for tag, kind in _TAGS.items()}
+_FIELDS = {kind: tuple(f.name for f in fields(kind)) for kind in _TAG_OF}
+_HINTS = {kind: get_type_hints(kind) for kind in _TAG_OF}
+
+
+def encode_frame(logical: int, messages: list) -> bytes:
+    """Encode messages for one write on a stream.
+
+    Args:
+        logical: The sender's logical time.
+        messages: Instances of the message classes of this module.
+
+    Returns:
+        The frame.
+
+    Example:
+        >>> decode_frame(encode_frame(3, [SlotCancel(7)]))
+        (3, [SlotCancel(ticket=7)])
+    """
+    body = [
+        [_TAG_OF[type(item)], *(getattr(item, name) for name in _FIELDS[type(item)])]
+        for item in messages
+    ]
+    return msgpack.packb([logical, body])
+
+
+def _matches(value: object, hint: object) -> bool:
+    origin = get_origin(hint)
+    if origin is list:
+        (inner,) = get_args(hint) or (object,)
+        return type(value) is list and all(_matches(item, inner) for item in value)
+    if origin is dict:
+        key_hint, value_hint = get_args(hint)
+        return type(value) is dict and all(
+            _matches(key, key_hint) and _matches(item, value_hint)
+            for key, item in value.items()
+        )
+    if hint is object:
+        return True
+    if hint is float:
+        # NaN and infinity would pass every later comparison.
+        return type(value) in (int, float) and abs(value) < 1e300
+    return type(value) is hint
+
+
+def _decode_message(item: object) -> object:
+    if type(item) is not list or not item or type(item[0]) is not str:
+        raise FrameError("message without a tag")
+    kind = _TAGS.get(item[0])
+    if kind is None:
+        raise FrameError(f"unknown message tag {item[0][:20]!r}")
+    names = _FIELDS[kind]
+    if len(item) != len(names) + 1:
+        raise FrameError(f"{kind.__name__} with {len(item) - 1} fields")
+    hints = _HINTS[kind]
+    for name, value in zip(names, item[1:], strict=True):
+        if not _matches(value, hints[name]):
+            raise FrameError(f"{kind.__name__}.{name} has an unexpected type")
+    return kind(*item[1:])
+
+
+def decode_frame(data: bytes) -> tuple[int, list]:
+    """Decode one frame.
+
+    Args:
+        data: The bytes of a frame.
+
+    Returns:
+        The sender's logical time and the messages.
+
+    Raises:
+        FrameError: If the frame is oversized or malformed.
+    """
+    if len(data) > MAX_FRAME_BYTES:
+        raise FrameError(f"frame of {len(data)} bytes, at most {MAX_FRAME_BYTES}")
+    try:
+        frame = msgpack.unpackb(data, strict_map_key=False)
+    except (ValueError, msgpack.UnpackException) as error:
+        raise FrameError(f"frame that is not msgpack ({error})") from error
+    if type(frame) is not list or len(frame) != 2:
+        raise FrameError("frame that is not a pair")
+    logical, items = frame
+    if type(logical) is not int or not 0 <= logical < 2**62:
+        raise FrameError("frame without a logical time")
+    if type(items) is not list:
+        raise FrameError("frame without a list of messages")
+    return logical, [_decode_message(item) for item in items]
--- /dev/null
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Emulator, load, experiments and proofs over real processes."""
--- /dev/null
+++ b/packages/lagoonsail-peer/src/lagoonsail_peer/__init__.py
@@ -0,0 +1,1 @@
+"""Authenticated message streams between routers."""
--- /dev/null
+++ b/packages/lagoonsail-router/src/lagoonsail_router/__init__.py
@@ -0,0 +1,1 @@
+"""The router daemon."""
--- /dev/null
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/__init__.py
@@ -0,0 +1,1 @@
+"""Fair queueing, slow start, server choice and shard assignment."""
--- /dev/null
+++ b/packages/lagoonsail-store/src/lagoonsail_store/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: the key-value service and the host list."""
