--- /dev/null
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/baseline.py
@@ -0,0 +1,130 @@
+"""The plain policy that measurements compare with: FIFO, and a server at random.
+
+Each router by itself queues requests in the order of their coming and sends the first
+to a random server among those that it believes free. Nothing here is used by a router.
+
+Example:
+    >>> queue = FifoQueue(max_waiting_per_account=2)
+    >>> queue.set_shares({"a": 1.0, "b": 1.0})
+    []
+    >>> from lagoonsail_sharing.fair_queue import Waiting
+    >>> for number, account in enumerate("aab"):
+    ...     _ = queue.add(Waiting((number,), account, 1.0, since_ms=float(number)))
+    >>> for slot in range(2):
+    ...     queue.start(queue.pick(), slot)
+    >>> queue.pick().account, queue.gap(), queue.service()
+    ('b', 0.0, {'a': 2.0, 'b': 0.0})
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Hashable, Iterable
+    from random import Random
+
+    from lagoonsail_sharing.fair_queue import Waiting
+    from lagoonsail_sharing.placement import Candidate
+
+
+class FifoQueue:
+    """A queue with the methods of `FairQueue` that serves in the order of coming."""
+
+    __slots__ = (
+        "_queue",
+        "_served",
+        "_shares",
+        "_slots",
+        "_waiting",
+        "max_waiting_per_account",
+    )
+
+    max_waiting_per_account: int
+    """How many requests of one account may wait."""
+
+    def __init__(self, max_waiting_per_account: int) -> None:
+        self.max_waiting_per_account = max_waiting_per_account
+        self._shares: dict[str, float] = {}
+        self._served: dict[str, float] = {}
+        # By ticket, in the order of coming.
+        self._queue: dict[tuple, Waiting] = {}
+        self._waiting: Counter[str] = Counter()
+        self._slots: dict[Hashable, tuple[str, float]] = {}
+
+    def __len__(self) -> int:
+        """Return the number of requests that wait."""
+        return len(self._queue)
+
+    def set_shares(self, shares: dict[str, float]) -> list[Waiting]:
+        """Take the accounts; shares serve only to report the service."""
+        self._shares = dict(shares)
+        self._served = {name: self._served.get(name, 0.0) for name in shares}
+        removed = [w for w in self._queue.values() if w.account not in shares]
+        for waiting in removed:
+            self.cancel(waiting.ticket)
+        return removed
+
+    def add(self, waiting: Waiting) -> bool:
+        """Queue a request; return whether it waits."""
+        if waiting.account not in self._shares:
+            return False
+        if self._waiting[waiting.account] >= self.max_waiting_per_account:
+            return False
+        self._waiting[waiting.account] += 1
+        self._queue[waiting.ticket] = waiting
+        return True
+
+    def cancel(self, ticket: tuple) -> Waiting | None:
+        """Take a waiting request off the queue."""
+        waiting = self._queue.pop(ticket, None)
+        if waiting is not None:
+            self._waiting[waiting.account] -= 1
+        return waiting
+
+    def pick(self) -> Waiting | None:
+        """Return the request that came first, and leave it in the queue."""
+        return next(iter(self._queue.values()), None)
+
+    def start(self, waiting: Waiting, slot: Hashable) -> None:
+        """Take a request off the queue and count its estimate."""
+        self.cancel(waiting.ticket)
+        self._slots[slot] = (waiting.account, 0.0)
+        self.progress(slot, waiting.estimate)
+
+    def progress(self, slot: Hashable, cost: float) -> None:
+        """Count what a running request has cost so far."""
+        account, counted = self._slots[slot]
+        self._slots[slot] = (account, cost)
+        if account in self._served:
+            self._served[account] += (cost - counted) / self._shares[account]
+
+    def settle(self, slot: Hashable, cost: float) -> None:
+        """Count the whole cost of a request that has ended."""
+        self.progress(slot, cost)
+        del self._slots[slot]
+
+    def service(self) -> dict[str, float]:
+        """Return the normalised service of each account."""
+        return dict(self._served)
+
+    def gap(self) -> float:
+        """Return the largest difference of service between backlogged accounts."""
+        backlogged = [name for name, count in self._waiting.items() if count]
+        served = [self._served[name] for name in backlogged]
+        return max(served) - min(served) if served else 0.0
+
+
+def choose_random_server(candidates: Iterable[Candidate], random: Random) -> str | None:
+    """Choose any server with a free slot.
+
+    Args:
+        candidates: The servers that the router knows.
+        random: Source of chance, seeded by the caller.
+
+    Returns:
+        Name of the server, or None if none is free.
+    """
+    free = [c.name for c in candidates if c.running < c.limit]
+    return random.choice(free) if free else None
--- /dev/null
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/placement.py
@@ -0,0 +1,64 @@
+"""Which backend server a request that is next goes to.
+
+Fairness has chosen the request already; the choice of the server never changes that,
+and never leaves a slot idle. Among the servers with a free slot the one that holds the
+longest part of the prompt in its cache is taken, else the one least loaded relative to
+its limit.
+
+Example:
+    >>> from lagoonsail_sharing.prefix_index import PrefixIndex
+    >>> index = PrefixIndex()
+    >>> index.add("busy", [1, 2])
+    >>> servers = [Candidate("full", 8, 8), Candidate("busy", 8, 7),
+    ...            Candidate("idle", 4, 1)]
+    >>> choose_server(servers, [1, 2, 3], index)
+    'busy'
+    >>> choose_server(servers, [], index)
+    'idle'
+    >>> choose_server(servers[:1], [1], index) is None
+    True
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from lagoonsail_sharing.prefix_index import PrefixIndex
+
+
+@dataclass(slots=True)
+class Candidate:
+    """A backend server that may be chosen."""
+
+    name: str
+    """Name of the server, unqualified."""
+    limit: int
+    """Most requests that may run on it now."""
+    running: int
+    """Requests that run on it now."""
+
+
+def choose_server(
+    candidates: Iterable[Candidate], prefix: list[int], cache_index: PrefixIndex
+) -> str | None:
+    """Choose the server for a request.
+
+    Args:
+        candidates: The usable servers of the shard.
+        prefix: Hashes of the prompt's prefixes; empty for plain services.
+        cache_index: What the servers' caches are likely to hold.
+
+    Returns:
+        Name of a server with a free slot, or None if there is none.
+    """
+
+    def rank(candidate: Candidate) -> tuple[int, float, str]:
+        held = cache_index.match(candidate.name, prefix) if prefix else 0
+        return -held, candidate.running / candidate.limit, candidate.name
+
+    free = [c for c in candidates if c.running < c.limit]
+    return min(free, key=rank).name if free else None
--- /dev/null
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_limit.py
@@ -0,0 +1,478 @@
+"""Slow start: how many requests one backend server may run at once.
+
+Warmth belongs to one incarnation of a server and can vanish without notice. A server
+begins at its cold limit. Each whole answer that came at near the expected speed while
+the limit was in use raises it by one, up to the server's slots. Any sign of a cold
+start sets it back: another incarnation, a refused connection, an answer broken by a
+server that gives no incarnation, a latency step, or a load report that contradicts.
+
+The expected speed is learned from answers at or above the cold limit and outlives a
+cold phase. A server whose speed is not known yet must first answer
+`STEADY_ANSWERS` times at one speed, or once much faster than before. So must one that
+is steadily slower than it was, after which the new speed is the expected one.
+
+Only answers to requests started after the last setback raise the limit, and load
+reports never do.
+
+Example:
+    >>> server = ServerLimit(slots=4, cold_slots=1, now_ms=0.0)
+    >>> server.expect(first_ms=20.0, unit_ms=5.0)
+    >>> for number in range(2):
+    ...     server.start(number, now_ms=0.0)
+    ...     server.finish(number, "whole", "i1", 20.0, 70.0, 10.0, now_ms=70.0)
+    >>> server.limit
+    2
+    >>> server.start(2, now_ms=80.0); server.start(3, now_ms=80.0)
+    >>> server.has_free
+    False
+    >>> server.on_refused(now_ms=90.0)
+    >>> server.limit, server.running
+    (1, 2)
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from lagoonsail_core.invariants import require
+from lagoonsail_core.messages import (
+    OUTCOME_BROKEN,
+    OUTCOME_REFUSED,
+    OUTCOME_WHOLE,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Hashable
+
+NEAR_FACTOR = 2.0
+"""An answer slower than this times the expected is not near the expected speed."""
+STEP_FACTOR = 3.0
+"""An answer slower than this times the expected may be a latency step."""
+STEP_ANSWERS = 2
+"""So many slow answers on end are a latency step."""
+STEP_DEVIATIONS = 6.0
+"""A latency step exceeds the mean by so many mean absolute deviations as well."""
+FIRST_SLACK_MS = 5.0
+"""Differences of the time to the first byte up to this mean nothing."""
+STEADY_ANSWERS = 10
+"""So many answers at one speed make it the expected one."""
+LEARNING_RATE = 0.2
+"""Weight of the newest answer in the expected speed."""
+AT_ONCE_FRACTION = 0.8
+"""An answer whose first byte came this late in its duration came all at once."""
+FOREIGN_FRACTION = 0.5
+"""A report contradicts if the requests of others exceed this part of the slots."""
+KEPT_INCARNATIONS = 8
+"""How many former incarnations are remembered, to tell late news."""
+
+
+@dataclass(slots=True)
+class LoadReport:
+    """What a backend server said about its load."""
+
+    incarnation: str
+    """Incarnation of the server; empty if the report names none."""
+    running: int
+    """Requests running at the server, of all senders; -1 if not reported."""
+    is_warm: bool | None
+    """Whether the server calls itself warm; None if it does not say."""
+    measured_ms: float
+    """Earliest local monotonic time at which the report can have been made."""
+
+
+class Speed:
+    """Expected value and mean absolute deviation of a time."""
+
+    __slots__ = ("deviation_ms", "mean_ms", "slack_ms")
+
+    mean_ms: float
+    """Expected time; 0 if nothing is known."""
+    deviation_ms: float
+    """Mean absolute deviation from it."""
+    slack_ms: float
+    """Differences up to this are noise."""
+
+    def __init__(self, slack_ms: float = 0.0) -> None:
+        self.slack_ms = slack_ms
+        self.set(0.0)
+
+    def set(self, value_ms: float) -> None:
+        """Forget the past and expect this value."""
+        self.mean_ms = value_ms
+        self.deviation_ms = 0.0
+
+    def learn(self, value_ms: float) -> None:
+        """Move the expectation towards a value."""
+        if not self.mean_ms:
+            self.set(value_ms)
+            return
+        error = value_ms - self.mean_ms
+        self.mean_ms += LEARNING_RATE * error
+        self.deviation_ms += LEARNING_RATE * (abs(error) - self.deviation_ms)
+
+    def is_near(self, value_ms: float) -> bool:
+        """Return whether a value is not much above the expected one, or none is."""
+        limit_ms = NEAR_FACTOR * self.mean_ms + self.slack_ms
+        return not self.mean_ms or value_ms <= limit_ms
+
+    def is_far_below(self, value_ms: float) -> bool:
+        """Return whether a value is much below the expected one."""
+        return NEAR_FACTOR * value_ms + self.slack_ms < self.mean_ms
+
+    def is_step(self, value_ms: float) -> bool:
+        """Return whether a value is far above the expected one."""
+        if not self.mean_ms:
+            return False
+        spread_ms = max(STEP_DEVIATIONS * self.deviation_ms, self.slack_ms)
+        return value_ms > max(STEP_FACTOR * self.mean_ms, self.mean_ms + spread_ms)
+
+
+class Pace:
+    """Time to the first byte, and time for one unit of cost after it."""
+
+    __slots__ = ("first", "unit")
+
+    first: Speed
+    """Time to the first byte."""
+    unit: Speed
+    """Time for one unit of cost."""
+
+    def __init__(self) -> None:
+        self.first = Speed(FIRST_SLACK_MS)
+        self.unit = Speed()
+
+    @property
+    def is_known(self) -> bool:
+        """Whether any answer was learned from."""
+        return bool(self.first.mean_ms or self.unit.mean_ms)
+
+    def pairs(self, sample: tuple[float, float]) -> list[tuple[Speed, float]]:
+        """Return each speed with its value in a sample, without those that lack."""
+        both = ((self.first, sample[0]), (self.unit, sample[1]))
+        return [(speed, value) for speed, value in both if value > 0]
+
+    def set(self, sample: tuple[float, float]) -> None:
+        """Expect the values of a sample."""
+        for speed, value in self.pairs(sample):
+            speed.set(value)
+
+    def learn(self, sample: tuple[float, float]) -> None:
+        """Move towards the values of a sample."""
+        for speed, value in self.pairs(sample):
+            speed.learn(value)
+
+    def is_near(self, sample: tuple[float, float]) -> bool:
+        """Return whether no value of a sample is much above the expected one."""
+        return all(speed.is_near(value) for speed, value in self.pairs(sample))
+
+    def is_far_below(self, sample: tuple[float, float]) -> bool:
+        """Return whether a value of a sample is much below the expected one."""
+        return any(speed.is_far_below(value) for speed, value in self.pairs(sample))
+
+    def is_step(self, sample: tuple[float, float]) -> bool:
+        """Return whether a value of a sample is far above the expected one."""
+        return any(speed.is_step(value) for speed, value in self.pairs(sample))
+
+
+@dataclass(slots=True)
+class _Start:
+    """A request that runs on the server."""
+
+    generation: int
+    """Number of setbacks before it started."""
+    filled: bool
+    """Whether the limit was reached when it started."""
+    taken_over: bool
+    """Whether an earlier owner of the shard started it."""
+
+
+class ServerLimit:
+    """The limit of one backend server and the requests that run on it."""
+
+    __slots__ = (
+        "_changed_ms",
+        "_expected",
+        "_former",
+        "_generation",
+        "_peak",
+        "_peak_before",
+        "_recent",
+        "_running",
+        "_slow",
+        "_steady",
+        "cold_slots",
+        "cost_is_time",
+        "incarnation",
+        "is_warm",
+        "last_setback",
+        "limit",
+        "setbacks",
+        "slots",
+    )
+
+    slots: int
+    """Most requests that the warm server may run at once."""
+    cold_slots: int
+    """Most requests that the cold server may run at once."""
+    limit: int
+    """Most requests that may run now."""
+    is_warm: bool
+    """Whether the limit has reached the slots since the last setback."""
+    incarnation: str
+    """Incarnation that the server gave last; empty if it gave none."""
+    cost_is_time: bool
+    """Whether costs are milliseconds, and so say nothing about speed."""
+    last_setback: str
+    """Why the limit was last set back; empty if it never was."""
+    setbacks: Counter
+    """How often the limit was set back, by reason."""
+
+    def __init__(
+        self, slots: int, cold_slots: int, now_ms: float, cost_is_time: bool = False
+    ) -> None:
+        self.cost_is_time = cost_is_time
+        self.incarnation = ""
+        self.last_setback = ""
+        self.setbacks = Counter()
+        self._former: deque[str] = deque(maxlen=KEPT_INCARNATIONS)
+        self._running: dict[Hashable, _Start] = {}
+        self._expected = Pace()
+        self._generation = 0
+        self._peak = 0
+        self._peak_before = 0
+        self.slots = slots
+        self.cold_slots = min(cold_slots, slots)
+        self._go_cold(now_ms)
+
+    @property
+    def running(self) -> int:
+        """Requests that run on the server, as far as this owner knows."""
+        return len(self._running)
+
+    @property
+    def has_free(self) -> bool:
+        """Whether one more request may start now."""
+        return len(self._running) < self.limit
+
+    def expect(self, first_ms: float, unit_ms: float) -> None:
+        """Take the expected speed from elsewhere, as from a like server.
+
+        Args:
+            first_ms: Time to the first byte.
+            unit_ms: Time for one unit of cost after it; 0 if not known.
+        """
+        self._expected.set((first_ms, unit_ms))
+
+    def start(self, slot: Hashable, now_ms: float) -> None:
+        """Count a request that is granted a slot.
+
+        Args:
+            slot: Names the slot until it is finished.
+            now_ms: Local monotonic time.
+
+        Raises:
+            InvariantError: If the limit is reached already.
+        """
+        detail = f"{self.running} run, limit {self.limit}"
+        require(self.has_free, "server_limit", detail)
+        self._add(slot, taken_over=False)
+
+    def take_over(self, slot: Hashable, now_ms: float) -> None:
+        """Count a request that an earlier owner started; the limit may be exceeded.
+
+        Args:
+            slot: Names the slot until it is finished.
+            now_ms: Local monotonic time.
+        """
+        self._add(slot, taken_over=True)
+
+    def finish(
+        self,
+        slot: Hashable,
+        outcome: str,
+        incarnation: str,
+        first_ms: float,
+        duration_ms: float,
+        cost: float,
+        now_ms: float,
+    ) -> None:
+        """Take a request off the server and learn from how it went.
+
+        Args:
+            slot: The slot; one that is not in use is ignored.
+            outcome: One of the OUTCOME constants of the messages.
+            incarnation: What the server gave in the answer, empty if nothing.
+            first_ms: Time from sending until the first byte.
+            duration_ms: Time from sending until the end.
+            cost: Whole cost in the service's unit.
+            now_ms: Local monotonic time.
+        """
+        start = self._running.get(slot)
+        if start is None:
+            return
+        together = len(self._running)
+        del self._running[slot]
+        if not self._check_incarnation(incarnation, now_ms):
+            return
+        if start.generation != self._generation:
+            return
+        if outcome == OUTCOME_REFUSED:
+            self._set_back("refused", now_ms)
+        elif outcome == OUTCOME_BROKEN and not incarnation:
+            self._set_back("broken", now_ms)
+        elif outcome == OUTCOME_WHOLE:
+            sample = self._sample(first_ms, duration_ms, cost)
+            self._learn(start, sample, together, now_ms)
+
+    def on_report(self, report: LoadReport, now_ms: float) -> None:
+        """Compare a load report; it may lower the limit, never raise it.
+
+        Args:
+            report: What the server said, perhaps a while ago.
+            now_ms: Local monotonic time.
+        """
+        own = max(self._peak, self._peak_before)
+        self._peak_before = self._peak
+        self._peak = self.running
+        known = {self.incarnation, *self._former}
+        if report.incarnation in self._former:
+            return
+        if report.incarnation and self.incarnation and report.incarnation not in known:
+            # Which of the two is newer is not known; the next answer will tell.
+            self._former.append(report.incarnation)
+            self._set_back("reported_incarnation", now_ms)
+            return
+        if report.measured_ms < self._changed_ms or self.limit <= self.cold_slots:
+            return
+        if report.is_warm is False:
+            self._set_back("reported_cold", now_ms)
+        elif report.running - own > max(1, self.slots * FOREIGN_FRACTION):
+            self._set_back("reported_load", now_ms)
+
+    def on_refused(self, now_ms: float) -> None:
+        """Take note of a refused connection.
+
+        Args:
+            now_ms: Local monotonic time.
+        """
+        self._set_back("connection_refused", now_ms)
+
+    def set_slots(self, slots: int, cold_slots: int) -> None:
+        """Take the limits of a new document; requests that run go on.
+
+        Args:
+            slots: Most requests at once when warm.
+            cold_slots: Most requests at once when cold.
+        """
+        self.slots = slots
+        self.cold_slots = min(cold_slots, slots)
+        self.limit = max(min(self.limit, slots), self.cold_slots)
+        if self.limit < slots:
+            self.is_warm = False
+
+    def _add(self, slot: Hashable, taken_over: bool) -> None:
+        filled = len(self._running) + 1 >= self.limit
+        self._running[slot] = _Start(self._generation, filled, taken_over)
+        self._peak = max(self._peak, len(self._running))
+
+    def _go_cold(self, now_ms: float) -> None:
+        self.limit = self.cold_slots
+        self.is_warm = False
+        self._recent = Pace()
+        self._steady = 0
+        self._slow = 0
+        self._changed_ms = now_ms
+
+    def _set_back(self, reason: str, now_ms: float) -> None:
+        self._generation += 1
+        self.last_setback = reason
+        self.setbacks[reason] += 1
+        self._go_cold(now_ms)
+
+    def _check_incarnation(self, incarnation: str, now_ms: float) -> bool:
+        """Return whether an answer is of the newest incarnation known."""
+        if not incarnation or incarnation == self.incarnation:
+            return True
+        if not self.incarnation:
+            self.incarnation = incarnation
+            return True
+        if incarnation in self._former:
+            return False
+        self._former.append(self.incarnation)
+        self.incarnation = incarnation
+        self._set_back("incarnation", now_ms)
+        return True
+
+    def _sample(
+        self, first_ms: float, duration_ms: float, cost: float
+    ) -> tuple[float, float]:
+        """Return time to the first byte and per unit, 0 for what is not known."""
+        if self.cost_is_time or cost <= 0:
+            return duration_ms, 0.0
+        if first_ms < AT_ONCE_FRACTION * duration_ms:
+            return first_ms, (duration_ms - first_ms) / cost
+        rest_ms = max(duration_ms - self._expected.first.mean_ms, 0.0)
+        return 0.0, rest_ms / cost
+
+    def _learn(
+        self,
+        start: _Start,
+        sample: tuple[float, float],
+        together: int,
+        now_ms: float,
+    ) -> None:
+        if start.taken_over and together > self.limit:
+            # The server has shown that it carries so many; no growth is needed.
+            self.limit = min(together, self.slots)
+            self._expected.learn(sample)
+            self._note_growth(now_ms)
+            return
+        if self._expected.is_known and self._expected.is_near(sample):
+            self._slow = 0
+            self._expected.learn(sample)
+            self._grow(start, now_ms)
+            return
+        if self.limit > self.cold_slots:
+            self._learn_slow(sample, now_ms)
+            return
+        self._learn_cold(start, sample, now_ms)
+
+    def _learn_slow(self, sample: tuple[float, float], now_ms: float) -> None:
+        """Go back to cold on a latency step; else get used to a slower pace."""
+        if not self._expected.is_step(sample):
+            self._slow = 0
+            self._expected.learn(sample)
+            return
+        self._slow += 1
+        if self._slow >= STEP_ANSWERS:
+            self._set_back("latency_step", now_ms)
+
+    def _learn_cold(
+        self, start: _Start, sample: tuple[float, float], now_ms: float
+    ) -> None:
+        """Find the expected speed of a server that is cold or new."""
+        recent = self._recent
+        if recent.is_known and recent.is_far_below(sample):
+            self._expected.set(sample)
+            self._grow(start, now_ms)
+            return
+        if not recent.is_near(sample):
+            recent.set(sample)
+            self._steady = 0
+        recent.learn(sample)
+        self._steady += 1
+        if self._steady >= STEADY_ANSWERS:
+            self._expected.set((recent.first.mean_ms, recent.unit.mean_ms))
+            self._grow(start, now_ms)
+
+    def _grow(self, start: _Start, now_ms: float) -> None:
+        if not start.filled or self.is_warm:
+            return
+        self.limit = min(self.limit + 1, self.slots)
+        self._note_growth(now_ms)
+
+    def _note_growth(self, now_ms: float) -> None:
+        self.is_warm = self.limit >= self.slots
+        self._changed_ms = now_ms
