--- /dev/null
+++ b/packages/lagoonsail-sharing/tests/test_fair_queue_requests.py
@@ -0,0 +1,98 @@
+from __future__ import annotations
+
+import pytest
+
+from lagoonsail_sharing.fair_queue import FairQueue, Waiting
+
+
+@pytest.fixture
+def queue():
+    queue = FairQueue(3, max_cost=100.0)
+    queue.set_shares({"a": 1.0, "b": 2.0})
+    return queue
+
+
+def test_queue_of_one_account_is_bounded(queue):
+    added = [queue.add(Waiting(("a", n), "a", 1.0)) for n in range(5)]
+    assert added == [True, True, True, False, False]
+    assert queue.add(Waiting(("b", 1), "b", 1.0))
+    assert len(queue) == 4
+
+
+def test_repeated_ticket_waits_once(queue):
+    assert queue.add(Waiting(("a", 1), "a", 1.0))
+    assert queue.add(Waiting(("a", 1), "a", 1.0))
+    assert len(queue) == 1
+
+
+def test_oldest_request_of_an_account_goes_first(queue):
+    for since_ms in (30.0, 10.0, 20.0):
+        queue.add(Waiting(("a", since_ms), "a", 1.0, since_ms=since_ms))
+    order = []
+    for slot in range(3):
+        order.append(queue.pick().since_ms)
+        queue.start(queue.pick(), slot)
+    assert order == [10.0, 20.0, 30.0]
+
+
+def test_cancelled_request_is_not_picked_nor_charged(queue):
+    queue.add(Waiting(("a", 1), "a", 1.0, since_ms=5.0))
+    queue.add(Waiting(("a", 2), "a", 1.0, since_ms=5.0))
+    assert queue.cancel(("a", 1)).ticket == ("a", 1)
+    assert queue.cancel(("a", 1)) is None
+    assert queue.pick().ticket == ("a", 2)
+    queue.cancel(("a", 2))
+    assert queue.pick() is None
+    assert queue.service() == {"a": 0.0, "b": 0.0}
+
+
+def test_charge_is_estimate_then_progress_then_cost(queue):
+    queue.start(Waiting(("b", 1), "b", 10.0), 1)
+    assert queue.service()["b"] == 5.0
+    queue.progress(1, 8.0)
+    assert queue.service()["b"] == 5.0
+    queue.progress(1, 30.0)
+    assert queue.service()["b"] == 15.0
+    assert queue.settle(1, 20.0)
+    assert queue.service()["b"] == 10.0
+    assert not queue.settle(1, 20.0)
+    queue.progress(1, 90.0)
+    assert queue.service()["b"] == 10.0
+
+
+def test_share_raised_during_a_run_refunds_no_more_than_was_charged(queue):
+    queue.start(Waiting(("b", 1), "b", 10.0), 1)
+    queue.set_shares({"a": 1.0, "b": 0.1})
+    queue.settle(1, 0.0)
+    assert queue.service()["b"] == 0.0
+
+
+def test_hint_is_held_near_the_learned_mean(queue):
+    def estimate(hint):
+        return queue.estimate(Waiting(("a", 0), "a", hint))
+
+    assert estimate(0.0) == 1.0
+    assert estimate(70.0) == 70.0
+    assert estimate(1e9) == 100.0
+    for slot in range(200):
+        queue.start(Waiting(("a", slot), "a", 0.0), slot)
+        queue.settle(slot, 12.0)
+    assert estimate(0.0) == pytest.approx(12.0)
+    assert estimate(20.0) == 20.0
+    assert estimate(1e9) == pytest.approx(48.0)
+    assert estimate(0.001) == pytest.approx(3.0)
+
+
+def test_requests_that_did_not_run_teach_nothing(queue):
+    queue.start(Waiting(("a", 1), "a", 8.0), 1)
+    queue.settle(1, 0.0)
+    assert queue.estimate(Waiting(("a", 2), "a", 0.0)) == 1.0
+
+
+def test_cost_above_the_stated_largest_widens_the_bound_instead_of_failing(queue):
+    for number in range(3):
+        queue.add(Waiting(("a", number), "a", 1.0))
+        queue.add(Waiting(("b", number), "b", 1.0))
+    for slot in range(6):
+        queue.start(queue.pick(), slot)
+        queue.settle(slot, 1e6)
--- /dev/null
+++ b/packages/lagoonsail-sharing/tests/test_fair_queue_returning.py
@@ -0,0 +1,152 @@
+from __future__ import annotations
+
+from lagoonsail_sharing.fair_queue import FairQueue, Waiting
+
+
+def queue_of(*names, max_cost=10.0, slots=2, waiting=10_000):
+    queue = FairQueue(waiting, max_cost=max_cost, slots=slots)
+    queue.set_shares(dict.fromkeys(names, 1.0))
+    return queue
+
+
+def test_idle_account_hoards_no_credit(make_load):
+    queue = queue_of("busy", "idle")
+    load = make_load(queue, 2)
+    for _ in range(3000):
+        load.arrive("busy", 10.0)
+    load.run(1000)
+    before = dict(load.cost_run)
+    for _ in range(500):
+        load.arrive("idle", 10.0)
+    load.run(200)
+    busy = load.cost_run["busy"] - before["busy"]
+    assert abs(busy - load.cost_run["idle"]) <= queue.bound(10.0, 2)
+
+
+def test_account_served_while_alone_owes_nothing_later(make_load):
+    queue = queue_of("alone", "late")
+    load = make_load(queue, 2)
+    for _ in range(1000):
+        load.arrive("alone", 10.0)
+        load.run(1)
+    for _ in range(200):
+        load.arrive("late", 10.0)
+        load.arrive("alone", 10.0)
+    before = load.cost_run["alone"]
+    load.run(100)
+    alone = load.cost_run["alone"] - before
+    assert abs(alone - load.cost_run["late"]) <= queue.bound(10.0, 2)
+
+
+def test_leaving_and_returning_gains_nothing(make_load):
+    # One account empties its queue at each start and comes back at once.
+    queue = queue_of("steady", "hopper")
+    load = make_load(queue, 2)
+    for _ in range(3000):
+        load.arrive("steady", 10.0)
+    for number in range(1000):
+        if "hopper" not in {account for account, _ in load.running.values()}:
+            load.arrive("hopper", 10.0, hint=1.0)
+        load.fill()
+        load.end(number)
+    assert load.cost_run["hopper"] <= load.cost_run["steady"] + queue.bound(10.0, 2)
+
+
+def test_refund_after_a_return_gives_no_credit():
+    queue = queue_of("a", "b", slots=4, max_cost=100.0)
+    for number in range(3):
+        queue.add(Waiting(("a", number), "a", 100.0))
+    for number in range(3):
+        queue.start(queue.pick(), number)
+    # The account was charged 300 and is away; meanwhile the other was served 50.
+    queue.add(Waiting(("b", 0), "b", 50.0))
+    queue.start(queue.pick(), 9)
+    queue.add(Waiting(("b", 1), "b", 1.0))
+    floor = queue.positions()["b"]
+    queue.add(Waiting(("a", 9), "a", 1.0))
+    for number in range(3):
+        queue.settle(number, 1.0)
+    assert queue.positions()["a"] >= floor
+    assert queue.service()["a"] == 3.0
+
+
+def test_debt_from_elsewhere_is_capped(make_load):
+    queue = queue_of("a", "b")
+    load = make_load(queue, 2)
+    for _ in range(500):
+        load.arrive("a", 10.0)
+        load.arrive("b", 10.0)
+    load.run(20)
+    queue.add_remote("s@north", {"a": 0.0, "b": 0.0})
+    queue.add_remote("s@north", {"a": 1e6, "b": 0.0})
+    load.order.clear()
+    load.run(20)
+    bound = queue.bound(10.0, 2)
+    assert queue.gap() <= bound
+    assert "a" in load.order[: int(2 * bound / 10.0) + 2]
+
+
+def test_remote_service_counts_from_the_first_report_and_once(make_load):
+    queue = queue_of("a", "b", max_cost=100.0)
+    load = make_load(queue, 2)
+    for _ in range(9):
+        load.arrive("a", 10.0)
+        load.arrive("b", 10.0)
+    queue.add_remote("s@north", {"a": 5e6, "b": 7e6})
+    assert queue.gap() == 0.0
+    for report in (30.0, 30.0, 10.0):
+        queue.add_remote("s@north", {"a": 5e6 + report, "b": 7e6, "unknown": 1.0})
+        assert queue.gap() == 30.0
+    assert queue.service() == {"a": 0.0, "b": 0.0}
+    load.run(1)
+    assert load.order == ["b", "b"]
+
+
+def test_change_of_shares_makes_no_jump(make_load):
+    queue = queue_of("a", "b")
+    load = make_load(queue, 2)
+    for _ in range(400):
+        load.arrive("a", 10.0)
+        load.arrive("b", 10.0)
+    load.run(100)
+    before = queue.service()
+    assert queue.set_shares({"a": 9.0, "b": 1.0}) == []
+    assert queue.service() == before
+    run_before = dict(load.cost_run)
+    load.run(200)
+    a, b = (load.cost_run[n] - run_before[n] for n in "ab")
+    assert abs(a / 9.0 - b) <= 2 * queue.bound(10.0, 2)
+
+
+def test_requests_of_removed_accounts_are_returned(make_load):
+    queue = queue_of("a", "b")
+    load = make_load(queue, 1)
+    for _ in range(3):
+        load.arrive("a", 10.0)
+        load.arrive("b", 10.0)
+    load.fill()
+    gone = load.order[0]
+    kept = "b" if gone == "a" else "a"
+    removed = queue.set_shares({kept: 1.0})
+    assert [w.account for w in removed] == [gone, gone]
+    load.end(0)
+    load.run(9)
+    assert load.order[1:] == [kept] * 3
+    assert not load.arrive(gone, 1.0)
+
+
+def test_take_over_keeps_sums_and_positions(make_load):
+    old = queue_of("a", "b")
+    load = make_load(old, 2)
+    for _ in range(100):
+        load.arrive("a", 9.0)
+        load.arrive("b", 2.0)
+    load.run(31)
+    new = queue_of("a", "b")
+    for _ in range(2):
+        new.adopt(old.service(), old.positions())
+    assert new.service() == old.service()
+    positions, before = new.positions(), old.positions()
+    assert positions["a"] - positions["b"] == before["a"] - before["b"]
+    new.adopt({"a": 1.0}, None)
+    assert new.service() == old.service()
--- /dev/null
+++ b/packages/lagoonsail-sharing/tests/test_placement.py
@@ -0,0 +1,67 @@
+from __future__ import annotations
+
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from lagoonsail_sharing.baseline import choose_random_server
+from lagoonsail_sharing.placement import Candidate, choose_server
+from lagoonsail_sharing.prefix_index import PrefixIndex, prefix_hashes
+
+loads = st.lists(
+    st.tuples(st.integers(1, 8), st.integers(0, 9)), min_size=0, max_size=8
+)
+
+
+@given(loads=loads, held=st.lists(st.integers(0, 7)))
+@settings(derandomize=True, deadline=None)
+def test_a_free_slot_is_always_found_and_a_full_server_never_taken(loads, held):
+    index = PrefixIndex()
+    for number in held:
+        index.add(f"s{number}", [1, 2, 3])
+    servers = [Candidate(f"s{n}", *load) for n, load in enumerate(loads)]
+    free = {s.name for s in servers if s.running < s.limit}
+    chosen = choose_server(servers, [1, 2, 3], index)
+    assert chosen in free if free else chosen is None
+    warm = {name for name in free if index.match(name, [1, 2, 3])}
+    assert not warm or chosen in warm
+    random = choose_random_server(servers, Random(1))
+    assert random in free if free else random is None
+
+
+def test_index_forgets_after_a_gap_and_ignores_late_events():
+    index = PrefixIndex()
+    index.add("s", [1, 2])
+    index.on_events("s", 5, stored=[3], removed=[])
+    index.on_events("s", 5, stored=[], removed=[1])
+    index.on_events("s", 4, stored=[], removed=[1])
+    assert index.match("s", [1, 2, 3]) == 3
+    index.on_events("s", 6, stored=[], removed=[2])
+    assert index.match("s", [1, 2, 3]) == 1
+    index.on_events("s", 8, stored=[9], removed=[])
+    assert index.match("s", [1]) == 0
+    assert index.match("s", [9]) == 1
+    assert index.gaps == 1
+
+
+def test_index_is_bounded_and_keeps_short_prefixes():
+    index = PrefixIndex(max_entries=100)
+    for number in range(1000):
+        index.add("s", [number * 10 + k for k in range(4)])
+    assert len(index) == 100
+    index.add("s", list(range(500)))
+    assert len(index) == 100
+    assert index.match("s", list(range(500))) == 100
+    index.forget("s")
+    assert len(index) == 0
+
+
+def test_hashes_of_a_prompt_are_those_of_its_beginning():
+    text = "".join(chr(97 + n % 26) for n in range(5000))
+    hashes = prefix_hashes(text)
+    assert hashes[:7] == prefix_hashes(text[: 7 * 256 + 100])
+    changed = prefix_hashes("X" + text[1:])
+    assert not set(hashes) & set(changed)
+    assert len(prefix_hashes("y" * 10**6)) == 64
+    assert prefix_hashes("\ud800" * 300)
