Test the fair queue while remote reports, shares and take-overs move positions

Cause: positions also change from outside, and the bound must hold then. Change: a property test that mixes these with arrivals, ends and cancellations.

--- a/packages/lagoonsail-sharing/tests/test_fair_queue_bound.py
+++ b/packages/lagoonsail-sharing/tests/test_fair_queue_bound.py
@@ -151,3 +151,56 @@
     assert queue.pick().account == "b"
     with pytest.raises(InvariantError, match="fair_start"):
         queue.start(late, 2)
+
+
+outside_operations = st.lists(
+    st.one_of(
+        st.tuples(
+            st.just("arrive"),
+            st.sampled_from(NAMES),
+            st.integers(1, 6),
+            st.floats(1.0, MAX_COST),
+            st.sampled_from([0.0, 0.25, 1.0, 4.0]),
+        ),
+        st.tuples(st.just("end"), st.integers(0, 7)),
+        st.tuples(st.just("progress"), st.integers(0, 7), st.floats(0.0, 1.0)),
+        st.tuples(
+            st.just("remote"),
+            st.sampled_from(["s@north", "s@south"]),
+            st.dictionaries(st.sampled_from(NAMES), st.floats(0.0, 1e5)),
+        ),
+        st.tuples(st.just("shares"), share_lists, st.integers(1, 5)),
+        st.tuples(
+            st.just("adopt"),
+            st.dictionaries(st.sampled_from(NAMES), st.floats(0.0, 1e5)),
+        ),
+        st.tuples(st.just("cancel"), st.integers(0, 999)),
+    ),
+    min_size=20,
+    max_size=200,
+)
+
+
+@given(operations=outside_operations, slots=st.integers(1, 8))
+@settings(derandomize=True, deadline=None, max_examples=300)
+def test_gap_stays_in_bound_when_others_move_positions(make_load, operations, slots):
+    queue = FairQueue(1000, max_cost=MAX_COST, slots=slots)
+    queue.set_shares(dict.fromkeys(NAMES, 1.0))
+
+    def check(load):
+        assert queue.gap() <= queue.bound(MAX_COST, slots) * (1 + 1e-9) + 1e-6
+
+    load = make_load(queue, slots, check)
+    for operation in operations:
+        kind, *rest = operation
+        if kind == "remote":
+            queue.add_remote(*rest)
+        elif kind == "shares":
+            queue.set_shares(dict(zip(NAMES[: rest[1]], rest[0], strict=False)))
+        elif kind == "adopt":
+            queue.adopt(*rest, positions=rest[0])
+        elif kind == "cancel":
+            queue.cancel(("abcde"[rest[0] % 5], rest[0] // 5))
+        else:
+            apply(load, operation)
+        load.fill()
