Tell the newer of two incarnations by the next request that starts

Cause: a reported incarnation was filed as a former one, so its answers were ignored and the server stayed cold; and answers that come all at once took the fixed time to the first unit for speed, which could look like warming when costs differ. Ruled out: trusting the report (it may be the older one); one mean for all costs. Change: incarnations stay in doubt until a request started after the setback is answered; whole answers are compared among like costs; a joining account that is not in debt no longer scans the backlog.

--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/fair_queue.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/fair_queue.py
@@ -161,8 +161,8 @@
 
     A pick only looks: `start` takes the request off the queue and charges it, and must
     follow before anything else is done to the queue, or the pick may be out of date.
-    Operations are logarithmic in the number of backlogged accounts, but joining,
-    `set_shares`, `adopt` and `add_remote` are linear.
+    Operations are logarithmic in the number of backlogged accounts, but
+    `set_shares`, `adopt`, `add_remote` and joining in debt are linear.
     """
 
     __slots__ = (
@@ -546,8 +546,10 @@
     def _join(self, account: _Account) -> None:
         least = self._least()
         floor = least.position if least else self._virtual
-        ceiling = self._ceiling(floor) - self._headroom(account)
-        account.position = max(floor, min(account.position, ceiling))
+        if account.position > floor:
+            ceiling = self._ceiling(floor) - self._headroom(account)
+            account.position = min(account.position, ceiling)
+        account.position = max(account.position, floor)
         account.refundable = account.position - floor
         account.episode += 1
         self._backlogged[account.name] = account
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_limit.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_limit.py
@@ -60,6 +60,8 @@
 """So many answers at one speed make it the expected one."""
 LEARNING_RATE = 0.2
 """Weight of the newest answer in the expected speed."""
+STREAM_SIZE = -1
+"""Size of samples whose time for one unit does not depend on their cost."""
 AT_ONCE_FRACTION = 0.8
 """An answer whose first byte came this late in its duration came all at once."""
 FOREIGN_FRACTION = 0.5
@@ -113,9 +115,8 @@
         self.deviation_ms += LEARNING_RATE * (abs(error) - self.deviation_ms)
 
     def is_near(self, value_ms: float) -> bool:
-        """Return whether a value is not much above the expected one, or none is."""
-        limit_ms = NEAR_FACTOR * self.mean_ms + self.slack_ms
-        return not self.mean_ms or value_ms <= limit_ms
+        """Return whether a value is not much above the expected one."""
+        return value_ms <= NEAR_FACTOR * self.mean_ms + self.slack_ms
 
     def is_far_below(self, value_ms: float) -> bool:
         """Return whether a value is much below the expected one."""
@@ -123,57 +124,75 @@
 
     def is_step(self, value_ms: float) -> bool:
         """Return whether a value is far above the expected one."""
-        if not self.mean_ms:
-            return False
         spread_ms = max(STEP_DEVIATIONS * self.deviation_ms, self.slack_ms)
         return value_ms > max(STEP_FACTOR * self.mean_ms, self.mean_ms + spread_ms)
 
 
+@dataclass(slots=True)
+class Sample:
+    """How fast one whole answer came."""
+
+    first_ms: float
+    """Time to the first byte; 0 if not known."""
+    unit_ms: float
+    """Time for one unit of cost; 0 if not known."""
+    size: int
+    """Samples of different sizes have times for one unit that do not compare."""
+
+
 class Pace:
-    """Time to the first byte, and time for one unit of cost after it."""
+    """Time to the first byte, and times for one unit of cost."""
 
-    __slots__ = ("first", "unit")
+    __slots__ = ("_units", "first")
 
     first: Speed
     """Time to the first byte."""
-    unit: Speed
-    """Time for one unit of cost."""
 
     def __init__(self) -> None:
         self.first = Speed(FIRST_SLACK_MS)
-        self.unit = Speed()
-
-    @property
-    def is_known(self) -> bool:
-        """Whether any answer was learned from."""
-        return bool(self.first.mean_ms or self.unit.mean_ms)
+        self._units: dict[int, Speed] = {}
 
-    def pairs(self, sample: tuple[float, float]) -> list[tuple[Speed, float]]:
-        """Return each speed with its value in a sample, without those that lack."""
-        both = ((self.first, sample[0]), (self.unit, sample[1]))
-        return [(speed, value) for speed, value in both if value > 0]
-
-    def set(self, sample: tuple[float, float]) -> None:
+    def set(self, sample: Sample) -> None:
         """Expect the values of a sample."""
-        for speed, value in self.pairs(sample):
-            speed.set(value)
+        for speed, value_ms in self._pairs(sample):
+            speed.set(value_ms)
 
-    def learn(self, sample: tuple[float, float]) -> None:
+    def learn(self, sample: Sample) -> None:
         """Move towards the values of a sample."""
-        for speed, value in self.pairs(sample):
-            speed.learn(value)
+        for speed, value_ms in self._pairs(sample):
+            speed.learn(value_ms)
+
+    def is_near(self, sample: Sample) -> bool:
+        """Return whether a sample can be compared and is not much slower."""
+        known = self._known_pairs(sample)
+        return bool(known) and all(speed.is_near(value) for speed, value in known)
 
-    def is_near(self, sample: tuple[float, float]) -> bool:
-        """Return whether no value of a sample is much above the expected one."""
-        return all(speed.is_near(value) for speed, value in self.pairs(sample))
+    def is_slow(self, sample: Sample) -> bool:
+        """Return whether a value of a sample is much above the expected one."""
+        known = self._known_pairs(sample)
+        return not all(speed.is_near(value) for speed, value in known)
 
-    def is_far_below(self, sample: tuple[float, float]) -> bool:
+    def is_far_below(self, sample: Sample) -> bool:
         """Return whether a value of a sample is much below the expected one."""
-        return any(speed.is_far_below(value) for speed, value in self.pairs(sample))
+        known = self._known_pairs(sample)
+        return any(speed.is_far_below(value) for speed, value in known)
 
-    def is_step(self, sample: tuple[float, float]) -> bool:
+    def is_step(self, sample: Sample) -> bool:
         """Return whether a value of a sample is far above the expected one."""
-        return any(speed.is_step(value) for speed, value in self.pairs(sample))
+        known = self._known_pairs(sample)
+        return any(speed.is_step(value) for speed, value in known)
+
+    def _pairs(self, sample: Sample) -> list[tuple[Speed, float]]:
+        pairs = []
+        if sample.first_ms > 0:
+            pairs.append((self.first, sample.first_ms))
+        if sample.unit_ms > 0:
+            unit = self._units.setdefault(sample.size, Speed())
+            pairs.append((unit, sample.unit_ms))
+        return pairs
+
+    def _known_pairs(self, sample: Sample) -> list[tuple[Speed, float]]:
+        return [pair for pair in self._pairs(sample) if pair[0].mean_ms]
 
 
 @dataclass(slots=True)
@@ -193,6 +212,7 @@
 
     __slots__ = (
         "_changed_ms",
+        "_doubtful",
         "_expected",
         "_former",
         "_generation",
@@ -237,6 +257,8 @@
         self.last_setback = ""
         self.setbacks = Counter()
         self._former: deque[str] = deque(maxlen=KEPT_INCARNATIONS)
+        # Incarnations of which one is the newest, while that is not known.
+        self._doubtful: deque[str] = deque(maxlen=KEPT_INCARNATIONS)
         self._running: dict[Hashable, _Start] = {}
         self._expected = Pace()
         self._generation = 0
@@ -263,7 +285,7 @@
             first_ms: Time to the first byte.
             unit_ms: Time for one unit of cost after it; 0 if not known.
         """
-        self._expected.set((first_ms, unit_ms))
+        self._expected.set(Sample(first_ms, unit_ms, STREAM_SIZE))
 
     def start(self, slot: Hashable, now_ms: float) -> None:
         """Count a request that is granted a slot.
@@ -314,7 +336,7 @@
             return
         together = len(self._running)
         del self._running[slot]
-        if not self._check_incarnation(incarnation, now_ms):
+        if not self._check_incarnation(incarnation, start, now_ms):
             return
         if start.generation != self._generation:
             return
@@ -336,13 +358,10 @@
         own = max(self._peak, self._peak_before)
         self._peak_before = self._peak
         self._peak = self.running
-        known = {self.incarnation, *self._former}
-        if report.incarnation in self._former:
+        if report.incarnation in self._former or report.incarnation in self._doubtful:
             return
-        if report.incarnation and self.incarnation and report.incarnation not in known:
-            # Which of the two is newer is not known; the next answer will tell.
-            self._former.append(report.incarnation)
-            self._set_back("reported_incarnation", now_ms)
+        if report.incarnation and report.incarnation != self.incarnation:
+            self._doubt(report.incarnation, now_ms)
             return
         if report.measured_ms < self._changed_ms or self.limit <= self.cold_slots:
             return
@@ -391,35 +410,51 @@
         self.setbacks[reason] += 1
         self._go_cold(now_ms)
 
-    def _check_incarnation(self, incarnation: str, now_ms: float) -> bool:
+    def _doubt(self, reported: str, now_ms: float) -> None:
+        """Take note of a report of an incarnation that was not seen before."""
+        if not self.incarnation and not self._doubtful:
+            self.incarnation = reported
+            return
+        # Which is newer is not known: the next request that starts will tell.
+        if self.incarnation:
+            self._doubtful.append(self.incarnation)
+        self._doubtful.append(reported)
+        self.incarnation = ""
+        self._set_back("reported_incarnation", now_ms)
+
+    def _check_incarnation(
+        self, incarnation: str, start: _Start, now_ms: float
+    ) -> bool:
         """Return whether an answer is of the newest incarnation known."""
         if not incarnation or incarnation == self.incarnation:
             return True
+        if incarnation in self._former:
+            return False
         if not self.incarnation:
+            if start.generation != self._generation:
+                return False
+            self._doubtful.append(incarnation)
+            self._former.extend(n for n in self._doubtful if n != incarnation)
+            self._doubtful.clear()
             self.incarnation = incarnation
             return True
-        if incarnation in self._former:
-            return False
         self._former.append(self.incarnation)
         self.incarnation = incarnation
         self._set_back("incarnation", now_ms)
         return True
 
-    def _sample(
-        self, first_ms: float, duration_ms: float, cost: float
-    ) -> tuple[float, float]:
-        """Return time to the first byte and per unit, 0 for what is not known."""
+    def _sample(self, first_ms: float, duration_ms: float, cost: float) -> Sample:
         if self.cost_is_time or cost <= 0:
-            return duration_ms, 0.0
+            return Sample(duration_ms, 0.0, STREAM_SIZE)
         if first_ms < AT_ONCE_FRACTION * duration_ms:
-            return first_ms, (duration_ms - first_ms) / cost
-        rest_ms = max(duration_ms - self._expected.first.mean_ms, 0.0)
-        return 0.0, rest_ms / cost
+            return Sample(first_ms, (duration_ms - first_ms) / cost, STREAM_SIZE)
+        # The time to the first unit is hidden in the whole: compare like costs only.
+        return Sample(0.0, duration_ms / cost, round(cost).bit_length())
 
     def _learn(
         self,
         start: _Start,
-        sample: tuple[float, float],
+        sample: Sample,
         together: int,
         now_ms: float,
     ) -> None:
@@ -429,7 +464,7 @@
             self._expected.learn(sample)
             self._note_growth(now_ms)
             return
-        if self._expected.is_known and self._expected.is_near(sample):
+        if self._expected.is_near(sample):
             self._slow = 0
             self._expected.learn(sample)
             self._grow(start, now_ms)
@@ -439,7 +474,7 @@
             return
         self._learn_cold(start, sample, now_ms)
 
-    def _learn_slow(self, sample: tuple[float, float], now_ms: float) -> None:
+    def _learn_slow(self, sample: Sample, now_ms: float) -> None:
         """Go back to cold on a latency step; else get used to a slower pace."""
         if not self._expected.is_step(sample):
             self._slow = 0
@@ -449,22 +484,21 @@
         if self._slow >= STEP_ANSWERS:
             self._set_back("latency_step", now_ms)
 
-    def _learn_cold(
-        self, start: _Start, sample: tuple[float, float], now_ms: float
-    ) -> None:
+    def _learn_cold(self, start: _Start, sample: Sample, now_ms: float) -> None:
         """Find the expected speed of a server that is cold or new."""
         recent = self._recent
-        if recent.is_known and recent.is_far_below(sample):
+        if recent.is_far_below(sample):
             self._expected.set(sample)
             self._grow(start, now_ms)
             return
-        if not recent.is_near(sample):
+        if recent.is_slow(sample):
             recent.set(sample)
             self._steady = 0
         recent.learn(sample)
         self._steady += 1
         if self._steady >= STEADY_ANSWERS:
-            self._expected.set((recent.first.mean_ms, recent.unit.mean_ms))
+            self._expected = recent
+            self._recent = Pace()
             self._grow(start, now_ms)
 
     def _grow(self, start: _Start, now_ms: float) -> None:
--- a/packages/lagoonsail-sharing/tests/test_server_limit.py
+++ b/packages/lagoonsail-sharing/tests/test_server_limit.py
@@ -181,6 +181,40 @@
         assert server.is_warm
 
 
+@pytest.mark.parametrize("reported", ["i2", "i0"])
+def test_server_grows_again_whichever_incarnation_was_the_newer(reported):
+    server, engine, now_ms = warm()
+    engine.turn_cold(restart=reported == "i2")
+    server.on_report(LoadReport(reported, 0, True, now_ms), now_ms)
+    assert not server.is_warm
+    now_ms = work(server, engine, Random(7), 200, now_ms + 1.0)
+    assert server.is_warm
+    assert server.incarnation == f"i{engine.incarnation}"
+    for late in ("i1", reported):
+        server.on_report(LoadReport(late, 0, True, now_ms), now_ms)
+    assert server.is_warm
+
+
+def test_answers_that_come_all_at_once_are_compared_by_like_costs():
+    server = ServerLimit(8, 1, now_ms=0.0)
+    random = Random(2)
+    for number in range(8):
+        cost = random.choice([1.0, 3.0, 40.0, 90.0])
+        duration_ms = 80.0 + 20.0 * cost
+        server.start(number, 0.0)
+        server.finish(number, "whole", "i", duration_ms, duration_ms, cost, 1.0)
+        assert server.limit == 1
+    for number in range(8, 300):
+        cost = random.choice([1.0, 3.0, 40.0, 90.0])
+        duration_ms = 20.0 + 5.0 * cost
+        server.start(number, 0.0)
+        while server.has_free:
+            server.start(f"{number}/{server.running}", 0.0)
+        server.finish(number, "whole", "i", duration_ms, duration_ms, cost, 1.0)
+    assert server.is_warm
+    assert not server.setbacks
+
+
 def test_silent_restart_sets_back_at_the_first_answers():
     for restart in (True, False):
         server, engine, now_ms = warm()
