--- a/packages/lagoonsail-sharing/tests/test_fair_queue_returning.py
+++ b/packages/lagoonsail-sharing/tests/test_fair_queue_returning.py
@@ -178,3 +178,14 @@
     queue.settle(1, 0.0)
     assert queue.gap() <= queue.bound(100.0, 2)
     assert queue.service() == {"a": 0.0, "b": 0.0}
+
+
+def test_requests_charged_for_an_earlier_owner_leave_no_debt_beyond_the_bound():
+    queue = queue_of("a", "b", max_cost=100.0, slots=4)
+    queue.add(Waiting(("a", 0), "a", 100.0))
+    queue.add(Waiting(("b", 0), "b", 100.0))
+    for number in range(10):
+        queue.start(Waiting(("old", number), "a", 100.0), number)
+        queue.settle(number, 100.0)
+        assert queue.gap() <= queue.bound(100.0, 4)
+    assert queue.service()["a"] == 1000.0
