Send the digest of a shard to its successors only

Cause: a digest to every entry router grows with routers times accounts. Change: ServiceDigest carries changes of service and of server limits to the next owners; Inventory only what runs.

--- a/packages/lagoonsail-core/src/lagoonsail_core/messages.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/messages.py
@@ -171,33 +171,27 @@
 
 @dataclass(slots=True)
 class Inventory:
-    """What the sender runs and remembers of a shard; sent to a new owner."""
+    """What the sender runs on a shard; begins its dealings with the shard's owner."""
 
     shard: str
     """The shard."""
     running: list[list]
-    """Epoch, slot, server, account, cost so far and age_ms of each running request."""
-    digest_epoch: int
-    """Epoch of the newest service digest that the sender has seen."""
-    digest_sequence: int
-    """Sequence of that digest."""
-    service: dict[str, float]
-    """Normalised service by account in that digest."""
+    """Epoch, slot, server, account, cost and age_ms of each slot that it holds."""
 
 
 @dataclass(slots=True)
 class InventoryTaken:
-    """Says that the owner has taken over the sender's running requests."""
+    """Answers an inventory: the sender may now be asked for slots, or not."""
 
     shard: str
     """The shard."""
     epoch: int
-    """Epoch of the owner; slots that were reported keep epoch and slot number."""
+    """Epoch of the owner, 0 if the sender does not own the shard."""
 
 
 @dataclass(slots=True)
 class ServiceDigest:
-    """Normalised service of the accounts at the owner of a shard."""
+    """What the successors of a shard's owner must know to go on in its place."""
 
     shard: str
     """The shard."""
@@ -206,11 +200,9 @@
     sequence: int
     """Grows with each digest of the epoch."""
     service: dict[str, float]
-    """Normalised service by account."""
-    waiting: int
-    """Requests that wait at the shard."""
-    free: int
-    """Slots that are free in the shard."""
+    """Normalised service of the accounts for which it changed."""
+    servers: dict[str, list]
+    """Incarnation, limit and warmth by server, where they changed."""
 
 
 @dataclass(slots=True)
