--- /dev/null
+++ b/packages/lagoonsail-router/src/lagoonsail_router/call.py
@@ -0,0 +1,269 @@
+"""A caller's request, checked and ready to be served."""
+
+from __future__ import annotations
+
+import json
+import re
+import secrets
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from xxhash import xxh64_intdigest
+
+from lagoonsail_router.problems import CallProblem
+from lagoonsail_sharing.prefix_index import prefix_hashes
+
+if TYPE_CHECKING:
+    from lagoonsail_config.document import ServiceDocument
+    from lagoonsail_router.configuration import Configuration
+
+REQUEST_ID_PATTERN = re.compile(r"[\x21-\x7e]{1,128}")
+"""What request ids and idempotency keys may look like."""
+
+COMPLETIONS_PATH = "/v1/completions"
+"""Path of the completions call of a model engine."""
+
+MAX_CHUNK_BYTES = 65_536
+"""Most that is read of a body at once."""
+
+_NOT_PASSED_ON = {
+    "HTTP_AUTHORIZATION",
+    "HTTP_CONNECTION",
+    "HTTP_CONTENT_LENGTH",
+    "HTTP_EXPECT",
+    "HTTP_HOST",
+    "HTTP_IDEMPOTENCY_KEY",
+    "HTTP_KEEP_ALIVE",
+    "HTTP_PROXY_AUTHORIZATION",
+    "HTTP_TE",
+    "HTTP_TRAILER",
+    "HTTP_TRANSFER_ENCODING",
+    "HTTP_UPGRADE",
+    "HTTP_X_COST_HINT",
+    "HTTP_X_REQUEST_ID",
+}
+
+
+@dataclass(slots=True)
+class Call:
+    """One caller's request."""
+
+    request_id: str
+    """Names the request in logs and at the backend server."""
+    document: ServiceDocument
+    """Document of the service when the request arrived."""
+    account: str
+    """Client account, unqualified."""
+    method: str
+    """HTTP method."""
+    path: str
+    """Path and query at the backend server."""
+    headers: dict[str, str]
+    """Headers to pass on."""
+    body: bytes
+    """Whole body."""
+    idempotency_key: str
+    """The caller's key, empty if there is none."""
+    key_hash: int
+    """Hash of the key where the call may not be repeated, else 0."""
+    is_repeatable: bool
+    """Whether the call may be sent again after it may have run."""
+    is_stream: bool
+    """Whether the answer is a stream of server-sent events."""
+    estimate: float
+    """Hint of the cost, 0 if there is none."""
+    prefix: list[int]
+    """Hashes of the prompt's prefixes."""
+    since_ms: float
+    """When the request arrived."""
+    may_have_run: bool = False
+    """Whether an earlier attempt may have run."""
+
+
+def read_call(env: dict, configuration: Configuration, now_ms: float) -> Call:
+    """Check a request and read its body.
+
+    Args:
+        env: The WSGI environment.
+        configuration: The configuration in force.
+        now_ms: Monotonic time.
+
+    Returns:
+        The call.
+
+    Raises:
+        CallProblem: If the request cannot be accepted; nothing has run.
+    """
+    request_id = _read_request_id(env)
+    document, path = _find_service(env, configuration)
+    account = _find_account(env, document)
+    key = _read_idempotency_key(env)
+    body = _read_body(env, document.max_body_bytes)
+    method = env["REQUEST_METHOD"]
+    is_repeatable = document.is_repeatable(method, path)
+    prompt, is_stream, estimate = _read_completion(document, path, body)
+    query = env.get("QUERY_STRING", "")
+    return Call(
+        request_id=request_id,
+        document=document,
+        account=account,
+        method=method,
+        path=f"{path}?{query}" if query else path,
+        headers=_headers_to_pass_on(env),
+        body=body,
+        idempotency_key=key,
+        key_hash=0 if is_repeatable or not key else _hash_key(document, account, key),
+        is_repeatable=is_repeatable,
+        is_stream=is_stream,
+        estimate=_read_cost_hint(env) or estimate,
+        prefix=prefix_hashes(prompt) if prompt else [],
+        since_ms=now_ms,
+    )
+
+
+def _hash_key(document: ServiceDocument, account: str, key: str) -> int:
+    # The hash travels as a signed integer; 0 means that there is no key.
+    return (xxh64_intdigest(f"{document.qualified()}\0{account}\0{key}") >> 1) | 1
+
+
+def _read_request_id(env: dict) -> str:
+    request_id = env.get("HTTP_X_REQUEST_ID") or secrets.token_hex(8)
+    if REQUEST_ID_PATTERN.fullmatch(request_id):
+        return request_id
+    raise CallProblem(
+        400,
+        "malformed_request_id",
+        "the X-Request-Id header is malformed",
+        "use 1 to 128 printable ASCII characters without spaces",
+    )
+
+
+def _find_service(
+    env: dict, configuration: Configuration
+) -> tuple[ServiceDocument, str]:
+    parts = env["PATH_INFO"].split("/", 3)
+    name = "/".join(parts[1:3])
+    document = configuration.documents.get(name)
+    if document is not None:
+        return document, "/" + (parts[3] if len(parts) > 3 else "")
+    raise CallProblem(
+        404,
+        "unknown_service",
+        f"there is no service {name[:80]!r}",
+        "begin the path with /SIDE/SERVICE of a service document in force",
+    )
+
+
+def _find_account(env: dict, document: ServiceDocument) -> str:
+    scheme, _, key = env.get("HTTP_AUTHORIZATION", "").partition(" ")
+    account = document.account_of_key(key.strip()) if scheme == "Bearer" else None
+    if account:
+        return account.name
+    raise CallProblem(
+        401,
+        "unknown_account",
+        f"the key names no client account of {document.qualified()}",
+        "send Authorization: Bearer with the key of an account in its document",
+    )
+
+
+def _read_idempotency_key(env: dict) -> str:
+    key = env.get("HTTP_IDEMPOTENCY_KEY", "")
+    if not key or REQUEST_ID_PATTERN.fullmatch(key):
+        return key
+    raise CallProblem(
+        400,
+        "malformed_idempotency_key",
+        "the Idempotency-Key header is malformed",
+        "use 1 to 128 printable ASCII characters without spaces",
+    )
+
+
+def _read_cost_hint(env: dict) -> float:
+    text = env.get("HTTP_X_COST_HINT", "")
+    if not text:
+        return 0.0
+    try:
+        hint = float(text)
+    except ValueError:
+        hint = -1.0
+    if 0 <= hint < 1e9:
+        return hint
+    raise CallProblem(
+        400,
+        "malformed_cost_hint",
+        f"the X-Cost-Hint header is {text[:40]!r}",
+        "send a number from 0 to 1e9 in the unit of the service, or leave it out",
+    )
+
+
+def _read_body(env: dict, max_bytes: int) -> bytes:
+    length = int(env.get("CONTENT_LENGTH") or 0)
+    is_chunked = "chunked" in env.get("HTTP_TRANSFER_ENCODING", "").lower()
+    if length > max_bytes:
+        raise _body_too_large(max_bytes)
+    if not length and not is_chunked:
+        return b""
+    parts = []
+    left = length if not is_chunked else max_bytes + 1
+    while left > 0:
+        part = env["wsgi.input"].read(min(left, MAX_CHUNK_BYTES))
+        if not part:
+            break
+        parts.append(part)
+        left -= len(part)
+    body = b"".join(parts)
+    if len(body) > max_bytes:
+        raise _body_too_large(max_bytes)
+    if not is_chunked and len(body) != length:
+        raise CallProblem(
+            400,
+            "truncated_body",
+            f"the body ended after {len(body)} of {length} bytes",
+            "send the whole body",
+        )
+    return body
+
+
+def _body_too_large(max_bytes: int) -> CallProblem:
+    return CallProblem(
+        413,
+        "body_too_large",
+        f"the body is larger than {max_bytes} bytes",
+        "send less, or raise max_body_bytes in the service document",
+    )
+
+
+def _read_completion(
+    document: ServiceDocument, path: str, body: bytes
+) -> tuple[str, bool, float]:
+    if document.kind != "engine" or path != COMPLETIONS_PATH:
+        return "", False, 0.0
+    try:
+        fields = json.loads(body)
+        prompt = fields.get("prompt", "")
+        max_tokens = fields.get("max_tokens") or 0
+        is_typed = isinstance(prompt, str) and isinstance(max_tokens, int | float)
+        if is_typed and 0 <= max_tokens < 1e9:
+            return prompt, fields.get("stream") is True, float(max_tokens)
+    except (ValueError, AttributeError):
+        pass
+    raise CallProblem(
+        400,
+        "malformed_completion",
+        "the body is not a completion request",
+        "send a JSON object with a string prompt and a number max_tokens",
+    )
+
+
+def _headers_to_pass_on(env: dict) -> dict[str, str]:
+    headers = {}
+    for name, value in env.items():
+        if not name.startswith("HTTP_") or name in _NOT_PASSED_ON:
+            continue
+        if name.startswith("HTTP_X_LAGOONSAIL"):
+            continue
+        headers[name[5:].replace("_", "-").title()] = value
+    if env.get("CONTENT_TYPE"):
+        headers["Content-Type"] = env["CONTENT_TYPE"]
+    return headers
--- /dev/null
+++ b/packages/lagoonsail-router/src/lagoonsail_router/context.py
@@ -0,0 +1,117 @@
+"""What every part of a router shares: settings, clock, counters and time line."""
+
+from __future__ import annotations
+
+import secrets
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from logbook import Logger
+
+from lagoonsail_core.clock import Clock
+from lagoonsail_core.events import Timeline
+from lagoonsail_core.green import eventlet
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonsail_config.settings import RouterSettings
+
+SERVING = "serving"
+"""State of a router that takes new work."""
+LEAVING = "leaving"
+"""State of a router during its planned stop."""
+
+INCARNATION_RANDOM_BITS = 16
+"""Random bits of an incarnation number, below its start time in milliseconds."""
+
+
+def make_incarnation(clock: Clock) -> int:
+    """Return a number that differs for each start of a router and grows with time."""
+    start_ms = int(clock.wall_ms())
+    return start_ms << INCARNATION_RANDOM_BITS | secrets.randbits(
+        INCARNATION_RANDOM_BITS
+    )
+
+
+class RouterContext:
+    """State that is not the business of any one module."""
+
+    __slots__ = (
+        "clock",
+        "counters",
+        "incarnation",
+        "logger",
+        "settings",
+        "state",
+        "timeline",
+    )
+
+    settings: RouterSettings
+    """Checked settings of this router."""
+    clock: Clock
+    """The clock."""
+    incarnation: int
+    """Number that differs for each start."""
+    timeline: Timeline
+    """Changes of state, for operators."""
+    counters: Counter
+    """Counts by (name, label)."""
+    state: str
+    """SERVING or LEAVING."""
+
+    def __init__(self, settings: RouterSettings, clock: Clock | None = None) -> None:
+        self.settings = settings
+        self.clock = clock or Clock()
+        self.incarnation = make_incarnation(self.clock)
+        self.timeline = Timeline(settings.name, self.clock)
+        self.counters = Counter()
+        self.logger = Logger("lagoonsail")
+        self.state = SERVING
+        self.timeline.subscribe(self._log_event)
+
+    def _log_event(self, event) -> None:
+        details = " ".join(f"{key}={value}" for key, value in event.fields.items())
+        self.logger.info(
+            "router={} incarnation={} event={} {}",
+            event.router,
+            self.incarnation,
+            event.name,
+            details,
+        )
+
+    def count(self, name: str, label: str = "", amount: float = 1) -> None:
+        """Add to a counter.
+
+        Args:
+            name: Metric name without prefix.
+            label: Value of the metric's label; from a bounded set.
+            amount: What to add.
+        """
+        self.counters[name, label] += amount
+
+
+def repeat(
+    context: RouterContext, interval_ms: float, step: Callable[[], None], name: str
+) -> None:
+    """Run a step in a task of its own, again and again.
+
+    A step that fails is counted and logged, and runs again at the next interval.
+
+    Args:
+        context: The router's shared state.
+        interval_ms: Time between the end of a step and the next start.
+        step: What to do.
+        name: Name of the task in metrics and logs.
+    """
+
+    def loop() -> None:
+        while True:
+            try:
+                step()
+            except Exception:
+                context.count("task_errors_total", name)
+                context.logger.exception("task {} failed", name)
+            eventlet.sleep(interval_ms / 1000.0)
+
+    eventlet.spawn_n(loop)
--- /dev/null
+++ b/packages/lagoonsail-router/src/lagoonsail_router/entry.py
@@ -0,0 +1,411 @@
+"""The callers' side of a router: from a request to its answer."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from lagoonsail_core.green import eventlet
+from lagoonsail_core.invariants import require
+from lagoonsail_core.messages import (
+    OUTCOME_BROKEN,
+    OUTCOME_CANCELLED,
+    OUTCOME_NOT_RUN,
+    OUTCOME_REFUSED,
+    OUTCOME_WHOLE,
+    REFUSED_DUPLICATE,
+    REFUSED_QUEUE_FULL,
+    SlotGrant,
+)
+from lagoonsail_router.backend import (
+    Attempt,
+    BrokenError,
+    FencedError,
+    NotSentError,
+    OverdueError,
+)
+from lagoonsail_router.call import read_call
+from lagoonsail_router.caller_watch import CHECK_INTERVAL_MS, make_caller_watch
+from lagoonsail_router.context import LEAVING
+from lagoonsail_router.problems import UNKNOWN, CallProblem
+from lagoonsail_router.retry_budget import RetryBudget
+from lagoonsail_router.ticket_desk import make_done
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Iterator
+
+    from lagoonsail_router.backend import Answer
+    from lagoonsail_router.call import Call
+    from lagoonsail_router.configuration import Configuration
+    from lagoonsail_router.context import RouterContext
+    from lagoonsail_router.ticket_desk import TicketDesk
+
+PROGRESS_INTERVAL_MS = 500.0
+"""Time between two reports of the cost of a running stream."""
+RETRY_AFTER_S = 1
+"""When a refused caller should try again, in seconds."""
+RETRY_PAUSE_MS = 50.0
+"""Pause before a call whose server could not be reached asks for another slot."""
+UNREACHABLE_FIRST_MS = -1.0
+"""Marks a slot whose server refused the connection."""
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection."""
+
+
+class Entry:
+    """Serves callers; one task for each of their connections."""
+
+    __slots__ = (
+        "_budgets",
+        "_configuration",
+        "_context",
+        "_desk",
+        "running",
+        "waiting",
+    )
+
+    waiting: Counter
+    """Calls that wait for a slot, by service and account."""
+    running: int
+    """Calls that were taken and not yet answered."""
+
+    def __init__(
+        self, context: RouterContext, configuration: Configuration, desk: TicketDesk
+    ) -> None:
+        self._context = context
+        self._configuration = configuration
+        self._desk = desk
+        self._budgets: dict[str, RetryBudget] = {}
+        self.waiting = Counter()
+        self.running = 0
+
+    def serve(self, env: dict, start_response: Callable) -> Iterable[bytes]:
+        """Serve one request, as a WSGI application.
+
+        Args:
+            env: The WSGI environment.
+            start_response: What WSGI gives to begin the answer.
+
+        Returns:
+            The body.
+        """
+        self.running += 1
+        request_id = env.get("HTTP_X_REQUEST_ID", "")[:128]
+        try:
+            now_ms = self._context.clock.now_ms()
+            call = read_call(env, self._configuration, now_ms)
+            request_id = call.request_id
+            self._context.count("calls_total", call.document.qualified())
+            body = self._answer(call, env, start_response)
+        except CallProblem as problem:
+            self.running -= 1
+            return self._refuse(problem, request_id, start_response)
+        except CallerGoneError:
+            self.running -= 1
+            self._context.count("callers_gone_total")
+            return self._refuse(_gone(), request_id, start_response)
+        except BaseException:
+            self.running -= 1
+            raise
+        if isinstance(body, list):
+            self.running -= 1
+        return body
+
+    def _refuse(self, problem: CallProblem, request_id: str, start_response) -> list:
+        self._context.count("problems_total", problem.kind)
+        body = problem.body(request_id)
+        headers = self._closing(problem.headers(request_id, body))
+        start_response(problem.status_line(), headers)
+        return [body]
+
+    def _closing(self, headers: list) -> list:
+        if self._context.state == LEAVING:
+            headers.append(("Connection", "close"))
+        return headers
+
+    def _answer(self, call: Call, env: dict, start_response) -> Iterable[bytes]:
+        budget = self._budget(call)
+        budget.note_call()
+        is_gone = make_caller_watch(env)
+        while True:
+            grant = self._wait_for_slot(call, is_gone)
+            attempt = self._try(call, grant, is_gone)
+            if attempt is None:
+                # Certainly not run; the queue timeout bounds how often.
+                eventlet.sleep(RETRY_PAUSE_MS / 1000.0)
+                continue
+            answer, problem, attempt = attempt
+            if answer is not None:
+                return self._pass_back(call, grant, attempt, answer, start_response)
+            if not call.is_repeatable or not budget.take():
+                raise problem
+            call.may_have_run = True
+            self._context.count("retries_total", call.document.qualified())
+
+    def _budget(self, call: Call) -> RetryBudget:
+        name = call.document.qualified()
+        percent = call.document.retry_budget_percent
+        budget = self._budgets.setdefault(name, RetryBudget(percent))
+        budget.percent = percent
+        return budget
+
+    # Waiting for a slot.
+
+    def _wait_for_slot(self, call: Call, is_gone: Callable[[], bool]) -> SlotGrant:
+        name = (call.document.qualified(), call.account)
+        if self.waiting[name] >= call.document.queue_limit:
+            raise _problem(
+                call,
+                429,
+                "queue_full",
+                f"{self.waiting[name]} requests of the account wait at this router",
+                "send fewer requests at once, or try again later",
+            )
+        self.waiting[name] += 1
+        try:
+            return self._wait(call, is_gone)
+        finally:
+            self.waiting[name] -= 1
+            if not self.waiting[name]:
+                del self.waiting[name]
+
+    def _wait(self, call: Call, is_gone: Callable[[], bool]) -> SlotGrant:
+        shard = self._shard(call)
+        waiting = self._desk.ask(
+            shard,
+            call.account,
+            call.estimate,
+            call.prefix,
+            call.key_hash,
+            call.since_ms,
+        )
+        deadline_ms = call.since_ms + call.document.queue_timeout_ms
+        reply = None
+        try:
+            while reply is None:
+                reply = waiting.event.wait(timeout=CHECK_INTERVAL_MS / 1000.0)
+                if reply is None:
+                    self._check_patience(call, deadline_ms, is_gone)
+        finally:
+            if reply is None:
+                self._desk.cancel(waiting)
+        if isinstance(reply, SlotGrant):
+            return reply
+        raise self._refusal(call, reply.reason)
+
+    def _check_patience(self, call: Call, deadline_ms: float, is_gone) -> None:
+        if is_gone():
+            raise CallerGoneError
+        if self._context.clock.now_ms() < deadline_ms:
+            return
+        raise _problem(
+            call,
+            503,
+            "no_slot_in_time",
+            f"no server was free within {call.document.queue_timeout_ms:.0f} ms",
+            "try again later, or raise queue_timeout_ms in the service document",
+        )
+
+    def _shard(self, call: Call) -> str:
+        shards = call.document.shards()
+        here = [s for s in shards if s.endswith(f"@{self._context.settings.region}")]
+        if not shards:
+            raise _problem(
+                call,
+                503,
+                "no_servers",
+                "the service document names no backend server",
+                "add a server to the document",
+            )
+        return (here or shards)[0]
+
+    def _refusal(self, call: Call, reason: str) -> CallProblem:
+        if reason == REFUSED_DUPLICATE:
+            return CallProblem(
+                409,
+                "duplicate_key",
+                "a call with this Idempotency-Key was sent before and may have run",
+                "look up its effect; it is never sent again",
+                UNKNOWN,
+            )
+        if reason == REFUSED_QUEUE_FULL:
+            return _problem(
+                call,
+                429,
+                "queue_full",
+                "too many requests of the account wait in the fleet",
+                "send fewer requests at once, or try again later",
+            )
+        return _problem(
+            call,
+            503,
+            reason,
+            "the idempotency key cannot be recorded now",
+            "try again with the same key",
+        )
+
+    # One attempt.
+
+    def _try(self, call: Call, grant: SlotGrant, is_gone: Callable[[], bool]):
+        """Make one attempt.
+
+        Returns:
+            None if it certainly did not run; else answer, problem and attempt, of
+            which the answer or the problem is None.
+        """
+        address = self._address(call, grant)
+        attempt = Attempt(call, grant, address, self._context.clock)
+        if not address:
+            self._finish(grant, OUTCOME_NOT_RUN, attempt)
+            return None
+        try:
+            attempt.connect()
+        except NotSentError:
+            attempt.measured.first_ms = UNREACHABLE_FIRST_MS
+            self._finish(grant, OUTCOME_NOT_RUN, attempt)
+            return None
+        # The process may have been paused since the grant came.
+        if not self._desk.may_start(grant):
+            attempt.close()
+            self._context.count("grants_too_old_total")
+            self._finish(grant, OUTCOME_NOT_RUN, attempt)
+            return None
+        return self._send(call, grant, attempt, is_gone)
+
+    def _address(self, call: Call, grant: SlotGrant) -> str:
+        document = self._configuration.documents.get(call.document.qualified())
+        server = document.servers.get(grant.server) if document else None
+        return server.address if server else ""
+
+    def _send(self, call: Call, grant: SlotGrant, attempt: Attempt, is_gone):
+        self._desk.start(grant)
+        watch = eventlet.spawn(self._watch_caller, call, attempt, is_gone)
+        try:
+            answer = attempt.send()
+        except FencedError:
+            self._finish(grant, OUTCOME_NOT_RUN, attempt)
+            return None
+        except OverdueError as error:
+            self._finish(grant, OUTCOME_BROKEN, attempt)
+            return None, self._broken(call, 504, error), attempt
+        except BrokenError as error:
+            self._finish(grant, OUTCOME_BROKEN, attempt)
+            if call.is_repeatable and is_gone():
+                raise CallerGoneError from error
+            return None, self._broken(call, 502, error), attempt
+        finally:
+            watch.kill()
+        if answer.status == 503 and call.is_repeatable:
+            attempt.measured.first_ms = UNREACHABLE_FIRST_MS
+            self._finish(grant, OUTCOME_REFUSED, attempt)
+            problem = CallProblem(
+                503,
+                "server_refused",
+                f"the backend server {grant.server} refused the request",
+                "try again later",
+                UNKNOWN,
+                RETRY_AFTER_S,
+            )
+            return None, problem, attempt
+        return answer, None, attempt
+
+    def _watch_caller(self, call: Call, attempt: Attempt, is_gone) -> None:
+        # A call that may not be repeated is left to finish: its effect is wanted.
+        while call.is_repeatable:
+            eventlet.sleep(CHECK_INTERVAL_MS / 1000.0)
+            if is_gone():
+                attempt.abort()
+                return
+
+    def _broken(self, call: Call, status: int, error: Exception) -> CallProblem:
+        kind = "answer_overdue" if status == 504 else "answer_broken"
+        return CallProblem(
+            status,
+            kind,
+            f"the backend server did not give a whole answer ({error})",
+            "find out whether the request ran before sending it again",
+            UNKNOWN,
+        )
+
+    def _finish(self, grant: SlotGrant, outcome: str, attempt: Attempt) -> None:
+        attempt.close()
+        measured = attempt.measured
+        if measured.sent_ms and not measured.duration_ms:
+            measured.duration_ms = self._context.clock.now_ms() - measured.sent_ms
+        self._context.count("attempts_total", outcome)
+        self._desk.finish(
+            make_done(
+                grant,
+                outcome,
+                measured.cost,
+                measured.server_incarnation,
+                measured.first_ms,
+                measured.duration_ms,
+            )
+        )
+
+    # Passing the answer back.
+
+    def _pass_back(
+        self, call: Call, grant: SlotGrant, attempt: Attempt, answer: Answer, start
+    ) -> Iterable[bytes]:
+        headers = [*answer.headers, ("X-Request-Id", call.request_id)]
+        headers = [
+            (name, value)
+            for index, (name, value) in enumerate(headers)
+            if name.lower() != "x-request-id" or index == len(headers) - 1
+        ]
+        self._closing(headers)
+        status = f"{answer.status} {_reason(answer.status)}"
+        if call.is_stream and answer.status == 200:
+            start(status, headers)
+            return self._stream(call, grant, attempt)
+        self._finish(grant, OUTCOME_WHOLE, attempt)
+        headers.append(("Content-Length", str(len(answer.body))))
+        start(status, headers)
+        return [answer.body]
+
+    def _stream(
+        self, call: Call, grant: SlotGrant, attempt: Attempt
+    ) -> Iterator[bytes]:
+        outcome = OUTCOME_CANCELLED
+        reported_ms = self._context.clock.now_ms()
+        try:
+            for events in attempt.events():
+                yield events
+                now_ms = self._context.clock.now_ms()
+                if now_ms - reported_ms > PROGRESS_INTERVAL_MS:
+                    reported_ms = now_ms
+                    self._desk.progress(grant, attempt.measured.cost)
+            outcome = OUTCOME_WHOLE
+        except BrokenError as error:
+            outcome = OUTCOME_BROKEN
+            problem = self._broken(call, 502, error)
+            yield b"event: error\ndata: " + problem.body(call.request_id) + b"\n\n"
+            # Without the last chunk the caller cannot take the stream for whole.
+            raise
+        finally:
+            self.running -= 1
+            require(self.running >= 0, "running_calls_not_negative")
+            self._finish(grant, outcome, attempt)
+
+
+def _problem(
+    call: Call, status: int, kind: str, problem: str, remedy: str
+) -> CallProblem:
+    if call.may_have_run:
+        return CallProblem(status, kind, problem, remedy, UNKNOWN)
+    return CallProblem(status, kind, problem, remedy, retry_after_s=RETRY_AFTER_S)
+
+
+def _gone() -> CallProblem:
+    # Nobody reads this answer; it only lets the server end the request in order.
+    return CallProblem(
+        503, "caller_gone", "the caller closed its connection", "call again", UNKNOWN
+    )
+
+
+def _reason(status: int) -> str:
+    return "OK" if status == 200 else "Answer"
--- /dev/null
+++ b/packages/lagoonsail-router/src/lagoonsail_router/load_reports.py
@@ -0,0 +1,87 @@
+"""Reads the load that backend servers report, for the owner of their shard."""
+
+from __future__ import annotations
+
+import json
+import re
+from typing import TYPE_CHECKING
+
+from lagoonsail_core.green import urllib3
+from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_sharing.server_limit import LoadReport
+
+if TYPE_CHECKING:
+    from lagoonsail_core.clock import Clock
+
+REPORT_TIMEOUT_S = 1.0
+"""Time after which a report is given up, in seconds as urllib3 takes it."""
+MAX_REPORT_BYTES = 262_144
+"""Longest report that is read."""
+REPORT_LAG_MS = 2000.0
+"""Assumed greatest age of what a report says."""
+
+_SAMPLE = re.compile(r"^([a-zA-Z_:][\w:]*)(?:\{[^}]*\})? (\S+)", re.MULTILINE)
+
+
+def _get(address: str, path: str) -> bytes | Unavailable:
+    # A fresh connection each time: one that went silent must not hide the server.
+    host, port = address.rsplit(":", 1)
+    pool = urllib3.HTTPConnectionPool(
+        host, int(port), timeout=REPORT_TIMEOUT_S, retries=False
+    )
+    try:
+        response = pool.request("GET", path, preload_content=False)
+        body = response.read(MAX_REPORT_BYTES)
+    except (urllib3.exceptions.HTTPError, OSError) as error:
+        return Unavailable(f"no answer from {address}{path}: {error}")
+    finally:
+        pool.close()
+    if response.status != 200:
+        return Unavailable(f"{address}{path} answered {response.status}")
+    return body
+
+
+def read_load(address: str, clock: Clock) -> LoadReport | Unavailable:
+    """Read the load report of a backend server.
+
+    Args:
+        address: Address of the server.
+        clock: The clock.
+
+    Returns:
+        The report, or why there is none.
+    """
+    body = _get(address, "/metrics")
+    if not body:
+        return body
+    samples = dict(_SAMPLE.findall(body.decode("utf-8", "replace")))
+    try:
+        running = int(float(samples["engine:num_requests_running"]))
+        started = samples.get("process_start_time_seconds", "")
+        is_warm = float(samples.get("engine:warm", "1")) > 0
+    except (KeyError, ValueError) as error:
+        return Unavailable(f"malformed load report from {address}: {error}")
+    measured_ms = clock.now_ms() - REPORT_LAG_MS
+    return LoadReport(running, is_warm, started, measured_ms)
+
+
+def read_cache_events(address: str, after: int) -> list[dict] | Unavailable:
+    """Read the prefix-cache events of a model engine.
+
+    Args:
+        address: Address of the engine.
+        after: Sequence of the last event that was read.
+
+    Returns:
+        Events in order, or why there are none.
+    """
+    body = _get(address, f"/cache_events?after={after}")
+    if isinstance(body, Unavailable):
+        return body
+    try:
+        events = json.loads(body)
+    except ValueError as error:
+        return Unavailable(f"malformed cache events from {address}: {error}")
+    if isinstance(events, dict):
+        events = events.get("events", [])
+    return [event for event in events if isinstance(event, dict)]
--- /dev/null
+++ b/packages/lagoonsail-router/src/lagoonsail_router/ownership.py
@@ -0,0 +1,261 @@
+"""Which shards this router owns, and how ownership changes hands.
+
+An assignment record names the owner of a shard, its lease and its epoch. It changes by
+compare-and-swap only. A member claims a shard that nobody owns, that was released, or
+whose owner's lease has ended for longer than any grant of that owner can be used.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from lagoonsail_core.clock import longest_ms
+from lagoonsail_core.green import eventlet
+from lagoonsail_core.invariants import require
+from lagoonsail_router.configuration import OWNED, RELEASED, SHARDS
+from lagoonsail_router.context import LEAVING, SERVING
+from lagoonsail_sharing.assignment import rendezvous_owner
+from lagoonsail_store.store_client import Conflict, Written
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonsail_router.configuration import Configuration, ShardRecord
+    from lagoonsail_router.context import RouterContext
+    from lagoonsail_router.right import Right
+    from lagoonsail_router.shard_owner import ShardOwner
+    from lagoonsail_store.store_client import StoreClient
+
+IMBALANCE_LIMIT = 1.3
+"""Shards of one router above this multiple of the mean are given away."""
+REBALANCE_INTERVAL_MS = 5000.0
+"""Least time between two shards that one router gives away for balance."""
+
+
+class Ownership:
+    """The shards that this router owns."""
+
+    __slots__ = (
+        "_claiming",
+        "_configuration",
+        "_context",
+        "_lapsed_since",
+        "_make_owner",
+        "_rebalanced_ms",
+        "_right",
+        "_store",
+        "owned",
+    )
+
+    owned: dict[str, ShardOwner]
+    """State of each owned shard."""
+
+    def __init__(
+        self,
+        context: RouterContext,
+        configuration: Configuration,
+        store: StoreClient,
+        make_owner: Callable[[str, int], ShardOwner],
+    ) -> None:
+        self._context = context
+        self._configuration = configuration
+        self._store = store
+        self._make_owner = make_owner
+        self._right: Right | None = None
+        self._claiming: set[str] = set()
+        self._lapsed_since: dict[tuple[str, int], float] = {}
+        self._rebalanced_ms = context.clock.now_ms()
+        self.owned = {}
+
+    def attach(self, right: Right) -> None:
+        """Use a right; ownership and right need each other."""
+        self._right = right
+
+    def regional_shards(self) -> list[str]:
+        """Return the shards of this router's region, by the documents in force."""
+        suffix = f"@{self._context.settings.region}"
+        shards = {
+            shard
+            for document in self._configuration.documents.values()
+            for shard in document.shards()
+        }
+        return sorted(shard for shard in shards if shard.endswith(suffix))
+
+    def desired_owner(self, shard: str) -> str:
+        """Return the member of the region that should own a shard."""
+        ranked = self.successors(shard)
+        return ranked[0] if ranked else ""
+
+    def successors(self, shard: str) -> list[str]:
+        """Return the serving members of the region, best owner first."""
+        candidates = self._serving_members()
+        ranked = []
+        while candidates:
+            best = rendezvous_owner(shard, candidates)
+            ranked.append(best)
+            candidates.remove(best)
+            if len(ranked) == 3:
+                break
+        return ranked
+
+    def drop_all(self) -> None:
+        """Stop acting as an owner; the lease has lapsed."""
+        for shard in list(self.owned):
+            self._drop(shard)
+
+    def step(self) -> None:
+        """Claim, drop and release shards as the records demand."""
+        self._drop_superseded()
+        if not self._right.lease or not self._right.hears_store():
+            return
+        shards = self.regional_shards()
+        for shard in shards:
+            self._consider(shard)
+        if self._context.state == LEAVING:
+            for shard in list(self.owned):
+                self._start_release(shard)
+            return
+        self._rebalance(shards)
+
+    def _serving_members(self) -> list[str]:
+        region = self._context.settings.region
+        return sorted(
+            member.router
+            for member in self._configuration.members.values()
+            if member.region == region and member.state == SERVING
+        )
+
+    def _drop_superseded(self) -> None:
+        for shard, owner in list(self.owned.items()):
+            record = self._configuration.shards.get(shard)
+            if record and record.epoch > owner.epoch:
+                self._drop(shard)
+
+    def _drop(self, shard: str) -> None:
+        owner = self.owned.pop(shard)
+        owner.stop()
+        self._context.timeline.record("shard_lost", shard=shard, epoch=owner.epoch)
+
+    def _consider(self, shard: str) -> None:
+        if shard in self.owned or shard in self._claiming:
+            return
+        if self._context.state == LEAVING:
+            return
+        if self.desired_owner(shard) != self._context.settings.name:
+            return
+        record = self._configuration.shards.get(shard)
+        if record and not self._is_free(shard, record):
+            return
+        self._claiming.add(shard)
+        eventlet.spawn_n(self._claim, shard, record)
+
+    def _is_free(self, shard: str, record: ShardRecord) -> bool:
+        if record.state == RELEASED:
+            return True
+        if record.lease == self._right.lease:
+            # This router's own claim, whose answer came too late to be believed.
+            return True
+        if not self._configuration.is_lapsed(record):
+            self._lapsed_since.pop((shard, record.epoch), None)
+            return False
+        is_own = record.owner == self._context.settings.name
+        if not is_own and not self._right.may_take_over():
+            return False
+        now_ms = self._context.clock.now_ms()
+        since_ms = self._lapsed_since.setdefault((shard, record.epoch), now_ms)
+        # The old owner stopped granting before its lease ended, but what it granted
+        # last may still be used for one start window.
+        free_ms = since_ms + longest_ms(self._context.settings.start_window_ms)
+        return now_ms > max(free_ms, self._right.promised_until_ms(record.owner))
+
+    def _claim(self, shard: str, record: ShardRecord | None) -> None:
+        try:
+            self._write_claim(shard, record)
+        finally:
+            self._claiming.discard(shard)
+
+    def _write_claim(self, shard: str, record: ShardRecord | None) -> None:
+        epoch = record.epoch + 1 if record else 1
+        lease = self._right.lease
+        value = self._record_value(epoch, lease, OWNED)
+        revision = record.revision if record else 0
+        written = self._store.put_if(self._key(shard), value, revision)
+        if isinstance(written, Conflict):
+            self._take_conflict(shard, written)
+            return
+        if not isinstance(written, Written):
+            return
+        self._configuration.apply(f"{SHARDS}{shard}", written.revision, value)
+        current = self._configuration.shards[shard]
+        if lease != self._right.lease or current.epoch != epoch:
+            return
+        require(shard not in self.owned, "shard_claimed_once", shard)
+        self.owned[shard] = self._make_owner(shard, epoch)
+        self._context.timeline.record("shard_claimed", shard=shard, epoch=epoch)
+        self._lapsed_since.clear()
+
+    def _take_conflict(self, shard: str, conflict: Conflict) -> None:
+        self._context.count("claim_conflicts_total")
+        entry = conflict.entry
+        if entry is not None:
+            self._configuration.apply(f"{SHARDS}{shard}", entry.revision, entry.value)
+
+    def _start_release(self, shard: str) -> None:
+        owner = self.owned[shard]
+        if owner.is_releasing:
+            return
+        owner.is_releasing = True
+        eventlet.spawn_n(self._release, shard, owner)
+
+    def _release(self, shard: str, owner: ShardOwner) -> None:
+        """Hand a shard over without waiting for a lease to end."""
+        owner.refuse_waiting()
+        while owner.has_unstarted_grants() and self.owned.get(shard) is owner:
+            eventlet.sleep(0.02)
+        if self.owned.get(shard) is not owner:
+            return
+        owner.send_digests()
+        record = self._configuration.shards.get(shard)
+        value = self._record_value(owner.epoch, record.lease, RELEASED)
+        written = self._store.put_if(self._key(shard), value, record.revision)
+        if not isinstance(written, Written):
+            owner.is_releasing = False
+            return
+        self._drop(shard)
+        self._configuration.apply(f"{SHARDS}{shard}", written.revision, value)
+
+    def _rebalance(self, shards: list[str]) -> None:
+        now_ms = self._context.clock.now_ms()
+        if now_ms - self._rebalanced_ms < REBALANCE_INTERVAL_MS:
+            return
+        members = self._serving_members()
+        name = self._context.settings.name
+        if not members or name not in members:
+            return
+        loads = Counter(self._configuration.owner_of(shard) for shard in shards)
+        allowed = math.ceil(IMBALANCE_LIMIT * len(shards) / len(members))
+        if loads[name] <= allowed:
+            return
+        for shard in sorted(self.owned):
+            desired = self.desired_owner(shard)
+            if desired != name and loads[desired] < allowed:
+                self._rebalanced_ms = now_ms
+                self._start_release(shard)
+                return
+
+    def _record_value(self, epoch: int, lease: int, state: str) -> str:
+        return json.dumps(
+            {
+                "owner": self._context.settings.name,
+                "incarnation": self._context.incarnation,
+                "lease": lease,
+                "epoch": epoch,
+                "state": state,
+            }
+        )
+
+    def _key(self, shard: str) -> str:
+        return f"{self._context.settings.store_prefix}{SHARDS}{shard}"
--- /dev/null
+++ b/packages/lagoonsail-router/src/lagoonsail_router/peers.py
@@ -0,0 +1,215 @@
+"""The streams to other routers, and who takes which message."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lagoonsail_core.messages import (
+    ConfigOffer,
+    ConfigPush,
+    Heartbeat,
+    Hello,
+)
+from lagoonsail_peer.link import PeerLink
+from lagoonsail_peer.server import PeerServer
+from lagoonsail_router.configuration import SPREAD_BY_PEERS
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonsail_peer.stream import PeerStream
+    from lagoonsail_router.configuration import Configuration
+    from lagoonsail_router.context import RouterContext
+
+PUSH_BYTES = 1_000_000
+"""Most that one message of configuration carries, in characters of values."""
+
+
+class PeerDirectory:
+    """Streams by router name, and the handlers of messages by their type."""
+
+    __slots__ = (
+        "_configuration",
+        "_context",
+        "_digests",
+        "_handlers",
+        "_links",
+        "_on_close",
+        "_on_open",
+        "_server",
+        "streams",
+    )
+
+    streams: dict[str, list[PeerStream]]
+    """Open streams by the remote router's name, oldest first."""
+
+    def __init__(self, context: RouterContext, configuration: Configuration) -> None:
+        self._context = context
+        self._configuration = configuration
+        self._handlers: dict[type, Callable] = {
+            Heartbeat: self._take_heartbeat,
+            ConfigOffer: self._take_offer,
+            ConfigPush: self._take_push,
+        }
+        self._on_open: list[Callable] = []
+        self._on_close: list[Callable] = []
+        self._links: dict[str, tuple[str, PeerLink]] = {}
+        self._digests: dict[str, tuple[int, int]] = {}
+        self.streams = {}
+        self._server = PeerServer(
+            context.settings.peers_address, **self._stream_options()
+        )
+
+    def _stream_options(self) -> dict:
+        settings = self._context.settings
+        return {
+            "shared_key": settings.shared_key,
+            "identity": self._identity,
+            "timeline": self._context.timeline,
+            "on_open": self._opened,
+            "on_messages": self.dispatch,
+            "on_close": self._closed,
+            "flush_ms": settings.flush_ms,
+            "silence_ms": settings.silence_ms,
+            "make_heartbeat": self._make_heartbeat,
+            "heartbeat_ms": settings.heartbeat_ms,
+        }
+
+    def _identity(self) -> Hello:
+        return Hello(
+            self._context.settings.name,
+            self._context.incarnation,
+            self._context.settings.region,
+            self._context.clock.now_ms(),
+        )
+
+    def _make_heartbeat(self) -> Heartbeat:
+        return Heartbeat(self._context.clock.now_ms(), self._configuration.digest)
+
+    def start(self) -> None:
+        """Listen for streams of other routers."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Close all streams."""
+        for _, link in self._links.values():
+            link.stop()
+        self._server.stop()
+
+    def handle(self, kind: type, handler: Callable) -> None:
+        """Give messages of a type to a handler, called with stream and message."""
+        self._handlers[kind] = handler
+
+    def subscribe(self, on_open: Callable, on_close: Callable) -> None:
+        """Call the functions with each stream that opens or closes."""
+        self._on_open.append(on_open)
+        self._on_close.append(on_close)
+
+    def stream_to(self, router: str) -> PeerStream | None:
+        """Return an open stream to a router, and dial it if there is none.
+
+        Args:
+            router: Name of the other router.
+
+        Returns:
+            The oldest open stream, None if there is none yet.
+        """
+        streams = self.streams.get(router)
+        if streams:
+            return streams[0]
+        self._dial(router)
+        return None
+
+    def maintain(self) -> None:
+        """Dial the members of the region, and hang up on routers that are gone."""
+        settings = self._context.settings
+        for member in list(self._configuration.members.values()):
+            # One stream serves both directions, so only the lower name dials.
+            if member.region == settings.region and settings.name < member.router:
+                self._dial(member.router)
+        for router in list(self._links):
+            if router not in self._configuration.members:
+                self._hang_up_if_closed(router)
+
+    def dispatch(self, stream: PeerStream, messages: list) -> None:
+        """Hand each message to its handler.
+
+        Args:
+            stream: The stream on which the messages came.
+            messages: The messages in order.
+        """
+        for message in messages:
+            handler = self._handlers.get(type(message))
+            if handler is None:
+                self._context.count("unexpected_messages_total")
+                continue
+            handler(stream, message)
+
+    def _dial(self, router: str) -> None:
+        member = self._configuration.members.get(router)
+        if member is None or router == self._context.settings.name:
+            return
+        address, link = self._links.get(router, ("", None))
+        if address == member.peers:
+            return
+        if link:
+            link.stop()
+        link = PeerLink(member.peers, **self._stream_options())
+        self._links[router] = (member.peers, link)
+        link.start()
+
+    def _hang_up_if_closed(self, router: str) -> None:
+        # An open stream proves that the router lives, whatever the members say.
+        if self.streams.get(router):
+            return
+        _, link = self._links.pop(router)
+        link.stop()
+
+    def _opened(self, stream: PeerStream, _hello: Hello) -> None:
+        self.streams.setdefault(stream.name, []).append(stream)
+        self._context.timeline.record("peer_connected", peer=stream.name)
+        for listener in self._on_open:
+            listener(stream)
+
+    def _closed(self, stream: PeerStream) -> None:
+        streams = self.streams.get(stream.name, [])
+        if stream in streams:
+            streams.remove(stream)
+        self._context.timeline.record("peer_disconnected", peer=stream.name)
+        for listener in self._on_close:
+            listener(stream)
+
+    def _take_heartbeat(self, stream: PeerStream, heartbeat: Heartbeat) -> None:
+        seen = (heartbeat.config_digest, self._configuration.digest)
+        before = self._digests.get(stream.name)
+        self._digests[stream.name] = seen
+        # A change in flight also makes the digests differ, but not twice the same.
+        if seen[0] != seen[1] and seen == before:
+            self._context.count("config_offers_total")
+            stream.send(ConfigOffer(self._configuration.revisions()))
+
+    def _take_offer(self, stream: PeerStream, offer: ConfigOffer) -> None:
+        entries = self._configuration.newer_than(offer.revisions)
+        batch: list[list] = []
+        size = 0
+        for entry in entries:
+            batch.append(entry)
+            size += len(entry[2])
+            if size > PUSH_BYTES:
+                stream.send(ConfigPush(batch))
+                batch, size = [], 0
+        if batch:
+            stream.send(ConfigPush(batch))
+
+    def _take_push(self, stream: PeerStream, push: ConfigPush) -> None:
+        for entry in push.entries:
+            if len(entry) != 3:
+                self._context.count("malformed_pushes_total")
+                continue
+            key, revision, value = entry
+            is_typed = type(key) is str and type(revision) is int and type(value) is str
+            if not is_typed or not key.startswith(SPREAD_BY_PEERS):
+                self._context.count("malformed_pushes_total")
+                continue
+            if self._configuration.apply(key, revision, value):
+                self._context.count("records_from_peers_total")
--- /dev/null
+++ b/packages/lagoonsail-router/src/lagoonsail_router/problems.py
@@ -0,0 +1,83 @@
+"""What a caller is told when there is no answer."""
+
+from __future__ import annotations
+
+import json
+
+from lagoonsail_core.errors import LagoonsailError
+
+NOT_RUN = "no"
+"""The request certainly did not run and never will."""
+UNKNOWN = "unknown"
+"""The request may have run."""
+
+REASONS = {
+    400: "Bad Request",
+    401: "Unauthorized",
+    404: "Not Found",
+    409: "Conflict",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+"""Reason phrases of the statuses in use."""
+
+
+class CallProblem(LagoonsailError):
+    """A request that gets a problem document in place of an answer."""
+
+    def __init__(
+        self,
+        status: int,
+        kind: str,
+        problem: str,
+        remedy: str,
+        ran: str = NOT_RUN,
+        retry_after_s: int | None = None,
+    ) -> None:
+        super().__init__(problem, remedy)
+        self.status = status
+        """HTTP status."""
+        self.kind = kind
+        """Stable name of the kind of problem."""
+        self.ran = ran
+        """NOT_RUN or UNKNOWN."""
+        self.retry_after_s = retry_after_s
+        """When to try again, in seconds; None if trying again is no use."""
+
+    def body(self, request_id: str) -> bytes:
+        """Return the problem document (RFC 9457).
+
+        Args:
+            request_id: Request that it answers.
+
+        Returns:
+            JSON.
+        """
+        return json.dumps(
+            {
+                "type": f"urn:lagoonsail:problem:{self.kind}",
+                "title": self.kind.replace("_", " "),
+                "status": self.status,
+                "detail": str(self),
+                "ran": self.ran,
+                "request_id": request_id,
+            }
+        ).encode()
+
+    def status_line(self) -> str:
+        """Return the status as WSGI wants it."""
+        return f"{self.status} {REASONS[self.status]}"
+
+    def headers(self, request_id: str, body: bytes) -> list[tuple[str, str]]:
+        """Return the headers of the problem document."""
+        headers = [
+            ("Content-Type", "application/problem+json"),
+            ("Content-Length", str(len(body))),
+            ("X-Request-Id", request_id),
+        ]
+        if self.retry_after_s is not None:
+            headers.append(("Retry-After", str(self.retry_after_s)))
+        return headers
--- /dev/null
+++ b/packages/lagoonsail-router/src/lagoonsail_router/right.py
@@ -0,0 +1,346 @@
+"""The right of this router to act as an owner, and how it is kept or lost.
+
+The right rests on a lease at the key-value service and always counts from the moment
+at which the renewal was sent. Three ways keep it, in this order:
+
+1. renewing the lease directly;
+2. renewing it through a peer that reaches the service;
+3. where nobody reaches the service, the promise of every other router of the region
+   that the host list shows, not to take over for a stated time.
+
+Otherwise the right lapses.
+"""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from lagoonsail_core.clock import longest_ms, shortest_ms
+from lagoonsail_core.green import eventlet
+from lagoonsail_core.messages import (
+    PromiseRequest,
+    PromiseResult,
+    RenewRequest,
+    RenewResult,
+)
+from lagoonsail_router.configuration import MEMBERS
+from lagoonsail_store.store_client import Written
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonsail_peer.stream import PeerStream
+    from lagoonsail_router.configuration import Configuration
+    from lagoonsail_router.context import RouterContext
+    from lagoonsail_router.peers import PeerDirectory
+    from lagoonsail_store.host_list import HostList
+    from lagoonsail_store.store_client import StoreClient
+
+FULL = "full"
+"""The lease was renewed recently."""
+GUARDED = "guarded"
+"""Renewals fail, the lease still runs; cold servers get no new work."""
+EXTENDED = "extended"
+"""The lease has run out, but every other router promised not to take over."""
+LAPSED = "lapsed"
+"""No right; the router grants nothing."""
+
+PROMISE_MS = 2000.0
+"""How long a promise not to take over holds."""
+RENEWALS_PER_TTL = 6
+"""Renewals tried in one lease time."""
+STORE_DOWN_TTL_MS = -1.0
+"""Value of RenewResult.ttl_ms when the peer cannot reach the service either."""
+RENEWERS_AT_ONCE = 2
+"""Peers that are asked at once to renew the lease."""
+
+
+@dataclass(slots=True)
+class _Attempt:
+    sent_ms: float
+    asked: set[str]
+    answers: dict[str, object] = field(default_factory=dict)
+
+
+class Right:
+    """The lease of this router, and its standing without the key-value service."""
+
+    __slots__ = (
+        "_attempts",
+        "_configuration",
+        "_context",
+        "_hosts",
+        "_hosts_read_ms",
+        "_last_level",
+        "_nonce",
+        "_on_lost",
+        "_peers",
+        "_promised_until",
+        "_store",
+        "_host_list",
+        "_seen_in_hosts_since_ms",
+        "lease",
+        "lease_until_ms",
+        "promise_until_ms",
+        "renewed_ms",
+    )
+
+    lease: int
+    """Lease at the key-value service, 0 before the first."""
+    renewed_ms: float
+    """When the last successful renewal was sent."""
+    lease_until_ms: float
+    """Until when the lease surely holds, by this host's clock."""
+    promise_until_ms: float
+    """Until when all other routers of the region have promised not to take over."""
+
+    def __init__(
+        self,
+        context: RouterContext,
+        configuration: Configuration,
+        store: StoreClient,
+        host_list: HostList,
+        peers: PeerDirectory,
+        on_lost: Callable[[], None],
+    ) -> None:
+        self._context = context
+        self._configuration = configuration
+        self._store = store
+        self._host_list = host_list
+        self._peers = peers
+        self._on_lost = on_lost
+        self._attempts: dict[int, _Attempt] = {}
+        self._nonce = 0
+        self._promised_until: dict[str, float] = {}
+        self._hosts: list = []
+        self._hosts_read_ms = float("-inf")
+        self._seen_in_hosts_since_ms = float("inf")
+        self._last_level = LAPSED
+        self.lease = 0
+        self.renewed_ms = float("-inf")
+        self.lease_until_ms = float("-inf")
+        self.promise_until_ms = float("-inf")
+        peers.handle(RenewRequest, self._take_renew_request)
+        peers.handle(RenewResult, self._take_answer)
+        peers.handle(PromiseRequest, self._take_promise_request)
+        peers.handle(PromiseResult, self._take_answer)
+
+    def level(self) -> str:
+        """Return FULL, GUARDED, EXTENDED or LAPSED as of this moment.
+
+        Call it before each grant: the process may have been paused since.
+        """
+        now_ms = self._context.clock.now_ms()
+        level = self._level_at(now_ms)
+        if level != self._last_level:
+            self._context.timeline.record("right_changed", level=level)
+            self._last_level = level
+        return level
+
+    def _level_at(self, now_ms: float) -> str:
+        ttl_ms = self._context.settings.lease_ttl_ms
+        if now_ms < min(self.renewed_ms + ttl_ms / 2, self.lease_until_ms):
+            return FULL
+        if now_ms < self.lease_until_ms:
+            return GUARDED
+        if now_ms < self.promise_until_ms:
+            return EXTENDED
+        return LAPSED
+
+    def hears_store(self) -> bool:
+        """Return whether the lease was renewed within the last half lease time."""
+        return self._level_at(self._context.clock.now_ms()) == FULL
+
+    def promised_until_ms(self, router: str) -> float:
+        """Return until when this router has promised not to take over from another."""
+        return self._promised_until.get(router, float("-inf"))
+
+    def may_take_over(self) -> bool:
+        """Return whether routers without the service would ask this one for promises.
+
+        They ask every router on the host list, so this one must have been on the list
+        for as long as the list may lag.
+        """
+        listed_ms = self._context.clock.now_ms() - self._seen_in_hosts_since_ms
+        return listed_ms > self._context.settings.host_list_max_lag_ms
+
+    def renew(self) -> None:
+        """Renew the lease at the service, or take a new one if there is none."""
+        if not self.lease:
+            self.register()
+            return
+        sent_ms = self._context.clock.now_ms()
+        ttl_ms = self._store.renew_lease(self.lease)
+        if isinstance(ttl_ms, float):
+            self._take_ttl(sent_ms, ttl_ms)
+            return
+        self._context.count("lease_renewals_failed_total")
+
+    def register(self) -> bool:
+        """Take a new lease and write this router's member record under it.
+
+        Returns:
+            Whether both were written.
+        """
+        sent_ms = self._context.clock.now_ms()
+        lease = self._store.grant_lease(self._context.settings.lease_ttl_ms)
+        if not lease:
+            return False
+        if not self._write_member(lease):
+            return False
+        self.lease = lease
+        self._set_renewed(sent_ms, self._context.settings.lease_ttl_ms)
+        self._context.timeline.record("lease_granted", lease=lease)
+        return True
+
+    def write_state(self) -> bool:
+        """Write the member record again after a change of state."""
+        return bool(self.lease) and self._write_member(self.lease)
+
+    def revoke(self) -> None:
+        """Give the lease up at the end of a planned stop."""
+        lease, self.lease = self.lease, 0
+        self.lease_until_ms = self.promise_until_ms = float("-inf")
+        if lease:
+            self._store.revoke_lease(lease)
+
+    def read_hosts(self) -> None:
+        """Read the host list."""
+        sent_ms = self._context.clock.now_ms()
+        hosts = self._host_list.read()
+        if not isinstance(hosts, list):
+            self._context.count("host_list_reads_failed_total")
+            return
+        self._hosts = hosts
+        self._hosts_read_ms = sent_ms
+        names = {host.name for host in hosts}
+        if self._context.settings.name not in names:
+            self._seen_in_hosts_since_ms = float("inf")
+        else:
+            self._seen_in_hosts_since_ms = min(self._seen_in_hosts_since_ms, sent_ms)
+
+    def _write_member(self, lease: int) -> bool:
+        settings = self._context.settings
+        value = json.dumps(
+            {
+                "router": settings.name,
+                "incarnation": self._context.incarnation,
+                "side": settings.side,
+                "region": settings.region,
+                "failure_domain": settings.failure_domain,
+                "peers": settings.peers_address,
+                "admin": settings.admin_address,
+                "state": self._context.state,
+                "lease": lease,
+                "wall_ms": self._context.clock.wall_ms(),
+            }
+        )
+        key = f"{settings.store_prefix}{MEMBERS}{settings.name}"
+        current = self._store.get(key)
+        revision = getattr(current, "revision", 0)
+        written = self._store.put_if(key, value, revision, lease)
+        if not isinstance(written, Written):
+            return False
+        self._configuration.apply(f"{MEMBERS}{settings.name}", written.revision, value)
+        return True
+
+    def _take_ttl(self, sent_ms: float, ttl_ms: float) -> None:
+        if ttl_ms > 0:
+            self._set_renewed(sent_ms, ttl_ms)
+            return
+        self._context.timeline.record("lease_lapsed", lease=self.lease)
+        self.lease = 0
+        self.lease_until_ms = self.promise_until_ms = float("-inf")
+        self._on_lost()
+
+    def _set_renewed(self, sent_ms: float, ttl_ms: float) -> None:
+        self.renewed_ms = max(self.renewed_ms, sent_ms)
+        self.lease_until_ms = max(self.lease_until_ms, sent_ms + shortest_ms(ttl_ms))
+
+    def renew_through_peers(self) -> None:
+        """Renew the lease through peers while the direct way fails."""
+        if self.hears_store() or not self.lease:
+            return
+        names = [name for name, streams in self._peers.streams.items() if streams]
+        fresh = sorted(names, key=lambda name: -self._peers.streams[name][0].heard_ms)
+        asked = fresh[:RENEWERS_AT_ONCE]
+        lease = self.lease
+        attempt = self._ask(asked, lambda nonce: RenewRequest(nonce, lease))
+        if attempt is None or lease != self.lease:
+            return
+        ttls = [answer.ttl_ms for answer in attempt.answers.values()]
+        known = [ttl_ms for ttl_ms in ttls if ttl_ms >= 0]
+        if not known:
+            return
+        self._context.count("lease_renewals_through_peers_total")
+        self._take_ttl(attempt.sent_ms, min(known))
+
+    def gather_promises(self) -> None:
+        """Ask every router of the region not to take over, while renewals fail."""
+        if self.hears_store() or not self.lease:
+            return
+        settings = self._context.settings
+        now_ms = self._context.clock.now_ms()
+        if now_ms - self._hosts_read_ms > settings.host_list_max_lag_ms / 2:
+            return
+        others = {
+            host.name
+            for host in self._hosts
+            if host.name != settings.name
+            and host.labels.get("region", settings.region) == settings.region
+        }
+        attempt = self._ask(others, lambda nonce: PromiseRequest(nonce, PROMISE_MS))
+        if attempt is None or set(attempt.answers) != others:
+            return
+        if all(answer.promised for answer in attempt.answers.values()):
+            until_ms = attempt.sent_ms + shortest_ms(PROMISE_MS)
+            self.promise_until_ms = max(self.promise_until_ms, until_ms)
+
+    def _ask(self, names, make: Callable[[int], object]) -> _Attempt | None:
+        streams = [self._peers.stream_to(name) for name in names]
+        if not streams or not all(streams):
+            return None
+        self._nonce += 1
+        attempt = _Attempt(self._context.clock.now_ms(), set(names))
+        self._attempts[self._nonce] = attempt
+        for stream in streams:
+            stream.send(make(self._nonce))
+        self._wait_for_answers(attempt)
+        del self._attempts[self._nonce]
+        return attempt
+
+    def _wait_for_answers(self, attempt: _Attempt) -> None:
+        deadline_ms = attempt.sent_ms + self._context.settings.store_timeout_ms * 1.5
+        while self._context.clock.now_ms() < deadline_ms:
+            if set(attempt.answers) >= attempt.asked:
+                return
+            eventlet.sleep(0.01)
+
+    def _take_answer(self, stream: PeerStream, answer) -> None:
+        attempt = self._attempts.get(answer.nonce)
+        if attempt and stream.name in attempt.asked:
+            attempt.answers[stream.name] = answer
+
+    def _take_renew_request(self, stream: PeerStream, request: RenewRequest) -> None:
+        def renew() -> None:
+            ttl_ms = self._store.renew_lease(request.lease)
+            if not isinstance(ttl_ms, float):
+                ttl_ms = STORE_DOWN_TTL_MS
+            stream.send(RenewResult(request.nonce, ttl_ms))
+
+        eventlet.spawn_n(renew)
+
+    def _take_promise_request(
+        self, stream: PeerStream, request: PromiseRequest
+    ) -> None:
+        if self.hears_store():
+            # The asker can renew its lease through this router instead.
+            reason = "this router reaches the key-value service"
+            stream.send(PromiseResult(request.nonce, False, reason))
+            return
+        until_ms = self._context.clock.now_ms() + longest_ms(request.duration_ms)
+        held = self._promised_until.get(stream.name, until_ms)
+        self._promised_until[stream.name] = max(held, until_ms)
+        stream.send(PromiseResult(request.nonce, True, ""))
--- /dev/null
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -0,0 +1,556 @@
+"""What the owner of a shard decides: which waiting request gets which free slot."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from lagoonsail_core.green import eventlet
+from lagoonsail_core.invariants import require
+from lagoonsail_core.messages import (
+    OUTCOME_BROKEN,
+    OUTCOME_NOT_RUN,
+    OUTCOME_REFUSED,
+    REFUSED_DUPLICATE,
+    REFUSED_KEYS_UNAVAILABLE,
+    REFUSED_NOT_OWNER,
+    REFUSED_QUEUE_FULL,
+    InventoryTaken,
+    ServiceDigest,
+    SlotGrant,
+    SlotRefusal,
+)
+from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_router.key_log import KeyLog
+from lagoonsail_router.load_reports import REPORT_LAG_MS, read_cache_events, read_load
+from lagoonsail_router.right import FULL, LAPSED
+from lagoonsail_sharing.fair_queue import FairQueue, Waiting
+from lagoonsail_sharing.placement import choose_server
+from lagoonsail_sharing.prefix_index import PrefixIndex
+from lagoonsail_sharing.server_limit import ServerLimit
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonsail_config.document import ServerEntry, ServiceDocument
+    from lagoonsail_core.messages import (
+        Inventory,
+        SlotCancel,
+        SlotDone,
+        SlotProgress,
+        SlotRequest,
+        SlotStart,
+    )
+    from lagoonsail_router.context import RouterContext
+    from lagoonsail_router.right import Right
+    from lagoonsail_store.store_client import StoreClient
+
+INVENTORY_WAIT_MS = 800.0
+"""How long a new owner waits for the inventories of entry routers."""
+UNREPORTED_HOLD_MS = 10_000.0
+"""How long a new owner leaves a server alone that does not report its load."""
+
+
+@dataclass(slots=True)
+class Slot:
+    """A slot that was granted and not yet given back."""
+
+    epoch: int
+    """Epoch of the grant."""
+    number: int
+    """Slot number in that epoch."""
+    server: str
+    """Backend server."""
+    account: str
+    """Client account."""
+    holder: tuple[str, int]
+    """Name and incarnation of the entry router."""
+    stream: object
+    """Stream on which the holder deals with this owner."""
+    granted_ms: float
+    """When it was granted."""
+    key: int = 0
+    """Hash of the idempotency key, 0 if there is none."""
+    is_started: bool = False
+    """Whether the holder said that it sent the request."""
+    orphaned_ms: float | None = None
+    """When the holder was lost, None while it is connected."""
+
+
+@dataclass(slots=True)
+class Server:
+    """A backend server as its owner sees it."""
+
+    entry: ServerEntry
+    """Its part of the service document."""
+    limit: ServerLimit
+    """How much it may run now."""
+    hold_until_ms: float
+    """No grant before this time; the server may run what this owner does not know."""
+    is_reported: bool = False
+    """Whether a load report has come in this epoch."""
+    unknown: int = 0
+    """Requests of lost routers that it may still run, by its reports."""
+    cache_sequence: int = 0
+    """Sequence of the last cache event that was read."""
+
+
+class ShardOwner:
+    """Queue, servers and slots of one shard, at its owner."""
+
+    __slots__ = (
+        "_context",
+        "_digest_sent",
+        "_find_document",
+        "_inventory_until_ms",
+        "_is_stopped",
+        "_next_slot",
+        "_prefixes",
+        "_region",
+        "_right",
+        "_sequence",
+        "_sessions",
+        "_successor_streams",
+        "epoch",
+        "is_releasing",
+        "keys",
+        "queue",
+        "servers",
+        "shard",
+        "slots",
+    )
+
+    shard: str
+    """Name of the shard."""
+    epoch: int
+    """Fencing number of this ownership."""
+    queue: FairQueue
+    """Requests that wait for a slot."""
+    servers: dict[str, Server]
+    """Backend servers by name."""
+    slots: dict[tuple[int, int], Slot]
+    """Slots in use by epoch and number."""
+    keys: KeyLog
+    """Idempotency keys of the shard."""
+    is_releasing: bool
+    """Whether the shard is being handed over."""
+
+    def __init__(
+        self,
+        context: RouterContext,
+        right: Right,
+        store: StoreClient,
+        shard: str,
+        epoch: int,
+        find_document: Callable[[], ServiceDocument | None],
+        successor_streams: Callable[[], list],
+    ) -> None:
+        self._context = context
+        self._right = right
+        self._find_document = find_document
+        self._successor_streams = successor_streams
+        self._region = shard.rsplit("@", 1)[1]
+        self._sessions: dict[tuple[str, int], object] = {}
+        self._digest_sent: dict[object, dict] = {}
+        self._sequence = 0
+        self._next_slot = 0
+        self._is_stopped = False
+        self._prefixes = PrefixIndex()
+        self._inventory_until_ms = context.clock.now_ms() + INVENTORY_WAIT_MS
+        self.shard = shard
+        self.epoch = epoch
+        self.servers = {}
+        self.slots = {}
+        self.keys = KeyLog(context, store, shard, epoch)
+        self.is_releasing = False
+        document = find_document()
+        self.queue = FairQueue(document.queue_limit if document else 1)
+        self.update_document()
+
+    def stop(self) -> None:
+        """Stop deciding; the entry routers will turn to the next owner."""
+        self.refuse_waiting()
+        self._is_stopped = True
+
+    def adopt(self, digest: ServiceDigest) -> None:
+        """Go on from the last digest of an earlier owner.
+
+        Args:
+            digest: The newest digest that this router received, merged.
+        """
+        self.queue.adopt(digest.service)
+        now_ms = self._context.clock.now_ms()
+        for name, known in digest.servers.items():
+            server = self.servers.get(name)
+            if server and len(known) == 2:
+                server.limit.adopt(str(known[0]), int(known[1]), now_ms)
+
+    def update_document(self) -> None:
+        """Take over changes of the service document."""
+        document = self._find_document()
+        if document is None:
+            self.refuse_waiting()
+            self.servers.clear()
+            return
+        shares = {account.name: account.share for account in document.accounts.values()}
+        for waiting in self.queue.set_shares(shares) or []:
+            self._refuse(waiting, REFUSED_NOT_OWNER)
+        now_ms = self._context.clock.now_ms()
+        mine = {
+            entry.name: entry
+            for entry in document.servers.values()
+            if (entry.region or document.region) == self._region
+        }
+        for name in set(self.servers) - set(mine):
+            del self.servers[name]
+        for name, entry in mine.items():
+            self._update_server(name, entry, now_ms)
+        self.pump()
+
+    def _update_server(self, name: str, entry: ServerEntry, now_ms: float) -> None:
+        server = self.servers.get(name)
+        if server and server.entry.address == entry.address:
+            server.entry = entry
+            server.limit.set_slots(entry.slots, entry.cold_slots)
+            return
+        limit = ServerLimit(entry.slots, entry.cold_slots, now_ms)
+        hold_until_ms = now_ms + UNREPORTED_HOLD_MS if self.epoch > 1 else now_ms
+        self.servers[name] = Server(entry, limit, hold_until_ms)
+
+    # Dealings with entry routers.
+
+    def take_inventory(self, stream, inventory: Inventory) -> None:
+        """Begin, or begin anew, the dealings with an entry router.
+
+        Args:
+            stream: Stream of the entry router.
+            inventory: What it runs on this shard.
+        """
+        holder = (stream.name, stream.incarnation)
+        self._sessions[holder] = stream
+        held = {}
+        for item in inventory.running:
+            slot = self._slot_of_inventory(item, holder, stream)
+            held[slot.epoch, slot.number] = slot
+        for key, slot in list(self.slots.items()):
+            if slot.holder == holder and key not in held:
+                # Its SlotDone was lost together with the old stream.
+                self._free(slot, OUTCOME_BROKEN, 0.0, None)
+        for key, slot in held.items():
+            self._adopt_slot(key, slot)
+        stream.send(InventoryTaken(self.shard, self.epoch))
+        self.pump()
+
+    def _slot_of_inventory(self, item: list, holder, stream) -> Slot:
+        epoch, number, server, account, _cost, age_ms = item
+        granted_ms = self._context.clock.now_ms() - age_ms
+        return Slot(epoch, number, server, account, holder, stream, granted_ms)
+
+    def _adopt_slot(self, key: tuple[int, int], slot: Slot) -> None:
+        known = self.slots.get(key)
+        if known:
+            known.stream = slot.stream
+            known.orphaned_ms = None
+            known.is_started = True
+            return
+        slot.is_started = True
+        self.slots[key] = slot
+        server = self.servers.get(slot.server)
+        if server:
+            server.limit.adopt_running(key)
+            server.unknown = max(0, server.unknown - 1)
+        self.queue.adopt_running(key, slot.account)
+
+    def lose_stream(self, stream) -> None:
+        """Forget what waits on a closed stream; what runs there may go on.
+
+        Args:
+            stream: The stream that closed.
+        """
+        for holder in [h for h, s in self._sessions.items() if s is stream]:
+            del self._sessions[holder]
+        self._digest_sent.pop(stream, None)
+        for waiting in self.queue.cancel_source(stream):
+            if waiting.key:
+                self.keys.give_back(waiting.key)
+        now_ms = self._context.clock.now_ms()
+        for slot in self.slots.values():
+            if slot.stream is stream:
+                slot.orphaned_ms = now_ms
+
+    def take_request(self, stream, request: SlotRequest) -> None:
+        """Queue a request for a slot.
+
+        Args:
+            stream: Stream of the entry router.
+            request: The request.
+        """
+        now_ms = self._context.clock.now_ms()
+        waiting = Waiting(
+            (stream.name, stream.incarnation, request.ticket),
+            request.account,
+            request.estimate,
+            request.prefix,
+            request.key,
+            now_ms - max(0.0, request.age_ms),
+            stream,
+        )
+        if self.is_releasing or self._is_stopped:
+            self._refuse(waiting, REFUSED_NOT_OWNER)
+            return
+        if not request.key:
+            self._enqueue(waiting)
+            return
+        self._record_key(waiting)
+
+    def _record_key(self, waiting: Waiting) -> None:
+        if not self.keys.is_loaded:
+            self._refuse(waiting, REFUSED_KEYS_UNAVAILABLE)
+            return
+        if self.keys.is_used(waiting.key):
+            self._refuse(waiting, REFUSED_DUPLICATE)
+            return
+
+        def on_recorded(is_stored: bool) -> None:
+            if not is_stored:
+                self._refuse(waiting, REFUSED_KEYS_UNAVAILABLE)
+            elif self._is_current(waiting):
+                self._enqueue(waiting)
+            else:
+                self.keys.give_back(waiting.key)
+
+        self.keys.record(waiting.key, on_recorded)
+
+    def _is_current(self, waiting: Waiting) -> bool:
+        if self._is_stopped or self.is_releasing:
+            self._refuse(waiting, REFUSED_NOT_OWNER)
+            return False
+        name, incarnation, _ = waiting.ticket
+        return self._sessions.get((name, incarnation)) is waiting.source
+
+    def _enqueue(self, waiting: Waiting) -> None:
+        if not self.queue.add(waiting):
+            if waiting.key:
+                self.keys.give_back(waiting.key)
+            self._refuse(waiting, REFUSED_QUEUE_FULL)
+            return
+        self.pump()
+
+    def take_cancel(self, stream, cancel: SlotCancel) -> None:
+        """Withdraw a waiting request."""
+        ticket = (stream.name, stream.incarnation, cancel.ticket)
+        waiting = self.queue.cancel(ticket)
+        if waiting and waiting.key:
+            self.keys.give_back(waiting.key)
+
+    def take_start(self, message: SlotStart) -> None:
+        """Note that a granted request was sent to its server."""
+        slot = self.slots.get((message.epoch, message.slot))
+        if slot:
+            slot.is_started = True
+
+    def take_progress(self, message: SlotProgress) -> None:
+        """Charge what a running request has cost so far."""
+        key = (message.epoch, message.slot)
+        if key in self.slots:
+            self.queue.progress(key, message.cost)
+
+    def take_done(self, message: SlotDone) -> None:
+        """Free a slot and settle its cost."""
+        slot = self.slots.get((message.epoch, message.slot))
+        if slot is None:
+            self._context.count("unknown_slots_total")
+            return
+        self._free(slot, message.outcome, message.cost, message)
+        self.pump()
+
+    def _free(
+        self, slot: Slot, outcome: str, cost: float, done: SlotDone | None
+    ) -> None:
+        key = (slot.epoch, slot.number)
+        del self.slots[key]
+        self.queue.settle(key, cost)
+        if slot.key and outcome == OUTCOME_NOT_RUN:
+            self.keys.give_back(slot.key)
+        server = self.servers.get(slot.server)
+        if server is None:
+            return
+        now_ms = self._context.clock.now_ms()
+        incarnation = done.server_incarnation if done else ""
+        first_ms = done.first_ms if done else 0.0
+        duration_ms = done.duration_ms if done else 0.0
+        server.limit.finish(
+            key, outcome, incarnation, first_ms, duration_ms, cost, now_ms
+        )
+        if outcome in (OUTCOME_NOT_RUN, OUTCOME_REFUSED) and done and first_ms < 0:
+            server.limit.on_refused(now_ms)
+
+    def _refuse(self, waiting: Waiting, reason: str) -> None:
+        self._context.count("slot_refusals_total", reason)
+        waiting.source.send(SlotRefusal(waiting.ticket[2], reason))
+
+    def refuse_waiting(self) -> None:
+        """Send every waiting request back to its entry router."""
+        for waiting in self.queue.cancel_source(None):
+            if waiting.key:
+                self.keys.give_back(waiting.key)
+            self._refuse(waiting, REFUSED_NOT_OWNER)
+
+    def has_unstarted_grants(self) -> bool:
+        """Return whether a connected holder may still start what was granted."""
+        now_ms = self._context.clock.now_ms()
+        window_ms = self._context.settings.start_window_ms * 1.1
+        return any(
+            not slot.is_started and now_ms - slot.granted_ms < window_ms
+            for slot in self.slots.values()
+        )
+
+    # Grants.
+
+    def pump(self) -> None:
+        """Grant free slots to waiting requests for as long as there are both."""
+        if self._is_stopped or self.is_releasing:
+            return
+        if self._context.clock.now_ms() < self._inventory_until_ms:
+            return
+        while self._grant_one():
+            pass
+
+    def _grant_one(self) -> bool:
+        # The level is read for each grant: this process may have been paused.
+        level = self._right.level()
+        if level == LAPSED:
+            return False
+        waiting = self.queue.pick()
+        if waiting is None:
+            return False
+        candidates = self._candidates(level)
+        if not candidates:
+            return False
+        name = choose_server(candidates, waiting.prefix, self._prefixes)
+        self._grant(waiting, self.servers[name])
+        return True
+
+    def _candidates(self, level: str) -> dict[str, tuple[int, int]]:
+        document = self._find_document()
+        if document is None:
+            return {}
+        now_ms = self._context.clock.now_ms()
+        return {
+            name: (server.limit.running + server.unknown, server.limit.limit)
+            for name, server in self.servers.items()
+            if self._is_open(server, document, level, now_ms)
+        }
+
+    def _is_open(self, server: Server, document, level: str, now_ms: float) -> bool:
+        if not document.is_usable(server.entry):
+            return False
+        if now_ms < server.hold_until_ms and not server.is_reported:
+            return False
+        if level != FULL and not server.limit.is_warm:
+            return False
+        return server.limit.running + server.unknown < server.limit.limit
+
+    def _grant(self, waiting: Waiting, server: Server) -> None:
+        self._next_slot += 1
+        now_ms = self._context.clock.now_ms()
+        name = server.entry.name
+        key = (self.epoch, self._next_slot)
+        require(
+            self._find_document().is_usable(server.entry), "no_grant_out_of_service"
+        )
+        self.queue.start(waiting, key)
+        server.limit.start(key, now_ms)
+        stream = waiting.source
+        holder = (stream.name, stream.incarnation)
+        self.slots[key] = Slot(
+            self.epoch,
+            self._next_slot,
+            name,
+            waiting.account,
+            holder,
+            stream,
+            now_ms,
+            waiting.key,
+        )
+        self._prefixes.add(name, waiting.prefix)
+        basis_ms = stream.remote_sent_ms
+        grant = SlotGrant(
+            waiting.ticket[2], self._next_slot, self.shard, self.epoch, name, basis_ms
+        )
+        stream.send(grant)
+        self._context.count("slots_granted_total")
+
+    # Periodic work.
+
+    def poll(self) -> None:
+        """Read load reports and cache events, and free slots of lost routers."""
+        if not self.keys.is_loaded:
+            self.keys.load()
+        self.keys.expire()
+        for name in list(self.servers):
+            eventlet.spawn_n(self._poll_server, name)
+
+    def _poll_server(self, name: str) -> None:
+        server = self.servers[name]
+        report = read_load(server.entry.address, self._context.clock)
+        if self._is_stopped or self.servers.get(name) is not server:
+            return
+        if isinstance(report, Unavailable):
+            self._context.count("load_reports_failed_total")
+            return
+        self._take_report(name, server, report)
+        document = self._find_document()
+        if document and document.kind == "engine":
+            self._read_cache_events(name, server)
+        self.pump()
+
+    def _take_report(self, name: str, server: Server, report) -> None:
+        now_ms = self._context.clock.now_ms()
+        server.limit.on_report(report, now_ms)
+        settled_ms = now_ms - REPORT_LAG_MS - self._context.settings.start_window_ms
+        slots = [slot for slot in self.slots.values() if slot.server == name]
+        old = sum(slot.granted_ms < settled_ms for slot in slots)
+        if not server.is_reported or server.unknown:
+            known = len(slots)
+            unknown = max(0, report.running - (old if server.is_reported else known))
+            is_first = not server.is_reported
+            server.unknown = unknown if is_first else min(server.unknown, unknown)
+        server.is_reported = True
+        orphans = [
+            slot
+            for slot in slots
+            if slot.orphaned_ms is not None and slot.orphaned_ms < settled_ms
+        ]
+        for slot in orphans[: max(0, old - report.running)]:
+            self._free(slot, OUTCOME_BROKEN, 0.0, None)
+
+    def _read_cache_events(self, name: str, server: Server) -> None:
+        events = read_cache_events(server.entry.address, server.cache_sequence)
+        if not isinstance(events, list):
+            return
+        for event in events:
+            self._prefixes.on_event(name, event)
+            server.cache_sequence = max(
+                server.cache_sequence, int(event.get("sequence", 0))
+            )
+
+    def send_digests(self) -> None:
+        """Tell the next owners what changed since the last digest."""
+        service = self.queue.service()
+        servers = {
+            name: [server.limit.incarnation, server.limit.limit]
+            for name, server in self.servers.items()
+        }
+        self._sequence += 1
+        for stream in self._successor_streams():
+            sent = self._digest_sent.setdefault(stream, {"service": {}, "servers": {}})
+            changed = {k: v for k, v in service.items() if sent["service"].get(k) != v}
+            moved = {k: v for k, v in servers.items() if sent["servers"].get(k) != v}
+            if not changed and not moved:
+                continue
+            stream.send(
+                ServiceDigest(self.shard, self.epoch, self._sequence, changed, moved)
+            )
+            sent["service"] = service
+            sent["servers"] = servers
