--- a/packages/lagoonsail-standins/src/lagoonsail_standins/serving.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/serving.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+import traceback
 from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -17,7 +18,7 @@
 from lagoonsail_core.green import eventlet, green_socket
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Callable, Iterable, Iterator, Mapping
 
 MAX_CONNECTIONS = 4000
 """Connections that one stand-in serves at a time."""
@@ -36,7 +37,7 @@
         super().__init__("the answer breaks off here", "none, it was asked for")
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False)
 class Request:
     """One HTTP request."""
 
@@ -52,6 +53,8 @@
     """Whole body."""
     drop_connection: Callable[[], None]
     """Closes the connection both ways at once."""
+    is_abandoned: Callable[[], bool]
+    """Tells whether the client has closed the connection; never waits."""
 
     def json(self) -> dict:
         """Return the body as a JSON object; an empty body is an empty object.
@@ -109,25 +112,15 @@
     return Answer(dropped=True)
 
 
-class _FaultLog:
-    """Passes on only the tracebacks of faults that were not asked for."""
-
-    __slots__ = ()
-
-    _EXPECTED = ("BrokenAnswerError", "BrokenPipeError", "ConnectionResetError")
-
-    def info(self, message: str, *args: object) -> None:
-        """Write an unexpected traceback to standard error."""
-        last_line = message.rstrip().rpartition("\n")[2]
-        if message.startswith("Traceback") and not any(
-            name in last_line for name in self._EXPECTED
-        ):
-            sys.stderr.write(message)
-
-    def debug(self, message: str, *args: object) -> None:
-        """Drop the message."""
-
-    error = info
+def _report_faults(body: Iterable[bytes]) -> Iterator[bytes]:
+    """Pass a body on; print the faults in it that were not asked for."""
+    try:
+        yield from body
+    except BrokenAnswerError:
+        raise
+    except Exception:
+        traceback.print_exc()
+        raise
 
 
 def _read_request(environ: dict) -> Request:
@@ -140,6 +133,15 @@
             # The client closed it first.
             return
 
+    def is_abandoned() -> bool:
+        flags = green_socket.MSG_PEEK | green_socket.MSG_DONTWAIT
+        try:
+            return source.get_socket().fd.recv(1, flags) == b""
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     return Request(
         method=environ["REQUEST_METHOD"],
         path=environ["PATH_INFO"],
@@ -147,6 +149,7 @@
         headers={name.lower(): value for name, value in environ["headers_raw"]},
         body=source.read(),
         drop_connection=drop_connection,
+        is_abandoned=is_abandoned,
     )
 
 
@@ -172,6 +175,10 @@
             return handler(request)
         except MalformedRequestError as error:
             return answer_json({"error": str(error)}, 400)
+        except Exception:
+            # The server would answer 500 without saying why anywhere.
+            traceback.print_exc()
+            return answer_json({"error": "fault of the stand-in, see its log"}, 500)
 
     def app(environ: dict, start_response: Callable) -> Iterable[bytes]:
         request = _read_request(environ)
@@ -182,7 +189,9 @@
             return []
         phrase = HTTPStatus(result.status).phrase
         start_response(f"{result.status} {phrase}", list(result.headers.items()))
-        return [result.body] if isinstance(result.body, bytes) else result.body
+        if isinstance(result.body, bytes):
+            return [result.body]
+        return _report_faults(result.body)
 
     return app
 
@@ -237,7 +246,6 @@
         max_size=MAX_CONNECTIONS,
         minimum_chunk_size=1,
         keepalive=True,
-        log=_FaultLog(),
         log_output=False,
         debug=False,
     )
