--- /dev/null
+++ b/packages/lagoonsail-config/src/lagoonsail_config/checked_ini.py
@@ -0,0 +1,507 @@
+"""INI text that is checked as a whole: every mistake is found in one reading."""
+
+from __future__ import annotations
+
+import configparser
+import ipaddress
+import re
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from lagoonsail_core.errors import LagoonsailError
+from lagoonsail_core.names import NAME_PATTERN
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MAX_SYNTAX_PROBLEMS = 25
+"""Mistakes in the form of the lines after which a reading is given up."""
+
+MAX_LISTED_PROBLEMS = 200
+"""Mistakes that the message of an error lists; the error itself holds all."""
+
+MAX_SHOWN_CHARACTERS = 80
+"""Longest part of a wrong value that an error shows."""
+
+REQUIRED = None
+"""Default of a key that must be given."""
+
+_HEADER = re.compile(r"\[([^\[\]]+)\]")
+_COMMENT_PREFIXES = ("#", ";")
+_CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0b-\x1f\x7f\x85\u2028\u2029]")
+
+
+@dataclass(slots=True)
+class Problem:
+    """One mistake in an INI text."""
+
+    file: str
+    """Name of the file, or what else the text is called."""
+    section: str
+    """Section with the mistake, empty if it is outside of any."""
+    key: str
+    """Key with the mistake, empty if it concerns the whole section."""
+    found: str
+    """What stands there."""
+    allowed: str
+    """What may stand there, with range and unit."""
+
+    def __str__(self) -> str:
+        section = f"[{self.section}] " if self.section else ""
+        key = f"{self.key}: " if self.key else ""
+        return f"{self.file}: {section}{key}found {self.found}, allowed {self.allowed}"
+
+
+class IniError(LagoonsailError):
+    """An INI text with at least one mistake."""
+
+    def __init__(self, problems: list[Problem]) -> None:
+        noun = "mistake" if len(problems) == 1 else "mistakes"
+        listing = "\n".join(f"  {item}" for item in problems[:MAX_LISTED_PROBLEMS])
+        super().__init__(
+            f"{len(problems)} {noun}:\n{listing}\n", "correct each of them"
+        )
+        self.problems = problems
+        """Every mistake that was found."""
+
+
+@dataclass(slots=True)
+class Key:
+    """A key that a section may hold."""
+
+    name: str
+    """Name in the section."""
+    read: Callable[[str], object]
+    """Turns the text into the value; raises ValueError if it is not allowed."""
+    allowed: str
+    """Accepted values, with range and unit."""
+    default: str | None = REQUIRED
+    """Text that holds when the key is missing."""
+    attribute: str = ""
+    """Name of the value in the result, if it differs from the key's."""
+
+
+@dataclass(slots=True)
+class Section:
+    """A section as it was written."""
+
+    name: str
+    """Text between the brackets, with single spaces."""
+    values: dict[str, str] = field(default_factory=dict)
+    """Text by key."""
+
+
+def shorten(text: str) -> str:
+    """Return a printable form of a text that may be long.
+
+    Args:
+        text: What was found.
+
+    Returns:
+        The quoted text, cut off after MAX_SHOWN_CHARACTERS.
+    """
+    if len(text) <= MAX_SHOWN_CHARACTERS:
+        return repr(text)
+    return f"{text[:MAX_SHOWN_CHARACTERS]!r}…"
+
+
+def split_lines(text: str) -> list[str]:
+    """Split a text at line feeds only, so that joining gives it back.
+
+    Args:
+        text: Any text.
+
+    Returns:
+        The lines without their line feeds.
+    """
+    return text.split("\n")
+
+
+def section_of_line(line: str) -> str:
+    """Return the name of the section that a line begins.
+
+    Args:
+        line: One line.
+
+    Returns:
+        The name with single spaces; empty if the line begins no section.
+    """
+    match = _HEADER.fullmatch(line.strip())
+    return " ".join(match[1].split()) if match else ""
+
+
+def key_of_line(line: str) -> str:
+    """Return the key that a line sets.
+
+    Args:
+        line: One line.
+
+    Returns:
+        The key; empty if the line is blank, a comment or a section header.
+    """
+    stripped = line.strip()
+    if stripped.startswith((*_COMMENT_PREFIXES, "[")):
+        return ""
+    key, delimiter, _ = stripped.partition("=")
+    return key.strip() if delimiter else ""
+
+
+def _clean_line(line: str) -> str:
+    # Without indentation no line can continue the value of the line before it.
+    name = section_of_line(line)
+    return f"[{name}]" if name else line.strip()
+
+
+def _find_line_problems(lines: list[str], file: str) -> list[Problem]:
+    """Blank the lines that configparser would accept but this module does not."""
+    problems = []
+    for index, line in enumerate(lines):
+        if _CONTROL_CHARACTER.search(line):
+            allowed = "text without control characters"
+        elif line.startswith("[") and not section_of_line(line):
+            allowed = "[name] alone on the line"
+        else:
+            continue
+        found = f"line {index + 1} {shorten(line)}"
+        problems.append(Problem(file, "", "", found, allowed))
+        lines[index] = ""
+    return problems
+
+
+def _make_parser() -> configparser.ConfigParser:
+    parser = configparser.ConfigParser(
+        delimiters=("=",),
+        comment_prefixes=_COMMENT_PREFIXES,
+        # No header can hold a line feed, so that there is no section of defaults.
+        default_section="\n",
+        interpolation=None,
+        empty_lines_in_values=False,
+    )
+    parser.optionxform = str
+    return parser
+
+
+def _blank_refused_lines(
+    error: configparser.ParsingError, lines: list[str], file: str
+) -> list[Problem]:
+    problems = []
+    for line_number, _ in error.errors:
+        found = f"line {line_number} {shorten(lines[line_number - 1])}"
+        allowed = "[section], key = value, or a comment after # or ;"
+        problems.append(Problem(file, "", "", found, allowed))
+        lines[line_number - 1] = ""
+    return problems
+
+
+def _read_once(
+    lines: list[str], file: str
+) -> tuple[configparser.ConfigParser | None, list[Problem]]:
+    """Let configparser read the lines; on a mistake, mend the lines in place."""
+    parser = _make_parser()
+    try:
+        parser.read_file(lines, file)
+    except configparser.DuplicateSectionError as error:
+        found = f"a second time in line {error.lineno}"
+        # The section keeps its place under a name that no schema knows, so that its
+        # keys are not taken for those of the section before it.
+        lines[error.lineno - 1] = f"[\t{error.lineno}]"
+        return None, [Problem(file, error.section, "", found, "each section once")]
+    except configparser.DuplicateOptionError as error:
+        found = f"a second time in line {error.lineno}"
+        lines[error.lineno - 1] = ""
+        allowed = "each key once in its section"
+        return None, [Problem(file, error.section, error.option, found, allowed)]
+    except configparser.MissingSectionHeaderError as error:
+        found = f"line {error.lineno} {shorten(lines[error.lineno - 1])}"
+        lines[error.lineno - 1] = ""
+        return None, [Problem(file, "", "", found, "a [section] before the first key")]
+    except configparser.ParsingError as error:
+        return None, _blank_refused_lines(error, lines, file)
+    return parser, []
+
+
+def read_sections(
+    text: str, file: str, max_bytes: int
+) -> tuple[list[Section], list[Problem]]:
+    """Split an INI text into its sections.
+
+    A line is blank, a comment that begins with # or ;, a [section] or a key = value;
+    indentation has no meaning, and a value ends with its line.
+
+    Args:
+        text: The INI text.
+        file: What problems call the text.
+        max_bytes: Largest size in UTF-8 that is accepted.
+
+    Returns:
+        The sections in the order of the text, and what is wrong with its lines.
+    """
+    size = len(text.encode("utf-8", "surrogatepass"))
+    if size > max_bytes:
+        allowed = f"at most {max_bytes} bytes"
+        return [], [Problem(file, "", "", f"{size} bytes", allowed)]
+    lines = [_clean_line(line) for line in split_lines(text)]
+    problems = _find_line_problems(lines, file)
+    parser = None
+    while parser is None and len(problems) < MAX_SYNTAX_PROBLEMS:
+        parser, more_problems = _read_once(lines, file)
+        problems += more_problems
+    if parser is None:
+        return [], problems
+    sections = [
+        Section(name, dict(parser.items(name)))
+        for name in parser.sections()
+        if not name.startswith("\t")
+    ]
+    return sections, problems
+
+
+def read_values(
+    section: Section, keys: tuple[Key, ...], file: str, problems: list[Problem]
+) -> dict[str, object]:
+    """Check the keys of a section.
+
+    Args:
+        section: The section as it was written.
+        keys: Keys that it may hold.
+        file: What problems call the text.
+        problems: Takes what is wrong.
+
+    Returns:
+        Value by attribute; keys with a mistake are left out.
+    """
+    known = {key.name for key in keys}
+    for name, text in section.values.items():
+        if name not in known:
+            found = f"unknown key with value {shorten(text)}"
+            allowed = ", ".join(key.name for key in keys)
+            problems.append(Problem(file, section.name, name, found, allowed))
+    values = {}
+    for key in keys:
+        text = section.values.get(key.name, key.default)
+        if text is REQUIRED:
+            problems.append(
+                Problem(file, section.name, key.name, "nothing", key.allowed)
+            )
+            continue
+        try:
+            values[key.attribute or key.name] = key.read(text)
+        except ValueError:
+            problems.append(
+                Problem(file, section.name, key.name, shorten(text), key.allowed)
+            )
+    return values
+
+
+def number_key(
+    name: str,
+    low: int,
+    high: int,
+    unit: str,
+    default: str | None = REQUIRED,
+    attribute: str = "",
+) -> Key:
+    """Describe a key that holds a whole number.
+
+    Args:
+        name: Name of the key.
+        low: Least number.
+        high: Greatest number.
+        unit: Unit of the number.
+        default: Text that holds when the key is missing.
+        attribute: Name of the value in the result, if it differs.
+
+    Returns:
+        The key; its value is an int.
+    """
+
+    def read(text: str) -> int:
+        if not re.fullmatch(r"[0-9]{1,12}", text):
+            raise ValueError(text)
+        number = int(text)
+        if not low <= number <= high:
+            raise ValueError(text)
+        return number
+
+    return Key(name, read, f"{low} to {high} {unit}", default, attribute)
+
+
+def decimal_key(name: str, low: float, high: float, unit: str) -> Key:
+    """Describe a required key that holds a decimal number.
+
+    Args:
+        name: Name of the key.
+        low: Least number.
+        high: Greatest number.
+        unit: Unit of the number.
+
+    Returns:
+        The key; its value is a float.
+    """
+
+    def read(text: str) -> float:
+        if not re.fullmatch(r"[0-9]{1,9}(\.[0-9]{1,6})?", text):
+            raise ValueError(text)
+        number = float(text)
+        if not low <= number <= high:
+            raise ValueError(text)
+        return number
+
+    return Key(name, read, f"{low:g} to {high:g} {unit}")
+
+
+def choice_key(
+    name: str,
+    choices: dict[str, object],
+    default: str | None = REQUIRED,
+    attribute: str = "",
+) -> Key:
+    """Describe a key that holds one of a few words.
+
+    Args:
+        name: Name of the key.
+        choices: Value by word.
+        default: Word that holds when the key is missing.
+        attribute: Name of the value in the result, if it differs.
+
+    Returns:
+        The key; its value is that of the word.
+    """
+
+    def read(text: str) -> object:
+        if text not in choices:
+            raise ValueError(text)
+        return choices[text]
+
+    return Key(name, read, " or ".join(choices), default, attribute)
+
+
+def pattern_key(
+    name: str,
+    pattern: str,
+    allowed: str,
+    default: str | None = REQUIRED,
+    attribute: str = "",
+) -> Key:
+    """Describe a key that holds a text of a given form.
+
+    Args:
+        name: Name of the key.
+        pattern: Regular expression that the whole text must match.
+        allowed: The form in words.
+        default: Text that holds when the key is missing.
+        attribute: Name of the value in the result, if it differs.
+
+    Returns:
+        The key; its value is the text.
+    """
+    form = re.compile(pattern)
+
+    def read(text: str) -> str:
+        if not form.fullmatch(text):
+            raise ValueError(text)
+        return text
+
+    return Key(name, read, allowed, default, attribute)
+
+
+def name_key(name: str, default: str | None = REQUIRED) -> Key:
+    """Describe a key that holds an unqualified name.
+
+    Args:
+        name: Name of the key.
+        default: Text that holds when the key is missing.
+
+    Returns:
+        The key; its value is the text.
+    """
+    pattern = NAME_PATTERN.pattern
+    if default == "":
+        pattern = f"({pattern})?"
+    allowed = "1 to 63 of a-z, 0-9 and hyphen, beginning with a letter or digit"
+    return pattern_key(name, pattern, allowed, default)
+
+
+def split_address(text: str) -> tuple[str, int]:
+    """Split an address into its IP number and its port.
+
+    Args:
+        text: ``127.0.0.1:8080`` or ``[::1]:8080``.
+
+    Returns:
+        IP number without brackets, and port.
+
+    Raises:
+        ValueError: If the text is no such address.
+    """
+    host, delimiter, port = text.rpartition(":")
+    if not delimiter or not re.fullmatch(r"[0-9]{1,5}", port) or int(port) > 65535:
+        raise ValueError(text)
+    if host.startswith("[") and host.endswith("]"):
+        return str(ipaddress.IPv6Address(host[1:-1])), int(port)
+    return str(ipaddress.IPv4Address(host)), int(port)
+
+
+def _read_remote_address(text: str) -> str:
+    if split_address(text)[1] == 0:
+        raise ValueError(text)
+    return text
+
+
+def address_key(name: str, attribute: str = "") -> Key:
+    """Describe a required key that holds the address of a server to connect to.
+
+    Args:
+        name: Name of the key.
+        attribute: Name of the value in the result, if it differs.
+
+    Returns:
+        The key; its value is the text.
+    """
+    allowed = "IP number:port, port 1 to 65535"
+    return Key(name, _read_remote_address, allowed, attribute=attribute)
+
+
+def listen_key(name: str, attribute: str = "") -> Key:
+    """Describe a required key that holds an address to listen on.
+
+    Args:
+        name: Name of the key.
+        attribute: Name of the value in the result, if it differs.
+
+    Returns:
+        The key; its value is the text. Port 0 stands for any free port.
+    """
+
+    def read(text: str) -> str:
+        split_address(text)
+        return text
+
+    allowed = "IP number:port, port 0 to 65535, 0 for any free port"
+    return Key(name, read, allowed, attribute=attribute)
+
+
+def address_list_key(
+    name: str, default: str | None = REQUIRED, attribute: str = ""
+) -> Key:
+    """Describe a key that holds addresses to connect to, separated by commas.
+
+    Args:
+        name: Name of the key.
+        default: Text that holds when the key is missing; empty for no address.
+        attribute: Name of the value in the result, if it differs.
+
+    Returns:
+        The key; its value is a list of texts.
+    """
+
+    def read(text: str) -> list[str]:
+        if not text and default == "":
+            return []
+        addresses = [_read_remote_address(part.strip()) for part in text.split(",")]
+        if len(set(addresses)) < len(addresses):
+            raise ValueError(text)
+        return addresses
+
+    allowed = "distinct IP number:port, separated by commas, port 1 to 65535"
+    return Key(name, read, allowed, default, attribute)
--- /dev/null
+++ b/packages/lagoonsail-config/src/lagoonsail_config/settings.py
@@ -0,0 +1,334 @@
+"""Settings of a router, read from an INI file and checked as a whole."""
+
+from __future__ import annotations
+
+import ipaddress
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from lagoonsail_config.checked_ini import (
+    IniError,
+    Key,
+    Problem,
+    Section,
+    address_list_key,
+    choice_key,
+    listen_key,
+    name_key,
+    number_key,
+    pattern_key,
+    read_sections,
+    read_values,
+    shorten,
+    split_address,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+MAX_SETTINGS_BYTES = 100_000
+"""Largest settings file."""
+
+MIN_KEY_BYTES = 16
+"""Shortest shared key."""
+MAX_KEY_BYTES = 4096
+"""Longest shared key."""
+
+INVARIANTS_FATAL = "fatal"
+"""A violated invariant ends the process."""
+INVARIANTS_COUNT = "count"
+"""A violated invariant is counted and reported."""
+
+_LOG_LEVELS = ("debug", "info", "notice", "warning", "error")
+
+SETTINGS_KEYS: dict[str, tuple[Key, ...]] = {
+    "router": (
+        name_key("name"),
+        name_key("side"),
+        name_key("region"),
+        name_key("failure_domain"),
+    ),
+    "listen": (
+        listen_key("callers", "callers_address"),
+        listen_key("admin", "admin_address"),
+        listen_key("peers", "peers_address"),
+    ),
+    "store": (
+        address_list_key("endpoints", attribute="store_endpoints"),
+        pattern_key(
+            "prefix",
+            r"/([a-zA-Z0-9._-]+/)+",
+            "a path that begins and ends with /, of letters, digits, dot, _ and -",
+            "/lagoonsail/",
+            "store_prefix",
+        ),
+        number_key("timeout_ms", 10, 60_000, "ms", "1000", "store_timeout_ms"),
+        number_key("lease_ttl_ms", 1000, 60_000, "ms", "3000"),
+    ),
+    "host-list": (
+        pattern_key(
+            "url",
+            r"https?://[^\s/]+(/[^\s]*)?",
+            "a URL that begins with http:// or https://",
+            attribute="host_list_url",
+        ),
+        number_key("poll_ms", 50, 60_000, "ms", "1000", "host_list_poll_ms"),
+        number_key("max_lag_ms", 0, 600_000, "ms", "10000", "host_list_max_lag_ms"),
+    ),
+    "peers": (
+        pattern_key("shared_key_file", r".*", "path of a file", ""),
+        number_key("heartbeat_ms", 10, 60_000, "ms", "500"),
+        number_key("silence_ms", 20, 600_000, "ms", "2000"),
+        number_key("flush_ms", 0, 1000, "ms", "2"),
+    ),
+    "limits": (
+        number_key("start_window_ms", 10, 60_000, "ms", "1000"),
+        number_key("drain_lag_ms", 0, 60_000, "ms", "1000"),
+        number_key("stop_timeout_ms", 0, 3_600_000, "ms", "60000"),
+        number_key("max_connections", 1, 100_000, "connections", "2000"),
+        number_key("reject_after_ms", 0, 600_000, "ms", "5000"),
+        choice_key(
+            "invariants",
+            {word: word for word in (INVARIANTS_FATAL, INVARIANTS_COUNT)},
+            INVARIANTS_FATAL,
+        ),
+    ),
+    "log": (
+        choice_key("level", {word: word for word in _LOG_LEVELS}, "info", "log_level"),
+    ),
+}
+"""Keys by section."""
+
+
+class SettingsError(IniError):
+    """Settings with at least one mistake."""
+
+
+@dataclass(slots=True)
+class RouterSettings:
+    """Settings of one router."""
+
+    name: str
+    """Name of the router, unique in the fleet."""
+    side: str
+    """Side that the router belongs to."""
+    region: str
+    """Region of its host."""
+    failure_domain: str
+    """Failure domain of its host, unqualified."""
+    callers_address: str
+    """Address that callers connect to."""
+    admin_address: str
+    """Address that operators connect to."""
+    peers_address: str
+    """Address that other routers connect to."""
+    store_endpoints: list[str]
+    """Addresses of the key-value service."""
+    store_prefix: str
+    """Beginning of every key of this fleet."""
+    store_timeout_ms: int
+    """Longest time that one call of the key-value service may take."""
+    lease_ttl_ms: int
+    """Time after which the router's lease lapses unless it is renewed."""
+    host_list_url: str
+    """Where the host list is read."""
+    host_list_poll_ms: int
+    """Interval between two readings of the host list."""
+    host_list_max_lag_ms: int
+    """How far the host list may lag behind the hosts."""
+    shared_key: bytes
+    """Key that authenticates routers and operators; empty for no check."""
+    heartbeat_ms: int
+    """Interval between two heartbeats on a stream."""
+    silence_ms: int
+    """Silence after which a stream is closed and dialled again."""
+    flush_ms: int
+    """Time that messages wait for others of the same frame."""
+    start_window_ms: int
+    """Time after a grant within which the request must reach its server."""
+    drain_lag_ms: int
+    """Time that callers take to notice that a router is leaving."""
+    stop_timeout_ms: int
+    """Longest time of a planned stop."""
+    max_connections: int
+    """Connections of callers at once."""
+    reject_after_ms: int
+    """Time without any owner after which requests are refused at once."""
+    invariants: str
+    """INVARIANTS_FATAL or INVARIANTS_COUNT."""
+    log_level: str
+    """Least level of the lines that are logged."""
+
+
+def is_loopback(address: str) -> bool:
+    """Return whether only processes of the same host can reach an address.
+
+    Args:
+        address: A checked address.
+
+    Returns:
+        Whether its IP number is a loopback number.
+    """
+    return ipaddress.ip_address(split_address(address)[0]).is_loopback
+
+
+def read_shared_key(path: Path) -> bytes:
+    """Read a shared key and strip white space around it.
+
+    Args:
+        path: File that holds the key.
+
+    Returns:
+        The key.
+
+    Raises:
+        ValueError: If the file cannot be read, or the key is too short or too long.
+    """
+    try:
+        with path.open("rb") as file:
+            key = file.read(MAX_KEY_BYTES + 1).strip()
+    except (OSError, ValueError) as error:
+        raise ValueError(f"a file that cannot be read ({error})") from error
+    if not MIN_KEY_BYTES <= len(key) <= MAX_KEY_BYTES:
+        raise ValueError(f"a file with a key of {len(key)} bytes")
+    return key
+
+
+def _check_timing(values: dict, file: str) -> list[Problem]:
+    problems = []
+    heartbeat_ms = values.get("heartbeat_ms", 0)
+    silence_ms = values.get("silence_ms", 2 * heartbeat_ms)
+    if silence_ms < 2 * heartbeat_ms:
+        allowed = f"at least 2 x heartbeat_ms, {2 * heartbeat_ms} ms"
+        found = repr(str(silence_ms))
+        problems.append(Problem(file, "peers", "silence_ms", found, allowed))
+    timeout_ms = values.get("store_timeout_ms", 0)
+    lease_ttl_ms = values.get("lease_ttl_ms", timeout_ms + 1)
+    if timeout_ms >= lease_ttl_ms:
+        allowed = f"less than lease_ttl_ms, {lease_ttl_ms} ms"
+        found = repr(str(timeout_ms))
+        problems.append(Problem(file, "store", "timeout_ms", found, allowed))
+    return problems
+
+
+def _listen_addresses(values: dict) -> dict[str, str]:
+    """Return those addresses to listen on that are well formed, by key."""
+    return {
+        key: values[f"{key}_address"]
+        for key in ("callers", "admin", "peers")
+        if f"{key}_address" in values
+    }
+
+
+def _check_addresses(values: dict, file: str) -> list[Problem]:
+    problems = []
+    seen: dict[tuple[str, int], str] = {}
+    for key, address in _listen_addresses(values).items():
+        parts = split_address(address)
+        first = seen.setdefault(parts, key)
+        if first != key and parts[1] != 0:
+            found = f"{address!r}, which {first} has too"
+            allowed = "an address of its own"
+            problems.append(Problem(file, "listen", key, found, allowed))
+    return problems
+
+
+def _check_shared_key(
+    values: dict, file: str, read_key: Callable[[str], bytes]
+) -> list[Problem]:
+    """Replace the name of the key file by the key."""
+    name = values.pop("shared_key_file")
+    values["shared_key"] = b""
+    if not name:
+        if all(is_loopback(address) for address in _listen_addresses(values).values()):
+            return []
+        found = "nothing, with addresses that other hosts can reach"
+        allowed = "path of a file with the shared key"
+        return [Problem(file, "peers", "shared_key_file", found, allowed)]
+    try:
+        values["shared_key"] = read_key(name)
+    except ValueError as error:
+        allowed = f"a file that holds {MIN_KEY_BYTES} to {MAX_KEY_BYTES} bytes"
+        found = f"{shorten(name)}, {error}"
+        return [Problem(file, "peers", "shared_key_file", found, allowed)]
+    return []
+
+
+def parse_settings(
+    text: str, file: str, read_key: Callable[[str], bytes]
+) -> RouterSettings:
+    """Check the text of a settings file as a whole.
+
+    Args:
+        text: INI text.
+        file: What problems call the text.
+        read_key: Returns the shared key in a named file, or raises ValueError.
+
+    Returns:
+        The settings.
+
+    Raises:
+        SettingsError: With every mistake that was found.
+    """
+    sections, problems = read_sections(text, file, MAX_SETTINGS_BYTES)
+    if problems and not sections:
+        # The text could not be read at all: what it lacks is not known.
+        raise SettingsError(problems)
+    section_by_name = {section.name: section for section in sections}
+    for name in section_by_name:
+        if name not in SETTINGS_KEYS:
+            allowed = ", ".join(f"[{known}]" for known in SETTINGS_KEYS)
+            problems.append(Problem(file, name, "", "an unknown section", allowed))
+    values: dict = {}
+    for name, keys in SETTINGS_KEYS.items():
+        section = section_by_name.get(name, Section(name))
+        values |= read_values(section, keys, file, problems)
+    problems += _check_timing(values, file)
+    problems += _check_addresses(values, file)
+    problems += _check_shared_key(values, file, read_key)
+    if problems:
+        raise SettingsError(problems)
+    return RouterSettings(**values)
+
+
+def load_settings(path: str | Path) -> RouterSettings:
+    """Read the settings of a router.
+
+    Args:
+        path: The INI file. A relative shared_key_file counts from its directory.
+
+    Returns:
+        The settings.
+
+    Raises:
+        SettingsError: With every mistake that was found.
+    """
+    path = Path(path)
+
+    def read_key(name: str) -> bytes:
+        return read_shared_key(path.parent / name)
+
+    return parse_settings(read_settings_text(path), str(path), read_key)
+
+
+def read_settings_text(path: Path) -> str:
+    """Read a settings file.
+
+    Args:
+        path: The INI file.
+
+    Returns:
+        Its text, up to a little more than MAX_SETTINGS_BYTES.
+
+    Raises:
+        SettingsError: If the file cannot be read or is not UTF-8.
+    """
+    allowed = "a readable file in UTF-8"
+    try:
+        with path.open("rb") as file:
+            return file.read(MAX_SETTINGS_BYTES + 1).decode("utf-8")
+    except (OSError, ValueError) as error:
+        raise SettingsError(
+            [Problem(str(path), "", "", str(error), allowed)]
+        ) from error
