Add the model engine and plain service stand-ins

Cause: routers need backend servers that tell what they ran, fall over when hurried while cold, break off, lag in their reports and fence.

Ruled out: a refusal of surplus requests by a cold server; it would hide overloads from the proofs.

--- /dev/null
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/engine_reports.py
@@ -0,0 +1,139 @@
+"""What an engine reports about itself: metrics that lag, cache events with gaps."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from typing import TYPE_CHECKING
+
+import xxhash
+
+if TYPE_CHECKING:
+    from lagoonsail_core.clock import Clock
+    from lagoonsail_standins.backend import Backend
+
+BLOCK_BYTES = 64
+"""Bytes of prompt in one block of the cache."""
+CACHE_BLOCKS = 512
+"""Blocks that the cache holds; the least recently used one is removed."""
+KEPT_EVENTS = 1000
+"""Events that are kept for readers."""
+GAP_EVERY = 7
+"""Each event whose sequence is a multiple of this is never shown."""
+
+
+def prefix_hashes(prompt: bytes) -> list[int]:
+    """Return the hashes of a prompt's prefixes that end at a block boundary.
+
+    Args:
+        prompt: The whole prompt in UTF-8.
+
+    Returns:
+        XXH64 of each such prefix, shortest first.
+
+    Example:
+        >>> len(prefix_hashes(b"x" * 130))
+        2
+    """
+    ends = range(BLOCK_BYTES, len(prompt) + 1, BLOCK_BYTES)
+    return [xxhash.xxh64_intdigest(prompt[:end]) for end in ends]
+
+
+class LaggingMetrics:
+    """Samples of an engine's load, shown only when they are old enough."""
+
+    __slots__ = ("_backend", "_clock", "_lag_ms", "_samples")
+
+    def __init__(self, backend: Backend, lag_ms: float) -> None:
+        self._backend = backend
+        self._clock = backend.clock
+        self._lag_ms = lag_ms
+        self._samples: deque[tuple[float, str]] = deque()
+        self.sample()
+
+    def sample(self) -> None:
+        """Keep the present load, and drop samples that no reader needs again."""
+        backend = self._backend
+        values = {
+            "engine:num_requests_running": backend.running,
+            "engine:num_requests_waiting": backend.waiting,
+            "engine:warm": int(backend.is_warm),
+            "process_start_time_seconds": round(backend.started_wall_ms / 1000.0, 3),
+        }
+        lines = [
+            f"# TYPE {name} gauge\n{name} {value}\n" for name, value in values.items()
+        ]
+        self._samples.append((self._clock.now_ms(), "".join(lines)))
+        self._drop_outdated()
+
+    def _drop_outdated(self) -> None:
+        shown_ms = self._clock.now_ms() - self._lag_ms
+        while len(self._samples) > 1 and self._samples[1][0] <= shown_ms:
+            self._samples.popleft()
+
+    def render(self) -> str:
+        """Return the newest sample that is as old as the lag, as Prometheus text."""
+        self._drop_outdated()
+        return self._samples[0][1]
+
+
+class PromptCache:
+    """Which prefixes an engine holds, and the events that tell of changes."""
+
+    __slots__ = ("_blocks", "_clock", "_events", "_lag_ms", "_sequence")
+
+    def __init__(self, clock: Clock, lag_ms: float) -> None:
+        self._clock = clock
+        self._lag_ms = lag_ms
+        self._blocks: OrderedDict[int, None] = OrderedDict()
+        self._events: deque[tuple[float, dict]] = deque(maxlen=KEPT_EVENTS)
+        self._sequence = 0
+
+    def add(self, prompt: bytes) -> int:
+        """Hold a prompt's prefixes.
+
+        Args:
+            prompt: The whole prompt in UTF-8.
+
+        Returns:
+            How many bytes of it were held before.
+        """
+        hashes = prefix_hashes(prompt)
+        held = sum(1 for item in hashes if item in self._blocks)
+        for item in hashes:
+            if item not in self._blocks:
+                self._tell("stored", item)
+            self._blocks[item] = None
+            self._blocks.move_to_end(item)
+        while len(self._blocks) > CACHE_BLOCKS:
+            removed, _ = self._blocks.popitem(last=False)
+            self._tell("removed", removed)
+        return held * BLOCK_BYTES
+
+    def clear(self) -> None:
+        """Remove all prefixes; readers see one event for all."""
+        self._blocks.clear()
+        self._tell("cleared", 0)
+
+    def _tell(self, kind: str, item: int) -> None:
+        self._sequence += 1
+        event = {"sequence": self._sequence, "kind": kind, "hash": item}
+        self._events.append((self._clock.now_ms(), event))
+
+    def events_after(self, sequence: int) -> list[dict]:
+        """Return the events later than a sequence number, late and with gaps.
+
+        Args:
+            sequence: Events at or before it are left out.
+
+        Returns:
+            Events with `sequence`, `kind` ("stored", "removed" or "cleared") and
+            `hash`, in order.
+        """
+        shown_ms = self._clock.now_ms() - self._lag_ms
+        return [
+            event
+            for at_ms, event in self._events
+            if at_ms <= shown_ms
+            and event["sequence"] > sequence
+            and event["sequence"] % GAP_EVERY
+        ]
--- /dev/null
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/model_engine.py
@@ -0,0 +1,422 @@
+"""A model engine that speaks OpenAI completions and must not be hurried while cold."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import re
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from lagoonsail_core.green import eventlet, urllib3
+from lagoonsail_standins.backend import (
+    BROKEN,
+    CANCELLED,
+    RUNNING,
+    WHOLE,
+    Backend,
+    BackendOptions,
+    Run,
+    drop_caller,
+    make_backend_app,
+    send_body,
+)
+from lagoonsail_standins.engine_reports import LaggingMetrics, PromptCache
+from lagoonsail_standins.serving import (
+    Answer,
+    BrokenAnswerError,
+    MalformedRequestError,
+    answer_json,
+    run,
+    serve,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from lagoonsail_standins.serving import Request
+
+DEFAULT_TOKENS = 16
+"""Tokens of an answer if neither the prompt nor `max_tokens` says how many."""
+KEPT_COMPLETIONS = 1000
+"""Completions that can be cancelled or resumed by their id."""
+SAMPLE_MS = 50.0
+"""Time between two samples for the metrics, milliseconds."""
+WEIGHTS_RETRY_S = 0.2
+"""Time until the weights are asked for again when no Retry-After says so, seconds."""
+
+_TOKENS_PATTERN = re.compile(r"#tokens=(\d{1,7})")
+_ID_PATTERN = re.compile(r"/v1/completions/([^/]+)/(cancel|resume)")
+
+
+@dataclass(slots=True, eq=False)
+class Completion:
+    """One prompt and the answer that belongs to it."""
+
+    run: Run
+    """The run that makes the answer."""
+    prompt: str
+    """The whole prompt."""
+    tokens: int
+    """Length of the whole answer."""
+    is_stream: bool
+    """Whether the caller asked for a stream."""
+
+    def token(self, index: int) -> str:
+        """Return one token of the answer.
+
+        Args:
+            index: Position, from 0.
+
+        Returns:
+            The token, with the space that ends it.
+        """
+        return f"{hash_prompt(self.prompt)}-{index} "
+
+    def usage(self) -> dict[str, int]:
+        """Return the usage as the OpenAI interface counts it."""
+        words = len(self.prompt.split())
+        return {"prompt_tokens": words, "completion_tokens": self.tokens}
+
+
+def hash_prompt(prompt: str) -> str:
+    """Return the first 8 hex digits of a prompt's SHA-256.
+
+    Args:
+        prompt: The whole prompt.
+
+    Returns:
+        What each token of the answer begins with.
+    """
+    return hashlib.sha256(prompt.encode()).hexdigest()[:8]
+
+
+def count_tokens(prompt: str, max_tokens: int | None) -> int:
+    """Return how long the answer to a prompt is.
+
+    Args:
+        prompt: The prompt; `#tokens=N` in it decides.
+        max_tokens: Used if the prompt does not say.
+
+    Returns:
+        The number of tokens.
+
+    Example:
+        >>> count_tokens("a #tokens=3 b", 9), count_tokens("a", 9)
+        (3, 9)
+    """
+    found = _TOKENS_PATTERN.search(prompt)
+    if found:
+        return int(found[1])
+    return DEFAULT_TOKENS if max_tokens is None else max_tokens
+
+
+class Engine:
+    """Completions of one engine, its cache and its reports."""
+
+    __slots__ = (
+        "_backend",
+        "_completions",
+        "_first_ms",
+        "_is_resumable",
+        "_orders",
+        "_token_ms",
+        "_weight_store",
+        "cache",
+        "metrics",
+    )
+
+    cache: PromptCache
+    """Prefixes that the engine holds."""
+    metrics: LaggingMetrics
+    """What `/metrics` shows."""
+
+    def __init__(
+        self,
+        backend: Backend,
+        token_ms: float = 5.0,
+        first_ms: float = 20.0,
+        report_lag_ms: float = 1000.0,
+        is_resumable: bool = False,
+        weight_store: str = "",
+    ) -> None:
+        self._backend = backend
+        self._token_ms = token_ms
+        self._first_ms = first_ms
+        self._is_resumable = is_resumable
+        self._weight_store = weight_store
+        self._completions: OrderedDict[str, Completion] = OrderedDict()
+        self._orders: list[dict] = []
+        self.cache = PromptCache(backend.clock, report_lag_ms)
+        self.metrics = LaggingMetrics(backend, report_lag_ms)
+        backend.on_restart = self._begin_incarnation
+
+    def start(self) -> None:
+        """Begin to load the weights and to sample the metrics."""
+        eventlet.spawn(self._sample_metrics)
+        self._load_weights()
+
+    def _begin_incarnation(self) -> None:
+        self._completions.clear()
+        self.cache.clear()
+        self._load_weights()
+
+    def _sample_metrics(self) -> None:
+        while True:
+            self.metrics.sample()
+            eventlet.sleep(SAMPLE_MS / 1000.0)
+
+    def _load_weights(self) -> None:
+        if not self._weight_store:
+            return
+        self._backend.is_loading = True
+        eventlet.spawn(self._fetch_weights)
+
+    def _fetch_weights(self) -> None:
+        incarnation = self._backend.incarnation
+        pool = urllib3.PoolManager(retries=False, timeout=30.0)
+        while incarnation == self._backend.incarnation:
+            wait_s = self._try_weights(pool)
+            if wait_s is None:
+                self._backend.is_loading = False
+                return
+            eventlet.sleep(wait_s)
+
+    def _try_weights(self, pool: urllib3.PoolManager) -> float | None:
+        try:
+            answer = pool.request("GET", self._weight_store)
+        except urllib3.exceptions.HTTPError:
+            return WEIGHTS_RETRY_S
+        if answer.status == 200:
+            return None
+        return float(answer.headers.get("Retry-After", WEIGHTS_RETRY_S))
+
+    def complete(self, request: Request) -> Answer:
+        """Answer a prompt.
+
+        Args:
+            request: Its body has `prompt` and may have `max_tokens` and `stream`.
+
+        Returns:
+            The stream, the whole answer or the refusal.
+
+        Raises:
+            MalformedRequestError: If the body is malformed.
+        """
+        fields = request.json()
+        prompt = fields.get("prompt")
+        max_tokens = fields.get("max_tokens")
+        if not isinstance(prompt, str) or not isinstance(max_tokens, int | None):
+            raise MalformedRequestError(
+                "malformed prompt or max_tokens", "send a string and an integer"
+            )
+        admitted = self._backend.admit(request)
+        if isinstance(admitted, Answer):
+            return admitted
+        self.cache.add(prompt.encode())
+        completion = Completion(
+            admitted,
+            prompt,
+            count_tokens(prompt, max_tokens),
+            bool(fields.get("stream")),
+        )
+        self._keep(completion)
+        return self._answer(completion, 0)
+
+    def _keep(self, completion: Completion) -> None:
+        self._completions[completion.run.request_id] = completion
+        while len(self._completions) > KEPT_COMPLETIONS:
+            self._completions.popitem(last=False)
+
+    def _answer(self, completion: Completion, first: int) -> Answer:
+        headers = self._backend.headers()
+        if completion.is_stream:
+            headers["Content-Type"] = "text/event-stream"
+            return Answer(200, self._stream(completion, first), headers)
+        text = "".join(completion.token(i) for i in range(first, completion.tokens))
+        body = json.dumps(
+            {
+                "id": completion.run.request_id,
+                "object": "text_completion",
+                "choices": [{"index": 0, "text": text, "finish_reason": "stop"}],
+                "usage": completion.usage(),
+            }
+        ).encode()
+        headers["Content-Type"] = "application/json"
+        headers["Content-Length"] = str(len(body))
+
+        def work() -> None:
+            for _ in self._generate(completion, first):
+                pass
+
+        chunks = send_body(self._backend, completion.run, work, body, body)
+        return Answer(200, chunks, headers)
+
+    def _generate(self, completion: Completion, first: int) -> Iterable[int]:
+        run = completion.run
+        self._backend.work(run, self._first_ms + self._backend.late_ms)
+        for index in range(first, completion.tokens):
+            self._backend.work(run, self._token_ms)
+            run.cost = float(index + 1)
+            yield index
+
+    def _stream(self, completion: Completion, first: int) -> Iterable[bytes]:
+        run = completion.run
+        breaks_at = completion.tokens + 1
+        if self._backend.takes_break():
+            breaks_at = (first + completion.tokens) // 2
+        try:
+            for index in self._generate(completion, first):
+                if index >= breaks_at:
+                    self._backend.finish(run, BROKEN)
+                    drop_caller()
+                    raise BrokenAnswerError
+                yield _event(run, choices=[{"text": completion.token(index)}])
+            yield _event(run, choices=[], usage=completion.usage())
+            yield b"data: [DONE]\n\n"
+            self._backend.finish(run, WHOLE)
+        finally:
+            # Reached early when the connection closes while a chunk is written.
+            self._backend.finish(run, CANCELLED)
+
+    def act_by_id(self, request: Request) -> Answer:
+        """Cancel or resume a completion.
+
+        Args:
+            request: Its path holds the id, which is the request's X-Request-Id.
+
+        Returns:
+            The answer; 404 if the engine does not know the id any more.
+        """
+        found = _ID_PATTERN.fullmatch(request.path)
+        if not found or request.method != "POST":
+            return self._backend.refuse(404, f"no {request.method} {request.path}")
+        completion = self._completions.get(found[1])
+        if completion is None:
+            return self._backend.refuse(404, "unknown completion")
+        if found[2] == "cancel":
+            return self._cancel(completion)
+        return self._resume(completion, request)
+
+    def _cancel(self, completion: Completion) -> Answer:
+        self._completions.pop(completion.run.request_id)
+        self._backend.finish(completion.run, CANCELLED)
+        state = completion.run.state
+        return answer_json({"state": state}, headers=self._backend.headers())
+
+    def _resume(self, completion: Completion, request: Request) -> Answer:
+        after = request.query.get("after", "0")
+        if not self._is_resumable:
+            return self._backend.refuse(404, "this engine cannot resume")
+        if not after.isdecimal() or int(after) > completion.tokens:
+            return self._backend.refuse(400, "after is the number of tokens received")
+        if completion.run.state == RUNNING:
+            return self._backend.refuse(409, "the completion still runs")
+        reopened = self._backend.reopen(completion.run, request)
+        if isinstance(reopened, Answer):
+            return reopened
+        return self._answer(completion, int(after))
+
+    def take_order(self, request: Request) -> Answer:
+        """Carry out an order of the fleet: load the weights anew or drop the cache.
+
+        Args:
+            request: Its body has `order`, "load" or "evict".
+
+        Returns:
+            The answer.
+        """
+        fields = request.json()
+        self._orders.append(fields)
+        if fields.get("order") == "evict":
+            self.cache.clear()
+        elif fields.get("order") == "load":
+            self._load_weights()
+        else:
+            return self._backend.refuse(400, "order is load or evict")
+        return answer_json(
+            {"orders": len(self._orders)}, headers=self._backend.headers()
+        )
+
+    def show_events(self, request: Request) -> Answer:
+        """Return the cache events after a sequence number."""
+        self._backend.pause_while_silent()
+        after = request.query.get("after", "0")
+        events = self.cache.events_after(int(after) if after.isdecimal() else 0)
+        value = {"incarnation": self._backend.incarnation, "events": events}
+        return answer_json(value, headers=self._backend.headers())
+
+    def show_metrics(self, _request: Request) -> Answer:
+        """Return the lagging metrics."""
+        self._backend.pause_while_silent()
+        headers = {**self._backend.headers(), "Content-Type": "text/plain"}
+        return Answer(200, self.metrics.render().encode(), headers)
+
+
+def _event(run: Run, **fields: object) -> bytes:
+    value = {"id": run.request_id, **fields}
+    return b"data: " + json.dumps(value).encode() + b"\n\n"
+
+
+def make_engine_app(backend: Backend, engine: Engine) -> Callable:
+    """Return the application of a model engine.
+
+    Args:
+        backend: Runs and state of the server.
+        engine: Its completions.
+
+    Returns:
+        The WSGI application.
+    """
+    routes = {
+        ("POST", "/v1/completions"): engine.complete,
+        ("GET", "/metrics"): engine.show_metrics,
+        ("GET", "/cache_events"): engine.show_events,
+        ("POST", "/orders"): engine.take_order,
+    }
+    return make_backend_app(backend, routes, engine.act_by_id)
+
+
+def main(
+    *,
+    port: int = 0,
+    name: str = "engine",
+    slots: int = 8,
+    cold_slots: int = 1,
+    warm_after: int = 8,
+    cold_factor: float = 4.0,
+    token_ms: float = 5.0,
+    first_ms: float = 20.0,
+    report_lag_ms: float = 1000.0,
+    checks_fencing: bool = False,
+    resumable: bool = False,
+    weight_store: str = "",
+) -> None:
+    """Serve a model engine.
+
+    Args:
+        port: TCP port; 0 takes any free one.
+        name: Name of the server.
+        slots: Requests that run at once while warm.
+        cold_slots: Requests above which the cold server falls over.
+        warm_after: Whole answers after which the server is warm.
+        cold_factor: How many times slower the cold server is.
+        token_ms: Time for one token while warm.
+        first_ms: Time until the first token while warm.
+        report_lag_ms: Age of what the reports show.
+        checks_fencing: Refuse requests of an outdated epoch.
+        resumable: Let broken completions be resumed.
+        weight_store: URL of the weights, loaded before anything is answered.
+    """
+    options = BackendOptions(
+        name, slots, cold_slots, warm_after, cold_factor, checks_fencing
+    )
+    backend = Backend(options)
+    engine = Engine(backend, token_ms, first_ms, report_lag_ms, resumable, weight_store)
+    engine.start()
+    serve(make_engine_app(backend, engine), port)
+
+
+if __name__ == "__main__":
+    run(main)
--- /dev/null
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/plain_service.py
@@ -0,0 +1,103 @@
+"""A service that runs whatever it gets, also twice, and says what it got."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from lagoonsail_standins.backend import (
+    Backend,
+    BackendOptions,
+    make_backend_app,
+    send_body,
+)
+from lagoonsail_standins.serving import Answer, run, serve
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonsail_standins.serving import Request
+
+
+def _read_work_ms(body: bytes, default_ms: float) -> float:
+    try:
+        value = json.loads(body)
+    except ValueError:
+        return default_ms
+    if not isinstance(value, dict):
+        return default_ms
+    work_ms = value.get("work_ms", default_ms)
+    return float(work_ms) if isinstance(work_ms, int | float) else default_ms
+
+
+def make_plain_app(backend: Backend, name: str, work_ms: float) -> Callable:
+    """Return the application of a plain service.
+
+    Args:
+        backend: Runs and state of the server.
+        name: Name of the server, shown in the answers.
+        work_ms: Time that a request takes if its body does not say, milliseconds.
+
+    Returns:
+        The WSGI application.
+    """
+
+    def answer(request: Request) -> Answer:
+        admitted = backend.admit(request)
+        if isinstance(admitted, Answer):
+            return admitted
+        number = len(backend.runs)
+        needed_ms = _read_work_ms(request.body, work_ms)
+
+        def work() -> None:
+            begun_ms = backend.clock.now_ms()
+            backend.work(admitted, needed_ms + backend.late_ms)
+            admitted.cost = backend.clock.now_ms() - begun_ms
+
+        body = json.dumps(
+            {
+                "server": name,
+                "run": number,
+                "echo": admitted.body_sha256,
+                "request_id": admitted.request_id,
+                "path": request.path,
+            }
+        ).encode()
+        headers = {
+            **backend.headers(),
+            "Content-Type": "application/json",
+            "Content-Length": str(len(body)),
+        }
+        shown = b"" if request.method == "HEAD" else body
+        return Answer(200, send_body(backend, admitted, work, body, shown), headers)
+
+    return make_backend_app(backend, {}, answer)
+
+
+def main(
+    *,
+    port: int = 0,
+    name: str = "plain",
+    slots: int = 4,
+    cold_slots: int = 1,
+    warm_after: int = 4,
+    work_ms: float = 10.0,
+    cold_factor: float = 4.0,
+) -> None:
+    """Serve a plain service.
+
+    Args:
+        port: TCP port; 0 takes any free one.
+        name: Name of the server.
+        slots: Requests that run at once while warm.
+        cold_slots: Requests above which the cold server falls over.
+        warm_after: Whole answers after which the server is warm.
+        work_ms: Time that a request takes if its body does not say.
+        cold_factor: How many times slower the cold server is.
+    """
+    options = BackendOptions(name, slots, cold_slots, warm_after, cold_factor)
+    serve(make_plain_app(Backend(options), name, work_ms), port)
+
+
+if __name__ == "__main__":
+    run(main)
