Add the router daemon

Cause: nothing served a request. Change: entry, ticket desk, shard owner, right, ownership, key log, peers, admin.

--- a/packages/lagoonsail-core/src/lagoonsail_core/messages.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/messages.py
@@ -201,6 +201,8 @@
     """Grows with each digest of the epoch."""
     service: dict[str, float]
     """Normalised service of the accounts for which it changed."""
+    positions: dict[str, float]
+    """Where those accounts stand in the queue."""
     servers: dict[str, list]
     """Incarnation, limit and warmth by server, where they changed."""
 
--- /dev/null
+++ b/packages/lagoonsail-router/src/lagoonsail_router/__main__.py
@@ -0,0 +1,7 @@
+"""Run the router with ``python -m lagoonsail_router``."""
+
+from __future__ import annotations
+
+from lagoonsail_router.main import main
+
+main()
--- /dev/null
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -0,0 +1,331 @@
+"""One router: its parts, put together, and its start and planned stop."""
+
+from __future__ import annotations
+
+import errno
+import json
+from typing import TYPE_CHECKING
+
+from lagoonsail_core.errors import LagoonsailError
+from lagoonsail_core.green import eventlet, green_socket
+from lagoonsail_core.messages import (
+    REFUSED_NOT_OWNER,
+    Inventory,
+    InventoryTaken,
+    SlotCancel,
+    SlotDone,
+    SlotProgress,
+    SlotRefusal,
+    SlotRequest,
+    SlotStart,
+)
+from lagoonsail_router.admin import Admin, unready_reason
+from lagoonsail_router.configuration import DOCUMENTS, Configuration
+from lagoonsail_router.context import LEAVING, RouterContext, repeat
+from lagoonsail_router.digests import DigestStore
+from lagoonsail_router.entry import Entry
+from lagoonsail_router.local_stream import LocalStream
+from lagoonsail_router.metrics import render_metrics
+from lagoonsail_router.ownership import Ownership
+from lagoonsail_router.peers import PeerDirectory
+from lagoonsail_router.right import Right
+from lagoonsail_router.shard_owner import ShardOwner
+from lagoonsail_router.store_sync import StoreSync
+from lagoonsail_router.ticket_desk import TicketDesk
+from lagoonsail_store.host_list import HostList
+from lagoonsail_store.store_client import StoreClient
+
+if TYPE_CHECKING:
+    from lagoonsail_config.settings import RouterSettings
+
+OWNERSHIP_INTERVAL_MS = 100.0
+"""Time between two looks at who owns what."""
+DESK_INTERVAL_MS = 100.0
+"""Time between two looks at the owners that calls wait for."""
+POLL_INTERVAL_MS = 1000.0
+"""Time between two reads of the backend servers' load reports."""
+DIGEST_INTERVAL_MS = 1000.0
+"""Time between two digests to the successors of an owner."""
+PEERS_INTERVAL_MS = 500.0
+"""Time between two looks at which routers to dial."""
+BACKLOG = 1024
+"""Connections that wait to be accepted."""
+ISOLATION_MS = 5000.0
+"""Time without the service and without any peer after which a router is isolated."""
+
+
+class AddressInUseError(LagoonsailError):
+    """An address of the settings cannot be listened on."""
+
+
+class StartError(LagoonsailError):
+    """The router cannot learn the configuration at its start."""
+
+
+def _listen(address: str) -> green_socket.socket:
+    host, port = address.rsplit(":", 1)
+    sock = green_socket.socket()
+    sock.setsockopt(green_socket.SOL_SOCKET, green_socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((host, int(port)))
+    except OSError as error:
+        what = "in use" if error.errno == errno.EADDRINUSE else str(error)
+        raise AddressInUseError(
+            f"cannot listen on {address}: {what}",
+            "free the address or choose another in [listen] of the settings",
+        ) from error
+    sock.listen(BACKLOG)
+    return sock
+
+
+class Daemon:
+    """A router with all its parts."""
+
+    __slots__ = (
+        "_digests",
+        "_heard_ms",
+        "_listeners",
+        "_local_stream",
+        "_store",
+        "_sync",
+        "configuration",
+        "context",
+        "desk",
+        "entry",
+        "ownership",
+        "peers",
+        "right",
+    )
+
+    context: RouterContext
+    """What all parts share."""
+    configuration: Configuration
+    """The newest configuration seen."""
+    peers: PeerDirectory
+    """Streams to other routers."""
+    right: Right
+    """The right to act as an owner."""
+    ownership: Ownership
+    """The shards that this router owns."""
+    desk: TicketDesk
+    """Slots for the calls that came in here."""
+    entry: Entry
+    """The callers' side."""
+
+    def __init__(self, settings: RouterSettings) -> None:
+        context = self.context = RouterContext(settings)
+        self.configuration = Configuration(context)
+        self.peers = PeerDirectory(context, self.configuration)
+        self._store = StoreClient(
+            settings.store_endpoints, settings.store_timeout_ms, context.clock
+        )
+        host_list = HostList(
+            settings.host_list_url, settings.store_timeout_ms, context.clock
+        )
+        self._sync = StoreSync(context, self._store, self.configuration)
+        self.ownership = Ownership(
+            context, self.configuration, self._store, self._make_owner
+        )
+        self.right = Right(
+            context,
+            self.configuration,
+            self._store,
+            host_list,
+            self.peers,
+            self.ownership.drop_all,
+        )
+        self.ownership.attach(self.right)
+        self._local_stream = LocalStream(context, self.peers.dispatch)
+        self.desk = TicketDesk(
+            context, self.configuration, self.peers, self._local_stream
+        )
+        self.entry = Entry(context, self.configuration, self.desk)
+        self._digests = DigestStore(self.peers)
+        self._heard_ms = context.clock.now_ms()
+        self._listeners: list = []
+        self._register_handlers()
+        self.configuration.subscribe(self._on_record)
+
+    def _register_handlers(self) -> None:
+        self.peers.handle(Inventory, self._take_inventory)
+        self.peers.handle(SlotRequest, self._take_request)
+        self.peers.handle(SlotCancel, self._take_cancel)
+        self.peers.handle(SlotStart, self._to_owner(ShardOwner.take_start))
+        self.peers.handle(SlotProgress, self._to_owner(ShardOwner.take_progress))
+        self.peers.handle(SlotDone, self._to_owner(ShardOwner.take_done))
+        self.peers.subscribe(lambda stream: None, self._lose_stream)
+
+    # Owner's side of the messages.
+
+    def _make_owner(self, shard: str, epoch: int) -> ShardOwner:
+        service = shard.rsplit("@", 1)[0]
+        owner = ShardOwner(
+            self.context,
+            self.right,
+            self._store,
+            shard,
+            epoch,
+            lambda: self.configuration.documents.get(service),
+            lambda: self._successor_streams(shard),
+        )
+        digest = self._digests.find(shard)
+        if digest:
+            owner.adopt(digest)
+        eventlet.spawn_n(owner.poll)
+        return owner
+
+    def _successor_streams(self, shard: str) -> list:
+        names = self.ownership.successors(shard)
+        others = [name for name in names if name != self.context.settings.name]
+        streams = [self.peers.stream_to(name) for name in others[:2]]
+        return [stream for stream in streams if stream]
+
+    def _take_inventory(self, stream, inventory: Inventory) -> None:
+        owner = self.ownership.owned.get(inventory.shard)
+        if owner is None or owner.is_releasing:
+            stream.send(InventoryTaken(inventory.shard, 0))
+            return
+        owner.take_inventory(stream, inventory)
+
+    def _take_request(self, stream, request: SlotRequest) -> None:
+        owner = self.ownership.owned.get(request.shard)
+        if owner is None:
+            stream.send(SlotRefusal(request.ticket, REFUSED_NOT_OWNER))
+            return
+        owner.take_request(stream, request)
+
+    def _take_cancel(self, stream, cancel: SlotCancel) -> None:
+        for owner in self.ownership.owned.values():
+            owner.take_cancel(stream, cancel)
+
+    def _to_owner(self, take):
+        def handler(_stream, message) -> None:
+            owner = self.ownership.owned.get(message.shard)
+            if owner:
+                take(owner, message)
+
+        return handler
+
+    def _lose_stream(self, stream) -> None:
+        for owner in self.ownership.owned.values():
+            owner.lose_stream(stream)
+
+    def _on_record(self, key: str) -> None:
+        if not key.startswith(DOCUMENTS):
+            return
+        service = key.removeprefix(DOCUMENTS)
+        for shard, owner in self.ownership.owned.items():
+            if shard.rsplit("@", 1)[0] == service:
+                owner.update_document()
+
+    # Health.
+
+    def store_is_up(self) -> bool:
+        """Return whether this router reaches the key-value service now."""
+        return self.right.hears_store()
+
+    def is_isolated(self) -> bool:
+        """Return whether neither the service nor any peer was heard for a while."""
+        now_ms = self.context.clock.now_ms()
+        if self.right.hears_store() or self.peers.has_streams():
+            self._heard_ms = now_ms
+        return now_ms - self._heard_ms > ISOLATION_MS
+
+    def unready_reason(self) -> str:
+        """Return why callers should go to another router, empty if they need not."""
+        return unready_reason(self)
+
+    def render_metrics(self) -> bytes:
+        """Return the metrics as Prometheus text."""
+        return render_metrics(self)
+
+    # Start and stop.
+
+    def start(self) -> None:
+        """Open all ports and start all tasks.
+
+        Raises:
+            AddressInUseError: If a port is taken.
+            StartError: If neither the service nor any peer tells the configuration.
+        """
+        settings = self.context.settings
+        callers = _listen(settings.callers_address)
+        admin = _listen(settings.admin_address)
+        self._listeners = [callers, admin]
+        self.peers.start()
+        self._learn_configuration()
+        self._start_tasks()
+        self._serve(callers, self.entry.serve, settings.max_connections)
+        self._serve(admin, Admin(self).serve, 64)
+        self.context.timeline.record("started", incarnation=self.context.incarnation)
+        print(json.dumps({"event": "listening", "router": settings.name}), flush=True)
+
+    def _learn_configuration(self) -> None:
+        deadline_ms = self.context.clock.now_ms() + ISOLATION_MS
+        while self.context.clock.now_ms() < deadline_ms:
+            if self._sync.list_once() or self.configuration.documents:
+                return
+            eventlet.sleep(0.1)
+        raise StartError(
+            "neither the key-value service nor another router answered",
+            "check endpoints in [store] of the settings and start the router again",
+        )
+
+    def _start_tasks(self) -> None:
+        context, settings = self.context, self.context.settings
+        renew_ms = settings.lease_ttl_ms / 6
+        self.right.read_hosts()
+        self.right.register()
+        eventlet.spawn_n(self._sync.run)
+        repeat(context, renew_ms, self.right.renew, "renew")
+        repeat(context, renew_ms, self.right.renew_through_peers, "renew_by_peers")
+        repeat(context, renew_ms, self.right.gather_promises, "promises")
+        repeat(context, settings.host_list_poll_ms, self.right.read_hosts, "host_list")
+        repeat(context, PEERS_INTERVAL_MS, self.peers.maintain, "peers")
+        repeat(context, OWNERSHIP_INTERVAL_MS, self.ownership.step, "ownership")
+        repeat(context, DESK_INTERVAL_MS, self.desk.maintain, "desk")
+        repeat(context, POLL_INTERVAL_MS, self._poll, "poll")
+        repeat(context, DIGEST_INTERVAL_MS, self._send_digests, "digests")
+        repeat(context, 1000.0, self.is_isolated, "isolation")
+
+    def _poll(self) -> None:
+        for owner in list(self.ownership.owned.values()):
+            owner.poll()
+            owner.pump()
+
+    def _send_digests(self) -> None:
+        for owner in list(self.ownership.owned.values()):
+            owner.send_digests()
+
+    def _serve(self, sock, application, max_size: int) -> None:
+        eventlet.spawn_n(
+            eventlet.wsgi.server,
+            sock,
+            application,
+            max_size=max_size,
+            log_output=False,
+            debug=False,
+            minimum_chunk_size=1,
+            socket_timeout=self.context.settings.stop_timeout_ms / 1000.0,
+        )
+
+    def stop(self) -> None:
+        """Stop as planned: take no new work, let all work end, hand shards over."""
+        settings = self.context.settings
+        deadline_ms = self.context.clock.now_ms() + settings.stop_timeout_ms
+        self.context.state = LEAVING
+        self.context.timeline.record("leaving")
+        self.right.write_state()
+        self._wait_while(lambda: self.ownership.owned, deadline_ms)
+        # Callers and balancer notice with a lag; until then their calls are served.
+        eventlet.sleep(settings.drain_lag_ms / 1000.0)
+        self._wait_while(lambda: self.entry.running, deadline_ms)
+        self._listeners[0].close()
+        self._wait_while(lambda: self.entry.running, deadline_ms)
+        self.right.revoke()
+        self.peers.stop()
+        self.context.timeline.record("stopped", unfinished=self.entry.running)
+
+    def _wait_while(self, condition, deadline_ms: float) -> None:
+        while condition() and self.context.clock.now_ms() < deadline_ms:
+            eventlet.sleep(0.02)
--- a/packages/lagoonsail-router/src/lagoonsail_router/load_reports.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/load_reports.py
@@ -4,6 +4,7 @@
 
 import json
 import re
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.green import urllib3
@@ -20,6 +21,21 @@
 REPORT_LAG_MS = 2000.0
 """Assumed greatest age of what a report says."""
 
+
+@dataclass(slots=True)
+class CacheEvent:
+    """One change of an engine's prefix cache."""
+
+    sequence: int
+    """Number of the event."""
+    is_reset: bool
+    """Whether the cache was emptied."""
+    stored: list[int]
+    """Hashes of prefixes that it holds now."""
+    removed: list[int]
+    """Hashes of prefixes that it holds no more."""
+
+
 _SAMPLE = re.compile(r"^([a-zA-Z_:][\w:]*)(?:\{[^}]*\})? (\S+)", re.MULTILINE)
 
 
@@ -41,7 +57,7 @@
     return body
 
 
-def read_load(address: str, clock: Clock) -> LoadReport | Unavailable:
+def read_load(address: str, clock: Clock) -> tuple[LoadReport, str] | Unavailable:
     """Read the load report of a backend server.
 
     Args:
@@ -49,7 +65,8 @@
         clock: The clock.
 
     Returns:
-        The report, or why there is none.
+        The report and the start time of the server's process as reported, or why
+        there is none.
     """
     body = _get(address, "/metrics")
     if not body:
@@ -62,10 +79,10 @@
     except (KeyError, ValueError) as error:
         return Unavailable(f"malformed load report from {address}: {error}")
     measured_ms = clock.now_ms() - REPORT_LAG_MS
-    return LoadReport(running, is_warm, started, measured_ms)
+    return LoadReport("", running, is_warm, measured_ms), started
 
 
-def read_cache_events(address: str, after: int) -> list[dict] | Unavailable:
+def read_cache_events(address: str, after: int) -> list[CacheEvent] | Unavailable:
     """Read the prefix-cache events of a model engine.
 
     Args:
@@ -79,9 +96,13 @@
     if isinstance(body, Unavailable):
         return body
     try:
-        events = json.loads(body)
-    except ValueError as error:
+        return [_parse_event(event) for event in json.loads(body)["events"]]
+    except (ValueError, KeyError, TypeError) as error:
         return Unavailable(f"malformed cache events from {address}: {error}")
-    if isinstance(events, dict):
-        events = events.get("events", [])
-    return [event for event in events if isinstance(event, dict)]
+
+
+def _parse_event(event: dict) -> CacheEvent:
+    kind, item = event["kind"], int(event["hash"])
+    stored = [item] if kind == "stored" else []
+    removed = [item] if kind == "removed" else []
+    return CacheEvent(int(event["sequence"]), kind == "cleared", stored, removed)
--- a/packages/lagoonsail-router/src/lagoonsail_router/peers.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/peers.py
@@ -73,6 +73,7 @@
             "silence_ms": settings.silence_ms,
             "make_heartbeat": self._make_heartbeat,
             "heartbeat_ms": settings.heartbeat_ms,
+            "clock": self._context.clock,
         }
 
     def _identity(self) -> Hello:
@@ -120,6 +121,10 @@
         self._dial(router)
         return None
 
+    def has_streams(self) -> bool:
+        """Return whether any other router is connected."""
+        return any(self.streams.values())
+
     def maintain(self) -> None:
         """Dial the members of the region, and hang up on routers that are gone."""
         settings = self._context.settings
--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -23,9 +24,9 @@
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_router.key_log import KeyLog
 from lagoonsail_router.load_reports import REPORT_LAG_MS, read_cache_events, read_load
-from lagoonsail_router.right import FULL, LAPSED
+from lagoonsail_router.right import GUARDED, LAPSED
 from lagoonsail_sharing.fair_queue import FairQueue, Waiting
-from lagoonsail_sharing.placement import choose_server
+from lagoonsail_sharing.placement import Candidate, choose_server
 from lagoonsail_sharing.prefix_index import PrefixIndex
 from lagoonsail_sharing.server_limit import ServerLimit
 
@@ -50,6 +51,9 @@
 UNREPORTED_HOLD_MS = 10_000.0
 """How long a new owner leaves a server alone that does not report its load."""
 
+QUEUE_FACTOR = 16
+"""Requests of one account that wait at the owner, in queue limits of one router."""
+
 
 @dataclass(slots=True)
 class Slot:
@@ -91,6 +95,8 @@
     """Whether a load report has come in this epoch."""
     unknown: int = 0
     """Requests of lost routers that it may still run, by its reports."""
+    started: str = ""
+    """Start time of the server's process as it reported last."""
     cache_sequence: int = 0
     """Sequence of the last cache event that was read."""
 
@@ -111,6 +117,7 @@
         "_sequence",
         "_sessions",
         "_successor_streams",
+        "_waiting",
         "epoch",
         "is_releasing",
         "keys",
@@ -152,6 +159,7 @@
         self._region = shard.rsplit("@", 1)[1]
         self._sessions: dict[tuple[str, int], object] = {}
         self._digest_sent: dict[object, dict] = {}
+        self._waiting: dict[tuple, Waiting] = {}
         self._sequence = 0
         self._next_slot = 0
         self._is_stopped = False
@@ -164,7 +172,7 @@
         self.keys = KeyLog(context, store, shard, epoch)
         self.is_releasing = False
         document = find_document()
-        self.queue = FairQueue(document.queue_limit if document else 1)
+        self.queue = FairQueue(QUEUE_FACTOR * (document.queue_limit if document else 1))
         self.update_document()
 
     def stop(self) -> None:
@@ -178,12 +186,13 @@
         Args:
             digest: The newest digest that this router received, merged.
         """
-        self.queue.adopt(digest.service)
+        self.queue.adopt(digest.service, digest.positions)
         now_ms = self._context.clock.now_ms()
         for name, known in digest.servers.items():
             server = self.servers.get(name)
-            if server and len(known) == 2:
-                server.limit.adopt(str(known[0]), int(known[1]), now_ms)
+            if server:
+                incarnation, limit = known
+                server.limit.restore(incarnation, limit, now_ms)
 
     def update_document(self) -> None:
         """Take over changes of the service document."""
@@ -193,8 +202,11 @@
             self.servers.clear()
             return
         shares = {account.name: account.share for account in document.accounts.values()}
-        for waiting in self.queue.set_shares(shares) or []:
+        for waiting in self.queue.set_shares(shares):
+            self._withdraw(waiting)
             self._refuse(waiting, REFUSED_NOT_OWNER)
+        total = sum(entry.slots for entry in document.servers.values())
+        self.queue.set_limits(document.max_cost, total)
         now_ms = self._context.clock.now_ms()
         mine = {
             entry.name: entry
@@ -213,7 +225,8 @@
             server.entry = entry
             server.limit.set_slots(entry.slots, entry.cold_slots)
             return
-        limit = ServerLimit(entry.slots, entry.cold_slots, now_ms)
+        is_plain = self._find_document().kind != "engine"
+        limit = ServerLimit(entry.slots, entry.cold_slots, now_ms, is_plain)
         hold_until_ms = now_ms + UNREPORTED_HOLD_MS if self.epoch > 1 else now_ms
         self.servers[name] = Server(entry, limit, hold_until_ms)
 
@@ -257,9 +270,9 @@
         self.slots[key] = slot
         server = self.servers.get(slot.server)
         if server:
-            server.limit.adopt_running(key)
+            server.limit.take_over(key, self._context.clock.now_ms())
             server.unknown = max(0, server.unknown - 1)
-        self.queue.adopt_running(key, slot.account)
+        self.queue.start(Waiting(("taken over", *key), slot.account, 0.0), key)
 
     def lose_stream(self, stream) -> None:
         """Forget what waits on a closed stream; what runs there may go on.
@@ -270,9 +283,8 @@
         for holder in [h for h, s in self._sessions.items() if s is stream]:
             del self._sessions[holder]
         self._digest_sent.pop(stream, None)
-        for waiting in self.queue.cancel_source(stream):
-            if waiting.key:
-                self.keys.give_back(waiting.key)
+        for waiting in [w for w in self._waiting.values() if w.source is stream]:
+            self._withdraw(waiting)
         now_ms = self._context.clock.now_ms()
         for slot in self.slots.values():
             if slot.stream is stream:
@@ -334,13 +346,20 @@
                 self.keys.give_back(waiting.key)
             self._refuse(waiting, REFUSED_QUEUE_FULL)
             return
+        self._waiting[waiting.ticket] = waiting
         self.pump()
 
     def take_cancel(self, stream, cancel: SlotCancel) -> None:
         """Withdraw a waiting request."""
         ticket = (stream.name, stream.incarnation, cancel.ticket)
-        waiting = self.queue.cancel(ticket)
-        if waiting and waiting.key:
+        waiting = self._waiting.get(ticket)
+        if waiting:
+            self._withdraw(waiting)
+
+    def _withdraw(self, waiting: Waiting) -> None:
+        del self._waiting[waiting.ticket]
+        self.queue.cancel(waiting.ticket)
+        if waiting.key:
             self.keys.give_back(waiting.key)
 
     def take_start(self, message: SlotStart) -> None:
@@ -391,9 +410,8 @@
 
     def refuse_waiting(self) -> None:
         """Send every waiting request back to its entry router."""
-        for waiting in self.queue.cancel_source(None):
-            if waiting.key:
-                self.keys.give_back(waiting.key)
+        for waiting in list(self._waiting.values()):
+            self._withdraw(waiting)
             self._refuse(waiting, REFUSED_NOT_OWNER)
 
     def has_unstarted_grants(self) -> bool:
@@ -431,23 +449,23 @@
         self._grant(waiting, self.servers[name])
         return True
 
-    def _candidates(self, level: str) -> dict[str, tuple[int, int]]:
+    def _candidates(self, level: str) -> list[Candidate]:
         document = self._find_document()
         if document is None:
-            return {}
+            return []
         now_ms = self._context.clock.now_ms()
-        return {
-            name: (server.limit.running + server.unknown, server.limit.limit)
+        return [
+            Candidate(name, server.limit.limit, server.limit.running + server.unknown)
             for name, server in self.servers.items()
             if self._is_open(server, document, level, now_ms)
-        }
+        ]
 
     def _is_open(self, server: Server, document, level: str, now_ms: float) -> bool:
         if not document.is_usable(server.entry):
             return False
         if now_ms < server.hold_until_ms and not server.is_reported:
             return False
-        if level != FULL and not server.limit.is_warm:
+        if level == GUARDED and server.limit.limit <= server.limit.cold_slots:
             return False
         return server.limit.running + server.unknown < server.limit.limit
 
@@ -460,6 +478,7 @@
             self._find_document().is_usable(server.entry), "no_grant_out_of_service"
         )
         self.queue.start(waiting, key)
+        del self._waiting[waiting.ticket]
         server.limit.start(key, now_ms)
         stream = waiting.source
         holder = (stream.name, stream.incarnation)
@@ -493,12 +512,16 @@
 
     def _poll_server(self, name: str) -> None:
         server = self.servers[name]
-        report = read_load(server.entry.address, self._context.clock)
+        result = read_load(server.entry.address, self._context.clock)
         if self._is_stopped or self.servers.get(name) is not server:
             return
-        if isinstance(report, Unavailable):
+        if isinstance(result, Unavailable):
             self._context.count("load_reports_failed_total")
             return
+        report, started = result
+        if server.started and started != server.started:
+            server.limit.on_refused(self._context.clock.now_ms())
+        server.started = started
         self._take_report(name, server, report)
         document = self._find_document()
         if document and document.kind == "engine":
@@ -530,14 +553,16 @@
         if not isinstance(events, list):
             return
         for event in events:
-            self._prefixes.on_event(name, event)
-            server.cache_sequence = max(
-                server.cache_sequence, int(event.get("sequence", 0))
-            )
+            server.cache_sequence = max(server.cache_sequence, event.sequence)
+            if event.is_reset:
+                self._prefixes.forget(name)
+                continue
+            self._prefixes.on_events(name, event.sequence, event.stored, event.removed)
 
     def send_digests(self) -> None:
         """Tell the next owners what changed since the last digest."""
         service = self.queue.service()
+        positions = self.queue.positions()
         servers = {
             name: [server.limit.incarnation, server.limit.limit]
             for name, server in self.servers.items()
@@ -550,7 +575,50 @@
             if not changed and not moved:
                 continue
             stream.send(
-                ServiceDigest(self.shard, self.epoch, self._sequence, changed, moved)
+                ServiceDigest(
+                    self.shard,
+                    self.epoch,
+                    self._sequence,
+                    changed,
+                    {name: positions[name] for name in changed},
+                    moved,
+                )
             )
             sent["service"] = service
             sent["servers"] = servers
+
+    def describe(self) -> dict:
+        """Return the state of the shard for operators."""
+        document = self._find_document()
+        running = Counter(slot.account for slot in self.slots.values())
+        waiting = Counter(item.account for item in self._waiting.values())
+        service = self.queue.service()
+        return {
+            "epoch": self.epoch,
+            "gap": self.queue.gap(),
+            "servers": {
+                name: self._describe_server(server, document)
+                for name, server in self.servers.items()
+            },
+            "accounts": {
+                name: {
+                    "share": account.share,
+                    "service": round(service.get(name, 0.0), 3),
+                    "waiting": waiting[name],
+                    "running": running[name],
+                }
+                for name, account in (document.accounts if document else {}).items()
+            },
+        }
+
+    def _describe_server(self, server: Server, document) -> dict:
+        usable = document is not None and document.is_usable(server.entry)
+        return {
+            "limit": server.limit.limit,
+            "running": server.limit.running,
+            "unknown": server.unknown,
+            "state": "in" if usable else "out",
+            "failure_domain": server.entry.failure_domain,
+            "warm": server.limit.is_warm,
+            "setback": server.limit.last_setback,
+        }
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_limit.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_limit.py
@@ -265,6 +265,18 @@
         """
         self._expected.set((first_ms, unit_ms))
 
+    def restore(self, incarnation: str, limit: int, now_ms: float) -> None:
+        """Go on from the limit that an earlier owner of the shard had found.
+
+        Args:
+            incarnation: Incarnation for which the limit was found.
+            limit: The limit.
+            now_ms: Local monotonic time.
+        """
+        self.incarnation = incarnation
+        self.limit = max(self.cold_slots, min(limit, self.slots))
+        self._note_growth(now_ms)
+
     def start(self, slot: Hashable, now_ms: float) -> None:
         """Count a request that is granted a slot.
 
