Serve streams and plain calls end to end

Cause: the HTTP connection drops its socket once the answer has begun, so setting a timeout on it failed the stream and leaked the slot. Ruled out: the engine stand-in, which a direct call showed to stream whole. Change: the attempt keeps the socket; a failed attempt always gives its slot back.

--- a/packages/lagoonsail-router/src/lagoonsail_router/backend.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/backend.py
@@ -99,6 +99,7 @@
         "_connection",
         "_grant",
         "_response",
+        "_sock",
         "measured",
     )
 
@@ -114,6 +115,8 @@
         self._clock = clock
         self._connection = None
         self._response = None
+        # The connection itself lets go of its socket once the answer has begun.
+        self._sock = None
         self.measured = Measurement()
 
     def connect(self) -> None:
@@ -132,6 +135,7 @@
         except _CONNECTION_ERRORS as error:
             self.close()
             raise NotSentError(str(error)) from error
+        self._sock = self._connection.sock
 
     def send(self) -> Answer:
         """Send the request and read the head of the answer.
@@ -147,14 +151,14 @@
         call = self._call
         headers = self._headers()
         timeout_s = call.document.request_timeout_ms / 1000.0
-        self._connection.sock.settimeout(timeout_s)
+        self._sock.settimeout(timeout_s)
         self.measured.sent_ms = self._clock.now_ms()
         self._response = self._exchange(call.method, call.path, call.body, headers)
         answer = self._read_head()
         if answer.status == 412 and self._checks_fencing():
             raise FencedError("the server has seen a later owner")
         if call.is_stream and answer.status == 200:
-            self._connection.sock.settimeout(min(timeout_s, STREAM_SILENCE_S))
+            self._sock.settimeout(min(timeout_s, STREAM_SILENCE_S))
             return answer
         answer.body = self._read_whole()
         self._measure_whole(answer)
@@ -194,11 +198,10 @@
 
     def abort(self) -> None:
         """Wake whoever reads the answer; may be called from another task."""
-        sock = getattr(self._connection, "sock", None)
-        if sock is None:
+        if self._sock is None:
             return
         try:
-            sock.shutdown(green_socket.SHUT_RDWR)
+            self._sock.shutdown(green_socket.SHUT_RDWR)
         except OSError:
             return
 
@@ -307,7 +310,7 @@
         path = f"/v1/completions/{state.completion_id}/resume?after={state.events}"
         try:
             self.connect()
-            self._connection.sock.settimeout(STREAM_SILENCE_S)
+            self._sock.settimeout(STREAM_SILENCE_S)
             self._response = self._exchange("POST", path, b"", self._headers())
         except (NotSentError, BrokenError):
             return False
--- a/packages/lagoonsail-router/src/lagoonsail_router/call.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/call.py
@@ -123,7 +123,8 @@
 
 def _hash_key(document: ServiceDocument, account: str, key: str) -> int:
     # The hash travels as a signed integer; 0 means that there is no key.
-    return (xxh64_intdigest(f"{document.qualified()}\0{account}\0{key}") >> 1) | 1
+    text = f"{document.qualified()}\0{account}\0{key}"
+    return (xxh64_intdigest(text.encode()) >> 1) | 1
 
 
 def _read_request_id(env: dict) -> str:
--- a/packages/lagoonsail-router/src/lagoonsail_router/configuration.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/configuration.py
@@ -94,6 +94,11 @@
 """State of a shard record that any member may claim at once."""
 
 
+def _hash_revision(key: str, revision: int) -> int:
+    # Shifted to fit into a signed integer of 64 bits.
+    return xxh64_intdigest(f"{key}@{revision}".encode()) >> 1
+
+
 def _parse_json(value: str, kind: type, names: tuple[str, ...]) -> object | None:
     try:
         fields = json.loads(value)
@@ -158,8 +163,8 @@
             return False
         if held:
             require(held.revision < revision, "configuration_never_reverts", key)
-            self.digest ^= xxh64_intdigest(f"{key}@{held.revision}") >> 1
-        self.digest ^= xxh64_intdigest(f"{key}@{revision}") >> 1
+            self.digest ^= _hash_revision(key, held.revision)
+        self.digest ^= _hash_revision(key, revision)
         self.records[key] = Record(key, revision, value)
         for listener in self._listeners:
             listener(key)
--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -48,6 +48,8 @@
 """Time between two digests to the successors of an owner."""
 PEERS_INTERVAL_MS = 500.0
 """Time between two looks at which routers to dial."""
+UNWRITTEN_HANDOVER_MS = 2000.0
+"""How long a planned stop tries to hand shards over without the service."""
 BACKLOG = 1024
 """Connections that wait to be accepted."""
 ISOLATION_MS = 5000.0
@@ -316,7 +318,7 @@
         self.context.state = LEAVING
         self.context.timeline.record("leaving")
         self.right.write_state()
-        self._wait_while(lambda: self.ownership.owned, deadline_ms)
+        self._wait_while(lambda: self.ownership.owned, self._handover_deadline_ms())
         # Callers and balancer notice with a lag; until then their calls are served.
         eventlet.sleep(settings.drain_lag_ms / 1000.0)
         self._wait_while(lambda: self.entry.running, deadline_ms)
@@ -326,6 +328,15 @@
         self.peers.stop()
         self.context.timeline.record("stopped", unfinished=self.entry.running)
 
+    def _handover_deadline_ms(self) -> float:
+        # Without the service no other router can take a shard over, so that a longer
+        # wait would help nobody; the slots already granted stay valid.
+        settings = self.context.settings
+        wait_ms = settings.stop_timeout_ms / 2
+        if not self.right.hears_store():
+            wait_ms = min(wait_ms, UNWRITTEN_HANDOVER_MS)
+        return self.context.clock.now_ms() + wait_ms
+
     def _wait_while(self, condition, deadline_ms: float) -> None:
         while condition() and self.context.clock.now_ms() < deadline_ms:
             eventlet.sleep(0.02)
--- a/packages/lagoonsail-router/src/lagoonsail_router/entry.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/entry.py
@@ -106,9 +106,10 @@
             self.running -= 1
             self._context.count("callers_gone_total")
             return self._refuse(_gone(), request_id, start_response)
-        except BaseException:
+        except Exception:
             self.running -= 1
-            raise
+            self._context.logger.exception("call {} failed", request_id)
+            return self._refuse(_internal(), request_id, start_response)
         if isinstance(body, list):
             self.running -= 1
         return body
@@ -280,6 +281,14 @@
         return server.address if server else ""
 
     def _send(self, call: Call, grant: SlotGrant, attempt: Attempt, is_gone):
+        try:
+            return self._exchange(call, grant, attempt, is_gone)
+        except BaseException:
+            if self._desk.holds(grant):
+                self._finish(grant, OUTCOME_BROKEN, attempt)
+            raise
+
+    def _exchange(self, call: Call, grant: SlotGrant, attempt: Attempt, is_gone):
         self._desk.start(grant)
         watch = eventlet.spawn(self._watch_caller, call, attempt, is_gone)
         try:
@@ -407,5 +416,15 @@
     )
 
 
+def _internal() -> CallProblem:
+    return CallProblem(
+        502,
+        "internal_error",
+        "the router failed to serve the request",
+        "find out whether the request ran, and report the router's log",
+        UNKNOWN,
+    )
+
+
 def _reason(status: int) -> str:
     return "OK" if status == 200 else "Answer"
--- a/packages/lagoonsail-router/src/lagoonsail_router/ticket_desk.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/ticket_desk.py
@@ -187,6 +187,11 @@
         age_ms = self._context.clock.now_ms() - grant.basis_ms
         return 0 <= age_ms < window_ms
 
+    def holds(self, grant: SlotGrant) -> bool:
+        """Return whether the slot of a grant was not given back yet."""
+        held = self.held.get((grant.shard, grant.epoch, grant.slot))
+        return held is not None and held.done is None
+
     def start(self, grant: SlotGrant) -> None:
         """Tell the owner that the request is being sent."""
         self._send(grant.shard, SlotStart(grant.shard, grant.epoch, grant.slot))
