Add the laboratory: processes, deployments, callers, checker and demo

Cause: the proofs and the demo need real processes that can be killed, frozen and cut off, callers that behave like clients behind a balancer, and a judgement that does not ask the routers.

Ruled out: one request id for all attempts of a call; then a promise that nothing ran could not be checked against the servers' records. Reading a child's output through a pipe; it would block the hub.

Change: processes.py, fleet.py, deployments.py, caller.py, checker.py and demo.py with tests. Each fault of the checker is shown to be found.

--- /dev/null
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/caller.py
@@ -0,0 +1,517 @@
+"""Callers that behave like clients behind a balancer, and record what they got."""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import random
+import re
+import uuid
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from lagoonsail_core.clock import Clock
+from lagoonsail_core.green import eventlet, urllib3
+from lagoonsail_lab.deployments import account_key
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+POLL_S = 0.1
+"""Time between two looks at a router's readiness, seconds."""
+POLL_TIMEOUT_S = 0.5
+"""Time after which a router that does not answer is not ready, seconds."""
+CONNECT_TIMEOUT_S = 2.0
+"""Time for a connection to open, seconds."""
+READ_TIMEOUT_S = 30.0
+"""Longest silence of a router during an answer, seconds."""
+MAX_ATTEMPTS = 8
+"""Attempts of one call, all of them known not to have run but the last."""
+MAX_RETRY_AFTER_S = 0.5
+"""Longest wait before another attempt, whatever Retry-After says, seconds."""
+RETRY_PAUSE_S = 0.02
+"""Wait before another attempt when no Retry-After says more, seconds."""
+
+RAN_NO = "no"
+"""Nothing of the call ran."""
+RAN_UNKNOWN = "unknown"
+"""The call may have run."""
+RAN_LOST = "lost"
+"""No answer came that said what happened."""
+RETRIED_STATUSES = (0, 429, 503)
+"""Status codes after which another attempt may help; 0 if no connection opened."""
+
+_TOKENS_PATTERN = re.compile(r"#tokens=(\d+)")
+
+
+@dataclass(slots=True)
+class Call:
+    """What a caller asks for."""
+
+    side: str
+    """Side of the service."""
+    service: str
+    """Service, unqualified."""
+    account: str
+    """Client account, unqualified."""
+    method: str
+    """HTTP method."""
+    path: str
+    """Path below the service."""
+    body: bytes
+    """Body."""
+    is_stream: bool = False
+    """Whether the answer is a stream of events."""
+    is_repeatable: bool = True
+    """Whether the service's document says that the call may run twice."""
+    idempotency_key: str = ""
+    """Value of Idempotency-Key, or empty."""
+    cost_hint: float = 0.0
+    """Value of X-Cost-Hint; 0 sends none."""
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One request of a call to one router."""
+
+    request_id: str
+    """Value of X-Request-Id; differs for each attempt."""
+    router: str
+    """Entry router."""
+    status: int = 0
+    """Status code, 0 if none came."""
+    ran: str = ""
+    """Empty if the answer came to its end, else one of the RAN constants."""
+    reason: str = ""
+    """What was wrong with the answer, empty if it is whole."""
+    retry_after_s: float = 0.0
+    """What Retry-After said, seconds."""
+    started_wall_ms: float = 0.0
+    """When the attempt began, wall time."""
+    first_ms: float = 0.0
+    """Time until the first byte of the body, milliseconds; 0 if none came."""
+    ended_wall_ms: float = 0.0
+    """When the attempt ended, wall time."""
+    cost: float = 0.0
+    """Tokens of a whole engine answer, or 1 for a plain one."""
+
+
+@dataclass(slots=True)
+class CallRecord:
+    """One call and what became of it."""
+
+    call: Call
+    """The call."""
+    attempts: list[Attempt] = field(default_factory=list)
+    """Its attempts in order; the last one is the caller's answer."""
+
+    @property
+    def last(self) -> Attempt:
+        """The attempt whose answer the caller took."""
+        return self.attempts[-1]
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the answer came to its end and is the call's own."""
+        return self.last.status == 200 and not self.last.ran and not self.last.reason
+
+    @property
+    def latency_ms(self) -> float:
+        """Time from the first attempt until the end of the last, milliseconds."""
+        return self.last.ended_wall_ms - self.attempts[0].started_wall_ms
+
+    @property
+    def first_ms(self) -> float:
+        """Time from the first attempt until the first byte of the answer's body."""
+        return (
+            self.last.started_wall_ms
+            + self.last.first_ms
+            - self.attempts[0].started_wall_ms
+        )
+
+
+class Balancer:
+    """Knows which routers are ready and chooses among them."""
+
+    __slots__ = ("_addresses", "_http", "_random", "_threads", "ready")
+
+    ready: set[str]
+    """Names of the routers that are ready."""
+
+    def __init__(self, routers: dict[str, tuple[str, str]], seed: int = 1) -> None:
+        """Begin to look at routers.
+
+        Args:
+            routers: Callers' address and admin address by name.
+            seed: Seed of the choices.
+        """
+        self._addresses = routers
+        self._random = random.Random(seed)
+        self._http = urllib3.PoolManager(
+            num_pools=len(routers) + 1,
+            retries=False,
+            timeout=urllib3.Timeout(total=POLL_TIMEOUT_S),
+        )
+        self.ready = set(routers)
+        self._threads = [eventlet.spawn(self._watch, name) for name in routers]
+
+    def _watch(self, name: str) -> None:
+        while True:
+            if self._is_ready(name):
+                self.ready.add(name)
+            else:
+                self.ready.discard(name)
+            eventlet.sleep(POLL_S)
+
+    def _is_ready(self, name: str) -> bool:
+        url = f"http://{self._addresses[name][1]}/readyz"
+        try:
+            return self._http.request("GET", url).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def choose(self, avoid: str) -> tuple[str, str]:
+        """Return a router, ready if there is one and not the one to avoid.
+
+        Args:
+            avoid: Name of a router that has just failed, or empty.
+
+        Returns:
+            Name and address.
+        """
+        names = sorted(self.ready - {avoid}) or sorted(self.ready)
+        name = self._random.choice(names or sorted(self._addresses))
+        return name, self._addresses[name][0]
+
+    def stop(self) -> None:
+        """Look at the routers no longer."""
+        for thread in self._threads:
+            thread.kill()
+
+
+class Caller:
+    """Makes calls through a balancer and keeps their records."""
+
+    __slots__ = ("_balancer", "_clock", "_http", "_keep_alive", "records")
+
+    records: list[CallRecord]
+    """All calls in order of their beginning; unfinished ones have no attempt's end."""
+
+    def __init__(
+        self,
+        balancer: Balancer,
+        keep_alive: bool = True,
+        clock: Clock | None = None,
+    ) -> None:
+        self._balancer = balancer
+        self._keep_alive = keep_alive
+        self._clock = clock or Clock()
+        self._http = urllib3.PoolManager(
+            num_pools=50,
+            maxsize=256,
+            retries=False,
+            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S),
+        )
+        self.records = []
+
+    def make(self, call: Call) -> CallRecord:
+        """Make a call, again only while nothing of it ran.
+
+        Args:
+            call: The call.
+
+        Returns:
+            Its record, which is kept too.
+        """
+        record = CallRecord(call)
+        self.records.append(record)
+        avoid = ""
+        for _ in range(MAX_ATTEMPTS):
+            attempt = self._attempt(record, avoid)
+            if attempt.ran != RAN_NO or attempt.status not in RETRIED_STATUSES:
+                break
+            avoid = attempt.router
+            wait_s = max(RETRY_PAUSE_S, attempt.retry_after_s)
+            eventlet.sleep(min(wait_s, MAX_RETRY_AFTER_S))
+        return record
+
+    def _attempt(self, record: CallRecord, avoid: str) -> Attempt:
+        name, address = self._balancer.choose(avoid)
+        attempt = Attempt(uuid.uuid4().hex, name)
+        attempt.started_wall_ms = self._clock.wall_ms()
+        record.attempts.append(attempt)
+        try:
+            self._exchange(record.call, attempt, address)
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            # Nothing was sent, so the caller knows it without being told.
+            attempt.ran = RAN_NO
+            attempt.reason = f"not connected: {type(error).__name__}"
+        except urllib3.exceptions.HTTPError as error:
+            # An answer that began and broke off says by itself that it is in doubt.
+            attempt.ran = RAN_UNKNOWN if attempt.status else RAN_LOST
+            attempt.reason = f"{type(error).__name__}: {error}"
+        attempt.ended_wall_ms = self._clock.wall_ms()
+        return attempt
+
+    def _exchange(self, call: Call, attempt: Attempt, address: str) -> None:
+        url = f"http://{address}/{call.side}/{call.service}{call.path}"
+        answer = self._http.request(
+            call.method,
+            url,
+            body=call.body,
+            headers=self._headers(call, attempt),
+            preload_content=False,
+        )
+        try:
+            attempt.status = answer.status
+            body = self._read(answer, attempt)
+        except BaseException:
+            # The rest of the answer must not be taken for that of the next call.
+            answer.close()
+            raise
+        answer.release_conn()
+        judge_answer(call, attempt, body, answer.headers)
+
+    def _headers(self, call: Call, attempt: Attempt) -> dict[str, str]:
+        key = account_key(call.side, call.service, call.account)
+        headers = {
+            "Authorization": f"Bearer {key}",
+            "X-Request-Id": attempt.request_id,
+            "Content-Type": "application/json",
+        }
+        if call.idempotency_key:
+            headers["Idempotency-Key"] = call.idempotency_key
+        if call.cost_hint:
+            headers["X-Cost-Hint"] = f"{call.cost_hint:g}"
+        if not self._keep_alive:
+            headers["Connection"] = "close"
+        return headers
+
+    def _read(self, answer: urllib3.BaseHTTPResponse, attempt: Attempt) -> bytes:
+        chunks = []
+        for chunk in answer.stream(65536):
+            if not chunks:
+                attempt.first_ms = self._clock.wall_ms() - attempt.started_wall_ms
+            chunks.append(chunk)
+        return b"".join(chunks)
+
+    def whole(self) -> list[CallRecord]:
+        """Return the records of the calls with a whole answer."""
+        return [r for r in self.records if r.attempts and r.is_whole]
+
+
+def judge_answer(
+    call: Call, attempt: Attempt, body: bytes, headers: dict[str, str]
+) -> None:
+    """Decide whether an answer that came to its end is whole and the call's own.
+
+    Args:
+        call: The call.
+        attempt: Its attempt with the status; the verdict is written here.
+        body: Whole body.
+        headers: Headers of the answer.
+    """
+    if attempt.status != 200:
+        _judge_problem(attempt, body, headers)
+    elif call.is_stream:
+        _judge_stream(call, attempt, body)
+    elif call.path == "/v1/completions":
+        _judge_completion(call, attempt, body)
+    else:
+        _judge_echo(call, attempt, body)
+
+
+def _judge_problem(attempt: Attempt, body: bytes, headers: dict[str, str]) -> None:
+    attempt.retry_after_s = _read_seconds(headers.get("Retry-After", "0"))
+    problem = _load_object(body)
+    attempt.reason = str(problem.get("title") or problem.get("error") or "no problem")
+    ran = problem.get("ran")
+    # An error that does not say whether the call ran leaves the caller in doubt.
+    attempt.ran = ran if ran in (RAN_NO, RAN_UNKNOWN) else RAN_LOST
+
+
+def _judge_stream(call: Call, attempt: Attempt, body: bytes) -> None:
+    events = body.decode(errors="replace").split("\n\n")
+    texts = []
+    for event in events:
+        if event.startswith("event: error"):
+            problem = _load_object(event.partition("data: ")[2].encode())
+            attempt.ran = RAN_UNKNOWN
+            attempt.reason = f"stream broke: {problem.get('title', '')}"
+            return
+        choices = _load_object(event.removeprefix("data: ").encode()).get("choices")
+        if choices:
+            texts.append(str(choices[0].get("text", "")))
+    if "data: [DONE]" not in events:
+        attempt.reason = "stream without its last event"
+        return
+    _judge_text(call, attempt, "".join(texts))
+
+
+def _judge_completion(call: Call, attempt: Attempt, body: bytes) -> None:
+    choices = _load_object(body).get("choices") or [{}]
+    _judge_text(call, attempt, str(choices[0].get("text", "")))
+
+
+def _judge_text(call: Call, attempt: Attempt, text: str) -> None:
+    expected = expected_text(_load_object(call.body).get("prompt", ""))
+    if text == expected:
+        attempt.cost = float(text.count(" "))
+        return
+    own = text.startswith(expected[:8])
+    attempt.reason = "text cut or changed" if own else "text of another prompt"
+
+
+def _judge_echo(call: Call, attempt: Attempt, body: bytes) -> None:
+    answer = _load_object(body)
+    if answer.get("echo") != hashlib.sha256(call.body).hexdigest():
+        attempt.reason = "echo of another body"
+    elif answer.get("request_id") != attempt.request_id:
+        attempt.reason = "answer to another request"
+    elif answer.get("path") != call.path.partition("?")[0]:
+        attempt.reason = "answer to another path"
+    else:
+        attempt.cost = 1.0
+
+
+def expected_text(prompt: str) -> str:
+    """Return the whole answer that belongs to a prompt.
+
+    Args:
+        prompt: The prompt; `#tokens=N` in it says how long the answer is.
+
+    Returns:
+        The text.
+
+    Example:
+        >>> expected_text("a #tokens=1").endswith("-0 ")
+        True
+    """
+    found = _TOKENS_PATTERN.search(prompt)
+    digest = hashlib.sha256(prompt.encode()).hexdigest()[:8]
+    count = int(found[1]) if found else 0
+    return "".join(f"{digest}-{index} " for index in range(count))
+
+
+def _load_object(data: bytes) -> dict:
+    try:
+        value = json.loads(data)
+    except ValueError:
+        return {}
+    return value if isinstance(value, dict) else {}
+
+
+def _read_seconds(text: str) -> float:
+    try:
+        return max(0.0, float(text))
+    except ValueError:
+        return 0.0
+
+
+def make_prompt(
+    side: str,
+    service: str,
+    account: str,
+    tokens: int,
+    is_stream: bool,
+    text: str,
+    hints: bool = True,
+) -> Call:
+    """Return a call of an engine.
+
+    Args:
+        side: Side of the service.
+        service: Service, unqualified.
+        account: Account, unqualified.
+        tokens: Real length of the answer.
+        is_stream: Whether a stream is asked for.
+        text: Prompt before the length; make it differ between calls.
+        hints: Whether the cost is told to the router as well.
+
+    Returns:
+        The call.
+    """
+    fields = {"prompt": f"{text} #tokens={tokens}", "max_tokens": tokens}
+    body = json.dumps({**fields, "stream": is_stream}).encode()
+    hint = float(tokens) if hints else 0.0
+    path = "/v1/completions"
+    return Call(side, service, account, "POST", path, body, is_stream, True, "", hint)
+
+
+def make_plain(
+    side: str,
+    service: str,
+    account: str,
+    work_ms: float,
+    path: str,
+    is_repeatable: bool,
+) -> Call:
+    """Return a call of a plain service, with an idempotency key if not repeatable.
+
+    Args:
+        side: Side of the service.
+        service: Service, unqualified.
+        account: Account, unqualified.
+        work_ms: Time that the call takes on a warm server, milliseconds.
+        path: Path; POST /search may be repeated, POST /bibs may not.
+        is_repeatable: Whether the service's document says that it may be repeated.
+
+    Returns:
+        The call.
+    """
+    body = json.dumps({"work_ms": work_ms, "unique": uuid.uuid4().hex}).encode()
+    key = "" if is_repeatable else uuid.uuid4().hex
+    return Call(
+        side, service, account, "POST", path, body, False, is_repeatable, key, work_ms
+    )
+
+
+def call_in_loop(
+    caller: Caller,
+    make_call: Callable[[], Call],
+    until_ms: float,
+    pause_s: Callable[[], float] = lambda: 0.0,
+) -> None:
+    """Make one call after the other until a time.
+
+    Args:
+        caller: Makes the calls.
+        make_call: Returns the next call.
+        until_ms: No call begins later, monotonic time.
+        pause_s: Returns the pause after each call, seconds.
+    """
+    clock = Clock()
+    while clock.now_ms() < until_ms:
+        caller.make(make_call())
+        eventlet.sleep(pause_s())
+
+
+def call_at_rate(
+    caller: Caller,
+    make_call: Callable[[], Call],
+    until_ms: float,
+    rate: float,
+    seed: int,
+) -> None:
+    """Begin calls at random times, whether or not earlier ones have ended.
+
+    Args:
+        caller: Makes the calls.
+        make_call: Returns the next call.
+        until_ms: No call begins later, monotonic time.
+        rate: Calls a second.
+        seed: Seed of the times.
+    """
+    clock = Clock()
+    chance = random.Random(seed)
+    next_ms = clock.now_ms()
+    calls = []
+    while next_ms < until_ms:
+        eventlet.sleep(max(0.0, next_ms - clock.now_ms()) / 1000.0)
+        calls.append(eventlet.spawn(caller.make, make_call()))
+        next_ms += chance.expovariate(rate) * 1000.0
+    for thread in calls:
+        thread.wait()
--- /dev/null
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/fleet.py
@@ -0,0 +1,594 @@
+"""A fleet of real processes: stand-ins, relays and routers."""
+
+from __future__ import annotations
+
+import base64
+import json
+import shutil
+import signal
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from lagoonsail_core.clock import Clock
+from lagoonsail_core.green import eventlet, urllib3
+from lagoonsail_core.names import qualify
+from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_lab.deployments import write_document
+from lagoonsail_lab.processes import Process, ProcessError, free_port, stop_all
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+    from typing import Any
+
+    from lagoonsail_lab.deployments import Deployment, ServiceShape
+
+START_ATTEMPTS = 5
+"""Starts of a process whose port was taken meanwhile."""
+READY_MS = 20000.0
+"""Time for all routers to be ready, milliseconds."""
+ROUTER_PREFIX = "/lagoonsail/"
+"""Beginning of every key of the fleet."""
+STAND_INS = {
+    "engine": "lagoonsail_standins.model_engine",
+    "plain": "lagoonsail_standins.plain_service",
+}
+"""Module of the backend servers by kind of service."""
+ROUTER_MODULE = "lagoonsail_router"
+"""Module of the router."""
+
+
+@dataclass(slots=True)
+class Router:
+    """One router of the fleet."""
+
+    name: str
+    """Its name."""
+    side: str
+    """Its side."""
+    region: str
+    """Its region."""
+    failure_domain: str
+    """Its failure domain, unqualified."""
+    callers: str = ""
+    """Address for callers."""
+    admin: str = ""
+    """Address for operators."""
+    peers: str = ""
+    """Address where it listens for other routers."""
+    host_state: str = "live"
+    """What the host list says of it: live, leaving, or empty if not listed."""
+    process: Process | None = None
+    """Its process, after the first start."""
+
+
+@dataclass(slots=True)
+class Backend:
+    """One backend server of the fleet."""
+
+    service: ServiceShape
+    """Its service."""
+    name: str
+    """Its name, unqualified."""
+    failure_domain: str
+    """Its failure domain, unqualified."""
+    address: str = ""
+    """Where it listens."""
+    process: Process | None = None
+    """Its process, after the start."""
+
+    def qualified(self) -> str:
+        """Return the fleet-wide name."""
+        return qualify(self.service.side, self.name)
+
+
+@dataclass(slots=True)
+class Relay:
+    """A relay in the path of a connection, to cut or slow it."""
+
+    address: str
+    """Where it listens."""
+    control: str
+    """Address of its controls."""
+    process: Process
+    """Its process."""
+
+
+class Fleet:
+    """Stand-ins and routers as processes, with files in one directory."""
+
+    __slots__ = (
+        "_http",
+        "_is_own_directory",
+        "_out",
+        "_processes",
+        "_relayed_peers",
+        "_relayed_store",
+        "_settings",
+        "backends",
+        "deployments",
+        "directory",
+        "host_list",
+        "relays",
+        "routers",
+        "store",
+    )
+
+    backends: dict[str, Backend]
+    """Backend servers by qualified name."""
+    deployments: list[Deployment]
+    """The deployments that run."""
+    directory: Path
+    """Holds settings, documents and the output of all processes."""
+    host_list: str
+    """Address of the host list."""
+    relays: dict[str, Relay]
+    """Relays by `store-ROUTER` or `peers-ROUTER`."""
+    routers: dict[str, Router]
+    """Routers by name."""
+    store: str
+    """Address of the key-value service itself, without a relay."""
+
+    def __init__(
+        self,
+        deployments: list[Deployment],
+        directory: Path | None = None,
+        settings: dict[str, dict[str, str | int]] | None = None,
+        relayed_store: Iterable[str] = (),
+        relayed_peers: Iterable[str] = (),
+    ) -> None:
+        """Prepare a fleet; nothing is started.
+
+        Args:
+            deployments: What runs.
+            directory: Where files go; a temporary one, removed by `stop`, if None.
+            settings: Further settings of all routers by section and key.
+            relayed_store: Routers that reach the key-value service through a relay.
+            relayed_peers: Routers whose address in the host list is a relay.
+        """
+        self.deployments = deployments
+        self._is_own_directory = directory is None
+        self.directory = directory or Path(tempfile.mkdtemp(prefix="lagoonsail-lab-"))
+        self._settings = settings or {}
+        self._relayed_store = frozenset(relayed_store)
+        self._relayed_peers = frozenset(relayed_peers)
+        self._http = urllib3.PoolManager(
+            num_pools=200, maxsize=4, retries=False, timeout=5.0
+        )
+        self._out: set[str] = set()
+        self._processes: list[Process] = []
+        self.store = ""
+        self.host_list = ""
+        self.relays = {}
+        self.backends = {
+            backend.qualified(): backend
+            for deployment in deployments
+            for service in deployment.services
+            for backend in _make_backends(service)
+        }
+        self.routers = {
+            router.name: router
+            for deployment in deployments
+            for router in _make_routers(deployment)
+        }
+
+    def __enter__(self) -> Fleet:
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_exception: object) -> None:
+        self.stop()
+
+    def start(self) -> None:
+        """Start everything and wait until all routers are ready.
+
+        Raises:
+            ProcessError: If a process does not get ready.
+        """
+        self.start_stand_ins()
+        self.start_routers()
+
+    def start_stand_ins(self) -> None:
+        """Start the platform and the backend servers, and publish documents and hosts.
+
+        Raises:
+            ProcessError: If a process does not get ready.
+        """
+
+        def start_platform(name: str) -> str:
+            process = self._start_listening(name, f"lagoonsail_standins.{name}", {})
+            return _address_of(process)
+
+        store = eventlet.spawn(start_platform, "key_value")
+        host_list = eventlet.spawn(start_platform, "host_list")
+        _for_each(self._start_backend, self.backends.values())
+        self.store = store.wait()
+        self.host_list = host_list.wait()
+        self.put_documents()
+
+    def start_routers(self) -> None:
+        """Start all routers and wait until they are ready.
+
+        Raises:
+            ProcessError: If one does not get ready.
+        """
+        for router in self.routers.values():
+            self._choose_ports(router)
+        _for_each(self._add_relays, self.routers.values())
+        self.publish_hosts()
+        _for_each(self._start_router, self.routers.values())
+        self.wait_ready()
+
+    def _start_listening(
+        self, name: str, module: str, options: dict[str, str | int | float | bool]
+    ) -> Process:
+        for attempt in range(START_ATTEMPTS):
+            arguments = ["--port", str(free_port()), *_write_options(options)]
+            process = Process(name, module, arguments, self.directory)
+            self._processes.append(process)
+            process.start()
+            try:
+                process.wait_listening()
+            except ProcessError:
+                if attempt + 1 == START_ATTEMPTS or not _is_port_taken(process):
+                    raise
+                continue
+            return process
+        raise ProcessError(f"{name} found no free port", "end other processes")
+
+    def _start_backend(self, backend: Backend) -> None:
+        service = backend.service
+        options = {"name": backend.name, "slots": service.slots, **service.options}
+        if service.kind == "engine":
+            options.setdefault("checks_fencing", True)
+        name = backend.qualified().replace("/", "-")
+        backend.process = self._start_listening(name, STAND_INS[service.kind], options)
+        backend.address = _address_of(backend.process)
+
+    def _choose_ports(self, router: Router) -> None:
+        router.callers = f"127.0.0.1:{free_port()}"
+        router.admin = f"127.0.0.1:{free_port()}"
+        router.peers = f"127.0.0.1:{free_port()}"
+
+    def _add_relays(self, router: Router) -> None:
+        if router.name in self._relayed_store:
+            self._add_relay(f"store-{router.name}", self.store)
+        if router.name in self._relayed_peers:
+            self._add_relay(f"peers-{router.name}", router.peers)
+
+    def _add_relay(self, name: str, target: str) -> None:
+        control = free_port()
+        options = {"target": target, "control_port": control}
+        process = self._start_listening(name, "lagoonsail_standins.relay", options)
+        self.relays[name] = Relay(_address_of(process), f"127.0.0.1:{control}", process)
+
+    def _start_router(self, router: Router) -> None:
+        for attempt in range(START_ATTEMPTS):
+            path = self.directory / f"{router.name}.ini"
+            path.write_text(self.write_settings(router))
+            arguments = ["--settings", str(path)]
+            router.process = Process(
+                router.name, ROUTER_MODULE, arguments, self.directory
+            )
+            self._processes.append(router.process)
+            router.process.start()
+            try:
+                router.process.wait_listening()
+            except ProcessError:
+                if attempt + 1 == START_ATTEMPTS or router.process.exit_code != 3:
+                    raise
+                self._choose_ports(router)
+                self.publish_hosts()
+                continue
+            return
+
+    def write_settings(self, router: Router) -> str:
+        """Return the settings of a router.
+
+        Args:
+            router: The router, with its addresses.
+
+        Returns:
+            INI text.
+        """
+        relay = self.relays.get(f"store-{router.name}")
+        sections: dict[str, dict[str, str | int]] = {
+            "router": {
+                "name": router.name,
+                "side": router.side,
+                "region": router.region,
+                "failure_domain": router.failure_domain,
+            },
+            "listen": {
+                "callers": router.callers,
+                "admin": router.admin,
+                "peers": router.peers,
+            },
+            "store": {
+                "endpoints": relay.address if relay else self.store,
+                "prefix": ROUTER_PREFIX,
+            },
+            "host-list": {"url": f"http://{self.host_list}/hosts", "poll_ms": 250},
+        }
+        for section, values in self._settings.items():
+            sections.setdefault(section, {}).update(values)
+        blocks = []
+        for section, values in sections.items():
+            lines = [f"{key} = {value}" for key, value in values.items()]
+            blocks.append("\n".join([f"[{section}]", *lines]))
+        return "\n\n".join(blocks) + "\n"
+
+    def wait_ready(self, names: Iterable[str] | None = None) -> None:
+        """Wait until routers are ready for callers.
+
+        Args:
+            names: Which routers; all if None.
+
+        Raises:
+            ProcessError: If the time is over.
+        """
+        clock = Clock()
+        until_ms = clock.now_ms() + READY_MS
+        waiting = list(self.routers if names is None else names)
+        while True:
+            waiting = [name for name in waiting if not self.is_ready(name)]
+            if not waiting:
+                return
+            if clock.now_ms() > until_ms:
+                break
+            eventlet.sleep(0.05)
+        errors = self.routers[waiting[0]].process.errors()[-2000:]
+        raise ProcessError(
+            f"routers not ready: {' '.join(waiting)}; first: {errors}",
+            "look at their files in the directory of the fleet",
+        )
+
+    def stop(self) -> None:
+        """Stop all processes: routers first, then all else; remove own files."""
+        routers = [router.process for router in self.routers.values()]
+        stop_all([process for process in routers if process])
+        stop_all(self._processes)
+        self._http.clear()
+        if self._is_own_directory:
+            shutil.rmtree(self.directory, ignore_errors=True)
+
+    def fetch(
+        self, method: str, address: str, path: str, value: object = None
+    ) -> dict | list | Unavailable:
+        """Call one of the fleet's processes.
+
+        Args:
+            method: HTTP method.
+            address: Its address.
+            path: Path.
+            value: Sent as JSON, if not None.
+
+        Returns:
+            The decoded answer, or why there is none.
+        """
+        body = None if value is None else json.dumps(value)
+        try:
+            answer = self._http.request(method, f"http://{address}{path}", body=body)
+            if answer.status != 200:
+                return Unavailable(f"status {answer.status}: {answer.data[:200]!r}")
+            return answer.json()
+        except (urllib3.exceptions.HTTPError, ValueError) as error:
+            return Unavailable(f"{type(error).__name__}: {error}")
+
+    def put_documents(self) -> None:
+        """Write all service documents to the key-value service.
+
+        Raises:
+            ProcessError: If it does not take one.
+        """
+        for deployment in self.deployments:
+            for service in deployment.services:
+                self._put_document(service)
+
+    def document(self, service: ServiceShape) -> str:
+        """Return the present document of a service, as the fleet would write it."""
+        backends = [b for b in self.backends.values() if b.service is service]
+        return write_document(
+            service,
+            {backend.name: backend.address for backend in backends},
+            frozenset(
+                domain
+                for domain in service.domains()
+                if qualify(service.side, domain) in self._out
+            ),
+            frozenset(b.name for b in backends if b.qualified() in self._out),
+        )
+
+    def _put_document(self, service: ServiceShape) -> None:
+        key = f"{ROUTER_PREFIX}documents/{service.qualified()}"
+        value = {"key": _encode(key), "value": _encode(self.document(service))}
+        result = self.fetch("POST", self.store, "/v3/kv/put", value)
+        if isinstance(result, Unavailable):
+            raise ProcessError(f"put of {key}: {result.reason}", "look at key_value")
+
+    def set_state(self, name: str, state: str) -> None:
+        """Take a failure domain or a backend server out, or bring it back.
+
+        Rewrites only the documents that name it.
+
+        Args:
+            name: Its qualified name; a server's name wins over a domain's.
+            state: `in` or `out`.
+        """
+        self._out.discard(name)
+        if state == "out":
+            self._out.add(name)
+        touched = {
+            backend.service.qualified(): backend.service
+            for backend in self.backends_of(name)
+        }
+        for service in touched.values():
+            self._put_document(service)
+
+    def backends_of(self, name: str) -> list[Backend]:
+        """Return a backend server, or those of a failure domain.
+
+        Args:
+            name: Qualified name of either.
+
+        Returns:
+            The backend servers.
+        """
+        if name in self.backends:
+            return [self.backends[name]]
+        return [
+            backend
+            for backend in self.backends.values()
+            if qualify(backend.service.side, backend.failure_domain) == name
+        ]
+
+    def publish_hosts(self) -> None:
+        """Write the host list from the routers' host states."""
+        hosts = []
+        for router in self.routers.values():
+            if not router.host_state:
+                continue
+            relay = self.relays.get(f"peers-{router.name}")
+            labels = {
+                "name": router.name,
+                "state": router.host_state,
+                "failure_domain": router.failure_domain,
+                "side": router.side,
+            }
+            address = relay.address if relay else router.peers
+            hosts.append({"targets": [address], "labels": labels})
+        self._order(self.host_list, {"hosts": hosts})
+
+    def is_ready(self, name: str) -> bool:
+        """Return whether a router says that callers may come."""
+        url = f"http://{self.routers[name].admin}/readyz"
+        try:
+            return self._http.request("GET", url, timeout=1.0).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+    def status(self, name: str) -> dict | Unavailable:
+        """Return what a router's `/status` shows."""
+        return self.fetch("GET", self.routers[name].admin, "/status")
+
+    def records(self) -> dict[str, dict]:
+        """Return the record of each backend server that answers."""
+        records = {
+            name: self.fetch("GET", backend.address, "/_record")
+            for name, backend in self.backends.items()
+        }
+        return {name: record for name, record in records.items() if record}
+
+    def _order(self, address: str, orders: dict[str, object]) -> None:
+        result = self.fetch("POST", address, "/_control", orders)
+        if isinstance(result, Unavailable):
+            raise ProcessError(
+                f"{address} takes no orders: {result.reason}",
+                "look at its files in the directory of the fleet",
+            )
+
+    def control_backend(self, name: str, **orders: object) -> None:
+        """Give orders to a backend server's `/_control`."""
+        self._order(self.backends[name].address, orders)
+
+    def control_store(self, **orders: object) -> None:
+        """Give orders to the key-value service's `/_control`."""
+        self._order(self.store, orders)
+
+    def control_relay(self, name: str, **orders: object) -> None:
+        """Give orders to a relay's `/_control`."""
+        self._order(self.relays[name].control, orders)
+
+    def kill_router(self, name: str) -> None:
+        """End a router at once."""
+        self.routers[name].process.kill()
+
+    def freeze_router(self, name: str) -> None:
+        """Stop a router's process without ending it."""
+        self.routers[name].process.signal(signal.SIGSTOP)
+
+    def thaw_router(self, name: str) -> None:
+        """Let a frozen router go on."""
+        self.routers[name].process.signal(signal.SIGCONT)
+
+    def stop_router(self, name: str, bound_ms: float = 60000.0) -> int | None:
+        """Stop a router as planned.
+
+        Args:
+            name: The router.
+            bound_ms: Time that it has, milliseconds.
+
+        Returns:
+            Its exit code.
+        """
+        return self.routers[name].process.stop(bound_ms)
+
+    def restart_router(self, name: str, bound_ms: float = 60000.0) -> None:
+        """Stop a router if it runs, start it on the same ports and wait for it.
+
+        Args:
+            name: The router.
+            bound_ms: Time that it has for stopping, milliseconds.
+
+        Raises:
+            ProcessError: If it does not get ready.
+        """
+        process = self.routers[name].process
+        process.stop(bound_ms)
+        process.start()
+        process.wait_listening()
+        self.wait_ready([name])
+
+
+def _make_backends(service: ServiceShape) -> list[Backend]:
+    return [
+        Backend(service, server.name, server.failure_domain)
+        for server in service.servers
+    ]
+
+
+def _make_routers(deployment: Deployment) -> list[Router]:
+    domains = deployment.domains
+    return [
+        Router(
+            f"{deployment.side}-{number + 1}",
+            deployment.side,
+            deployment.region,
+            domains[number % len(domains)],
+        )
+        for number in range(deployment.routers)
+    ]
+
+
+def _for_each(function: Callable[[Any], None], items: Iterable) -> None:
+    threads = [eventlet.spawn(function, item) for item in items]
+    for thread in threads:
+        thread.wait()
+
+
+def _write_options(options: dict[str, str | int | float | bool]) -> list[str]:
+    arguments = []
+    for name, value in options.items():
+        flag = f"--{name.replace('_', '-')}"
+        if value is True:
+            arguments.append(flag)
+        elif value is not False:
+            arguments += [flag, str(value)]
+    return arguments
+
+
+def _address_of(process: Process) -> str:
+    return f"127.0.0.1:{process.arguments[1]}"
+
+
+def _is_port_taken(process: Process) -> bool:
+    return "Address already in use" in process.errors()
+
+
+def _encode(text: str) -> str:
+    return base64.b64encode(text.encode()).decode()
--- /dev/null
+++ b/packages/lagoonsail-lab/tests/test_checker.py
@@ -0,0 +1,143 @@
+from __future__ import annotations
+
+import pytest
+
+from lagoonsail_lab.caller import Attempt, Call, CallRecord
+from lagoonsail_lab.checker import (
+    LOST,
+    NOT_OWN,
+    OVERLOADED,
+    RAN_AFTER_ALL,
+    RAN_TWICE,
+    RAN_WHILE_OUT,
+    Kill,
+    Outage,
+    check_all,
+)
+
+OUTAGE = Outage(frozenset({"s/a"}), 1000.0, 2000.0)
+
+
+def make_record(request_id, key="", **fields):
+    repeatable = not key and fields.pop("is_repeatable", True)
+    call = Call("s", "v", "c", "POST", "/x", b"", False, repeatable, key)
+    values = {"status": 200, "started_wall_ms": 10.0, "ended_wall_ms": 20.0}
+    return CallRecord(call, [Attempt(request_id, "r1", **{**values, **fields})])
+
+
+def make_run(request_id, key="", state="whole", started_wall_ms=12.0):
+    return {
+        "request_id": request_id,
+        "idempotency_key": key,
+        "state": state,
+        "started_wall_ms": started_wall_ms,
+    }
+
+
+def make_servers(*runs_of_a, b=(), overloads=0):
+    return {
+        "s/a": {"overloads": overloads, "runs": list(runs_of_a)},
+        "s/b": {"overloads": 0, "runs": list(b)},
+    }
+
+
+def kinds(records, servers, **options):
+    faults = check_all(records, servers, [OUTAGE], 100.0, **options)
+    return [fault.kind for fault in faults]
+
+
+def test_sound_run_has_no_fault():
+    retried = make_record("q2-a", "k2", status=503, ran="no")
+    retried.attempts += make_record("q2-b").attempts
+    records = [
+        make_record("q1"),
+        retried,
+        make_record("q3", status=503, ran="no"),
+        make_record("q4", ran="unknown", reason="broke off"),
+        make_record("q5", "k5", status=502, ran="unknown"),
+    ]
+    servers = make_servers(
+        make_run("q1"),
+        make_run("q2-a", "k2", state="refused"),
+        make_run("q2-b", "k2"),
+        make_run("q4", state="cancelled", started_wall_ms=1100.0),
+        # A repeatable call may run twice.
+        b=[make_run("q1", state="broken"), make_run("q5", "k5", state="broken")],
+    )
+    assert kinds(records, servers) == []
+
+
+@pytest.mark.parametrize(
+    "fields", [{"ran": "lost", "status": 0}, {"ran": "lost"}, {"ended_wall_ms": 0.0}]
+)
+def test_lost_call_is_found(fields):
+    record = make_record("q1", **fields)
+    assert LOST in kinds([record], make_servers(make_run("q1")))
+
+
+def test_call_without_any_attempt_is_lost():
+    record = make_record("q1")
+    record.attempts.clear()
+    assert kinds([record], make_servers()) == [LOST]
+
+
+def test_kill_excuses_only_the_answers_of_that_router_at_that_time():
+    record = make_record("q1", status=0, ran="lost")
+
+    def found(router, wall_ms):
+        return kinds([record], make_servers(), kills=[Kill(router, wall_ms)])
+
+    assert found("r1", 15.0) == []
+    assert found("r1", 25.0) == found("r1", 5.0) == found("r2", 15.0) == [LOST]
+
+
+@pytest.mark.parametrize("state", ["whole", "broken", "cancelled", "running"])
+def test_second_run_with_an_idempotency_key_is_found(state):
+    record = make_record("q1", "k1")
+    servers = make_servers(make_run("q1", "k1"), b=[make_run("q1x", "k1", state)])
+    assert kinds([record], servers) == [RAN_TWICE]
+
+
+def test_second_run_without_a_key_is_found_by_the_request():
+    record = make_record("q1", is_repeatable=False)
+    servers = make_servers(make_run("q1"), make_run("q1", state="broken"))
+    assert kinds([record], servers) == [RAN_TWICE]
+
+
+@pytest.mark.parametrize("state", ["whole", "broken", "cancelled", "running"])
+def test_run_after_a_promise_that_nothing_ran_is_found(state):
+    record = make_record("q1", status=503, ran="no")
+    record.attempts += make_record("q2").attempts
+    servers = make_servers(make_run("q1", state=state), make_run("q2"))
+    assert kinds([record], servers) == [RAN_AFTER_ALL]
+
+
+def test_answer_of_another_call_is_found():
+    record = make_record("q1", reason="text of another prompt")
+    assert kinds([record], make_servers(make_run("q1"))) == [NOT_OWN]
+
+
+@pytest.mark.parametrize("states", [[], ["broken"], ["refused"]])
+def test_whole_answer_that_no_server_gave_is_found(states):
+    servers = make_servers(*(make_run("q1", state=state) for state in states))
+    assert kinds([make_record("q1")], servers) == [NOT_OWN]
+
+
+def test_cold_overload_is_found():
+    assert kinds([], make_servers(overloads=1)) == [OVERLOADED]
+
+
+@pytest.mark.parametrize(
+    ("at_ms", "found"),
+    [
+        (999.0, []),
+        (1100.0, []),
+        (1101.0, [RAN_WHILE_OUT]),
+        (1999.0, [RAN_WHILE_OUT]),
+        (2000.0, []),
+    ],
+)
+def test_new_work_on_a_server_that_is_out_is_found(at_ms, found):
+    runs = [make_run("q1", started_wall_ms=at_ms)]
+    assert kinds([], make_servers(*runs)) == found
+    assert kinds([], make_servers(b=runs)) == []
