--- a/packages/lagoonsail-core/src/lagoonsail_core/messages.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/messages.py
@@ -81,6 +81,8 @@
     """Hashes of the prompt's prefixes, shortest first; empty for plain services."""
     key: int
     """Hash of the idempotency key of a call that may not be repeated, else 0."""
+    call: int
+    """Number of the call at the sender; the same for each ticket of one call."""
     age_ms: float
     """How long the request has waited at the sender already."""
 
@@ -262,6 +264,8 @@
 """The answer arrived whole."""
 OUTCOME_NOT_RUN = "not_run"
 """No byte of the request reached the server."""
+OUTCOME_UNREACHABLE = "unreachable"
+"""The server could not be connected to, so no byte of the request reached it."""
 OUTCOME_REFUSED = "refused"
 """The server refused the request without running it."""
 OUTCOME_BROKEN = "broken"
--- a/packages/lagoonsail-router/src/lagoonsail_router/call.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/call.py
@@ -76,6 +76,8 @@
     """Hashes of the prompt's prefixes."""
     since_ms: float
     """When the request arrived."""
+    number: int = 0
+    """Number of the call at this router."""
     may_have_run: bool = False
     """Whether an earlier attempt may have run."""
 
--- a/packages/lagoonsail-router/src/lagoonsail_router/entry.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/entry.py
@@ -12,6 +12,7 @@
     OUTCOME_CANCELLED,
     OUTCOME_NOT_RUN,
     OUTCOME_REFUSED,
+    OUTCOME_UNREACHABLE,
     OUTCOME_WHOLE,
     REFUSED_DUPLICATE,
     REFUSED_QUEUE_FULL,
@@ -46,8 +47,6 @@
 """When a refused caller should try again, in seconds."""
 RETRY_PAUSE_MS = 50.0
 """Pause before a call whose server could not be reached asks for another slot."""
-UNREACHABLE_FIRST_MS = -1.0
-"""Marks a slot whose server refused the connection."""
 
 
 class CallerGoneError(Exception):
@@ -59,6 +58,7 @@
 
     __slots__ = (
         "_budgets",
+        "_calls",
         "_configuration",
         "_context",
         "_desk",
@@ -78,6 +78,7 @@
         self._configuration = configuration
         self._desk = desk
         self._budgets: dict[str, RetryBudget] = {}
+        self._calls = 0
         self.waiting = Counter()
         self.running = 0
 
@@ -97,6 +98,8 @@
             now_ms = self._context.clock.now_ms()
             call = read_call(env, self._configuration, now_ms)
             request_id = call.request_id
+            self._calls += 1
+            call.number = self._calls
             self._context.count("calls_total", call.document.qualified())
             body = self._answer(call, env, start_response)
         except CallProblem as problem:
@@ -180,6 +183,7 @@
             call.estimate,
             call.prefix,
             call.key_hash,
+            call.number,
             call.since_ms,
         )
         deadline_ms = call.since_ms + call.document.queue_timeout_ms
@@ -264,8 +268,7 @@
         try:
             attempt.connect()
         except NotSentError:
-            attempt.measured.first_ms = UNREACHABLE_FIRST_MS
-            self._finish(grant, OUTCOME_NOT_RUN, attempt)
+            self._finish(grant, OUTCOME_UNREACHABLE, attempt)
             return None
         # The process may have been paused since the grant came.
         if not self._desk.may_start(grant):
@@ -307,17 +310,11 @@
         finally:
             watch.kill()
         if answer.status == 503 and call.is_repeatable:
-            attempt.measured.first_ms = UNREACHABLE_FIRST_MS
+            # The owner sends this server nothing for a while, and the queue timeout
+            # bounds how often the call asks again, so this needs no retry budget.
+            call.may_have_run = True
             self._finish(grant, OUTCOME_REFUSED, attempt)
-            problem = CallProblem(
-                503,
-                "server_refused",
-                f"the backend server {grant.server} refused the request",
-                "try again later",
-                UNKNOWN,
-                RETRY_AFTER_S,
-            )
-            return None, problem, attempt
+            return None
         return answer, None, attempt
 
     def _watch_caller(self, call: Call, attempt: Attempt, is_gone) -> None:
--- a/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
@@ -1,13 +1,17 @@
 """Idempotency keys of a shard, recorded before the calls that carry them may run.
 
 A key is written to the key-value service before a slot is granted to its call, many
-keys in one write. A later owner reads all of them at take-over, so a retry of a call
-that may have run is recognised whichever router it comes through.
+keys in one write, together with the origin of the call: a hash of the entry router,
+its incarnation and the call's number there. A later owner reads all of them at
+take-over, so a retry of a call that may have run is recognised whichever router it
+comes through, while the same call may ask the new owner again: its entry router asks
+only as long as it has sent nothing.
 """
 
 from __future__ import annotations
 
 import json
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.green import eventlet
@@ -34,6 +38,14 @@
     return f"/lagoonsail-keys/{shard}/"
 
 
+@dataclass(slots=True)
+class _Pending:
+    key: int
+    origin: int
+    on_recorded: Callable[[bool], None]
+    since_ms: float
+
+
 class KeyLog:
     """The keys of one shard at its owner."""
 
@@ -41,13 +53,14 @@
         "_context",
         "_epoch",
         "_is_running",
-        "_known",
+        "_given_back",
         "_lease",
         "_lease_ms",
         "_pending",
         "_prefix",
         "_sequence",
         "_store",
+        "_stored",
         "_used",
         "is_loaded",
     )
@@ -62,9 +75,10 @@
         self._store = store
         self._epoch = epoch
         self._prefix = keys_prefix(shard)
-        self._known: dict[int, float] = {}
-        self._used: dict[int, float] = {}
-        self._pending: list[tuple[int, Callable[[bool], None], float]] = []
+        self._stored: dict[int, int] = {}
+        self._used: dict[int, tuple[int, float]] = {}
+        self._pending: list[_Pending] = []
+        self._given_back: set[int] = set()
         self._is_running = False
         self._sequence = 0
         self._lease = 0
@@ -82,53 +96,67 @@
             return False
         now_ms = self._context.clock.now_ms()
         for entry in sorted(listing.entries, key=lambda entry: entry.revision):
-            for key, is_used in json.loads(entry.value):
-                self._known[key] = now_ms
-                if is_used:
-                    self._used[key] = now_ms
-                else:
-                    self._used.pop(key, None)
+            for key, origin in json.loads(entry.value):
+                self._stored[key] = origin
+                self._used.pop(key, None)
+                if origin:
+                    self._used[key] = (origin, now_ms)
         self.is_loaded = True
         return True
 
-    def is_used(self, key: int) -> bool:
-        """Return whether a call with this key was granted a slot or is about to be."""
-        return key in self._used
+    def is_used(self, key: int, origin: int) -> bool:
+        """Return whether another call with this key has or will get a slot.
 
-    def record(self, key: int, on_recorded: Callable[[bool], None]) -> None:
+        Args:
+            key: Hash of the idempotency key.
+            origin: Origin of the call that asks.
+        """
+        used = self._used.get(key)
+        return used is not None and used[0] != origin
+
+    def record(
+        self, key: int, origin: int, on_recorded: Callable[[bool], None]
+    ) -> None:
         """Record a key, then call back with whether it is stored.
 
         Args:
-            key: Hash of the idempotency key; must not be in use.
+            key: Hash of the idempotency key; not in use by another call.
+            origin: Origin of the call.
             on_recorded: Called with False if the service cannot store it in time, in
                 which case the key is free again.
         """
         now_ms = self._context.clock.now_ms()
-        self._used[key] = now_ms
-        if key in self._known:
-            # An earlier attempt stored the key and was then known not to have run.
-            self._known[key] = now_ms
+        self._used[key] = (origin, now_ms)
+        self._given_back.discard(key)
+        if self._stored.get(key) == origin:
             on_recorded(True)
             return
-        self._pending.append((key, on_recorded, now_ms))
-        if not self._is_running:
-            self._is_running = True
-            eventlet.spawn_n(self._flush_all)
+        self._pending.append(_Pending(key, origin, on_recorded, now_ms))
+        self._start_flushing()
 
     def give_back(self, key: int) -> None:
         """Free the key of a call that certainly did not run."""
         self._used.pop(key, None)
+        if self._stored.get(key):
+            self._given_back.add(key)
+            self._start_flushing()
 
     def expire(self) -> None:
         """Forget keys past their retention time."""
         oldest_ms = self._context.clock.now_ms() - RETENTION_MS
-        for table in (self._known, self._used):
-            for key in [key for key, ms in table.items() if ms < oldest_ms]:
-                del table[key]
+        for key in [key for key, (_, ms) in self._used.items() if ms < oldest_ms]:
+            del self._used[key]
+            self._stored.pop(key, None)
+
+    def _start_flushing(self) -> None:
+        if self._is_running:
+            return
+        self._is_running = True
+        eventlet.spawn_n(self._flush_all)
 
     def _flush_all(self) -> None:
         try:
-            while self._pending:
+            while self._pending or self._given_back:
                 self._flush()
                 eventlet.sleep(FLUSH_INTERVAL_MS / 1000.0)
         finally:
@@ -136,29 +164,33 @@
 
     def _flush(self) -> None:
         batch = list(self._pending)
-        if self._write([key for key, _, _ in batch]):
+        freed = set(self._given_back)
+        changes = [[item.key, item.origin] for item in batch]
+        changes += [[key, 0] for key in freed]
+        if self._write(changes):
             del self._pending[: len(batch)]
-            self._finish(batch, True)
+            self._given_back -= freed
+            self._stored.update(changes)
+            for item in batch:
+                item.on_recorded(True)
             return
-        oldest_ms = self._context.clock.now_ms() - WAIT_LIMIT_MS
-        expired = [item for item in self._pending if item[2] < oldest_ms]
-        self._pending = [item for item in self._pending if item[2] >= oldest_ms]
-        self._finish(expired, False)
+        self._give_up_overdue()
 
-    def _finish(self, batch: list, is_stored: bool) -> None:
-        now_ms = self._context.clock.now_ms()
-        for key, on_recorded, _ in batch:
-            if is_stored:
-                self._known[key] = now_ms
-            else:
-                self._used.pop(key, None)
-            on_recorded(is_stored)
-
-    def _write(self, keys: list[int]) -> bool:
+    def _give_up_overdue(self) -> None:
+        oldest_ms = self._context.clock.now_ms() - WAIT_LIMIT_MS
+        overdue = [item for item in self._pending if item.since_ms < oldest_ms]
+        self._pending = [item for item in self._pending if item.since_ms >= oldest_ms]
+        for item in overdue:
+            # The write may have taken effect all the same, so it is taken back too.
+            self._used.pop(item.key, None)
+            self._given_back.add(item.key)
+            item.on_recorded(False)
+
+    def _write(self, changes: list[list[int]]) -> bool:
         if not self._renew_lease():
             return False
         self._sequence += 1
-        value = json.dumps([[key, 1] for key in keys])
+        value = json.dumps(changes)
         name = f"{self._prefix}{self._epoch:012d}/{self._sequence:012d}"
         written = self._store.put_if(name, value, 0, self._lease)
         if isinstance(written, Conflict):
--- a/packages/lagoonsail-router/src/lagoonsail_router/load_reports.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/load_reports.py
@@ -39,7 +39,7 @@
 _SAMPLE = re.compile(r"^([a-zA-Z_:][\w:]*)(?:\{[^}]*\})? (\S+)", re.MULTILINE)
 
 
-def _get(address: str, path: str) -> bytes | Unavailable:
+def _get(address: str, path: str) -> tuple[bytes, str] | Unavailable:
     # A fresh connection each time: one that went silent must not hide the server.
     host, port = address.rsplit(":", 1)
     pool = urllib3.HTTPConnectionPool(
@@ -57,7 +57,7 @@
     return body
 
 
-def read_load(address: str, clock: Clock) -> tuple[LoadReport, str] | Unavailable:
+def read_load(address: str, clock: Clock) -> LoadReport | Unavailable:
     """Read the load report of a backend server.
 
     Args:
@@ -65,21 +65,21 @@
         clock: The clock.
 
     Returns:
-        The report and the start time of the server's process as reported, or why
-        there is none.
+        The report, or why there is none.
     """
-    body = _get(address, "/metrics")
-    if not body:
-        return body
+    result = _get(address, "/metrics")
+    if not result:
+        return result
+    body, incarnation = result
     samples = dict(_SAMPLE.findall(body.decode("utf-8", "replace")))
     try:
         running = int(float(samples["engine:num_requests_running"]))
-        started = samples.get("process_start_time_seconds", "")
-        is_warm = float(samples.get("engine:warm", "1")) > 0
+        warm = samples.get("engine:warm")
+        is_warm = None if warm is None else float(warm) > 0
     except (KeyError, ValueError) as error:
         return Unavailable(f"malformed load report from {address}: {error}")
     measured_ms = clock.now_ms() - REPORT_LAG_MS
-    return LoadReport("", running, is_warm, measured_ms), started
+    return LoadReport(incarnation, running, is_warm, measured_ms)
 
 
 def read_cache_events(address: str, after: int) -> list[CacheEvent] | Unavailable:
@@ -92,9 +92,10 @@
     Returns:
         Events in order, or why there are none.
     """
-    body = _get(address, f"/cache_events?after={after}")
-    if isinstance(body, Unavailable):
-        return body
+    result = _get(address, f"/cache_events?after={after}")
+    if isinstance(result, Unavailable):
+        return result
+    body, _ = result
     try:
         return [_parse_event(event) for event in json.loads(body)["events"]]
     except (ValueError, KeyError, TypeError) as error:
--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -6,12 +6,16 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from xxhash import xxh64_intdigest
+
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.invariants import require
 from lagoonsail_core.messages import (
     OUTCOME_BROKEN,
     OUTCOME_NOT_RUN,
     OUTCOME_REFUSED,
+    OUTCOME_UNREACHABLE,
+    OUTCOME_WHOLE,
     REFUSED_DUPLICATE,
     REFUSED_KEYS_UNAVAILABLE,
     REFUSED_NOT_OWNER,
@@ -51,6 +55,10 @@
 UNREPORTED_HOLD_MS = 10_000.0
 """How long a new owner leaves a server alone that does not report its load."""
 
+FIRST_PAUSE_MS = 250.0
+"""How long a server gets nothing after its first refusal."""
+LONGEST_PAUSE_MS = 4000.0
+"""Longest such pause; it doubles with each refusal in a row."""
 QUEUE_FACTOR = 16
 """Requests of one account that wait at the owner, in queue limits of one router."""
 
@@ -95,8 +103,10 @@
     """Whether a load report has come in this epoch."""
     unknown: int = 0
     """Requests of lost routers that it may still run, by its reports."""
-    started: str = ""
-    """Start time of the server's process as it reported last."""
+    paused_until_ms: float = 0.0
+    """No grant before this time, since the server refused requests."""
+    refusals: int = 0
+    """Refusals in a row."""
     cache_sequence: int = 0
     """Sequence of the last cache event that was read."""
 
@@ -313,13 +323,14 @@
         if not request.key:
             self._enqueue(waiting)
             return
-        self._record_key(waiting)
+        origin_text = f"{stream.name}\0{stream.incarnation}\0{request.call}"
+        self._record_key(waiting, (xxh64_intdigest(origin_text.encode()) >> 1) | 1)
 
-    def _record_key(self, waiting: Waiting) -> None:
+    def _record_key(self, waiting: Waiting, origin: int) -> None:
         if not self.keys.is_loaded:
             self._refuse(waiting, REFUSED_KEYS_UNAVAILABLE)
             return
-        if self.keys.is_used(waiting.key):
+        if self.keys.is_used(waiting.key, origin):
             self._refuse(waiting, REFUSED_DUPLICATE)
             return
 
@@ -331,7 +342,7 @@
             else:
                 self.keys.give_back(waiting.key)
 
-        self.keys.record(waiting.key, on_recorded)
+        self.keys.record(waiting.key, origin, on_recorded)
 
     def _is_current(self, waiting: Waiting) -> bool:
         if self._is_stopped or self.is_releasing:
@@ -389,7 +400,7 @@
         key = (slot.epoch, slot.number)
         del self.slots[key]
         self.queue.settle(key, cost)
-        if slot.key and outcome == OUTCOME_NOT_RUN:
+        if slot.key and outcome in (OUTCOME_NOT_RUN, OUTCOME_UNREACHABLE):
             self.keys.give_back(slot.key)
         server = self.servers.get(slot.server)
         if server is None:
@@ -401,8 +412,19 @@
         server.limit.finish(
             key, outcome, incarnation, first_ms, duration_ms, cost, now_ms
         )
-        if outcome in (OUTCOME_NOT_RUN, OUTCOME_REFUSED) and done and first_ms < 0:
+        if outcome == OUTCOME_UNREACHABLE:
             server.limit.on_refused(now_ms)
+        self._back_off(server, outcome, now_ms)
+
+    def _back_off(self, server: Server, outcome: str, now_ms: float) -> None:
+        if outcome == OUTCOME_WHOLE:
+            server.refusals = 0
+        if outcome not in (OUTCOME_UNREACHABLE, OUTCOME_REFUSED):
+            return
+        pause_ms = min(FIRST_PAUSE_MS * 2**server.refusals, LONGEST_PAUSE_MS)
+        server.refusals += 1
+        server.paused_until_ms = max(server.paused_until_ms, now_ms + pause_ms)
+        eventlet.spawn_after(pause_ms / 1000.0, self.pump)
 
     def _refuse(self, waiting: Waiting, reason: str) -> None:
         self._context.count("slot_refusals_total", reason)
@@ -465,6 +487,8 @@
             return False
         if now_ms < server.hold_until_ms and not server.is_reported:
             return False
+        if now_ms < server.paused_until_ms:
+            return False
         if level == GUARDED and server.limit.limit <= server.limit.cold_slots:
             return False
         return server.limit.running + server.unknown < server.limit.limit
@@ -518,11 +542,7 @@
         if isinstance(result, Unavailable):
             self._context.count("load_reports_failed_total")
             return
-        report, started = result
-        if server.started and started != server.started:
-            server.limit.on_refused(self._context.clock.now_ms())
-        server.started = started
-        self._take_report(name, server, report)
+        self._take_report(name, server, result)
         document = self._find_document()
         if document and document.kind == "engine":
             self._read_cache_events(name, server)
--- a/packages/lagoonsail-router/src/lagoonsail_router/ticket_desk.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/ticket_desk.py
@@ -51,6 +51,8 @@
     """Hashes of the prompt's prefixes."""
     key: int
     """Hash of the idempotency key, 0 if there is none."""
+    call: int
+    """Number of the call at this router."""
     since_ms: float
     """When the caller's request arrived."""
     event: object
@@ -139,6 +141,7 @@
         estimate: float,
         prefix: list[int],
         key: int,
+        call_number: int,
         since_ms: float,
     ) -> WaitingCall:
         """Ask for a slot.
@@ -149,6 +152,7 @@
             estimate: Hint of the cost, 0 if there is none.
             prefix: Hashes of the prompt's prefixes.
             key: Hash of the idempotency key, 0 if there is none.
+            call_number: Number of the call at this router.
             since_ms: When the caller's request arrived.
 
         Returns:
@@ -157,7 +161,15 @@
         self._next_ticket += 1
         event = eventlet.event.Event()
         call = WaitingCall(
-            self._next_ticket, shard, account, estimate, prefix, key, since_ms, event
+            self._next_ticket,
+            shard,
+            account,
+            estimate,
+            prefix,
+            key,
+            call_number,
+            since_ms,
+            event,
         )
         self.waiting[call.ticket] = call
         now_ms = self._context.clock.now_ms()
@@ -317,6 +329,7 @@
                 call.estimate,
                 call.prefix,
                 call.key,
+                call.call,
                 self._context.clock.now_ms() - call.since_ms,
             )
         )
@@ -374,7 +387,7 @@
         outcome: One of the OUTCOME constants.
         cost: Whole cost in the service's unit.
         server_incarnation: Incarnation that the server reported.
-        first_ms: Time until the first byte; negative if the server refused at once.
+        first_ms: Time until the first byte.
         duration_ms: Time until the end.
 
     Returns:
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_limit.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_limit.py
@@ -199,9 +199,11 @@
         "_peak",
         "_peak_before",
         "_recent",
+        "_reported_cold",
         "_running",
         "_slow",
         "_steady",
+        "_tells_warmth",
         "cold_slots",
         "cost_is_time",
         "incarnation",
@@ -240,6 +242,8 @@
         self._running: dict[Hashable, _Start] = {}
         self._expected = Pace()
         self._generation = 0
+        self._reported_cold = False
+        self._tells_warmth = False
         self._peak = 0
         self._peak_before = 0
         self.slots = slots
@@ -345,6 +349,7 @@
             report: What the server said, perhaps a while ago.
             now_ms: Local monotonic time.
         """
+        self._note_warmth(report)
         own = max(self._peak, self._peak_before)
         self._peak_before = self._peak
         self._peak = self.running
@@ -363,6 +368,15 @@
         elif report.running - own > max(1, self.slots * FOREIGN_FRACTION):
             self._set_back("reported_load", now_ms)
 
+    def _note_warmth(self, report: LoadReport) -> None:
+        if report.is_warm is None:
+            return
+        self._tells_warmth = True
+        # What was measured before the last setback may tell of another incarnation.
+        is_new = report.measured_ms >= self._changed_ms
+        if not report.is_warm or is_new:
+            self._reported_cold = not report.is_warm
+
     def on_refused(self, now_ms: float) -> None:
         """Take note of a refused connection.
 
@@ -401,6 +415,7 @@
         self._generation += 1
         self.last_setback = reason
         self.setbacks[reason] += 1
+        self._reported_cold = self._tells_warmth
         self._go_cold(now_ms)
 
     def _check_incarnation(self, incarnation: str, now_ms: float) -> bool:
@@ -480,7 +495,7 @@
             self._grow(start, now_ms)
 
     def _grow(self, start: _Start, now_ms: float) -> None:
-        if not start.filled or self.is_warm:
+        if not start.filled or self.is_warm or self._reported_cold:
             return
         self.limit = min(self.limit + 1, self.slots)
         self._note_growth(now_ms)
--- a/packages/lagoonsail-standins/src/lagoonsail_standins/engine_reports.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/engine_reports.py
@@ -5,39 +5,27 @@
 from collections import OrderedDict, deque
 from typing import TYPE_CHECKING
 
-import xxhash
+from lagoonsail_core.green import eventlet
+from lagoonsail_sharing.prefix_index import BLOCK_CHARACTERS, prefix_hashes
+from lagoonsail_standins.serving import Answer
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lagoonsail_core.clock import Clock
     from lagoonsail_standins.backend import Backend
+    from lagoonsail_standins.serving import Request
 
-BLOCK_BYTES = 64
-"""Bytes of prompt in one block of the cache."""
 CACHE_BLOCKS = 512
 """Blocks that the cache holds; the least recently used one is removed."""
 KEPT_EVENTS = 1000
 """Events that are kept for readers."""
+SAMPLE_MS = 50.0
+"""Time between two samples of the load."""
 GAP_EVERY = 7
 """Each event whose sequence is a multiple of this is never shown."""
 
 
-def prefix_hashes(prompt: bytes) -> list[int]:
-    """Return the hashes of a prompt's prefixes that end at a block boundary.
-
-    Args:
-        prompt: The whole prompt in UTF-8.
-
-    Returns:
-        XXH64 of each such prefix, shortest first.
-
-    Example:
-        >>> len(prefix_hashes(b"x" * 130))
-        2
-    """
-    ends = range(BLOCK_BYTES, len(prompt) + 1, BLOCK_BYTES)
-    return [xxhash.xxh64_intdigest(prompt[:end]) for end in ends]
-
-
 class LaggingMetrics:
     """Samples of an engine's load, shown only when they are old enough."""
 
@@ -76,6 +64,32 @@
         return self._samples[0][1]
 
 
+def make_metrics_handler(backend: Backend, lag_ms: float) -> Callable:
+    """Return the handler of `GET /metrics`, and begin to take samples.
+
+    Args:
+        backend: The server.
+        lag_ms: How far its report lags, milliseconds.
+
+    Returns:
+        A handler of requests.
+    """
+    metrics = LaggingMetrics(backend, lag_ms)
+
+    def sample() -> None:
+        while True:
+            metrics.sample()
+            eventlet.sleep(SAMPLE_MS / 1000.0)
+
+    def show(_request: Request) -> Answer:
+        backend.pause_while_silent()
+        headers = {**backend.headers(), "Content-Type": "text/plain"}
+        return Answer(200, metrics.render().encode(), headers)
+
+    eventlet.spawn(sample)
+    return show
+
+
 class PromptCache:
     """Which prefixes an engine holds, and the events that tell of changes."""
 
@@ -88,14 +102,14 @@
         self._events: deque[tuple[float, dict]] = deque(maxlen=KEPT_EVENTS)
         self._sequence = 0
 
-    def add(self, prompt: bytes) -> int:
+    def add(self, prompt: str) -> int:
         """Hold a prompt's prefixes.
 
         Args:
-            prompt: The whole prompt in UTF-8.
+            prompt: The whole prompt.
 
         Returns:
-            How many bytes of it were held before.
+            How many characters of it were held before.
         """
         hashes = prefix_hashes(prompt)
         held = sum(1 for item in hashes if item in self._blocks)
@@ -107,7 +121,7 @@
         while len(self._blocks) > CACHE_BLOCKS:
             removed, _ = self._blocks.popitem(last=False)
             self._tell("removed", removed)
-        return held * BLOCK_BYTES
+        return held * BLOCK_CHARACTERS
 
     def clear(self) -> None:
         """Remove all prefixes; readers see one event for all."""
--- a/packages/lagoonsail-standins/src/lagoonsail_standins/model_engine.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/model_engine.py
@@ -22,7 +22,7 @@
     make_backend_app,
     send_body,
 )
-from lagoonsail_standins.engine_reports import LaggingMetrics, PromptCache
+from lagoonsail_standins.engine_reports import PromptCache, make_metrics_handler
 from lagoonsail_standins.serving import (
     Answer,
     BrokenAnswerError,
@@ -41,8 +41,6 @@
 """Tokens of an answer if neither the prompt nor `max_tokens` says how many."""
 KEPT_COMPLETIONS = 1000
 """Completions that can be cancelled or resumed by their id."""
-SAMPLE_MS = 50.0
-"""Time between two samples for the metrics, milliseconds."""
 WEIGHTS_RETRY_S = 0.2
 """Time until the weights are asked for again when no Retry-After says so, seconds."""
 
@@ -124,13 +122,13 @@
         "_token_ms",
         "_weight_store",
         "cache",
-        "metrics",
+        "show_metrics",
     )
 
     cache: PromptCache
     """Prefixes that the engine holds."""
-    metrics: LaggingMetrics
-    """What `/metrics` shows."""
+    show_metrics: Callable[[Request], Answer]
+    """Handler of `GET /metrics`."""
 
     def __init__(
         self,
@@ -149,12 +147,11 @@
         self._completions: OrderedDict[str, Completion] = OrderedDict()
         self._orders: list[dict] = []
         self.cache = PromptCache(backend.clock, report_lag_ms)
-        self.metrics = LaggingMetrics(backend, report_lag_ms)
+        self.show_metrics = make_metrics_handler(backend, report_lag_ms)
         backend.on_restart = self._begin_incarnation
 
     def start(self) -> None:
-        """Begin to load the weights and to sample the metrics."""
-        eventlet.spawn(self._sample_metrics)
+        """Begin to load the weights."""
         self._load_weights()
 
     def _begin_incarnation(self) -> None:
@@ -162,11 +159,6 @@
         self.cache.clear()
         self._load_weights()
 
-    def _sample_metrics(self) -> None:
-        while True:
-            self.metrics.sample()
-            eventlet.sleep(SAMPLE_MS / 1000.0)
-
     def _load_weights(self) -> None:
         if not self._weight_store:
             return
@@ -214,7 +206,7 @@
         admitted = self._backend.admit(request)
         if isinstance(admitted, Answer):
             return admitted
-        self.cache.add(prompt.encode())
+        self.cache.add(prompt)
         completion = Completion(
             admitted,
             prompt,
@@ -347,12 +339,6 @@
         value = {"incarnation": self._backend.incarnation, "events": events}
         return answer_json(value, headers=self._backend.headers())
 
-    def show_metrics(self, _request: Request) -> Answer:
-        """Return the lagging metrics."""
-        self._backend.pause_while_silent()
-        headers = {**self._backend.headers(), "Content-Type": "text/plain"}
-        return Answer(200, self.metrics.render().encode(), headers)
-
 
 def _event(run: Run, **fields: object) -> bytes:
     value = {"id": run.request_id, **fields}
--- a/packages/lagoonsail-standins/src/lagoonsail_standins/plain_service.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/plain_service.py
@@ -11,6 +11,7 @@
     make_backend_app,
     send_body,
 )
+from lagoonsail_standins.engine_reports import make_metrics_handler
 from lagoonsail_standins.serving import Answer, run, serve
 
 if TYPE_CHECKING:
@@ -30,13 +31,16 @@
     return float(work_ms) if isinstance(work_ms, int | float) else default_ms
 
 
-def make_plain_app(backend: Backend, name: str, work_ms: float) -> Callable:
+def make_plain_app(
+    backend: Backend, name: str, work_ms: float, report_lag_ms: float
+) -> Callable:
     """Return the application of a plain service.
 
     Args:
         backend: Runs and state of the server.
         name: Name of the server, shown in the answers.
         work_ms: Time that a request takes if its body does not say, milliseconds.
+        report_lag_ms: How far the load report lags, milliseconds.
 
     Returns:
         The WSGI application.
@@ -71,7 +75,8 @@
         shown = b"" if request.method == "HEAD" else body
         return Answer(200, send_body(backend, admitted, work, body, shown), headers)
 
-    return make_backend_app(backend, {}, answer)
+    routes = {("GET", "/metrics"): make_metrics_handler(backend, report_lag_ms)}
+    return make_backend_app(backend, routes, answer)
 
 
 def main(
@@ -83,6 +88,7 @@
     warm_after: int = 4,
     work_ms: float = 10.0,
     cold_factor: float = 4.0,
+    report_lag_ms: float = 1000.0,
 ) -> None:
     """Serve a plain service.
 
@@ -94,9 +100,10 @@
         warm_after: Whole answers after which the server is warm.
         work_ms: Time that a request takes if its body does not say.
         cold_factor: How many times slower the cold server is.
+        report_lag_ms: How far the load report lags.
     """
     options = BackendOptions(name, slots, cold_slots, warm_after, cold_factor)
-    serve(make_plain_app(Backend(options), name, work_ms), port)
+    serve(make_plain_app(Backend(options), name, work_ms, report_lag_ms), port)
 
 
 if __name__ == "__main__":
