--- a/packages/lagoonsail-standins/src/lagoonsail_standins/relay.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/relay.py
@@ -33,6 +33,9 @@
 MODES = ("pass", "cut", "freeze")
 """Accepted values of `Control.mode`."""
 
+BROKEN = (OSError, EOFError)
+"""What green sockets raise when they break, or are closed by another green thread."""
+
 _RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -201,7 +204,7 @@
             )
             self._pass_on(connection, connection.client, connection.target, "out")
             answers.wait()
-        except OSError:
+        except BROKEN:
             self.counts["broken"] += 1
         finally:
             self._end(connection)
@@ -226,7 +229,7 @@
                     return
                 sink.sendall(chunk)
                 self.counts[f"bytes_{direction}"] += len(chunk)
-        except OSError:
+        except BROKEN:
             self._end(connection)
         finally:
             reader.kill()
@@ -238,7 +241,7 @@
         while chunk:
             try:
                 chunk = source.recv(CHUNK_BYTES)
-            except OSError:
+            except BROKEN:
                 chunk = b""
             under_way.put((self._clock.now_ms() + self.control.delay_ms, chunk))
 
--- a/packages/lagoonsail-standins/src/lagoonsail_standins/weight_store.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/weight_store.py
@@ -5,6 +5,7 @@
 import hashlib
 import math
 from collections import Counter
+from typing import TYPE_CHECKING
 
 from lagoonsail_core.clock import Clock
 from lagoonsail_standins.serving import (
@@ -16,6 +17,9 @@
     serve,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 WEIGHTS_PATH = "/weights/"
 """Beginning of the paths that are served."""
 
@@ -69,19 +73,17 @@
     return (block * (size // len(block) + 1))[:size]
 
 
-def main(
-    *, port: int = 0, rate_per_s: float = 2.0, burst: int = 2, size: int = 100_000
-) -> None:
-    """Serve model weights until SIGTERM.
+def make_weight_app(limit: RateLimit, size: int, clock: Clock) -> Callable:
+    """Return the WSGI application of the weight store.
 
     Args:
-        port: TCP port; 0 takes any free one.
-        rate_per_s: Requests a second that are served in the long run.
-        burst: Requests that are served at once after a pause.
+        limit: Limit over all clients.
         size: Bytes of each answer.
+        clock: Clock of the limit.
+
+    Returns:
+        The application.
     """
-    clock = Clock()
-    limit = RateLimit(rate_per_s, burst, clock.now_ms())
     counts = Counter()
 
     def show_weights(request: Request) -> Answer:
@@ -100,7 +102,23 @@
         return Answer(200, weights, {"Content-Type": "application/octet-stream"})
 
     record = {("GET", "/_record"): lambda _request: answer_json(counts)}
-    serve(make_app(record, show_weights), port)
+    return make_app(record, show_weights)
+
+
+def main(
+    *, port: int = 0, rate_per_s: float = 2.0, burst: int = 2, size: int = 100_000
+) -> None:
+    """Serve model weights until SIGTERM.
+
+    Args:
+        port: TCP port; 0 takes any free one.
+        rate_per_s: Requests a second that are served in the long run.
+        burst: Requests that are served at once after a pause.
+        size: Bytes of each answer.
+    """
+    clock = Clock()
+    limit = RateLimit(rate_per_s, burst, clock.now_ms())
+    serve(make_weight_app(limit, size, clock), port)
 
 
 if __name__ == "__main__":
--- a/packages/lagoonsail-store/src/lagoonsail_store/entries.py
+++ b/packages/lagoonsail-store/src/lagoonsail_store/entries.py
@@ -49,13 +49,13 @@
 
 @dataclass(slots=True)
 class Conflict:
-    """The write is not in force, since the key has another revision than expected.
-
-    After a lost answer it may have been in force before the newer entry came.
-    """
+    """The write is not in force, since the key has another revision than expected."""
 
     entry: Entry | None
     """The newer entry; None if the key does not exist."""
+    in_doubt: bool = False
+    """Whether the write may have been in force before the newer entry came, since an
+    answer was lost."""
 
 
 @dataclass(slots=True)
--- a/packages/lagoonsail-store/src/lagoonsail_store/store_client.py
+++ b/packages/lagoonsail-store/src/lagoonsail_store/store_client.py
@@ -359,7 +359,7 @@
     if result.body.get("succeeded"):
         return Written(revision)
     entries = read_entries(result.body["responses"][0]["response_range"])
-    return Conflict(entries[0]) if entries else Written(revision)
+    return Conflict(entries[0], result.in_doubt) if entries else Written(revision)
 
 
 def _read_write(
@@ -377,7 +377,7 @@
         return Written(max(entry.revision for entry in stored))
     for write, entry in zip(writes, stored, strict=True):
         if (entry.revision if entry else 0) != write.expected_revision:
-            return Conflict(entry)
+            return Conflict(entry, result.in_doubt)
     return Unavailable("key-value service: conflict without a newer entry")
 
 
