Bound a deletion that reads first as one call

Cause: delete() without a revision made two calls with a full timeout each, while the promise is one bound per call. The second call now gets what the first left. Seen by reading; the test has a service that takes 600 of 1000 ms a call.

--- a/packages/lagoonsail-store/src/lagoonsail_store/store_client.py
+++ b/packages/lagoonsail-store/src/lagoonsail_store/store_client.py
@@ -62,9 +62,17 @@
     An answer that is older than one which came before is not accepted.
     """
 
-    __slots__ = ("_cluster", "_endpoints", "_random", "_seen_revision", "_timeout_ms")
+    __slots__ = (
+        "_clock",
+        "_cluster",
+        "_endpoints",
+        "_random",
+        "_seen_revision",
+        "_timeout_ms",
+    )
 
     def __init__(self, endpoints: list[str], timeout_ms: float, clock: Clock) -> None:
+        self._clock = clock
         self._endpoints = Endpoints(endpoints, clock)
         self._timeout_ms = timeout_ms
         self._random = random.SystemRandom()
@@ -157,6 +165,7 @@
             Written, also if the key did not exist; Conflict with the newer entry, or
             Unavailable: then the key may still be deleted.
         """
+        deadline_ms = self._clock.now_ms() + self._timeout_ms
         if expected_revision is None:
             entry = self.get(key)
             if isinstance(entry, Unavailable):
@@ -169,7 +178,10 @@
             "success": [delete_operation(key)],
             "failure": [range_operation(key)],
         }
-        return self._call("delete", "/v3/kv/txn", body, _read_deletion)
+        left_ms = deadline_ms - self._clock.now_ms()
+        return self._call(
+            "delete", "/v3/kv/txn", body, _read_deletion, timeout_ms=left_ms
+        )
 
     def grant_lease(self, ttl_ms: float) -> int | Unavailable:
         """Ask for a lease.
@@ -324,9 +336,12 @@
         body: dict,
         read: Callable,
         find_fault: Callable[[dict], str] | None = None,
+        timeout_ms: float | None = None,
     ) -> object:
         """Make a call and read its answer; a malformed answer is none."""
-        result = self._endpoints.call(kind, path, body, self._timeout_ms, find_fault)
+        if timeout_ms is None:
+            timeout_ms = self._timeout_ms
+        result = self._endpoints.call(kind, path, body, timeout_ms, find_fault)
         if isinstance(result, Unavailable):
             return result
         try:
--- a/packages/lagoonsail-store/tests/test_store_outage.py
+++ b/packages/lagoonsail-store/tests/test_store_outage.py
@@ -136,6 +136,14 @@
     assert old.get("/a") == newer
 
 
+def test_deletion_that_reads_first_is_bounded_as_one_call(key_value, connect):
+    client = connect(key_value.address, timeout_ms=1000.0)
+    assert client.put_if("/a", "1", 0) == Written(2)
+    key_value.control(mode="slow", delay_ms=600)
+    assert "may have been carried out" in client.delete("/a").reason
+    assert key_value.record()["calls"]["range"] == 1
+
+
 def test_new_cluster_with_lower_revisions_is_accepted(start, connect):
     first = start("key_value")
     client = connect(first.address)
