Give the answer its own time, and hold what a cold server may still run

Cause: urllib3 sets a connection's timeout anew when the answer begins, so every answer that took longer than the 1 s allowed for connecting was broken off; the slot was given out again at once, and the cold engine, which had not yet noticed, fell over. Ruled out: limits that grew too early (the limit was 1 at each fall), late finishing at the engine. Change: the connection carries the request's timeout; a slot that was broken or cancelled on a server that is not warm is held until a later load report shows it free.

--- a/packages/lagoonsail-config/src/lagoonsail_config/settings.py
+++ b/packages/lagoonsail-config/src/lagoonsail_config/settings.py
@@ -77,6 +77,13 @@
         number_key("max_lag_ms", 0, 600_000, "ms", "10000", "host_list_max_lag_ms"),
     ),
     "peers": (
+        pattern_key(
+            "advertised",
+            r"([0-9a-zA-Z.:\[\]-]+:[0-9]{1,5})?",
+            "an address HOST:PORT that other routers dial, if not the one listened on",
+            "",
+            "advertised_peers_address",
+        ),
         pattern_key("shared_key_file", r".*", "path of a file", ""),
         number_key("heartbeat_ms", 10, 60_000, "ms", "500"),
         number_key("silence_ms", 20, 600_000, "ms", "2000"),
@@ -123,6 +130,8 @@
     """Address that operators connect to."""
     peers_address: str
     """Address that other routers connect to."""
+    advertised_peers_address: str
+    """Address that other routers are told; the same unless a relay stands between."""
     store_endpoints: list[str]
     """Addresses of the key-value service."""
     store_prefix: str
@@ -289,6 +298,8 @@
     problems += _check_shared_key(values, file, read_key)
     if problems:
         raise SettingsError(problems)
+    advertised = values["advertised_peers_address"] or values["peers_address"]
+    values["advertised_peers_address"] = advertised
     return RouterSettings(**values)
 
 
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/fleet.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/fleet.py
@@ -315,6 +315,9 @@
             },
             "host-list": {"url": f"http://{self.host_list}/hosts", "poll_ms": 250},
         }
+        peers_relay = self.relays.get(f"peers-{router.name}")
+        if peers_relay:
+            sections["peers"] = {"advertised": peers_relay.address}
         for section, values in self._settings.items():
             sections.setdefault(section, {}).update(values)
         blocks = []
--- a/packages/lagoonsail-router/src/lagoonsail_router/backend.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/backend.py
@@ -151,6 +151,8 @@
         call = self._call
         headers = self._headers()
         timeout_s = call.document.request_timeout_ms / 1000.0
+        # urllib3 sets the timeout of the connection anew when the answer begins.
+        self._connection.timeout = timeout_s
         self._sock.settimeout(timeout_s)
         self.measured.sent_ms = self._clock.now_ms()
         self._response = self._exchange(call.method, call.path, call.body, headers)
@@ -310,6 +312,7 @@
         path = f"/v1/completions/{state.completion_id}/resume?after={state.events}"
         try:
             self.connect()
+            self._connection.timeout = STREAM_SILENCE_S
             self._sock.settimeout(STREAM_SILENCE_S)
             self._response = self._exchange("POST", path, b"", self._headers())
         except (NotSentError, BrokenError):
--- a/packages/lagoonsail-router/src/lagoonsail_router/right.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/right.py
@@ -230,7 +230,7 @@
                 "side": settings.side,
                 "region": settings.region,
                 "failure_domain": settings.failure_domain,
-                "peers": settings.peers_address,
+                "peers": settings.advertised_peers_address,
                 "admin": settings.admin_address,
                 "state": self._context.state,
                 "lease": lease,
--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -12,6 +12,7 @@
 from lagoonsail_core.invariants import require
 from lagoonsail_core.messages import (
     OUTCOME_BROKEN,
+    OUTCOME_CANCELLED,
     OUTCOME_NOT_RUN,
     OUTCOME_REFUSED,
     OUTCOME_UNREACHABLE,
@@ -102,7 +103,9 @@
     is_reported: bool = False
     """Whether a load report has come in this epoch."""
     unknown: int = 0
-    """Requests of lost routers that it may still run, by its reports."""
+    """Requests beyond the slots in use that it may still run."""
+    unknown_since_ms: float = 0.0
+    """When the last of these was added; only later reports can take them away."""
     paused_until_ms: float = 0.0
     """No grant before this time, since the server refused requests."""
     refusals: int = 0
@@ -414,6 +417,10 @@
         )
         if outcome == OUTCOME_UNREACHABLE:
             server.limit.on_refused(now_ms)
+        if outcome in (OUTCOME_BROKEN, OUTCOME_CANCELLED) and not server.limit.is_warm:
+            # The server may notice late that nobody waits for the answer any more.
+            server.unknown += 1
+            server.unknown_since_ms = now_ms
         self._back_off(server, outcome, now_ms)
 
     def _back_off(self, server: Server, outcome: str, now_ms: float) -> None:
@@ -554,11 +561,11 @@
         settled_ms = now_ms - REPORT_LAG_MS - self._context.settings.start_window_ms
         slots = [slot for slot in self.slots.values() if slot.server == name]
         old = sum(slot.granted_ms < settled_ms for slot in slots)
-        if not server.is_reported or server.unknown:
-            known = len(slots)
-            unknown = max(0, report.running - (old if server.is_reported else known))
-            is_first = not server.is_reported
-            server.unknown = unknown if is_first else min(server.unknown, unknown)
+        if not server.is_reported:
+            # What this new owner does not know of may be run for lost routers.
+            server.unknown = max(server.unknown, report.running - len(slots))
+        elif report.measured_ms >= server.unknown_since_ms:
+            server.unknown = max(0, min(server.unknown, report.running - old))
         server.is_reported = True
         orphans = [
             slot
