--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/fair_queue.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/fair_queue.py
@@ -39,8 +39,11 @@
 is published is not touched by these offsets.
 
 Over K shards that exchange digests, the least position is chosen by values up to T ms
-old. For accounts backlogged in every shard the gap is at most the sum of (1) over the
-shards plus T * R / min(w), where R is the cost that the other shards run in one ms.
+old. For accounts backlogged in every shard, the service in all shards together differs
+by at most the sum of (1) over the shards plus T * R / min(w), where R is the cost that
+the other shards run in one ms: at the last start of an account anywhere the others had
+at least its service as it was known there. This holds while no report brings more than
+the sum of (1), the ceiling above which service elsewhere is forgotten.
 
 Example:
     >>> queue = FairQueue(max_waiting_per_account=8, max_cost=10.0)
@@ -151,9 +154,12 @@
     """A running request."""
 
     account: _Account
-    share: float
-    charge: float
     episode: int
+    """Episode of the account in which it started."""
+    charge: float = 0.0
+    """What is charged, in the service's unit."""
+    normalised: float = 0.0
+    """The same as counted in the account's service, by the shares of the time."""
 
 
 class FairQueue:
@@ -161,8 +167,8 @@
 
     A pick only looks: `start` takes the request off the queue and charges it, and must
     follow before anything else is done to the queue, or the pick may be out of date.
-    Operations are logarithmic in the number of backlogged accounts, but joining,
-    `set_shares`, `adopt` and `add_remote` are linear.
+    Operations are logarithmic in the number of backlogged accounts, but
+    `set_shares`, `adopt`, `add_remote` and joining in debt are linear.
     """
 
     __slots__ = (
@@ -226,7 +232,8 @@
         Args:
             max_cost: Largest cost of one request, in the service's unit; infinite if
                 there is no limit, then the largest cost seen counts.
-            slots: Slots of the shard.
+            slots: Slots of the shard; of all shards of the service where these report
+                to each other, so that what others report is not cut off too early.
         """
         self.max_cost = max_cost
         if max_cost < math.inf:
@@ -340,19 +347,20 @@
         require(slot not in self._slots, "slot_used_once", f"slot {slot}")
         if account is None:
             return
-        if waiting.ticket in self._by_ticket:
+        is_queued = waiting.ticket in self._by_ticket
+        if is_queued:
             self._check_least(account)
             self._virtual = max(self._virtual, account.position)
             self.cancel(waiting.ticket)
         self._picks += 1
         account.picked = self._picks
-        charge = self.estimate(waiting)
-        self._largest_cost = max(self._largest_cost, charge)
-        self._slots[slot] = _Slot(account, account.share, charge, account.episode)
+        self._slots[slot] = _Slot(account, account.episode)
         self._most_running = max(self._most_running, len(self._slots))
         account.running += 1
-        account.charged += charge
-        self._raise(account, charge)
+        self.progress(slot, self.estimate(waiting))
+        if not is_queued:
+            # Its account need not have been the least served.
+            self._cut_positions()
 
     def estimate(self, waiting: Waiting) -> float:
         """Return what will be charged when a request starts.
@@ -381,11 +389,15 @@
         running = self._slots.get(slot)
         if running is None or cost <= running.charge:
             return
+        account = running.account
         grown = cost - running.charge
+        normalised = grown / account.share
         running.charge = cost
+        running.normalised += normalised
         self._largest_cost = max(self._largest_cost, cost)
-        running.account.charged += grown
-        self._raise(running.account, grown)
+        account.charged += grown
+        account.served += normalised
+        account.position += normalised
 
     def settle(self, slot: Hashable, cost: float) -> bool:
         """Replace the charge of a request that has ended by its cost.
@@ -497,18 +509,14 @@
         """
         return slots * max_cost / self._least_share
 
-    def _raise(self, account: _Account, cost: float) -> None:
-        normalised = cost / account.share
-        account.served += normalised
-        account.position += normalised
-
     def _refund(self, slot: _Slot, cost: float) -> None:
         if cost <= 0:
             return
         account = slot.account
-        # A share may have changed since the charge; never give back more than it was.
-        normalised = cost / max(slot.share, account.share)
+        normalised = slot.normalised * cost / slot.charge
         account.served -= normalised
+        # What was charged at a smaller share may exceed what the bound reckons with.
+        normalised = min(normalised, cost / account.share)
         if slot.episode != account.episode:
             normalised = min(normalised, account.refundable)
             account.refundable -= normalised
@@ -546,8 +554,10 @@
     def _join(self, account: _Account) -> None:
         least = self._least()
         floor = least.position if least else self._virtual
-        ceiling = self._ceiling(floor) - self._headroom(account)
-        account.position = max(floor, min(account.position, ceiling))
+        if account.position > floor:
+            ceiling = self._ceiling(floor) - self._headroom(account)
+            account.position = min(account.position, ceiling)
+        account.position = max(account.position, floor)
         account.refundable = account.position - floor
         account.episode += 1
         self._backlogged[account.name] = account
