Test the peer streams and mend what the tests found

Found: (1) decode_frame let a TypeError out for a map with a list as key; it is a FrameError now. (3) An error inside a stream's green thread could have left it open for ever; it closes the stream now.

--- a/packages/lagoonsail-core/src/lagoonsail_core/messages.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/messages.py
@@ -372,7 +372,8 @@
         raise FrameError(f"frame of {len(data)} bytes, at most {MAX_FRAME_BYTES}")
     try:
         frame = msgpack.unpackb(data, strict_map_key=False)
-    except (ValueError, msgpack.UnpackException) as error:
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        # A map with a list as key raises TypeError.
         raise FrameError(f"frame that is not msgpack ({error})") from error
     if type(frame) is not list or len(frame) != 2:
         raise FrameError("frame that is not a pair")
--- a/packages/lagoonsail-peer/src/lagoonsail_peer/_bridge.py
+++ b/packages/lagoonsail-peer/src/lagoonsail_peer/_bridge.py
@@ -82,27 +82,41 @@
 class Outgoing:
     """Frames that wait for gRPC, as the iterator which its native thread consumes."""
 
-    __slots__ = ("_frames", "_messages_put", "_messages_taken")
+    __slots__ = (
+        "_bytes_put",
+        "_bytes_taken",
+        "_frames",
+        "_messages_put",
+        "_messages_taken",
+    )
 
     def __init__(self) -> None:
         self._frames: SimpleQueue[tuple[bytes, int] | None] = SimpleQueue()
         # Each count is written by one thread only, so that no lock is needed.
         self._messages_put = 0
         self._messages_taken = 0
+        self._bytes_put = 0
+        self._bytes_taken = 0
 
     @property
     def waiting(self) -> int:
-        """Number of messages that gRPC has not taken yet."""
+        """Number of counted messages that gRPC has not taken yet."""
         return self._messages_put - self._messages_taken
 
+    @property
+    def waiting_bytes(self) -> int:
+        """Bytes of the frames that gRPC has not taken yet."""
+        return self._bytes_put - self._bytes_taken
+
     def put(self, frame: bytes, messages: int) -> None:
         """Append a frame; never blocks.
 
         Args:
             frame: An encoded frame.
-            messages: How many messages it holds.
+            messages: How many messages it holds, without those that don't count.
         """
         self._messages_put += messages
+        self._bytes_put += len(frame)
         self._frames.put((frame, messages))
 
     def end(self) -> None:
@@ -118,6 +132,7 @@
             raise StopIteration
         frame, messages = item
         self._messages_taken += messages
+        self._bytes_taken += len(frame)
         return frame
 
 
--- a/packages/lagoonsail-peer/src/lagoonsail_peer/server.py
+++ b/packages/lagoonsail-peer/src/lagoonsail_peer/server.py
@@ -48,7 +48,11 @@
 STOP_WAIT_MS = 1000.0
 """How long stopping waits for native threads."""
 SIZE_SLACK_BYTES = 65_536
-"""Frames larger than accepted by at most this are read, so that they are counted."""
+"""Frames larger than accepted by at most this are read, so that they are counted.
+
+gRPC refuses larger ones without a reason that the server can see: the stream is then
+counted as broken.
+"""
 
 REFUSED_TOO_MANY_STREAMS = "too_many_streams"
 """The server serves as many streams as it may."""
@@ -275,4 +279,9 @@
             return
         options = dataclasses.replace(self._options, expected=(router, incarnation))
         self._wires.add(wire)
-        PeerStream(wire, options)
+        try:
+            PeerStream(wire, options)
+        except Exception:
+            # Nobody would notice the silence of a call without a stream.
+            wire.cancel()
+            raise
--- a/packages/lagoonsail-peer/src/lagoonsail_peer/stream.py
+++ b/packages/lagoonsail-peer/src/lagoonsail_peer/stream.py
@@ -28,6 +28,12 @@
 MAX_WAITING_MESSAGES = 10_000
 """Messages that may wait to be sent on one stream; with more it is closed."""
 
+MAX_WAITING_BYTES = 4 * MAX_FRAME_BYTES
+"""Bytes of encoded frames that may wait on one stream; with more it is closed."""
+
+MAX_LOGICAL_JUMP = 2**40
+"""How far a frame may advance the logical clock; more would use the clock up."""
+
 CLOSE_GRACE_MS = 200.0
 """How long an orderly close may take until the call is cancelled."""
 
@@ -40,13 +46,14 @@
 CLOSED_SILENT = "closed_silent"
 """Nothing was heard for the silence time."""
 CLOSED_OVERFLOW = "closed_overflow"
-"""Too many messages waited to be sent."""
+"""Too many messages or bytes waited to be sent."""
 CLOSED_MALFORMED = "closed_malformed_frame"
 """A frame could not be decoded."""
 CLOSED_OVERSIZED = "closed_oversized_frame"
 """A frame was larger than is accepted."""
 CLOSED_PROTOCOL = "closed_protocol"
-"""The first message was no Hello, or a Hello came later or under another name."""
+"""The first message was no Hello, or a Hello came later or under another name, or the
+logical time leapt."""
 CLOSED_UNENCODABLE = "closed_unencodable"
 """A message given to send cannot be encoded or is too large for a frame."""
 CLOSED_CALLBACK = "closed_callback_error"
@@ -98,6 +105,7 @@
         "_is_open",
         "_options",
         "_pending",
+        "_pending_beats",
         "_timer",
         "_wire",
         "close_reason",
@@ -149,6 +157,7 @@
         self._options = options
         self._is_open = False
         self._pending: list = [options.identity()]
+        self._pending_beats = 0
         self._timer = None
         self._flushed_ms = now_ms
         self._inbox = eventlet.queue.LightQueue()
@@ -167,7 +176,7 @@
             self._options.counters["messages_dropped"] += 1
             return
         self._pending.append(message)
-        if len(self._pending) + self._wire.outgoing.waiting > MAX_WAITING_MESSAGES:
+        if self._waiting() > MAX_WAITING_MESSAGES:
             self.fail(CLOSED_OVERFLOW)
             return
         if self._timer is not None:
@@ -233,6 +242,7 @@
         if self.is_closed or not self._pending:
             return
         messages, self._pending = self._pending, []
+        self._pending_beats = 0
         self._flushed_ms = self._options.clock.now_ms()
         self._write(messages)
 
@@ -244,7 +254,7 @@
             self.fail(CLOSED_UNENCODABLE)
             return
         if len(frame) <= MAX_FRAME_BYTES:
-            self._put(frame, len(messages))
+            self._put(frame, messages)
             return
         if len(messages) == 1:
             _log.error("message of {} bytes is too large", len(frame))
@@ -255,12 +265,15 @@
         if not self.is_closed:
             self._write(messages[middle:])
 
-    def _put(self, frame: bytes, messages: int) -> None:
+    def _put(self, frame: bytes, messages: list) -> None:
         counters = self._options.counters
         counters["frames_sent"] += 1
-        counters["messages_sent"] += messages
+        counters["messages_sent"] += len(messages)
         counters["bytes_sent"] += len(frame)
-        self._wire.outgoing.put(frame, messages)
+        counted = sum(type(message) is not Heartbeat for message in messages)
+        self._wire.outgoing.put(frame, counted)
+        if self._wire.outgoing.waiting_bytes > MAX_WAITING_BYTES:
+            self.fail(CLOSED_OVERFLOW)
 
     def _tend(self) -> None:
         options = self._options
@@ -278,7 +291,13 @@
             wait_ms = min(beat_ms, silent_ms + 1.0) - now_ms
             eventlet.sleep(wait_ms / 1000.0)
 
+    def _waiting(self) -> int:
+        # Heartbeats do not count: they must not overfill the caller's queue.
+        own = len(self._pending) - self._pending_beats
+        return own + self._wire.outgoing.waiting
+
     def _beat(self) -> None:
+        self._pending_beats += 1
         self.send(self._options.make_heartbeat())
 
     def _work(self) -> None:
@@ -286,7 +305,7 @@
             item = self._inbox.get()
             if self.is_closed:
                 break
-            self._take(*item)
+            self._call(self._take, *item)
             self._wire.release()
         if self._is_open:
             self._call(self._options.on_close, self)
@@ -310,6 +329,8 @@
             messages = self._take_hello(now_ms, messages)
         if any(type(message) is Hello for message in messages):
             self.fail(CLOSED_PROTOCOL)
+        if logical - self._options.timeline.logical > MAX_LOGICAL_JUMP:
+            self.fail(CLOSED_PROTOCOL)
         if self.is_closed:
             return
         self._options.timeline.observe(logical)
@@ -345,5 +366,5 @@
             callback(*args)
         except Exception:
             self._options.counters["callback_errors"] += 1
-            _log.exception("a callback of the stream of {!r} failed", self.name)
+            _log.exception("the stream of {!r} failed", self.name)
             self.fail(CLOSED_CALLBACK)
--- /dev/null
+++ b/packages/lagoonsail-peer/tests/conftest.py
@@ -0,0 +1,284 @@
+from __future__ import annotations
+
+import json
+import os
+import queue
+import signal
+import subprocess
+import sys
+import threading
+import time
+from collections import deque
+from pathlib import Path
+
+import grpc
+import pytest
+
+from lagoonsail_core.clock import Clock
+from lagoonsail_core.events import Timeline
+from lagoonsail_core.green import eventlet, green_socket
+from lagoonsail_core.messages import Heartbeat, Hello
+from lagoonsail_peer.link import PeerLink
+from lagoonsail_peer.server import (
+    METADATA_INCARNATION,
+    METADATA_ROUTER,
+    METADATA_SIGNATURE,
+    METHOD_PATH,
+    PeerServer,
+    stream_body,
+)
+from lagoonsail_peer.signing import sign
+
+CHILD = Path(__file__).with_name("peer_process.py")
+CLOCK = Clock()
+
+
+def _wait_until(condition, limit_s: float = 10.0) -> None:
+    """Let the hub run until the condition holds."""
+    limit = time.monotonic() + limit_s
+    while not condition():
+        assert time.monotonic() < limit, "the condition did not come to hold"
+        eventlet.sleep(0.005)
+
+
+@pytest.fixture
+def wait_until():
+    """Let the hub run until a condition holds; fails after a limit in seconds."""
+    return _wait_until
+
+
+class Recorder:
+    """One end of streams, with everything that its callbacks were given."""
+
+    def __init__(self, kind, address, name, incarnation, key, silence_ms, heartbeat_ms):
+        self.events = []
+        self.timeline = Timeline(name, CLOCK)
+        self.on_messages = lambda stream, messages: None
+        self.end = kind(
+            address,
+            key,
+            lambda: Hello(name, incarnation, "r", CLOCK.now_ms()),
+            self.timeline,
+            self._open,
+            self._messages,
+            lambda stream: self.events.append(("close", stream, CLOCK.now_ms())),
+            2.0,
+            silence_ms,
+            lambda: Heartbeat(CLOCK.now_ms(), 5),
+            heartbeat_ms,
+        )
+
+    def _open(self, stream, hello):
+        self.events.append(("open", stream, hello))
+
+    def _messages(self, stream, messages):
+        self.events.extend(("message", stream, message) for message in messages)
+        self.on_messages(stream, messages)
+
+    def of(self, kind):
+        return [event for event in self.events if event[0] == kind]
+
+    def streams(self):
+        return [stream for _, stream, _ in self.of("open")]
+
+    def messages(self, kind):
+        return [item for _, _, item in self.of("message") if type(item) is kind]
+
+    def check_order(self):
+        """Each stream is opened once, then has messages, then is closed once."""
+        for stream in {event[1] for event in self.events}:
+            kinds = [event[0] for event in self.events if event[1] is stream]
+            assert kinds[0] == "open"
+            assert kinds.count("open") == 1
+            assert kinds.count("close") <= 1
+            assert "close" not in kinds[:-1]
+
+
+@pytest.fixture
+def make_peer():
+    """Make started servers (no address) and links, and stop them at the end."""
+    made = []
+
+    def make(
+        address="",
+        name="local",
+        incarnation=1,
+        key=b"key",
+        silence_ms=800.0,
+        heartbeat_ms=100.0,
+    ):
+        kind = PeerLink if address else PeerServer
+        recorder = Recorder(
+            kind,
+            address or "127.0.0.1:0",
+            name,
+            incarnation,
+            key,
+            silence_ms,
+            heartbeat_ms,
+        )
+        made.append(recorder)
+        recorder.end.start()
+        return recorder
+
+    yield make
+    for recorder in reversed(made):
+        recorder.end.stop()
+    _wait_until(lambda: all(len(r.of("open")) == len(r.of("close")) for r in made))
+    for recorder in made:
+        recorder.check_order()
+
+
+@pytest.fixture
+def pair(make_peer):
+    """A server and a link with an open stream."""
+    server = make_peer(name="server")
+    link = make_peer(f"127.0.0.1:{server.end.port}", name="link")
+    _wait_until(lambda: server.of("open") and link.of("open"))
+    return server, link
+
+
+@pytest.fixture
+def raw_call():
+    """Call a server with any frames and metadata, and return what came back."""
+
+    def call(port, frames, key=b"key", signature=None, router="raw", incarnation="1"):
+        if signature is None:
+            body = stream_body("raw", 1)
+            signature = sign(key, "STREAM", METHOD_PATH, body, CLOCK)
+        outgoing = queue.SimpleQueue()
+        for frame in frames:
+            outgoing.put(frame)
+        received = []
+
+        def run():
+            options = (("grpc.use_local_subchannel_pool", 1),)
+            channel = grpc.insecure_channel(f"127.0.0.1:{port}", options=options)
+            metadata = (
+                (METADATA_ROUTER, router),
+                (METADATA_INCARNATION, incarnation),
+                (METADATA_SIGNATURE, signature),
+            )
+            stub = channel.stream_stream(METHOD_PATH)
+            try:
+                received.extend(stub(iter(outgoing.get, None), metadata=metadata))
+            except grpc.RpcError as error:
+                received.append(error.code())
+            outgoing.put(None)
+            channel.close()
+
+        thread = threading.Thread(target=run, daemon=True)
+        thread.start()
+        _wait_until(lambda: not thread.is_alive())
+        # What the server's threads posted before is taken by the hub now.
+        eventlet.sleep(0.005)
+        return received
+
+    return call
+
+
+class Child:
+    """A peer server in another process."""
+
+    def __init__(self, *arguments):
+        paths = os.pathsep.join(path for path in sys.path if path.endswith("src"))
+        self.process = subprocess.Popen(
+            [sys.executable, str(CHILD), *arguments],
+            env={**os.environ, "PYTHONPATH": paths},
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+        )
+        self.events = []
+        self._lines = deque()
+        threading.Thread(target=self._read, daemon=True).start()
+        _wait_until(lambda: self.of("listening"))
+        self.port = self.of("listening")[0]["port"]
+
+    def _read(self):
+        for line in iter(self.process.stdout.readline, b""):
+            self._lines.append(line)
+
+    def of(self, kind):
+        while self._lines:
+            self.events.append(json.loads(self._lines.popleft()))
+        return [event for event in self.events if event["event"] == kind]
+
+    def signal(self, number):
+        self.process.send_signal(number)
+
+    def end(self):
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.communicate()
+
+
+@pytest.fixture
+def start_child():
+    """Start peer servers in other processes, and end them."""
+    children = []
+
+    def start(*arguments):
+        children.append(Child(*arguments))
+        return children[-1]
+
+    yield start
+    for child in children:
+        child.signal(signal.SIGCONT)
+        child.end()
+
+
+class Relay:
+    """Forwards TCP in green threads, and can freeze the connections it has."""
+
+    def __init__(self, port):
+        self.target = ("127.0.0.1", port)
+        self.frozen = set()
+        self.connections = []
+        self.listener = eventlet.listen(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        self._accepter = eventlet.spawn(self._accept)
+
+    def _accept(self):
+        while True:
+            near, _ = self.listener.accept()
+            far = green_socket.create_connection(self.target)
+            number = len(self.connections)
+            self.connections.append((near, far))
+            eventlet.spawn(self._pass_on, number, near, far)
+            eventlet.spawn(self._pass_on, number, far, near)
+
+    def _pass_on(self, number, source, sink):
+        try:
+            while data := source.recv(65536):
+                while number in self.frozen:
+                    eventlet.sleep(0.01)
+                sink.sendall(data)
+        except OSError:
+            pass
+        for connection in (source, sink):
+            connection.close()
+
+    def freeze(self):
+        self.frozen = set(range(len(self.connections)))
+
+    def thaw(self):
+        self.frozen = set()
+
+    def stop(self):
+        self._accepter.kill()
+        self.listener.close()
+        self.thaw()
+
+
+@pytest.fixture
+def start_relay():
+    """Start relays to local ports, and end them."""
+    relays = []
+
+    def start(port):
+        relays.append(Relay(port))
+        return relays[-1]
+
+    yield start
+    for relay in relays:
+        relay.stop()
--- /dev/null
+++ b/packages/lagoonsail-peer/tests/peer_process.py
@@ -0,0 +1,83 @@
+"""A router's peer server as a process of its own, for tests and benchmarks.
+
+It prints one JSON line for each event. Every message but heartbeats is sent back, and
+with --ticks a numbered message is sent on each open stream every 10 ms.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+
+from lagoonsail_core.clock import Clock
+from lagoonsail_core.events import Timeline
+from lagoonsail_core.green import eventlet
+from lagoonsail_core.messages import Heartbeat, Hello, SlotCancel
+from lagoonsail_peer.server import PeerServer
+
+
+def say(**fields: object) -> None:
+    """Print one event."""
+    print(json.dumps(fields), flush=True)
+
+
+def main() -> None:
+    """Serve until the process is ended."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--incarnation", type=int, default=1)
+    parser.add_argument("--heartbeat-ms", type=float, default=100.0)
+    parser.add_argument("--silence-ms", type=float, default=800.0)
+    parser.add_argument("--ticks", action="store_true")
+    parser.add_argument("--exit-after-ms", type=float, default=0.0)
+    parser.add_argument("--skip-stop", action="store_true")
+    options = parser.parse_args()
+    clock = Clock()
+    streams = {}
+
+    def take_messages(stream, messages) -> None:
+        for message in messages:
+            if type(message) is Heartbeat:
+                continue
+            say(event="message", stream=streams[stream], ticket=message.ticket)
+            stream.send(message)
+
+    def take_open(stream, hello) -> None:
+        streams[stream] = len(streams)
+        say(event="open", stream=streams[stream], router=hello.router)
+
+    server = PeerServer(
+        address=f"127.0.0.1:{options.port}",
+        shared_key=b"key",
+        identity=lambda: Hello("child", options.incarnation, "r", clock.now_ms()),
+        timeline=Timeline("child", clock),
+        on_open=take_open,
+        on_messages=take_messages,
+        on_close=lambda stream: say(
+            event="close", stream=streams[stream], reason=stream.close_reason
+        ),
+        flush_ms=2.0,
+        silence_ms=options.silence_ms,
+        make_heartbeat=lambda: Heartbeat(clock.now_ms(), 0),
+        heartbeat_ms=options.heartbeat_ms,
+    )
+    server.start()
+    say(event="listening", port=server.port)
+    end_ms = clock.now_ms() + options.exit_after_ms
+    tick = 0
+    while True:
+        eventlet.sleep(0.01)
+        tick += 1
+        for stream in streams if options.ticks else ():
+            if not stream.is_closed:
+                stream.send(SlotCancel(tick))
+        if options.exit_after_ms and clock.now_ms() > end_ms:
+            break
+    if options.skip_stop:
+        return
+    server.stop()
+    say(event="stopped")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/lagoonsail-peer/tests/test_stream_silence.py
@@ -0,0 +1,78 @@
+from __future__ import annotations
+
+import signal
+
+from lagoonsail_core.clock import Clock
+from lagoonsail_core.green import eventlet
+from lagoonsail_core.messages import SlotCancel
+
+CLOCK = Clock()
+
+SILENCE_MS = 1600.0
+HEARTBEAT_MS = 400.0
+TIMES = {"silence_ms": SILENCE_MS, "heartbeat_ms": HEARTBEAT_MS}
+
+
+def check_closed_in_time(link) -> None:
+    """The first stream was closed within the silence time and one heartbeat."""
+    _, stream, closed_ms = link.of("close")[0]
+    assert stream.close_reason == "closed_silent"
+    silent_ms = closed_ms - stream.heard_ms
+    assert SILENCE_MS <= silent_ms <= SILENCE_MS + HEARTBEAT_MS
+
+
+def test_frozen_process_is_noticed_and_its_late_frames_are_dropped(
+    start_child, make_peer, wait_until
+):
+    child = start_child("--ticks", "--silence-ms", "1600", "--heartbeat-ms", "400")
+    link = make_peer(f"127.0.0.1:{child.port}", **TIMES)
+    wait_until(lambda: len(link.messages(SlotCancel)) > 5)
+    child.signal(signal.SIGSTOP)
+    # What is sent from here on waits in the frozen process's sockets.
+    old = link.end.stream
+    eventlet.sleep(0.3)
+    old.send(SlotCancel(777))
+    wait_until(lambda: link.of("close"))
+    check_closed_in_time(link)
+    child.signal(signal.SIGCONT)
+    wait_until(lambda: len(link.of("open")) == 2)
+    new = link.streams()[1]
+    count = len(link.messages(SlotCancel))
+    wait_until(lambda: len(link.messages(SlotCancel)) > count + 20)
+    link.check_order()
+    new.send(SlotCancel(778))
+    wait_until(lambda: child.of("message"))
+    assert [event["ticket"] for event in child.of("message")] == [778]
+    closed = [event["stream"] for event in child.of("close")]
+    assert closed.count(0) == 1
+
+
+def test_frozen_path_is_replaced_by_a_new_connection(
+    pair, make_peer, start_relay, wait_until
+):
+    server = make_peer(name="server", **TIMES)
+    relay = start_relay(server.end.port)
+    link = make_peer(f"127.0.0.1:{relay.port}", name="behind", **TIMES)
+    wait_until(lambda: link.of("open"))
+    relay.freeze()
+    frozen_ms = CLOCK.now_ms()
+    server_stream = server.streams()[-1]
+    link.end.stream.send(SlotCancel(1))
+    wait_until(lambda: len(link.of("open")) == 2)
+    # Silence, one heartbeat, the first pause, and a second for the dial.
+    assert CLOCK.now_ms() - frozen_ms < SILENCE_MS + HEARTBEAT_MS + 50.0 + 1000.0
+    check_closed_in_time(link)
+    assert len(relay.connections) >= 2
+    relay.thaw()
+    link.end.stream.send(SlotCancel(2))
+    wait_until(lambda: server.messages(SlotCancel))
+    eventlet.sleep(0.1)
+    assert [item.ticket for item in server.messages(SlotCancel)] == [2]
+    assert server_stream.close_reason == "closed_silent"
+
+
+def test_peer_without_hello_is_closed_as_silent_and_never_opens(pair, raw_call):
+    server, _ = pair
+    raw_call(server.end.port, [])
+    assert server.end.counters["closed_silent"] == 1
+    assert len(server.of("open")) == 1
