Measure what a peer stream costs, and test two more faults

Cause: the budget of processor time and bytes needs figures; a trial of mutations showed that no test noticed a shared subchannel pool or late frames after a stop. Change: benchmarks/stream_cost.py; tests for both, one with a clock set ahead.

--- /dev/null
+++ b/packages/lagoonsail-peer/benchmarks/stream_cost.py
@@ -0,0 +1,324 @@
+"""Processor time and bytes that a stream between two routers costs.
+
+Two processes, a dialling and a listening one, exchange messages through a relay in
+this process that counts bytes. Prints one JSON object. Takes about 17 s.
+
+    python packages/lagoonsail-peer/benchmarks/stream_cost.py
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+import threading
+import time
+from collections import Counter
+
+from lagoonsail_core.clock import Clock
+from lagoonsail_core.events import Timeline
+from lagoonsail_core.green import eventlet, green_socket
+from lagoonsail_core.messages import Heartbeat, Hello, SlotCancel, SlotRequest
+from lagoonsail_peer.link import PeerLink
+from lagoonsail_peer.server import PeerServer
+
+BATCHES = (1, 10, 100)
+"""Messages in one flush."""
+FLUSHES = 250
+"""Flushes in each measurement of a batch size."""
+PAUSE_MS = 10.0
+"""Time between two flushes; longer than the flush time of the streams."""
+IDLE_STREAMS = 20
+"""Streams that are open while idle ones are measured."""
+IDLE_MS = 5000.0
+"""How long idle streams are measured."""
+HEARTBEAT_MS = 500.0
+"""Heartbeat interval."""
+
+CLOCK = Clock()
+
+
+def say(**fields: object) -> None:
+    """Print one event with the processor time spent so far."""
+    fields["cpu_ms"] = time.process_time() * 1000.0
+    print(json.dumps(fields), flush=True)
+
+
+def arguments(name: str, on_messages) -> dict:
+    """Return what a server and a link take alike.
+
+    Args:
+        name: Name of the router.
+        on_messages: The callback for messages.
+
+    Returns:
+        Keyword arguments.
+    """
+    return {
+        "shared_key": b"benchmark",
+        "identity": lambda: Hello(name, 1, "sierra-central", CLOCK.now_ms()),
+        "timeline": Timeline(name, CLOCK),
+        "on_open": lambda stream, hello: None,
+        "on_messages": on_messages,
+        "on_close": lambda stream: None,
+        "flush_ms": 2.0,
+        "silence_ms": 2000.0,
+        "make_heartbeat": lambda: Heartbeat(CLOCK.now_ms(), 2**63),
+        "heartbeat_ms": HEARTBEAT_MS,
+    }
+
+
+def listen() -> None:
+    """Serve, and say the processor time when a SlotCancel marks a point."""
+
+    def take(stream, messages) -> None:
+        for message in messages:
+            if type(message) is SlotCancel:
+                say(event="mark", mark=message.ticket)
+                stream.send(message)
+
+    server = PeerServer("127.0.0.1:0", **arguments("cordero-1", take))
+    server.start()
+    say(event="listening", port=server.port)
+    while True:
+        eventlet.sleep(60)
+
+
+class Dialler:
+    """The dialling process: sends, and marks where each measurement begins."""
+
+    __slots__ = ("address", "links", "marked")
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.marked = -1
+        self.links: list[PeerLink] = []
+
+    def dial(self, count: int) -> None:
+        """Open streams.
+
+        Args:
+            count: How many more.
+        """
+        for _ in range(count):
+            name = f"cordero-{len(self.links) + 2}"
+            link = PeerLink(self.address, **arguments(name, self.take))
+            link.start()
+            self.links.append(link)
+        while not all(link.stream and link.stream.name for link in self.links):
+            eventlet.sleep(0.01)
+
+    def take(self, stream, messages) -> None:
+        """Take a mark that came back."""
+        for message in messages:
+            if type(message) is SlotCancel:
+                self.marked = message.ticket
+
+    def mark(self, number: int) -> None:
+        """Say the processor time when all that was sent has been received."""
+        self.links[0].stream.send(SlotCancel(number))
+        while self.marked != number:
+            eventlet.sleep(0.002)
+        eventlet.sleep(0.1)
+        say(event="mark", mark=number)
+        eventlet.sleep(0.1)
+
+    def flush_batches(self, batch: int) -> None:
+        """Send batches with pauses between them.
+
+        Args:
+            batch: Messages in each; 0 measures the loop alone.
+        """
+        stream = self.links[0].stream
+        for number in range(FLUSHES):
+            for index in range(batch):
+                ticket = number * batch + index
+                stream.send(
+                    SlotRequest(
+                        ticket,
+                        "cordero/asistente@sierra-central",
+                        "club-norte",
+                        256.0,
+                        [2**63 + 1, 2**63 + 2],
+                        0,
+                        1.25,
+                    )
+                )
+            eventlet.sleep(PAUSE_MS / 1000.0)
+
+    def run(self) -> None:
+        """Carry out all measurements."""
+        self.dial(1)
+        eventlet.sleep(0.2)
+        self.mark(0)
+        for number, batch in enumerate((0, *BATCHES), 1):
+            self.flush_batches(batch)
+            self.mark(number)
+        self.dial(IDLE_STREAMS - 1)
+        eventlet.sleep(0.2)
+        last = len(BATCHES) + 2
+        self.mark(last)
+        eventlet.sleep(IDLE_MS / 1000.0)
+        self.mark(last + 1)
+        for link in self.links:
+            link.stop()
+
+
+class CountingRelay:
+    """Forwards TCP connections and counts the bytes of both directions."""
+
+    __slots__ = ("counts", "listener", "port", "target")
+
+    def __init__(self, target: tuple[str, int]) -> None:
+        self.target = target
+        self.counts = Counter()
+        self.listener = eventlet.listen(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        eventlet.spawn(self._accept)
+
+    def _accept(self) -> None:
+        while True:
+            near, _ = self.listener.accept()
+            far = green_socket.create_connection(self.target)
+            eventlet.spawn(self._pass_on, near, far, "to_listener")
+            eventlet.spawn(self._pass_on, far, near, "to_dialler")
+
+    def _pass_on(self, source, sink, direction: str) -> None:
+        try:
+            while data := source.recv(65536):
+                self.counts[direction] += len(data)
+                sink.sendall(data)
+        except OSError:
+            return
+        finally:
+            sink.close()
+
+
+class Process:
+    """A measured process and the marks that it printed."""
+
+    __slots__ = ("cpu_ms", "events", "process")
+
+    def __init__(self, *options: str) -> None:
+        paths = os.pathsep.join(path for path in sys.path if path)
+        self.events: list[dict] = []
+        self.cpu_ms: dict[int, float] = {}
+        self.process = subprocess.Popen(
+            [sys.executable, __file__, *options],
+            env={**os.environ, "PYTHONPATH": paths},
+            stdout=subprocess.PIPE,
+        )
+        threading.Thread(target=self._read, daemon=True).start()
+
+    def _read(self) -> None:
+        for line in iter(self.process.stdout.readline, b""):
+            event = json.loads(line)
+            if event["event"] == "mark":
+                self.cpu_ms[event["mark"]] = event["cpu_ms"]
+            self.events.append(event)
+
+    def spent_ms(self, mark: int) -> float:
+        """Return the processor time between a mark and the one before it."""
+        return self.cpu_ms[mark] - self.cpu_ms[mark - 1]
+
+
+def measure() -> dict:
+    """Run both processes and return the figures.
+
+    Returns:
+        Costs by messages a flush, and those of an idle stream.
+    """
+    listener = Process("listen")
+    processes = [listener]
+    try:
+        while not listener.events:
+            eventlet.sleep(0.02)
+        relay = CountingRelay(("127.0.0.1", listener.events[0]["port"]))
+        dialler = Process("dial", f"127.0.0.1:{relay.port}")
+        processes.append(dialler)
+        counted = count_bytes(dialler, relay)
+    finally:
+        for item in processes:
+            item.process.kill()
+            item.process.wait()
+    return evaluate(dialler, listener, counted)
+
+
+def count_bytes(dialler: Process, relay: CountingRelay) -> dict[int, Counter]:
+    """Note the relay's counts at each mark, until the last.
+
+    Args:
+        dialler: The process that marks.
+        relay: The relay in between.
+
+    Returns:
+        Bytes by direction, by mark.
+
+    Raises:
+        RuntimeError: If the dialling process ended early.
+    """
+    counted: dict[int, Counter] = {}
+    while len(BATCHES) + 3 not in counted:
+        for mark in list(dialler.cpu_ms):
+            counted.setdefault(mark, Counter(relay.counts))
+        if dialler.process.poll():
+            raise RuntimeError("the dialling process failed")
+        eventlet.sleep(0.01)
+    return counted
+
+
+def evaluate(dialler: Process, listener: Process, counted: dict[int, Counter]) -> dict:
+    """Turn the marks into figures.
+
+    Args:
+        dialler: The dialling process.
+        listener: The listening process.
+        counted: Bytes by direction, by mark.
+
+    Returns:
+        Costs by messages a flush, and those of an idle stream.
+    """
+    last = len(BATCHES) + 3
+    loop_ms = dialler.spent_ms(1)
+    figures = {}
+    for mark, batch in enumerate(BATCHES, 2):
+        messages = batch * FLUSHES
+        sent = counted[mark]["to_listener"] - counted[mark - 1]["to_listener"]
+        back = counted[mark]["to_dialler"] - counted[mark - 1]["to_dialler"]
+        figures[batch] = {
+            "messages": messages,
+            "sender_us": round((dialler.spent_ms(mark) - loop_ms) * 1e3 / messages, 2),
+            "receiver_us": round(listener.spent_ms(mark) * 1e3 / messages, 2),
+            "bytes_sent": round(sent / messages, 1),
+            "bytes_back": round(back / messages, 1),
+        }
+    idle = counted[last] - counted[last - 1]
+    # The time of the marks themselves is part of the interval.
+    seconds = IDLE_STREAMS * (IDLE_MS + 200.0) / 1000.0
+    return {
+        "per_message_by_messages_a_flush": figures,
+        "loop_us_per_flush": round(loop_ms * 1e3 / FLUSHES, 2),
+        "idle_stream_per_second": {
+            "heartbeat_ms": HEARTBEAT_MS,
+            "streams": IDLE_STREAMS,
+            "dialler_us": round(dialler.spent_ms(last) * 1e3 / seconds, 1),
+            "listener_us": round(listener.spent_ms(last) * 1e3 / seconds, 1),
+            "bytes_to_listener": round(idle["to_listener"] / seconds, 1),
+            "bytes_to_dialler": round(idle["to_dialler"] / seconds, 1),
+        },
+    }
+
+
+def main() -> None:
+    """Run the part that the command line names, by default the whole benchmark."""
+    if sys.argv[1:2] == ["listen"]:
+        listen()
+    elif sys.argv[1:2] == ["dial"]:
+        Dialler(sys.argv[2]).run()
+    else:
+        print(json.dumps(measure(), indent=2))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/lagoonsail-peer/tests/conftest.py
+++ b/packages/lagoonsail-peer/tests/conftest.py
@@ -52,6 +52,7 @@
 
     def __init__(self, kind, address, name, incarnation, key, silence_ms, heartbeat_ms):
         self.events = []
+        self.ahead_ms = 0.0
         self.timeline = Timeline(name, CLOCK)
         self.on_messages = lambda stream, messages: None
         self.end = kind(
@@ -66,6 +67,7 @@
             silence_ms,
             lambda: Heartbeat(CLOCK.now_ms(), 5),
             heartbeat_ms,
+            Clock(read_monotonic_ms=lambda: CLOCK.now_ms() + self.ahead_ms),
         )
 
     def _open(self, stream, hello):
--- a/packages/lagoonsail-peer/tests/test_stream_silence.py
+++ b/packages/lagoonsail-peer/tests/test_stream_silence.py
@@ -76,3 +76,24 @@
     raw_call(server.end.port, [])
     assert server.end.counters["closed_silent"] == 1
     assert len(server.of("open")) == 1
+
+
+def test_frame_that_comes_after_the_silence_is_not_delivered(make_peer, wait_until):
+    times = {"silence_ms": 2000.0, "heartbeat_ms": 1000.0}
+    server = make_peer(name="server", **times)
+    link = make_peer(f"127.0.0.1:{server.end.port}", **times)
+    wait_until(lambda: link.of("open") and server.of("open"))
+    # As if the server's process had been stopped: its timers have not run yet.
+    server.ahead_ms = 2001.0
+    link.end.stream.send(SlotCancel(1))
+    wait_until(lambda: server.of("close"))
+    assert server.streams()[0].close_reason == "closed_silent"
+    assert not server.messages(SlotCancel)
+
+
+def test_links_to_one_address_share_no_connection(make_peer, start_relay, wait_until):
+    server = make_peer(name="server")
+    relay = start_relay(server.end.port)
+    links = [make_peer(f"127.0.0.1:{relay.port}", f"r{n}") for n in range(3)]
+    wait_until(lambda: all(link.of("open") for link in links))
+    assert len(relay.connections) == 3
