Add lagoonctl: documents, failure domains, servers, fleet views

Cause: operators need one command that changes documents by compare-and-swap and says what is in force where. Ruled out: applying over a revision that the operator has not seen without a word: get writes the revision into the file and apply takes it from there; a file without one does not bring back in what was taken out. Ruled out as well: retrying apply by itself after a race, since it would drop the other's change. Change: check, get, apply, domain-out, domain-in, server-out, server-in, show, status, wait; options shared by all commands; exit codes 0 to 5.

--- /dev/null
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/admin_client.py
@@ -0,0 +1,132 @@
+"""Client of one router's admin address."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+from urllib.parse import urlencode
+
+from lagoonsail_core.green import eventlet, urllib3
+from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_ctl.records import RecordError
+from lagoonsail_ctl.router_status import RouterStatus, decode_status
+from lagoonsail_peer.signing import SIGNATURE_HEADER, sign
+
+if TYPE_CHECKING:
+    from lagoonsail_core.clock import Clock
+
+MAX_ANSWER_BYTES = 32 * 1024 * 1024
+"""Largest answer that is read."""
+
+
+class AdminClient:
+    """Signed requests to one router."""
+
+    __slots__ = ("_clock", "_pool", "_shared_key", "_timeout_ms", "address")
+
+    address: str
+    """IP number and port."""
+
+    def __init__(
+        self, address: str, shared_key: bytes, timeout_ms: float, clock: Clock
+    ) -> None:
+        self.address = address
+        self._shared_key = shared_key
+        self._timeout_ms = timeout_ms
+        self._clock = clock
+        self._pool = urllib3.PoolManager(num_pools=1, maxsize=1, retries=False)
+
+    def get_status(self) -> RouterStatus | Unavailable:
+        """Return the router's status, or why it could not be had."""
+        body = self._call("GET", "/status")
+        if isinstance(body, Unavailable):
+            return body
+        try:
+            return decode_status(body)
+        except RecordError as error:
+            return Unavailable(str(error))
+
+    def get_timeline(self, since: int) -> list[dict[str, object]] | Unavailable:
+        """Return the events that the router keeps.
+
+        Args:
+            since: Logical time; earlier events and those at it are left out.
+
+        Returns:
+            Events as flat dictionaries, or why they could not be had.
+        """
+        query = urlencode({"since": since})
+        body = self._call("GET", f"/timeline?{query}")
+        if isinstance(body, Unavailable):
+            return body
+        is_list = type(body) is list and all(type(item) is dict for item in body)
+        return body if is_list else Unavailable("the answer is not a list of events")
+
+    def post_document(self, key: str, revision: int, text: str) -> None | Unavailable:
+        """Hand an accepted document to the router.
+
+        Args:
+            key: Key of the document in the key-value service.
+            revision: Its revision.
+            text: The document.
+
+        Returns:
+            None, or why the router did not take it.
+        """
+        message = {"key": key, "revision": revision, "value": text}
+        # The routers limit the size of the body: characters are sent as they are.
+        data = json.dumps(message, ensure_ascii=False).encode("utf-8", "replace")
+        body = self._call("POST", "/documents", data)
+        return body if isinstance(body, Unavailable) else None
+
+    def _call(self, method: str, target: str, body: bytes = b"") -> object:
+        signature = sign(self._shared_key, method, target, body, self._clock)
+        headers = {SIGNATURE_HEADER: signature, "Content-Type": "application/json"}
+        timeout_s = self._timeout_ms / 1000.0
+        try:
+            # The limit of urllib3 counts anew for each read, this one for the whole.
+            with eventlet.Timeout(2 * timeout_s):
+                return self._exchange(method, target, body, headers, timeout_s)
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            return Unavailable(f"no answer ({type(error).__name__})")
+        except eventlet.Timeout:
+            return Unavailable(f"no whole answer in {2 * timeout_s:g} s")
+
+    def _exchange(
+        self,
+        method: str,
+        target: str,
+        body: bytes,
+        headers: dict[str, str],
+        timeout_s: float,
+    ) -> object:
+        answer = self._pool.request(
+            method,
+            f"http://{self.address}{target}",
+            body=body or None,
+            headers=headers,
+            timeout=timeout_s,
+            redirect=False,
+            preload_content=False,
+        )
+        try:
+            data = answer.read(MAX_ANSWER_BYTES + 1)
+        finally:
+            answer.close()
+        if answer.status >= 300:
+            return Unavailable(f"status {answer.status}: {_show_problem(data)}")
+        if len(data) > MAX_ANSWER_BYTES:
+            return Unavailable(f"an answer of more than {MAX_ANSWER_BYTES} bytes")
+        try:
+            return json.loads(data) if data else None
+        except (ValueError, RecursionError):
+            return Unavailable("an answer that is not JSON")
+
+
+def _show_problem(data: bytes) -> str:
+    """Return the detail of a problem document, or the beginning of the answer."""
+    try:
+        body = json.loads(data)
+        return str(body.get("detail") or body["error"])[:200]
+    except (ValueError, KeyError, AttributeError, RecursionError):
+        return repr(data[:80].decode("utf-8", "replace"))
--- /dev/null
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/command.py
@@ -0,0 +1,142 @@
+"""Options that all commands share, and what happens around a command."""
+
+from __future__ import annotations
+
+import inspect
+import json as json_codec
+import os
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, get_type_hints
+
+from lagoonsail_config.checked_ini import IniError
+from lagoonsail_core.errors import LagoonsailError
+from lagoonsail_ctl.connection import SETTINGS_VARIABLE, Connection, load_connection
+from lagoonsail_ctl.errors import EXIT_BAD_INPUT, EXIT_OK, EXIT_UNEXPECTED, CommandError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonsail_ctl.report import Report
+
+COMMON_HELP = """\
+    store: Addresses of the key-value service, ip:port separated by commas.
+    prefix: Beginning of the fleet's keys (else /lagoonsail/).
+    key_file: File with the key that routers and operators share.
+    routers: Admin addresses of routers, ip:port separated by commas; instead of the
+        members in the key-value service, for when that is down.
+    timeout_ms: Longest time of one call in ms (else 2000).
+    settings: INI file with [lagoonctl] and any of the keys store, prefix, key_file,
+        routers, timeout_ms (else the file that LAGOONCTL_SETTINGS names).
+    json: Print JSON for programs.
+"""
+"""Help on the options that all commands share."""
+
+
+def _connect(
+    *,
+    store: str = "",
+    prefix: str = "",
+    key_file: str = "",
+    routers: str = "",
+    timeout_ms: int = 0,
+    settings: str = "",
+) -> Connection:
+    """Turn the options that all commands share into a connection."""
+    texts = {
+        "store": store,
+        "prefix": prefix,
+        "key_file": key_file,
+        "routers": routers,
+        "timeout_ms": str(timeout_ms) if timeout_ms else "",
+    }
+    given = {key: text for key, text in texts.items() if text}
+    settings = settings or os.environ.get(SETTINGS_VARIABLE, "")
+    return load_connection(Path(settings) if settings else None, given)
+
+
+def _error_as_dict(error: LagoonsailError, exit_code: int) -> dict[str, object]:
+    body: dict[str, object] = {
+        "error": type(error).__name__,
+        "problem": error.problem,
+        "remedy": error.remedy,
+        "exit_code": exit_code,
+    }
+    if isinstance(error, CommandError):
+        body |= error.details
+    if isinstance(error, IniError):
+        body["problems"] = [
+            {name: getattr(problem, name) for name in problem.__slots__}
+            for problem in error.problems
+        ]
+    return body
+
+
+def _report_error(error: LagoonsailError, json: bool) -> int:
+    exit_code = EXIT_UNEXPECTED
+    if isinstance(error, CommandError):
+        exit_code = error.exit_code
+    elif isinstance(error, IniError):
+        exit_code = EXIT_BAD_INPUT
+    if json:
+        print(json_codec.dumps(_error_as_dict(error, exit_code)))
+    else:
+        print(f"lagoonctl: {error}", file=sys.stderr)
+    return exit_code
+
+
+def _print_report(report: Report, json: bool) -> None:
+    if json:
+        print(json_codec.dumps(report.data))
+        return
+    for line in report.lines:
+        print(line)
+
+
+def _insert_help(doc: str) -> str:
+    """Add the help on the shared options at the end of the Args section."""
+    before, marker, arguments = inspect.cleandoc(doc).partition("Args:\n")
+    if not marker:
+        return f"{before}\n\nArgs:\n{COMMON_HELP}"
+    own, gap, after = arguments.partition("\n\n")
+    return f"{before}{marker}{own}\n{COMMON_HELP}{gap}{after}"
+
+
+def command(function: Callable[..., Report]) -> Callable[..., int]:
+    """Add the shared options to a command, and print what it returns.
+
+    Args:
+        function: Takes a connection and the command's own arguments.
+
+    Returns:
+        A function for defopt that returns the exit code.
+    """
+    shared = list(inspect.signature(_connect).parameters.values())
+    own = list(inspect.signature(function).parameters.values())[1:]
+    json_flag = inspect.Parameter(
+        "json", inspect.Parameter.KEYWORD_ONLY, default=False, annotation=bool
+    )
+
+    def run(*args: object, json: bool = False, **options: object) -> int:
+        shared_options = {
+            parameter.name: options.pop(parameter.name)
+            for parameter in shared
+            if parameter.name in options
+        }
+        try:
+            report = function(_connect(**shared_options), *args, **options)
+        except LagoonsailError as error:
+            return _report_error(error, json)
+        _print_report(report, json)
+        return EXIT_OK
+
+    hints = get_type_hints(function, None, {"Connection": Connection, "Report": object})
+    hints |= get_type_hints(_connect) | {"json": bool}
+    run.__name__ = function.__name__
+    run.__doc__ = _insert_help(function.__doc__)
+    run.__annotations__ = {
+        parameter.name: hints[parameter.name]
+        for parameter in (*own, *shared, json_flag)
+    }
+    run.__signature__ = inspect.Signature([*own, *shared, json_flag])
+    return run
--- /dev/null
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/document_commands.py
@@ -0,0 +1,293 @@
+"""The commands check, get and apply."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from lagoonsail_config.checked_ini import Problem
+from lagoonsail_config.document import (
+    MAX_DOCUMENT_BYTES,
+    STATE_IN,
+    STATE_OUT,
+    DocumentError,
+    ServiceDocument,
+    describe_changes,
+    parse_document,
+)
+from lagoonsail_ctl.documents import Documents, StoredDocument, resolve_key
+from lagoonsail_ctl.errors import BadInputError, ConflictError
+from lagoonsail_ctl.in_force import push_documents, wait_in_force
+from lagoonsail_ctl.report import Report, render_table
+from lagoonsail_store.store_client import Conflict
+
+if TYPE_CHECKING:
+    from lagoonsail_ctl.connection import Connection
+
+REVISION_LINE = "# lagoonctl: revision {}"
+"""First line of what get prints; it says which revision an edit replaces."""
+
+NO_EFFECT = "(no change of effect: only comments, order or spelling differ)"
+"""Shown for two documents that mean the same."""
+
+_REVISION_LINE = re.compile(REVISION_LINE.replace("{}", "([0-9]{1,18})") + r"\s*")
+
+
+def read_file(path: Path) -> str:
+    """Read a document from a file.
+
+    Args:
+        path: The file.
+
+    Returns:
+        Its text, of at most a little more than MAX_DOCUMENT_BYTES.
+
+    Raises:
+        DocumentError: If the file cannot be read or is not UTF-8.
+    """
+    try:
+        with path.open("rb") as file:
+            # The revision line does not count: the parser checks the exact limit.
+            return file.read(MAX_DOCUMENT_BYTES + 100).decode("utf-8")
+    except (OSError, ValueError) as error:
+        allowed = "a readable file in UTF-8"
+        problem = Problem(str(path), "", "", str(error), allowed)
+        raise DocumentError([problem]) from error
+
+
+def split_revision_line(text: str) -> tuple[int | None, str]:
+    r"""Separate the revision that get wrote into a file from the document.
+
+    Args:
+        text: Text of a file.
+
+    Returns:
+        The revision, or None if the file has none, and the document.
+
+    Example:
+        >>> split_revision_line("# lagoonctl: revision 7\n[service]\n")
+        (7, '[service]\n')
+    """
+    first, _, rest = text.partition("\n")
+    match = _REVISION_LINE.fullmatch(first)
+    return (int(match[1]), rest) if match else (None, text)
+
+
+def check(connection: Connection, *files: Path) -> Report:
+    """Check service documents and list every mistake.
+
+    Nothing is read from the fleet. Exit code 2 says that there is a mistake.
+
+    Example::
+
+        lagoonctl check asistente.ini registro.ini
+
+    Args:
+        connection: Key-value service and routers.
+        files: INI files, one service document each.
+    """
+    if not files:
+        raise BadInputError("no file to check", "name at least one FILE")
+    problems: list[Problem] = []
+    rows: list[list[object]] = []
+    file_by_service: dict[str, Path] = {}
+    for file in files:
+        try:
+            document = parse_document(
+                split_revision_line(read_file(file))[1], str(file)
+            )
+        except DocumentError as error:
+            problems += error.problems
+            continue
+        service = document.qualified()
+        first = file_by_service.setdefault(service, file)
+        if first != file:
+            found = f"{service}, which {first} describes too"
+            allowed = "one file for each service"
+            problems.append(Problem(str(file), "service", "name", found, allowed))
+        counts = [len(document.servers), len(document.accounts)]
+        rows.append([str(file), service, document.kind, *counts])
+    if problems:
+        raise DocumentError(problems)
+    headers = ["file", "service", "kind", "servers", "accounts"]
+    data = {"documents": [dict(zip(headers, row, strict=True)) for row in rows]}
+    return Report(data, render_table(headers, rows))
+
+
+def get(connection: Connection, service: str) -> Report:
+    """Print the document in force of a service, with its revision.
+
+    The first line tells apply which revision an edited copy replaces.
+
+    Example::
+
+        lagoonctl get cordero/asistente > asistente.ini
+
+    Args:
+        connection: Key-value service and routers.
+        service: SIDE/SERVICE.
+    """
+    stored = Documents(connection).read(resolve_key(connection, service))
+    if not stored.text:
+        raise BadInputError(f"there is no document of {service}", "see lagoonctl show")
+    data = {"key": stored.key, "revision": stored.revision, "value": stored.text}
+    text = f"{REVISION_LINE.format(stored.revision)}\n{stored.text}"
+    return Report(data, text.removesuffix("\n").split("\n"))
+
+
+def apply(
+    connection: Connection,
+    file: Path,
+    *,
+    replace_revision: int | None = None,
+    dry_run: bool = False,
+    wait_s: float = 0.0,
+) -> Report:
+    """Check a service document and put it in force.
+
+    It replaces the revision that is named, by the option or by the first line that
+    get wrote; if someone has changed the document since, nothing is written, the
+    changes are shown and the exit code is 4. Without a revision it replaces what
+    there is, but does not bring back in what operators have taken out.
+
+    Examples::
+
+        lagoonctl apply asistente.ini
+        lagoonctl apply asistente.ini --replace-revision 17 --wait-s 10
+
+    Args:
+        connection: Key-value service and routers.
+        file: INI file with one service document.
+        replace_revision: Revision that the document replaces; 0 for a new service.
+        dry_run: Only show what would change.
+        wait_s: Wait up to this many seconds until it is in force on all routers.
+    """
+    marked_revision, text = split_revision_line(read_file(file))
+    document = parse_document(text, str(file))
+    key = resolve_key(connection, document.qualified())
+    documents = Documents(connection)
+    stored = documents.read(key)
+    expected = marked_revision if replace_revision is None else replace_revision
+    changes = describe_changes(stored.text, text)
+    if stored.text == text:
+        accepted = stored
+    else:
+        if expected is None:
+            _refuse_bringing_in(stored, document)
+        elif expected != stored.revision:
+            raise _stale(stored, expected, changes)
+        if dry_run:
+            return _report(stored, changes, ["not applied (--dry-run)"], {})
+        accepted = _replace(documents, stored, text)
+    pushed = push_documents(connection, [accepted])
+    lines = [f"{key} is at revision {accepted.revision}"]
+    if accepted is stored:
+        lines.append("it was applied before")
+    lines += describe_push(pushed)
+    if wait_s > 0:
+        routers = wait_in_force(connection, {key: accepted.revision}, wait_s)
+        pushed["in_force_on"] = routers
+        lines.append(f"in force on all {routers} routers")
+    return _report(accepted, changes, lines, pushed)
+
+
+def describe_push(pushed: dict[str, object]) -> list[str]:
+    """Return lines on which routers took a document directly.
+
+    Args:
+        pushed: Result of push_documents.
+
+    Returns:
+        Lines for people.
+    """
+    failures = pushed["not_pushed"]
+    lines = [f"handed to {pushed['pushed']} routers"]
+    lines += [f"  not to {name}: {reason}" for name, reason in failures.items()]
+    if failures:
+        lines.append("  these get it from the key-value service or from other routers")
+    return lines
+
+
+def _report(
+    stored: StoredDocument,
+    changes: list[str],
+    lines: list[str],
+    more: dict[str, object],
+) -> Report:
+    data = {"key": stored.key, "revision": stored.revision, "changes": changes, **more}
+    return Report(data, [*(changes or [NO_EFFECT]), *lines])
+
+
+def _replace(documents: Documents, stored: StoredDocument, text: str) -> StoredDocument:
+    """Write the document unless it has changed since it was read."""
+    edited = StoredDocument(stored.key, stored.revision, text)
+    result = documents.replace([edited])
+    if not isinstance(result, Conflict):
+        return result[0]
+    newer = documents.read(stored.key)
+    if newer.text == text:
+        return newer
+    meanwhile = describe_changes(stored.text, newer.text)
+    raise ConflictError(
+        f"{stored.key} changed from revision {stored.revision} to {newer.revision} "
+        f"meanwhile:\n{_indent(meanwhile)}\n",
+        "take these changes into your file and apply it again",
+        {
+            "key": stored.key,
+            "expected_revision": stored.revision,
+            "revision": newer.revision,
+            "changed_meanwhile": meanwhile,
+        },
+    )
+
+
+def _stale(stored: StoredDocument, expected: int, changes: list[str]) -> ConflictError:
+    return ConflictError(
+        f"{stored.key} is at revision {stored.revision}, not {expected}; your file "
+        f"would now change:\n{_indent(changes)}\n",
+        "take up what you do not mean to change (lagoonctl get prints the document), "
+        f"then apply it with --replace-revision {stored.revision}",
+        {
+            "key": stored.key,
+            "expected_revision": expected,
+            "revision": stored.revision,
+            "changes": changes,
+        },
+    )
+
+
+def _states(document: ServiceDocument) -> dict[str, str]:
+    domains = {
+        f"failure-domain {name}": e.state for name, e in document.domains.items()
+    }
+    servers = {f"server {name}": e.state for name, e in document.servers.items()}
+    return {**domains, **servers}
+
+
+def _refuse_bringing_in(stored: StoredDocument, document: ServiceDocument) -> None:
+    """Refuse a file that was written before something was taken out."""
+    try:
+        old_states = _states(parse_document(stored.text))
+    except DocumentError:
+        return
+    new_states = _states(document)
+    sections = [
+        section
+        for section, state in old_states.items()
+        if state == STATE_OUT and new_states.get(section) == STATE_IN
+    ]
+    if not sections:
+        return
+    names = ", ".join(f"[{section}]" for section in sections)
+    raise ConflictError(
+        f"{stored.key} at revision {stored.revision} has taken out {names}, and your "
+        "file would bring that back in",
+        "set state = out in your file, or apply it with "
+        f"--replace-revision {stored.revision} if you mean it",
+        {"key": stored.key, "revision": stored.revision, "brought_in": sections},
+    )
+
+
+def _indent(changes: list[str]) -> str:
+    return "\n".join(f"  {change}" for change in changes or [NO_EFFECT])
--- /dev/null
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/fleet.py
@@ -0,0 +1,150 @@
+"""The routers of the fleet and how to ask all of them."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Generic, TypeVar
+
+from lagoonsail_config.checked_ini import split_address
+from lagoonsail_core.green import eventlet
+from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_ctl.admin_client import AdminClient
+from lagoonsail_ctl.errors import StoreUnavailableError
+from lagoonsail_ctl.records import RecordError, decode_record
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonsail_ctl.connection import Connection
+
+T = TypeVar("T")
+
+MAX_REQUESTS_AT_ONCE = 64
+"""Routers that are asked at the same time."""
+
+STORE_REMEDY = "try again; status, show and timeline work without it with --routers"
+"""What to do while the key-value service is away."""
+
+
+@dataclass(slots=True)
+class Member:
+    """A router as it entered itself in the key-value service."""
+
+    router: str
+    """Name."""
+    incarnation: int
+    """Number that differs for each start."""
+    side: str
+    """Side."""
+    region: str
+    """Region."""
+    failure_domain: str
+    """Failure domain, unqualified."""
+    peers: str
+    """Address for other routers."""
+    admin: str
+    """Address for operators."""
+    state: str
+    """Whether it is serving or leaving."""
+    started_wall_ms: float
+    """Wall time of its start."""
+
+
+@dataclass(slots=True)
+class Answer(Generic[T]):
+    """What one router answered."""
+
+    router: str
+    """Name of the router, or its address if the name is not known."""
+    address: str
+    """Admin address."""
+    result: T | Unavailable
+    """The answer, or why there is none."""
+
+
+def decode_member(text: str) -> Member | Unavailable:
+    """Check and decode a member's entry.
+
+    Args:
+        text: JSON value of the key.
+
+    Returns:
+        The member, or what is wrong with the entry.
+    """
+    try:
+        member = decode_record(Member, json.loads(text))
+        split_address(member.admin)
+    except (RecordError, ValueError, RecursionError) as error:
+        return Unavailable(f"malformed entry ({error})")
+    return member
+
+
+def read_members(connection: Connection) -> dict[str, Member | Unavailable]:
+    """Read the members from the key-value service.
+
+    Args:
+        connection: How to reach the service.
+
+    Returns:
+        Member, or what is wrong with its entry, by name.
+
+    Raises:
+        StoreUnavailableError: If the service does not answer.
+    """
+    prefix = f"{connection.prefix}members/"
+    listing = connection.open_store().list(prefix)
+    if isinstance(listing, Unavailable):
+        raise StoreUnavailableError(listing.reason, STORE_REMEDY)
+    return {
+        entry.key.removeprefix(prefix): decode_member(entry.value)
+        for entry in listing.entries
+    }
+
+
+def find_routers(connection: Connection) -> list[tuple[str, str]]:
+    """Return the name and admin address of every router.
+
+    Args:
+        connection: Addresses that were given go before those of the members.
+
+    Returns:
+        Pairs of name and address; the name is the address if it is not known.
+
+    Raises:
+        StoreUnavailableError: If the members are wanted and cannot be read.
+    """
+    if connection.routers:
+        return [(address, address) for address in connection.routers]
+    return [
+        (name, member.admin)
+        for name, member in read_members(connection).items()
+        if not isinstance(member, Unavailable)
+    ]
+
+
+def ask_all(
+    connection: Connection,
+    routers: list[tuple[str, str]],
+    request: Callable[[AdminClient], T | Unavailable],
+) -> list[Answer[T]]:
+    """Ask many routers at once.
+
+    Args:
+        connection: Key and time limit.
+        routers: Pairs of name and admin address.
+        request: Makes the request with a router's client.
+
+    Returns:
+        One answer for each router, in the order given.
+    """
+
+    def ask(router: tuple[str, str]) -> Answer[T]:
+        name, address = router
+        client = AdminClient(
+            address, connection.shared_key, connection.timeout_ms, connection.clock
+        )
+        return Answer(name, address, request(client))
+
+    pool = eventlet.GreenPool(MAX_REQUESTS_AT_ONCE)
+    return list(pool.imap(ask, routers))
--- /dev/null
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/fleet_commands.py
@@ -0,0 +1,320 @@
+"""The commands show, status and wait."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_ctl.documents import DOCUMENTS, resolve_key
+from lagoonsail_ctl.errors import BadInputError, StoreUnavailableError
+from lagoonsail_ctl.fleet import Answer, ask_all, find_routers, read_members
+from lagoonsail_ctl.in_force import wait_in_force
+from lagoonsail_ctl.report import Report, render_table
+
+if TYPE_CHECKING:
+    from lagoonsail_ctl.connection import Connection
+    from lagoonsail_ctl.router_status import RouterStatus, ShardStatus
+
+ROUTER_HEADERS = [
+    "router",
+    "side",
+    "region",
+    "failure_domain",
+    "state",
+    "right",
+    "store",
+    "shards",
+    "running",
+    "waiting",
+    "violations",
+]
+"""Columns of the table of routers."""
+
+SERVICE_HEADERS = ["shard", "owner", "epoch", "running", "limit", "waiting"]
+"""Columns of the table of services."""
+SERVER_HEADERS = [
+    "shard",
+    "server",
+    "failure_domain",
+    "state",
+    "warm",
+    "running",
+    "limit",
+]
+"""Columns of the table of backend servers."""
+ACCOUNT_HEADERS = ["shard", "account", "share", "service", "running", "waiting"]
+"""Columns of the table of client accounts."""
+
+
+def _as_dicts(headers: list[str], rows: list[list[object]]) -> list[dict[str, object]]:
+    return [dict(zip(headers, row, strict=True)) for row in rows]
+
+
+def _ask_statuses(
+    connection: Connection,
+) -> tuple[list[RouterStatus], dict[str, str]]:
+    """Return the statuses, and by router why others did not answer."""
+    routers = find_routers(connection)
+    answers: list[Answer] = ask_all(connection, routers, lambda c: c.get_status())
+    statuses = []
+    silent = {}
+    for answer in answers:
+        if isinstance(answer.result, Unavailable):
+            silent[answer.router] = answer.result.reason
+        else:
+            statuses.append(answer.result)
+    return statuses, silent
+
+
+def _describe_silent(silent: dict[str, str]) -> list[str]:
+    return [f"no status of {name}: {reason}" for name, reason in silent.items()]
+
+
+def _owned_shards(statuses: list[RouterStatus]) -> list[tuple[str, ShardStatus]]:
+    """Return each shard with its owner; of two claims the one of the later epoch."""
+    newest: dict[str, tuple[str, ShardStatus]] = {}
+    for status in statuses:
+        for shard in status.shards:
+            known = newest.get(shard.name)
+            if known is None or known[1].epoch < shard.epoch:
+                newest[shard.name] = (status.router, shard)
+    return [newest[name] for name in sorted(newest)]
+
+
+def show(connection: Connection, service: str = "") -> Report:
+    """Show services, backend servers and client accounts, as their owners see them.
+
+    The service of an account is what it has had so far, divided by its share, in the
+    unit of the service (tokens or ms); between accounts with waiting requests it
+    stays close together.
+
+    Examples::
+
+        lagoonctl show
+        lagoonctl show cordero/asistente
+
+    Args:
+        connection: Key-value service and routers.
+        service: SIDE or SIDE/SERVICE; all services if it is left out.
+    """
+    statuses, silent = _ask_statuses(connection)
+    owned = [
+        (owner, shard)
+        for owner, shard in _owned_shards(statuses)
+        if _is_selected(shard.name, service)
+    ]
+    services = [_service_row(owner, shard) for owner, shard in owned]
+    servers = [
+        [
+            shard.name,
+            server.name,
+            server.failure_domain,
+            server.state,
+            server.warm,
+            server.running,
+            server.limit,
+        ]
+        for _, shard in owned
+        for server in shard.servers
+    ]
+    accounts = [
+        [
+            shard.name,
+            account.name,
+            account.share,
+            account.service,
+            account.running,
+            account.waiting,
+        ]
+        for _, shard in owned
+        for account in shard.accounts
+    ]
+    backlog = _sum_waiting(statuses, service)
+    data = {
+        "services": _as_dicts(SERVICE_HEADERS, services),
+        "servers": _as_dicts(SERVER_HEADERS, servers),
+        "accounts": _as_dicts(ACCOUNT_HEADERS, accounts),
+        "waiting_at_entry": backlog,
+        "no_status": silent,
+    }
+    lines = [
+        *render_table(SERVICE_HEADERS, services),
+        "",
+        *render_table(SERVER_HEADERS, servers),
+        "",
+        *render_table(ACCOUNT_HEADERS, accounts),
+        "",
+        *render_table(
+            ["service", "waiting_at_entry"], [list(item) for item in backlog.items()]
+        ),
+        *_describe_silent(silent),
+    ]
+    return Report(data, lines)
+
+
+def _is_selected(name: str, wanted: str) -> bool:
+    service = name.partition("@")[0]
+    return wanted in ("", service) or service.startswith(f"{wanted}/")
+
+
+def _service_row(owner: str, shard: ShardStatus) -> list[object]:
+    return [
+        shard.name,
+        owner,
+        shard.epoch,
+        sum(server.running for server in shard.servers),
+        sum(server.limit for server in shard.servers),
+        sum(account.waiting for account in shard.accounts),
+    ]
+
+
+def _sum_waiting(statuses: list[RouterStatus], wanted: str) -> dict[str, int]:
+    """Return the backlog by service over all entry routers."""
+    total: dict[str, int] = {}
+    for status in statuses:
+        for service, waiting in status.waiting.items():
+            if _is_selected(service, wanted):
+                total[service] = total.get(service, 0) + waiting
+    return dict(sorted(total.items()))
+
+
+def status(connection: Connection) -> Report:
+    """Show the routers of the fleet, their state and which shards they own.
+
+    With --routers it works while the key-value service is down.
+
+    Example::
+
+        lagoonctl status --routers 10.0.0.1:8081,10.0.0.2:8081
+
+    Args:
+        connection: Key-value service and routers.
+    """
+    statuses, silent = _ask_statuses(connection)
+    routers = [_router_row(item) for item in statuses]
+    records = _read_shard_records(connection)
+    owners = _owner_rows(statuses, records)
+    malformed = _find_malformed_members(connection)
+    revisions = _configuration_rows(statuses)
+    owner_headers = ["shard", "owner", "epoch", "recorded_owner", "recorded_epoch"]
+    key_headers = ["document", "newest_revision", "routers", "of"]
+    data = {
+        "routers": _as_dicts(ROUTER_HEADERS, routers),
+        "owners": _as_dicts(owner_headers, owners),
+        "documents": _as_dicts(key_headers, revisions),
+        "no_status": silent,
+        "malformed_members": malformed,
+    }
+    lines = [
+        *render_table(ROUTER_HEADERS, routers),
+        "",
+        *render_table(owner_headers, owners),
+        "",
+        *render_table(key_headers, revisions),
+        *_describe_silent(silent),
+        *(f"member {name}: {reason}" for name, reason in malformed.items()),
+    ]
+    return Report(data, lines)
+
+
+def _router_row(item: RouterStatus) -> list[object]:
+    return [
+        item.router,
+        item.side,
+        item.region,
+        item.failure_domain,
+        item.state,
+        item.right,
+        item.store,
+        len(item.shards),
+        item.running,
+        sum(item.waiting.values()),
+        item.invariant_violations,
+    ]
+
+
+def _read_shard_records(connection: Connection) -> dict[str, dict]:
+    """Return the assignment records by shard; none if the service is away."""
+    if not connection.store_endpoints:
+        return {}
+    prefix = f"{connection.prefix}shards/"
+    listing = connection.open_store().list(prefix)
+    if isinstance(listing, Unavailable):
+        return {}
+    records = {}
+    for entry in listing.entries:
+        try:
+            record = json.loads(entry.value)
+        except (ValueError, RecursionError):
+            continue
+        if type(record) is dict:
+            records[entry.key.removeprefix(prefix)] = record
+    return records
+
+
+def _owner_rows(
+    statuses: list[RouterStatus], records: dict[str, dict]
+) -> list[list[object]]:
+    owned = {
+        shard.name: (owner, shard.epoch) for owner, shard in _owned_shards(statuses)
+    }
+    rows = []
+    for name in sorted({*owned, *records}):
+        owner, epoch = owned.get(name, (None, None))
+        record = records.get(name, {})
+        recorded = record.get("owner") if record.get("state") == "owned" else None
+        rows.append([name, owner, epoch, recorded, record.get("epoch")])
+    return rows
+
+
+def _configuration_rows(statuses: list[RouterStatus]) -> list[list[object]]:
+    """Return the newest revision of each document and on how many routers it is."""
+    keys = {key for item in statuses for key in item.configuration}
+    rows = []
+    for key in sorted(key for key in keys if key.startswith(DOCUMENTS)):
+        held = [item.configuration.get(key, 0) for item in statuses]
+        newest = max(held)
+        rows.append([key, newest, held.count(newest), len(held)])
+    return rows
+
+
+def _find_malformed_members(connection: Connection) -> dict[str, str]:
+    if connection.routers or not connection.store_endpoints:
+        return {}
+    try:
+        members = read_members(connection)
+    except StoreUnavailableError:
+        return {}
+    return {
+        name: member.reason
+        for name, member in members.items()
+        if isinstance(member, Unavailable)
+    }
+
+
+def wait(
+    connection: Connection, key: str, revision: int, *, timeout_s: float = 30.0
+) -> Report:
+    """Wait until a document's revision is in force on all routers.
+
+    When the time is over, it says on which routers it is not; the exit code is 5.
+
+    Example::
+
+        lagoonctl wait cordero/asistente 17 --timeout-s 10
+
+    Args:
+        connection: Key-value service and routers.
+        key: SIDE/SERVICE, or the document's key.
+        revision: Revision of the document, or a later one.
+        timeout_s: Longest time to wait in seconds (else 30).
+    """
+    if revision < 1 or timeout_s < 0:
+        raise BadInputError(
+            "a revision below 1 or a negative time", "give the revision apply printed"
+        )
+    full_key = resolve_key(connection, key)
+    routers = wait_in_force(connection, {full_key: revision}, timeout_s)
+    data = {"key": full_key, "revision": revision, "in_force_on": routers}
+    return Report(data, [f"{full_key} {revision} in force on all {routers} routers"])
--- /dev/null
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/main.py
@@ -0,0 +1,88 @@
+"""The command line of lagoonctl."""
+
+from __future__ import annotations
+
+import sys
+
+import defopt
+
+from lagoonsail_ctl.command import command
+from lagoonsail_ctl.document_commands import apply, check, get
+from lagoonsail_ctl.errors import EXIT_UNEXPECTED
+from lagoonsail_ctl.fleet_commands import show, status, wait
+from lagoonsail_ctl.state_commands import (
+    domain_in,
+    domain_out,
+    server_in,
+    server_out,
+)
+
+COMMANDS = {
+    "check": command(check),
+    "get": command(get),
+    "apply": command(apply),
+    "domain-out": command(domain_out),
+    "domain-in": command(domain_in),
+    "server-out": command(server_out),
+    "server-in": command(server_in),
+    "show": command(show),
+    "status": command(status),
+    "wait": command(wait),
+}
+"""Function by command."""
+
+DESCRIPTION = "Operates a fleet of lagoonsail routers through its service documents."
+"""First line of the help."""
+
+EPILOG = """\
+exit codes:
+  0 done   1 unexpected failure   2 bad input   3 key-value service unavailable
+  4 conflict with another change   5 not in force on all routers in time
+
+examples:
+  lagoonctl check asistente.ini
+  lagoonctl get cordero/asistente > asistente.ini
+  lagoonctl apply asistente.ini --wait-s 10
+  lagoonctl domain-out cordero/norte --wait-s 10
+  lagoonctl show cordero/asistente
+  lagoonctl COMMAND --help
+"""
+"""Last lines of the help."""
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run one command.
+
+    Args:
+        argv: Arguments without the program's name; those of the process if None.
+
+    Returns:
+        Exit code.
+    """
+    call = defopt.bind(
+        COMMANDS,
+        argv=argv,
+        short={},
+        show_defaults=False,
+        no_negated_flags=True,
+        argparse_kwargs={
+            "prog": "lagoonctl",
+            "description": DESCRIPTION,
+            "epilog": EPILOG,
+        },
+    )
+    # Documents may hold bytes that are not UTF-8.
+    for stream in (sys.stdout, sys.stderr):
+        stream.reconfigure(errors="backslashreplace")
+    try:
+        return call()
+    except KeyboardInterrupt:
+        return EXIT_UNEXPECTED
+    except BrokenPipeError:
+        # Whoever reads the output has seen enough.
+        sys.stderr.close()
+        return EXIT_UNEXPECTED
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/lagoonsail-router/src/lagoonsail_router/local_stream.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/local_stream.py
@@ -16,7 +16,14 @@
 class LocalStream:
     """Delivers messages in order, each after the sender's own step is done."""
 
-    __slots__ = ("_context", "_deliver", "_is_draining", "_queue", "incarnation", "name")
+    __slots__ = (
+        "_context",
+        "_deliver",
+        "_is_draining",
+        "_queue",
+        "incarnation",
+        "name",
+    )
 
     name: str
     """Name of this router."""
