--- a/packages/lagoonsail-config/src/lagoonsail_config/checked_ini.py
+++ b/packages/lagoonsail-config/src/lagoonsail_config/checked_ini.py
@@ -347,7 +347,7 @@
             raise ValueError(text)
         return number
 
-    return Key(name, read, f"{low:g} to {high:g} {unit}")
+    return Key(name, read, f"{low:.9g} to {high:.9g} {unit}")
 
 
 def choice_key(
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/errors.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/errors.py
@@ -13,7 +13,7 @@
 EXIT_STORE_UNAVAILABLE = 3
 """The key-value service did not answer."""
 EXIT_CONFLICT = 4
-"""Someone else changed the same thing; nothing was changed."""
+"""Someone else changed the same thing; it was left as they made it."""
 EXIT_NOT_IN_FORCE = 5
 """A revision was not in force on all routers in time."""
 
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/state_commands.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/state_commands.py
@@ -215,11 +215,12 @@
             eventlet.sleep(random.uniform(0.0, MAX_PAUSE_S))
             continue
         changed |= {item.key for item in batch}
+    where = ", ".join(sorted(changed)) or "no document"
     raise ConflictError(
-        f"[{section}] was not changed: others changed the documents "
+        f"[{section}] is {state} in {where} only: others changed the documents "
         f"{MAX_CONFLICTS} times meanwhile",
         "find out who changes them all the time, then repeat the command",
-        {"section": section},
+        {"section": section, "changed": sorted(changed)},
     )
 
 
