Count malformed members as lagging and keep reports of late changes

Cause: a trial with two routers showed that the entry of a member without a field that lagoonctl did not need made it drop the router: wait then said that no router is a member. An apply that was not in force in time did not print its revision. Ruled out: asking for the whole entry of a member; only name and admin address are used. Change: members with a malformed entry count as routers that lag; a report carries the error that came after the change; errors list their details below the remedy; show names shards without an owner; settings refuse port 0 and admin and peers addresses of all interfaces, since others connect to them as written.

--- a/packages/lagoonsail-config/src/lagoonsail_config/checked_ini.py
+++ b/packages/lagoonsail-config/src/lagoonsail_config/checked_ini.py
@@ -57,13 +57,14 @@
 
     def __init__(self, problems: list[Problem]) -> None:
         noun = "mistake" if len(problems) == 1 else "mistakes"
-        listing = "\n".join(f"  {item}" for item in problems[:MAX_LISTED_PROBLEMS])
-        super().__init__(
-            f"{len(problems)} {noun}:\n{listing}\n", "correct each of them"
-        )
+        super().__init__(f"{len(problems)} {noun}", "correct each of them")
         self.problems = problems
         """Every mistake that was found."""
 
+    def __str__(self) -> str:
+        listing = [f"  {problem}" for problem in self.problems[:MAX_LISTED_PROBLEMS]]
+        return "\n".join([f"{self.problem}; {self.remedy}:", *listing])
+
 
 @dataclass(slots=True)
 class Key:
@@ -449,7 +450,7 @@
 
 
 def address_key(name: str, attribute: str = "") -> Key:
-    """Describe a required key that holds the address of a server to connect to.
+    """Describe a required key that holds an address of a TCP server.
 
     Args:
         name: Name of the key.
@@ -462,25 +463,6 @@
     return Key(name, _read_remote_address, allowed, attribute=attribute)
 
 
-def listen_key(name: str, attribute: str = "") -> Key:
-    """Describe a required key that holds an address to listen on.
-
-    Args:
-        name: Name of the key.
-        attribute: Name of the value in the result, if it differs.
-
-    Returns:
-        The key; its value is the text. Port 0 stands for any free port.
-    """
-
-    def read(text: str) -> str:
-        split_address(text)
-        return text
-
-    allowed = "IP number:port, port 0 to 65535, 0 for any free port"
-    return Key(name, read, allowed, attribute=attribute)
-
-
 def address_list_key(
     name: str, default: str | None = REQUIRED, attribute: str = ""
 ) -> Key:
--- a/packages/lagoonsail-config/src/lagoonsail_config/document.py
+++ b/packages/lagoonsail-config/src/lagoonsail_config/document.py
@@ -51,9 +51,13 @@
 COMPLETIONS_PATH = "/v1/completions"
 """Path of an engine whose POST may be repeated unless the document says otherwise."""
 
+SHOWN_HASH_DIGITS = 16
+"""Digits of a key's hash that a description of changes shows."""
+
 DEFAULT_FILE = "document"
 """What problems call a document without a file."""
 
+_HASH = re.compile("[0-9a-f]{64}")
 _METHODS = ("GET", "HEAD", "PUT", "DELETE", "OPTIONS", "POST", "PATCH")
 _YES_NO = {"yes": True, "no": False}
 _STATES = {STATE_IN: STATE_IN, STATE_OUT: STATE_OUT}
@@ -89,7 +93,7 @@
 
 ACCOUNT_KEYS = (
     decimal_key("share", 0.001, 1_000_000, "parts"),
-    pattern_key("key_sha256", "[0-9a-f]{64}", "64 hex digits in lower case"),
+    pattern_key("key_sha256", _HASH.pattern, "64 hex digits in lower case"),
 )
 """Keys of [account NAME]."""
 
@@ -490,7 +494,7 @@
 
 
 def _effective_values(section: Section) -> dict[str, str]:
-    """Return the text of each key, with defaults filled in."""
+    """Return the text of each key as it is shown, with defaults filled in."""
     parts = split_section(section.name)
     keys = SECTION_KEYS[parts[0]] if parts else ()
     defaults = {
@@ -498,7 +502,15 @@
         for key in keys
         if key.default is not REQUIRED
     }
-    return {**defaults, **section.values}
+    return {**defaults, **_shown_values(section)}
+
+
+def _shown_values(section: Section) -> dict[str, str]:
+    """Return the text of each key; of a well-formed hash only its beginning."""
+    return {
+        key: f"{value[:SHOWN_HASH_DIGITS]}…" if _HASH.fullmatch(value) else value
+        for key, value in section.values.items()
+    }
 
 
 def _without_default_mark(value: str | None) -> str | None:
@@ -521,7 +533,8 @@
 
 
 def _describe_whole(section: Section, verb: str) -> str:
-    values = ", ".join(f"{key} = {value}" for key, value in section.values.items())
+    shown = _shown_values(section)
+    values = ", ".join(f"{key} = {value}" for key, value in shown.items())
     return (
         f"[{section.name}] {verb}: {values}" if values else f"[{section.name}] {verb}"
     )
--- a/packages/lagoonsail-config/src/lagoonsail_config/settings.py
+++ b/packages/lagoonsail-config/src/lagoonsail_config/settings.py
@@ -12,9 +12,9 @@
     Key,
     Problem,
     Section,
+    address_key,
     address_list_key,
     choice_key,
-    listen_key,
     name_key,
     number_key,
     pattern_key,
@@ -50,9 +50,9 @@
         name_key("failure_domain"),
     ),
     "listen": (
-        listen_key("callers", "callers_address"),
-        listen_key("admin", "admin_address"),
-        listen_key("peers", "peers_address"),
+        address_key("callers", "callers_address"),
+        address_key("admin", "admin_address"),
+        address_key("peers", "peers_address"),
     ),
     "store": (
         address_list_key("endpoints", attribute="store_endpoints"),
@@ -227,10 +227,14 @@
     for key, address in _listen_addresses(values).items():
         parts = split_address(address)
         first = seen.setdefault(parts, key)
-        if first != key and parts[1] != 0:
+        if first != key:
             found = f"{address!r}, which {first} has too"
             allowed = "an address of its own"
             problems.append(Problem(file, "listen", key, found, allowed))
+        # Operators and other routers connect to what stands here.
+        if key != "callers" and ipaddress.ip_address(parts[0]).is_unspecified:
+            allowed = "the IP number of one interface"
+            problems.append(Problem(file, "listen", key, repr(address), allowed))
     return problems
 
 
--- a/packages/lagoonsail-config/tests/test_settings.py
+++ b/packages/lagoonsail-config/tests/test_settings.py
@@ -71,6 +71,17 @@
     assert settings.shared_key == b"0123456789abcdef"
 
 
+def test_others_must_be_able_to_connect(write_settings, settings_text):
+    text = settings_text.replace("127.0.0.1:8081", "0.0.0.0:8081")
+    text = text.replace("[::1]:8082", "127.0.0.1:0")
+    text += "[peers]\nshared_key_file = none\n"
+    assert set(find_problems(write_settings(text))) == {
+        ("listen", "admin"),
+        ("listen", "peers"),
+        ("peers", "shared_key_file"),
+    }
+
+
 def test_lease_must_outlast_a_call(write_settings, settings_text):
     text = settings_text.replace("[store]", "[store]\nlease_ttl_ms = 1000")
     assert set(find_problems(write_settings(text))) == {("store", "timeout_ms")}
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/command.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/command.py
@@ -13,12 +13,11 @@
 from lagoonsail_core.errors import LagoonsailError
 from lagoonsail_ctl.connection import SETTINGS_VARIABLE, Connection, load_connection
 from lagoonsail_ctl.errors import EXIT_BAD_INPUT, EXIT_OK, EXIT_UNEXPECTED, CommandError
+from lagoonsail_ctl.report import Report
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lagoonsail_ctl.report import Report
-
 COMMON_HELP = """\
     store: Addresses of the key-value service, ip:port separated by commas.
     prefix: Beginning of the fleet's keys (else /lagoonsail/).
@@ -55,12 +54,12 @@
     return load_connection(Path(settings) if settings else None, given)
 
 
-def _error_as_dict(error: LagoonsailError, exit_code: int) -> dict[str, object]:
+def _error_as_dict(error: LagoonsailError) -> dict[str, object]:
     body: dict[str, object] = {
         "error": type(error).__name__,
         "problem": error.problem,
         "remedy": error.remedy,
-        "exit_code": exit_code,
+        "exit_code": _exit_code(error),
     }
     if isinstance(error, CommandError):
         body |= error.details
@@ -72,25 +71,25 @@
     return body
 
 
-def _report_error(error: LagoonsailError, json: bool) -> int:
-    exit_code = EXIT_UNEXPECTED
+def _exit_code(error: LagoonsailError) -> int:
     if isinstance(error, CommandError):
-        exit_code = error.exit_code
-    elif isinstance(error, IniError):
-        exit_code = EXIT_BAD_INPUT
-    if json:
-        print(json_codec.dumps(_error_as_dict(error, exit_code)))
-    else:
-        print(f"lagoonctl: {error}", file=sys.stderr)
-    return exit_code
+        return error.exit_code
+    return EXIT_BAD_INPUT if isinstance(error, IniError) else EXIT_UNEXPECTED
 
 
-def _print_report(report: Report, json: bool) -> None:
+def _print_report(report: Report, json: bool) -> int:
+    """Print what a command did, and return the exit code."""
+    exit_code = _exit_code(report.error) if report.error else EXIT_OK
     if json:
-        print(json_codec.dumps(report.data))
-        return
+        error = _error_as_dict(report.error) if report.error else {}
+        data = {**report.data, **error} if error else report.data
+        print(json_codec.dumps(data))
+        return exit_code
     for line in report.lines:
         print(line)
+    if report.error:
+        print(f"lagoonctl: {report.error}", file=sys.stderr)
+    return exit_code
 
 
 def _insert_help(doc: str) -> str:
@@ -126,11 +125,10 @@
         try:
             report = function(_connect(**shared_options), *args, **options)
         except LagoonsailError as error:
-            return _report_error(error, json)
-        _print_report(report, json)
-        return EXIT_OK
+            report = Report({}, error=error)
+        return _print_report(report, json)
 
-    hints = get_type_hints(function, None, {"Connection": Connection, "Report": object})
+    hints = get_type_hints(function, None, {"Connection": Connection})
     hints |= get_type_hints(_connect) | {"json": bool}
     run.__name__ = function.__name__
     run.__doc__ = _insert_help(function.__doc__)
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/document_commands.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/document_commands.py
@@ -18,7 +18,7 @@
 )
 from lagoonsail_ctl.documents import Documents, StoredDocument, resolve_key
 from lagoonsail_ctl.errors import BadInputError, ConflictError
-from lagoonsail_ctl.in_force import push_documents, wait_in_force
+from lagoonsail_ctl.in_force import add_wait, push_documents
 from lagoonsail_ctl.report import Report, render_table
 from lagoonsail_store.store_client import Conflict
 
@@ -185,11 +185,8 @@
     if accepted is stored:
         lines.append("it was applied before")
     lines += describe_push(pushed)
-    if wait_s > 0:
-        routers = wait_in_force(connection, {key: accepted.revision}, wait_s)
-        pushed["in_force_on"] = routers
-        lines.append(f"in force on all {routers} routers")
-    return _report(accepted, changes, lines, pushed)
+    report = _report(accepted, changes, lines, pushed)
+    return add_wait(report, connection, {key: accepted.revision}, wait_s)
 
 
 def describe_push(pushed: dict[str, object]) -> list[str]:
@@ -231,8 +228,9 @@
     meanwhile = describe_changes(stored.text, newer.text)
     raise ConflictError(
         f"{stored.key} changed from revision {stored.revision} to {newer.revision} "
-        f"meanwhile:\n{_indent(meanwhile)}\n",
+        "meanwhile",
         "take these changes into your file and apply it again",
+        meanwhile or [NO_EFFECT],
         {
             "key": stored.key,
             "expected_revision": stored.revision,
@@ -244,10 +242,10 @@
 
 def _stale(stored: StoredDocument, expected: int, changes: list[str]) -> ConflictError:
     return ConflictError(
-        f"{stored.key} is at revision {stored.revision}, not {expected}; your file "
-        f"would now change:\n{_indent(changes)}\n",
-        "take up what you do not mean to change (lagoonctl get prints the document), "
-        f"then apply it with --replace-revision {stored.revision}",
+        f"{stored.key} is at revision {stored.revision}, not {expected}",
+        "take up what your file would change without your meaning it (see lagoonctl "
+        f"get), then apply it with --replace-revision {stored.revision}",
+        changes or [NO_EFFECT],
         {
             "key": stored.key,
             "expected_revision": expected,
@@ -279,15 +277,11 @@
     ]
     if not sections:
         return
-    names = ", ".join(f"[{section}]" for section in sections)
     raise ConflictError(
-        f"{stored.key} at revision {stored.revision} has taken out {names}, and your "
-        "file would bring that back in",
+        f"{stored.key} at revision {stored.revision} has something out of service that "
+        "your file would bring back in",
         "set state = out in your file, or apply it with "
         f"--replace-revision {stored.revision} if you mean it",
+        [f"[{section}]" for section in sections],
         {"key": stored.key, "revision": stored.revision, "brought_in": sections},
     )
-
-
-def _indent(changes: list[str]) -> str:
-    return "\n".join(f"  {change}" for change in changes or [NO_EFFECT])
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/errors.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/errors.py
@@ -25,12 +25,22 @@
     """Exit code of the process."""
 
     def __init__(
-        self, problem: str, remedy: str, details: dict[str, object] | None = None
+        self,
+        problem: str,
+        remedy: str,
+        listing: list[str] | None = None,
+        details: dict[str, object] | None = None,
     ) -> None:
         super().__init__(problem, remedy)
+        self.listing = listing or []
+        """Lines that show people what the problem is about."""
         self.details = details or {}
         """What programs may want to know, for --json."""
 
+    def __str__(self) -> str:
+        listing = [f"  {line}" for line in self.listing]
+        return "\n".join([f"{self.problem}; {self.remedy}", *listing])
+
 
 class BadInputError(CommandError):
     """An argument is wrong."""
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/fleet.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/fleet.py
@@ -33,32 +33,26 @@
 
     router: str
     """Name."""
-    incarnation: int
-    """Number that differs for each start."""
-    side: str
-    """Side."""
-    region: str
-    """Region."""
-    failure_domain: str
-    """Failure domain, unqualified."""
-    peers: str
-    """Address for other routers."""
     admin: str
     """Address for operators."""
-    state: str
-    """Whether it is serving or leaving."""
-    started_wall_ms: float
-    """Wall time of its start."""
+
+
+@dataclass(frozen=True, slots=True)
+class Router:
+    """A router that is to be asked."""
+
+    name: str
+    """Its name, or its address if the name is not known."""
+    address: str | Unavailable
+    """Admin address, or why it is not known."""
 
 
 @dataclass(slots=True)
 class Answer(Generic[T]):
     """What one router answered."""
 
-    router: str
-    """Name of the router, or its address if the name is not known."""
-    address: str
-    """Admin address."""
+    router: Router
+    """The router that was asked."""
     result: T | Unavailable
     """The answer, or why there is none."""
 
@@ -102,49 +96,54 @@
     }
 
 
-def find_routers(connection: Connection) -> list[tuple[str, str]]:
-    """Return the name and admin address of every router.
+def find_routers(connection: Connection) -> list[Router]:
+    """Return every router that is to be asked.
 
     Args:
         connection: Addresses that were given go before those of the members.
 
     Returns:
-        Pairs of name and address; the name is the address if it is not known.
+        The routers; a member with a malformed entry is among them.
 
     Raises:
         StoreUnavailableError: If the members are wanted and cannot be read.
     """
     if connection.routers:
-        return [(address, address) for address in connection.routers]
+        return [Router(address, address) for address in connection.routers]
     return [
-        (name, member.admin)
+        Router(name, member)
+        if isinstance(member, Unavailable)
+        else Router(name, member.admin)
         for name, member in read_members(connection).items()
-        if not isinstance(member, Unavailable)
     ]
 
 
 def ask_all(
     connection: Connection,
-    routers: list[tuple[str, str]],
+    routers: list[Router],
     request: Callable[[AdminClient], T | Unavailable],
 ) -> list[Answer[T]]:
     """Ask many routers at once.
 
     Args:
         connection: Key and time limit.
-        routers: Pairs of name and admin address.
+        routers: The routers.
         request: Makes the request with a router's client.
 
     Returns:
         One answer for each router, in the order given.
     """
 
-    def ask(router: tuple[str, str]) -> Answer[T]:
-        name, address = router
+    def ask(router: Router) -> Answer[T]:
+        if isinstance(router.address, Unavailable):
+            return Answer(router, router.address)
         client = AdminClient(
-            address, connection.shared_key, connection.timeout_ms, connection.clock
+            router.address,
+            connection.shared_key,
+            connection.timeout_ms,
+            connection.clock,
         )
-        return Answer(name, address, request(client))
+        return Answer(router, request(client))
 
     pool = eventlet.GreenPool(MAX_REQUESTS_AT_ONCE)
     return list(pool.imap(ask, routers))
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/fleet_commands.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/fleet_commands.py
@@ -7,8 +7,8 @@
 
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_ctl.documents import DOCUMENTS, resolve_key
-from lagoonsail_ctl.errors import BadInputError, StoreUnavailableError
-from lagoonsail_ctl.fleet import Answer, ask_all, find_routers, read_members
+from lagoonsail_ctl.errors import BadInputError
+from lagoonsail_ctl.fleet import Answer, ask_all, find_routers
 from lagoonsail_ctl.in_force import wait_in_force
 from lagoonsail_ctl.report import Report, render_table
 
@@ -33,24 +33,20 @@
 
 SERVICE_HEADERS = ["shard", "owner", "epoch", "running", "limit", "waiting"]
 """Columns of the table of services."""
-SERVER_HEADERS = [
-    "shard",
-    "server",
-    "failure_domain",
-    "state",
-    "warm",
-    "running",
-    "limit",
-]
-"""Columns of the table of backend servers."""
-ACCOUNT_HEADERS = ["shard", "account", "share", "service", "running", "waiting"]
-"""Columns of the table of client accounts."""
+SERVER_FIELDS = ["failure_domain", "state", "warm", "running", "limit"]
+"""Columns of the table of backend servers after shard and server."""
+ACCOUNT_FIELDS = ["share", "service", "running", "waiting"]
+"""Columns of the table of client accounts after shard and account."""
 
 
 def _as_dicts(headers: list[str], rows: list[list[object]]) -> list[dict[str, object]]:
     return [dict(zip(headers, row, strict=True)) for row in rows]
 
 
+def _pick(record: object, names: list[str]) -> list[object]:
+    return [getattr(record, name) for name in names]
+
+
 def _ask_statuses(
     connection: Connection,
 ) -> tuple[list[RouterStatus], dict[str, str]]:
@@ -61,7 +57,7 @@
     silent = {}
     for answer in answers:
         if isinstance(answer.result, Unavailable):
-            silent[answer.router] = answer.result.reason
+            silent[answer.router.name] = answer.result.reason
         else:
             statuses.append(answer.result)
     return statuses, silent
@@ -105,45 +101,33 @@
         if _is_selected(shard.name, service)
     ]
     services = [_service_row(owner, shard) for owner, shard in owned]
+    services += _silent_rows(statuses, {row[0] for row in services}, service)
     servers = [
-        [
-            shard.name,
-            server.name,
-            server.failure_domain,
-            server.state,
-            server.warm,
-            server.running,
-            server.limit,
-        ]
+        [shard.name, *_pick(server, ["name", *SERVER_FIELDS])]
         for _, shard in owned
         for server in shard.servers
     ]
     accounts = [
-        [
-            shard.name,
-            account.name,
-            account.share,
-            account.service,
-            account.running,
-            account.waiting,
-        ]
+        [shard.name, *_pick(account, ["name", *ACCOUNT_FIELDS])]
         for _, shard in owned
         for account in shard.accounts
     ]
+    server_headers = ["shard", "server", *SERVER_FIELDS]
+    account_headers = ["shard", "account", *ACCOUNT_FIELDS]
     backlog = _sum_waiting(statuses, service)
     data = {
         "services": _as_dicts(SERVICE_HEADERS, services),
-        "servers": _as_dicts(SERVER_HEADERS, servers),
-        "accounts": _as_dicts(ACCOUNT_HEADERS, accounts),
+        "servers": _as_dicts(server_headers, servers),
+        "accounts": _as_dicts(account_headers, accounts),
         "waiting_at_entry": backlog,
         "no_status": silent,
     }
     lines = [
         *render_table(SERVICE_HEADERS, services),
         "",
-        *render_table(SERVER_HEADERS, servers),
+        *render_table(server_headers, servers),
         "",
-        *render_table(ACCOUNT_HEADERS, accounts),
+        *render_table(account_headers, accounts),
         "",
         *render_table(
             ["service", "waiting_at_entry"], [list(item) for item in backlog.items()]
@@ -169,6 +153,21 @@
     ]
 
 
+def _silent_rows(
+    statuses: list[RouterStatus], known: set[object], wanted: str
+) -> list[list[object]]:
+    """Return rows of shards that have no owner or whose owner did not answer."""
+    owners: dict[str, str] = {}
+    for status in statuses:
+        for shard, owner in status.owners.items():
+            if shard not in known and _is_selected(shard, wanted):
+                owners[shard] = owner or owners.get(shard, "")
+    return [
+        [shard, owner, None, None, None, None]
+        for shard, owner in sorted(owners.items())
+    ]
+
+
 def _sum_waiting(statuses: list[RouterStatus], wanted: str) -> dict[str, int]:
     """Return the backlog by service over all entry routers."""
     total: dict[str, int] = {}
@@ -195,7 +194,6 @@
     routers = [_router_row(item) for item in statuses]
     records = _read_shard_records(connection)
     owners = _owner_rows(statuses, records)
-    malformed = _find_malformed_members(connection)
     revisions = _configuration_rows(statuses)
     owner_headers = ["shard", "owner", "epoch", "recorded_owner", "recorded_epoch"]
     key_headers = ["document", "newest_revision", "routers", "of"]
@@ -204,7 +202,6 @@
         "owners": _as_dicts(owner_headers, owners),
         "documents": _as_dicts(key_headers, revisions),
         "no_status": silent,
-        "malformed_members": malformed,
     }
     lines = [
         *render_table(ROUTER_HEADERS, routers),
@@ -213,7 +210,6 @@
         "",
         *render_table(key_headers, revisions),
         *_describe_silent(silent),
-        *(f"member {name}: {reason}" for name, reason in malformed.items()),
     ]
     return Report(data, lines)
 
@@ -279,20 +275,6 @@
     return rows
 
 
-def _find_malformed_members(connection: Connection) -> dict[str, str]:
-    if connection.routers or not connection.store_endpoints:
-        return {}
-    try:
-        members = read_members(connection)
-    except StoreUnavailableError:
-        return {}
-    return {
-        name: member.reason
-        for name, member in members.items()
-        if isinstance(member, Unavailable)
-    }
-
-
 def wait(
     connection: Connection, key: str, revision: int, *, timeout_s: float = 30.0
 ) -> Report:
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/in_force.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/in_force.py
@@ -9,11 +9,12 @@
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_ctl.admin_client import AdminClient
 from lagoonsail_ctl.errors import CommandError, NotInForceError
-from lagoonsail_ctl.fleet import ask_all, find_routers
+from lagoonsail_ctl.fleet import Router, ask_all, find_routers
 
 if TYPE_CHECKING:
     from lagoonsail_ctl.connection import Connection
     from lagoonsail_ctl.documents import StoredDocument
+    from lagoonsail_ctl.report import Report
 
 POLL_INTERVAL_S = 0.2
 """Time between two looks at the routers that lag."""
@@ -23,16 +24,14 @@
 class Lagging:
     """A router on which a revision is not in force yet."""
 
-    router: str
-    """Name of the router."""
-    address: str
-    """Its admin address."""
+    router: Router
+    """The router."""
     reason: str
     """Which revision it holds, or why that is not known."""
 
     def as_dict(self) -> dict[str, str]:
         """Return the fields for JSON."""
-        return {"router": self.router, "address": self.address, "reason": self.reason}
+        return {"router": self.router.name, "reason": self.reason}
 
 
 def push_documents(
@@ -66,7 +65,7 @@
         return {"pushed": 0, "not_pushed": {"*": error.problem}}
     answers = ask_all(connection, routers, push)
     failures = {
-        answer.router: answer.result.reason
+        answer.router.name: answer.result.reason
         for answer in answers
         if isinstance(answer.result, Unavailable)
     }
@@ -74,15 +73,13 @@
 
 
 def find_lagging(
-    connection: Connection,
-    routers: list[tuple[str, str]],
-    revisions: dict[str, int],
+    connection: Connection, routers: list[Router], revisions: dict[str, int]
 ) -> list[Lagging]:
     """Return the routers on which some revision is not in force.
 
     Args:
         connection: How to reach the routers.
-        routers: Pairs of name and admin address.
+        routers: The routers that are asked.
         revisions: Least revision by key.
 
     Returns:
@@ -91,8 +88,7 @@
     lagging = []
     for answer in ask_all(connection, routers, lambda client: client.get_status()):
         if isinstance(answer.result, Unavailable):
-            reason = answer.result.reason
-            lagging.append(Lagging(answer.router, answer.address, reason))
+            lagging.append(Lagging(answer.router, answer.result.reason))
             continue
         held = answer.result.configuration
         behind = [
@@ -101,8 +97,7 @@
             if held.get(key, 0) < revision
         ]
         if behind:
-            name = answer.result.router
-            lagging.append(Lagging(name, answer.address, ", ".join(behind)))
+            lagging.append(Lagging(answer.router, ", ".join(behind)))
     return lagging
 
 
@@ -127,35 +122,55 @@
         StoreUnavailableError: If the members cannot be read.
     """
     deadline_ms = connection.clock.now_ms() + timeout_s * 1000.0
-    confirmed: set[tuple[str, str]] = set()
+    confirmed: set[Router] = set()
     while True:
         routers = find_routers(connection)
         asked = [router for router in routers if router not in confirmed]
         lagging = find_lagging(connection, asked, revisions)
-        addresses = {item.address for item in lagging}
-        confirmed |= {router for router in asked if router[1] not in addresses}
+        late = [item.router for item in lagging]
+        confirmed |= {router for router in asked if router not in late}
         if routers and not lagging:
             return len(routers)
         if connection.clock.now_ms() >= deadline_ms:
-            raise _not_in_force(revisions, routers, lagging, timeout_s)
+            raise _not_in_force(revisions, len(routers), lagging, timeout_s)
         eventlet.sleep(POLL_INTERVAL_S)
 
 
+def add_wait(
+    report: Report, connection: Connection, revisions: dict[str, int], wait_s: float
+) -> Report:
+    """Wait until what a command changed is in force, and add that to its report.
+
+    Args:
+        report: What the command did.
+        connection: How to reach the key-value service and the routers.
+        revisions: Least revision by key.
+        wait_s: Longest time to wait in seconds; 0 for not at all.
+
+    Returns:
+        The same report, with the error if it is not in force in time.
+    """
+    if wait_s <= 0:
+        return report
+    try:
+        routers = wait_in_force(connection, revisions, wait_s)
+    except CommandError as error:
+        report.error = error
+        return report
+    report.data["in_force_on"] = routers
+    report.lines.append(f"in force on all {routers} routers")
+    return report
+
+
 def _not_in_force(
-    revisions: dict[str, int],
-    routers: list[tuple[str, str]],
-    lagging: list[Lagging],
-    timeout_s: float,
+    revisions: dict[str, int], routers: int, lagging: list[Lagging], timeout_s: float
 ) -> NotInForceError:
     wanted = ", ".join(f"{key} {revision}" for key, revision in revisions.items())
-    where = "\n".join(
-        f"  {item.router} ({item.address}): {item.reason}" for item in lagging
-    )
-    if not routers:
-        where = "  no router is a member"
+    listing = [f"{item.router.name}: {item.reason}" for item in lagging]
     return NotInForceError(
         f"{wanted} not in force after {timeout_s:g} s on {len(lagging)} of "
-        f"{len(routers)} routers:\n{where}\n",
+        f"{routers} routers",
         "look at these routers with lagoonctl status, or wait longer",
-        {"routers": len(routers), "lagging": [item.as_dict() for item in lagging]},
+        listing or ["no router is a member"],
+        {"routers": routers, "lagging": [item.as_dict() for item in lagging]},
     )
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/report.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/report.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lagoonsail_core.errors import LagoonsailError
 
 COLUMN_GAP = "  "
 """What separates two columns of a table."""
@@ -12,10 +16,12 @@
 class Report:
     """Result of a command."""
 
-    data: object
+    data: dict[str, object]
     """What --json prints."""
     lines: list[str] = field(default_factory=list)
     """What is printed for people."""
+    error: LagoonsailError | None = None
+    """What went wrong after something was done; decides the exit code."""
 
 
 def format_cell(value: object) -> str:
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/state_commands.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/state_commands.py
@@ -23,7 +23,7 @@
     take_batch,
 )
 from lagoonsail_ctl.errors import BadInputError, ConflictError
-from lagoonsail_ctl.in_force import push_documents, wait_in_force
+from lagoonsail_ctl.in_force import add_wait, push_documents
 from lagoonsail_ctl.report import Report
 from lagoonsail_store.store_client import Conflict
 
@@ -173,10 +173,6 @@
         lines.append(f"{item.key}: [{section}] {verb}, revision {item.revision}")
         lines.append(f"  {_count_usable(item.text)}")
     lines += describe_push(pushed)
-    if wait_s > 0:
-        routers = wait_in_force(connection, revisions, wait_s)
-        pushed["in_force_on"] = routers
-        lines.append(f"in force on all {routers} routers")
     data = {
         "section": section,
         "state": state,
@@ -184,7 +180,7 @@
         "changed": sorted(changed),
         **pushed,
     }
-    return Report(data, lines)
+    return add_wait(Report(data, lines), connection, revisions, wait_s)
 
 
 def _write_state(
@@ -220,7 +216,7 @@
         f"[{section}] is {state} in {where} only: others changed the documents "
         f"{MAX_CONFLICTS} times meanwhile",
         "find out who changes them all the time, then repeat the command",
-        {"section": section, "changed": sorted(changed)},
+        details={"section": section, "changed": sorted(changed)},
     )
 
 
--- a/packages/lagoonsail-ctl/tests/test_apply.py
+++ b/packages/lagoonsail-ctl/tests/test_apply.py
@@ -115,12 +115,13 @@
     assert output["remedy"]
 
 
-def test_not_in_force_in_time(run, fleet, document, write_document):
+def test_not_in_force_in_time(run, store, fleet, document, write_document):
     fleet[1].takes_documents = False
     code, output, _ = run("apply", write_document(document), "--wait-s", 0.3)
     assert code == 5
     assert [item["router"] for item in output["lagging"]] == ["r2"]
     assert f"{KEY} is at revision 0" in output["lagging"][0]["reason"]
+    assert output["revision"] == store.get(KEY).revision
 
 
 def test_check_lists_mistakes_of_all_files(run, document, write_document):
--- a/packages/lagoonsail-ctl/tests/test_fleet_views.py
+++ b/packages/lagoonsail-ctl/tests/test_fleet_views.py
@@ -49,6 +49,18 @@
     assert "no  " in text
 
 
+def test_show_names_shards_without_an_owner(run, fleet):
+    fleet[0].status["shards"] = {SHARD: describe_shard(4)}
+    fleet[0].status["owners"] = {SHARD: "r1", "cordero/avisos@sierra-central": ""}
+    fleet[1].status["owners"] = {"cordero/registro@sierra-central": "r7"}
+    services = run("show", "cordero")[1]["services"]
+    assert [(item["shard"], item["owner"]) for item in services] == [
+        (SHARD, "r1"),
+        ("cordero/avisos@sierra-central", ""),
+        ("cordero/registro@sierra-central", "r7"),
+    ]
+
+
 def test_status_shows_members_owners_and_documents(run, store, fleet):
     store.put("members/r3", "{}")
     store.put(f"shards/{SHARD}", '{"owner": "r9", "epoch": 7, "state": "owned"}')
@@ -71,7 +83,8 @@
     assert output["documents"] == [
         {"document": key, "newest_revision": 9, "routers": 1, "of": 2}
     ]
-    assert list(output["malformed_members"]) == ["r3"]
+    assert list(output["no_status"]) == ["r3"]
+    assert "malformed entry" in output["no_status"]["r3"]
 
 
 def test_views_work_without_the_store_when_routers_are_named(run, store, fleet):
@@ -94,7 +107,10 @@
     assert code == 5
     assert [item["router"] for item in output["lagging"]] == ["r1", "r2"]
     code, _, error = run("wait", key, 13, "--timeout-s", 0, json_output=False)
-    assert f"r2 ({fleet[1].address}): {key} is at revision 12" in error
+    assert f"  r2: {key} is at revision 12" in error
+    store.put("members/r3", "not JSON")
+    code, output, _ = run("wait", key, 11, "--timeout-s", 0)
+    assert (code, [item["router"] for item in output["lagging"]]) == (5, ["r3"])
 
 
 def test_no_member_is_not_in_force(run):
