--- a/packages/lagoonsail-lab/src/lagoonsail_lab/caller.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/caller.py
@@ -328,9 +328,16 @@
     attempt.retry_after_s = _read_seconds(headers.get("Retry-After", "0"))
     problem = _load_object(body)
     attempt.reason = str(problem.get("title") or problem.get("error") or "no problem")
+    attempt.ran = _read_ran(problem, headers)
+
+
+def _read_ran(problem: dict, headers: dict[str, str]) -> str:
     ran = problem.get("ran")
-    # An error that does not say whether the call ran leaves the caller in doubt.
-    attempt.ran = ran if ran in (RAN_NO, RAN_UNKNOWN) else RAN_LOST
+    if ran in (RAN_NO, RAN_UNKNOWN):
+        return ran
+    # A server's own error is an answer that routers pass back as it is; a router's
+    # own error has to say whether the call ran.
+    return RAN_UNKNOWN if "X-Server-Incarnation" in headers else RAN_LOST
 
 
 def _judge_stream(call: Call, attempt: Attempt, body: bytes) -> None:
--- a/packages/lagoonsail-standins/src/lagoonsail_standins/model_engine.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/model_engine.py
@@ -214,7 +214,7 @@
         admitted = self._backend.admit(request)
         if isinstance(admitted, Answer):
             return admitted
-        self.cache.add(prompt.encode())
+        self.cache.add(prompt)
         completion = Completion(
             admitted,
             prompt,
