--- a/packages/lagoonsail-standins/src/lagoonsail_standins/engine_reports.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/engine_reports.py
@@ -11,8 +11,8 @@
     from lagoonsail_core.clock import Clock
     from lagoonsail_standins.backend import Backend
 
-BLOCK_CHARACTERS = 256
-"""Characters of prompt in one block of the cache."""
+BLOCK_BYTES = 64
+"""Bytes of prompt in one block of the cache."""
 CACHE_BLOCKS = 512
 """Blocks that the cache holds; the least recently used one is removed."""
 KEPT_EVENTS = 1000
@@ -21,26 +21,21 @@
 """Each event whose sequence is a multiple of this is never shown."""
 
 
-def prefix_hashes(prompt: str) -> list[int]:
+def prefix_hashes(prompt: bytes) -> list[int]:
     """Return the hashes of a prompt's prefixes that end at a block boundary.
 
-    Each hash is the XXH64 of its block with the hash before it as the seed.
-
     Args:
-        prompt: The whole prompt.
+        prompt: The whole prompt in UTF-8.
 
     Returns:
-        The hashes, that of the shortest prefix first.
+        XXH64 of each such prefix, shortest first.
 
     Example:
-        >>> len(prefix_hashes("x" * 520))
+        >>> len(prefix_hashes(b"x" * 130))
         2
     """
-    hashes = [0]
-    for end in range(BLOCK_CHARACTERS, len(prompt) + 1, BLOCK_CHARACTERS):
-        block = prompt[end - BLOCK_CHARACTERS : end].encode("utf-8", "surrogatepass")
-        hashes.append(xxhash.xxh64_intdigest(block, seed=hashes[-1]))
-    return hashes[1:]
+    ends = range(BLOCK_BYTES, len(prompt) + 1, BLOCK_BYTES)
+    return [xxhash.xxh64_intdigest(prompt[:end]) for end in ends]
 
 
 class LaggingMetrics:
@@ -93,14 +88,14 @@
         self._events: deque[tuple[float, dict]] = deque(maxlen=KEPT_EVENTS)
         self._sequence = 0
 
-    def add(self, prompt: str) -> int:
+    def add(self, prompt: bytes) -> int:
         """Hold a prompt's prefixes.
 
         Args:
-            prompt: The whole prompt.
+            prompt: The whole prompt in UTF-8.
 
         Returns:
-            How many characters of it were held before.
+            How many bytes of it were held before.
         """
         hashes = prefix_hashes(prompt)
         held = sum(1 for item in hashes if item in self._blocks)
@@ -112,7 +107,7 @@
         while len(self._blocks) > CACHE_BLOCKS:
             removed, _ = self._blocks.popitem(last=False)
             self._tell("removed", removed)
-        return held * BLOCK_CHARACTERS
+        return held * BLOCK_BYTES
 
     def clear(self) -> None:
         """Remove all prefixes; readers see one event for all."""
--- a/packages/lagoonsail-standins/src/lagoonsail_standins/model_engine.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/model_engine.py
@@ -214,7 +214,7 @@
         admitted = self._backend.admit(request)
         if isinstance(admitted, Answer):
             return admitted
-        self.cache.add(prompt)
+        self.cache.add(prompt.encode())
         completion = Completion(
             admitted,
             prompt,
--- a/packages/lagoonsail-standins/tests/test_backend_servers.py
+++ b/packages/lagoonsail-standins/tests/test_backend_servers.py
@@ -251,7 +251,7 @@
 
 def test_engine_reports_load_and_takes_orders(start_engine):
     client = start_engine()
-    thread = eventlet.spawn(client.prompt, "x" * 300 + "#tokens=100")
+    thread = eventlet.spawn(client.prompt, "x" * 70 + "#tokens=100")
     eventlet.sleep(0.15)
     metrics = client.call("GET", "/metrics").data.decode()
     assert "\nengine:num_requests_running 1\n" in metrics
--- a/packages/lagoonsail-standins/tests/test_engine_reports.py
+++ b/packages/lagoonsail-standins/tests/test_engine_reports.py
@@ -27,7 +27,7 @@
 
 def test_cache_events_come_late_and_with_gaps(hand):
     cache = PromptCache(hand.clock, lag_ms=100.0)
-    cache.add("x" * 256 * 20)
+    cache.add(b"x" * 64 * 20)
     assert cache.events_after(0) == []
     hand.now_ms = 100.0
     sequences = [event["sequence"] for event in cache.events_after(0)]
@@ -37,10 +37,10 @@
 
 def test_cache_holds_shared_prefixes_and_removes_the_oldest(hand):
     cache = PromptCache(hand.clock, lag_ms=0.0)
-    assert cache.add("a" * 2560) == 0
-    assert cache.add("a" * 1280 + "b" * 1280) == 1280
-    cache.add("c" * 256 * CACHE_BLOCKS)
-    assert cache.add("a" * 2560) == 0
+    assert cache.add(b"a" * 640) == 0
+    assert cache.add(b"a" * 320 + b"b" * 320) == 320
+    cache.add(b"c" * 64 * CACHE_BLOCKS)
+    assert cache.add(b"a" * 640) == 0
     assert {"stored", "removed"} == {e["kind"] for e in cache.events_after(0)}
 
 
