Test the fleet with routers; put relays in the path of peers

Cause: routers dial the address in a member record, so a relay's address in the host list is never used.

Ruled out: a setting for an advertised address; settings belong to another package. Port rewriting by the system; not available to a test.

Change: Fleet.redirect_peers edits the member record in the key-value stand-in after the router is ready.

--- a/packages/lagoonsail-lab/src/lagoonsail_lab/fleet.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/fleet.py
@@ -145,7 +145,7 @@
             directory: Where files go; a temporary one, removed by `stop`, if None.
             settings: Further settings of all routers by section and key.
             relayed_store: Routers that reach the key-value service through a relay.
-            relayed_peers: Routers whose address in the host list is a relay.
+            relayed_peers: Routers that other routers reach through a relay.
         """
         self.deployments = deployments
         self._is_own_directory = directory is None
@@ -223,6 +223,8 @@
         self.publish_hosts()
         _for_each(self._start_router, self.routers.values())
         self.wait_ready()
+        for name in sorted(self._relayed_peers):
+            self.redirect_peers(name)
 
     def _start_listening(
         self, name: str, module: str, options: dict[str, str | int | float | bool]
@@ -411,6 +413,33 @@
         if isinstance(result, Unavailable):
             raise ProcessError(f"put of {key}: {result.reason}", "look at key_value")
 
+    def redirect_peers(self, name: str) -> None:
+        """Let other routers dial a router's relay, by editing its member record.
+
+        Within a region only the router with the lower name dials, so the relay of the
+        last one carries all its streams and that of the first one carries none.
+        The router writes its record anew when it takes a new lease or leaves; then
+        this must be done again.
+
+        Args:
+            name: One of the routers with a relayed peers address.
+
+        Raises:
+            ProcessError: If the record cannot be read or written.
+        """
+        key = _encode(f"{ROUTER_PREFIX}members/{name}")
+        found = self.fetch("POST", self.store, "/v3/kv/range", {"key": key})
+        if not found or not found.get("kvs"):
+            raise ProcessError(f"no member record of {name}", "look at its output")
+        entry = found["kvs"][0]
+        member = json.loads(base64.b64decode(entry["value"]))
+        member["peers"] = self.relays[f"peers-{name}"].address
+        value = _encode(json.dumps(member))
+        lease = entry.get("lease", "0")
+        put = {"key": key, "value": value, "lease": lease}
+        if not self.fetch("POST", self.store, "/v3/kv/put", put):
+            raise ProcessError(f"no put of {name}'s record", "look at key_value")
+
     def set_state(self, name: str, state: str) -> None:
         """Take a failure domain or a backend server out, or bring it back.
 
@@ -543,6 +572,8 @@
         process.start()
         process.wait_listening()
         self.wait_ready([name])
+        if name in self._relayed_peers:
+            self.redirect_peers(name)
 
 
 def _make_backends(service: ServiceShape) -> list[Backend]:
