--- a/packages/lagoonsail-core/src/lagoonsail_core/messages.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/messages.py
@@ -81,6 +81,8 @@
     """Hashes of the prompt's prefixes, shortest first; empty for plain services."""
     key: int
     """Hash of the idempotency key of a call that may not be repeated, else 0."""
+    call: int
+    """Number of the call at the sender; the same for each ticket of one call."""
     age_ms: float
     """How long the request has waited at the sender already."""
 
@@ -171,33 +173,27 @@
 
 @dataclass(slots=True)
 class Inventory:
-    """What the sender runs and remembers of a shard; sent to a new owner."""
+    """What the sender runs on a shard; begins its dealings with the shard's owner."""
 
     shard: str
     """The shard."""
     running: list[list]
-    """Epoch, slot, server, account, cost so far and age_ms of each running request."""
-    digest_epoch: int
-    """Epoch of the newest service digest that the sender has seen."""
-    digest_sequence: int
-    """Sequence of that digest."""
-    service: dict[str, float]
-    """Normalised service by account in that digest."""
+    """Epoch, slot, server, account, cost and age_ms of each slot that it holds."""
 
 
 @dataclass(slots=True)
 class InventoryTaken:
-    """Says that the owner has taken over the sender's running requests."""
+    """Answers an inventory: the sender may now be asked for slots, or not."""
 
     shard: str
     """The shard."""
     epoch: int
-    """Epoch of the owner; slots that were reported keep epoch and slot number."""
+    """Epoch of the owner, 0 if the sender does not own the shard."""
 
 
 @dataclass(slots=True)
 class ServiceDigest:
-    """Normalised service of the accounts at the owner of a shard."""
+    """What the successors of a shard's owner must know to go on in its place."""
 
     shard: str
     """The shard."""
@@ -206,11 +202,11 @@
     sequence: int
     """Grows with each digest of the epoch."""
     service: dict[str, float]
-    """Normalised service by account."""
-    waiting: int
-    """Requests that wait at the shard."""
-    free: int
-    """Slots that are free in the shard."""
+    """Normalised service of the accounts for which it changed."""
+    positions: dict[str, float]
+    """Where those accounts stand in the queue."""
+    servers: dict[str, list]
+    """Incarnation, limit and warmth by server, where they changed."""
 
 
 @dataclass(slots=True)
@@ -268,6 +264,8 @@
 """The answer arrived whole."""
 OUTCOME_NOT_RUN = "not_run"
 """No byte of the request reached the server."""
+OUTCOME_UNREACHABLE = "unreachable"
+"""The server could not be connected to, so no byte of the request reached it."""
 OUTCOME_REFUSED = "refused"
 """The server refused the request without running it."""
 OUTCOME_BROKEN = "broken"
@@ -372,7 +370,8 @@
         raise FrameError(f"frame of {len(data)} bytes, at most {MAX_FRAME_BYTES}")
     try:
         frame = msgpack.unpackb(data, strict_map_key=False)
-    except (ValueError, msgpack.UnpackException) as error:
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        # A map with a list as key raises TypeError.
         raise FrameError(f"frame that is not msgpack ({error})") from error
     if type(frame) is not list or len(frame) != 2:
         raise FrameError("frame that is not a pair")
--- /dev/null
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -0,0 +1,651 @@
+"""What the owner of a shard decides: which waiting request gets which free slot."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from xxhash import xxh64_intdigest
+
+from lagoonsail_core.green import eventlet
+from lagoonsail_core.invariants import require
+from lagoonsail_core.messages import (
+    OUTCOME_BROKEN,
+    OUTCOME_CANCELLED,
+    OUTCOME_NOT_RUN,
+    OUTCOME_REFUSED,
+    OUTCOME_UNREACHABLE,
+    OUTCOME_WHOLE,
+    REFUSED_DUPLICATE,
+    REFUSED_KEYS_UNAVAILABLE,
+    REFUSED_NOT_OWNER,
+    REFUSED_QUEUE_FULL,
+    InventoryTaken,
+    ServiceDigest,
+    SlotGrant,
+    SlotRefusal,
+)
+from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_router.key_log import KeyLog
+from lagoonsail_router.load_reports import REPORT_LAG_MS, read_cache_events, read_load
+from lagoonsail_router.right import GUARDED, LAPSED
+from lagoonsail_sharing.fair_queue import FairQueue, Waiting
+from lagoonsail_sharing.placement import Candidate, choose_server
+from lagoonsail_sharing.prefix_index import PrefixIndex
+from lagoonsail_sharing.server_limit import ServerLimit
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonsail_config.document import ServerEntry, ServiceDocument
+    from lagoonsail_core.messages import (
+        Inventory,
+        SlotCancel,
+        SlotDone,
+        SlotProgress,
+        SlotRequest,
+        SlotStart,
+    )
+    from lagoonsail_router.context import RouterContext
+    from lagoonsail_router.right import Right
+    from lagoonsail_store.store_client import StoreClient
+
+INVENTORY_WAIT_MS = 800.0
+"""How long a new owner waits for the inventories of entry routers."""
+UNREPORTED_HOLD_MS = 10_000.0
+"""How long a new owner leaves a server alone that does not report its load."""
+
+FIRST_PAUSE_MS = 250.0
+"""How long a server gets nothing after its first refusal."""
+LONGEST_PAUSE_MS = 4000.0
+"""Longest such pause; it doubles with each refusal in a row."""
+QUEUE_FACTOR = 16
+"""Requests of one account that wait at the owner, in queue limits of one router."""
+
+
+@dataclass(slots=True)
+class Slot:
+    """A slot that was granted and not yet given back."""
+
+    epoch: int
+    """Epoch of the grant."""
+    number: int
+    """Slot number in that epoch."""
+    server: str
+    """Backend server."""
+    account: str
+    """Client account."""
+    holder: tuple[str, int]
+    """Name and incarnation of the entry router."""
+    stream: object
+    """Stream on which the holder deals with this owner."""
+    granted_ms: float
+    """When it was granted."""
+    key: int = 0
+    """Hash of the idempotency key, 0 if there is none."""
+    is_started: bool = False
+    """Whether the holder said that it sent the request."""
+    orphaned_ms: float | None = None
+    """When the holder was lost, None while it is connected."""
+
+
+@dataclass(slots=True)
+class Server:
+    """A backend server as its owner sees it."""
+
+    entry: ServerEntry
+    """Its part of the service document."""
+    limit: ServerLimit
+    """How much it may run now."""
+    hold_until_ms: float
+    """No grant before this time; the server may run what this owner does not know."""
+    is_reported: bool = False
+    """Whether a load report has come in this epoch."""
+    unknown: int = 0
+    """Requests beyond the slots in use that it may still run."""
+    unknown_since_ms: float = 0.0
+    """When the last of these was added; only later reports can take them away."""
+    paused_until_ms: float = 0.0
+    """No grant before this time, since the server refused requests."""
+    refusals: int = 0
+    """Refusals in a row."""
+    cache_sequence: int = 0
+    """Sequence of the last cache event that was read."""
+
+
+class ShardOwner:
+    """Queue, servers and slots of one shard, at its owner."""
+
+    __slots__ = (
+        "_context",
+        "_digest_sent",
+        "_find_document",
+        "_inventory_until_ms",
+        "_is_stopped",
+        "_next_slot",
+        "_prefixes",
+        "_region",
+        "_right",
+        "_sequence",
+        "_sessions",
+        "_successor_streams",
+        "_waiting",
+        "epoch",
+        "is_releasing",
+        "keys",
+        "queue",
+        "servers",
+        "shard",
+        "slots",
+    )
+
+    shard: str
+    """Name of the shard."""
+    epoch: int
+    """Fencing number of this ownership."""
+    queue: FairQueue
+    """Requests that wait for a slot."""
+    servers: dict[str, Server]
+    """Backend servers by name."""
+    slots: dict[tuple[int, int], Slot]
+    """Slots in use by epoch and number."""
+    keys: KeyLog
+    """Idempotency keys of the shard."""
+    is_releasing: bool
+    """Whether the shard is being handed over."""
+
+    def __init__(
+        self,
+        context: RouterContext,
+        right: Right,
+        store: StoreClient,
+        shard: str,
+        epoch: int,
+        find_document: Callable[[], ServiceDocument | None],
+        successor_streams: Callable[[], list],
+    ) -> None:
+        self._context = context
+        self._right = right
+        self._find_document = find_document
+        self._successor_streams = successor_streams
+        self._region = shard.rsplit("@", 1)[1]
+        self._sessions: dict[tuple[str, int], object] = {}
+        self._digest_sent: dict[object, dict] = {}
+        self._waiting: dict[tuple, Waiting] = {}
+        self._sequence = 0
+        self._next_slot = 0
+        self._is_stopped = False
+        self._prefixes = PrefixIndex()
+        self._inventory_until_ms = context.clock.now_ms() + INVENTORY_WAIT_MS
+        self.shard = shard
+        self.epoch = epoch
+        self.servers = {}
+        self.slots = {}
+        self.keys = KeyLog(context, store, shard, epoch)
+        self.is_releasing = False
+        document = find_document()
+        self.queue = FairQueue(QUEUE_FACTOR * (document.queue_limit if document else 1))
+        self.update_document()
+
+    def stop(self) -> None:
+        """Stop deciding; the entry routers will turn to the next owner."""
+        self.refuse_waiting()
+        self._is_stopped = True
+
+    def adopt(self, digest: ServiceDigest) -> None:
+        """Go on from the last digest of an earlier owner.
+
+        Args:
+            digest: The newest digest that this router received, merged.
+        """
+        self.queue.adopt(digest.service, digest.positions)
+        now_ms = self._context.clock.now_ms()
+        for name, known in digest.servers.items():
+            server = self.servers.get(name)
+            if server:
+                incarnation, limit = known
+                server.limit.restore(incarnation, limit, now_ms)
+
+    def update_document(self) -> None:
+        """Take over changes of the service document."""
+        document = self._find_document()
+        if document is None:
+            self.refuse_waiting()
+            self.servers.clear()
+            return
+        shares = {account.name: account.share for account in document.accounts.values()}
+        for waiting in self.queue.set_shares(shares):
+            self._withdraw(waiting)
+            self._refuse(waiting, REFUSED_NOT_OWNER)
+        total = sum(entry.slots for entry in document.servers.values())
+        self.queue.set_limits(document.max_cost, total)
+        now_ms = self._context.clock.now_ms()
+        mine = {
+            entry.name: entry
+            for entry in document.servers.values()
+            if (entry.region or document.region) == self._region
+        }
+        for name in set(self.servers) - set(mine):
+            del self.servers[name]
+        for name, entry in mine.items():
+            self._update_server(name, entry, now_ms)
+        self.pump()
+
+    def _update_server(self, name: str, entry: ServerEntry, now_ms: float) -> None:
+        server = self.servers.get(name)
+        if server and server.entry.address == entry.address:
+            server.entry = entry
+            server.limit.set_slots(entry.slots, entry.cold_slots)
+            return
+        is_plain = self._find_document().kind != "engine"
+        limit = ServerLimit(entry.slots, entry.cold_slots, now_ms, is_plain)
+        hold_until_ms = now_ms + UNREPORTED_HOLD_MS if self.epoch > 1 else now_ms
+        self.servers[name] = Server(entry, limit, hold_until_ms)
+
+    # Dealings with entry routers.
+
+    def take_inventory(self, stream, inventory: Inventory) -> None:
+        """Begin, or begin anew, the dealings with an entry router.
+
+        Args:
+            stream: Stream of the entry router.
+            inventory: What it runs on this shard.
+        """
+        holder = (stream.name, stream.incarnation)
+        self._sessions[holder] = stream
+        held = {}
+        for item in inventory.running:
+            slot = self._slot_of_inventory(item, holder, stream)
+            held[slot.epoch, slot.number] = slot
+        for key, slot in list(self.slots.items()):
+            if slot.holder == holder and key not in held:
+                # Its SlotDone was lost together with the old stream.
+                self._free(slot, OUTCOME_BROKEN, 0.0, None)
+        for key, slot in held.items():
+            self._adopt_slot(key, slot)
+        stream.send(InventoryTaken(self.shard, self.epoch))
+        self.pump()
+
+    def _slot_of_inventory(self, item: list, holder, stream) -> Slot:
+        epoch, number, server, account, _cost, age_ms = item
+        granted_ms = self._context.clock.now_ms() - age_ms
+        return Slot(epoch, number, server, account, holder, stream, granted_ms)
+
+    def _adopt_slot(self, key: tuple[int, int], slot: Slot) -> None:
+        known = self.slots.get(key)
+        if known:
+            known.stream = slot.stream
+            known.orphaned_ms = None
+            known.is_started = True
+            return
+        slot.is_started = True
+        self.slots[key] = slot
+        server = self.servers.get(slot.server)
+        if server:
+            server.limit.take_over(key, self._context.clock.now_ms())
+            server.unknown = max(0, server.unknown - 1)
+        self.queue.start(Waiting(("taken over", *key), slot.account, 0.0), key)
+
+    def lose_stream(self, stream) -> None:
+        """Forget what waits on a closed stream; what runs there may go on.
+
+        Args:
+            stream: The stream that closed.
+        """
+        for holder in [h for h, s in self._sessions.items() if s is stream]:
+            del self._sessions[holder]
+        self._digest_sent.pop(stream, None)
+        for waiting in [w for w in self._waiting.values() if w.source is stream]:
+            self._withdraw(waiting)
+        now_ms = self._context.clock.now_ms()
+        for slot in self.slots.values():
+            if slot.stream is stream:
+                slot.orphaned_ms = now_ms
+
+    def take_request(self, stream, request: SlotRequest) -> None:
+        """Queue a request for a slot.
+
+        Args:
+            stream: Stream of the entry router.
+            request: The request.
+        """
+        now_ms = self._context.clock.now_ms()
+        waiting = Waiting(
+            (stream.name, stream.incarnation, request.ticket),
+            request.account,
+            request.estimate,
+            request.prefix,
+            request.key,
+            now_ms - max(0.0, request.age_ms),
+            stream,
+        )
+        if self.is_releasing or self._is_stopped:
+            self._refuse(waiting, REFUSED_NOT_OWNER)
+            return
+        if not request.key:
+            self._enqueue(waiting)
+            return
+        origin_text = f"{stream.name}\0{stream.incarnation}\0{request.call}"
+        self._record_key(waiting, (xxh64_intdigest(origin_text.encode()) >> 1) | 1)
+
+    def _record_key(self, waiting: Waiting, origin: int) -> None:
+        if not self.keys.is_loaded:
+            self._refuse(waiting, REFUSED_KEYS_UNAVAILABLE)
+            return
+        if self.keys.is_used(waiting.key, origin):
+            self._refuse(waiting, REFUSED_DUPLICATE)
+            return
+
+        def on_recorded(is_stored: bool) -> None:
+            if not is_stored:
+                self._refuse(waiting, REFUSED_KEYS_UNAVAILABLE)
+            elif self._is_current(waiting):
+                self._enqueue(waiting)
+            else:
+                self.keys.give_back(waiting.key)
+
+        self.keys.record(waiting.key, origin, on_recorded)
+
+    def _is_current(self, waiting: Waiting) -> bool:
+        if self._is_stopped or self.is_releasing:
+            self._refuse(waiting, REFUSED_NOT_OWNER)
+            return False
+        name, incarnation, _ = waiting.ticket
+        return self._sessions.get((name, incarnation)) is waiting.source
+
+    def _enqueue(self, waiting: Waiting) -> None:
+        if not self.queue.add(waiting):
+            if waiting.key:
+                self.keys.give_back(waiting.key)
+            self._refuse(waiting, REFUSED_QUEUE_FULL)
+            return
+        self._waiting[waiting.ticket] = waiting
+        self.pump()
+
+    def take_cancel(self, stream, cancel: SlotCancel) -> None:
+        """Withdraw a waiting request."""
+        ticket = (stream.name, stream.incarnation, cancel.ticket)
+        waiting = self._waiting.get(ticket)
+        if waiting:
+            self._withdraw(waiting)
+
+    def _withdraw(self, waiting: Waiting) -> None:
+        del self._waiting[waiting.ticket]
+        self.queue.cancel(waiting.ticket)
+        if waiting.key:
+            self.keys.give_back(waiting.key)
+
+    def take_start(self, message: SlotStart) -> None:
+        """Note that a granted request was sent to its server."""
+        slot = self.slots.get((message.epoch, message.slot))
+        if slot:
+            slot.is_started = True
+
+    def take_progress(self, message: SlotProgress) -> None:
+        """Charge what a running request has cost so far."""
+        key = (message.epoch, message.slot)
+        if key in self.slots:
+            self.queue.progress(key, message.cost)
+
+    def take_done(self, message: SlotDone) -> None:
+        """Free a slot and settle its cost."""
+        slot = self.slots.get((message.epoch, message.slot))
+        if slot is None:
+            self._context.count("unknown_slots_total")
+            return
+        self._free(slot, message.outcome, message.cost, message)
+        self.pump()
+
+    def _free(
+        self, slot: Slot, outcome: str, cost: float, done: SlotDone | None
+    ) -> None:
+        key = (slot.epoch, slot.number)
+        del self.slots[key]
+        self.queue.settle(key, cost)
+        if slot.key and outcome in (OUTCOME_NOT_RUN, OUTCOME_UNREACHABLE):
+            self.keys.give_back(slot.key)
+        server = self.servers.get(slot.server)
+        if server is None:
+            return
+        now_ms = self._context.clock.now_ms()
+        incarnation = done.server_incarnation if done else ""
+        first_ms = done.first_ms if done else 0.0
+        duration_ms = done.duration_ms if done else 0.0
+        server.limit.finish(
+            key, outcome, incarnation, first_ms, duration_ms, cost, now_ms
+        )
+        if outcome == OUTCOME_UNREACHABLE:
+            server.limit.on_refused(now_ms)
+        if outcome in (OUTCOME_BROKEN, OUTCOME_CANCELLED) and not server.limit.is_warm:
+            # The server may notice late that nobody waits for the answer any more.
+            server.unknown += 1
+            server.unknown_since_ms = now_ms
+        self._back_off(server, outcome, now_ms)
+
+    def _back_off(self, server: Server, outcome: str, now_ms: float) -> None:
+        if outcome == OUTCOME_WHOLE:
+            server.refusals = 0
+        if outcome not in (OUTCOME_UNREACHABLE, OUTCOME_REFUSED):
+            return
+        pause_ms = min(FIRST_PAUSE_MS * 2**server.refusals, LONGEST_PAUSE_MS)
+        server.refusals += 1
+        server.paused_until_ms = max(server.paused_until_ms, now_ms + pause_ms)
+        eventlet.spawn_after(pause_ms / 1000.0, self.pump)
+
+    def _refuse(self, waiting: Waiting, reason: str) -> None:
+        self._context.count("slot_refusals_total", reason)
+        waiting.source.send(SlotRefusal(waiting.ticket[2], reason))
+
+    def refuse_waiting(self) -> None:
+        """Send every waiting request back to its entry router."""
+        for waiting in list(self._waiting.values()):
+            self._withdraw(waiting)
+            self._refuse(waiting, REFUSED_NOT_OWNER)
+
+    def has_unstarted_grants(self) -> bool:
+        """Return whether a connected holder may still start what was granted."""
+        now_ms = self._context.clock.now_ms()
+        window_ms = self._context.settings.start_window_ms * 1.1
+        return any(
+            not slot.is_started and now_ms - slot.granted_ms < window_ms
+            for slot in self.slots.values()
+        )
+
+    # Grants.
+
+    def pump(self) -> None:
+        """Grant free slots to waiting requests for as long as there are both."""
+        if self._is_stopped or self.is_releasing:
+            return
+        if self._context.clock.now_ms() < self._inventory_until_ms:
+            return
+        while self._grant_one():
+            pass
+
+    def _grant_one(self) -> bool:
+        # The level is read for each grant: this process may have been paused.
+        level = self._right.level()
+        if level == LAPSED:
+            return False
+        waiting = self.queue.pick()
+        if waiting is None:
+            return False
+        candidates = self._candidates(level)
+        if not candidates:
+            return False
+        name = choose_server(candidates, waiting.prefix, self._prefixes)
+        self._grant(waiting, self.servers[name])
+        return True
+
+    def _candidates(self, level: str) -> list[Candidate]:
+        document = self._find_document()
+        if document is None:
+            return []
+        now_ms = self._context.clock.now_ms()
+        return [
+            Candidate(name, server.limit.limit, server.limit.running + server.unknown)
+            for name, server in self.servers.items()
+            if self._is_open(server, document, level, now_ms)
+        ]
+
+    def _is_open(self, server: Server, document, level: str, now_ms: float) -> bool:
+        if not document.is_usable(server.entry):
+            return False
+        if now_ms < server.hold_until_ms and not server.is_reported:
+            return False
+        if now_ms < server.paused_until_ms:
+            return False
+        if level == GUARDED and server.limit.limit <= server.limit.cold_slots:
+            return False
+        return server.limit.running + server.unknown < server.limit.limit
+
+    def _grant(self, waiting: Waiting, server: Server) -> None:
+        self._next_slot += 1
+        now_ms = self._context.clock.now_ms()
+        name = server.entry.name
+        key = (self.epoch, self._next_slot)
+        require(
+            self._find_document().is_usable(server.entry), "no_grant_out_of_service"
+        )
+        self.queue.start(waiting, key)
+        del self._waiting[waiting.ticket]
+        server.limit.start(key, now_ms)
+        stream = waiting.source
+        holder = (stream.name, stream.incarnation)
+        self.slots[key] = Slot(
+            self.epoch,
+            self._next_slot,
+            name,
+            waiting.account,
+            holder,
+            stream,
+            now_ms,
+            waiting.key,
+        )
+        self._prefixes.add(name, waiting.prefix)
+        basis_ms = stream.remote_sent_ms
+        grant = SlotGrant(
+            waiting.ticket[2], self._next_slot, self.shard, self.epoch, name, basis_ms
+        )
+        stream.send(grant)
+        self._context.count("slots_granted_total")
+
+    # Periodic work.
+
+    def poll(self) -> None:
+        """Read load reports and cache events, and free slots of lost routers."""
+        if not self.keys.is_loaded:
+            self.keys.load()
+        self.keys.expire()
+        for name in list(self.servers):
+            eventlet.spawn_n(self._poll_server, name)
+
+    def _poll_server(self, name: str) -> None:
+        server = self.servers[name]
+        result = read_load(server.entry.address, self._context.clock)
+        if self._is_stopped or self.servers.get(name) is not server:
+            return
+        if isinstance(result, Unavailable):
+            self._context.count("load_reports_failed_total")
+            return
+        self._take_report(name, server, result)
+        document = self._find_document()
+        if document and document.kind == "engine":
+            self._read_cache_events(name, server)
+        self.pump()
+
+    def _take_report(self, name: str, server: Server, report) -> None:
+        now_ms = self._context.clock.now_ms()
+        server.limit.on_report(report, now_ms)
+        settled_ms = now_ms - REPORT_LAG_MS - self._context.settings.start_window_ms
+        slots = [slot for slot in self.slots.values() if slot.server == name]
+        old = sum(slot.granted_ms < settled_ms for slot in slots)
+        if not server.is_reported:
+            # What this new owner does not know of may be run for lost routers.
+            server.unknown = max(server.unknown, report.running - len(slots))
+        elif report.measured_ms >= server.unknown_since_ms:
+            server.unknown = max(0, min(server.unknown, report.running - old))
+        server.is_reported = True
+        orphans = [
+            slot
+            for slot in slots
+            if slot.orphaned_ms is not None and slot.orphaned_ms < settled_ms
+        ]
+        for slot in orphans[: max(0, old - report.running)]:
+            self._free(slot, OUTCOME_BROKEN, 0.0, None)
+
+    def _read_cache_events(self, name: str, server: Server) -> None:
+        events = read_cache_events(server.entry.address, server.cache_sequence)
+        if not isinstance(events, list):
+            return
+        for event in events:
+            server.cache_sequence = max(server.cache_sequence, event.sequence)
+            if event.is_reset:
+                self._prefixes.forget(name)
+                continue
+            self._prefixes.on_events(name, event.sequence, event.stored, event.removed)
+
+    def send_digests(self) -> None:
+        """Tell the next owners what changed since the last digest."""
+        service = self.queue.service()
+        positions = self.queue.positions()
+        servers = {
+            name: [server.limit.incarnation, server.limit.limit]
+            for name, server in self.servers.items()
+        }
+        self._sequence += 1
+        for stream in self._successor_streams():
+            sent = self._digest_sent.setdefault(stream, {"service": {}, "servers": {}})
+            changed = {k: v for k, v in service.items() if sent["service"].get(k) != v}
+            moved = {k: v for k, v in servers.items() if sent["servers"].get(k) != v}
+            if not changed and not moved:
+                continue
+            stream.send(
+                ServiceDigest(
+                    self.shard,
+                    self.epoch,
+                    self._sequence,
+                    changed,
+                    {name: positions[name] for name in changed},
+                    moved,
+                )
+            )
+            sent["service"] = service
+            sent["servers"] = servers
+
+    def describe(self) -> dict:
+        """Return the state of the shard for operators."""
+        document = self._find_document()
+        running = Counter(slot.account for slot in self.slots.values())
+        waiting = Counter(item.account for item in self._waiting.values())
+        service = self.queue.service()
+        return {
+            "epoch": self.epoch,
+            "gap": self.queue.gap(),
+            "servers": {
+                name: self._describe_server(server, document)
+                for name, server in self.servers.items()
+            },
+            "accounts": {
+                name: {
+                    "share": account.share,
+                    "service": round(service.get(name, 0.0), 3),
+                    "waiting": waiting[name],
+                    "running": running[name],
+                }
+                for name, account in (document.accounts if document else {}).items()
+            },
+        }
+
+    def _describe_server(self, server: Server, document) -> dict:
+        usable = document is not None and document.is_usable(server.entry)
+        return {
+            "limit": server.limit.limit,
+            "running": server.limit.running,
+            "unknown": server.unknown,
+            "state": "in" if usable else "out",
+            "failure_domain": server.entry.failure_domain,
+            "warm": server.limit.is_warm,
+            "setback": server.limit.last_setback,
+        }
