Hold a server's limit until its own report calls it warm

Cause: a stand-in that is cold for its first answers looks steady at its cold speed, and the limit grew under it. Ruled out: raising a limit from a report, which may be old. Change: a server that reports warmth grows only after a report newer than its last setback calls it warm, or when none came for 5 s.

--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_limit.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_limit.py
@@ -66,6 +66,9 @@
 """An answer whose first byte came this late in its duration came all at once."""
 FOREIGN_FRACTION = 0.5
 """A report contradicts if the requests of others exceed this part of the slots."""
+WARMTH_WAIT_MS = 5000.0
+"""A server that reports its warmth grows only so long after it was called cold, unless
+a new report calls it warm before."""
 KEPT_INCARNATIONS = 8
 """How many former incarnations are remembered, to tell late news."""
 
@@ -219,7 +222,7 @@
         "_peak",
         "_peak_before",
         "_recent",
-        "_reported_cold",
+        "_cold_until_ms",
         "_running",
         "_slow",
         "_steady",
@@ -264,7 +267,7 @@
         self._running: dict[Hashable, _Start] = {}
         self._expected = Pace()
         self._generation = 0
-        self._reported_cold = False
+        self._cold_until_ms = float("-inf")
         self._tells_warmth = False
         self._peak = 0
         self._peak_before = 0
@@ -371,7 +374,7 @@
             report: What the server said, perhaps a while ago.
             now_ms: Local monotonic time.
         """
-        self._note_warmth(report)
+        self._note_warmth(report, now_ms)
         own = max(self._peak, self._peak_before)
         self._peak_before = self._peak
         self._peak = self.running
@@ -387,14 +390,16 @@
         elif report.running - own > max(1, self.slots * FOREIGN_FRACTION):
             self._set_back("reported_load", now_ms)
 
-    def _note_warmth(self, report: LoadReport) -> None:
+    def _note_warmth(self, report: LoadReport, now_ms: float) -> None:
         if report.is_warm is None:
             return
         self._tells_warmth = True
         # What was measured before the last setback may tell of another incarnation.
         is_new = report.measured_ms >= self._changed_ms
-        if not report.is_warm or is_new:
-            self._reported_cold = not report.is_warm
+        if not report.is_warm:
+            self._cold_until_ms = now_ms + WARMTH_WAIT_MS
+        elif is_new:
+            self._cold_until_ms = float("-inf")
 
     def on_refused(self, now_ms: float) -> None:
         """Take note of a refused connection.
@@ -434,7 +439,8 @@
         self._generation += 1
         self.last_setback = reason
         self.setbacks[reason] += 1
-        self._reported_cold = self._tells_warmth
+        if self._tells_warmth:
+            self._cold_until_ms = now_ms + WARMTH_WAIT_MS
         self._go_cold(now_ms)
 
     def _doubt(self, reported: str, now_ms: float) -> None:
@@ -529,7 +535,7 @@
             self._grow(start, now_ms)
 
     def _grow(self, start: _Start, now_ms: float) -> None:
-        if not start.filled or self.is_warm or self._reported_cold:
+        if not start.filled or self.is_warm or now_ms < self._cold_until_ms:
             return
         self.limit = min(self.limit + 1, self.slots)
         self._note_growth(now_ms)
