Test that a report which calls an unseen incarnation warm raises nothing

Cause: two tests on incarnations now send reports without warmth, so a report that does call the server warm was no longer covered there. Change: a test with such reports, before and after the wait; the wait is described.

--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_limit.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_limit.py
@@ -12,7 +12,8 @@
 is steadily slower than it was, after which the new speed is the expected one.
 
 Only answers to requests started after the last setback raise the limit, and load
-reports never do.
+reports never do. Of a server that reports its warmth, answers count only once a report
+made after the last setback calls it warm, or none has come for `WARMTH_WAIT_MS`.
 
 Example:
     >>> server = ServerLimit(slots=4, cold_slots=1, now_ms=0.0)
--- a/packages/lagoonsail-sharing/tests/test_server_limit.py
+++ b/packages/lagoonsail-sharing/tests/test_server_limit.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from lagoonsail_core.invariants import InvariantError
-from lagoonsail_sharing.server_limit import LoadReport, ServerLimit
+from lagoonsail_sharing.server_limit import WARMTH_WAIT_MS, LoadReport, ServerLimit
 
 
 class Engine:
@@ -195,6 +195,20 @@
     assert server.is_warm
 
 
+@pytest.mark.parametrize("reported", ["i2", "i0"])
+def test_report_that_calls_an_unseen_incarnation_warm_raises_nothing(reported):
+    server, engine, now_ms = warm()
+    engine.turn_cold(restart=reported == "i2")
+    server.on_report(LoadReport(reported, 0, True, now_ms), now_ms)
+    now_ms = work(server, engine, Random(7), 200, now_ms + 1.0)
+    assert server.limit == 1
+    now_ms = work(server, engine, Random(8), 200, now_ms + WARMTH_WAIT_MS)
+    assert server.is_warm
+    assert server.incarnation == f"i{engine.incarnation}"
+    server.on_report(LoadReport(reported, 0, True, now_ms), now_ms)
+    assert server.is_warm
+
+
 def test_late_answer_does_not_tell_which_incarnation_is_newer():
     server, engine, now_ms = warm()
     late = next(iter(engine.running))
