--- a/packages/lagoonsail-sharing/tests/test_fair_queue_returning.py
+++ b/packages/lagoonsail-sharing/tests/test_fair_queue_returning.py
@@ -38,6 +38,20 @@
     assert abs(alone - load.cost_run["late"]) <= queue.bound(10.0, 2)
 
 
+def test_after_an_empty_queue_all_start_nearly_even(make_load):
+    queue = queue_of("alone", "late", slots=16)
+    load = make_load(queue, 1)
+    for _ in range(200):
+        load.arrive("alone", 10.0)
+        load.run(1)
+    for _ in range(20):
+        load.arrive("late", 10.0)
+        load.arrive("alone", 10.0)
+    load.order.clear()
+    load.run(10)
+    assert load.order.count("late") <= 6
+
+
 def test_leaving_and_returning_gains_nothing(make_load):
     # One account empties its queue at each start and comes back at once.
     queue = queue_of("steady", "hopper")
@@ -150,3 +164,17 @@
     assert positions["a"] - positions["b"] == before["a"] - before["b"]
     new.adopt({"a": 1.0}, None)
     assert new.service() == old.service()
+
+
+def test_refund_of_a_charge_at_a_tiny_share_stays_in_the_new_bound():
+    queue = queue_of("a", "b", max_cost=100.0)
+    queue.set_shares({"a": 1.0, "b": 0.01})
+    for number in range(3):
+        queue.add(Waiting(("b", number), "b", 100.0))
+    queue.start(queue.pick(), 1)
+    queue.add(Waiting(("a", 1), "a", 1.0))
+    queue.set_shares({"a": 1.0, "b": 1.0})
+    assert queue.gap() <= queue.bound(100.0, 2)
+    queue.settle(1, 0.0)
+    assert queue.gap() <= queue.bound(100.0, 2)
+    assert queue.service() == {"a": 0.0, "b": 0.0}
