--- a/packages/lagoonsail-lab/src/lagoonsail_lab/caller.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/caller.py
@@ -23,8 +23,8 @@
 """Time after which a router that does not answer is not ready, seconds."""
 CONNECT_TIMEOUT_S = 2.0
 """Time for a connection to open, seconds."""
-READ_TIMEOUT_S = 30.0
-"""Longest silence of a router during an answer, seconds."""
+READ_TIMEOUT_S = 45.0
+"""Longest silence of a router, seconds; above the queue timeout of documents."""
 MAX_ATTEMPTS = 8
 """Attempts of one call, all of them known not to have run but the last."""
 MAX_RETRY_AFTER_S = 0.5
