--- a/packages/lagoonsail-config/src/lagoonsail_config/settings.py
+++ b/packages/lagoonsail-config/src/lagoonsail_config/settings.py
@@ -12,9 +12,9 @@
     Key,
     Problem,
     Section,
+    address_key,
     address_list_key,
     choice_key,
-    listen_key,
     name_key,
     number_key,
     pattern_key,
@@ -50,9 +50,9 @@
         name_key("failure_domain"),
     ),
     "listen": (
-        listen_key("callers", "callers_address"),
-        listen_key("admin", "admin_address"),
-        listen_key("peers", "peers_address"),
+        address_key("callers", "callers_address"),
+        address_key("admin", "admin_address"),
+        address_key("peers", "peers_address"),
     ),
     "store": (
         address_list_key("endpoints", attribute="store_endpoints"),
@@ -77,6 +77,13 @@
         number_key("max_lag_ms", 0, 600_000, "ms", "10000", "host_list_max_lag_ms"),
     ),
     "peers": (
+        pattern_key(
+            "advertised",
+            r"([0-9a-zA-Z.:\[\]-]+:[0-9]{1,5})?",
+            "an address HOST:PORT that other routers dial, if not the one listened on",
+            "",
+            "advertised_peers_address",
+        ),
         pattern_key("shared_key_file", r".*", "path of a file", ""),
         number_key("heartbeat_ms", 10, 60_000, "ms", "500"),
         number_key("silence_ms", 20, 600_000, "ms", "2000"),
@@ -123,6 +130,8 @@
     """Address that operators connect to."""
     peers_address: str
     """Address that other routers connect to."""
+    advertised_peers_address: str
+    """Address that other routers are told; the same unless a relay stands between."""
     store_endpoints: list[str]
     """Addresses of the key-value service."""
     store_prefix: str
@@ -227,10 +236,14 @@
     for key, address in _listen_addresses(values).items():
         parts = split_address(address)
         first = seen.setdefault(parts, key)
-        if first != key and parts[1] != 0:
+        if first != key:
             found = f"{address!r}, which {first} has too"
             allowed = "an address of its own"
             problems.append(Problem(file, "listen", key, found, allowed))
+        # Operators and other routers connect to what stands here.
+        if key != "callers" and ipaddress.ip_address(parts[0]).is_unspecified:
+            allowed = "the IP number of one interface"
+            problems.append(Problem(file, "listen", key, repr(address), allowed))
     return problems
 
 
@@ -289,6 +302,8 @@
     problems += _check_shared_key(values, file, read_key)
     if problems:
         raise SettingsError(problems)
+    advertised = values["advertised_peers_address"] or values["peers_address"]
+    values["advertised_peers_address"] = advertised
     return RouterSettings(**values)
 
 
--- a/packages/lagoonsail-core/src/lagoonsail_core/messages.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/messages.py
@@ -81,6 +81,8 @@
     """Hashes of the prompt's prefixes, shortest first; empty for plain services."""
     key: int
     """Hash of the idempotency key of a call that may not be repeated, else 0."""
+    call: int
+    """Number of the call at the sender; the same for each ticket of one call."""
     age_ms: float
     """How long the request has waited at the sender already."""
 
@@ -262,6 +264,8 @@
 """The answer arrived whole."""
 OUTCOME_NOT_RUN = "not_run"
 """No byte of the request reached the server."""
+OUTCOME_UNREACHABLE = "unreachable"
+"""The server could not be connected to, so no byte of the request reached it."""
 OUTCOME_REFUSED = "refused"
 """The server refused the request without running it."""
 OUTCOME_BROKEN = "broken"
@@ -366,7 +370,8 @@
         raise FrameError(f"frame of {len(data)} bytes, at most {MAX_FRAME_BYTES}")
     try:
         frame = msgpack.unpackb(data, strict_map_key=False)
-    except (ValueError, msgpack.UnpackException) as error:
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
+        # A map with a list as key raises TypeError.
         raise FrameError(f"frame that is not msgpack ({error})") from error
     if type(frame) is not list or len(frame) != 2:
         raise FrameError("frame that is not a pair")
