Add lagoonctl timeline, and check the advertised address as an address

Cause: operators need the events of all routers in one order. Ruled out: failing the whole command on one router's malformed events; that router is named and the others are shown.

--- a/packages/lagoonsail-config/src/lagoonsail_config/checked_ini.py
+++ b/packages/lagoonsail-config/src/lagoonsail_config/checked_ini.py
@@ -449,18 +449,23 @@
     return text
 
 
-def address_key(name: str, attribute: str = "") -> Key:
-    """Describe a required key that holds an address of a TCP server.
+def address_key(name: str, default: str | None = REQUIRED, attribute: str = "") -> Key:
+    """Describe a key that holds an address of a TCP server.
 
     Args:
         name: Name of the key.
-        attribute: Name of the value in the result, if it differs.
+        default: Text that holds when the key is missing; empty for no address.
+        attribute: Name of the value in the result, if it differs from the key's.
 
     Returns:
         The key; its value is the text.
     """
+
+    def read(text: str) -> str:
+        return text if text == default == "" else _read_remote_address(text)
+
     allowed = "IP number:port, port 1 to 65535"
-    return Key(name, _read_remote_address, allowed, attribute=attribute)
+    return Key(name, read, allowed, default, attribute)
 
 
 def address_list_key(
--- a/packages/lagoonsail-config/src/lagoonsail_config/settings.py
+++ b/packages/lagoonsail-config/src/lagoonsail_config/settings.py
@@ -50,9 +50,9 @@
         name_key("failure_domain"),
     ),
     "listen": (
-        address_key("callers", "callers_address"),
-        address_key("admin", "admin_address"),
-        address_key("peers", "peers_address"),
+        address_key("callers", attribute="callers_address"),
+        address_key("admin", attribute="admin_address"),
+        address_key("peers", attribute="peers_address"),
     ),
     "store": (
         address_list_key("endpoints", attribute="store_endpoints"),
@@ -77,13 +77,7 @@
         number_key("max_lag_ms", 0, 600_000, "ms", "10000", "host_list_max_lag_ms"),
     ),
     "peers": (
-        pattern_key(
-            "advertised",
-            r"([0-9a-zA-Z.:\[\]-]+:[0-9]{1,5})?",
-            "an address HOST:PORT that other routers dial, if not the one listened on",
-            "",
-            "advertised_peers_address",
-        ),
+        address_key("advertised", "", "advertised_peers_address"),
         pattern_key("shared_key_file", r".*", "path of a file", ""),
         number_key("heartbeat_ms", 10, 60_000, "ms", "500"),
         number_key("silence_ms", 20, 600_000, "ms", "2000"),
@@ -241,7 +235,10 @@
             allowed = "an address of its own"
             problems.append(Problem(file, "listen", key, found, allowed))
         # Operators and other routers connect to what stands here.
-        if key != "callers" and ipaddress.ip_address(parts[0]).is_unspecified:
+        is_dialled = key == "admin" or (
+            key == "peers" and values.get("advertised_peers_address") == ""
+        )
+        if is_dialled and ipaddress.ip_address(parts[0]).is_unspecified:
             allowed = "the IP number of one interface"
             problems.append(Problem(file, "listen", key, repr(address), allowed))
     return problems
--- a/packages/lagoonsail-config/tests/test_settings.py
+++ b/packages/lagoonsail-config/tests/test_settings.py
@@ -82,6 +82,20 @@
     }
 
 
+def test_advertised_address_goes_before_the_one_listened_on(
+    write_settings, settings_text, tmp_path
+):
+    settings = load_settings(write_settings(settings_text))
+    assert settings.advertised_peers_address == "[::1]:8082"
+    (tmp_path / "key").write_text("0123456789abcdef\n")
+    text = settings_text.replace("[::1]:8082", "0.0.0.0:8082")
+    text += "[peers]\nshared_key_file = key\nadvertised = 10.0.0.7:8082\n"
+    settings = load_settings(write_settings(text))
+    assert settings.advertised_peers_address == "10.0.0.7:8082"
+    text = text.replace("10.0.0.7", "host-7")
+    assert set(find_problems(write_settings(text))) == {("peers", "advertised")}
+
+
 def test_lease_must_outlast_a_call(write_settings, settings_text):
     text = settings_text.replace("[store]", "[store]\nlease_ttl_ms = 1000")
     assert set(find_problems(write_settings(text))) == {("store", "timeout_ms")}
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/command.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/command.py
@@ -87,6 +87,8 @@
         return exit_code
     for line in report.lines:
         print(line)
+    for note in report.notes:
+        print(note, file=sys.stderr)
     if report.error:
         print(f"lagoonctl: {report.error}", file=sys.stderr)
     return exit_code
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/main.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/main.py
@@ -16,6 +16,7 @@
     server_in,
     server_out,
 )
+from lagoonsail_ctl.timeline_command import timeline
 
 COMMANDS = {
     "check": command(check),
@@ -28,6 +29,7 @@
     "show": command(show),
     "status": command(status),
     "wait": command(wait),
+    "timeline": command(timeline),
 }
 """Function by command."""
 
@@ -45,6 +47,7 @@
   lagoonctl apply asistente.ini --wait-s 10
   lagoonctl domain-out cordero/norte --wait-s 10
   lagoonctl show cordero/asistente
+  lagoonctl timeline --domain norte --format svg > timeline.svg
   lagoonctl COMMAND --help
 """
 """Last lines of the help."""
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/report.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/report.py
@@ -20,6 +20,8 @@
     """What --json prints."""
     lines: list[str] = field(default_factory=list)
     """What is printed for people."""
+    notes: list[str] = field(default_factory=list)
+    """What is printed for people beside the output, on standard error."""
     error: LagoonsailError | None = None
     """What went wrong after something was done; decides the exit code."""
 
--- /dev/null
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/timeline_command.py
@@ -0,0 +1,193 @@
+"""The command timeline."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Literal
+
+from lagoonsail_core.green import eventlet
+from lagoonsail_core.timeline_view import (
+    TimelineFormatError,
+    merge_events,
+    render_json_lines,
+    render_svg,
+    render_text,
+    select_events,
+)
+from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_ctl.errors import BadInputError, CommandError
+from lagoonsail_ctl.fleet import Answer, Router, ask_all, find_routers
+from lagoonsail_ctl.report import Report
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonsail_ctl.admin_client import AdminClient
+    from lagoonsail_ctl.connection import Connection
+
+POLL_INTERVAL_S = 0.5
+"""Time between two looks for new events."""
+
+MEMBERS_INTERVAL_MS = 5000.0
+"""Time between two looks for new routers while events are followed."""
+
+
+@dataclass(slots=True)
+class Position:
+    """How far the events of one router have been read."""
+
+    logical: int = 0
+    """Logical time of the newest event."""
+    wall_ms: float = float("-inf")
+    """Wall time of the newest event."""
+    is_answering: bool = True
+    """Whether the router answered last time."""
+
+    def is_before(self, event: dict[str, object]) -> bool:
+        """Return whether an event has not been read yet.
+
+        Args:
+            event: An event of the router.
+
+        Returns:
+            Whether it is newer by logical time, or by wall time after a new start.
+        """
+        return event["logical"] > self.logical or event["wall_ms"] > self.wall_ms
+
+
+class TimelineReader:
+    """Reads what is new in the time lines of all routers."""
+
+    __slots__ = ("_connection", "_members_ms", "_positions", "_routers", "silent")
+
+    silent: dict[str, str]
+    """By router, why it did not answer last time."""
+
+    def __init__(self, connection: Connection) -> None:
+        self._connection = connection
+        self._positions: dict[str, Position] = {}
+        self._routers = find_routers(connection)
+        self._members_ms = connection.clock.now_ms()
+        self.silent = {}
+
+    def read(self) -> list[dict[str, object]]:
+        """Return the merged events that are new since the last call."""
+        self._look_for_routers()
+        answers = ask_all(self._connection, self._routers, self._ask)
+        self.silent = {}
+        return merge_events(self._take(answer) for answer in answers)
+
+    def _look_for_routers(self) -> None:
+        now_ms = self._connection.clock.now_ms()
+        if now_ms - self._members_ms < MEMBERS_INTERVAL_MS:
+            return
+        self._members_ms = now_ms
+        try:
+            self._routers = find_routers(self._connection)
+        except CommandError:
+            # The routers that are known can be followed without the service.
+            return
+
+    def _ask(self, client: AdminClient) -> list[dict[str, object]] | Unavailable:
+        position = self._positions.setdefault(client.address, Position())
+        # One that did not answer may have started anew, with an earlier logical time.
+        events = client.get_timeline(position.logical if position.is_answering else 0)
+        position.is_answering = not isinstance(events, Unavailable)
+        if isinstance(events, Unavailable):
+            return events
+        try:
+            merged = merge_events([events])
+        except TimelineFormatError as error:
+            return Unavailable(str(error))
+        return [
+            event
+            for event in merged
+            if event["logical"] > position.logical
+            or event["wall_ms"] > position.wall_ms
+        ]
+
+    def _take(self, answer: Answer) -> list[dict[str, object]]:
+        if isinstance(answer.result, Unavailable):
+            self.silent[answer.router.name] = answer.result.reason
+            return []
+        self._advance(answer.router, answer.result)
+        return answer.result
+
+    def _advance(self, router: Router, events: list[dict[str, object]]) -> None:
+        if not events:
+            return
+        position = self._positions[router.address]
+        position.logical = events[-1]["logical"]
+        position.wall_ms = max(event["wall_ms"] for event in events)
+
+
+def timeline(
+    connection: Connection,
+    *,
+    follow: bool = False,
+    request: str = "",
+    server: str = "",
+    account: str = "",
+    domain: str = "",
+    format: Literal["text", "json", "svg"] = "text",
+) -> Report:
+    """Show the events of all routers in one order.
+
+    An event stands after all that may have caused it. Each line has the wall time
+    (UTC), the logical time, the router and what happened. Routers keep their last
+    events only. With --routers it works while the key-value service is down.
+
+    Examples::
+
+        lagoonctl timeline --follow
+        lagoonctl timeline --server asistente-3 --format json
+        lagoonctl timeline --domain norte --format svg > timeline.svg
+
+    Args:
+        connection: Key-value service and routers.
+        follow: Go on showing new events until interrupted.
+        request: Only events of this request.
+        server: Only events of this backend server.
+        account: Only events of this client account.
+        domain: Only events of this failure domain.
+        format: text (else), json with one event a line, or svg.
+    """
+    filters = {
+        "request": request,
+        "server": server,
+        "account": account,
+        "failure_domain": domain,
+    }
+    wanted = {field: value for field, value in filters.items() if value}
+    render = _RENDER[format]
+    if follow and format == "svg":
+        raise BadInputError("an svg cannot be followed", "use --format text or json")
+    reader = TimelineReader(connection)
+    if follow:
+        return _follow(reader, wanted, render)
+    events = select_events(reader.read(), wanted)
+    notes = [f"no events of {name}: {why}" for name, why in reader.silent.items()]
+    data = {"events": events, "no_answer": reader.silent}
+    return Report(data, render(events).splitlines(), notes)
+
+
+def _follow(
+    reader: TimelineReader,
+    wanted: dict[str, str],
+    render: Callable[[list], str],
+) -> Report:
+    """Print new events until the command is interrupted."""
+    try:
+        while True:
+            events = select_events(reader.read(), wanted)
+            print(render(events), end="", flush=True)
+            eventlet.sleep(POLL_INTERVAL_S)
+    except KeyboardInterrupt:
+        return Report({"no_answer": reader.silent})
+
+
+_RENDER: dict[str, Callable[[list], str]] = {
+    "text": render_text,
+    "json": render_json_lines,
+    "svg": render_svg,
+}
--- a/packages/lagoonsail-ctl/tests/conftest.py
+++ b/packages/lagoonsail-ctl/tests/conftest.py
@@ -80,6 +80,7 @@
         self.events: list[dict] = []
         self.refused = 0
         self.takes_documents = True
+        self.answers = True
         self.status = {
             "router": name,
             "incarnation": 1,
@@ -115,6 +116,9 @@
             self.refused += 1
             start_response("401 Unauthorized", [])
             return [json.dumps({"error": str(error)}).encode()]
+        if not self.answers:
+            start_response("503 Service Unavailable", [])
+            return [b"{}"]
         start_response("200 OK", [("Content-Type", "application/json")])
         if path == "/documents":
             self._take(json.loads(body))
