Read the incarnation of a load report, and never lose a task's failure

Cause: a new owner waited 10 s for a load report, since reading one raised an error that a bare green thread printed and nobody counted. Ruled out: the stand-in's report, which a direct call showed; the hand-over itself, which took 40 ms. Change: the body and the incarnation are returned together; every task of the router counts and logs a failure.

--- a/packages/lagoonsail-router/src/lagoonsail_router/context.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/context.py
@@ -91,6 +91,37 @@
         self.counters[name, label] += amount
 
 
+def start_task(
+    context: RouterContext, name: str, function: Callable, *arguments: object
+) -> None:
+    """Run a function in a task of its own; if it fails, that is counted and logged.
+
+    Args:
+        context: The router's shared state.
+        name: Name of the task in metrics and logs.
+        function: What to run.
+        *arguments: Its arguments.
+    """
+    eventlet.spawn_n(_run_guarded, context, name, function, *arguments)
+
+
+def start_later(
+    context: RouterContext, name: str, delay_ms: float, function: Callable[[], None]
+) -> None:
+    """Run a function after a while; if it fails, that is counted and logged."""
+    eventlet.spawn_after(delay_ms / 1000.0, _run_guarded, context, name, function)
+
+
+def _run_guarded(
+    context: RouterContext, name: str, function: Callable, *arguments: object
+) -> None:
+    try:
+        function(*arguments)
+    except Exception:
+        context.count("task_errors_total", name)
+        context.logger.exception("task {} failed", name)
+
+
 def repeat(
     context: RouterContext, interval_ms: float, step: Callable[[], None], name: str
 ) -> None:
@@ -107,11 +138,7 @@
 
     def loop() -> None:
         while True:
-            try:
-                step()
-            except Exception:
-                context.count("task_errors_total", name)
-                context.logger.exception("task {} failed", name)
+            _run_guarded(context, name, step)
             eventlet.sleep(interval_ms / 1000.0)
 
     eventlet.spawn_n(loop)
--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -21,7 +21,7 @@
 )
 from lagoonsail_router.admin import Admin, unready_reason
 from lagoonsail_router.configuration import DOCUMENTS, Configuration
-from lagoonsail_router.context import LEAVING, RouterContext, repeat
+from lagoonsail_router.context import LEAVING, RouterContext, repeat, start_task
 from lagoonsail_router.digests import DigestStore
 from lagoonsail_router.entry import Entry
 from lagoonsail_router.local_stream import LocalStream
@@ -173,7 +173,7 @@
         digest = self._digests.find(shard)
         if digest:
             owner.adopt(digest)
-        eventlet.spawn_n(owner.poll)
+        start_task(self.context, "first_poll", owner.poll)
         return owner
 
     def _successor_streams(self, shard: str) -> list:
@@ -278,7 +278,7 @@
         renew_ms = settings.lease_ttl_ms / 6
         self.right.read_hosts()
         self.right.register()
-        eventlet.spawn_n(self._sync.run)
+        start_task(self.context, "store_sync", self._sync.run)
         repeat(context, renew_ms, self.right.renew, "renew")
         repeat(context, renew_ms, self.right.renew_through_peers, "renew_by_peers")
         repeat(context, renew_ms, self.right.gather_promises, "promises")
--- a/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
@@ -15,13 +15,14 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.green import eventlet
+from lagoonsail_router.context import start_task
 from lagoonsail_store.store_client import Conflict, Written
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lagoonsail_router.context import RouterContext
-    from lagoonsail_store.store_client import StoreClient
+    from lagoonsail_router.context import RouterContext, start_task
+from lagoonsail_store.store_client import StoreClient
 
 RETENTION_MS = 900_000.0
 """How long a key is remembered at the least."""
@@ -152,7 +153,7 @@
         if self._is_running:
             return
         self._is_running = True
-        eventlet.spawn_n(self._flush_all)
+        start_task(self._context, "key_log", self._flush_all)
 
     def _flush_all(self) -> None:
         try:
--- a/packages/lagoonsail-router/src/lagoonsail_router/load_reports.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/load_reports.py
@@ -54,7 +54,7 @@
         pool.close()
     if response.status != 200:
         return Unavailable(f"{address}{path} answered {response.status}")
-    return body
+    return body, response.headers.get("X-Server-Incarnation", "")
 
 
 def read_load(address: str, clock: Clock) -> LoadReport | Unavailable:
--- a/packages/lagoonsail-router/src/lagoonsail_router/ownership.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/ownership.py
@@ -16,7 +16,7 @@
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.invariants import require
 from lagoonsail_router.configuration import OWNED, RELEASED, SHARDS
-from lagoonsail_router.context import LEAVING, SERVING
+from lagoonsail_router.context import LEAVING, SERVING, start_task
 from lagoonsail_sharing.assignment import rendezvous_owner
 from lagoonsail_store.store_client import Conflict, Written
 
@@ -150,7 +150,7 @@
         if record and not self._is_free(shard, record):
             return
         self._claiming.add(shard)
-        eventlet.spawn_n(self._claim, shard, record)
+        start_task(self._context, "claim", self._claim, shard, record)
 
     def _is_free(self, shard: str, record: ShardRecord) -> bool:
         if record.state == RELEASED:
@@ -208,7 +208,7 @@
         if owner.is_releasing:
             return
         owner.is_releasing = True
-        eventlet.spawn_n(self._release, shard, owner)
+        start_task(self._context, "release", self._release, shard, owner)
 
     def _release(self, shard: str, owner: ShardOwner) -> None:
         """Hand a shard over without waiting for a lease to end."""
--- a/packages/lagoonsail-router/src/lagoonsail_router/right.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/right.py
@@ -26,6 +26,7 @@
     RenewResult,
 )
 from lagoonsail_router.configuration import MEMBERS
+from lagoonsail_router.context import start_task
 from lagoonsail_store.store_client import Written
 
 if TYPE_CHECKING:
@@ -33,10 +34,10 @@
 
     from lagoonsail_peer.stream import PeerStream
     from lagoonsail_router.configuration import Configuration
-    from lagoonsail_router.context import RouterContext
+    from lagoonsail_router.context import RouterContext, start_task
     from lagoonsail_router.peers import PeerDirectory
     from lagoonsail_store.host_list import HostList
-    from lagoonsail_store.store_client import StoreClient
+from lagoonsail_store.store_client import StoreClient
 
 FULL = "full"
 """The lease was renewed recently."""
@@ -330,7 +331,7 @@
                 ttl_ms = STORE_DOWN_TTL_MS
             stream.send(RenewResult(request.nonce, ttl_ms))
 
-        eventlet.spawn_n(renew)
+        start_task(self._context, "renew_for_peer", renew)
 
     def _take_promise_request(
         self, stream: PeerStream, request: PromiseRequest
--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -8,7 +8,6 @@
 
 from xxhash import xxh64_intdigest
 
-from lagoonsail_core.green import eventlet
 from lagoonsail_core.invariants import require
 from lagoonsail_core.messages import (
     OUTCOME_BROKEN,
@@ -27,6 +26,7 @@
     SlotRefusal,
 )
 from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_router.context import start_later, start_task
 from lagoonsail_router.key_log import KeyLog
 from lagoonsail_router.load_reports import REPORT_LAG_MS, read_cache_events, read_load
 from lagoonsail_router.right import GUARDED, LAPSED
@@ -431,7 +431,7 @@
         pause_ms = min(FIRST_PAUSE_MS * 2**server.refusals, LONGEST_PAUSE_MS)
         server.refusals += 1
         server.paused_until_ms = max(server.paused_until_ms, now_ms + pause_ms)
-        eventlet.spawn_after(pause_ms / 1000.0, self.pump)
+        start_later(self._context, "pump", pause_ms, self.pump)
 
     def _refuse(self, waiting: Waiting, reason: str) -> None:
         self._context.count("slot_refusals_total", reason)
@@ -539,7 +539,7 @@
             self.keys.load()
         self.keys.expire()
         for name in list(self.servers):
-            eventlet.spawn_n(self._poll_server, name)
+            start_task(self._context, "poll_server", self._poll_server, name)
 
     def _poll_server(self, name: str) -> None:
         server = self.servers[name]
