Refuse records whose fields have another type than expected

Cause: a member or shard record was taken in whatever the types of its fields were; an epoch that is a string made every later step of Ownership fail. Ruled out: the sender's frame check, which sees only that the value is text. Change: the types of the fields are checked where the record is parsed. Before: 5 of 5 new cases (one per field) accepted the record. After: none does; test_configuration.py passes.

--- a/packages/lagoonsail-router/src/lagoonsail_router/configuration.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/configuration.py
@@ -9,7 +9,7 @@
 
 import json
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, get_type_hints
 
 from xxhash import xxh64_intdigest
 
@@ -100,11 +100,15 @@
 
 
 def _parse_json(value: str, kind: type, names: tuple[str, ...]) -> object | None:
+    hints = get_type_hints(kind)
     try:
         fields = json.loads(value)
-        return kind(**{name: fields[name] for name in names})
-    except (ValueError, KeyError, TypeError):
+        found = {name: fields[name] for name in names}
+    except (ValueError, KeyError, TypeError, RecursionError):
         return None
+    if any(type(item) is not hints[name] for name, item in found.items()):
+        return None
+    return kind(**found)
 
 
 class Configuration:
