Keep a key stored for a call that asks again while it is being freed

Cause: a call whose slot came back unused frees its key; if the same call asked again while the freeing write was on its way, the key counted as stored though the write removed it, so a later owner would have let a retry run a second time. Likewise a call that asked again over a new stream stood twice in the log: its overdue or outdated request freed the key under the younger one. Ruled out: lost answers alone; the keys are written again in a later record. Change: keys being freed are not taken for stored, and a call stands at most once among the pending. Before: test_call_that_asks_again_while_its_key_is_being_freed_is_stored_again read {11: 0} instead of {11: 101}, and the key of an overdue request was free for another call. After: test_key_log.py passes.

--- a/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
@@ -21,8 +21,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lagoonsail_router.context import RouterContext, start_task
-from lagoonsail_store.store_client import StoreClient
+    from lagoonsail_router.context import RouterContext
+    from lagoonsail_store.store_client import StoreClient
 
 RETENTION_MS = 900_000.0
 """How long a key is remembered at the least."""
@@ -53,8 +53,9 @@
     __slots__ = (
         "_context",
         "_epoch",
-        "_is_running",
+        "_freeing",
         "_given_back",
+        "_is_running",
         "_lease",
         "_lease_ms",
         "_pending",
@@ -78,8 +79,9 @@
         self._prefix = keys_prefix(shard)
         self._stored: dict[int, int] = {}
         self._used: dict[int, tuple[int, float]] = {}
-        self._pending: list[_Pending] = []
+        self._pending: dict[int, _Pending] = {}
         self._given_back: set[int] = set()
+        self._freeing: set[int] = set()
         self._is_running = False
         self._sequence = 0
         self._lease = 0
@@ -120,6 +122,9 @@
     ) -> None:
         """Record a key, then call back with whether it is stored.
 
+        A call that asks again takes the place of its earlier request, which is not
+        called back.
+
         Args:
             key: Hash of the idempotency key; not in use by another call.
             origin: Origin of the call.
@@ -129,10 +134,12 @@
         now_ms = self._context.clock.now_ms()
         self._used[key] = (origin, now_ms)
         self._given_back.discard(key)
-        if self._stored.get(key) == origin:
+        self._pending.pop(key, None)
+        # A write that frees the key may be on the way; then it must be stored again.
+        if self._stored.get(key) == origin and key not in self._freeing:
             on_recorded(True)
             return
-        self._pending.append(_Pending(key, origin, on_recorded, now_ms))
+        self._pending[key] = _Pending(key, origin, on_recorded, now_ms)
         self._start_flushing()
 
     def give_back(self, key: int) -> None:
@@ -164,25 +171,28 @@
             self._is_running = False
 
     def _flush(self) -> None:
-        batch = list(self._pending)
-        freed = set(self._given_back)
+        batch = list(self._pending.values())
+        self._freeing = set(self._given_back)
         changes = [[item.key, item.origin] for item in batch]
-        changes += [[key, 0] for key in freed]
-        if self._write(changes):
-            del self._pending[: len(batch)]
-            self._given_back -= freed
-            self._stored.update(changes)
-            for item in batch:
-                item.on_recorded(True)
+        changes += [[key, 0] for key in self._freeing]
+        is_written = self._write(changes)
+        freed, self._freeing = self._freeing, set()
+        if not is_written:
+            self._give_up_overdue()
             return
-        self._give_up_overdue()
+        self._given_back -= freed
+        self._stored.update(changes)
+        for item in batch:
+            if self._pending.get(item.key) is item:
+                del self._pending[item.key]
+                item.on_recorded(True)
 
     def _give_up_overdue(self) -> None:
         oldest_ms = self._context.clock.now_ms() - WAIT_LIMIT_MS
-        overdue = [item for item in self._pending if item.since_ms < oldest_ms]
-        self._pending = [item for item in self._pending if item.since_ms >= oldest_ms]
+        overdue = [item for item in self._pending.values() if item.since_ms < oldest_ms]
         for item in overdue:
             # The write may have taken effect all the same, so it is taken back too.
+            del self._pending[item.key]
             self._used.pop(item.key, None)
             self._given_back.add(item.key)
             item.on_recorded(False)
