Let a router ask two questions of its peers at once

Cause: the renewal through peers and the gathering of promises run in two tasks, but whichever ended removed the attempt with the newest number. The other one's answers were then dropped, and it failed with KeyError. A renewal that was under way while a peer told that the lease had lapsed also set the times of a right without a lease. Ruled out: late answers; each attempt already counts from when it was sent. Change: an attempt is removed by its own number; the result of a renewal of an earlier lease is left out. Before: test_promises_are_gathered_while_a_renewal_through_peers_is_on_its_way failed with KeyError: 2. After: test_right.py passes.

--- a/packages/lagoonsail-router/src/lagoonsail_router/right.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/right.py
@@ -34,10 +34,10 @@
 
     from lagoonsail_peer.stream import PeerStream
     from lagoonsail_router.configuration import Configuration
-    from lagoonsail_router.context import RouterContext, start_task
+    from lagoonsail_router.context import RouterContext
     from lagoonsail_router.peers import PeerDirectory
     from lagoonsail_store.host_list import HostList
-from lagoonsail_store.store_client import StoreClient
+    from lagoonsail_store.store_client import StoreClient
 
 FULL = "full"
 """The lease was renewed recently."""
@@ -173,7 +173,11 @@
             self.register()
             return
         sent_ms = self._context.clock.now_ms()
-        ttl_ms = self._store.renew_lease(self.lease)
+        lease = self.lease
+        ttl_ms = self._store.renew_lease(lease)
+        if lease != self.lease:
+            # A peer has told meanwhile that the lease had lapsed.
+            return
         if isinstance(ttl_ms, float):
             self._take_ttl(sent_ms, ttl_ms)
             return
@@ -304,12 +308,14 @@
         if not streams or not all(streams):
             return None
         self._nonce += 1
+        # Another question may begin while this one waits.
+        nonce = self._nonce
         attempt = _Attempt(self._context.clock.now_ms(), set(names))
-        self._attempts[self._nonce] = attempt
+        self._attempts[nonce] = attempt
         for stream in streams:
-            stream.send(make(self._nonce))
+            stream.send(make(nonce))
         self._wait_for_answers(attempt)
-        del self._attempts[self._nonce]
+        del self._attempts[nonce]
         return attempt
 
     def _wait_for_answers(self, attempt: _Attempt) -> None:
--- /dev/null
+++ b/packages/lagoonsail-router/tests/test_right.py
@@ -0,0 +1,292 @@
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+
+from lagoonsail_core.clock import MAX_RATE_ERROR
+from lagoonsail_core.green import eventlet
+from lagoonsail_core.messages import (
+    PromiseRequest,
+    PromiseResult,
+    RenewRequest,
+    RenewResult,
+)
+from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_router.right import (
+    EXTENDED,
+    FULL,
+    GUARDED,
+    LAPSED,
+    PROMISE_MS,
+    STORE_DOWN_TTL_MS,
+    Right,
+)
+
+TTL_MS = 3000.0
+
+
+@pytest.fixture
+def hosts():
+    """The host list's answer; two other routers and one of another region."""
+    labels = {"region": "sierra-central"}
+    far = SimpleNamespace(name="kalapati-1", labels={"region": "luzon"})
+    near = [SimpleNamespace(name=f"cordero-{n}", labels=labels) for n in (1, 2, 3)]
+    return [*near, far]
+
+
+@pytest.fixture
+def lost():
+    return []
+
+
+@pytest.fixture
+def right(context, configuration, store, peers, hosts, lost):
+    host_list = SimpleNamespace(read=lambda: hosts)
+    right = Right(
+        context, configuration, store, host_list, peers, lambda: lost.append(1)
+    )
+    assert right.level() == LAPSED
+    right.read_hosts()
+    assert right.register()
+    return right
+
+
+def answer_with(peers, stream, make):
+    """Let the remote side answer each request at once, if make returns anything."""
+
+    def answer(message):
+        result = make(message)
+        if result is not None:
+            peers.deliver(stream, result)
+
+    stream.on_send = answer
+
+
+def promise(message):
+    if isinstance(message, PromiseRequest):
+        return PromiseResult(message.nonce, True, "")
+    return RenewResult(message.nonce, STORE_DOWN_TTL_MS)
+
+
+def test_right_goes_from_full_over_guarded_to_lapsed(right, store, time):
+    store.down = True
+    assert right.level() == FULL
+    time.pass_ms(TTL_MS / 2)
+    right.renew()
+    assert right.level() == GUARDED
+    # The holder stops before the lease ends on the slowest clock.
+    time.pass_ms(TTL_MS / 2 - TTL_MS * MAX_RATE_ERROR)
+    assert right.level() == LAPSED
+
+
+def test_renewal_counts_from_when_it_was_sent(right, store, time):
+    store.before_answer = lambda: time.pass_ms(1000.0)
+    sent_ms = time.now_ms
+    right.renew()
+    assert right.renewed_ms == sent_ms
+    assert right.lease_until_ms == sent_ms + TTL_MS * (1 - MAX_RATE_ERROR)
+
+
+def test_shorter_time_that_the_service_grants_counts(right, store, time):
+    time.pass_ms(TTL_MS * 0.9)
+    store.ttl_ms = 1000.0
+    right.renew()
+    assert right.level() == FULL
+    time.pass_ms(1000.0)
+    assert right.level() == LAPSED
+
+
+def test_lapsed_lease_ends_the_right_at_once_and_another_is_taken(right, store, lost):
+    store.ttl_ms = 0.0
+    lease = right.lease
+    right.renew()
+    assert (right.level(), right.lease, lost) == (LAPSED, 0, [1])
+    right.renew()
+    assert right.level() == FULL
+    assert right.lease > lease
+
+
+def test_late_renewal_of_an_earlier_lease_gives_no_right(right, store, lost):
+    def lapse():
+        store.before_answer = lambda: None
+        right._take_ttl(right._context.clock.now_ms(), 0.0)
+
+    store.before_answer = lapse
+    right.renew()
+    assert (right.level(), right.lease, lost) == (LAPSED, 0, [1])
+
+
+def test_member_record_is_written_under_the_lease(right, store, configuration):
+    (entry,) = [e for key, e in store.entries.items() if "members/" in key]
+    assert entry.lease == right.lease
+    assert configuration.members["cordero-1"].lease == right.lease
+
+
+def test_lease_is_renewed_through_a_peer(right, store, peers, time):
+    store.down = True
+    stream = peers.connect("cordero-2")
+    time.pass_ms(TTL_MS * 0.8)
+    sent_ms = time.now_ms
+
+    def renew(message):
+        time.pass_ms(100.0)
+        return RenewResult(message.nonce, TTL_MS)
+
+    answer_with(peers, stream, renew)
+    right.renew_through_peers()
+    assert right.level() == FULL
+    assert right.renewed_ms == sent_ms
+
+
+def test_peer_without_the_service_renews_nothing(right, store, peers, time, lost):
+    store.down = True
+    answer_with(peers, peers.connect("cordero-2"), promise)
+    time.pass_ms(TTL_MS * 0.8)
+    until_ms = right.lease_until_ms
+    right.renew_through_peers()
+    assert right.lease_until_ms == until_ms
+    assert right.level() == GUARDED
+    assert lost == []
+
+
+def test_answer_of_a_router_that_was_not_asked_does_not_count(
+    right, store, peers, time
+):
+    store.down = True
+    asked, other = peers.connect("cordero-2"), peers.connect("cordero-3")
+    peers.streams = {"cordero-2": [asked]}
+    time.pass_ms(TTL_MS * 0.8)
+    asked.on_send = lambda message: peers.deliver(
+        other, RenewResult(message.nonce, TTL_MS)
+    )
+    eventlet.spawn_after(0.05, time.pass_ms, 2000.0)
+    right.renew_through_peers()
+    assert right.level() == LAPSED
+
+
+def gather_through(right, store, peers, time, names, make=promise):
+    store.down = True
+    for name in names:
+        answer_with(peers, peers.connect(name), make)
+    time.pass_ms(TTL_MS)
+    assert right.level() == LAPSED
+    eventlet.spawn_after(0.05, time.pass_ms, 1600.0)
+    right.gather_promises()
+
+
+def test_promises_of_all_routers_of_the_region_extend_the_right(
+    right, store, peers, time
+):
+    begun_ms = time.now_ms + TTL_MS
+    gather_through(right, store, peers, time, ["cordero-2", "cordero-3"])
+    assert right.level() == EXTENDED
+    assert right.promise_until_ms == begun_ms + PROMISE_MS * (1 - MAX_RATE_ERROR)
+    time.pass_ms(PROMISE_MS)
+    assert right.level() == LAPSED
+
+
+def test_one_missing_router_gives_no_extension(right, store, peers, time):
+    gather_through(right, store, peers, time, ["cordero-2"])
+    assert right.level() == LAPSED
+
+
+def test_one_silent_router_gives_no_extension(right, store, peers, time):
+    silent = peers.connect("cordero-3")
+    gather_through(right, store, peers, time, ["cordero-2"])
+    assert silent.of(PromiseRequest)
+    assert right.level() == LAPSED
+
+
+def test_one_refusal_gives_no_extension(right, store, peers, time):
+    refused = [False, True]
+
+    def answer(message):
+        return PromiseResult(message.nonce, refused.pop(), "it reaches the service")
+
+    names = ["cordero-2", "cordero-3"]
+    gather_through(right, store, peers, time, names, answer)
+    assert right.level() == LAPSED
+
+
+def test_old_host_list_gives_no_extension(right, store, peers, time, context):
+    time.pass_ms(context.settings.host_list_max_lag_ms / 2)
+    gather_through(right, store, peers, time, ["cordero-2", "cordero-3"])
+    assert right.level() == LAPSED
+
+
+def test_promises_are_gathered_while_a_renewal_through_peers_is_on_its_way(
+    right, store, peers, time, context, wait_until
+):
+    """Two questions at once, of which the first ends last."""
+    pending = []
+
+    def answer(message):
+        if isinstance(message, RenewRequest):
+            pending.append(message)
+            return None
+        return promise(message)
+
+    store.down = True
+    streams = [peers.connect(name) for name in ("cordero-2", "cordero-3")]
+    for stream in streams:
+        answer_with(peers, stream, answer)
+    time.pass_ms(TTL_MS * 0.9)
+    renewal = eventlet.spawn(right.renew_through_peers)
+    wait_until(lambda: len(pending) == 2)
+    right.gather_promises()
+    assert right.promise_until_ms > time.now_ms
+    for stream, message in zip(streams, pending, strict=True):
+        peers.deliver(stream, RenewResult(message.nonce, TTL_MS))
+    renewal.wait()
+    assert right.level() == FULL
+    assert right._attempts == {}
+
+
+def test_promise_is_given_only_without_the_service_and_counts_from_receipt(
+    right, store, peers, time
+):
+    stream = peers.connect("cordero-2")
+    peers.deliver(stream, PromiseRequest(1, PROMISE_MS))
+    assert [m.promised for m in stream.of(PromiseResult)] == [False]
+    assert right.promised_until_ms("cordero-2") == float("-inf")
+    time.pass_ms(TTL_MS)
+    peers.deliver(stream, PromiseRequest(2, PROMISE_MS))
+    assert [m.promised for m in stream.of(PromiseResult)] == [False, True]
+    until_ms = time.now_ms + PROMISE_MS * (1 + MAX_RATE_ERROR)
+    assert right.promised_until_ms("cordero-2") == until_ms
+    # A shorter promise does not take back a longer one.
+    peers.deliver(stream, PromiseRequest(3, 1.0))
+    assert right.promised_until_ms("cordero-2") == until_ms
+
+
+def test_lease_of_a_peer_is_renewed_or_the_outage_reported(
+    right, store, peers, wait_until
+):
+    stream = peers.connect("cordero-2")
+    peers.deliver(stream, RenewRequest(1, 55))
+    wait_until(lambda: stream.of(RenewResult))
+    store.down = True
+    peers.deliver(stream, RenewRequest(2, 55))
+    wait_until(lambda: len(stream.of(RenewResult)) == 2)
+    assert [m.ttl_ms for m in stream.sent] == [TTL_MS, STORE_DOWN_TTL_MS]
+
+
+def test_router_may_take_over_once_it_was_listed_for_the_longest_lag(
+    right, hosts, time, context
+):
+    lag_ms = context.settings.host_list_max_lag_ms
+    time.pass_ms(lag_ms)
+    assert not right.may_take_over()
+    time.pass_ms(1)
+    assert right.may_take_over()
+    del hosts[0]
+    right.read_hosts()
+    assert not right.may_take_over()
+
+
+def test_host_list_that_fails_changes_nothing(right, time, context):
+    right._host_list.read = lambda: Unavailable("down")
+    time.pass_ms(context.settings.host_list_max_lag_ms + 1)
+    right.read_hosts()
+    assert right.may_take_over()
