Grant nothing while the outcome of a release is unknown

Cause: when the write that releases a shard got no answer, the owner went on granting, though the record may have been written and any other router may claim a released shard at once: two owners for as long as the watch lagged. When the record had passed to another owner meanwhile, the old one wrote its release over the newer record. Ruled out: reading back inside put_if, which cannot help while the service does not answer. Change: the owner stays without grants and repeats the write until it is known to be written or superseded, or the right ends. Before: three new cases in test_ownership.py failed. After: all pass. Cost: if the service goes away in just this moment, the shard is not served until it is back or the lease has ended.

--- a/packages/lagoonsail-router/src/lagoonsail_router/ownership.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/ownership.py
@@ -33,6 +33,8 @@
 """Shards of one router above this multiple of the mean are given away."""
 REBALANCE_INTERVAL_MS = 5000.0
 """Least time between two shards that one router gives away for balance."""
+RELEASE_RETRY_MS = 100.0
+"""Pause before a release whose outcome is unknown is written again."""
 
 
 class Ownership:
@@ -218,14 +220,29 @@
         if self.owned.get(shard) is not owner:
             return
         owner.send_digests()
+        while self.owned.get(shard) is owner and not self._write_release(shard, owner):
+            # The record may be written, so nothing is granted until that is known.
+            eventlet.sleep(RELEASE_RETRY_MS / 1000.0)
+
+    def _write_release(self, shard: str, owner: ShardOwner) -> bool:
         record = self._configuration.shards.get(shard)
-        value = self._record_value(owner.epoch, record.lease, RELEASED)
-        written = self._store.put_if(self._key(shard), value, record.revision)
+        if record and (record.epoch > owner.epoch or record.state == RELEASED):
+            # An earlier write was carried out, or another router owns the shard.
+            self._drop(shard)
+            return True
+        lease = record.lease if record else self._right.lease
+        value = self._record_value(owner.epoch, lease, RELEASED)
+        revision = record.revision if record else 0
+        written = self._store.put_if(self._key(shard), value, revision)
+        if self.owned.get(shard) is not owner:
+            return True
+        if isinstance(written, Conflict):
+            self._take_conflict(shard, written)
         if not isinstance(written, Written):
-            owner.is_releasing = False
-            return
+            return False
         self._drop(shard)
         self._configuration.apply(f"{SHARDS}{shard}", written.revision, value)
+        return True
 
     def _rebalance(self, shards: list[str]) -> None:
         now_ms = self._context.clock.now_ms()
--- /dev/null
+++ b/packages/lagoonsail-router/tests/test_ownership.py
@@ -0,0 +1,264 @@
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+
+from lagoonsail_core.clock import longest_ms
+from lagoonsail_core.green import eventlet
+from lagoonsail_router.context import LEAVING
+from lagoonsail_router.ownership import Ownership
+
+SHARD = "cordero/registro@sierra-central"
+KEY = f"/lagoonsail/shards/{SHARD}"
+LEASE = 50
+
+
+class FakeOwner:
+    """What an ownership needs of a shard's owner."""
+
+    def __init__(self, shard, epoch):
+        self.shard, self.epoch = shard, epoch
+        self.is_releasing = False
+        self.unstarted = 0
+        self.log = []
+
+    def refuse_waiting(self):
+        self.log.append("refuse_waiting")
+
+    def send_digests(self):
+        self.log.append("send_digests")
+
+    def stop(self):
+        self.log.append("stop")
+
+    def has_unstarted_grants(self):
+        return self.unstarted > 0
+
+
+@pytest.fixture
+def right():
+    """A right in full force, which may take over and has promised nothing."""
+    return SimpleNamespace(
+        lease=LEASE,
+        hears_store=lambda: True,
+        may_take_over=lambda: True,
+        promised_until_ms=lambda router: float("-inf"),
+    )
+
+
+@pytest.fixture
+def sync(store, configuration):
+    """Takes in what the store holds, as the watch would."""
+
+    def take():
+        for entry in store.entries.values():
+            key = entry.key.removeprefix("/lagoonsail/")
+            configuration.apply(key, entry.revision, entry.value)
+
+    return take
+
+
+@pytest.fixture
+def ownership(context, configuration, store, right, sync, make_document, member_value):
+    name = context.settings.name
+    prefix = "/lagoonsail/"
+    store.put_if(f"{prefix}documents/cordero/registro", make_document(), 0)
+    store.put_if(f"{prefix}members/{name}", member_value(name, LEASE), 0)
+    sync()
+    ownership = Ownership(context, configuration, store, FakeOwner)
+    ownership.attach(right)
+    return ownership
+
+
+@pytest.fixture
+def step(ownership):
+    def run_step():
+        ownership.step()
+        for _ in range(3):
+            eventlet.sleep(0)
+
+    return run_step
+
+
+def test_free_shard_is_claimed_with_the_first_epoch(ownership, step, configuration):
+    step()
+    assert ownership.owned[SHARD].epoch == 1
+    record = configuration.shards[SHARD]
+    assert (record.owner, record.lease, record.epoch) == ("cordero-1", LEASE, 1)
+
+
+def test_nothing_is_claimed_without_the_service_or_a_lease(ownership, step, right):
+    right.lease = 0
+    step()
+    right.lease, right.hears_store = LEASE, lambda: False
+    step()
+    assert ownership.owned == {}
+
+
+def test_claim_that_meets_another_owner_takes_its_record_in(
+    ownership, step, store, configuration, shard_value, context
+):
+    store.put_if(KEY, shard_value("cordero-2", epoch=4), 0)
+    step()
+    assert ownership.owned == {}
+    assert configuration.shards[SHARD].epoch == 4
+    assert context.counters["claim_conflicts_total", ""] == 1
+
+
+def test_claim_whose_answer_was_lost_is_made_again_with_a_new_epoch(
+    ownership, step, store, sync
+):
+    store.lose_answers = True
+    step()
+    assert ownership.owned == {}
+    store.lose_answers = False
+    sync()
+    step()
+    assert ownership.owned[SHARD].epoch == 2
+
+
+def test_claim_under_a_lease_that_lapsed_meanwhile_does_not_count(
+    ownership, step, store, right
+):
+    store.before_answer = lambda: setattr(right, "lease", LEASE + 1)
+    step()
+    assert ownership.owned == {}
+
+
+def test_lapsed_owner_is_followed_after_the_start_window_only(
+    ownership, step, store, sync, time, context, shard_value
+):
+    store.put_if(KEY, shard_value("cordero-2", epoch=4), 0)
+    sync()
+    step()
+    time.pass_ms(longest_ms(context.settings.start_window_ms))
+    step()
+    assert ownership.owned == {}
+    time.pass_ms(1)
+    step()
+    assert ownership.owned[SHARD].epoch == 5
+
+
+def test_owner_that_comes_back_within_the_window_is_waited_for_anew(
+    ownership, step, store, sync, time, context, shard_value, member_value
+):
+    window_ms = longest_ms(context.settings.start_window_ms)
+    store.put_if(KEY, shard_value("cordero-2", epoch=4, lease=7), 0)
+    sync()
+    step()
+    time.pass_ms(window_ms)
+    member = "/lagoonsail/members/cordero-2"
+    store.put_if(member, member_value("cordero-2", lease=7, state="leaving"), 0)
+    sync()
+    step()
+    store.put_if(member, "", store.entries[member].revision)
+    sync()
+    step()
+    time.pass_ms(window_ms)
+    step()
+    assert ownership.owned == {}
+    time.pass_ms(1)
+    step()
+    assert ownership.owned[SHARD].epoch == 5
+
+
+@pytest.mark.parametrize("obstacle", ["promise", "not listed"])
+def test_shard_is_not_taken_over_against_a_promise_or_unlisted(
+    ownership, step, store, sync, time, right, shard_value, obstacle
+):
+    if obstacle == "promise":
+        until_ms = time.now_ms + 9000.0
+        right.promised_until_ms = lambda router: until_ms
+    else:
+        right.may_take_over = lambda: time.now_ms > begun_ms + 9000.0
+    begun_ms = time.now_ms
+    store.put_if(KEY, shard_value("cordero-2", epoch=4), 0)
+    sync()
+    step()
+    time.pass_ms(9000.0)
+    step()
+    assert ownership.owned == {}
+    time.pass_ms(1.0)
+    step()
+    time.pass_ms(2000.0)
+    step()
+    assert ownership.owned[SHARD].epoch == 5
+
+
+def test_released_shard_is_claimed_at_once(
+    ownership, step, store, sync, shard_value, member_value
+):
+    store.put_if(KEY, shard_value("cordero-2", epoch=4, state="released"), 0)
+    sync()
+    step()
+    assert ownership.owned[SHARD].epoch == 5
+
+
+def test_owner_that_was_superseded_drops_its_shard(
+    ownership, step, configuration, shard_value
+):
+    step()
+    owner = ownership.owned[SHARD]
+    record = shard_value("cordero-2", epoch=2)
+    configuration.apply(f"shards/{SHARD}", 99, record)
+    ownership.step()
+    assert ownership.owned == {}
+    assert owner.log == ["stop"]
+
+
+def test_release_waits_for_grants_on_their_way(
+    ownership, step, store, context, configuration, wait_until
+):
+    step()
+    owner = ownership.owned[SHARD]
+    owner.unstarted = 1
+    context.state = LEAVING
+    step()
+    assert owner.is_releasing
+    eventlet.sleep(0.05)
+    assert configuration.shards[SHARD].state == "owned"
+    owner.unstarted = 0
+    wait_until(lambda: not ownership.owned)
+    assert owner.log == ["refuse_waiting", "send_digests", "stop"]
+    assert configuration.shards[SHARD].state == "released"
+    step()
+    assert ownership.owned == {}
+
+
+@pytest.mark.parametrize("is_carried_out", [True, False])
+def test_release_in_doubt_grants_nothing_until_it_is_known(
+    ownership, step, store, context, wait_until, sync, is_carried_out
+):
+    """Another router may claim the shard as soon as the record is written."""
+    step()
+    owner = ownership.owned[SHARD]
+    store.lose_answers, store.down = is_carried_out, not is_carried_out
+    context.state = LEAVING
+    step()
+    wait_until(lambda: owner.log == ["refuse_waiting", "send_digests"])
+    eventlet.sleep(0.05)
+    assert owner.is_releasing
+    store.lose_answers = store.down = False
+    wait_until(lambda: not ownership.owned)
+    assert owner.log[-1] == "stop"
+
+
+def test_release_that_meets_the_next_owner_drops_the_shard(
+    ownership, step, store, context, shard_value, wait_until
+):
+    step()
+    revision = store.entries[KEY].revision
+    store.put_if(KEY, shard_value("cordero-2", epoch=9), revision)
+    context.state = LEAVING
+    step()
+    wait_until(lambda: not ownership.owned)
+    assert store.entries[KEY].value == shard_value("cordero-2", epoch=9)
+
+
+def test_lost_lease_drops_all_shards(ownership, step):
+    step()
+    owner = ownership.owned[SHARD]
+    ownership.drop_all()
+    assert ownership.owned == {}
+    assert owner.log == ["stop"]
