Pass a path on as it was sent, and answer broken bodies with 400

Cause: the path came from the decoded PATH_INFO, so %2F, %3F or a space reached the backend server as another path, query or a request that cannot be written (502, ran unknown). A chunked body that broke off and a deeply nested JSON body ended in the same 502 though nothing had run. Ruled out: the repeatability of calls; it still looks at the decoded path, which is what the server takes the path for. Change: the raw path is checked (400 malformed_path) and passed on; errors while the body is read are 400 truncated_body; nesting is 400 malformed_completion.

--- a/packages/lagoonsail-router/src/lagoonsail_router/call.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/call.py
@@ -7,6 +7,7 @@
 import secrets
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from urllib.parse import unquote
 
 from xxhash import xxh64_intdigest
 
@@ -20,6 +21,9 @@
 REQUEST_ID_PATTERN = re.compile(r"[\x21-\x7e]{1,128}")
 """What request ids and idempotency keys may look like."""
 
+PATH_PATTERN = re.compile(r"[\x21-\x7e]*")
+"""What a path with its query may look like, percent-encoded."""
+
 COMPLETIONS_PATH = "/v1/completions"
 """Path of the completions call of a model engine."""
 
@@ -97,20 +101,21 @@
         CallProblem: If the request cannot be accepted; nothing has run.
     """
     request_id = _read_request_id(env)
-    document, path = _find_service(env, configuration)
+    document, raw_path = _find_service(env, configuration)
     account = _find_account(env, document)
     key = _read_idempotency_key(env)
     body = _read_body(env, document.max_body_bytes)
     method = env["REQUEST_METHOD"]
+    # The server gets the path as it was sent, and takes it for what it decodes to.
+    path = unquote(raw_path, "latin-1")
     is_repeatable = document.is_repeatable(method, path)
     prompt, is_stream, estimate = _read_completion(document, path, body)
-    query = env.get("QUERY_STRING", "")
     return Call(
         request_id=request_id,
         document=document,
         account=account,
         method=method,
-        path=f"{path}?{query}" if query else path,
+        path=_read_target(raw_path, env.get("QUERY_STRING", "")),
         headers=_headers_to_pass_on(env),
         body=body,
         idempotency_key=key,
@@ -144,7 +149,7 @@
 def _find_service(
     env: dict, configuration: Configuration
 ) -> tuple[ServiceDocument, str]:
-    parts = env["PATH_INFO"].split("/", 3)
+    parts = env["RAW_PATH_INFO"].split("/", 3)
     name = "/".join(parts[1:3])
     document = configuration.documents.get(name)
     if document is not None:
@@ -157,6 +162,18 @@
     )
 
 
+def _read_target(raw_path: str, query: str) -> str:
+    target = f"{raw_path}?{query}" if query else raw_path
+    if PATH_PATTERN.fullmatch(target):
+        return target
+    raise CallProblem(
+        400,
+        "malformed_path",
+        "the path has characters that are not printable ASCII",
+        "percent-encode them",
+    )
+
+
 def _find_account(env: dict, document: ServiceDocument) -> str:
     scheme, _, key = env.get("HTTP_AUTHORIZATION", "").partition(" ")
     account = document.account_of_key(key.strip()) if scheme == "Bearer" else None
@@ -210,7 +227,7 @@
     parts = []
     left = length if not is_chunked else max_bytes + 1
     while left > 0:
-        part = env["wsgi.input"].read(min(left, MAX_CHUNK_BYTES))
+        part = _read_part(env, min(left, MAX_CHUNK_BYTES))
         if not part:
             break
         parts.append(part)
@@ -219,15 +236,22 @@
     if len(body) > max_bytes:
         raise _body_too_large(max_bytes)
     if not is_chunked and len(body) != length:
-        raise CallProblem(
-            400,
-            "truncated_body",
-            f"the body ended after {len(body)} of {length} bytes",
-            "send the whole body",
-        )
+        raise _body_truncated(f"the body ended after {len(body)} of {length} bytes")
     return body
 
 
+def _read_part(env: dict, size: int) -> bytes:
+    try:
+        return env["wsgi.input"].read(size)
+    except (OSError, ValueError) as error:
+        # The connection broke, or a chunk has no proper length.
+        raise _body_truncated(f"the body broke off ({error})") from error
+
+
+def _body_truncated(problem: str) -> CallProblem:
+    return CallProblem(400, "truncated_body", problem, "send the whole body")
+
+
 def _body_too_large(max_bytes: int) -> CallProblem:
     return CallProblem(
         413,
@@ -249,7 +273,7 @@
         is_typed = isinstance(prompt, str) and isinstance(max_tokens, int | float)
         if is_typed and 0 <= max_tokens < 1e9:
             return prompt, fields.get("stream") is True, float(max_tokens)
-    except (ValueError, AttributeError):
+    except (ValueError, AttributeError, RecursionError):
         pass
     raise CallProblem(
         400,
