Take an answer for whole only if it says how long it is

Cause: urllib3 without a pool raises the exceptions of http.client, which were not known as a broken answer (502 internal_error, slot charged twice over as unknown). An answer without a proper length ends where its connection ends, so half of it passed as whole. An engine that carries "usage": null in each event made the count of events, and with it the point to resume from, too low. Ruled out: crossed and missing chunk lengths, which were already refused. Change: these exceptions are BrokenError; neither a length nor chunks is BrokenError; only an event with usage and no choices is left out of the count.

--- a/packages/lagoonsail-router/src/lagoonsail_router/backend.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/backend.py
@@ -34,7 +34,13 @@
 """Last event of a whole stream."""
 
 _NOT_PASSED_BACK = {"connection", "keep-alive", "transfer-encoding", "content-length"}
-_CONNECTION_ERRORS = (urllib3.exceptions.HTTPError, OSError, ValueError)
+# Without a pool, urllib3 lets the errors of the library below it through.
+_CONNECTION_ERRORS = (
+    urllib3.exceptions.HTTPError,
+    urllib3.connection.HTTPException,
+    OSError,
+    ValueError,
+)
 
 
 class NotSentError(Exception):
@@ -250,6 +256,8 @@
         return Answer(response.status, headers)
 
     def _read_whole(self) -> bytes:
+        if not self._response.chunked and self._response.length_remaining is None:
+            raise BrokenError("the answer does not say how long it is")
         parts = []
         size = 0
         try:
@@ -297,12 +305,15 @@
         if not state.completion_id:
             state.completion_id = _find_completion_id(whole)
         state.is_done = END_OF_STREAM in whole
-        has_usage = b'"usage"' in whole
-        events = whole.count(END_OF_EVENT) - state.is_done - has_usage
+        events = whole.count(END_OF_EVENT) - state.is_done
+        # Some engines carry an empty usage in every event.
+        usage = _find_usage(whole) if b'"usage"' in whole else None
+        if usage is not None:
+            events -= 1
         state.events += events
         self.measured.cost += events
-        if has_usage:
-            self.measured.cost = _find_usage(whole) or self.measured.cost
+        if usage:
+            self.measured.cost = usage
 
     def _resume(self, state: _StreamState) -> bool:
         if not state.completion_id:
@@ -338,11 +349,10 @@
     return ""
 
 
-def _find_usage(whole: bytes) -> float:
+def _find_usage(whole: bytes) -> float | None:
     for payload in _payloads(whole):
         usage = payload.get("usage")
-        if isinstance(usage, dict):
+        if isinstance(usage, dict) and not payload.get("choices"):
             tokens = usage.get("completion_tokens")
-            if isinstance(tokens, int) and tokens >= 0:
-                return float(tokens)
-    return 0.0
+            return float(tokens) if isinstance(tokens, int) and tokens >= 0 else 0.0
+    return None
--- /dev/null
+++ b/packages/lagoonsail-router/tests/test_backend.py
@@ -0,0 +1,355 @@
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from lagoonsail_core.clock import Clock
+from lagoonsail_core.green import eventlet
+from lagoonsail_core.messages import SlotGrant
+from lagoonsail_router import backend
+from lagoonsail_router.backend import (
+    Attempt,
+    BrokenError,
+    FencedError,
+    NotSentError,
+    OverdueError,
+)
+from lagoonsail_router.call import read_call
+
+CLOCK = Clock()
+TIMEOUT_MS = 1000.0
+DONE = b"data: [DONE]\n\n"
+GRANT = SlotGrant(1, 2, "cordero/registro@sierra-central", 3, "s1", 0.0)
+
+
+@pytest.fixture
+def serve():
+    """Serves one script of steps for each connection; a step is bytes or a function."""
+    listeners = []
+    threads = []
+
+    def start(*scripts):
+        listener = eventlet.listen(("127.0.0.1", 0))
+        listeners.append(listener)
+        requests = []
+
+        def answer():
+            for script in scripts:
+                connection, _ = listener.accept()
+                threads.append(eventlet.spawn(play, connection, script))
+
+        def play(connection, script):
+            received = b""
+            while b"\r\n\r\n" not in received:
+                received += connection.recv(65536)
+            requests.append(received)
+            for step in script:
+                if callable(step):
+                    step()
+                    continue
+                try:
+                    connection.sendall(step)
+                except OSError:
+                    break
+            connection.close()
+
+        threads.append(eventlet.spawn(answer))
+        return f"127.0.0.1:{listener.getsockname()[1]}", requests
+
+    yield start
+    for thread in threads:
+        thread.kill()
+    for listener in listeners:
+        listener.close()
+
+
+@pytest.fixture
+def make_call(configuration, make_document, make_env):
+    def make(kind="plain", fencing="yes", **headers):
+        document = make_document(kind=kind).replace(
+            "slots = 2", f"slots = 2\nchecks_fencing = {fencing}"
+        )
+        configuration.apply("documents/cordero/registro", 1, document)
+        body = json.dumps({"prompt": "a", "stream": kind == "engine"}).encode()
+        path = "/cordero/registro/v1/completions"
+        env = make_env(path, "POST", body, HTTP_X_REQUEST_ID="r-1", **headers)
+        return read_call(env, configuration, 0.0)
+
+    return make
+
+
+@pytest.fixture
+def attempt(make_call):
+    def make(address, call=None, **options):
+        made = Attempt(call or make_call(**options), GRANT, address, CLOCK)
+        made.connect()
+        return made
+
+    return make
+
+
+def pause(duration_s):
+    return lambda: eventlet.sleep(duration_s)
+
+
+def head(*headers, status="200 OK"):
+    lines = [f"HTTP/1.1 {status}", "X-Server-Incarnation: i-1", *headers]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+def whole(body, *headers, status="200 OK"):
+    return head(f"Content-Length: {len(body)}", *headers, status=status) + body
+
+
+def token(index):
+    payload = {"id": "c-1", "choices": [{"text": f"t{index} "}]}
+    return b"data: " + json.dumps(payload).encode() + b"\n\n"
+
+
+def usage(tokens):
+    payload = {"id": "c-1", "choices": [], "usage": {"completion_tokens": tokens}}
+    return b"data: " + json.dumps(payload).encode() + b"\n\n"
+
+
+def chunk(data):
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+STREAM = head("Transfer-Encoding: chunked", "Content-Type: text/event-stream")
+
+
+def test_whole_answer_is_measured_and_passed_back(serve, attempt):
+    address, requests = serve([whole(b"abc", "X-More: m", status="201 Created")])
+    made = attempt(address, HTTP_IDEMPOTENCY_KEY="k-1")
+    answer = made.send()
+    made.close()
+    assert (answer.status, answer.body) == (201, b"abc")
+    assert ("X-More", "m") in answer.headers
+    assert "content-length" not in {name.lower() for name, _ in answer.headers}
+    assert made.measured.server_incarnation == "i-1"
+    assert made.measured.cost == made.measured.duration_ms > 0
+    sent = requests[0].decode().lower()
+    assert sent.startswith("post /v1/completions http/1.1\r\n")
+    for line in (
+        "x-request-id: r-1",
+        "x-lagoonsail-epoch: 3",
+        "x-lagoonsail-shard: cordero/registro@sierra-central",
+        "idempotency-key: k-1",
+        "connection: close",
+    ):
+        assert f"\r\n{line}\r\n" in sent
+    assert "authorization" not in sent
+
+
+def test_unreachable_server_got_nothing(attempt):
+    listener = eventlet.listen(("127.0.0.1", 0))
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    listener.close()
+    with pytest.raises(NotSentError):
+        attempt(address)
+
+
+@pytest.mark.parametrize(
+    "script",
+    [
+        [],
+        [b"garbage\r\n\r\n"],
+        [b"HTTP/1.1 200 OK\r\nX-Long: " + b"x" * 70_000 + b"\r\n\r\n"],
+        [head("Content-Length: 10") + b"abc"],
+        [head("Content-Length: abc") + b"abc"],
+        [head("Content-Length: -3") + b"abc"],
+        [head("Content-Length: 3", "Content-Length: 4") + b"abcd"],
+        [head("Transfer-Encoding: chunked") + b"5\r\nabcde\r\n"],
+        [head("Transfer-Encoding: chunked") + b"zz\r\nabcde\r\n"],
+        [head() + b"how long is it?"],
+    ],
+    ids=[
+        "nothing",
+        "garbage",
+        "endless header",
+        "truncated",
+        "length no number",
+        "negative length",
+        "two lengths",
+        "no last chunk",
+        "malformed chunk",
+        "no length",
+    ],
+)
+def test_answer_that_may_not_be_whole_is_broken(serve, attempt, script):
+    address, _ = serve(script)
+    made = attempt(address)
+    with pytest.raises(BrokenError) as caught:
+        made.send()
+    assert not isinstance(caught.value, OverdueError)
+    made.close()
+
+
+def test_bytes_beyond_the_length_are_not_passed_on(serve, attempt):
+    address, _ = serve([head("Content-Length: 3") + b"abcdef"])
+    assert attempt(address).send().body == b"abc"
+
+
+@pytest.mark.parametrize(
+    "script", [[], [head("Content-Length: 9") + b"abc"]], ids=["head", "body"]
+)
+def test_silent_server_is_overdue(serve, attempt, script):
+    address, _ = serve([*script, pause(5.0)])
+    begun_ms = CLOCK.now_ms()
+    made = attempt(address)
+    with pytest.raises(OverdueError):
+        made.send()
+    made.close()
+    assert CLOCK.now_ms() - begun_ms >= TIMEOUT_MS * 0.99
+
+
+def test_late_answer_does_not_reach_the_next_call(serve, attempt):
+    late = [pause(1.2), whole(b"late")]
+    address, requests = serve(late, [pause(0.4), whole(b"own")])
+    first = attempt(address)
+    with pytest.raises(OverdueError):
+        first.send()
+    first.close()
+    assert attempt(address).send().body == b"own"
+    assert len(requests) == 2
+
+
+def test_answer_above_the_limit_is_broken(serve, attempt, monkeypatch):
+    monkeypatch.setattr(backend, "MAX_ANSWER_BYTES", 100)
+    address, _ = serve([whole(b"x" * 100)], [whole(b"x" * 101)])
+    assert len(attempt(address).send().body) == 100
+    with pytest.raises(BrokenError):
+        attempt(address).send()
+
+
+def test_refused_epoch_is_known_not_to_have_run(serve, attempt):
+    refused = whole(b"", status="412 Precondition Failed")
+    address, _ = serve([refused], [refused])
+    with pytest.raises(FencedError):
+        attempt(address).send()
+
+
+def test_412_of_a_server_without_fencing_is_its_answer(serve, attempt):
+    address, _ = serve([whole(b"", status="412 Precondition Failed")])
+    assert attempt(address, fencing="no").send().status == 412
+
+
+def test_stream_comes_in_whole_events(serve, attempt):
+    data = token(0) + token(1)
+    script = [
+        STREAM + chunk(data[:9]),
+        pause(0.02),
+        chunk(data[9:]),
+        pause(0.02),
+        chunk(usage(2) + DONE) + b"0\r\n\r\n",
+    ]
+    address, _ = serve(script)
+    made = attempt(address, kind="engine")
+    assert made.send().status == 200
+    parts = list(made.events())
+    assert parts == [data, usage(2) + DONE]
+    assert made.measured.cost == 2.0
+    assert made.measured.duration_ms > 0
+
+
+def test_event_is_passed_on_before_the_next_one_comes(serve, attempt):
+    released = eventlet.event.Event()
+    script = [
+        STREAM + chunk(token(0)),
+        released.wait,
+        chunk(token(1) + DONE),
+    ]
+    address, _ = serve(script)
+    made = attempt(address, kind="engine")
+    made.send()
+    events = made.events()
+    assert next(events) == token(0)
+    released.send(None)
+    assert list(events) == [token(1) + DONE]
+
+
+@pytest.mark.parametrize("null_usage", [False, True])
+def test_broken_stream_is_resumed_after_the_events_that_came(
+    serve, attempt, null_usage
+):
+    def event(index):
+        data = token(index)
+        return data.replace(b"]}\n", b'], "usage": null}\n') if null_usage else data
+
+    broken = STREAM + chunk(event(0)) + chunk(event(1) + event(2)[:-5])
+    rest = STREAM + chunk(event(2)) + chunk(usage(3) + DONE) + b"0\r\n\r\n"
+    address, requests = serve([broken], [rest])
+    made = attempt(address, kind="engine")
+    made.send()
+    received = b"".join(made.events())
+    assert received == event(0) + event(1) + event(2) + usage(3) + DONE
+    path = b"POST /v1/completions/c-1/resume?after=2 HTTP/1.1\r\n"
+    assert requests[1].startswith(path)
+    assert b"X-Lagoonsail-Epoch: 3" in requests[1]
+    assert made.measured.cost == 3.0
+
+
+def test_stream_that_cannot_be_resumed_is_broken(serve, attempt):
+    gone = whole(b"", status="404 Not Found")
+    address, requests = serve([STREAM + chunk(token(0))], [gone])
+    made = attempt(address, kind="engine")
+    made.send()
+    received = []
+    with pytest.raises(BrokenError):
+        received.extend(made.events())
+    assert received == [token(0)]
+    assert len(requests) == 2
+
+
+def test_stream_is_resumed_a_bounded_number_of_times(serve, attempt):
+    scripts = [[STREAM + chunk(token(index))] for index in range(9)]
+    address, requests = serve(*scripts)
+    made = attempt(address, kind="engine")
+    made.send()
+    with pytest.raises(BrokenError):
+        list(made.events())
+    assert len(requests) == 1 + backend.MAX_RESUMES
+
+
+def test_stream_without_its_last_event_is_broken(serve, attempt):
+    ended = STREAM + chunk(token(0)) + b"0\r\n\r\n"
+    address, _ = serve([ended], [whole(b"", status="404 Not Found")])
+    made = attempt(address, kind="engine")
+    made.send()
+    with pytest.raises(BrokenError):
+        list(made.events())
+
+
+def test_stream_that_falls_silent_is_broken_in_time(serve, attempt):
+    gone = whole(b"", status="404 Not Found")
+    address, _ = serve([STREAM + chunk(token(0)), pause(5.0)], [gone])
+    made = attempt(address, kind="engine")
+    made.send()
+    begun_ms = CLOCK.now_ms()
+    with pytest.raises(BrokenError):
+        list(made.events())
+    assert TIMEOUT_MS * 0.99 <= CLOCK.now_ms() - begun_ms < 4 * TIMEOUT_MS
+
+
+def test_aborted_attempt_wakes_its_reader(serve, attempt):
+    address, _ = serve([pause(5.0)])
+    made = attempt(address)
+    begun_ms = CLOCK.now_ms()
+    eventlet.spawn_after(0.05, made.abort)
+    with pytest.raises(BrokenError):
+        made.send()
+    assert CLOCK.now_ms() - begun_ms < TIMEOUT_MS
+
+
+def test_engine_answer_in_one_piece_costs_its_tokens(serve, attempt, make_call):
+    call = make_call("engine")
+    call.is_stream = False
+    body = json.dumps({"usage": {"completion_tokens": 5}}).encode()
+    address, _ = serve([whole(body)], [whole(b"no JSON")])
+    made = attempt(address, call)
+    assert made.send().body == body
+    assert made.measured.cost == 5.0
+    made = attempt(address, call)
+    made.send()
+    assert made.measured.cost == 0.0
