Bound the time of a whole answer, not of each of its bytes

Cause: the timeout of the socket starts anew with each byte, so a server that drips its answer held a slot and its caller without end. Ruled out: streams; they have their own bound on silence and no total. Change: one timeout over sending, head and body of an answer in one piece. Before: both cases of test_server_that_drips_its_answer_is_overdue failed; the script ran for 3 s with a request_timeout_ms of 1000. After: test_backend.py passes.

--- a/packages/lagoonsail-router/src/lagoonsail_router/backend.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/backend.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from lagoonsail_core.green import green_socket, urllib3
+from lagoonsail_core.green import eventlet, green_socket, urllib3
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -154,9 +154,14 @@
             BrokenError: If the answer broke off.
             FencedError: If the server refused the epoch.
         """
+        timeout_s = self._call.document.request_timeout_ms / 1000.0
+        # The timeout of the socket starts anew with each byte that comes.
+        with eventlet.Timeout(timeout_s, OverdueError("no whole answer in time")):
+            return self._send(timeout_s)
+
+    def _send(self, timeout_s: float) -> Answer:
         call = self._call
         headers = self._headers()
-        timeout_s = call.document.request_timeout_ms / 1000.0
         # urllib3 sets the timeout of the connection anew when the answer begins.
         self._connection.timeout = timeout_s
         self._sock.settimeout(timeout_s)
--- a/packages/lagoonsail-router/tests/test_backend.py
+++ b/packages/lagoonsail-router/tests/test_backend.py
@@ -204,6 +204,16 @@
     assert CLOCK.now_ms() - begun_ms >= TIMEOUT_MS * 0.99
 
 
+@pytest.mark.parametrize("begin", [b"", head("Content-Length: 100")])
+def test_server_that_drips_its_answer_is_overdue(serve, attempt, begin):
+    drips = [pause(0.3), b"x"] * 10
+    address, _ = serve([begin, *drips])
+    begun_ms = CLOCK.now_ms()
+    with pytest.raises(OverdueError):
+        attempt(address).send()
+    assert CLOCK.now_ms() - begun_ms < 2 * TIMEOUT_MS
+
+
 def test_late_answer_does_not_reach_the_next_call(serve, attempt):
     late = [pause(1.2), whole(b"late")]
     address, requests = serve(late, [pause(0.4), whole(b"own")])
