Ignore a former owner's refusal of a call that the next owner has

Cause: the refusal of a former owner marked the call as not asked although the next owner had been asked meanwhile; a cancelled call then told nobody, and the new owner kept, and granted, a request that nobody waited for. Ruled out: hanging calls; the new owner's grant still reached its ticket. Change: a refusal counts on the stream of the present owner only. Before: test_late_refusal_of_the_former_owner_does_not_touch_the_new_request failed. After: test_ticket_desk.py passes.

--- a/packages/lagoonsail-router/src/lagoonsail_router/ticket_desk.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/ticket_desk.py
@@ -364,12 +364,14 @@
         call.event.send(refusal)
 
     def _ask_again(self, call: WaitingCall, stream) -> None:
-        call.is_asked = False
         attachment = self.attachments.get(call.shard)
-        if attachment and attachment.stream is stream:
-            # Until the owner answers a new inventory, it is not asked again.
-            attachment.is_open = False
-            attachment.sent_ms = self._context.clock.now_ms()
+        if attachment is None or attachment.stream is not stream:
+            # The next owner may have been asked already.
+            return
+        call.is_asked = False
+        # Until the owner answers a new inventory, it is not asked again.
+        attachment.is_open = False
+        attachment.sent_ms = self._context.clock.now_ms()
 
 
 def make_done(
