Drop an entry router's old requests when it comes over a new stream

Cause: after a silent stream the entry router dials anew and sends its inventory and waiting requests again, often before the owner has seen the old stream close. The queue kept the old entry of the ticket, so the slot was granted on the dead stream: the call waited until its queue timeout and the slot until the next inventory. Ruled out: lose_stream, which comes later and no longer found the old request. Change: an inventory on another stream withdraws what waits from the old one. Before: test_new_stream_takes_over_before_the_old_one_is_seen_to_close got no grant. After: test_shard_owner.py passes.

--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -254,6 +254,10 @@
         """
         holder = (stream.name, stream.incarnation)
         self._sessions[holder] = stream
+        for waiting in list(self._waiting.values()):
+            # The old stream may not be seen to close yet.
+            if waiting.ticket[:2] == holder and waiting.source is not stream:
+                self._withdraw(waiting)
         held = {}
         for item in inventory.running:
             slot = self._slot_of_inventory(item, holder, stream)
--- /dev/null
+++ b/packages/lagoonsail-router/tests/test_shard_owner.py
@@ -0,0 +1,392 @@
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+
+from lagoonsail_config.document import parse_document
+from lagoonsail_core.messages import (
+    OUTCOME_BROKEN,
+    OUTCOME_NOT_RUN,
+    OUTCOME_UNREACHABLE,
+    OUTCOME_WHOLE,
+    REFUSED_DUPLICATE,
+    REFUSED_KEYS_UNAVAILABLE,
+    REFUSED_NOT_OWNER,
+    REFUSED_QUEUE_FULL,
+    Inventory,
+    InventoryTaken,
+    ServiceDigest,
+    SlotCancel,
+    SlotDone,
+    SlotGrant,
+    SlotRefusal,
+    SlotRequest,
+    SlotStart,
+)
+from lagoonsail_router import shard_owner
+from lagoonsail_router.right import FULL, GUARDED, LAPSED
+from lagoonsail_router.shard_owner import (
+    FIRST_PAUSE_MS,
+    INVENTORY_WAIT_MS,
+    QUEUE_FACTOR,
+    UNREPORTED_HOLD_MS,
+    ShardOwner,
+)
+from lagoonsail_sharing.server_limit import LoadReport
+
+SHARD = "cordero/registro@sierra-central"
+
+
+@pytest.fixture
+def right():
+    return SimpleNamespace(level=lambda: FULL)
+
+
+@pytest.fixture
+def documents(make_document):
+    """The document in force, as the only item; empty after its deletion."""
+    return [parse_document(make_document())]
+
+
+@pytest.fixture
+def successors():
+    return []
+
+
+@pytest.fixture
+def make_owner(context, right, store, documents, successors):
+    def make(epoch=1):
+        def find():
+            return documents[0] if documents else None
+
+        owner = ShardOwner(
+            context, right, store, SHARD, epoch, find, lambda: successors
+        )
+        owner.keys.load()
+        return owner
+
+    return make
+
+
+@pytest.fixture
+def owner(make_owner, time):
+    owner = make_owner()
+    time.pass_ms(INVENTORY_WAIT_MS)
+    return owner
+
+
+@pytest.fixture
+def stream(owner, make_stream):
+    stream = make_stream("cordero-2")
+    stream.remote_sent_ms = 77.0
+    owner.take_inventory(stream, Inventory(SHARD, []))
+    return stream
+
+
+def request(ticket, account="norte", key=0, call=None):
+    return SlotRequest(ticket, SHARD, account, 0.0, [], key, call or ticket, 0.0)
+
+
+def done(grant, outcome=OUTCOME_WHOLE, cost=1.0):
+    return SlotDone(SHARD, grant.epoch, grant.slot, outcome, cost, "i-1", 1.0, 2.0)
+
+
+def refusals(stream):
+    return [(m.ticket, m.reason) for m in stream.of(SlotRefusal)]
+
+
+@pytest.fixture
+def report(monkeypatch, owner, wait_until):
+    """Lets the servers report how much they run, and the owner read it."""
+
+    def read(running):
+        asked = []
+
+        def read_load(address, clock):
+            asked.append(address)
+            return LoadReport("i-1", running, None, clock.now_ms())
+
+        monkeypatch.setattr(shard_owner, "read_load", read_load)
+        owner.poll()
+        wait_until(lambda: len(asked) == len(owner.servers))
+
+    return read
+
+
+def test_grants_wait_for_the_inventories(make_owner, make_stream, time):
+    owner, stream = make_owner(), make_stream("cordero-2")
+    owner.take_inventory(stream, Inventory(SHARD, []))
+    assert stream.sent == [InventoryTaken(SHARD, 1)]
+    owner.take_request(stream, request(1))
+    assert stream.of(SlotGrant) == []
+    time.pass_ms(INVENTORY_WAIT_MS)
+    owner.pump()
+    (grant,) = stream.of(SlotGrant)
+    assert (grant.ticket, grant.epoch, grant.shard) == (1, 1, SHARD)
+
+
+def test_cold_servers_get_what_they_bear_and_slots_are_used_once(owner, stream):
+    for ticket in range(1, 6):
+        owner.take_request(stream, request(ticket))
+    grants = stream.of(SlotGrant)
+    assert sorted(grant.server for grant in grants) == ["s1", "s2"]
+    assert {grant.basis_ms for grant in grants} == {77.0}
+    owner.take_done(done(grants[0]))
+    grants = stream.of(SlotGrant)
+    assert [grant.ticket for grant in grants] == [1, 2, 3]
+    assert len({grant.slot for grant in grants}) == 3
+
+
+def test_right_is_looked_at_before_each_grant(owner, stream, right):
+    levels = [LAPSED, LAPSED, FULL]
+    right.level = lambda: levels.pop() if levels else LAPSED
+    for ticket in (1, 2):
+        owner.take_request(stream, request(ticket))
+    owner.pump()
+    assert [grant.ticket for grant in stream.of(SlotGrant)] == [1]
+
+
+def test_guarded_right_sends_nothing_to_cold_servers(owner, stream, right):
+    right.level = lambda: GUARDED
+    owner.take_request(stream, request(1))
+    assert stream.of(SlotGrant) == []
+    right.level = lambda: FULL
+    owner.pump()
+    assert len(stream.of(SlotGrant)) == 1
+
+
+@pytest.mark.parametrize("part", ["[server s1]", "[failure-domain banos]"])
+def test_what_is_out_gets_nothing(owner, stream, documents, make_document, part):
+    text = make_document().replace(part, f"{part}\nstate = out")
+    documents[0] = parse_document(text)
+    owner.update_document()
+    for ticket in (1, 2):
+        owner.take_request(stream, request(ticket))
+    assert [grant.server for grant in stream.of(SlotGrant)] == ["s2"]
+    documents[0] = parse_document(make_document())
+    owner.update_document()
+    assert [grant.server for grant in stream.of(SlotGrant)] == ["s2", "s1"]
+
+
+def test_deleted_document_sends_the_waiting_back(owner, stream, documents):
+    for ticket in (1, 2, 3):
+        owner.take_request(stream, request(ticket))
+    documents.clear()
+    owner.update_document()
+    assert refusals(stream) == [(3, REFUSED_NOT_OWNER)]
+    assert owner.servers == {}
+
+
+def test_cancelled_request_is_not_granted(owner, stream):
+    for ticket in (1, 2, 3, 4):
+        owner.take_request(stream, request(ticket))
+    owner.take_cancel(stream, SlotCancel(3))
+    for grant in stream.of(SlotGrant)[:2]:
+        owner.take_done(done(grant))
+    assert [grant.ticket for grant in stream.of(SlotGrant)] == [1, 2, 4]
+
+
+def test_full_queue_of_one_account_leaves_the_others_alone(owner, stream, documents):
+    limit = QUEUE_FACTOR * documents[0].queue_limit
+    for ticket in range(limit + 3):
+        owner.take_request(stream, request(ticket))
+    assert refusals(stream) == [(limit + 2, REFUSED_QUEUE_FULL)]
+    owner.take_request(stream, request(limit + 3, "sur"))
+    assert len(refusals(stream)) == 1
+
+
+def test_releasing_owner_takes_and_grants_nothing(owner, stream, time, context):
+    owner.take_request(stream, request(1))
+    owner.is_releasing = True
+    owner.take_request(stream, request(2))
+    assert refusals(stream) == [(2, REFUSED_NOT_OWNER)]
+    assert owner.has_unstarted_grants()
+    (grant,) = stream.of(SlotGrant)
+    owner.take_start(SlotStart(SHARD, 1, grant.slot))
+    assert not owner.has_unstarted_grants()
+
+
+def test_grant_that_nobody_started_delays_a_release_for_one_window(
+    owner, stream, time, context
+):
+    owner.take_request(stream, request(1))
+    time.pass_ms(context.settings.start_window_ms)
+    assert owner.has_unstarted_grants()
+    time.pass_ms(context.settings.start_window_ms * 0.1)
+    assert not owner.has_unstarted_grants()
+
+
+# Idempotency keys.
+
+
+def test_key_is_granted_once(owner, stream, wait_until):
+    owner.take_request(stream, request(1, key=9))
+    wait_until(lambda: stream.of(SlotGrant))
+    owner.take_request(stream, request(2, key=9))
+    assert refusals(stream) == [(2, REFUSED_DUPLICATE)]
+    (grant,) = stream.of(SlotGrant)
+    owner.take_done(done(grant, OUTCOME_BROKEN))
+    owner.take_request(stream, request(3, key=9))
+    assert refusals(stream)[1:] == [(3, REFUSED_DUPLICATE)]
+
+
+def test_key_of_a_call_that_did_not_run_is_free(owner, stream, wait_until):
+    owner.take_request(stream, request(1, key=9))
+    wait_until(lambda: stream.of(SlotGrant))
+    owner.take_done(done(stream.of(SlotGrant)[0], OUTCOME_NOT_RUN))
+    owner.take_request(stream, request(2, key=9))
+    wait_until(lambda: len(stream.of(SlotGrant)) == 2)
+    assert refusals(stream) == []
+
+
+def test_keys_need_the_service(owner, stream, store):
+    owner.keys.is_loaded = False
+    owner.take_request(stream, request(1, key=9))
+    owner.take_request(stream, request(2))
+    assert refusals(stream) == [(1, REFUSED_KEYS_UNAVAILABLE)]
+    assert [grant.ticket for grant in stream.of(SlotGrant)] == [2]
+
+
+def test_call_asks_the_next_owner_again_with_its_key(
+    owner, stream, make_owner, make_stream, time, wait_until
+):
+    owner.take_request(stream, request(1, key=9, call=5))
+    wait_until(lambda: stream.of(SlotGrant))
+    later, again = make_owner(epoch=2), make_stream("cordero-2")
+    later.take_inventory(again, Inventory(SHARD, []))
+    later.take_request(again, request(2, key=9, call=6))
+    assert refusals(again) == [(2, REFUSED_DUPLICATE)]
+    later.take_request(again, request(3, key=9, call=5))
+    time.pass_ms(UNREPORTED_HOLD_MS)
+    later.pump()
+    assert [grant.ticket for grant in again.of(SlotGrant)] == [3]
+
+
+# Streams and inventories.
+
+
+def test_request_of_a_lost_stream_is_forgotten_and_may_come_again(
+    owner, stream, make_stream, wait_until
+):
+    for ticket in (1, 2):
+        owner.take_request(stream, request(ticket))
+    owner.take_request(stream, request(3, key=9))
+    wait_until(lambda: owner.describe()["accounts"]["norte"]["waiting"])
+    owner.lose_stream(stream)
+    assert owner.describe()["accounts"]["norte"]["waiting"] == 0
+    again = make_stream("cordero-2")
+    running = [[1, n, s, "norte", 0.0, 5.0] for n, s in ((1, "s1"), (2, "s2"))]
+    owner.take_inventory(again, Inventory(SHARD, running))
+    owner.take_request(again, request(3, key=9))
+    wait_until(lambda: owner.describe()["accounts"]["norte"]["waiting"])
+    assert refusals(again) == []
+
+
+def test_new_stream_takes_over_before_the_old_one_is_seen_to_close(
+    owner, stream, make_stream
+):
+    for ticket in (1, 2, 3):
+        owner.take_request(stream, request(ticket))
+    grants = stream.of(SlotGrant)
+    again = make_stream("cordero-2")
+    running = [[1, g.slot, g.server, "norte", 0.0, 5.0] for g in grants]
+    owner.take_inventory(again, Inventory(SHARD, running))
+    owner.take_request(again, request(3))
+    owner.take_done(done(grants[0]))
+    assert [grant.ticket for grant in again.of(SlotGrant)] == [3]
+    assert len(stream.of(SlotGrant)) == 2
+    owner.lose_stream(stream)
+    assert all(slot.orphaned_ms is None for slot in owner.slots.values())
+
+
+def test_slot_that_an_inventory_lacks_is_free(owner, stream):
+    for ticket in (1, 2, 3):
+        owner.take_request(stream, request(ticket))
+    assert len(owner.slots) == 2
+    owner.take_inventory(stream, Inventory(SHARD, []))
+    # Both servers broke their requests off as far as anybody knows, and are cold.
+    assert owner.slots == {}
+    assert [server.unknown for server in owner.servers.values()] == [1, 1]
+
+
+def test_new_owner_counts_what_inventories_say_is_running(
+    make_owner, make_stream, time
+):
+    owner, stream = make_owner(epoch=5), make_stream("cordero-2")
+    running = [[4, 31, "s1", "norte", 2.0, 300.0]]
+    owner.take_inventory(stream, Inventory(SHARD, running))
+    assert owner.slots[4, 31].account == "norte"
+    time.pass_ms(UNREPORTED_HOLD_MS)
+    for ticket in (1, 2):
+        owner.take_request(stream, request(ticket))
+    assert [grant.server for grant in stream.of(SlotGrant)] == ["s2"]
+    owner.take_done(SlotDone(SHARD, 4, 31, OUTCOME_WHOLE, 3.0, "", 1.0, 2.0))
+    assert [grant.server for grant in stream.of(SlotGrant)] == ["s2", "s1"]
+
+
+def test_done_of_an_unknown_slot_changes_nothing(owner, stream, context):
+    owner.take_done(SlotDone(SHARD, 4, 31, OUTCOME_WHOLE, 3.0, "", 1.0, 2.0))
+    assert context.counters["unknown_slots_total", ""] == 1
+
+
+# Servers.
+
+
+def test_new_owner_leaves_unreported_servers_alone(make_owner, make_stream, time):
+    owner, stream = make_owner(epoch=2), make_stream("cordero-2")
+    owner.take_inventory(stream, Inventory(SHARD, []))
+    owner.take_request(stream, request(1))
+    time.pass_ms(UNREPORTED_HOLD_MS - 1)
+    owner.pump()
+    assert stream.of(SlotGrant) == []
+    time.pass_ms(1)
+    owner.pump()
+    assert len(stream.of(SlotGrant)) == 1
+
+
+def test_server_that_runs_unknown_requests_gets_no_more(owner, stream, report):
+    report(running=1)
+    owner.take_request(stream, request(1))
+    assert stream.of(SlotGrant) == []
+    report(running=0)
+    assert len(stream.of(SlotGrant)) == 1
+
+
+def test_orphaned_slot_is_free_once_reports_show_that_it_has_ended(
+    owner, stream, report, time
+):
+    owner.take_request(stream, request(1))
+    owner.lose_stream(stream)
+    time.pass_ms(60_000.0)
+    report(running=1)
+    assert len(owner.slots) == 1
+    report(running=0)
+    assert owner.slots == {}
+
+
+def test_unreachable_server_is_left_alone_for_a_while(owner, stream, time, documents):
+    documents[0].servers["s2"].state = "out"
+    owner.take_request(stream, request(1))
+    owner.take_done(done(stream.of(SlotGrant)[0], OUTCOME_UNREACHABLE))
+    owner.take_request(stream, request(2))
+    time.pass_ms(FIRST_PAUSE_MS - 1)
+    owner.pump()
+    assert len(stream.of(SlotGrant)) == 1
+    time.pass_ms(1)
+    owner.pump()
+    assert len(stream.of(SlotGrant)) == 2
+
+
+def test_successors_get_what_changed(owner, stream, successors, make_stream):
+    successor = make_stream("cordero-3")
+    successors.append(successor)
+    owner.send_digests()
+    owner.take_request(stream, request(1))
+    owner.take_done(done(stream.of(SlotGrant)[0], cost=9.0))
+    owner.send_digests()
+    owner.send_digests()
+    first, second = successor.of(ServiceDigest)
+    assert first.sequence < second.sequence
+    assert list(second.service) == ["norte"]
+    assert second.service["norte"] > 0
