--- /dev/null
+++ b/packages/lagoonsail-router/tests/test_router_fleet.py
@@ -0,0 +1,237 @@
+"""Routers as processes, with callers over sockets."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+
+from lagoonsail_core.clock import Clock
+from lagoonsail_core.green import eventlet, urllib3
+from lagoonsail_lab.deployments import account_key, make_cordero
+from lagoonsail_lab.fleet import Fleet
+
+CLOCK = Clock()
+TOKEN_MS = 40
+COMPLETIONS = "/cordero/asistente/v1/completions"
+NAMES = ["cordero-1", "cordero-2"]
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    deployment = make_cordero(2, 1, 1)
+    engine = {"token_ms": TOKEN_MS, "cold_factor": 1, "warm_after": 1}
+    deployment.find("asistente").options.update(engine)
+    deployment.find("asistente").slots = 1
+    deployment.find("registro").options["warm_after"] = 1
+    deployment.find("registro").limits["max_body_bytes"] = 10_000
+    limits = {"drain_lag_ms": 200}
+    with Fleet([deployment], settings={"limits": limits}) as fleet:
+        yield fleet
+
+
+@pytest.fixture
+def send(fleet):
+    """Sends a request to a router, and gives the answer with its body unread."""
+    pool = urllib3.PoolManager(retries=False, timeout=20.0)
+
+    def send_one(
+        path, body=None, router="cordero-1", account="prensa", method="POST", **headers
+    ):
+        service = path.split("/")[2]
+        key = account_key("cordero", service, account)
+        every = {"Authorization": f"Bearer {key}", **headers}
+        if isinstance(body, dict):
+            body = json.dumps(body)
+        url = f"http://{fleet.routers[router].callers}{path}"
+        return pool.request(
+            method, url, body=body, headers=every, preload_content=False
+        )
+
+    yield send_one
+    pool.clear()
+
+
+@pytest.fixture
+def stream(send):
+    def begin(tokens, router="cordero-1", prompt="a"):
+        body = {"prompt": f"{prompt} #tokens={tokens}", "stream": True}
+        answer = send(COMPLETIONS, body, router)
+        assert answer.status == 200, answer.data
+        return answer
+
+    return begin
+
+
+@pytest.fixture
+def runs(fleet):
+    """What a backend server recorded."""
+
+    def read(name="cordero/asistente-1"):
+        return fleet.records()[name]["runs"]
+
+    return read
+
+
+def problem_of(answer, status, kind):
+    body = answer.json()
+    assert answer.status == status, body
+    assert answer.headers["Content-Type"] == "application/problem+json"
+    assert body["status"] == status
+    assert body["type"] == f"urn:lagoonsail:problem:{kind}"
+    assert body["ran"] == "no"
+    assert "; " in body["detail"]
+    assert answer.headers["X-Request-Id"] == body["request_id"]
+    return body
+
+
+@pytest.mark.parametrize("router", NAMES)
+def test_stream_comes_chunk_by_chunk(stream, router):
+    """Whether its entry router owns the shard or not; of two, one does."""
+    tokens = 20
+    arrivals = []
+    received = b""
+    for chunk in stream(tokens, router).read_chunked():
+        arrivals.append(CLOCK.now_ms())
+        received += chunk
+    assert received.count(b'"text"') == tokens
+    assert received.endswith(b"data: [DONE]\n\n")
+    gaps = [late - early for early, late in zip(arrivals, arrivals[1:], strict=False)]
+    apart = sum(gap > TOKEN_MS / 2 for gap in gaps)
+    # A lump would show as a long gap with no others beside it.
+    assert apart >= tokens * 3 / 4, gaps
+
+
+def test_caller_that_goes_away_cancels_its_request(stream, runs, wait_until):
+    answer = stream(tokens=2000)
+    next(answer.read_chunked())
+    answer.close()
+    wait_until(lambda: runs()[-1]["state"] == "cancelled")
+    assert runs()[-1]["cost"] < 200
+
+
+def test_caller_that_goes_away_while_it_waits_runs_nothing(
+    fleet, send, stream, runs, wait_until
+):
+    def waiting():
+        return fleet.status("cordero-2")["waiting"]
+
+    running = stream(60)
+    before = len(runs())
+    host, port = fleet.routers["cordero-2"].callers.split(":")
+    body = json.dumps({"prompt": "b"})
+    key = account_key("cordero", "asistente", "prensa")
+    connection = eventlet.connect((host, int(port)))
+    connection.sendall(
+        f"POST {COMPLETIONS} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {key}\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n{body}".encode()
+    )
+    wait_until(lambda: sum(waiting().values()) == 1)
+    connection.close()
+    wait_until(lambda: not sum(waiting().values()))
+    assert b"[DONE]" in running.data
+    assert len(runs()) == before
+
+
+def test_caller_cannot_act_for_another_account(fleet, send, runs):
+    other = account_key("cordero", "registro", "federacion")
+    for path, key in [
+        ("/cordero/avisos/x", other),
+        ("/cordero/registro/x", account_key("cordero", "avisos", "federacion")),
+        ("/cordero/registro/x", account_key("kalapati", "registro", "federacion")),
+        ("/cordero/registro/x", "federacion"),
+    ]:
+        answer = send(path, Authorization=f"Bearer {key}")
+        problem_of(answer, 401, "unknown_account")
+
+    def services():
+        shard = "cordero/registro@sierra-central"
+        for name in NAMES:
+            owned = fleet.status(name)["shards"].get(shard)
+            if owned:
+                accounts = owned["accounts"]
+                return {name: accounts[name]["service"] for name in accounts}
+        return {}
+
+    before = services()
+    headers = {"X-Account": "federacion", "X-Lagoonsail-Account": "federacion"}
+    answer = send("/cordero/registro/bibs", {"work_ms": 30}, **headers)
+    assert answer.status == 200, answer.data
+    answer.drain_conn()
+    after = services()
+    assert {name for name in after if after[name] != before[name]} == {"prensa"}
+
+
+def test_malformed_requests_get_problems_and_run_nothing(send, runs):
+    registro, engine = "cordero/registro-1", "cordero/asistente-1"
+    before = [len(runs(registro)), len(runs(engine))]
+    cases = [
+        (("/cordero/none/x",), {}, 404, "unknown_service"),
+        (("/cordero/registro/x",), {"account": "x"}, 401, "unknown_account"),
+        (("/cordero/registro/x", "x" * 10_001), {}, 413, "body_too_large"),
+        (
+            ("/cordero/registro/x", iter([b"x" * 6000, b"y" * 6000])),
+            {},
+            413,
+            "body_too_large",
+        ),
+        (
+            ("/cordero/registro/x",),
+            {"Idempotency-Key": "a b"},
+            400,
+            "malformed_idempotency_key",
+        ),
+        (
+            ("/cordero/registro/x",),
+            {"X-Cost-Hint": "many"},
+            400,
+            "malformed_cost_hint",
+        ),
+        ((COMPLETIONS, "no JSON"), {}, 400, "malformed_completion"),
+    ]
+    for arguments, options, status, kind in cases:
+        problem_of(send(*arguments, **options), status, kind)
+    assert [len(runs(registro)), len(runs(engine))] == before
+
+
+@pytest.mark.parametrize(
+    ("headers", "body"),
+    [
+        ("Content-Length: 50", b"half"),
+        ("Transfer-Encoding: chunked", b"4\r\nhalf\r\n"),
+        ("Transfer-Encoding: chunked", b"zz\r\nhalf\r\n"),
+    ],
+)
+def test_body_that_breaks_off_runs_nothing(fleet, runs, headers, body):
+    before = len(runs("cordero/registro-1"))
+    host, port = fleet.routers["cordero-1"].callers.split(":")
+    key = account_key("cordero", "registro", "prensa")
+    connection = eventlet.connect((host, int(port)))
+    connection.sendall(
+        f"POST /cordero/registro/bibs HTTP/1.1\r\nHost: a\r\n"
+        f"Authorization: Bearer {key}\r\n{headers}\r\n\r\n".encode()
+        + body
+    )
+    connection.shutdown(1)
+    answer = b""
+    while part := connection.recv(65536):
+        answer += part
+    head, _, problem = answer.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 400 "), answer
+    assert json.loads(problem)["type"] == "urn:lagoonsail:problem:truncated_body"
+    assert json.loads(problem)["ran"] == "no"
+    assert len(runs("cordero/registro-1")) == before
+
+
+def test_planned_stop_ends_running_calls_in_peace(fleet, stream, runs):
+    answer = stream(tokens=60, router="cordero-2", prompt="stop")
+    chunks = answer.read_chunked()
+    received = next(chunks)
+    stopped = eventlet.spawn(fleet.stop_router, "cordero-2")
+    received += b"".join(chunks)
+    assert received.count(b'"text"') == 60
+    assert received.endswith(b"data: [DONE]\n\n")
+    assert stopped.wait() == 0
+    assert runs()[-1]["state"] == "whole"
+    # The other router serves on, also what the stopped one owned.
+    assert b"[DONE]" in stream(3, "cordero-1").data
