Go on without the key-value service, also for calls that may run once

Cause: a call with an idempotency key was refused while the service was down, a router could not start, and renewals through peers failed when promises were asked for at the same time, since both used the attempt's number after yielding. Ruled out for the latter: lost answers (each came).

--- a/packages/lagoonsail-core/src/lagoonsail_core/messages.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/messages.py
@@ -209,6 +209,28 @@
     """Incarnation, limit and warmth by server, where they changed."""
 
 
+@dataclass(slots=True)
+class KeysNotice:
+    """Idempotency keys that their owner cannot record at the key-value service now."""
+
+    shard: str
+    """The shard."""
+    number: int
+    """Number of the notice at the sender."""
+    keys: list[list]
+    """Pairs of key hash and origin."""
+
+
+@dataclass(slots=True)
+class KeysNoted:
+    """Says that the sender remembers the keys of a notice."""
+
+    shard: str
+    """The shard."""
+    number: int
+    """Number of the notice."""
+
+
 @dataclass(slots=True)
 class RenewRequest:
     """Asks a peer to renew the sender's lease at the key-value service."""
@@ -288,6 +310,8 @@
     "inv": Inventory,
     "taken": InventoryTaken,
     "digest": ServiceDigest,
+    "keys": KeysNotice,
+    "noted": KeysNoted,
     "renew": RenewRequest,
     "renewed": RenewResult,
     "promise": PromiseRequest,
--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -12,6 +12,7 @@
     REFUSED_NOT_OWNER,
     Inventory,
     InventoryTaken,
+    KeysNoted,
     SlotCancel,
     SlotDone,
     SlotProgress,
@@ -21,14 +22,21 @@
 )
 from lagoonsail_router.admin import Admin, unready_reason
 from lagoonsail_router.configuration import DOCUMENTS, Configuration
-from lagoonsail_router.context import LEAVING, RouterContext, repeat, start_task
+from lagoonsail_router.context import (
+    LEAVING,
+    SERVING,
+    RouterContext,
+    repeat,
+    start_task,
+)
 from lagoonsail_router.digests import DigestStore
 from lagoonsail_router.entry import Entry
+from lagoonsail_router.key_log import KeyNotices
 from lagoonsail_router.local_stream import LocalStream
-from lagoonsail_router.metrics import render_metrics
+from lagoonsail_router.metrics import declare_gauges, make_metrics
 from lagoonsail_router.ownership import Ownership
 from lagoonsail_router.peers import PeerDirectory
-from lagoonsail_router.right import Right
+from lagoonsail_router.right import RENEWALS_PER_TTL, Right
 from lagoonsail_router.shard_owner import ShardOwner
 from lagoonsail_router.store_sync import StoreSync
 from lagoonsail_router.ticket_desk import TicketDesk
@@ -36,6 +44,8 @@
 from lagoonsail_store.store_client import StoreClient
 
 if TYPE_CHECKING:
+    from collections import Counter
+
     from lagoonsail_config.settings import RouterSettings
 
 OWNERSHIP_INTERVAL_MS = 100.0
@@ -52,8 +62,10 @@
 """How long a planned stop tries to hand shards over without the service."""
 BACKLOG = 1024
 """Connections that wait to be accepted."""
-ISOLATION_MS = 5000.0
-"""Time without the service and without any peer after which a router is isolated."""
+LEARNING_MS = 10_000.0
+"""How long a starting router tries to learn the configuration."""
+BOOTSTRAP_PEERS = 8
+"""Routers of the host list that a starting router dials without the service."""
 
 
 class AddressInUseError(LagoonsailError):
@@ -86,8 +98,12 @@
     __slots__ = (
         "_digests",
         "_heard_ms",
+        "_is_stopping",
+        "_key_notices",
         "_listeners",
+        "_gauges",
         "_local_stream",
+        "_metrics",
         "_store",
         "_sync",
         "configuration",
@@ -141,10 +157,14 @@
         self.desk = TicketDesk(
             context, self.configuration, self.peers, self._local_stream
         )
-        self.entry = Entry(context, self.configuration, self.desk)
+        self.entry = Entry(context, self.configuration, self.desk, self.is_isolated)
         self._digests = DigestStore(self.peers)
+        self._key_notices = KeyNotices(context, self.peers)
+        self._is_stopping = False
         self._heard_ms = context.clock.now_ms()
         self._listeners: list = []
+        self._metrics = make_metrics(self)
+        self._gauges = declare_gauges(self._metrics)
         self._register_handlers()
         self.configuration.subscribe(self._on_record)
 
@@ -155,6 +175,7 @@
         self.peers.handle(SlotStart, self._to_owner(ShardOwner.take_start))
         self.peers.handle(SlotProgress, self._to_owner(ShardOwner.take_progress))
         self.peers.handle(SlotDone, self._to_owner(ShardOwner.take_done))
+        self.peers.handle(KeysNoted, self._take_noted)
         self.peers.subscribe(lambda stream: None, self._lose_stream)
 
     # Owner's side of the messages.
@@ -173,6 +194,7 @@
         digest = self._digests.find(shard)
         if digest:
             owner.adopt(digest)
+        owner.keys.adopt(self._key_notices.find(shard))
         start_task(self.context, "first_poll", owner.poll)
         return owner
 
@@ -208,6 +230,11 @@
 
         return handler
 
+    def _take_noted(self, stream, noted: KeysNoted) -> None:
+        owner = self.ownership.owned.get(noted.shard)
+        if owner:
+            owner.keys.take_noted(stream, noted)
+
     def _lose_stream(self, stream) -> None:
         for owner in self.ownership.owned.values():
             owner.lose_stream(stream)
@@ -231,7 +258,7 @@
         now_ms = self.context.clock.now_ms()
         if self.right.hears_store() or self.peers.has_streams():
             self._heard_ms = now_ms
-        return now_ms - self._heard_ms > ISOLATION_MS
+        return now_ms - self._heard_ms > self.context.settings.reject_after_ms
 
     def unready_reason(self) -> str:
         """Return why callers should go to another router, empty if they need not."""
@@ -239,7 +266,15 @@
 
     def render_metrics(self) -> bytes:
         """Return the metrics as Prometheus text."""
-        return render_metrics(self)
+        self._gauges["running"](self.entry.running)
+        self._gauges["waiting"](sum(self.entry.waiting.values()))
+        self._gauges["owned"](len(self.ownership.owned))
+        self._gauges["known"](len(self.configuration.members))
+        return self._metrics.render()
+
+    def store_counters(self) -> Counter:
+        """Return the calls of the key-value service by kind and result."""
+        return self._store.counters
 
     # Start and stop.
 
@@ -263,26 +298,33 @@
         print(json.dumps({"event": "listening", "router": settings.name}), flush=True)
 
     def _learn_configuration(self) -> None:
-        deadline_ms = self.context.clock.now_ms() + ISOLATION_MS
+        deadline_ms = self.context.clock.now_ms() + LEARNING_MS
         while self.context.clock.now_ms() < deadline_ms:
             if self._sync.list_once() or self.configuration.documents:
                 return
+            self._dial_hosts()
             eventlet.sleep(0.1)
         raise StartError(
             "neither the key-value service nor another router answered",
             "check endpoints in [store] of the settings and start the router again",
         )
 
+    def _dial_hosts(self) -> None:
+        self.right.read_hosts()
+        hosts = sorted(self.right.router_hosts().items())
+        for name, address in hosts[:BOOTSTRAP_PEERS]:
+            self.peers.dial(name, address)
+
     def _start_tasks(self) -> None:
         context, settings = self.context, self.context.settings
-        renew_ms = settings.lease_ttl_ms / 6
+        renew_ms = settings.lease_ttl_ms / RENEWALS_PER_TTL
         self.right.read_hosts()
         self.right.register()
         start_task(self.context, "store_sync", self._sync.run)
         repeat(context, renew_ms, self.right.renew, "renew")
-        repeat(context, renew_ms, self.right.renew_through_peers, "renew_by_peers")
-        repeat(context, renew_ms, self.right.gather_promises, "promises")
-        repeat(context, settings.host_list_poll_ms, self.right.read_hosts, "host_list")
+        repeat(context, 500.0, self.right.renew_through_peers, "renew_by_peers")
+        repeat(context, 500.0, self.right.gather_promises, "promises")
+        repeat(context, settings.host_list_poll_ms, self._read_hosts, "host_list")
         repeat(context, PEERS_INTERVAL_MS, self.peers.maintain, "peers")
         repeat(context, OWNERSHIP_INTERVAL_MS, self.ownership.step, "ownership")
         repeat(context, DESK_INTERVAL_MS, self.desk.maintain, "desk")
@@ -290,6 +332,19 @@
         repeat(context, DIGEST_INTERVAL_MS, self._send_digests, "digests")
         repeat(context, 1000.0, self.is_isolated, "isolation")
 
+    def _read_hosts(self) -> None:
+        """Read the host list, and leave or serve as it says of this host."""
+        self.right.read_hosts()
+        if self._is_stopping:
+            return
+        is_leaving = self.context.settings.name in self.right.leaving
+        state = LEAVING if is_leaving else SERVING
+        if state == self.context.state:
+            return
+        self.context.state = state
+        self.context.timeline.record("host_state_changed", state=state)
+        self.right.write_state()
+
     def _poll(self) -> None:
         for owner in list(self.ownership.owned.values()):
             owner.poll()
@@ -315,6 +370,7 @@
         """Stop as planned: take no new work, let all work end, hand shards over."""
         settings = self.context.settings
         deadline_ms = self.context.clock.now_ms() + settings.stop_timeout_ms
+        self._is_stopping = True
         self.context.state = LEAVING
         self.context.timeline.record("leaving")
         self.right.write_state()
--- a/packages/lagoonsail-router/src/lagoonsail_router/entry.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/entry.py
@@ -62,6 +62,7 @@
         "_configuration",
         "_context",
         "_desk",
+        "_is_isolated",
         "running",
         "waiting",
     )
@@ -72,11 +73,16 @@
     """Calls that were taken and not yet answered."""
 
     def __init__(
-        self, context: RouterContext, configuration: Configuration, desk: TicketDesk
+        self,
+        context: RouterContext,
+        configuration: Configuration,
+        desk: TicketDesk,
+        is_isolated: Callable[[], bool],
     ) -> None:
         self._context = context
         self._configuration = configuration
         self._desk = desk
+        self._is_isolated = is_isolated
         self._budgets: dict[str, RetryBudget] = {}
         self._calls = 0
         self.waiting = Counter()
@@ -203,6 +209,14 @@
     def _check_patience(self, call: Call, deadline_ms: float, is_gone) -> None:
         if is_gone():
             raise CallerGoneError
+        if self._is_isolated():
+            raise _problem(
+                call,
+                503,
+                "router_isolated",
+                "this router reaches neither other routers nor the key-value service",
+                "try again through another router",
+            )
         if self._context.clock.now_ms() < deadline_ms:
             return
         raise _problem(
@@ -301,11 +315,13 @@
             return None
         except OverdueError as error:
             self._finish(grant, OUTCOME_BROKEN, attempt)
+            self._record_doubt(call, grant)
             return None, self._broken(call, 504, error), attempt
         except BrokenError as error:
             self._finish(grant, OUTCOME_BROKEN, attempt)
             if call.is_repeatable and is_gone():
                 raise CallerGoneError from error
+            self._record_doubt(call, grant)
             return None, self._broken(call, 502, error), attempt
         finally:
             watch.kill()
@@ -335,6 +351,15 @@
             UNKNOWN,
         )
 
+    def _record_doubt(self, call: Call, grant: SlotGrant) -> None:
+        service = call.document.qualified()
+        self._context.timeline.record(
+            "answer_not_whole",
+            request=call.request_id,
+            account=f"{service}/{call.account}",
+            server=f"{service}/{grant.server}",
+        )
+
     def _finish(self, grant: SlotGrant, outcome: str, attempt: Attempt) -> None:
         attempt.close()
         measured = attempt.measured
@@ -388,6 +413,7 @@
             outcome = OUTCOME_WHOLE
         except BrokenError as error:
             outcome = OUTCOME_BROKEN
+            self._record_doubt(call, grant)
             problem = self._broken(call, 502, error)
             yield b"event: error\ndata: " + problem.body(call.request_id) + b"\n\n"
             # Without the last chunk the caller cannot take the stream for whole.
--- a/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
@@ -6,6 +6,10 @@
 take-over, so a retry of a call that may have run is recognised whichever router it
 comes through, while the same call may ask the new owner again: its entry router asks
 only as long as it has sent nothing.
+
+While nobody reaches the service, and so nobody can take the shard over, the keys go to
+the memory of the next owners instead, which must answer before a slot is granted. They
+are written to the service once it is back, by the owner or by the one that follows.
 """
 
 from __future__ import annotations
@@ -15,14 +19,17 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.green import eventlet
+from lagoonsail_core.messages import KeysNoted, KeysNotice
 from lagoonsail_router.context import start_task
 from lagoonsail_store.store_client import Conflict, Written
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lagoonsail_router.context import RouterContext, start_task
-from lagoonsail_store.store_client import StoreClient
+    from lagoonsail_router.context import RouterContext
+    from lagoonsail_router.peers import PeerDirectory
+    from lagoonsail_router.right import Right
+    from lagoonsail_store.store_client import StoreClient
 
 RETENTION_MS = 900_000.0
 """How long a key is remembered at the least."""
@@ -30,8 +37,15 @@
 """Age at which new writes go under a new lease, so that leases stay few."""
 FLUSH_INTERVAL_MS = 50.0
 """Least time between two writes of one shard."""
-WAIT_LIMIT_MS = 3000.0
-"""How long a call waits for its key to be recorded."""
+WAIT_LIMIT_MS = 6000.0
+"""How long a call waits for its key to be recorded; longer than a lease, after which
+the next owners can be told instead."""
+STORE_RETRY_MS = 500.0
+"""Pause after a write that the service did not take."""
+NOTICE_WAIT_MS = 500.0
+"""How long the next owners may take to answer a notice."""
+MAX_NOTED_KEYS = 100_000
+"""Most keys of one shard that a next owner remembers."""
 
 
 def keys_prefix(shard: str) -> str:
@@ -54,12 +68,19 @@
         "_context",
         "_epoch",
         "_is_running",
+        "_late",
+        "_noted",
+        "_notice_number",
+        "_right",
+        "_store_retry_ms",
+        "_successor_streams",
         "_given_back",
         "_lease",
         "_lease_ms",
         "_pending",
         "_prefix",
         "_sequence",
+        "_shard",
         "_store",
         "_stored",
         "_used",
@@ -70,11 +91,24 @@
     """Whether the keys of earlier owners have been read."""
 
     def __init__(
-        self, context: RouterContext, store: StoreClient, shard: str, epoch: int
+        self,
+        context: RouterContext,
+        store: StoreClient,
+        shard: str,
+        epoch: int,
+        right: Right,
+        successor_streams: Callable[[], list],
     ) -> None:
         self._context = context
         self._store = store
+        self._shard = shard
         self._epoch = epoch
+        self._right = right
+        self._successor_streams = successor_streams
+        self._late: dict[int, int] = {}
+        self._noted: set[str] = set()
+        self._notice_number = 0
+        self._store_retry_ms = float("-inf")
         self._prefix = keys_prefix(shard)
         self._stored: dict[int, int] = {}
         self._used: dict[int, tuple[int, float]] = {}
@@ -105,6 +139,24 @@
         self.is_loaded = True
         return True
 
+    def adopt(self, keys: dict[int, int]) -> None:
+        """Take over keys that an earlier owner could not record.
+
+        Args:
+            keys: Origin by key.
+        """
+        now_ms = self._context.clock.now_ms()
+        for key, origin in keys.items():
+            self._used.setdefault(key, (origin, now_ms))
+            self._late[key] = origin
+        if keys:
+            self._start_flushing()
+
+    def take_noted(self, stream, noted: KeysNoted) -> None:
+        """Take the answer of a next owner to a notice."""
+        if noted.number == self._notice_number:
+            self._noted.add(stream.name)
+
     def is_used(self, key: int, origin: int) -> bool:
         """Return whether another call with this key has or will get a slot.
 
@@ -157,7 +209,7 @@
 
     def _flush_all(self) -> None:
         try:
-            while self._pending or self._given_back:
+            while self._pending or self._given_back or self._late:
                 self._flush()
                 eventlet.sleep(FLUSH_INTERVAL_MS / 1000.0)
         finally:
@@ -166,17 +218,45 @@
     def _flush(self) -> None:
         batch = list(self._pending)
         freed = set(self._given_back)
-        changes = [[item.key, item.origin] for item in batch]
-        changes += [[key, 0] for key in freed]
+        late = dict(self._late)
+        keys = [[item.key, item.origin] for item in batch]
+        changes = [*map(list, late.items()), *keys, *([key, 0] for key in freed)]
         if self._write(changes):
-            del self._pending[: len(batch)]
             self._given_back -= freed
             self._stored.update(changes)
-            for item in batch:
-                item.on_recorded(True)
+            for key in late:
+                self._late.pop(key, None)
+            self._finish(batch)
+            return
+        if batch and self._share(keys):
+            self._late.update(keys)
+            self._finish(batch)
             return
         self._give_up_overdue()
 
+    def _finish(self, batch: list[_Pending]) -> None:
+        del self._pending[: len(batch)]
+        for item in batch:
+            item.on_recorded(True)
+
+    def _share(self, keys: list[list[int]]) -> bool:
+        """Let the next owners remember keys, while nobody can take the shard over."""
+        streams = self._successor_streams()
+        if not streams or not self._right.has_promises():
+            return False
+        self._notice_number += 1
+        self._noted = set()
+        for stream in streams:
+            stream.send(KeysNotice(self._shard, self._notice_number, keys))
+        deadline_ms = self._context.clock.now_ms() + NOTICE_WAIT_MS
+        names = {stream.name for stream in streams}
+        while self._context.clock.now_ms() < deadline_ms:
+            if names <= self._noted:
+                self._context.count("key_notices_total")
+                return self._right.has_promises()
+            eventlet.sleep(0.002)
+        return False
+
     def _give_up_overdue(self) -> None:
         oldest_ms = self._context.clock.now_ms() - WAIT_LIMIT_MS
         overdue = [item for item in self._pending if item.since_ms < oldest_ms]
@@ -188,7 +268,10 @@
             item.on_recorded(False)
 
     def _write(self, changes: list[list[int]]) -> bool:
+        if self._context.clock.now_ms() < self._store_retry_ms:
+            return False
         if not self._renew_lease():
+            self._store_retry_ms = self._context.clock.now_ms() + STORE_RETRY_MS
             return False
         self._sequence += 1
         value = json.dumps(changes)
@@ -200,6 +283,7 @@
         if not isinstance(written, Written):
             # The lease itself may be what the service has lost.
             self._lease_ms = float("-inf")
+            self._store_retry_ms = self._context.clock.now_ms() + STORE_RETRY_MS
             return False
         self._context.count("key_log_writes_total")
         return True
@@ -213,3 +297,30 @@
             return False
         self._lease, self._lease_ms = lease, now_ms
         return True
+
+
+class KeyNotices:
+    """Keys that this router remembers as a possible next owner, by shard."""
+
+    __slots__ = ("_context", "_keys")
+
+    def __init__(self, context: RouterContext, peers: PeerDirectory) -> None:
+        self._context = context
+        self._keys: dict[str, dict[int, tuple[int, float]]] = {}
+        peers.handle(KeysNotice, self._take)
+
+    def find(self, shard: str) -> dict[int, int]:
+        """Return the origin by key of a shard, as far as not past retention."""
+        oldest_ms = self._context.clock.now_ms() - RETENTION_MS
+        keys = self._keys.get(shard, {})
+        return {key: origin for key, (origin, ms) in keys.items() if ms > oldest_ms}
+
+    def _take(self, stream, notice: KeysNotice) -> None:
+        keys = self._keys.setdefault(notice.shard, {})
+        if len(keys) + len(notice.keys) > MAX_NOTED_KEYS:
+            self._context.count("key_notices_refused_total")
+            return
+        now_ms = self._context.clock.now_ms()
+        for key, origin in notice.keys:
+            keys[int(key)] = (int(origin), now_ms)
+        stream.send(KeysNoted(notice.shard, notice.number))
--- a/packages/lagoonsail-router/src/lagoonsail_router/metrics.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/metrics.py
@@ -1,39 +1,113 @@
-"""The router's metrics as Prometheus text."""
+"""The metrics of a router."""
 
 from __future__ import annotations
 
+from collections import defaultdict
 from typing import TYPE_CHECKING
 
 from lagoonsail_core import invariants
+from lagoonsail_core.metrics import Metrics
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lagoonsail_router.daemon import Daemon
 
-PREFIX = "lagoonsail_"
-"""Beginning of every metric name."""
+COUNTERS = {
+    "attempts_total": "Requests sent to backend servers, by outcome.",
+    "callers_gone_total": "Callers that closed their connection before an answer.",
+    "calls_total": "Calls taken, by service.",
+    "claim_conflicts_total": "Claims of a shard that another router won.",
+    "config_offers_total": "Offers of configuration to peers with another digest.",
+    "grants_too_old_total": "Grants that came after their start window.",
+    "host_list_reads_failed_total": "Failed reads of the host list.",
+    "key_log_conflicts_total": "Writes of idempotency keys that met another writer.",
+    "key_log_writes_total": "Writes of idempotency keys.",
+    "key_notices_refused_total": "Notices of keys refused because too many are held.",
+    "key_notices_total": "Notices of keys to the next owners, without the service.",
+    "lease_renewals_failed_total": "Lease renewals that the service did not answer.",
+    "lease_renewals_through_peers_total": "Lease renewals through a peer.",
+    "load_reports_failed_total": "Load reports that could not be read.",
+    "malformed_pushes_total": "Malformed entries of configuration from peers.",
+    "problems_total": "Problem documents sent to callers, by kind.",
+    "records_from_peers_total": "Records of configuration learned from peers.",
+    "records_rejected_total": "Malformed records of configuration.",
+    "refused_operators_total": "Operators' requests without a right signature.",
+    "retries_total": "Calls sent again, by service.",
+    "slot_refusals_total": "Slot requests refused, by reason.",
+    "slots_granted_total": "Slots granted.",
+    "stale_listings_total": "Reads of the service older than what was known.",
+    "task_errors_total": "Failures inside the router's tasks, by task.",
+    "unexpected_messages_total": "Messages that no part of the router handles.",
+    "unknown_slots_total": "Slots given back that the owner did not know.",
+}
+"""What each counter of the router counts."""
 
 
-def render_metrics(daemon: Daemon) -> bytes:
-    """Return the metrics of a router.
+def make_metrics(daemon: Daemon) -> Metrics:
+    """Declare the metrics of a router.
 
     Args:
         daemon: The router.
 
     Returns:
-        Prometheus text format.
+        Metrics that read the router's counters when they are rendered.
     """
-    samples = dict(daemon.context.counters)
-    samples["running_calls", ""] = daemon.entry.running
-    samples["waiting_calls", ""] = sum(daemon.entry.waiting.values())
-    samples["owned_shards", ""] = len(daemon.ownership.owned)
-    for name, count in invariants.checks.items():
-        samples["invariant_checks_total", name] = count
-    for name, count in invariants.violations.items():
-        samples["invariant_violations_total", name] = count
-    lines = [
-        f'{PREFIX}{name}{{kind="{label}"}} {value}'
-        if label
-        else f"{PREFIX}{name} {value}"
-        for (name, label), value in sorted(samples.items())
-    ]
-    return ("\n".join(lines) + "\n").encode()
+    metrics = Metrics()
+    for name, doc in COUNTERS.items():
+        metrics.counter_of(
+            name.removesuffix("_total"), doc, "kind", _reader(daemon, name)
+        )
+    metrics.counter_of(
+        "invariant_checks", "Checks of invariants.", "kind", lambda: invariants.checks
+    )
+    metrics.counter_of(
+        "invariant_violations",
+        "Invariants that did not hold.",
+        "kind",
+        lambda: invariants.violations,
+    )
+    metrics.counter_of(
+        "peer_stream",
+        "Frames, messages and bytes on streams to other routers, and their ends.",
+        "kind",
+        daemon.peers.counters,
+    )
+    metrics.counter_of(
+        "store_calls",
+        "Calls of the key-value service by kind and result.",
+        "kind",
+        lambda: {"_".join(key): n for key, n in daemon.store_counters().items()},
+    )
+    return metrics
+
+
+def declare_gauges(metrics: Metrics) -> dict[str, Callable[[float], None]]:
+    """Declare the gauges of a router.
+
+    Args:
+        metrics: The metrics of the router.
+
+    Returns:
+        Setters by name.
+    """
+    names = {
+        "running": ("calls", "Calls taken and not yet answered."),
+        "waiting": ("calls", "Calls that wait for a slot."),
+        "owned": ("shards", "Shards that this router owns."),
+        "known": ("members", "Routers that hold a lease."),
+    }
+    return {
+        name: metrics.gauge(name, doc, unit).set for name, (unit, doc) in names.items()
+    }
+
+
+def _reader(daemon: Daemon, name: str) -> Callable[[], dict[str, float]]:
+    def read() -> dict[str, float]:
+        values: dict[str, float] = defaultdict(float)
+        for (counter, label), value in daemon.context.counters.items():
+            if counter == name:
+                values[label or "all"] += value
+        return values
+
+    return read
--- a/packages/lagoonsail-router/src/lagoonsail_router/peers.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.messages import (
@@ -29,6 +30,7 @@
     """Streams by router name, and the handlers of messages by their type."""
 
     __slots__ = (
+        "_closed_counters",
         "_configuration",
         "_context",
         "_digests",
@@ -56,6 +58,7 @@
         self._links: dict[str, tuple[str, PeerLink]] = {}
         self._digests: dict[str, tuple[int, int]] = {}
         self.streams = {}
+        self._closed_counters: Counter = Counter()
         self._server = PeerServer(
             context.settings.peers_address, **self._stream_options()
         )
@@ -93,7 +96,7 @@
 
     def stop(self) -> None:
         """Close all streams."""
-        for _, link in self._links.values():
+        for _, link in list(self._links.values()):
             link.stop()
         self._server.stop()
 
@@ -121,6 +124,13 @@
         self._dial(router)
         return None
 
+    def counters(self) -> Counter:
+        """Return what was counted on all streams since the start."""
+        total = Counter(self._server.counters) + self._closed_counters
+        for _, link in self._links.values():
+            total += link.counters
+        return total
+
     def has_streams(self) -> bool:
         """Return whether any other router is connected."""
         return any(self.streams.values())
@@ -150,24 +160,34 @@
                 continue
             handler(stream, message)
 
-    def _dial(self, router: str) -> None:
-        member = self._configuration.members.get(router)
-        if member is None or router == self._context.settings.name:
-            return
-        address, link = self._links.get(router, ("", None))
-        if address == member.peers:
+    def dial(self, router: str, address: str) -> None:
+        """Keep a stream to a router.
+
+        Args:
+            router: Name of the other router.
+            address: Its address for streams between routers.
+        """
+        known_address, link = self._links.get(router, ("", None))
+        if known_address == address:
             return
         if link:
+            self._closed_counters += link.counters
             link.stop()
-        link = PeerLink(member.peers, **self._stream_options())
-        self._links[router] = (member.peers, link)
+        link = PeerLink(address, **self._stream_options())
+        self._links[router] = (address, link)
         link.start()
 
+    def _dial(self, router: str) -> None:
+        member = self._configuration.members.get(router)
+        if member and router != self._context.settings.name:
+            self.dial(router, member.peers)
+
     def _hang_up_if_closed(self, router: str) -> None:
         # An open stream proves that the router lives, whatever the members say.
         if self.streams.get(router):
             return
         _, link = self._links.pop(router)
+        self._closed_counters += link.counters
         link.stop()
 
     def _opened(self, stream: PeerStream, _hello: Hello) -> None:
--- a/packages/lagoonsail-router/src/lagoonsail_router/right.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/right.py
@@ -34,10 +34,10 @@
 
     from lagoonsail_peer.stream import PeerStream
     from lagoonsail_router.configuration import Configuration
-    from lagoonsail_router.context import RouterContext, start_task
+    from lagoonsail_router.context import RouterContext
     from lagoonsail_router.peers import PeerDirectory
     from lagoonsail_store.host_list import HostList
-from lagoonsail_store.store_client import StoreClient
+    from lagoonsail_store.store_client import StoreClient
 
 FULL = "full"
 """The lease was renewed recently."""
@@ -50,8 +50,12 @@
 
 PROMISE_MS = 2000.0
 """How long a promise not to take over holds."""
-RENEWALS_PER_TTL = 6
+RENEWALS_PER_TTL = 3
 """Renewals tried in one lease time."""
+FULL_FRACTION = 0.7
+"""Part of the lease time after which a right without renewal is only guarded."""
+ROUTER_ROLE = "router"
+"""Value of the host list's label ``role`` for routers; also its default."""
 STORE_DOWN_TTL_MS = -1.0
 """Value of RenewResult.ttl_ms when the peer cannot reach the service either."""
 RENEWERS_AT_ONCE = 2
@@ -82,12 +86,15 @@
         "_store",
         "_host_list",
         "_seen_in_hosts_since_ms",
+        "leaving",
         "lease",
         "lease_until_ms",
         "promise_until_ms",
         "renewed_ms",
     )
 
+    leaving: set[str]
+    """Names and addresses of the hosts that the host list shows as leaving."""
     lease: int
     """Lease at the key-value service, 0 before the first."""
     renewed_ms: float
@@ -119,6 +126,7 @@
         self._hosts_read_ms = float("-inf")
         self._seen_in_hosts_since_ms = float("inf")
         self._last_level = LAPSED
+        self.leaving = set()
         self.lease = 0
         self.renewed_ms = float("-inf")
         self.lease_until_ms = float("-inf")
@@ -142,7 +150,8 @@
 
     def _level_at(self, now_ms: float) -> str:
         ttl_ms = self._context.settings.lease_ttl_ms
-        if now_ms < min(self.renewed_ms + ttl_ms / 2, self.lease_until_ms):
+        full_until_ms = self.renewed_ms + FULL_FRACTION * ttl_ms
+        if now_ms < min(full_until_ms, self.lease_until_ms):
             return FULL
         if now_ms < self.lease_until_ms:
             return GUARDED
@@ -151,9 +160,22 @@
         return LAPSED
 
     def hears_store(self) -> bool:
-        """Return whether the lease was renewed within the last half lease time."""
+        """Return whether the lease was renewed recently."""
         return self._level_at(self._context.clock.now_ms()) == FULL
 
+    def has_promises(self) -> bool:
+        """Return whether no other router can take over now, lease or not."""
+        return self._context.clock.now_ms() < self.promise_until_ms
+
+    def router_hosts(self) -> dict[str, str]:
+        """Return address by name of the other routers on the host list."""
+        return {
+            host.name: host.address
+            for host in self._hosts
+            if host.labels.get("role", ROUTER_ROLE) == ROUTER_ROLE
+            and host.name != self._context.settings.name
+        }
+
     def promised_until_ms(self, router: str) -> float:
         """Return until when this router has promised not to take over from another."""
         return self._promised_until.get(router, float("-inf"))
@@ -216,6 +238,12 @@
             return
         self._hosts = hosts
         self._hosts_read_ms = sent_ms
+        self.leaving = {
+            value
+            for host in hosts
+            if host.state == "leaving"
+            for value in (host.name, host.address)
+        }
         names = {host.name for host in hosts}
         if self._context.settings.name not in names:
             self._seen_in_hosts_since_ms = float("inf")
@@ -286,10 +314,11 @@
         now_ms = self._context.clock.now_ms()
         if now_ms - self._hosts_read_ms > settings.host_list_max_lag_ms / 2:
             return
+        routers = self.router_hosts()
         others = {
             host.name
             for host in self._hosts
-            if host.name != settings.name
+            if host.name in routers
             and host.labels.get("region", settings.region) == settings.region
         }
         attempt = self._ask(others, lambda nonce: PromiseRequest(nonce, PROMISE_MS))
@@ -304,12 +333,13 @@
         if not streams or not all(streams):
             return None
         self._nonce += 1
+        nonce = self._nonce
         attempt = _Attempt(self._context.clock.now_ms(), set(names))
-        self._attempts[self._nonce] = attempt
+        self._attempts[nonce] = attempt
         for stream in streams:
-            stream.send(make(self._nonce))
+            stream.send(make(nonce))
         self._wait_for_answers(attempt)
-        del self._attempts[self._nonce]
+        del self._attempts[nonce]
         return attempt
 
     def _wait_for_answers(self, attempt: _Attempt) -> None:
--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -51,8 +51,9 @@
     from lagoonsail_router.right import Right
     from lagoonsail_store.store_client import StoreClient
 
-INVENTORY_WAIT_MS = 800.0
-"""How long a new owner waits for the inventories of entry routers."""
+INVENTORY_WAIT_MS = 300.0
+"""How long a new owner waits for the inventories of entry routers; one that comes later
+is made up for by the load report, which counts what no inventory names."""
 UNREPORTED_HOLD_MS = 10_000.0
 """How long a new owner leaves a server alone that does not report its load."""
 
@@ -110,6 +111,12 @@
     """No grant before this time, since the server refused requests."""
     refusals: int = 0
     """Refusals in a row."""
+    setbacks: int = 0
+    """Setbacks of its limit that were recorded on the time line."""
+    was_warm: bool = False
+    """Whether it was warm at the last look."""
+    was_usable: bool = True
+    """Whether it was in service at the last look."""
     cache_sequence: int = 0
     """Sequence of the last cache event that was read."""
 
@@ -182,7 +189,7 @@
         self.epoch = epoch
         self.servers = {}
         self.slots = {}
-        self.keys = KeyLog(context, store, shard, epoch)
+        self.keys = KeyLog(context, store, shard, epoch, right, successor_streams)
         self.is_releasing = False
         document = find_document()
         self.queue = FairQueue(QUEUE_FACTOR * (document.queue_limit if document else 1))
@@ -230,8 +237,15 @@
             del self.servers[name]
         for name, entry in mine.items():
             self._update_server(name, entry, now_ms)
+            self._record_usable(self.servers[name], document.is_usable(entry))
         self.pump()
 
+    def _record_usable(self, server: Server, is_usable: bool) -> None:
+        if is_usable != server.was_usable:
+            event = "server_in" if is_usable else "server_out"
+            self._record_server(event, server)
+        server.was_usable = is_usable
+
     def _update_server(self, name: str, entry: ServerEntry, now_ms: float) -> None:
         server = self.servers.get(name)
         if server and server.entry.address == entry.address:
@@ -331,7 +345,8 @@
 
     def _record_key(self, waiting: Waiting, origin: int) -> None:
         if not self.keys.is_loaded:
-            self._refuse(waiting, REFUSED_KEYS_UNAVAILABLE)
+            # The entry router asks again, by when the keys will have been read.
+            self._refuse(waiting, REFUSED_NOT_OWNER)
             return
         if self.keys.is_used(waiting.key, origin):
             self._refuse(waiting, REFUSED_DUPLICATE)
@@ -415,6 +430,7 @@
         server.limit.finish(
             key, outcome, incarnation, first_ms, duration_ms, cost, now_ms
         )
+        self._record_warmth(server)
         if outcome == OUTCOME_UNREACHABLE:
             server.limit.on_refused(now_ms)
         if outcome in (OUTCOME_BROKEN, OUTCOME_CANCELLED) and not server.limit.is_warm:
@@ -423,6 +439,25 @@
             server.unknown_since_ms = now_ms
         self._back_off(server, outcome, now_ms)
 
+    def _record_warmth(self, server: Server) -> None:
+        limit = server.limit
+        setbacks = sum(limit.setbacks.values())
+        if setbacks > server.setbacks:
+            self._record_server("server_cold", server, reason=limit.last_setback)
+        elif limit.is_warm and not server.was_warm:
+            self._record_server("server_warm", server, limit=limit.limit)
+        server.setbacks = setbacks
+        server.was_warm = limit.is_warm
+
+    def _record_server(self, name: str, server: Server, **fields) -> None:
+        service = self.shard.rsplit("@", 1)[0]
+        self._context.timeline.record(
+            name,
+            server=f"{service}/{server.entry.name}",
+            failure_domain=server.entry.failure_domain,
+            **fields,
+        )
+
     def _back_off(self, server: Server, outcome: str, now_ms: float) -> None:
         if outcome == OUTCOME_WHOLE:
             server.refusals = 0
@@ -496,6 +531,8 @@
             return False
         if now_ms < server.paused_until_ms:
             return False
+        if server.entry.address in self._right.leaving:
+            return False
         if level == GUARDED and server.limit.limit <= server.limit.cold_slots:
             return False
         return server.limit.running + server.unknown < server.limit.limit
@@ -558,6 +595,7 @@
     def _take_report(self, name: str, server: Server, report) -> None:
         now_ms = self._context.clock.now_ms()
         server.limit.on_report(report, now_ms)
+        self._record_warmth(server)
         settled_ms = now_ms - REPORT_LAG_MS - self._context.settings.start_window_ms
         slots = [slot for slot in self.slots.values() if slot.server == name]
         old = sum(slot.granted_ms < settled_ms for slot in slots)
