--- a/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
@@ -67,22 +67,23 @@
     __slots__ = (
         "_context",
         "_epoch",
+        "_freeing",
+        "_given_back",
         "_is_running",
         "_late",
-        "_noted",
-        "_notice_number",
-        "_right",
-        "_store_retry_ms",
-        "_successor_streams",
-        "_given_back",
         "_lease",
         "_lease_ms",
+        "_noted",
+        "_notice_number",
         "_pending",
         "_prefix",
+        "_right",
         "_sequence",
         "_shard",
         "_store",
+        "_store_retry_ms",
         "_stored",
+        "_successor_streams",
         "_used",
         "is_loaded",
     )
@@ -112,8 +113,9 @@
         self._prefix = keys_prefix(shard)
         self._stored: dict[int, int] = {}
         self._used: dict[int, tuple[int, float]] = {}
-        self._pending: list[_Pending] = []
+        self._pending: dict[int, _Pending] = {}
         self._given_back: set[int] = set()
+        self._freeing: set[int] = set()
         self._is_running = False
         self._sequence = 0
         self._lease = 0
@@ -130,7 +132,8 @@
         if not listing:
             return False
         now_ms = self._context.clock.now_ms()
-        for entry in sorted(listing.entries, key=lambda entry: entry.revision):
+        # By name: a write whose answer was lost may be carried out after the next.
+        for entry in sorted(listing.entries, key=lambda entry: entry.key):
             for key, origin in json.loads(entry.value):
                 self._stored[key] = origin
                 self._used.pop(key, None)
@@ -172,6 +175,9 @@
     ) -> None:
         """Record a key, then call back with whether it is stored.
 
+        A call that asks again takes the place of its earlier request, which is not
+        called back.
+
         Args:
             key: Hash of the idempotency key; not in use by another call.
             origin: Origin of the call.
@@ -181,15 +187,18 @@
         now_ms = self._context.clock.now_ms()
         self._used[key] = (origin, now_ms)
         self._given_back.discard(key)
-        if self._stored.get(key) == origin:
+        self._pending.pop(key, None)
+        # A write that frees the key may be on the way; then it must be stored again.
+        if self._stored.get(key) == origin and key not in self._freeing:
             on_recorded(True)
             return
-        self._pending.append(_Pending(key, origin, on_recorded, now_ms))
+        self._pending[key] = _Pending(key, origin, on_recorded, now_ms)
         self._start_flushing()
 
     def give_back(self, key: int) -> None:
         """Free the key of a call that certainly did not run."""
         self._used.pop(key, None)
+        self._late.pop(key, None)
         if self._stored.get(key):
             self._given_back.add(key)
             self._start_flushing()
@@ -216,28 +225,31 @@
             self._is_running = False
 
     def _flush(self) -> None:
-        batch = list(self._pending)
-        freed = set(self._given_back)
+        batch = list(self._pending.values())
         late = dict(self._late)
         keys = [[item.key, item.origin] for item in batch]
-        changes = [*map(list, late.items()), *keys, *([key, 0] for key in freed)]
-        if self._write(changes):
+        self._freeing = set(self._given_back)
+        freed_keys = [[key, 0] for key in self._freeing]
+        changes = [*map(list, late.items()), *keys, *freed_keys]
+        is_written = self._write(changes)
+        freed, self._freeing = self._freeing, set()
+        if is_written:
             self._given_back -= freed
             self._stored.update(changes)
             for key in late:
                 self._late.pop(key, None)
             self._finish(batch)
-            return
-        if batch and self._share(keys):
+        elif batch and self._share(keys):
             self._late.update(keys)
             self._finish(batch)
-            return
-        self._give_up_overdue()
+        else:
+            self._give_up_overdue()
 
     def _finish(self, batch: list[_Pending]) -> None:
-        del self._pending[: len(batch)]
         for item in batch:
-            item.on_recorded(True)
+            if self._pending.get(item.key) is item:
+                del self._pending[item.key]
+                item.on_recorded(True)
 
     def _share(self, keys: list[list[int]]) -> bool:
         """Let the next owners remember keys, while nobody can take the shard over."""
@@ -259,10 +271,10 @@
 
     def _give_up_overdue(self) -> None:
         oldest_ms = self._context.clock.now_ms() - WAIT_LIMIT_MS
-        overdue = [item for item in self._pending if item.since_ms < oldest_ms]
-        self._pending = [item for item in self._pending if item.since_ms >= oldest_ms]
+        overdue = [item for item in self._pending.values() if item.since_ms < oldest_ms]
         for item in overdue:
             # The write may have taken effect all the same, so it is taken back too.
+            del self._pending[item.key]
             self._used.pop(item.key, None)
             self._given_back.add(item.key)
             item.on_recorded(False)
--- a/packages/lagoonsail-router/src/lagoonsail_router/right.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/right.py
@@ -195,7 +195,11 @@
             self.register()
             return
         sent_ms = self._context.clock.now_ms()
-        ttl_ms = self._store.renew_lease(self.lease)
+        lease = self.lease
+        ttl_ms = self._store.renew_lease(lease)
+        if lease != self.lease:
+            # A peer has told meanwhile that the lease had lapsed.
+            return
         if isinstance(ttl_ms, float):
             self._take_ttl(sent_ms, ttl_ms)
             return
@@ -333,6 +337,7 @@
         if not streams or not all(streams):
             return None
         self._nonce += 1
+        # Another question may begin while this one waits.
         nonce = self._nonce
         attempt = _Attempt(self._context.clock.now_ms(), set(names))
         self._attempts[nonce] = attempt
