--- a/packages/lagoonsail-router/tests/test_key_log.py
+++ b/packages/lagoonsail-router/tests/test_key_log.py
@@ -1,12 +1,15 @@
 from __future__ import annotations
 
 import json
+from types import SimpleNamespace
 
 import pytest
 
+from lagoonsail_core.messages import KeysNoted
 from lagoonsail_router.key_log import (
     LEASE_ROTATION_MS,
     RETENTION_MS,
+    STORE_RETRY_MS,
     WAIT_LIMIT_MS,
     KeyLog,
     keys_prefix,
@@ -16,10 +19,35 @@
 KEY, ORIGIN, OTHER = 11, 101, 202
 
 
+class Successor:
+    """A next owner that answers notices, or not."""
+
+    def __init__(self, name, answers=True):
+        self.name = name
+        self.answers = answers
+        self.notices = []
+        self.log = None
+
+    def send(self, notice):
+        self.notices.append(notice)
+        if self.answers:
+            self.log.take_noted(self, KeysNoted(notice.shard, notice.number))
+
+
+@pytest.fixture
+def promises():
+    return SimpleNamespace(has_promises=lambda: False)
+
+
 @pytest.fixture
-def make_log(context, store):
+def successors():
+    return []
+
+
+@pytest.fixture
+def make_log(context, store, promises, successors):
     def make(epoch=1):
-        log = KeyLog(context, store, SHARD, epoch)
+        log = KeyLog(context, store, SHARD, epoch, promises, lambda: successors)
         assert log.load()
         return log
 
@@ -98,13 +126,14 @@
     assert make_log(epoch=2).is_used(KEY, OTHER)
 
 
-def test_lost_answer_does_not_lose_the_key(log, make_log, store, wait_until):
+def test_lost_answer_does_not_lose_the_key(log, make_log, store, time, wait_until):
     results = []
     store.lose_answers = True
     log.record(KEY, ORIGIN, results.append)
     wait_until(lambda: store.writes)
     assert results == []
     store.lose_answers = False
+    time.pass_ms(STORE_RETRY_MS)
     wait_until(lambda: results)
     assert results == [True]
     assert make_log(epoch=2).is_used(KEY, OTHER)
@@ -123,6 +152,7 @@
     assert not log.is_used(KEY, OTHER)
     # The write took effect all the same, so it is taken back when that is possible.
     store.lose_answers = False
+    time.pass_ms(STORE_RETRY_MS)
     wait_until(lambda: stored_keys(store) == {KEY: 0})
     assert not make_log(epoch=2).is_used(KEY, OTHER)
 
@@ -159,9 +189,9 @@
     assert stored_keys(store) == {KEY: ORIGIN}
 
 
-def test_log_is_not_loaded_while_the_service_is_down(context, store):
+def test_log_is_not_loaded_while_the_service_is_down(context, store, promises):
     store.down = True
-    log = KeyLog(context, store, SHARD, 1)
+    log = KeyLog(context, store, SHARD, 1, promises, list)
     assert not log.load()
     assert not log.is_loaded
 
@@ -184,3 +214,47 @@
     log.expire()
     assert not log.is_used(KEY, OTHER)
     assert log.is_used(KEY + 1, OTHER)
+
+
+def test_next_owners_remember_keys_while_the_service_is_down(
+    log, store, promises, successors, time, wait_until
+):
+    successors += [Successor("b"), Successor("c")]
+    for successor in successors:
+        successor.log = log
+    promises.has_promises = lambda: True
+    store.down = True
+    results = []
+    log.record(KEY, ORIGIN, results.append)
+    wait_until(lambda: results)
+    assert results == [True]
+    assert [s.notices[0].keys for s in successors] == [[[KEY, ORIGIN]]] * 2
+    store.down = False
+    wait_until(lambda: time.pass_ms(50.0) or stored_keys(store) == {KEY: ORIGIN})
+
+
+@pytest.mark.parametrize("fault", ["no promises", "a silent successor", "nobody"])
+def test_key_is_refused_when_it_can_be_remembered_nowhere(
+    log, store, promises, successors, time, wait_until, fault
+):
+    successors += [
+        Successor("b"),
+        Successor("c", answers=fault != "a silent successor"),
+    ]
+    for successor in successors:
+        successor.log = log
+    if fault == "nobody":
+        successors.clear()
+    promises.has_promises = lambda: fault != "no promises"
+    store.down = True
+    results = []
+    log.record(KEY, ORIGIN, results.append)
+    wait_until(lambda: time.pass_ms(WAIT_LIMIT_MS / 20.0) or results)
+    assert results == [False]
+
+
+def test_late_write_of_an_earlier_change_does_not_undo_a_later_one(make_log, store):
+    prefix = f"{keys_prefix(SHARD)}{1:012d}/"
+    store.put_if(f"{prefix}{2:012d}", json.dumps([[KEY, ORIGIN]]), 0)
+    store.put_if(f"{prefix}{1:012d}", json.dumps([[KEY, 0]]), 0)
+    assert make_log(2).is_used(KEY, OTHER)
--- a/packages/lagoonsail-router/tests/test_right.py
+++ b/packages/lagoonsail-router/tests/test_right.py
@@ -16,12 +16,14 @@
 from lagoonsail_router.right import (
     EXTENDED,
     FULL,
+    FULL_FRACTION,
     GUARDED,
     LAPSED,
     PROMISE_MS,
     STORE_DOWN_TTL_MS,
     Right,
 )
+from lagoonsail_store.host_list import Host
 
 TTL_MS = 3000.0
 
@@ -30,8 +32,8 @@
 def hosts():
     """The host list's answer; two other routers and one of another region."""
     labels = {"region": "sierra-central"}
-    far = SimpleNamespace(name="kalapati-1", labels={"region": "luzon"})
-    near = [SimpleNamespace(name=f"cordero-{n}", labels=labels) for n in (1, 2, 3)]
+    far = Host("kalapati-1", "127.0.0.1:9", "live", {"region": "luzon"})
+    near = [Host(f"cordero-{n}", f"127.0.0.1:{n}", "live", labels) for n in (1, 2, 3)]
     return [*near, far]
 
 
@@ -72,11 +74,11 @@
 def test_right_goes_from_full_over_guarded_to_lapsed(right, store, time):
     store.down = True
     assert right.level() == FULL
-    time.pass_ms(TTL_MS / 2)
+    time.pass_ms(TTL_MS * FULL_FRACTION)
     right.renew()
     assert right.level() == GUARDED
     # The holder stops before the lease ends on the slowest clock.
-    time.pass_ms(TTL_MS / 2 - TTL_MS * MAX_RATE_ERROR)
+    time.pass_ms(TTL_MS * (1 - FULL_FRACTION) - TTL_MS * MAX_RATE_ERROR)
     assert right.level() == LAPSED
 
 
