--- a/packages/lagoonsail-router/src/lagoonsail_router/call.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/call.py
@@ -7,10 +7,10 @@
 import secrets
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
-from urllib.parse import unquote
 
 from xxhash import xxh64_intdigest
 
+from lagoonsail_config.document import normalise_path
 from lagoonsail_router.problems import CallProblem
 from lagoonsail_sharing.prefix_index import prefix_hashes
 
@@ -106,10 +106,8 @@
     key = _read_idempotency_key(env)
     body = _read_body(env, document.max_body_bytes)
     method = env["REQUEST_METHOD"]
-    # The server gets the path as it was sent, and takes it for what it decodes to.
-    path = unquote(raw_path, "latin-1")
-    is_repeatable = document.is_repeatable(method, path)
-    prompt, is_stream, estimate = _read_completion(document, path, body)
+    is_repeatable = document.is_repeatable(method, raw_path)
+    prompt, is_stream, estimate = _read_completion(document, raw_path, body)
     return Call(
         request_id=request_id,
         document=document,
@@ -262,9 +260,10 @@
 
 
 def _read_completion(
-    document: ServiceDocument, path: str, body: bytes
+    document: ServiceDocument, raw_path: str, body: bytes
 ) -> tuple[str, bool, float]:
-    if document.kind != "engine" or path != COMPLETIONS_PATH:
+    # The server gets the path as it was sent, and takes it for its normal form.
+    if document.kind != "engine" or normalise_path(raw_path) != COMPLETIONS_PATH:
         return "", False, 0.0
     try:
         fields = json.loads(body)
--- a/packages/lagoonsail-router/tests/test_call.py
+++ b/packages/lagoonsail-router/tests/test_call.py
@@ -81,6 +81,10 @@
     # What the backend server would see decides whether the call may be repeated.
     assert read("/cordero/registro/%73earch", "POST").is_repeatable
     assert not read("/cordero/registro/bibs", "POST").is_repeatable
+    assert not read("/cordero/registro/search/%2E%2E/bibs", "POST").is_repeatable
+    assert read("/cordero/asistente/v1//%63ompletions", "POST", b"{}").is_repeatable
+    found = refusal(read, "/cordero/asistente/v1//%63ompletions", "POST", b"[]")
+    assert found == (400, "malformed_completion")
 
 
 def test_request_id_is_made_up_when_missing(read):
