Let a service document say which model, adapters and role an engine has

[model NAME] holds version and adapters; a server names its model and its role. Ruled out: a section for each order; the document says what is wanted, the owner finds out what is missing. Defaults leave engines alone, so that documents in use mean the same as before.

--- a/packages/lagoonsail-config/src/lagoonsail_config/document.py
+++ b/packages/lagoonsail-config/src/lagoonsail_config/document.py
@@ -57,6 +57,12 @@
 DEFAULT_FILE = "document"
 """What problems call a document without a file."""
 
+NONE = "none"
+"""Word for a server without a model or a role, and a model without adapters."""
+
+ROLES = ("mixed", "prefill", "decode")
+"""What a model engine may be told to do: all of a request, or one phase of it."""
+
 _HASH = re.compile("[0-9a-f]{64}")
 _METHODS = ("GET", "HEAD", "PUT", "DELETE", "OPTIONS", "POST", "PATCH")
 _YES_NO = {"yes": True, "no": False}
@@ -77,6 +83,24 @@
 )
 """Keys of [service]."""
 
+
+def _read_model(text: str) -> str:
+    if not NAME_PATTERN.fullmatch(text):
+        raise ValueError(text)
+    return "" if text == NONE else text
+
+
+def _read_adapters(text: str) -> frozenset[str]:
+    if text == NONE:
+        return frozenset()
+    names = [part.strip() for part in text.split(",")]
+    if not all(NAME_PATTERN.fullmatch(name) and name != NONE for name in names):
+        raise ValueError(text)
+    if len(set(names)) < len(names):
+        raise ValueError(text)
+    return frozenset(names)
+
+
 DOMAIN_KEYS = (choice_key("state", _STATES, STATE_IN),)
 """Keys of [failure-domain NAME]."""
 
@@ -88,9 +112,21 @@
     choice_key("checks_fencing", _YES_NO, "yes"),
     choice_key("state", _STATES, STATE_IN),
     name_key("region", ""),
+    Key("model", _read_model, "a [model NAME] of this document, or none", NONE),
+    choice_key("role", {NONE: "", **{role: role for role in ROLES}}, NONE),
 )
 """Keys of [server NAME]."""
 
+MODEL_KEYS = (
+    pattern_key(
+        "version",
+        "[A-Za-z0-9][A-Za-z0-9._-]{0,62}",
+        "1 to 63 of A-Z, a-z, 0-9, dot, _ and hyphen, first a letter or digit",
+    ),
+    Key("adapters", _read_adapters, "distinct names with commas, or none", NONE),
+)
+"""Keys of [model NAME]."""
+
 ACCOUNT_KEYS = (
     decimal_key("share", 0.001, 1_000_000, "parts"),
     pattern_key("key_sha256", _HASH.pattern, "64 hex digits in lower case"),
@@ -104,14 +140,15 @@
     "service": SERVICE_KEYS,
     "failure-domain": DOMAIN_KEYS,
     "server": SERVER_KEYS,
+    "model": MODEL_KEYS,
     "account": ACCOUNT_KEYS,
     "calls": CALL_KEYS,
 }
 """Keys by the first word of the section's name."""
 
 ALLOWED_SECTIONS = (
-    "[service], [failure-domain NAME], [server NAME], [account NAME], "
-    "[calls METHOD /PREFIX]"
+    "[service], [failure-domain NAME], [server NAME], [model NAME], "
+    "[account NAME], [calls METHOD /PREFIX]"
 )
 """What sections a document may hold, in words."""
 
@@ -150,6 +187,22 @@
     """STATE_IN or STATE_OUT."""
     region: str
     """Region; that of the service unless the document says otherwise."""
+    model: str = ""
+    """Model that it is to serve; empty if the fleet leaves its model alone."""
+    role: str = ""
+    """One of ROLES; empty if the fleet leaves its role alone."""
+
+
+@dataclass(slots=True)
+class ModelEntry:
+    """A model that servers of the service are brought to."""
+
+    name: str
+    """Unqualified name."""
+    version: str
+    """Version of its weights."""
+    adapters: frozenset[str]
+    """Adapters that are loaded with it."""
 
 
 @dataclass(slots=True)
@@ -204,6 +257,8 @@
     """Failure domains by name."""
     servers: dict[str, ServerEntry] = field(default_factory=dict)
     """Backend servers by name."""
+    models: dict[str, ModelEntry] = field(default_factory=dict)
+    """Models by name."""
     accounts: dict[str, AccountEntry] = field(default_factory=dict)
     """Client accounts by name."""
     calls: list[CallEntry] = field(default_factory=list)
@@ -338,6 +393,32 @@
     return problems
 
 
+def _check_orders(
+    values_by_section: dict[tuple[str, str], dict], file: str
+) -> list[Problem]:
+    """Return the servers that are to have a model or a role they cannot have."""
+    problems = []
+    models = [name for kind, name in values_by_section if kind == "model"]
+    is_plain = values_by_section.get(("service", ""), {}).get("kind") == KIND_PLAIN
+    for (kind, name), values in values_by_section.items():
+        if (kind, name) == ("model", NONE):
+            found = f"a model with the name {NONE}"
+            problems.append(Problem(file, f"model {name}", "", found, "another name"))
+        if kind != "server":
+            continue
+        section = f"server {name}"
+        model = values.get("model")
+        if model and model not in models:
+            allowed = ", ".join([*models, NONE])
+            problems.append(Problem(file, section, "model", repr(model), allowed))
+        for key in ("model", "role"):
+            if is_plain and values.get(key):
+                allowed = f"{NONE}, since the service is plain"
+                found = repr(values[key])
+                problems.append(Problem(file, section, key, found, allowed))
+    return problems
+
+
 def _check_unique(
     kind: str, key: str, values_by_section: dict[tuple[str, str], dict], file: str
 ) -> list[Problem]:
@@ -368,6 +449,7 @@
     for (kind, name), values in values_by_section.items():
         if kind == "server":
             problems += _check_server(name, values, domain_names, file)
+    problems += _check_orders(values_by_section, file)
     problems += _check_unique("server", "address", values_by_section, file)
     problems += _check_unique("account", "key_sha256", values_by_section, file)
     return problems
@@ -378,6 +460,10 @@
     document.servers[name] = ServerEntry(name, **values)
 
 
+def _add_model(document: ServiceDocument, name: str, values: dict) -> None:
+    document.models[name] = ModelEntry(name, **values)
+
+
 def _add_domain(document: ServiceDocument, name: str, values: dict) -> None:
     document.domains[name] = DomainEntry(name, **values)
 
@@ -396,6 +482,7 @@
 _ADD: dict[str, Callable[[ServiceDocument, str, dict], None]] = {
     "failure-domain": _add_domain,
     "server": _add_server,
+    "model": _add_model,
     "account": _add_account,
     "calls": _add_call,
 }
--- a/packages/lagoonsail-config/tests/test_document.py
+++ b/packages/lagoonsail-config/tests/test_document.py
@@ -225,3 +225,52 @@
     explicit = document_text.replace("slots = 8\n#", "slots = 8\ncold_slots = 1\n#")
     assert describe_changes(document_text, explicit) == []
     assert describe_changes("", "[service]\nside = a") == ["[service] added: side = a"]
+
+
+MODELS = """\
+[model charla]
+version = 2024.1
+adapters = rutas, tiempos
+"""
+
+
+def test_models_and_roles_of_servers(document_text):
+    server = "[server asistente-1]\n"
+    text = document_text.replace(server, f"{server}model = charla\nrole = decode\n")
+    document = parse_document(text + MODELS)
+    first, second = document.servers.values()
+    assert (first.model, first.role) == ("charla", "decode")
+    assert (second.model, second.role) == ("", "")
+    model = document.models["charla"]
+    assert (model.version, model.adapters) == ("2024.1", {"rutas", "tiempos"})
+    assert describe_changes(document_text, text + MODELS) == [
+        "[server asistente-1] model: none (default) -> charla",
+        "[server asistente-1] role: none (default) -> decode",
+        "[model charla] added: version = 2024.1, adapters = rutas, tiempos",
+    ]
+
+
+def test_mistakes_in_models_are_listed_at_once(document_text):
+    server = "[server asistente-1]\n"
+    text = document_text.replace(server, f"{server}model = other\nrole = boss\n")
+    text += MODELS.replace("2024.1", "a b").replace("rutas,", "tiempos,")
+    problems = find_problems(text + "[model none]\nversion = 1\nadapters =\n")
+    assert set(problems) == {
+        ("server asistente-1", "model"),
+        ("server asistente-1", "role"),
+        ("model charla", "version"),
+        ("model charla", "adapters"),
+        ("model none", ""),
+        ("model none", "adapters"),
+    }
+    assert "allowed charla, none" in problems["server asistente-1", "model"]
+
+
+def test_plain_service_has_no_models(document_text):
+    server = "[server asistente-1]\n"
+    text = document_text.replace(server, f"{server}model = charla\nrole = mixed\n")
+    text = text.replace("kind = engine", "kind = plain") + MODELS
+    assert set(find_problems(text)) == {
+        ("server asistente-1", "model"),
+        ("server asistente-1", "role"),
+    }
