Let the engine stand-in load models and adapters and take a role

Orders name what is wanted, so a repeated one changes nothing; they carry the fencing number of a shard, share its check with requests (412 for an earlier owner), and show 429 with Retry-After of the weight store.

--- a/packages/lagoonsail-standins/src/lagoonsail_standins/backend.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/backend.py
@@ -221,6 +221,17 @@
             return self.refuse(503, "the weights are being loaded")
         if self.clock.now_ms() < self._refuses_until_ms:
             return self.refuse(503, "the server has fallen over")
+        return self.check_epoch(request)
+
+    def check_epoch(self, request: Request) -> Answer | None:
+        """Refuse what an earlier owner of the shard sent, if the server checks that.
+
+        Args:
+            request: A request or an order.
+
+        Returns:
+            The refusal, or None if the epoch is the newest seen.
+        """
         if not self._options.checks_fencing:
             return None
         shard = request.headers.get("x-lagoonsail-shard", "")
--- a/packages/lagoonsail-standins/src/lagoonsail_standins/model_engine.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/model_engine.py
@@ -8,6 +8,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from urllib.parse import urljoin
 
 from lagoonsail_core.green import eventlet, urllib3
 from lagoonsail_standins.backend import (
@@ -111,20 +112,33 @@
 
 
 class Engine:
-    """Completions of one engine, its cache and its reports."""
+    """Completions of one engine, its model, its cache and its reports."""
 
     __slots__ = (
         "_backend",
         "_completions",
         "_first_ms",
         "_is_resumable",
+        "_load_ms",
         "_orders",
         "_token_ms",
         "_weight_store",
+        "adapters",
         "cache",
+        "model",
+        "role",
         "show_metrics",
+        "version",
     )
 
+    adapters: set[str]
+    """Adapters that are loaded."""
+    model: str
+    """Model that was ordered; empty for the one that the engine started with."""
+    role: str
+    """Role that was ordered."""
+    version: str
+    """Version of the model."""
     cache: PromptCache
     """Prefixes that the engine holds."""
     show_metrics: Callable[[Request], Answer]
@@ -138,8 +152,10 @@
         report_lag_ms: float = 1000.0,
         is_resumable: bool = False,
         weight_store: str = "",
+        load_ms: float = 200.0,
     ) -> None:
         self._backend = backend
+        self._load_ms = load_ms
         self._token_ms = token_ms
         self._first_ms = first_ms
         self._is_resumable = is_resumable
@@ -148,6 +164,7 @@
         self._orders: list[dict] = []
         self.cache = PromptCache(backend.clock, report_lag_ms)
         self.show_metrics = make_metrics_handler(backend, report_lag_ms)
+        self._forget_orders()
         backend.on_restart = self._begin_incarnation
 
     def start(self) -> None:
@@ -157,8 +174,13 @@
     def _begin_incarnation(self) -> None:
         self._completions.clear()
         self.cache.clear()
+        self._forget_orders()
         self._load_weights()
 
+    def _forget_orders(self) -> None:
+        self.model = self.version = self.role = ""
+        self.adapters = set()
+
     def _load_weights(self) -> None:
         if not self._weight_store:
             return
@@ -311,25 +333,104 @@
         return self._answer(completion, int(after))
 
     def take_order(self, request: Request) -> Answer:
-        """Carry out an order of the fleet: load the weights anew or drop the cache.
+        """Carry out an order of the fleet; a repeated one changes nothing.
 
         Args:
-            request: Its body has `order`, "load" or "evict".
+            request: Its body has `order`: `load` with `model` and `version`, or
+                without them for the present weights; `load_adapter` or
+                `unload_adapter` with `adapter`; `set_role` with `role`; or `evict`.
 
         Returns:
-            The answer.
+            The state; 412 for an order of an earlier owner, 409 while the engine
+            loads, and 429 with Retry-After when the weight store says so.
         """
         fields = request.json()
-        self._orders.append(fields)
-        if fields.get("order") == "evict":
+        refusal = self._backend.check_epoch(request)
+        if refusal:
+            return refusal
+        order = fields.get("order")
+        self._orders.append({**fields, "at_wall_ms": self._backend.clock.wall_ms()})
+        if order == "evict":
             self.cache.clear()
-        elif fields.get("order") == "load":
+        elif order == "set_role":
+            self.role = str(fields.get("role", ""))
+        elif order == "unload_adapter":
+            self.adapters.discard(str(fields.get("adapter", "")))
+        elif order == "load_adapter":
+            return self._load_adapter(str(fields.get("adapter", "")))
+        elif order == "load" and fields.get("model"):
+            return self._load_model(str(fields["model"]), str(fields.get("version")))
+        elif order == "load":
             self._load_weights()
         else:
-            return self._backend.refuse(400, "order is load or evict")
-        return answer_json(
-            {"orders": len(self._orders)}, headers=self._backend.headers()
-        )
+            allowed = "load, load_adapter, unload_adapter, set_role or evict"
+            return self._backend.refuse(400, f"order is {allowed}")
+        return self.show_state(request)
+
+    def show_state(self, _request: Request | None = None) -> Answer:
+        """Return what the engine has loaded, and the orders that it took."""
+        state = {
+            "model": self.model,
+            "version": self.version,
+            "adapters": sorted(self.adapters),
+            "role": self.role,
+            "loading": self._backend.is_loading,
+            "orders": self._orders,
+        }
+        return answer_json(state, headers=self._backend.headers())
+
+    def _load_model(self, model: str, version: str) -> Answer:
+        if (self.model, self.version) == (model, version):
+            return self.show_state()
+
+        def finish() -> None:
+            self.model, self.version = model, version
+            self.adapters.clear()
+            self.cache.clear()
+            self._backend.turn_cold()
+
+        return self._load(f"{model}-{version}", finish)
+
+    def _load_adapter(self, adapter: str) -> Answer:
+        if adapter in self.adapters:
+            return self.show_state()
+        return self._load(f"{self.model}-{adapter}", lambda: self.adapters.add(adapter))
+
+    def _load(self, name: str, finish: Callable[[], None]) -> Answer:
+        """Fetch weights, and use them once the time of loading is over."""
+        if self._backend.is_loading:
+            return self._backend.refuse(409, "weights are being loaded")
+        self._backend.is_loading = True
+        incarnation = self._backend.incarnation
+        refusal = self._fetch(name)
+        if refusal:
+            self._backend.is_loading = False
+            return refusal
+
+        def load() -> None:
+            eventlet.sleep(self._load_ms / 1000.0)
+            if incarnation != self._backend.incarnation:
+                return
+            finish()
+            self._backend.is_loading = False
+
+        eventlet.spawn(load)
+        return self.show_state()
+
+    def _fetch(self, name: str) -> Answer | None:
+        if not self._weight_store:
+            return None
+        url = urljoin(self._weight_store, name)
+        try:
+            answer = urllib3.request("GET", url, retries=False, timeout=30.0)
+        except urllib3.exceptions.HTTPError:
+            return self._backend.refuse(503, "the weight store does not answer")
+        if answer.status == 200:
+            return None
+        refusal = self._backend.refuse(answer.status, f"the weight store: no {name}")
+        if "Retry-After" in answer.headers:
+            refusal.headers["Retry-After"] = answer.headers["Retry-After"]
+        return refusal
 
     def show_events(self, request: Request) -> Answer:
         """Return the cache events after a sequence number."""
@@ -360,6 +461,7 @@
         ("GET", "/metrics"): engine.show_metrics,
         ("GET", "/cache_events"): engine.show_events,
         ("POST", "/orders"): engine.take_order,
+        ("GET", "/orders"): engine.show_state,
     }
     return make_backend_app(backend, routes, engine.act_by_id)
 
@@ -378,6 +480,7 @@
     checks_fencing: bool = False,
     resumable: bool = False,
     weight_store: str = "",
+    load_ms: float = 200.0,
 ) -> None:
     """Serve a model engine.
 
@@ -393,13 +496,17 @@
         report_lag_ms: Age of what the reports show.
         checks_fencing: Refuse requests of an outdated epoch.
         resumable: Let broken completions be resumed.
-        weight_store: URL of the weights, loaded before anything is answered.
+        weight_store: URL of the weights, loaded before anything is answered; those of
+            ordered models and adapters stand beside it.
+        load_ms: Time that loading an ordered model or adapter takes.
     """
     options = BackendOptions(
         name, slots, cold_slots, warm_after, cold_factor, checks_fencing
     )
     backend = Backend(options)
-    engine = Engine(backend, token_ms, first_ms, report_lag_ms, resumable, weight_store)
+    engine = Engine(
+        backend, token_ms, first_ms, report_lag_ms, resumable, weight_store, load_ms
+    )
     engine.start()
     serve(make_engine_app(backend, engine), port)
 
--- a/packages/lagoonsail-standins/tests/test_backend_servers.py
+++ b/packages/lagoonsail-standins/tests/test_backend_servers.py
@@ -264,6 +264,69 @@
     assert [e["kind"] for e in events] == ["stored", "cleared"]
 
 
+def order(client, epoch=1, **fields):
+    headers = {"X-Lagoonsail-Epoch": str(epoch), "X-Lagoonsail-Shard": "s"}
+    return client.call("POST", "/orders", fields, headers=headers)
+
+
+def wait_loaded(client):
+    for _ in range(200):
+        state = client.call("GET", "/orders").json()
+        if not state["loading"]:
+            return state
+        eventlet.sleep(0.02)
+    raise AssertionError(state)
+
+
+def test_engine_loads_what_it_is_ordered_to(start_engine):
+    client = start_engine()
+    answer = order(client, order="load", model="m", version="2")
+    assert (answer.status, answer.json()["loading"]) == (200, True)
+    assert client.prompt().status == 503
+    assert order(client, order="load", model="m", version="3").status == 409
+    assert wait_loaded(client)["version"] == "2"
+    assert client.prompt().status == 200
+    # What is loaded already is not loaded again.
+    assert not order(client, order="load", model="m", version="2").json()["loading"]
+    order(client, order="load_adapter", adapter="a")
+    assert wait_loaded(client)["adapters"] == ["a"]
+    order(client, order="unload_adapter", adapter="a")
+    order(client, order="set_role", role="decode")
+    state = client.call("GET", "/orders").json()
+    assert (state["model"], state["adapters"], state["role"]) == ("m", [], "decode")
+    client.control(restart=True)
+    assert client.call("GET", "/orders").json()["model"] == ""
+
+
+def test_order_of_an_earlier_owner_is_refused(start_engine):
+    client = start_engine()
+    assert order(client, 5, order="set_role", role="mixed").status == 200
+    assert order(client, 4, order="set_role", role="decode").status == 412
+    assert client.call("GET", "/orders").json()["role"] == "mixed"
+    earlier = {"X-Lagoonsail-Epoch": "4", "X-Lagoonsail-Shard": "s"}
+    assert client.prompt(headers=earlier).status == 412
+
+
+def test_order_tells_the_limit_of_the_weight_store(start, start_engine):
+    statuses = ["200 -", "429 -", "200 -"]
+    paths = []
+
+    def weights(environ, start_response):
+        paths.append(environ["PATH_INFO"])
+        start_response(statuses.pop(0), [("Retry-After", "7")])
+        return []
+
+    store = start(weights)
+    client = start_engine(weight_store=f"{store.base}/weights/first")
+    wait_loaded(client)
+    answer = order(client, order="load", model="m", version="2")
+    assert (answer.status, answer.headers["Retry-After"]) == (429, "7")
+    assert wait_loaded(client)["model"] == ""
+    order(client, order="load", model="m", version="2")
+    assert wait_loaded(client)["model"] == "m"
+    assert paths == ["/weights/first", "/weights/m-2", "/weights/m-2"]
+
+
 def test_malformed_requests_are_refused(start_engine):
     client = start_engine()
     assert client.call("POST", "/v1/completions", {"prompt": 3}).status == 400
