Have the owner of a shard bring its engines to the documented state

engine_orders.py reads what each engine has loaded and orders what is missing: a model and version, adapters, a role. Orders name the wanted state, carry the owner's epoch, wait until nothing runs on the engine, go to two engines of a shard at once, and stop for as long as the weight store asks (429 with Retry-After). Failed ones are repeated after a growing pause, once the state has been read again; an engine that has seen a later owner gets none any more. Ruled out: ordering without draining, which breaks what runs; closing engines of which nothing is known after a change of the document, which would take all of them out at once.

--- /dev/null
+++ b/packages/lagoonsail-router/src/lagoonsail_router/engine_orders.py
@@ -0,0 +1,395 @@
+"""Orders that bring the engines of a shard to the state that the document wants.
+
+The owner of a shard reads what each engine has loaded and orders what is missing, one
+order after the other. An order names the wanted state, so that a repeated one changes
+nothing, and carries the owner's epoch, so that an engine refuses it once it has seen a
+later owner. An engine gets no new requests from the moment at which its change begins,
+and its first order when nothing runs on it any more.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from lagoonsail_core.green import urllib3
+from lagoonsail_core.unavailable import Unavailable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonsail_config.document import ServerEntry, ServiceDocument
+    from lagoonsail_router.context import RouterContext
+
+ORDERS_PATH = "/orders"
+"""Path at an engine for its state and its orders."""
+ORDER_TIMEOUT_S = 5.0
+"""Time for the answer to an order, in seconds as urllib3 takes it."""
+MAX_STATE_BYTES = 262_144
+"""Longest state that is read."""
+CHANGED_AT_ONCE = 2
+"""Engines of one shard that are changed at once; the others serve on."""
+ORDERS_IN_A_ROW = 16
+"""Orders to one engine without a pause."""
+SETTLE_MS = 4000.0
+"""Time after which a new owner gives orders; what an earlier owner granted last shows
+in the load reports by then."""
+FIRST_PAUSE_MS = 1000.0
+"""Mean pause after a first failed order."""
+LONGEST_PAUSE_MS = 30_000.0
+"""Longest mean pause; it doubles with each failure in a row."""
+LONGEST_LIMIT_MS = 600_000.0
+"""Longest time for which the weight store's limit is believed."""
+
+LOADING_ORDERS = ("load", "load_adapter")
+"""Orders for which an engine fetches weights."""
+
+TAKEN = "taken"
+"""The engine has carried the order out, or loads."""
+BUSY = "busy"
+"""The engine loads already."""
+LIMITED = "limited"
+"""The weight store limits its rate."""
+OUTDATED = "outdated"
+"""The engine has seen a later owner."""
+REFUSED = "refused"
+"""The engine cannot carry the order out."""
+FAILED = "failed"
+"""No answer, or a fault of the engine or the weight store."""
+
+_RESULTS = {200: TAKEN, 202: TAKEN, 409: BUSY, 412: OUTDATED, 429: LIMITED}
+
+
+@dataclass(slots=True)
+class EngineState:
+    """What an engine has loaded, as far as orders can change it."""
+
+    model: str
+    """Model, empty for the one that it started with."""
+    version: str
+    """Version of the model."""
+    adapters: frozenset[str]
+    """Adapters."""
+    role: str
+    """Role, empty if none was ordered."""
+    is_loading: bool = False
+    """Whether it loads weights now."""
+
+
+@dataclass(slots=True)
+class _Answer:
+    status: int
+    body: bytes
+    retry_after: str
+
+
+@dataclass(slots=True)
+class _Pause:
+    failures: int = 0
+    until_ms: float = float("-inf")
+
+
+def wanted_state(server: ServerEntry, document: ServiceDocument) -> EngineState:
+    """Return the state that a document wants of an engine.
+
+    Args:
+        server: The engine's part of the document.
+        document: The document.
+
+    Returns:
+        The state; an empty model or role stands for any.
+    """
+    model = document.models.get(server.model)
+    if model is None:
+        return EngineState("", "", frozenset(), server.role)
+    return EngineState(model.name, model.version, model.adapters, server.role)
+
+
+def next_order(wanted: EngineState, state: EngineState) -> dict[str, str] | None:
+    """Return the order that brings an engine nearer to the wanted state.
+
+    Args:
+        wanted: What the document wants.
+        state: What the engine has.
+
+    Returns:
+        The order, or None if there is nothing to do.
+
+    Example:
+        >>> wanted = EngineState("m", "2", frozenset({"a"}), "")
+        >>> next_order(wanted, EngineState("m", "2", frozenset(), "mixed"))
+        {'order': 'load_adapter', 'adapter': 'a'}
+    """
+    if wanted.model:
+        if (wanted.model, wanted.version) != (state.model, state.version):
+            return {"order": "load", "model": wanted.model, "version": wanted.version}
+        for adapter in sorted(state.adapters - wanted.adapters):
+            return {"order": "unload_adapter", "adapter": adapter}
+        for adapter in sorted(wanted.adapters - state.adapters):
+            return {"order": "load_adapter", "adapter": adapter}
+    if wanted.role and wanted.role != state.role:
+        return {"order": "set_role", "role": wanted.role}
+    return None
+
+
+def _is_managed(server: ServerEntry) -> bool:
+    return bool(server.model or server.role)
+
+
+class EngineOrders:
+    """Orders of one owner to the engines of its shard."""
+
+    __slots__ = (
+        "_at_work",
+        "_changing",
+        "_context",
+        "_epoch",
+        "_is_outdated",
+        "_limited_until_ms",
+        "_pauses",
+        "_settled_ms",
+        "_shard",
+        "_unread",
+    )
+
+    def __init__(
+        self,
+        context: RouterContext,
+        shard: str,
+        epoch: int,
+        document: ServiceDocument | None,
+    ) -> None:
+        """Begin with engines of which nothing is known.
+
+        Args:
+            context: The router's shared state.
+            shard: The shard.
+            epoch: Fencing number of this owner.
+            document: The document in force, if there is one.
+        """
+        self._context = context
+        self._shard = shard
+        self._epoch = epoch
+        now_ms = context.clock.now_ms()
+        self._settled_ms = now_ms + SETTLE_MS if epoch > 1 else now_ms
+        self._limited_until_ms = float("-inf")
+        self._is_outdated = False
+        self._at_work: set[str] = set()
+        self._changing: set[str] = set()
+        self._pauses: dict[str, _Pause] = {}
+        servers = document.servers.values() if document else ()
+        # An earlier owner may have them loading.
+        self._unread = {server.name for server in servers if _is_managed(server)}
+
+    def is_closed(self, server: ServerEntry) -> bool:
+        """Return whether an engine gets no new requests, because of its orders.
+
+        Args:
+            server: The engine's part of the document.
+        """
+        if not _is_managed(server):
+            return False
+        return server.name in self._changing or server.name in self._unread
+
+    def on_unreachable(self, server: ServerEntry) -> None:
+        """Close an engine that does not answer until its state has been read again.
+
+        Args:
+            server: The engine's part of the document.
+        """
+        # It may load, or have begun anew, when it comes back.
+        if _is_managed(server):
+            self._unread.add(server.name)
+        self._changing.discard(server.name)
+
+    def step(
+        self,
+        server: ServerEntry,
+        document: ServiceDocument,
+        may_order: Callable[[], bool],
+        on_load: Callable[[], None],
+    ) -> None:
+        """Read an engine's state and give it the orders that are due.
+
+        Args:
+            server: The engine's part of the document.
+            document: The document in force.
+            may_order: Says whether this router surely owns the shard now, and nothing
+                runs on the engine; asked right before each order.
+            on_load: Called when the engine loads, or may load, another model, after
+                which it is cold.
+        """
+        name = server.name
+        self._changing.intersection_update(document.servers)
+        if not _is_managed(server):
+            self._changing.discard(name)
+            return
+        if name in self._at_work:
+            return
+        self._at_work.add(name)
+        try:
+            self._bring(server, document, may_order, on_load)
+        finally:
+            self._at_work.discard(name)
+
+    def _bring(
+        self,
+        server: ServerEntry,
+        document: ServiceDocument,
+        may_order: Callable[[], bool],
+        on_load: Callable[[], None],
+    ) -> None:
+        wanted = wanted_state(server, document)
+        for _ in range(ORDERS_IN_A_ROW):
+            state = self._read(server)
+            if state is None:
+                return
+            order = next_order(wanted, state)
+            if order is None:
+                self._changing.discard(server.name)
+                return
+            if not self._may_change(server.name, order) or not may_order():
+                return
+            if self._send(server, order, on_load) != TAKEN:
+                return
+
+    def _read(self, server: ServerEntry) -> EngineState | None:
+        """Return the state of an engine that can be given orders now."""
+        name = server.name
+        answer = _exchange("GET", server.address, None, {})
+        if not isinstance(answer, _Answer):
+            self.on_unreachable(server)
+            return None
+        self._unread.discard(name)
+        state = _parse_state(answer)
+        if state is None:
+            # It takes no orders, so it serves with what it has.
+            self._context.count("engine_states_malformed_total")
+            self._changing.discard(name)
+            return None
+        if state.is_loading:
+            self._changing.add(name)
+            return None
+        return state
+
+    def _may_change(self, name: str, order: dict[str, str]) -> bool:
+        now_ms = self._context.clock.now_ms()
+        pause = self._pauses.get(name)
+        is_limited = order["order"] in LOADING_ORDERS
+        if (
+            self._is_outdated
+            or now_ms < self._settled_ms
+            or (pause and now_ms < pause.until_ms)
+            or (is_limited and now_ms < self._limited_until_ms)
+        ):
+            self._changing.discard(name)
+            return False
+        if name not in self._changing and len(self._changing) >= CHANGED_AT_ONCE:
+            return False
+        self._changing.add(name)
+        return True
+
+    def _send(
+        self, server: ServerEntry, order: dict[str, str], on_load: Callable[[], None]
+    ) -> str:
+        headers = {
+            "Content-Type": "application/json",
+            "X-Lagoonsail-Epoch": str(self._epoch),
+            "X-Lagoonsail-Shard": self._shard,
+        }
+        answer = _exchange("POST", server.address, order, headers)
+        result = _judge(answer)
+        if order["order"] == "load" and result in (TAKEN, FAILED):
+            on_load()
+        self._context.count("engine_orders_total", result)
+        service = self._shard.rsplit("@", 1)[0]
+        self._context.timeline.record(
+            "engine_order",
+            server=f"{service}/{server.name}",
+            failure_domain=server.failure_domain,
+            epoch=self._epoch,
+            result=result,
+            **order,
+        )
+        self._take_result(server.name, result, answer)
+        return result
+
+    def _take_result(self, name: str, result: str, answer) -> None:
+        now_ms = self._context.clock.now_ms()
+        if result in (TAKEN, BUSY):
+            self._pauses.pop(name, None)
+            return
+        self._changing.discard(name)
+        if result == OUTDATED:
+            self._is_outdated = True
+        elif result == LIMITED:
+            wait_ms = _read_retry_after_ms(answer.retry_after)
+            until_ms = now_ms + wait_ms * random.uniform(1.0, 1.2)
+            self._limited_until_ms = max(self._limited_until_ms, until_ms)
+        else:
+            self._pause(name, result, now_ms)
+
+    def _pause(self, name: str, result: str, now_ms: float) -> None:
+        # An order may be repeated, since it names the state and not the change.
+        pause = self._pauses.setdefault(name, _Pause())
+        pause_ms = min(FIRST_PAUSE_MS * 2**pause.failures, LONGEST_PAUSE_MS)
+        if result == REFUSED:
+            pause_ms = LONGEST_PAUSE_MS
+        else:
+            # Whether it loads is not known until its state is read.
+            self._unread.add(name)
+        pause.failures = min(pause.failures + 1, 10)
+        pause.until_ms = now_ms + pause_ms * random.uniform(0.5, 1.5)
+
+
+def _judge(answer: _Answer | Unavailable) -> str:
+    if not isinstance(answer, _Answer) or answer.status >= 500:
+        return FAILED
+    return _RESULTS.get(answer.status, REFUSED)
+
+
+def _read_retry_after_ms(text: str) -> float:
+    try:
+        wait_ms = float(text) * 1000.0
+    except ValueError:
+        wait_ms = FIRST_PAUSE_MS
+    if not wait_ms >= 0:
+        wait_ms = FIRST_PAUSE_MS
+    return min(wait_ms, LONGEST_LIMIT_MS)
+
+
+def _exchange(
+    method: str, address: str, order: dict | None, headers: dict[str, str]
+) -> _Answer | Unavailable:
+    # A fresh connection each time: one that went silent must not hide the engine.
+    host, port = address.rsplit(":", 1)
+    pool = urllib3.HTTPConnectionPool(
+        host, int(port), timeout=ORDER_TIMEOUT_S, retries=False
+    )
+    body = None if order is None else json.dumps(order)
+    try:
+        response = pool.request(
+            method, ORDERS_PATH, body=body, headers=headers, preload_content=False
+        )
+        data = response.read(MAX_STATE_BYTES)
+    except (urllib3.exceptions.HTTPError, OSError) as error:
+        return Unavailable(f"no answer from {address}{ORDERS_PATH}: {error}")
+    finally:
+        pool.close()
+    return _Answer(response.status, data, response.headers.get("Retry-After", ""))
+
+
+def _parse_state(answer: _Answer) -> EngineState | None:
+    try:
+        fields = json.loads(answer.body)
+        adapters = frozenset(map(str, fields["adapters"]))
+        texts = [str(fields[name]) for name in ("model", "version", "role")]
+        is_loading = fields["loading"] is True
+    except (ValueError, KeyError, TypeError, RecursionError):
+        return None
+    if answer.status != 200:
+        return None
+    model, version, role = texts
+    return EngineState(model, version, adapters, role, is_loading)
--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -27,9 +27,10 @@
 )
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_router.context import start_later, start_task
+from lagoonsail_router.engine_orders import EngineOrders
 from lagoonsail_router.key_log import KeyLog
 from lagoonsail_router.load_reports import REPORT_LAG_MS, read_cache_events, read_load
-from lagoonsail_router.right import GUARDED, LAPSED
+from lagoonsail_router.right import FULL, GUARDED, LAPSED
 from lagoonsail_sharing.fair_queue import FairQueue, Waiting
 from lagoonsail_sharing.placement import Candidate, choose_server
 from lagoonsail_sharing.prefix_index import PrefixIndex
@@ -141,6 +142,7 @@
         "epoch",
         "is_releasing",
         "keys",
+        "orders",
         "queue",
         "servers",
         "shard",
@@ -159,6 +161,8 @@
     """Slots in use by epoch and number."""
     keys: KeyLog
     """Idempotency keys of the shard."""
+    orders: EngineOrders
+    """Orders to the engines of the shard."""
     is_releasing: bool
     """Whether the shard is being handed over."""
 
@@ -192,6 +196,7 @@
         self.keys = KeyLog(context, store, shard, epoch, right, successor_streams)
         self.is_releasing = False
         document = find_document()
+        self.orders = EngineOrders(context, shard, epoch, document)
         self.queue = FairQueue(QUEUE_FACTOR * (document.queue_limit if document else 1))
         self.update_document()
 
@@ -537,6 +542,8 @@
             return False
         if server.entry.address in self._right.leaving:
             return False
+        if self.orders.is_closed(server.entry):
+            return False
         if level == GUARDED and server.limit.limit <= server.limit.cold_slots:
             return False
         return server.limit.running + server.unknown < server.limit.limit
@@ -589,13 +596,30 @@
             return
         if isinstance(result, Unavailable):
             self._context.count("load_reports_failed_total")
+            self.orders.on_unreachable(server.entry)
             return
         self._take_report(name, server, result)
         document = self._find_document()
         if document and document.kind == "engine":
             self._read_cache_events(name, server)
+            self._give_orders(server, document)
         self.pump()
 
+    def _give_orders(self, server: Server, document: ServiceDocument) -> None:
+        def may_order() -> bool:
+            now_ms = self._context.clock.now_ms()
+            is_known = server.is_reported or now_ms >= server.hold_until_ms
+            is_idle = server.limit.running + server.unknown == 0
+            is_owner = not self._is_stopped and not self.is_releasing
+            is_owner = is_owner and self._right.level() == FULL
+            return is_owner and is_known and is_idle
+
+        def on_load() -> None:
+            # It takes no requests while it loads, and is cold afterwards.
+            server.limit.on_refused(self._context.clock.now_ms())
+
+        self.orders.step(server.entry, document, may_order, on_load)
+
     def _take_report(self, name: str, server: Server, report) -> None:
         now_ms = self._context.clock.now_ms()
         server.limit.on_report(report, now_ms)
--- /dev/null
+++ b/packages/lagoonsail-router/tests/test_engine_orders.py
@@ -0,0 +1,402 @@
+from __future__ import annotations
+
+import json
+from types import SimpleNamespace
+
+import pytest
+
+from lagoonsail_config.document import parse_document
+from lagoonsail_core.clock import Clock
+from lagoonsail_core.green import eventlet, urllib3
+from lagoonsail_core.messages import (
+    OUTCOME_WHOLE,
+    Inventory,
+    SlotDone,
+    SlotGrant,
+    SlotRequest,
+)
+from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_router import engine_orders
+from lagoonsail_router.context import RouterContext
+from lagoonsail_router.engine_orders import (
+    CHANGED_AT_ONCE,
+    FIRST_PAUSE_MS,
+    LONGEST_PAUSE_MS,
+    SETTLE_MS,
+    EngineOrders,
+)
+from lagoonsail_router.right import FULL, GUARDED
+from lagoonsail_router.shard_owner import INVENTORY_WAIT_MS, ShardOwner
+from lagoonsail_standins.backend import Backend, BackendOptions
+from lagoonsail_standins.model_engine import Engine, make_engine_app
+from lagoonsail_standins.serving import listen, serve_listener
+from lagoonsail_standins.weight_store import RateLimit, make_weight_app
+
+SHARD = "cordero/registro@sierra-central"
+CLOCK = Clock()
+
+
+@pytest.fixture
+def serve():
+    """Serves an application in this process; gives its address."""
+    threads = []
+
+    def start(app):
+        listener = listen(0)
+        threads.append(eventlet.spawn(serve_listener, listener, app))
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+    yield start
+    for thread in threads:
+        thread.kill()
+
+
+@pytest.fixture
+def start_engine(serve):
+    def start(load_ms=50.0, weight_store="", warm_after=0):
+        backend = Backend(BackendOptions("e", 2, 1, warm_after, 4.0, True))
+        engine = Engine(backend, 2.0, 2.0, 50.0, True, weight_store, load_ms)
+        return serve(make_engine_app(backend, engine)), engine
+
+    return start
+
+
+@pytest.fixture
+def write(make_document):
+    """Writes a document for engines at given addresses."""
+
+    def make(addresses, version="1", adapters="none", role="none"):
+        text = make_document(kind="engine")
+        start, end = text.index("[server s1]"), text.index("[account norte]")
+        servers = [
+            f"[server s{number}]\naddress = {address}\nfailure_domain = banos\n"
+            f"slots = 2\nmodel = charla\nrole = {role}\n"
+            for number, address in enumerate(addresses, 1)
+        ]
+        model = f"[model charla]\nversion = {version}\nadapters = {adapters}\n"
+        return parse_document(text[:start] + "".join(servers) + text[end:] + model)
+
+    return make
+
+
+def bring(orders, document, **options):
+    """One look at every engine."""
+    may_order = options.get("may_order", lambda: True)
+    on_load = options.get("on_load", lambda: None)
+    for server in document.servers.values():
+        orders.step(server, document, may_order, on_load)
+
+
+def closed(orders, document):
+    return [name for name, s in document.servers.items() if orders.is_closed(s)]
+
+
+def shown(engine):
+    return engine.model, engine.version, sorted(engine.adapters), engine.role
+
+
+def test_engine_is_brought_to_the_documented_state(
+    context, start_engine, write, wait_until
+):
+    address, engine = start_engine()
+    document = write([address], "2", "rutas, tiempos", "decode")
+    engine.adapters.add("old")
+    orders = EngineOrders(context, SHARD, 1, document)
+    assert closed(orders, document) == ["s1"]
+    loads = []
+
+    def look():
+        bring(orders, document, on_load=lambda: loads.append(1))
+        return not closed(orders, document)
+
+    wait_until(look)
+    assert shown(engine) == ("charla", "2", ["rutas", "tiempos"], "decode")
+    assert engine._orders == [
+        {"order": "load", "model": "charla", "version": "2", "epoch": "1"},
+        {"order": "load_adapter", "adapter": "rutas", "epoch": "1"},
+        {"order": "load_adapter", "adapter": "tiempos", "epoch": "1"},
+        {"order": "set_role", "role": "decode", "epoch": "1"},
+    ]
+    assert loads == [1]
+    bring(orders, document)
+    assert len(engine._orders) == 4
+    changed = write([address], "2", "tiempos")
+    bring(orders, changed)
+    assert shown(engine) == ("charla", "2", ["tiempos"], "decode")
+
+
+def test_owners_in_turn(context, start_engine, write, time, wait_until):
+    """What the earlier one orders after the later one is refused."""
+    address, engine = start_engine(load_ms=1.0)
+    old_document, document = write([address], "1"), write([address], "2")
+    old = EngineOrders(context, SHARD, 1, old_document)
+    wait_until(lambda: bring(old, old_document) or engine.version == "1")
+    later = EngineOrders(context, SHARD, 2, document)
+    bring(later, document)
+    assert len(engine._orders) == 1
+    time.pass_ms(SETTLE_MS)
+    wait_until(lambda: bring(later, document) or engine.version == "2")
+    wait_until(lambda: bring(later, document) or not closed(later, document))
+    taken = len(engine._orders)
+    bring(old, old_document)
+    assert shown(engine) == ("charla", "2", [], "")
+    assert context.counters["engine_orders_total", "outdated"] == 1
+    time.pass_ms(LONGEST_PAUSE_MS * 2)
+    bring(old, old_document)
+    assert context.counters["engine_orders_total", "outdated"] == 1
+    assert len(engine._orders) == taken
+
+
+def test_next_owner_leaves_a_loading_engine_alone(
+    context, start_engine, write, wait_until
+):
+    address, engine = start_engine(load_ms=300.0)
+    document = write([address])
+    bring(EngineOrders(context, SHARD, 1, document), document)
+    later = EngineOrders(context, SHARD, 2, document)
+    assert closed(later, document) == ["s1"]
+    bring(later, document)
+    assert closed(later, document) == ["s1"]
+    wait_until(lambda: bring(later, document) or not closed(later, document))
+    assert shown(engine)[:2] == ("charla", "1")
+    assert len(engine._orders) == 1
+
+
+def test_few_engines_are_changed_at_once_and_only_when_idle(
+    context, start_engine, write, wait_until
+):
+    engines = [start_engine(load_ms=100.0) for _ in range(5)]
+    document = write([address for address, _ in engines])
+    orders = EngineOrders(context, SHARD, 1, None)
+    bring(orders, document, may_order=lambda: False)
+    assert len(closed(orders, document)) == CHANGED_AT_ONCE
+    assert all(engine._orders == [] for _, engine in engines)
+    most = 0
+
+    def look():
+        nonlocal most
+        bring(orders, document)
+        most = max(most, sum(engine._backend.is_loading for _, engine in engines))
+        return all(engine.model for _, engine in engines)
+
+    wait_until(look)
+    assert most == CHANGED_AT_ONCE
+    assert [len(engine._orders) for _, engine in engines] == [1] * 5
+
+
+def test_limit_of_the_weight_store_is_respected(
+    context, serve, start_engine, write, wait_until
+):
+    limit = RateLimit(rate_per_s=1.0, burst=1, now_ms=CLOCK.now_ms())
+    weights = make_weight_app(limit, 100, CLOCK)
+    requests = []
+
+    def watched(environ, start_response):
+        def start(status, headers):
+            requests.append((CLOCK.now_ms(), status[:3], dict(headers)))
+            return start_response(status, headers)
+
+        return weights(environ, start)
+
+    url = f"http://{serve(watched)}/weights/"
+    engines = [start_engine(load_ms=1.0, weight_store=url) for _ in range(4)]
+    document = write([address for address, _ in engines])
+    real = RouterContext(context.settings, CLOCK)
+    orders = EngineOrders(real, SHARD, 1, document)
+
+    def look():
+        bring(orders, document)
+        return all(engine.model for _, engine in engines)
+
+    wait_until(look, bound_s=30.0)
+    limited = [(at, headers) for at, status, headers in requests if status == "429"]
+    assert limited
+    for at_ms, headers in limited:
+        until_ms = at_ms + float(headers["Retry-After"]) * 1000.0
+        assert not [at for at, *_ in requests if at_ms < at < until_ms]
+    assert len(requests) <= 2 * len(engines)
+
+
+class FakeEngines:
+    """Answers in place of engines; `answers` holds those to come, by method."""
+
+    def __init__(self):
+        self.sent = []
+        self.answers = {"GET": None, "POST": None}
+        self.state = {"model": "", "version": "", "adapters": [], "role": ""}
+
+    def exchange(self, method, address, order, headers):
+        self.sent.append((method, order))
+        answer = self.answers[method]
+        if answer is not None:
+            return answer
+        body = json.dumps({**self.state, "loading": False}).encode()
+        return engine_orders._Answer(200, body, "")
+
+    def ordered(self):
+        return [order["order"] for method, order in self.sent if method == "POST"]
+
+
+@pytest.fixture
+def engines(monkeypatch):
+    fake = FakeEngines()
+    monkeypatch.setattr(engine_orders, "_exchange", fake.exchange)
+    return fake
+
+
+def status(code, retry_after="", body=b"{}"):
+    return engine_orders._Answer(code, body, retry_after)
+
+
+@pytest.mark.parametrize("answer", [status(503), Unavailable("no answer")])
+def test_failed_order_is_repeated_after_a_growing_pause(
+    context, engines, write, time, answer
+):
+    document = write(["127.0.0.1:1"])
+    orders = EngineOrders(context, SHARD, 1, document)
+    engines.answers["POST"] = answer
+    loads = []
+    bring(orders, document, on_load=lambda: loads.append(1))
+    # It may load: not until its state has been read does it get work again.
+    assert closed(orders, document) == ["s1"]
+    bring(orders, document)
+    assert closed(orders, document) == []
+    assert engines.ordered() == ["load"]
+    assert loads == [1]
+    at_ms = []
+    while len(engines.ordered()) < 5:
+        before = len(engines.ordered())
+        time.pass_ms(50.0)
+        bring(orders, document)
+        if len(engines.ordered()) > before:
+            at_ms.append(time.now_ms)
+    gaps = [late - early for early, late in zip(at_ms, at_ms[1:], strict=False)]
+    for index, gap in enumerate(gaps, 1):
+        mean_ms = FIRST_PAUSE_MS * 2**index
+        assert mean_ms * 0.5 <= gap <= mean_ms * 1.5 + 100.0
+
+
+def test_order_that_an_engine_cannot_carry_out_does_not_take_it_out(
+    context, engines, write, time
+):
+    document = write(["127.0.0.1:1"])
+    orders = EngineOrders(context, SHARD, 1, document)
+    engines.answers["POST"] = status(400)
+    bring(orders, document)
+    assert closed(orders, document) == []
+    time.pass_ms(LONGEST_PAUSE_MS * 0.49)
+    bring(orders, document)
+    assert engines.ordered() == ["load"]
+
+
+@pytest.mark.parametrize(
+    "answer", [status(404), status(200), status(200, body=b"[" * 9999)]
+)
+def test_engine_without_orders_serves_on(context, engines, write, answer):
+    document = write(["127.0.0.1:1"])
+    orders = EngineOrders(context, SHARD, 1, document)
+    engines.answers["GET"] = answer
+    bring(orders, document)
+    assert closed(orders, document) == []
+    assert engines.ordered() == []
+
+
+def test_engine_that_does_not_answer_gets_nothing_and_holds_no_place(
+    context, engines, write
+):
+    document = write([f"127.0.0.1:{port}" for port in (1, 2, 3)])
+    orders = EngineOrders(context, SHARD, 1, None)
+    bring(orders, document, may_order=lambda: False)
+    assert closed(orders, document) == ["s1", "s2"]
+    first, *others = document.servers.values()
+    orders.on_unreachable(first)
+    engines.answers["GET"] = Unavailable("no answer")
+    for server in others:
+        orders.step(server, document, lambda: True, lambda: None)
+    assert closed(orders, document) == ["s1", "s2", "s3"]
+    assert orders._changing == set()
+
+
+@pytest.mark.parametrize("text", ["", "x", "nan", "-5", "inf", "1e9"])
+def test_malformed_retry_after_still_pauses(context, engines, write, time, text):
+    document = write(["127.0.0.1:1"])
+    orders = EngineOrders(context, SHARD, 1, document)
+    engines.answers["POST"] = status(429, text)
+    bring(orders, document)
+    time.pass_ms(FIRST_PAUSE_MS * 0.99)
+    bring(orders, document)
+    assert engines.ordered() == ["load"]
+    time.pass_ms(engine_orders.LONGEST_LIMIT_MS * 1.2)
+    bring(orders, document)
+    assert engines.ordered() == ["load"] * 2
+
+
+def test_unmanaged_engine_is_left_alone(context, engines, write):
+    document = write(["127.0.0.1:1"])
+    orders = EngineOrders(context, SHARD, 1, document)
+    document.servers["s1"].model = ""
+    bring(orders, document)
+    assert engines.sent == []
+    assert closed(orders, document) == []
+
+
+def test_engine_that_loads_gets_no_work(
+    context, store, start_engine, write, make_stream, time, wait_until
+):
+    """An owner drains the engine, has it load, and takes it for cold afterwards."""
+    address, engine = start_engine(load_ms=200.0)
+    documents = [write([address], "1")]
+    level = [FULL]
+    right = SimpleNamespace(level=lambda: level[0], leaving=set())
+    owner = ShardOwner(
+        context, right, store, SHARD, 1, lambda: documents[0], lambda: []
+    )
+    time.pass_ms(INVENTORY_WAIT_MS)
+    stream = make_stream("cordero-2")
+    owner.take_inventory(stream, Inventory(SHARD, []))
+
+    def ask(ticket):
+        owner.take_request(
+            stream, SlotRequest(ticket, SHARD, "norte", 0.0, [], 0, ticket, 0.0)
+        )
+
+    def grants():
+        return [grant.ticket for grant in stream.of(SlotGrant)]
+
+    def poll():
+        owner.poll()
+        eventlet.sleep(0.02)
+
+    ask(1)
+    assert grants() == []
+    wait_until(lambda: poll() or grants())
+    assert engine.version == "1"
+    documents[0] = write([address], "2")
+    owner.update_document()
+    poll()
+    ask(2)
+    for _ in range(5):
+        poll()
+    # It is drained first: the request that runs ends in peace.
+    assert grants() == [1]
+    assert len(engine._orders) == 1
+    (grant,) = stream.of(SlotGrant)
+    level[0] = GUARDED
+    owner.take_done(SlotDone(SHARD, 1, grant.slot, OUTCOME_WHOLE, 1.0, "", 1.0, 2.0))
+    poll()
+    assert len(engine._orders) == 1
+    level[0] = FULL
+    while not engine._backend.is_loading:
+        poll()
+    assert grants() == [1]
+    while engine._backend.is_loading:
+        poll()
+        assert grants() == [1] or not engine._backend.is_loading
+    wait_until(lambda: poll() or grants() == [1, 2])
+    assert engine.version == "2"
+    ask(3)
+    poll()
+    assert owner.servers["s1"].limit.limit == 1
+    assert grants() == [1, 2]
+    answer = urllib3.request("GET", f"http://{address}/_record", retries=False).json()
+    assert answer["overloads"] == 0
--- a/packages/lagoonsail-router/tests/test_router_fleet.py
+++ b/packages/lagoonsail-router/tests/test_router_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import json
 
 import pytest
@@ -223,6 +224,31 @@
     assert len(runs("cordero/registro-1")) == before
 
 
+def test_owner_has_its_engine_load_the_documented_model(fleet, stream, wait_until):
+    service = fleet.deployments[0].find("asistente")
+    text = fleet.document(service).replace(
+        "[server asistente-1]\n", "[server asistente-1]\nmodel = charla\n"
+    )
+    text += "[model charla]\nversion = 7\nadapters = rutas\n"
+    key, value = (
+        base64.b64encode(part.encode()).decode()
+        for part in ("/lagoonsail/documents/cordero/asistente", text)
+    )
+    fleet.fetch("POST", fleet.store, "/v3/kv/put", {"key": key, "value": value})
+    address = fleet.backends["cordero/asistente-1"].address
+
+    def loaded():
+        state = fleet.fetch("GET", address, "/orders")
+        return (state["version"], state["adapters"]) == ("7", ["rutas"])
+
+    wait_until(loaded, bound_s=20.0)
+    assert b"[DONE]" in stream(3, prompt="model").data
+    orders = fleet.fetch("GET", address, "/orders")["orders"]
+    assert [order["order"] for order in orders] == ["load", "load_adapter"]
+    assert all(int(order["epoch"]) >= 1 for order in orders)
+    assert fleet.records()["cordero/asistente-1"]["overloads"] == 0
+
+
 def test_planned_stop_ends_running_calls_in_peace(fleet, stream, runs):
     answer = stream(tokens=60, router="cordero-2", prompt="stop")
     chunks = answer.read_chunked()
--- a/packages/lagoonsail-standins/src/lagoonsail_standins/model_engine.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/model_engine.py
@@ -349,7 +349,8 @@
         if refusal:
             return refusal
         order = fields.get("order")
-        self._orders.append({**fields, "at_wall_ms": self._backend.clock.wall_ms()})
+        epoch = request.headers.get("x-lagoonsail-epoch", "")
+        self._orders.append({**fields, "epoch": epoch})
         if order == "evict":
             self.cache.clear()
         elif order == "set_role":
