Claim only what the service's own record shows to be free, and ask other shards

Cause: a record learned from a peer could come before the member record of its owner, so that a live owner looked lapsed; a call waited at its own region's shard only, however idle the others were. Change: a lapse counts only once the router's own list or watch has passed the record's revision; a call without a key asks the service's shards in turn every 500 ms, and the owners of a service's shards exchange digests; a planned stop waits until no call came for the drain time; a grant that crosses its cancellation is given back.

--- a/packages/lagoonsail-router/src/lagoonsail_router/admin.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/admin.py
@@ -84,7 +84,7 @@
         daemon = self._daemon
         context, settings = daemon.context, daemon.context.settings
         waiting: dict[str, int] = {}
-        for (service, _account), count in daemon.entry.waiting.items():
+        for (service, _account), count in daemon.entry.queue.waiting.items():
             waiting[service] = waiting.get(service, 0) + count
         return 200, {
             "router": settings.name,
--- /dev/null
+++ b/packages/lagoonsail-router/src/lagoonsail_router/call_queue.py
@@ -0,0 +1,207 @@
+"""The calls of this router that wait for a slot."""
+
+from __future__ import annotations
+
+from collections import Counter
+from typing import TYPE_CHECKING
+
+from lagoonsail_core.messages import (
+    REFUSED_DUPLICATE,
+    REFUSED_QUEUE_FULL,
+    SlotGrant,
+)
+from lagoonsail_router.caller_watch import CHECK_INTERVAL_MS
+from lagoonsail_router.problems import UNKNOWN, CallProblem
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonsail_core.messages import SlotRefusal
+    from lagoonsail_router.call import Call
+    from lagoonsail_router.context import RouterContext
+    from lagoonsail_router.ticket_desk import TicketDesk
+
+MOVE_MS = 500.0
+"""Time after which a call that waits at one shard asks the service's next one."""
+RETRY_AFTER_S = 1
+"""When a refused caller should try again, in seconds."""
+
+
+class CallerGoneError(Exception):
+    """The caller closed its connection."""
+
+
+class CallQueue:
+    """Bounds the waiting calls of each account, and finds slots for them."""
+
+    __slots__ = ("_context", "_desk", "_is_isolated", "waiting")
+
+    waiting: Counter
+    """Calls that wait, by service and account."""
+
+    def __init__(
+        self,
+        context: RouterContext,
+        desk: TicketDesk,
+        is_isolated: Callable[[], bool],
+    ) -> None:
+        self._context = context
+        self._desk = desk
+        self._is_isolated = is_isolated
+        self.waiting = Counter()
+
+    def wait(self, call: Call, is_gone: Callable[[], bool]) -> SlotGrant:
+        """Wait for a slot.
+
+        Args:
+            call: The call.
+            is_gone: Tells whether the caller has closed its connection.
+
+        Returns:
+            The grant.
+
+        Raises:
+            CallProblem: If the call is refused or its time is over.
+            CallerGoneError: If the caller went away.
+        """
+        name = (call.document.qualified(), call.account)
+        if self.waiting[name] >= call.document.queue_limit:
+            raise make_problem(
+                call,
+                429,
+                "queue_full",
+                f"{self.waiting[name]} requests of the account wait at this router",
+                "send fewer requests at once, or try again later",
+            )
+        self.waiting[name] += 1
+        try:
+            return self._wait_at_shards(call, is_gone)
+        finally:
+            self.waiting[name] -= 1
+            if not self.waiting[name]:
+                del self.waiting[name]
+
+    def _wait_at_shards(self, call: Call, is_gone: Callable[[], bool]) -> SlotGrant:
+        shards = self._shards(call)
+        turn = 0
+        while True:
+            shard = shards[turn % len(shards)]
+            turn += 1
+            patience_ms = MOVE_MS if len(shards) > 1 else float("inf")
+            reply = self._wait_at(call, shard, patience_ms, is_gone)
+            if isinstance(reply, SlotGrant):
+                return reply
+            if reply is not None:
+                raise _refusal(call, reply.reason)
+
+    def _wait_at(
+        self, call: Call, shard: str, patience_ms: float, is_gone
+    ) -> SlotGrant | SlotRefusal | None:
+        waiting = self._desk.ask(
+            shard,
+            call.account,
+            call.estimate,
+            call.prefix,
+            call.key_hash,
+            call.number,
+            call.since_ms,
+        )
+        begun_ms = self._context.clock.now_ms()
+        reply = None
+        try:
+            while reply is None:
+                reply = waiting.event.wait(timeout=CHECK_INTERVAL_MS / 1000.0)
+                if reply is not None:
+                    break
+                self._check_patience(call, is_gone)
+                if self._context.clock.now_ms() - begun_ms > patience_ms:
+                    break
+        finally:
+            if reply is None:
+                self._desk.cancel(waiting)
+        return reply
+
+    def _check_patience(self, call: Call, is_gone: Callable[[], bool]) -> None:
+        if is_gone():
+            raise CallerGoneError
+        if self._is_isolated():
+            raise make_problem(
+                call,
+                503,
+                "router_isolated",
+                "this router reaches neither other routers nor the key-value service",
+                "try again through another router",
+            )
+        timeout_ms = call.document.queue_timeout_ms
+        if self._context.clock.now_ms() < call.since_ms + timeout_ms:
+            return
+        raise make_problem(
+            call,
+            503,
+            "no_slot_in_time",
+            f"no server was free within {timeout_ms:.0f} ms",
+            "try again later, or raise queue_timeout_ms in the service document",
+        )
+
+    def _shards(self, call: Call) -> list[str]:
+        """Return the shards to ask, in order."""
+        shards = sorted(call.document.shards())
+        if not shards:
+            raise make_problem(
+                call,
+                503,
+                "no_servers",
+                "the service document names no backend server",
+                "add a server to the document",
+            )
+        if call.key_hash:
+            # All calls with one key must meet at one owner.
+            return [shards[call.key_hash % len(shards)]]
+        suffix = f"@{self._context.settings.region}"
+        return sorted(shards, key=lambda shard: not shard.endswith(suffix))
+
+
+def make_problem(
+    call: Call, status: int, kind: str, problem: str, remedy: str
+) -> CallProblem:
+    """Return a problem that says what is known of earlier attempts of the call.
+
+    Args:
+        call: The call.
+        status: HTTP status.
+        kind: Stable name of the kind of problem.
+        problem: What is wrong.
+        remedy: What the caller can do.
+
+    Returns:
+        The problem; "not run" with a time to try again if no attempt was made.
+    """
+    if call.may_have_run:
+        return CallProblem(status, kind, problem, remedy, UNKNOWN)
+    return CallProblem(status, kind, problem, remedy, retry_after_s=RETRY_AFTER_S)
+
+
+def _refusal(call: Call, reason: str) -> CallProblem:
+    if reason == REFUSED_DUPLICATE:
+        return CallProblem(
+            409,
+            "duplicate_key",
+            "a call with this Idempotency-Key was sent before and may have run",
+            "look up its effect; it is never sent again",
+            UNKNOWN,
+        )
+    if reason == REFUSED_QUEUE_FULL:
+        return make_problem(
+            call,
+            429,
+            "queue_full",
+            "too many requests of the account wait in the fleet",
+            "send fewer requests at once, or try again later",
+        )
+    return make_problem(
+        call,
+        503,
+        reason,
+        "the idempotency key cannot be recorded now",
+        "try again with the same key",
+    )
--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -45,8 +45,10 @@
 
 if TYPE_CHECKING:
     from collections import Counter
+    from collections.abc import Iterable
 
     from lagoonsail_config.settings import RouterSettings
+    from lagoonsail_core.messages import ServiceDigest
 
 OWNERSHIP_INTERVAL_MS = 100.0
 """Time between two looks at who owns what."""
@@ -142,7 +144,11 @@
         )
         self._sync = StoreSync(context, self._store, self.configuration)
         self.ownership = Ownership(
-            context, self.configuration, self._store, self._make_owner
+            context,
+            self.configuration,
+            self._store,
+            self._make_owner,
+            lambda: self._sync.revision,
         )
         self.right = Right(
             context,
@@ -158,7 +164,7 @@
             context, self.configuration, self.peers, self._local_stream
         )
         self.entry = Entry(context, self.configuration, self.desk, self.is_isolated)
-        self._digests = DigestStore(self.peers)
+        self._digests = DigestStore(self.peers, self._on_digest)
         self._key_notices = KeyNotices(context, self.peers)
         self._is_stopping = False
         self._heard_ms = context.clock.now_ms()
@@ -190,6 +196,7 @@
             epoch,
             lambda: self.configuration.documents.get(service),
             lambda: self._successor_streams(shard),
+            lambda: self._digest_streams(shard),
         )
         digest = self._digests.find(shard)
         if digest:
@@ -201,9 +208,28 @@
     def _successor_streams(self, shard: str) -> list:
         names = self.ownership.successors(shard)
         others = [name for name in names if name != self.context.settings.name]
-        streams = [self.peers.stream_to(name) for name in others[:2]]
+        return self._streams_to(others[:2])
+
+    def _digest_streams(self, shard: str) -> list:
+        """Return the streams to the next owners and to the other shards' owners."""
+        document = self.configuration.documents.get(shard.rsplit("@", 1)[0])
+        siblings = document.shards() if document else []
+        owners = {self.configuration.owner_of(other) for other in siblings}
+        owners -= {"", self.context.settings.name}
+        streams = self._successor_streams(shard)
+        return streams + [s for s in self._streams_to(owners) if s not in streams]
+
+    def _streams_to(self, names: Iterable[str]) -> list:
+        streams = [self.peers.stream_to(name) for name in names]
         return [stream for stream in streams if stream]
 
+    def _on_digest(self, digest: ServiceDigest) -> None:
+        """Count what another shard of a service served, in the shards owned here."""
+        service = digest.shard.rsplit("@", 1)[0]
+        for shard, owner in self.ownership.owned.items():
+            if shard != digest.shard and shard.rsplit("@", 1)[0] == service:
+                owner.queue.add_remote(digest.shard, digest.service)
+
     def _take_inventory(self, stream, inventory: Inventory) -> None:
         owner = self.ownership.owned.get(inventory.shard)
         if owner is None or owner.is_releasing:
@@ -267,7 +293,7 @@
     def render_metrics(self) -> bytes:
         """Return the metrics as Prometheus text."""
         self._gauges["running"](self.entry.running)
-        self._gauges["waiting"](sum(self.entry.waiting.values()))
+        self._gauges["waiting"](sum(self.entry.queue.waiting.values()))
         self._gauges["owned"](len(self.ownership.owned))
         self._gauges["known"](len(self.configuration.members))
         return self._metrics.render()
@@ -376,14 +402,18 @@
         self.right.write_state()
         self._wait_while(lambda: self.ownership.owned, self._handover_deadline_ms())
         # Callers and balancer notice with a lag; until then their calls are served.
-        eventlet.sleep(settings.drain_lag_ms / 1000.0)
-        self._wait_while(lambda: self.entry.running, deadline_ms)
+        self._wait_while(lambda: not self._is_quiet(), deadline_ms)
         self._listeners[0].close()
         self._wait_while(lambda: self.entry.running, deadline_ms)
         self.right.revoke()
         self.peers.stop()
         self.context.timeline.record("stopped", unfinished=self.entry.running)
 
+    def _is_quiet(self) -> bool:
+        quiet_ms = self.context.clock.now_ms() - self.entry.taken_ms
+        is_long = quiet_ms > self.context.settings.drain_lag_ms
+        return is_long and not self.entry.running
+
     def _handover_deadline_ms(self) -> float:
         # Without the service no other router can take a shard over, so that a longer
         # wait would help nobody; the slots already granted stay valid.
--- a/packages/lagoonsail-router/src/lagoonsail_router/digests.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/digests.py
@@ -7,6 +7,8 @@
 from lagoonsail_core.messages import ServiceDigest
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lagoonsail_router.peers import PeerDirectory
 
 
@@ -17,9 +19,12 @@
 class DigestStore:
     """The newest state of each shard, merged from the changes in its digests."""
 
-    __slots__ = ("_merged",)
+    __slots__ = ("_merged", "_on_digest")
 
-    def __init__(self, peers: PeerDirectory) -> None:
+    def __init__(
+        self, peers: PeerDirectory, on_digest: Callable[[ServiceDigest], None]
+    ) -> None:
+        self._on_digest = on_digest
         self._merged: dict[str, ServiceDigest] = {}
         peers.handle(ServiceDigest, self._take)
 
@@ -37,6 +42,7 @@
         )
         if (digest.epoch, digest.sequence) <= (merged.epoch, merged.sequence):
             return
+        self._on_digest(digest)
         merged.epoch, merged.sequence = digest.epoch, digest.sequence
         merged.service.update(digest.service)
         merged.positions.update(digest.positions)
--- a/packages/lagoonsail-router/src/lagoonsail_router/entry.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/entry.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.green import eventlet
@@ -14,8 +13,6 @@
     OUTCOME_REFUSED,
     OUTCOME_UNREACHABLE,
     OUTCOME_WHOLE,
-    REFUSED_DUPLICATE,
-    REFUSED_QUEUE_FULL,
     SlotGrant,
 )
 from lagoonsail_router.backend import (
@@ -26,6 +23,7 @@
     OverdueError,
 )
 from lagoonsail_router.call import read_call
+from lagoonsail_router.call_queue import CallerGoneError, CallQueue
 from lagoonsail_router.caller_watch import CHECK_INTERVAL_MS, make_caller_watch
 from lagoonsail_router.context import LEAVING
 from lagoonsail_router.problems import UNKNOWN, CallProblem
@@ -43,16 +41,10 @@
 
 PROGRESS_INTERVAL_MS = 500.0
 """Time between two reports of the cost of a running stream."""
-RETRY_AFTER_S = 1
-"""When a refused caller should try again, in seconds."""
 RETRY_PAUSE_MS = 50.0
 """Pause before a call whose server could not be reached asks for another slot."""
 
 
-class CallerGoneError(Exception):
-    """The caller closed its connection."""
-
-
 class Entry:
     """Serves callers; one task for each of their connections."""
 
@@ -62,15 +54,17 @@
         "_configuration",
         "_context",
         "_desk",
-        "_is_isolated",
+        "queue",
         "running",
-        "waiting",
+        "taken_ms",
     )
 
-    waiting: Counter
-    """Calls that wait for a slot, by service and account."""
+    queue: CallQueue
+    """Calls that wait for a slot."""
     running: int
     """Calls that were taken and not yet answered."""
+    taken_ms: float
+    """Monotonic time at which the last call was taken."""
 
     def __init__(
         self,
@@ -82,11 +76,11 @@
         self._context = context
         self._configuration = configuration
         self._desk = desk
-        self._is_isolated = is_isolated
         self._budgets: dict[str, RetryBudget] = {}
         self._calls = 0
-        self.waiting = Counter()
+        self.queue = CallQueue(context, desk, is_isolated)
         self.running = 0
+        self.taken_ms = context.clock.now_ms()
 
     def serve(self, env: dict, start_response: Callable) -> Iterable[bytes]:
         """Serve one request, as a WSGI application.
@@ -101,7 +95,7 @@
         self.running += 1
         request_id = env.get("HTTP_X_REQUEST_ID", "")[:128]
         try:
-            now_ms = self._context.clock.now_ms()
+            now_ms = self.taken_ms = self._context.clock.now_ms()
             call = read_call(env, self._configuration, now_ms)
             request_id = call.request_id
             self._calls += 1
@@ -140,7 +134,7 @@
         budget.note_call()
         is_gone = make_caller_watch(env)
         while True:
-            grant = self._wait_for_slot(call, is_gone)
+            grant = self.queue.wait(call, is_gone)
             attempt = self._try(call, grant, is_gone)
             if attempt is None:
                 # Certainly not run; the queue timeout bounds how often.
@@ -161,110 +155,6 @@
         budget.percent = percent
         return budget
 
-    # Waiting for a slot.
-
-    def _wait_for_slot(self, call: Call, is_gone: Callable[[], bool]) -> SlotGrant:
-        name = (call.document.qualified(), call.account)
-        if self.waiting[name] >= call.document.queue_limit:
-            raise _problem(
-                call,
-                429,
-                "queue_full",
-                f"{self.waiting[name]} requests of the account wait at this router",
-                "send fewer requests at once, or try again later",
-            )
-        self.waiting[name] += 1
-        try:
-            return self._wait(call, is_gone)
-        finally:
-            self.waiting[name] -= 1
-            if not self.waiting[name]:
-                del self.waiting[name]
-
-    def _wait(self, call: Call, is_gone: Callable[[], bool]) -> SlotGrant:
-        shard = self._shard(call)
-        waiting = self._desk.ask(
-            shard,
-            call.account,
-            call.estimate,
-            call.prefix,
-            call.key_hash,
-            call.number,
-            call.since_ms,
-        )
-        deadline_ms = call.since_ms + call.document.queue_timeout_ms
-        reply = None
-        try:
-            while reply is None:
-                reply = waiting.event.wait(timeout=CHECK_INTERVAL_MS / 1000.0)
-                if reply is None:
-                    self._check_patience(call, deadline_ms, is_gone)
-        finally:
-            if reply is None:
-                self._desk.cancel(waiting)
-        if isinstance(reply, SlotGrant):
-            return reply
-        raise self._refusal(call, reply.reason)
-
-    def _check_patience(self, call: Call, deadline_ms: float, is_gone) -> None:
-        if is_gone():
-            raise CallerGoneError
-        if self._is_isolated():
-            raise _problem(
-                call,
-                503,
-                "router_isolated",
-                "this router reaches neither other routers nor the key-value service",
-                "try again through another router",
-            )
-        if self._context.clock.now_ms() < deadline_ms:
-            return
-        raise _problem(
-            call,
-            503,
-            "no_slot_in_time",
-            f"no server was free within {call.document.queue_timeout_ms:.0f} ms",
-            "try again later, or raise queue_timeout_ms in the service document",
-        )
-
-    def _shard(self, call: Call) -> str:
-        shards = call.document.shards()
-        here = [s for s in shards if s.endswith(f"@{self._context.settings.region}")]
-        if not shards:
-            raise _problem(
-                call,
-                503,
-                "no_servers",
-                "the service document names no backend server",
-                "add a server to the document",
-            )
-        return (here or shards)[0]
-
-    def _refusal(self, call: Call, reason: str) -> CallProblem:
-        if reason == REFUSED_DUPLICATE:
-            return CallProblem(
-                409,
-                "duplicate_key",
-                "a call with this Idempotency-Key was sent before and may have run",
-                "look up its effect; it is never sent again",
-                UNKNOWN,
-            )
-        if reason == REFUSED_QUEUE_FULL:
-            return _problem(
-                call,
-                429,
-                "queue_full",
-                "too many requests of the account wait in the fleet",
-                "send fewer requests at once, or try again later",
-            )
-        return _problem(
-            call,
-            503,
-            reason,
-            "the idempotency key cannot be recorded now",
-            "try again with the same key",
-        )
-
     # One attempt.
 
     def _try(self, call: Call, grant: SlotGrant, is_gone: Callable[[], bool]):
@@ -424,14 +314,6 @@
             self._finish(grant, outcome, attempt)
 
 
-def _problem(
-    call: Call, status: int, kind: str, problem: str, remedy: str
-) -> CallProblem:
-    if call.may_have_run:
-        return CallProblem(status, kind, problem, remedy, UNKNOWN)
-    return CallProblem(status, kind, problem, remedy, retry_after_s=RETRY_AFTER_S)
-
-
 def _gone() -> CallProblem:
     # Nobody reads this answer; it only lets the server end the request in order.
     return CallProblem(
--- a/packages/lagoonsail-router/src/lagoonsail_router/ownership.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/ownership.py
@@ -49,6 +49,7 @@
         "_rebalanced_ms",
         "_right",
         "_store",
+        "_synced_revision",
         "owned",
     )
 
@@ -61,11 +62,13 @@
         configuration: Configuration,
         store: StoreClient,
         make_owner: Callable[[str, int], ShardOwner],
+        synced_revision: Callable[[], int],
     ) -> None:
         self._context = context
         self._configuration = configuration
         self._store = store
         self._make_owner = make_owner
+        self._synced_revision = synced_revision
         self._right: Right | None = None
         self._claiming: set[str] = set()
         self._lapsed_since: dict[tuple[str, int], float] = {}
@@ -160,6 +163,10 @@
         if record.lease == self._right.lease:
             # This router's own claim, whose answer came too late to be believed.
             return True
+        if record.revision > self._synced_revision():
+            # A peer told of this record before the service did, so that the member
+            # record of its owner may be yet to come.
+            return False
         if not self._configuration.is_lapsed(record):
             self._lapsed_since.pop((shard, record.epoch), None)
             return False
--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -136,7 +136,7 @@
         "_right",
         "_sequence",
         "_sessions",
-        "_successor_streams",
+        "_digest_streams",
         "_waiting",
         "epoch",
         "is_releasing",
@@ -171,11 +171,12 @@
         epoch: int,
         find_document: Callable[[], ServiceDocument | None],
         successor_streams: Callable[[], list],
+        digest_streams: Callable[[], list],
     ) -> None:
         self._context = context
         self._right = right
         self._find_document = find_document
-        self._successor_streams = successor_streams
+        self._digest_streams = digest_streams
         self._region = shard.rsplit("@", 1)[1]
         self._sessions: dict[tuple[str, int], object] = {}
         self._digest_sent: dict[object, dict] = {}
@@ -629,7 +630,7 @@
             self._prefixes.on_events(name, event.sequence, event.stored, event.removed)
 
     def send_digests(self) -> None:
-        """Tell the next owners what changed since the last digest."""
+        """Tell the next owners, and the service's other shards, what changed."""
         service = self.queue.service()
         positions = self.queue.positions()
         servers = {
@@ -637,7 +638,7 @@
             for name, server in self.servers.items()
         }
         self._sequence += 1
-        for stream in self._successor_streams():
+        for stream in self._digest_streams():
             sent = self._digest_sent.setdefault(stream, {"service": {}, "servers": {}})
             changed = {k: v for k, v in service.items() if sent["service"].get(k) != v}
             moved = {k: v for k, v in servers.items() if sent["servers"].get(k) != v}
--- a/packages/lagoonsail-router/src/lagoonsail_router/store_sync.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/store_sync.py
@@ -19,12 +19,21 @@
 class StoreSync:
     """One list, then one watch, for as long as the watch lasts; then again."""
 
-    __slots__ = ("_configuration", "_context", "_store", "is_up", "reached_ms")
+    __slots__ = (
+        "_configuration",
+        "_context",
+        "_store",
+        "is_up",
+        "reached_ms",
+        "revision",
+    )
 
     is_up: bool
     """Whether the last call of this task succeeded."""
     reached_ms: float
     """Monotonic time at which the service last answered this task."""
+    revision: int
+    """Every change up to this revision has been taken in, in order."""
 
     def __init__(
         self, context: RouterContext, store: StoreClient, configuration: Configuration
@@ -34,6 +43,7 @@
         self._configuration = configuration
         self.is_up = False
         self.reached_ms = float("-inf")
+        self.revision = 0
 
     def list_once(self) -> bool:
         """Read everything once.
@@ -61,6 +71,7 @@
         if not self._configuration.apply_listing(prefix, listing):
             return None
         self._set_up(True)
+        self.revision = max(self.revision, listing.revision)
         return listing.revision
 
     def _watch(self, from_revision: int) -> None:
@@ -71,6 +82,7 @@
                 value = "" if entry.deleted else entry.value
                 key = entry.key.removeprefix(prefix)
                 self._configuration.apply(key, entry.revision, value)
+            self.revision = max(self.revision, batch.revision)
 
     def _set_up(self, is_up: bool) -> None:
         if is_up:
--- a/packages/lagoonsail-router/src/lagoonsail_router/ticket_desk.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/ticket_desk.py
@@ -184,11 +184,18 @@
     def cancel(self, call: WaitingCall) -> None:
         """Withdraw a call that no longer wants a slot."""
         if self.waiting.pop(call.ticket, None) is None:
+            self._give_back_reply(call)
             return
         attachment = self.attachments.get(call.shard)
         if attachment and attachment.is_open and call.is_asked:
             attachment.stream.send(SlotCancel(call.ticket))
 
+    def _give_back_reply(self, call: WaitingCall) -> None:
+        """Give back a grant that came just before its call was cancelled."""
+        reply = call.event.wait() if call.event.ready() else None
+        if isinstance(reply, SlotGrant) and self.holds(reply):
+            self.finish(make_done(reply, OUTCOME_NOT_RUN))
+
     def may_start(self, grant: SlotGrant) -> bool:
         """Return whether a grant may still be used; ask right before sending.
 
