--- a/packages/lagoonsail-peer/src/lagoonsail_peer/link.py
+++ b/packages/lagoonsail-peer/src/lagoonsail_peer/link.py
@@ -39,7 +39,7 @@
 _log = logbook.Logger("lagoonsail.peer")
 
 MIN_BACKOFF_MS = 50.0
-"""First pause before dialling again."""
+"""Shortest pause before dialling again."""
 MAX_BACKOFF_MS = 1000.0
 """Longest pause before dialling again."""
 
@@ -119,14 +119,14 @@
         return not self._wires and (self.stream is None or self.stream.done.ready())
 
     def _keep(self) -> None:
-        backoff_ms = MIN_BACKOFF_MS
+        backoff_ms = 2.0 * MIN_BACKOFF_MS
         while not self._is_stopping:
             stream = self._dial()
             stream.done.wait()
             if self._lasted(stream):
-                backoff_ms = MIN_BACKOFF_MS
-            jitter = self._random.uniform(0.5, 1.0)
-            eventlet.sleep(backoff_ms * jitter / 1000.0)
+                backoff_ms = 2.0 * MIN_BACKOFF_MS
+            pause_ms = self._random.uniform(0.5, 1.0) * backoff_ms
+            eventlet.sleep(pause_ms / 1000.0)
             backoff_ms = min(MAX_BACKOFF_MS, backoff_ms * 2.0)
 
     def _lasted(self, stream: PeerStream) -> bool:
