Promise nothing to a router whose lease is known to have ended

Cause: a router cut off from service and peers lapsed, its shard was taken over, then the service went down and the router rejoined its peers. All of them promised not to take over, though one already had, so its right became "extended" and it granted under the old epoch beside the new owner until the newer record had reached it. Ruled out: the start window (runs came up to seconds after the first of the new epoch), a stale watch (the service was down on both sides). Change: a promise is given only to a member whose incarnation the giver knows to hold a lease. Who took over has seen the lease end before, so it refuses; a router without a lease does not ask.

--- a/packages/lagoonsail-router/src/lagoonsail_router/right.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/right.py
@@ -341,7 +341,16 @@
             reason = "this router reaches the key-value service"
             stream.send(PromiseResult(request.nonce, False, reason))
             return
+        if not self._is_member(stream):
+            # Its shards may have another owner, which a promise would not undo.
+            reason = "the asker's lease has ended as far as this router knows"
+            stream.send(PromiseResult(request.nonce, False, reason))
+            return
         until_ms = self._context.clock.now_ms() + longest_ms(request.duration_ms)
         held = self._promised_until.get(stream.name, until_ms)
         self._promised_until[stream.name] = max(held, until_ms)
         stream.send(PromiseResult(request.nonce, True, ""))
+
+    def _is_member(self, stream: PeerStream) -> bool:
+        member = self._configuration.members.get(stream.name)
+        return member is not None and member.incarnation == stream.incarnation
