Excuse what a killed router was answering until its process had ended

An attempt that began between the order to kill and the end of the process was taken for lost; it went to the router that was killed, as the promise allows. The check keeps to attempts at that router within those milliseconds.

--- a/packages/lagoonsail-lab/tests/conftest.py
+++ b/packages/lagoonsail-lab/tests/conftest.py
@@ -14,7 +14,7 @@
     make_plain,
     make_prompt,
 )
-from lagoonsail_lab.checker import check_all
+from lagoonsail_lab.checker import Kill, check_all
 from lagoonsail_lab.deployments import Deployment, ServerShape, ServiceShape
 from lagoonsail_lab.fleet import ROUTER_PREFIX, Fleet
 from lagoonsail_sharing.assignment import rendezvous_owner
@@ -144,6 +144,14 @@
     return None
 
 
+def kill(fleet, name):
+    """Kill a router; return the moments at which its process may have ended."""
+    kill_ms = Clock().wall_ms()
+    fleet.kill_router(name)
+    moments = range(int(Clock().wall_ms() - kill_ms) + 1)
+    return [Kill(name, kill_ms + moment_ms) for moment_ms in moments]
+
+
 def find_owner(fleet, service=PLAIN, ask=None):
     """Return the owner of a service's shard, once every router names the same."""
     shard = f"{SIDE}/{service}@{REGION}"
@@ -231,6 +239,7 @@
         wait_until=wait_until,
         find_owner=find_owner,
         settle=settle,
+        kill=kill,
         read_revisions=read_revisions,
         runs_of=runs_of,
         late_runs=late_runs,
