Draw random schedules of faults, and judge a run from records

The schedule is drawn from the seed before anything starts; actions carries it out over the fleet's processes and relays, observer keeps the routers' time lines and revisions, workload the callers. The host list of the laboratory carries the region, which the interface promises and promises between routers need. First trials only; the checks are not yet proved to go red.

--- /dev/null
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/actions.py
@@ -0,0 +1,307 @@
+"""Carries the steps of a schedule out on a fleet, and undoes them."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from lagoonsail_core.clock import Clock
+from lagoonsail_core.green import eventlet
+from lagoonsail_core.names import qualify
+from lagoonsail_lab import schedule
+from lagoonsail_lab.checker import (
+    UNCLEAN_EXIT,
+    ColdTurn,
+    Fault,
+    Kill,
+    Outage,
+    PlannedStop,
+)
+from lagoonsail_lab.fleet import ROUTER_PREFIX
+from lagoonsail_lab.processes import Process
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonsail_lab.deployments import ServiceShape
+    from lagoonsail_lab.fleet import Fleet
+    from lagoonsail_lab.observer import Observer
+    from lagoonsail_lab.schedule import Step
+    from lagoonsail_lab.workload import Workload
+
+COMMAND_MS = 20000.0
+"""Time for one operator's command, milliseconds."""
+RETRY_S = 0.5
+"""Time before an order or a start that failed is tried again, seconds."""
+STOP_BOUND_MS = 70000.0
+"""Time for a planned stop; above the routers' own bound, milliseconds."""
+RESTART_BOUND_MS = 60000.0
+"""Time for a router to run again after a kill or a stop, milliseconds."""
+ORDERS = (schedule.DOMAIN_OUT, schedule.SERVER_OUT, schedule.OPERATORS_RACE)
+"""Steps that operators take through the service documents."""
+EXIT_ADDRESS_IN_USE = 3
+"""Exit code of a router whose port is taken."""
+EXIT_NO_CONFIGURATION = 4
+"""Exit code of a router that nobody told the configuration."""
+
+
+class Actions:
+    """What was done to a fleet, as far as the checks have to know it."""
+
+    __slots__ = (
+        "_clock",
+        "_commands",
+        "_fleet",
+        "_locks",
+        "_observer",
+        "_workload",
+        "faults",
+        "kills",
+        "load",
+        "outages",
+        "stops",
+        "turns",
+    )
+
+    faults: list[Fault]
+    """Routers that ended or did not start, as they should not."""
+    kills: list[Kill]
+    """Routers that were killed."""
+    load: list
+    """Green threads of extra callers."""
+    outages: list[Outage]
+    """What operators took out."""
+    stops: list[PlannedStop]
+    """Planned stops."""
+    turns: list[ColdTurn]
+    """Servers that turned cold."""
+
+    def __init__(self, fleet: Fleet, workload: Workload, observer: Observer) -> None:
+        self._fleet = fleet
+        self._workload = workload
+        self._observer = observer
+        self._clock = Clock()
+        self._commands = 0
+        self._locks = defaultdict(eventlet.semaphore.Semaphore)
+        self.faults = []
+        self.kills = []
+        self.load = []
+        self.outages = []
+        self.stops = []
+        self.turns = []
+
+    def carry_out(self, step: Step) -> None:
+        """Begin a step, wait for its time, and undo it.
+
+        Args:
+            step: The step; this is called at its time.
+        """
+        is_order = step.kind in ORDERS
+        # Operators' orders of one side must not undo each other.
+        struck = step.target.split("/")[0] if is_order else step.target
+        with self._locks[struck]:
+            self._observer.note(
+                f"begin_{step.kind}", target=step.target, **step.options
+            )
+            self._handlers()[step.kind](step)
+            self._observer.note(f"end_{step.kind}", target=step.target)
+
+    def _handlers(self) -> dict[str, Callable[[Step], None]]:
+        return {
+            schedule.KILL: self._kill,
+            schedule.FREEZE: self._freeze,
+            schedule.STOP: self._stop,
+            schedule.STORE: self._strike_store,
+            schedule.STORE_PATH: self._strike_path,
+            schedule.PEERS_PATH: self._strike_path,
+            schedule.DOMAIN_OUT: self._take_domain_out,
+            schedule.SERVER_OUT: self._take_server_out,
+            schedule.OPERATORS_RACE: self._race,
+            schedule.SERVER_COLD: self._turn_cold,
+            schedule.SERVER_RESTART: self._restart_server,
+            schedule.SERVER_BREAKS: self._break_answers,
+            schedule.SERVER_LATE: self._answer_late,
+            schedule.SERVER_SILENT: self._fall_silent,
+            schedule.HOST_LAG: self._lag_hosts,
+            schedule.FLOOD: self._flood,
+            schedule.BURST: self._burst,
+        }
+
+    def _wait(self, step: Step) -> None:
+        eventlet.sleep(step.duration_ms / 1000.0)
+
+    # Routers.
+
+    def _kill(self, step: Step) -> None:
+        self.kills.append(Kill(step.target, self._clock.wall_ms()))
+        self._fleet.kill_router(step.target)
+        self._wait(step)
+        self._start_router(step.target)
+
+    def _freeze(self, step: Step) -> None:
+        self._fleet.freeze_router(step.target)
+        self._wait(step)
+        self._fleet.thaw_router(step.target)
+
+    def _stop(self, step: Step) -> None:
+        router = self._fleet.routers[step.target]
+        router.host_state = "leaving"
+        self._fleet.publish_hosts()
+        from_ms = self._clock.wall_ms()
+        code = self._fleet.stop_router(step.target, STOP_BOUND_MS)
+        stop = PlannedStop(step.target, from_ms, self._clock.wall_ms(), code)
+        self.stops.append(stop)
+        router.host_state = "live"
+        self._fleet.publish_hosts()
+        self._start_router(step.target)
+
+    def _start_router(self, name: str) -> None:
+        """Start a router again and again, as the platform would, until it serves."""
+        process = self._fleet.routers[name].process
+        until_ms = self._clock.now_ms() + RESTART_BOUND_MS
+        process.start()
+        while self._clock.now_ms() < until_ms:
+            if self._fleet.is_ready(name):
+                return
+            if not process.is_running:
+                self._observer.note("router_ended", target=name, code=process.exit_code)
+                if process.exit_code not in (
+                    EXIT_ADDRESS_IN_USE,
+                    EXIT_NO_CONFIGURATION,
+                ):
+                    break
+                process.start()
+            eventlet.sleep(RETRY_S)
+        detail = f"does not run again: exit code {process.exit_code}"
+        self._add_unclean_exit(name, f"{detail} {process.errors()[-1000:]}")
+
+    def _add_unclean_exit(self, name: str, detail: str) -> None:
+        self.faults.append(Fault(UNCLEAN_EXIT, name, detail, self._clock.wall_ms()))
+
+    def check_running(self) -> None:
+        """Note every router that is not running, once all steps have ended."""
+        for name, router in self._fleet.routers.items():
+            if not router.process.is_running:
+                code, errors = router.process.exit_code, router.process.errors()
+                detail = f"ended with {code}: {errors[-1000:]}"
+                self._add_unclean_exit(name, detail)
+
+    # The platform and paths.
+
+    def _strike_store(self, step: Step) -> None:
+        self._fleet.control_store(**step.options)
+        self._wait(step)
+        self._fleet.control_store(
+            mode="up", delay_ms=0, lose_answers=0.0, stale_reads=False
+        )
+
+    def _strike_path(self, step: Step) -> None:
+        self._fleet.control_relay(step.target, **step.options)
+        self._wait(step)
+        # What was frozen has gone silent for good: only new connections work.
+        if step.options["mode"] == "freeze":
+            self._fleet.control_relay(step.target, mode="pass", drop_new=True)
+        self._fleet.control_relay(step.target, mode="pass", drop_new=False)
+
+    def _lag_hosts(self, step: Step) -> None:
+        lag = {"lag_ms": step.options["lag_ms"]}
+        self._fleet.fetch("POST", self._fleet.host_list, "/_control", lag)
+        self._wait(step)
+        self._fleet.fetch("POST", self._fleet.host_list, "/_control", {"lag_ms": 0})
+
+    # Operators.
+
+    def _order(self, command: str, target: str) -> bool:
+        """Run one command of lagoonctl.
+
+        Returns:
+            Whether it was carried out; if not, it may have been all the same.
+        """
+        self._commands += 1
+        options = ["--store", self._fleet.store, "--prefix", ROUTER_PREFIX]
+        process = Process(
+            f"{command}-{self._commands}",
+            "lagoonsail_ctl",
+            [command, target, *options],
+            self._fleet.directory,
+        )
+        process.start()
+        code = process.wait(COMMAND_MS)
+        process.kill()
+        self._observer.note("lagoonctl", command=command, target=target, code=str(code))
+        return code == 0
+
+    def _take_domain_out(self, step: Step) -> None:
+        self._take_out("domain", step.target, step.duration_ms)
+
+    def _take_server_out(self, step: Step) -> None:
+        self._take_out("server", step.target, step.duration_ms)
+
+    def _race(self, step: Step) -> None:
+        other = eventlet.spawn(
+            self._take_out, "domain", step.options["domain"], step.duration_ms
+        )
+        self._take_out("server", step.target, step.duration_ms)
+        other.wait()
+
+    def _take_out(self, kind: str, target: str, duration_ms: float) -> None:
+        is_done = self._order(f"{kind}-out", target)
+        from_ms = self._clock.wall_ms()
+        eventlet.sleep(duration_ms / 1000.0)
+        if is_done:
+            # It may be back in force before the command has ended.
+            servers = self._servers_of(kind, target)
+            self.outages.append(Outage(servers, from_ms, self._clock.wall_ms()))
+        while not self._order(f"{kind}-in", target):
+            eventlet.sleep(RETRY_S)
+
+    def _servers_of(self, kind: str, target: str) -> frozenset[str]:
+        if kind == "server":
+            side, _, name = target.split("/")
+            return frozenset({qualify(side, name)})
+        backends = self._fleet.backends_of(target)
+        return frozenset(backend.qualified() for backend in backends)
+
+    # Backend servers.
+
+    def _turn_cold(self, step: Step) -> None:
+        self.turns.append(ColdTurn(step.target, self._clock.wall_ms()))
+        self._fleet.control_backend(step.target, cold=True)
+        self._wait(step)
+
+    def _restart_server(self, step: Step) -> None:
+        self.turns.append(ColdTurn(step.target, self._clock.wall_ms()))
+        self._fleet.control_backend(step.target, restart=True)
+        self._wait(step)
+
+    def _break_answers(self, step: Step) -> None:
+        self._fleet.control_backend(step.target, break_next=step.options["count"])
+        self._wait(step)
+        self._fleet.control_backend(step.target, break_next=0)
+
+    def _answer_late(self, step: Step) -> None:
+        self._fleet.control_backend(step.target, late_ms=step.options["late_ms"])
+        self._wait(step)
+        self._fleet.control_backend(step.target, late_ms=0)
+
+    def _fall_silent(self, step: Step) -> None:
+        self._fleet.control_backend(step.target, silent=True)
+        self._wait(step)
+        self._fleet.control_backend(step.target, silent=False)
+
+    # Load.
+
+    def _find_account(self, step: Step) -> tuple[ServiceShape, str]:
+        side, name, account = step.target.split("/")
+        deployment = next(d for d in self._fleet.deployments if d.side == side)
+        return deployment.find(name), account
+
+    def _flood(self, step: Step) -> None:
+        service, account = self._find_account(step)
+        callers = step.options["callers"]
+        self.load += self._workload.flood(service, account, callers, step.duration_ms)
+        self._wait(step)
+
+    def _burst(self, step: Step) -> None:
+        service, account = self._find_account(step)
+        self.load += self._workload.burst(service, account, step.options["callers"])
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/caller.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/caller.py
@@ -38,8 +38,12 @@
 """The call may have run."""
 RAN_LOST = "lost"
 """No answer came that said what happened."""
+RAN_GONE = "gone"
+"""The caller went away before the answer's end."""
 RETRIED_STATUSES = (0, 429, 503)
 """Status codes after which another attempt may help; 0 if no connection opened."""
+PREFERENCE = 0.7
+"""Part of the attempts that go to a preferred router, if one is ready."""
 
 _TOKENS_PATTERN = re.compile(r"#tokens=(\d+)")
 
@@ -170,16 +174,22 @@
         except urllib3.exceptions.HTTPError:
             return False
 
-    def choose(self, avoid: str) -> tuple[str, str]:
+    def choose(
+        self, avoid: str, preferred: frozenset[str] = frozenset()
+    ) -> tuple[str, str]:
         """Return a router, ready if there is one and not the one to avoid.
 
         Args:
             avoid: Name of a router that has just failed, or empty.
+            preferred: Routers that most attempts go to.
 
         Returns:
             Name and address.
         """
         names = sorted(self.ready - {avoid}) or sorted(self.ready)
+        nearest = [name for name in names if name in preferred]
+        if nearest and self._random.random() < PREFERENCE:
+            names = nearest
         name = self._random.choice(names or sorted(self._addresses))
         return name, self._addresses[name][0]
 
@@ -192,7 +202,15 @@
 class Caller:
     """Makes calls through a balancer and keeps their records."""
 
-    __slots__ = ("_balancer", "_clock", "_http", "_keep_alive", "records")
+    __slots__ = (
+        "_balancer",
+        "_clock",
+        "_http",
+        "_keep_alive",
+        "_preferred",
+        "_retries_unknown",
+        "records",
+    )
 
     records: list[CallRecord]
     """All calls in order of their beginning; unfinished ones have no attempt's end."""
@@ -202,9 +220,23 @@
         balancer: Balancer,
         keep_alive: bool = True,
         clock: Clock | None = None,
+        preferred: frozenset[str] = frozenset(),
+        retries_unknown: bool = False,
     ) -> None:
+        """Prepare a caller; it makes no call yet.
+
+        Args:
+            balancer: Chooses the routers.
+            keep_alive: Whether connections serve several calls.
+            clock: Gives the time.
+            preferred: Routers that most attempts go to.
+            retries_unknown: Whether a call with an idempotency key that may have run
+                is sent once more with the same key.
+        """
         self._balancer = balancer
         self._keep_alive = keep_alive
+        self._preferred = preferred
+        self._retries_unknown = retries_unknown
         self._clock = clock or Clock()
         self._http = urllib3.PoolManager(
             num_pools=50,
@@ -233,10 +265,34 @@
             avoid = attempt.router
             wait_s = max(RETRY_PAUSE_S, attempt.retry_after_s)
             eventlet.sleep(min(wait_s, MAX_RETRY_AFTER_S))
+        is_in_doubt = record.last.ran in (RAN_UNKNOWN, RAN_LOST)
+        if self._retries_unknown and call.idempotency_key and is_in_doubt:
+            self._attempt(record, record.last.router)
+        return record
+
+    def abandon(self, call: Call, after_s: float) -> CallRecord:
+        """Make a call once and go away when its answer takes too long.
+
+        Args:
+            call: The call.
+            after_s: Patience, seconds.
+
+        Returns:
+            Its record, which is kept too.
+        """
+        record = CallRecord(call)
+        self.records.append(record)
+        with eventlet.Timeout(after_s, False):
+            self._attempt(record, "")
+        attempt = record.last
+        if not attempt.ended_wall_ms:
+            attempt.ran = RAN_GONE
+            attempt.reason = f"the caller went away after {after_s} s"
+            attempt.ended_wall_ms = self._clock.wall_ms()
         return record
 
     def _attempt(self, record: CallRecord, avoid: str) -> Attempt:
-        name, address = self._balancer.choose(avoid)
+        name, address = self._balancer.choose(avoid, self._preferred)
         attempt = Attempt(uuid.uuid4().hex, name)
         attempt.started_wall_ms = self._clock.wall_ms()
         record.attempts.append(attempt)
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/fleet.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/fleet.py
@@ -491,6 +491,7 @@
                 "state": router.host_state,
                 "failure_domain": router.failure_domain,
                 "side": router.side,
+                "region": router.region,
             }
             address = relay.address if relay else router.peers
             hosts.append({"targets": [address], "labels": labels})
--- /dev/null
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/prove.py
@@ -0,0 +1,298 @@
+"""A long random run with faults: `python -m lagoonsail_lab.prove --seed N`."""
+
+from __future__ import annotations
+
+import base64
+import os
+import random
+import sys
+from collections import Counter
+from typing import TYPE_CHECKING
+
+import defopt
+
+from lagoonsail_core.clock import Clock
+from lagoonsail_core.green import eventlet
+from lagoonsail_core.invariants import FATAL_VARIABLE
+from lagoonsail_lab.actions import Actions
+from lagoonsail_lab.caller import Balancer, Caller
+from lagoonsail_lab.checker import NOT_IN_FORCE, NOT_SERVED, Fault, check_all
+from lagoonsail_lab.deployments import make_cordero, make_kalapati
+from lagoonsail_lab.fleet import ROUTER_PREFIX, Fleet
+from lagoonsail_lab.observer import DOCUMENTS, Observer
+from lagoonsail_lab.schedule import draw_schedule
+from lagoonsail_lab.workload import Workload, make_call
+
+if TYPE_CHECKING:
+    from lagoonsail_lab.caller import CallRecord
+    from lagoonsail_lab.deployments import Deployment, ServiceShape
+    from lagoonsail_lab.schedule import Step
+
+ENGINE_OPTIONS = {
+    "token_ms": 30.0,
+    "first_ms": 40.0,
+    "warm_after": 3,
+    "cold_factor": 2.0,
+}
+"""Engines that are slow enough for one machine and warm soon."""
+LIMITS = {"queue_timeout_ms": 10000, "request_timeout_ms": 20000}
+"""Limits of the service documents, short enough for a run to end soon."""
+RELAYED_ROUTERS = 2
+"""Routers of each side, the last ones, whose paths lead through relays."""
+DRAINED_MS = 3000.0
+"""Time after which what was taken out gets no new work, milliseconds."""
+DETECTION_MS = 3000.0
+"""Time in which a server that turned cold is noticed: a second each for the lag of its
+report, for the next read of it, and for what was granted before."""
+SERVED_MS = 15000.0
+"""Time after all faults in which all routers serve calls again, milliseconds."""
+IN_FORCE_MS = 19000.0
+"""Time after all faults in which all routers show the newest configuration."""
+LOOK_S = 0.5
+"""Time between two looks after the faults, seconds."""
+CALLERS_END_MS = 90000.0
+"""Time for the last calls to end, milliseconds."""
+SHOWN_FAULTS = 5
+"""Faults of each kind that are shown with the time line around them."""
+SHOWN_SPAN_MS = 4000.0
+"""How much of the time line is shown before and after a fault, milliseconds."""
+
+
+def make_deployments(small: bool) -> list[Deployment]:
+    """Return both sides, at today's sizes or smaller ones.
+
+    Args:
+        small: Whether three routers a side and fewer servers are enough.
+
+    Returns:
+        The deployments.
+    """
+    if small:
+        deployments = [make_cordero(3, 4, 2), make_kalapati(3, 3, 2)]
+    else:
+        deployments = [make_cordero(), make_kalapati()]
+    for deployment in deployments:
+        for service in deployment.services:
+            service.limits.update(LIMITS)
+            if service.kind == "engine":
+                service.options.update(ENGINE_OPTIONS)
+    return deployments
+
+
+def relayed_routers(deployments: list[Deployment]) -> list[str]:
+    """Return the routers whose paths lead through relays."""
+    return [
+        f"{deployment.side}-{number}"
+        for deployment in deployments
+        for number in range(1, deployment.routers + 1)[-RELAYED_ROUTERS:]
+    ]
+
+
+class Proof:
+    """One run over a started fleet."""
+
+    __slots__ = ("_actions", "_chance", "_clock", "_fleet", "_observer", "_workload")
+
+    def __init__(self, fleet: Fleet, seed: int) -> None:
+        self._fleet = fleet
+        self._clock = Clock()
+        self._chance = random.Random(f"probes {seed}")
+        self._observer = Observer(fleet)
+        self._workload = Workload(fleet, seed)
+        self._actions = Actions(fleet, self._workload, self._observer)
+
+    def run(self, steps: list[Step]) -> list[Fault]:
+        """Carry a schedule out under load, and judge what came of it.
+
+        Args:
+            steps: The schedule.
+
+        Returns:
+            What must not happen and did.
+        """
+        callers = self._workload.start()
+        self._carry_out(steps)
+        self._observer.note("faults_over")
+        faults, probes = self._check_recovery()
+        self._workload.end()
+        self._wait_for_callers([*callers, *self._actions.load])
+        self._workload.stop()
+        self._observer.stop()
+        for name in self._fleet.routers:
+            self._observer.look(name)
+        self._actions.check_running()
+        return [*faults, *self._judge([*self._workload.records(), *probes])]
+
+    def _carry_out(self, steps: list[Step]) -> None:
+        begun_ms = self._clock.now_ms()
+        threads = []
+        for step in steps:
+            wait_ms = begun_ms + step.at_ms - self._clock.now_ms()
+            eventlet.sleep(max(0.0, wait_ms) / 1000.0)
+            threads.append(eventlet.spawn(self._actions.carry_out, step))
+        for thread in threads:
+            thread.wait()
+
+    def _wait_for_callers(self, threads: list) -> None:
+        # A call that does not end in time stays in the records as such.
+        with eventlet.Timeout(CALLERS_END_MS / 1000.0, False):
+            for thread in threads:
+                thread.wait()
+
+    # After the faults.
+
+    def _check_recovery(self) -> tuple[list[Fault], list[CallRecord]]:
+        over_ms = self._clock.now_ms()
+        probes: list[CallRecord] = []
+        threads = [
+            eventlet.spawn(self._probe, name, service, over_ms, probes)
+            for deployment in self._fleet.deployments
+            for service in deployment.services
+            for name, router in self._fleet.routers.items()
+            if router.side == deployment.side
+        ]
+        faults = self._check_in_force(over_ms)
+        for thread in threads:
+            faults += thread.wait()
+        return faults, probes
+
+    def _probe(
+        self, name: str, service: ServiceShape, over_ms: float, probes: list
+    ) -> list[Fault]:
+        router = self._fleet.routers[name]
+        balancer = Balancer({name: (router.callers, router.admin)})
+        caller = Caller(balancer, keep_alive=False)
+        probes_before = len(caller.records)
+        account = sorted(service.accounts)[0]
+        while True:
+            record = caller.make(make_call(service, account, self._chance))
+            is_late = self._clock.now_ms() - over_ms > SERVED_MS
+            if record.is_whole or is_late:
+                break
+            eventlet.sleep(LOOK_S)
+        balancer.stop()
+        probes += caller.records[probes_before:]
+        if not is_late:
+            return []
+        last = record.last
+        detail = f"{service.qualified()} last {last.status} {last.ran} {last.reason}"
+        return [Fault(NOT_SERVED, name, detail, self._clock.wall_ms())]
+
+    def _check_in_force(self, over_ms: float) -> list[Fault]:
+        newest = self._newest_revisions()
+        lagging = list(self._fleet.routers)
+        while lagging and self._clock.now_ms() - over_ms < IN_FORCE_MS:
+            lagging = [name for name in lagging if not self._shows(name, newest)]
+            eventlet.sleep(LOOK_S)
+        wall_ms = self._clock.wall_ms()
+        return [
+            Fault(NOT_IN_FORCE, name, f"does not show {newest}", wall_ms)
+            for name in lagging
+        ]
+
+    def _newest_revisions(self) -> dict[str, int]:
+        first = f"{ROUTER_PREFIX}{DOCUMENTS}".encode()
+        # The key after all that begin with the prefix.
+        end = first[:-1] + bytes([first[-1] + 1])
+        query = {
+            "key": base64.b64encode(first).decode(),
+            "range_end": base64.b64encode(end).decode(),
+        }
+        found = self._fleet.fetch("POST", self._fleet.store, "/v3/kv/range", query)
+        return {
+            base64.b64decode(entry["key"]).decode().removeprefix(ROUTER_PREFIX): int(
+                entry["mod_revision"]
+            )
+            for entry in found["kvs"]
+        }
+
+    def _shows(self, name: str, newest: dict[str, int]) -> bool:
+        status = self._fleet.status(name)
+        if not status:
+            return False
+        held = status["configuration"]
+        return all(held.get(key, 0) >= revision for key, revision in newest.items())
+
+    # The verdict.
+
+    def _judge(self, records: list[CallRecord]) -> list[Fault]:
+        actions = self._actions
+        servers = self._fleet.records()
+        missing = sorted(set(self._fleet.backends) - set(servers))
+        if missing:
+            raise RuntimeError(f"no record of {missing}; look at their output")
+        print_calls(records)
+        return [
+            *self._observer.faults,
+            *actions.faults,
+            *check_all(
+                records,
+                servers,
+                actions.outages,
+                DRAINED_MS,
+                actions.kills,
+                actions.turns,
+                DETECTION_MS,
+                actions.stops,
+            ),
+        ]
+
+    def print_faults(self, faults: list[Fault]) -> None:
+        """Print faults, the first of each kind with the time line around them.
+
+        Args:
+            faults: What must not happen and did.
+        """
+        shown = Counter()
+        for fault in sorted(faults, key=lambda fault: fault.wall_ms):
+            shown[fault.kind] += 1
+            print(f"\nfault {fault.kind} {fault.subject}: {fault.detail}")
+            if shown[fault.kind] <= SHOWN_FAULTS and fault.wall_ms:
+                print(self._observer.render_around(fault.wall_ms, SHOWN_SPAN_MS))
+        print(f"faults {dict(shown) or 'none'}", flush=True)
+
+
+def print_calls(records: list[CallRecord]) -> None:
+    """Print how many calls ended in which way.
+
+    Args:
+        records: All calls.
+    """
+    counts = Counter(
+        "whole" if r.is_whole else f"{r.last.status} {r.last.ran} {r.last.reason[:60]}"
+        for r in records
+        if r.attempts
+    )
+    print(f"{len(records)} calls")
+    for ending, count in counts.most_common(12):
+        print(f"{count:>8} {ending}")
+
+
+def main(*, seed: int = 1, duration_s: float = 60.0, small: bool = False) -> int:
+    """Run a random schedule of faults over both sides and judge it from the records.
+
+    Args:
+        seed: Gives the schedule and the calls.
+        duration_s: All faults have begun and ended by then, seconds.
+        small: Run three routers a side and fewer servers.
+
+    Returns:
+        0 if nothing happened that must not.
+    """
+    os.environ[FATAL_VARIABLE] = "1"
+    deployments = make_deployments(small)
+    relayed = relayed_routers(deployments)
+    steps = draw_schedule(seed, deployments, relayed, duration_s)
+    print(f"seed {seed}, {duration_s:g} s, {'small' if small else 'full'} size")
+    for step in steps:
+        print(step.describe())
+    sys.stdout.flush()
+    with Fleet(deployments, relayed_store=relayed, relayed_peers=relayed) as fleet:
+        proof = Proof(fleet, seed)
+        faults = proof.run(steps)
+        proof.print_faults(faults)
+    return 1 if faults else 0
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(main))
