--- a/packages/lagoonsail-lab/src/lagoonsail_lab/actions.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/actions.py
@@ -238,11 +238,23 @@
         self._take_out("server", step.target, step.duration_ms)
 
     def _race(self, step: Step) -> None:
-        other = eventlet.spawn(
-            self._take_out, "domain", step.options["domain"], step.duration_ms
-        )
-        self._take_out("server", step.target, step.duration_ms)
+        rival = step.options["rival"]
+        if rival == "domain":
+            other = eventlet.spawn(
+                self._take_out, "domain", step.options["domain"], step.duration_ms
+            )
+            self._take_out("server", step.target, step.duration_ms)
+            other.wait()
+            return
+        if rival == "same":
+            other = eventlet.spawn(self._order, "server-out", step.target)
+            self._take_out("server", step.target, step.duration_ms)
+        else:
+            other = eventlet.spawn(self._order, "server-in", step.target)
+            self._order("server-out", step.target)
         other.wait()
+        # Whoever came last, the server is in again after this.
+        self._bring_in("server", step.target)
 
     def _take_out(self, kind: str, target: str, duration_ms: float) -> None:
         is_done = self._order(f"{kind}-out", target)
@@ -252,6 +264,9 @@
             # It may be back in force before the command has ended.
             servers = self._servers_of(kind, target)
             self.outages.append(Outage(servers, from_ms, self._clock.wall_ms()))
+        self._bring_in(kind, target)
+
+    def _bring_in(self, kind: str, target: str) -> None:
         while not self._order(f"{kind}-in", target):
             eventlet.sleep(RETRY_S)
 
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/schedule.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/schedule.py
@@ -49,7 +49,7 @@
 BURST = "burst"
 """One account makes many calls at once."""
 
-ROUND_MS = (3000.0, 9000.0)
+ROUND_MS = (1500.0, 6000.0)
 """Shortest and longest time between two groups of faults."""
 FIRST_MS = 2000.0
 """Time before the first fault."""
@@ -64,6 +64,11 @@
     lambda _chance: {"lose_answers": 0.3, "stale_reads": True},
 )
 """What the key-value service may suffer."""
+FREQUENT = (KILL, FREEZE, STOP, STORE, STORE, STORE_PATH, PEERS_PATH)
+"""Kinds that are drawn more often than others."""
+RIVALS = ("domain", "same", "opposite")
+"""What a second operator orders at the same moment: a failure domain out, the same
+server out as well, or the same server in."""
 PATH_MODES = (
     {"mode": "cut"},
     {"mode": "freeze"},
@@ -153,8 +158,8 @@
         }
 
     def kinds(self) -> list[str]:
-        """Return all kinds of steps."""
-        return list(self._makers())
+        """Return all kinds of steps, frequent ones more often."""
+        return [*self._makers(), *FREQUENT]
 
     def _is_busy(self, resource: str, step: Step) -> bool:
         return any(
@@ -215,7 +220,8 @@
         service, server = self._pick_server()
         domain = qualify(service.side, self._chance.choice(service.domains()))
         name = f"{service.qualified()}/{server}"
-        return self._order(at_ms, service.side, name, domain=domain)
+        rival = self._chance.choice(RIVALS)
+        return self._order(at_ms, service.side, name, domain=domain, rival=rival)
 
     def _order(
         self, at_ms: float, side: str, target: str, **options: object
