--- a/packages/lagoonsail-lab/tests/test_checker.py
+++ b/packages/lagoonsail-lab/tests/test_checker.py
@@ -4,14 +4,18 @@
 
 from lagoonsail_lab.caller import Attempt, Call, CallRecord
 from lagoonsail_lab.checker import (
+    CUT,
     LOST,
     NOT_OWN,
     OVERLOADED,
     RAN_AFTER_ALL,
     RAN_TWICE,
     RAN_WHILE_OUT,
+    UNCLEAN_EXIT,
+    ColdTurn,
     Kill,
     Outage,
+    PlannedStop,
     check_all,
 )
 
@@ -25,12 +29,17 @@
     return CallRecord(call, [Attempt(request_id, "r1", **{**values, **fields})])
 
 
-def make_run(request_id, key="", state="whole", started_wall_ms=12.0):
+def make_run(
+    request_id, key="", state="whole", started_wall_ms=12.0, is_overload=False
+):
     return {
         "request_id": request_id,
         "idempotency_key": key,
         "state": state,
         "started_wall_ms": started_wall_ms,
+        "ended_wall_ms": started_wall_ms,
+        "cold": is_overload,
+        "running_at_start": 2 if is_overload else 1,
     }
 
 
@@ -141,3 +150,56 @@
     runs = [make_run("q1", started_wall_ms=at_ms)]
     assert kinds([], make_servers(*runs)) == found
     assert kinds([], make_servers(b=runs)) == []
+
+
+def test_caller_that_went_away_needs_no_answer():
+    assert kinds([make_record("q1", status=0, ran="gone")], make_servers()) == []
+
+
+def test_lost_attempt_is_found_though_another_followed():
+    record = make_record("q1", "k1", status=0, ran="lost")
+    record.attempts += make_record("q2").attempts
+    assert kinds([record], make_servers(make_run("q2", "k1"))) == [LOST]
+
+
+@pytest.mark.parametrize(
+    ("server", "turned_ms", "found"),
+    [
+        ("s/a", 500.0, []),
+        ("s/a", 399.0, [OVERLOADED]),
+        ("s/a", 601.0, [OVERLOADED]),
+        ("s/b", 500.0, [OVERLOADED]),
+    ],
+)
+def test_overload_is_excused_only_soon_after_a_turn(server, turned_ms, found):
+    run = make_run("q1", state="broken", started_wall_ms=600.0, is_overload=True)
+    turns = [ColdTurn(server, turned_ms)]
+    servers = make_servers(run, overloads=1)
+    assert kinds([], servers, turns=turns, detection_ms=200.0) == found
+    # A second overload that no run shows has no excuse.
+    servers = make_servers(run, overloads=2)
+    assert OVERLOADED in kinds([], servers, turns=turns, detection_ms=200.0)
+
+
+def test_planned_stop_must_end_with_0():
+    stops = [PlannedStop("r1", 5.0, 25.0, code) for code in (0, 70, None)]
+    found = kinds([], make_servers(), stops=stops)
+    assert found == [UNCLEAN_EXIT, UNCLEAN_EXIT]
+
+
+@pytest.mark.parametrize(
+    ("router", "state", "until_ms", "found"),
+    [
+        ("r1", "whole", 25.0, [CUT]),
+        ("r1", "cancelled", 19.0, [CUT]),
+        # The server broke the answer itself.
+        ("r1", "broken", 25.0, []),
+        ("r2", "whole", 25.0, []),
+        ("r1", "whole", 9.0, []),
+    ],
+)
+def test_answer_cut_by_a_planned_stop_is_found(router, state, until_ms, found):
+    record = make_record("q1", ran="unknown", reason="ended early")
+    servers = make_servers(make_run("q1", state=state))
+    stops = [PlannedStop(router, 5.0, until_ms, 0)]
+    assert kinds([record], servers, stops=stops) == found
--- /dev/null
+++ b/packages/lagoonsail-lab/tests/test_schedule.py
@@ -0,0 +1,60 @@
+from __future__ import annotations
+
+import pytest
+
+from lagoonsail_lab.deployments import make_cordero, make_kalapati
+from lagoonsail_lab.prove import make_deployments, relayed_routers
+from lagoonsail_lab.schedule import FREEZE, KILL, STOP, draw_schedule
+
+DURATION_S = 300.0
+
+
+def draw(seed, small=False):
+    deployments = make_deployments(small)
+    return draw_schedule(seed, deployments, relayed_routers(deployments), DURATION_S)
+
+
+def test_same_seed_gives_the_same_schedule():
+    assert draw(1) == draw(1)
+    assert draw(1) != draw(2)
+
+
+def test_steps_end_in_time_and_come_in_order():
+    steps = draw(3)
+    assert all(0 < step.at_ms < step.end_ms <= DURATION_S * 1000.0 for step in steps)
+    assert [step.at_ms for step in steps] == sorted(step.at_ms for step in steps)
+
+
+def test_every_kind_is_drawn_alone_or_with_others():
+    kinds = {step.kind for seed in range(5) for step in draw(seed)}
+    assert len(kinds) == 17
+
+
+def test_some_faults_strike_together():
+    steps = draw(4)
+    pairs = zip(steps, steps[1:], strict=False)
+    assert any(after.at_ms < before.end_ms for before, after in pairs)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_one_router_of_each_side_is_always_left(seed):
+    steps = [s for s in draw(seed, small=True) if s.kind in (KILL, FREEZE, STOP)]
+    for step in steps:
+        side = step.target.rpartition("-")[0]
+        struck = {
+            other.target
+            for other in steps
+            if other.target.startswith(side)
+            and other.at_ms <= step.at_ms <= other.end_ms
+        }
+        assert len(struck) < 3
+
+
+def test_today_is_the_default_size():
+    deployments = make_deployments(small=False)
+    assert [d.routers for d in deployments] == [6, 6]
+    expected = [make_cordero(), make_kalapati()]
+    for deployment, other in zip(deployments, expected, strict=True):
+        for service, like in zip(deployment.services, other.services, strict=True):
+            assert service.servers == like.servers
+            assert len(service.accounts) == 16
