--- /dev/null
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/domain_outage.py
@@ -0,0 +1,318 @@
+"""Measure: service while a failure domain leaves and returns."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from lagoonsail_core.clock import Clock
+from lagoonsail_core.green import eventlet
+from lagoonsail_lab.backlog import BASELINE_MODULE, TOKENS, collect_work
+from lagoonsail_lab.caller import (
+    Balancer,
+    Caller,
+    call_at_rate,
+    make_plain,
+    make_prompt,
+)
+from lagoonsail_lab.checker import Outage, check_all, last_new_work_ms
+from lagoonsail_lab.demo import percentile, set_domain
+from lagoonsail_lab.deployments import make_cordero
+from lagoonsail_lab.figures import AT_MOST, BELOW, Measure, Series
+from lagoonsail_lab.fleet import Fleet
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonsail_lab.backlog import Work
+    from lagoonsail_lab.caller import Call, CallRecord
+    from lagoonsail_lab.checker import Fault
+    from lagoonsail_lab.deployments import ServiceShape
+
+DOMAIN = "cordero/banos"
+"""The failure domain that leaves and returns."""
+WARM_AFTER = 3
+"""Whole answers after which an engine or a plain service is warm."""
+ENGINE_OPTIONS = {"token_ms": 20.0, "first_ms": 40.0, "cold_factor": 2.0}
+"""Speed of the engines."""
+CALLS_PER_S = {"engine": 45.0, "plain": 10.0}
+"""Calls of each service by its kind; engines are then half busy."""
+PLAIN_WORK_MS = 10.0
+"""Work of one plain call, milliseconds."""
+SETTLE_S = 5.0
+"""Time before the steady state, seconds."""
+RESTART_AFTER_S = 4.0
+"""Time after which the servers of the domain restart and are cold, seconds."""
+STORE_BACK_S = 2.0
+"""Time before the domain returns at which the key-value service is back, seconds."""
+OUT_WITHIN_MS = 3000.0
+"""Target: time after the command at which new work has ended, milliseconds."""
+FULL_USE = 0.8
+"""Load of the domain's servers that counts as full use, as a part of the others'."""
+STEP_MS = 500.0
+"""Length of a slice, milliseconds."""
+SMOOTHED_SLICES = 4
+"""Slices over which load is averaged."""
+
+
+@dataclass(slots=True)
+class OutageRun:
+    """What was seen while a domain left and returned; times are wall times."""
+
+    records: list[CallRecord]
+    """All calls."""
+    servers: dict[str, dict]
+    """Record of each backend server by qualified name."""
+    work: list[Work]
+    """What callers asked for and servers ran."""
+    outage: Outage
+    """The servers of the domain, from the command to leave to that to return."""
+    begun_ms: float
+    """Begin of the steady state."""
+    ended_ms: float
+    """When callers stopped calling."""
+
+    def phase(self, name: str) -> tuple[float, float]:
+        """Return begin and end of `steady`, `out` or `back`."""
+        leaves_ms, returns_ms = self.outage.from_wall_ms, self.outage.until_wall_ms
+        return {
+            "steady": (self.begun_ms, leaves_ms),
+            "out": (leaves_ms, returns_ms),
+            "back": (returns_ms, self.ended_ms),
+        }[name]
+
+    def latencies_ms(self, name: str) -> list[float]:
+        """Return the latencies of whole engine answers asked for in a phase."""
+        begin_ms, end_ms = self.phase(name)
+        return [
+            record.latency_ms
+            for record in self.records
+            if record.is_whole
+            and record.call.path == "/v1/completions"
+            and begin_ms <= record.attempts[0].started_wall_ms < end_ms
+        ]
+
+    def waits_ms(self, name: str) -> list[float]:
+        """Return how long attempts of a phase waited until a server started them."""
+        begin_ms, end_ms = self.phase(name)
+        return [
+            item.started_ms - item.asked_ms
+            for item in self.work
+            if item.server and begin_ms <= item.asked_ms < end_ms
+        ]
+
+
+def _make_fleet(is_baseline: bool) -> Fleet:
+    deployment = make_cordero()
+    for service in deployment.services:
+        service.options["warm_after"] = WARM_AFTER
+        if service.kind == "engine":
+            service.options.update(ENGINE_OPTIONS)
+    options = {"router_module": BASELINE_MODULE} if is_baseline else {}
+    return Fleet([deployment], **options)
+
+
+def _warm_up(fleet: Fleet) -> None:
+    """Make all servers warm, since the baseline would never manage to."""
+
+    def warm(address: str) -> None:
+        for _ in range(WARM_AFTER):
+            body = {"prompt": "#tokens=1", "work_ms": 1.0}
+            fleet.fetch("POST", address, "/v1/completions", body)
+
+    addresses = [backend.address for backend in fleet.backends.values()]
+    for thread in [eventlet.spawn(warm, address) for address in addresses]:
+        thread.wait()
+
+
+def _next_call(
+    service: ServiceShape, account: str, chance: random.Random
+) -> Callable[[], Call]:
+    side, name = service.side, service.name
+
+    def make_engine_call() -> Call:
+        tokens = chance.randint(*TOKENS)
+        text = f"{account} {chance.getrandbits(64):x}"
+        is_stream = chance.random() < 0.5
+        return make_prompt(side, name, account, tokens, is_stream, text)
+
+    def make_plain_call() -> Call:
+        is_repeatable = chance.random() < 0.5
+        path = "/search" if is_repeatable else "/bibs"
+        return make_plain(side, name, account, PLAIN_WORK_MS, path, is_repeatable)
+
+    return make_engine_call if service.kind == "engine" else make_plain_call
+
+
+def _start_callers(fleet: Fleet, caller: Caller, until_ms: float, seed: int) -> list:
+    threads = []
+    for service in fleet.deployments[0].services:
+        total = sum(service.accounts.values())
+        for number, (account, share) in enumerate(service.accounts.items()):
+            chance = random.Random(f"{seed} {service.name} {account}")
+            calls = _next_call(service, account, chance)
+            rate = CALLS_PER_S[service.kind] * share / total
+            arguments = (caller, calls, until_ms, rate, seed + number)
+            threads.append(eventlet.spawn(call_at_rate, *arguments))
+    return threads
+
+
+def _order(fleet: Fleet, state: str, is_store_lost: bool) -> float:
+    """Order the domain out or in; return when, wall time."""
+    now_ms = Clock().wall_ms()
+    if not is_store_lost:
+        set_domain(fleet, DOMAIN, state)
+        return now_ms
+    # A command of its own would give the fleet time before the service is lost.
+    fleet.set_state(DOMAIN, state)
+    fleet.control_store(mode="down")
+    return now_ms
+
+
+def run_outage(
+    is_baseline: bool, is_store_lost: bool, duration_s: float, seed: int
+) -> OutageRun:
+    """Take a failure domain out and bring it back while callers call.
+
+    Args:
+        is_baseline: Whether routers are those of the baseline.
+        is_store_lost: Whether the key-value service is down after each command.
+        duration_s: Length of the phases altogether, seconds.
+        seed: Seed of what is called.
+
+    Returns:
+        What was seen.
+    """
+    clock = Clock()
+    steady_s, out_s, back_s = (duration_s * part for part in (0.25, 0.35, 0.4))
+    with _make_fleet(is_baseline) as fleet:
+        _warm_up(fleet)
+        addresses = {n: (r.callers, r.admin) for n, r in fleet.routers.items()}
+        balancer = Balancer(addresses, seed)
+        caller = Caller(balancer)
+        until_ms = clock.now_ms() + (SETTLE_S + duration_s) * 1000.0
+        threads = _start_callers(fleet, caller, until_ms, seed)
+        eventlet.sleep(SETTLE_S)
+        begun_ms = clock.wall_ms()
+        eventlet.sleep(steady_s)
+        leaves_ms = _order(fleet, "out", is_store_lost)
+        names = frozenset(b.qualified() for b in fleet.backends_of(DOMAIN))
+        eventlet.sleep(RESTART_AFTER_S)
+        for name in names:
+            fleet.control_backend(name, restart=True)
+        eventlet.sleep(max(0.0, out_s - RESTART_AFTER_S - STORE_BACK_S))
+        fleet.control_store(mode="up")
+        eventlet.sleep(STORE_BACK_S)
+        returns_ms = _order(fleet, "in", is_store_lost)
+        eventlet.sleep(back_s)
+        ended_ms = clock.wall_ms()
+        for thread in threads:
+            thread.wait()
+        balancer.stop()
+        servers = fleet.records()
+    outage = Outage(names, leaves_ms, returns_ms)
+    work = collect_work([caller], servers)
+    return OutageRun(caller.records, servers, work, outage, begun_ms, ended_ms)
+
+
+def find_faults(run: OutageRun) -> list[Fault]:
+    """Return what must not happen and did, and calls that failed.
+
+    Args:
+        run: What was seen.
+    """
+    return check_all(run.records, run.servers, [run.outage], OUT_WITHIN_MS)
+
+
+def load_of_domain(run: OutageRun) -> tuple[list[float], list[float]]:
+    """Return the busy slots of the domain's engines as a part of the others'.
+
+    Args:
+        run: What was seen.
+
+    Returns:
+        Times since the domain left, seconds, and the part averaged over some slices.
+    """
+    inside = [name for name in run.outage.servers if "asistente" in name]
+    engines = [name for name in run.servers if "asistente" in name]
+    outside = [name for name in engines if name not in run.outage.servers]
+    times, parts = [], []
+    begin_ms = run.begun_ms
+    while begin_ms + STEP_MS * SMOOTHED_SLICES <= run.ended_ms:
+        end_ms = begin_ms + STEP_MS * SMOOTHED_SLICES
+        mine, others = (
+            sum(w.busy_ms(begin_ms, end_ms) for w in run.work if w.server in names)
+            / len(names)
+            for names in (inside, outside)
+        )
+        times.append((begin_ms - run.outage.from_wall_ms) / 1000.0)
+        parts.append(mine / others if others else 0.0)
+        begin_ms += STEP_MS
+    return times, parts
+
+
+def _back_to_full_use_s(run: OutageRun) -> float:
+    returned_s = (run.outage.until_wall_ms - run.outage.from_wall_ms) / 1000.0
+    for time_s, part in zip(*load_of_domain(run), strict=True):
+        if time_s >= returned_s and part >= FULL_USE:
+            return time_s - returned_s
+    return float("inf")
+
+
+def _report(measure: Measure, title: str, run: OutageRun, is_judged: bool) -> None:
+    none = (AT_MOST, 0.0) if is_judged else ("", 0.0)
+    within = (BELOW, OUT_WITHIN_MS) if is_judged else ("", 0.0)
+    failed = [r for r in run.records if not r.attempts or not r.is_whole]
+    measure.add(f"{title}: calls", len(run.records), "calls")
+    measure.add(f"{title}: calls failed", len(failed), "calls", *none)
+    measure.add(f"{title}: faults found", len(find_faults(run)), "faults", *none)
+    repeated = sum(len(r.attempts) - 1 for r in run.records)
+    measure.add(f"{title}: attempts refused and made again", repeated, "attempts")
+    last_ms = last_new_work_ms(run.servers, run.outage)
+    measure.add(f"{title}: last new work after the command", last_ms, "ms", *within)
+    for phase in ("steady", "out", "back"):
+        latency_ms = percentile(run.latencies_ms(phase), 99)
+        measure.add(f"{title}: p99 latency of engines, {phase}", latency_ms, "ms")
+        wait_ms = percentile(run.waits_ms(phase), 99)
+        measure.add(f"{title}: p99 time until a server starts, {phase}", wait_ms, "ms")
+    full_s = _back_to_full_use_s(run)
+    measure.add(f"{title}: back to full use after the command", full_s, "s")
+    overloads = sum(record["overloads"] for record in run.servers.values())
+    measure.add(f"{title}: cold servers overloaded", overloads, "times", *none)
+
+
+def _print_failures(run: OutageRun) -> None:
+    failed = [r for r in run.records if not r.attempts or not r.is_whole]
+    reasons = {f"{r.last.status} {r.last.ran} {r.last.reason[:80]}" for r in failed}
+    for reason in sorted(reasons)[:5]:
+        print(f"    failed: {reason}")
+    for fault in find_faults(run)[:5]:
+        print(f"    {fault.kind} {fault.subject}: {fault.detail}")
+
+
+def measure_domains(duration_s: float, seed: int) -> Measure:
+    """Measure the project's routers twice and the baseline once.
+
+    Args:
+        duration_s: Length of the phases of each run, seconds.
+        seed: Seed of what is called.
+
+    Returns:
+        The measure.
+    """
+    measure = Measure(
+        "domains", "time since the domain left / s", "load of its engines / others'"
+    )
+    cases = (
+        ("fleet", False, False),
+        ("fleet, store lost", False, True),
+        ("baseline", True, False),
+    )
+    for title, is_baseline, is_store_lost in cases:
+        run = run_outage(is_baseline, is_store_lost, duration_s, seed)
+        _report(measure, title, run, not is_baseline)
+        if not is_baseline:
+            _print_failures(run)
+        measure.curves.append(Series(title, *load_of_domain(run)))
+    return measure
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/fleet.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/fleet.py
@@ -105,6 +105,7 @@
         "_processes",
         "_relayed_peers",
         "_relayed_store",
+        "_router_module",
         "_settings",
         "backends",
         "deployments",
@@ -137,6 +138,7 @@
         settings: dict[str, dict[str, str | int]] | None = None,
         relayed_store: Iterable[str] = (),
         relayed_peers: Iterable[str] = (),
+        router_module: str = ROUTER_MODULE,
     ) -> None:
         """Prepare a fleet; nothing is started.
 
@@ -146,6 +148,7 @@
             settings: Further settings of all routers by section and key.
             relayed_store: Routers that reach the key-value service through a relay.
             relayed_peers: Routers that other routers reach through a relay.
+            router_module: What is run as a router.
         """
         self.deployments = deployments
         self._is_own_directory = directory is None
@@ -153,6 +156,7 @@
         self._settings = settings or {}
         self._relayed_store = frozenset(relayed_store)
         self._relayed_peers = frozenset(relayed_peers)
+        self._router_module = router_module
         self._http = urllib3.PoolManager(
             num_pools=200, maxsize=4, retries=False, timeout=5.0
         )
@@ -275,7 +279,7 @@
             path.write_text(self.write_settings(router))
             arguments = ["--settings", str(path)]
             router.process = Process(
-                router.name, ROUTER_MODULE, arguments, self.directory
+                router.name, self._router_module, arguments, self.directory
             )
             self._processes.append(router.process)
             router.process.start()
--- /dev/null
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/measure.py
@@ -0,0 +1,84 @@
+"""The four measures beside their targets: `python -m lagoonsail_lab.measure`."""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, Literal
+
+import defopt
+
+from lagoonsail_core.clock import Clock
+from lagoonsail_lab.domain_outage import measure_domains
+from lagoonsail_lab.fairness import measure_fairness
+from lagoonsail_lab.measure_plot import plot_measures
+from lagoonsail_lab.utilisation import measure_utilisation
+
+if TYPE_CHECKING:
+    from lagoonsail_lab.figures import Measure
+
+MEASURES = ("fairness", "utilisation", "control", "domains")
+"""Names of the measures."""
+
+
+def run_measure(name: str, duration_s: float, seed: int) -> Measure:
+    """Run one measure.
+
+    Args:
+        name: One of MEASURES.
+        duration_s: Length of its main part, seconds.
+        seed: Seed of what is called.
+
+    Returns:
+        The measure.
+    """
+    if name == "fairness":
+        return measure_fairness(duration_s, seed)
+    if name == "utilisation":
+        return measure_utilisation(duration_s, seed)
+    return measure_domains(duration_s, seed)
+
+
+def main(
+    *,
+    only: Literal["fairness", "utilisation", "control", "domains", ""] = "",
+    seed: int = 1,
+    duration_s: float = 20.0,
+    out: Path = Path("out"),
+) -> int:
+    """Measure the fleet against a baseline, and write JSON and a plot.
+
+    Args:
+        only: The one measure to run; all if empty.
+        seed: Seed of what is called.
+        duration_s: Length of the main part of each measure, seconds.
+        out: Directory of measure.json and measure.png.
+
+    Returns:
+        0 if all targets are met.
+    """
+    clock = Clock()
+    measures = []
+    for name in MEASURES:
+        if only and name != only:
+            continue
+        loads = ", ".join(f"{load:.1f}" for load in os.getloadavg())
+        print(f"{name} (seed {seed}, load average before: {loads})", flush=True)
+        begun_ms = clock.now_ms()
+        measures.append(run_measure(name, duration_s, seed))
+        print(f"  took {(clock.now_ms() - begun_ms) / 1000.0:.0f} s", flush=True)
+    out.mkdir(parents=True, exist_ok=True)
+    report = {"seed": seed, "measures": [measure.as_dict() for measure in measures]}
+    (out / "measure.json").write_text(json.dumps(report, indent=1))
+    plot_measures(measures, out / "measure.png")
+    missed = [f for m in measures for f in m.figures if not f.is_met]
+    for figure in missed:
+        print(f"missed: {figure.line()}")
+    print(f"wrote {out / 'measure.json'} and {out / 'measure.png'}")
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(main))
--- /dev/null
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/utilisation.py
@@ -0,0 +1,170 @@
+"""Measure: how busy the usable slots are while work waits."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+from lagoonsail_core.clock import Clock
+from lagoonsail_core.green import eventlet
+from lagoonsail_lab.backlog import (
+    SERVICE,
+    collect_work,
+    is_within,
+    make_fleet,
+    start_backlog,
+    waiting_spans,
+)
+from lagoonsail_lab.caller import Balancer
+from lagoonsail_lab.figures import AT_LEAST, Measure, Series
+from lagoonsail_lab.processes import ProcessError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from lagoonsail_lab.backlog import Work
+    from lagoonsail_lab.fleet import Fleet
+
+WARM_UP_S = 6.0
+"""Time until the servers run at their full limit, seconds."""
+STEP_MS = 500.0
+"""Length of a slice, milliseconds."""
+HOST_LIST_LAG_S = 5.0
+"""Time until the host list no longer shows a killed router, seconds."""
+STEADY_TARGET = 0.97
+"""Least busy share of the usable slots while work waits."""
+KILLED_TARGET = 0.9
+"""Least busy share in the minute after an owner is killed."""
+KILLED_S = 60.0
+"""The time after the kill that is watched, seconds."""
+
+
+def busy_shares(
+    work: Iterable[Work], slots: dict[str, int], from_ms: float, until_ms: float
+) -> list[tuple[float, float]]:
+    """Return the busy share of all slots in slices in which work waited.
+
+    Args:
+        work: All work.
+        slots: Slots by server.
+        from_ms: Begin of the first slice, wall time.
+        until_ms: End, wall time.
+
+    Returns:
+        Begin of each slice and its busy share.
+
+    Example:
+        >>> from lagoonsail_lab.backlog import Work
+        >>> work = [Work("a", 0.0, 100.0, 600.0, 1.0, "s"),
+        ...         Work("a", 0.0, 1000.0, 1000.0, 0.0, "")]
+        >>> busy_shares(work, {"s": 1}, 200.0, 700.0)
+        [(200.0, 0.8)]
+    """
+    work = list(work)
+    spans = waiting_spans(work)
+    shares = []
+    begin_ms = from_ms
+    while begin_ms + STEP_MS <= until_ms:
+        end_ms = begin_ms + STEP_MS
+        if is_within(spans, begin_ms, end_ms):
+            shares.append((begin_ms, _busy_share(work, slots, begin_ms, end_ms)))
+        begin_ms = end_ms
+    return shares
+
+
+def _busy_share(
+    work: list[Work], slots: dict[str, int], from_ms: float, until_ms: float
+) -> float:
+    busy: dict[str, float] = defaultdict(float)
+    for item in work:
+        if item.server in slots:
+            busy[item.server] += item.busy_ms(from_ms, until_ms)
+    length_ms = until_ms - from_ms
+    # Requests that wait inside a server keep no more slots busy than it has.
+    counted = sum(min(busy[name], slots[name] * length_ms) for name in slots)
+    return counted / (sum(slots.values()) * length_ms)
+
+
+def _find_owner(fleet: Fleet) -> str:
+    service = fleet.deployments[0].find(SERVICE)
+    shard = f"{service.qualified()}@{service.region}"
+    for name in fleet.routers:
+        status = fleet.status(name)
+        if status and shard in status["shards"]:
+            return name
+    raise ProcessError(f"no owner of {shard}", "look at the routers' output")
+
+
+def run_kill(
+    is_baseline: bool, steady_s: float, killed_s: float, seed: int
+) -> tuple[list[tuple[float, float]], float]:
+    """Keep a fleet backlogged and kill a router, the owner if there is one.
+
+    Args:
+        is_baseline: Whether routers are those of the baseline.
+        steady_s: Time before the kill that is watched, seconds.
+        killed_s: Time after the kill that is watched, seconds.
+        seed: Seed of what is called.
+
+    Returns:
+        Busy shares by slice, and the wall time of the kill.
+    """
+    clock = Clock()
+    with make_fleet(is_baseline) as fleet:
+        service = fleet.deployments[0].find(SERVICE)
+        addresses = {n: (r.callers, r.admin) for n, r in fleet.routers.items()}
+        balancer = Balancer(addresses, seed)
+        duration_s = WARM_UP_S + steady_s + killed_s
+        until_ms = clock.now_ms() + duration_s * 1000.0
+        callers, threads = start_backlog(service, lambda _: balancer, until_ms, seed)
+        eventlet.sleep(WARM_UP_S)
+        from_ms = clock.wall_ms()
+        eventlet.sleep(steady_s)
+        name = sorted(fleet.routers)[0] if is_baseline else _find_owner(fleet)
+        killed_ms = clock.wall_ms()
+        fleet.kill_router(name)
+        eventlet.sleep(HOST_LIST_LAG_S)
+        fleet.routers[name].host_state = ""
+        fleet.publish_hosts()
+        eventlet.sleep(killed_s - HOST_LIST_LAG_S)
+        until_wall_ms = clock.wall_ms()
+        work = collect_work(callers, fleet.records())
+        for thread in threads:
+            thread.kill()
+        balancer.stop()
+        slots = dict.fromkeys(fleet.backends, service.slots)
+    shares = busy_shares(work, slots, from_ms, killed_ms)
+    shares += busy_shares(work, slots, killed_ms, until_wall_ms)
+    return shares, killed_ms
+
+
+def _mean(shares: list[tuple[float, float]]) -> float:
+    return sum(share for _, share in shares) / len(shares) if shares else 0.0
+
+
+def measure_utilisation(steady_s: float, seed: int) -> Measure:
+    """Measure the busy share of the project's routers and of the baseline.
+
+    Args:
+        steady_s: Time before an owner is killed that is watched, seconds.
+        seed: Seed of what is called.
+
+    Returns:
+        The measure.
+    """
+    measure = Measure("utilisation", "time since the kill / s", "busy share of slots")
+    unit = "of usable slots"
+    for title, is_baseline in (("fleet", False), ("baseline", True)):
+        killed_s = KILLED_S / 3 if is_baseline else KILLED_S
+        shares, killed_ms = run_kill(is_baseline, steady_s, killed_s, seed)
+        before = [pair for pair in shares if pair[0] < killed_ms]
+        after = [pair for pair in shares if pair[0] >= killed_ms]
+        seconds = [(begin_ms - killed_ms) / 1000.0 for begin_ms, _ in shares]
+        measure.curves.append(Series(title, seconds, [s for _, s in shares]))
+        steady, killed = (AT_LEAST, STEADY_TARGET), (AT_LEAST, KILLED_TARGET)
+        if is_baseline:
+            steady = killed = ("", 0.0)
+        measure.add(f"{title}: busy while work waits", _mean(before), unit, *steady)
+        name = f"{title}: busy in the {killed_s:.0f} s after a kill"
+        measure.add(name, _mean(after), unit, *killed)
+    return measure
