Show bytes and messages of peers and platform in the router's metrics

Cause: the cost of control traffic could not be read from a running router; the counters of streams, of the key-value client and of the host list were not shown. Change: peer_total by kind (frames, messages, bytes, closed streams) over the server and all links, also those given up, and platform_total by call and result. Two metrics with a bounded label; no behaviour changes.

--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -4,6 +4,7 @@
 
 import errno
 import json
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.errors import LagoonsailError
@@ -86,6 +87,7 @@
     __slots__ = (
         "_digests",
         "_heard_ms",
+        "_host_list",
         "_listeners",
         "_local_stream",
         "_store",
@@ -121,7 +123,7 @@
         self._store = StoreClient(
             settings.store_endpoints, settings.store_timeout_ms, context.clock
         )
-        host_list = HostList(
+        host_list = self._host_list = HostList(
             settings.host_list_url, settings.store_timeout_ms, context.clock
         )
         self._sync = StoreSync(context, self._store, self.configuration)
@@ -237,6 +239,10 @@
         """Return why callers should go to another router, empty if they need not."""
         return unready_reason(self)
 
+    def platform_counters(self) -> Counter:
+        """Return calls and bytes at the platform's services by kind and result."""
+        return self._store.counters + self._host_list.counters
+
     def render_metrics(self) -> bytes:
         """Return the metrics as Prometheus text."""
         return render_metrics(self)
--- a/packages/lagoonsail-router/src/lagoonsail_router/metrics.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/metrics.py
@@ -26,6 +26,10 @@
     samples["running_calls", ""] = daemon.entry.running
     samples["waiting_calls", ""] = sum(daemon.entry.waiting.values())
     samples["owned_shards", ""] = len(daemon.ownership.owned)
+    for kind, count in daemon.peers.counters().items():
+        samples["peer_total", kind] = count
+    for (kind, result), count in daemon.platform_counters().items():
+        samples["platform_total", f"{kind}_{result}"] = count
     for name, count in invariants.checks.items():
         samples["invariant_checks_total", name] = count
     for name, count in invariants.violations.items():
--- a/packages/lagoonsail-router/src/lagoonsail_router/peers.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/peers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.messages import (
@@ -32,6 +33,7 @@
         "_configuration",
         "_context",
         "_digests",
+        "_ended",
         "_handlers",
         "_links",
         "_on_close",
@@ -55,6 +57,8 @@
         self._on_close: list[Callable] = []
         self._links: dict[str, tuple[str, PeerLink]] = {}
         self._digests: dict[str, tuple[int, int]] = {}
+        # Counters of links that were given up.
+        self._ended: Counter = Counter()
         self.streams = {}
         self._server = PeerServer(
             context.settings.peers_address, **self._stream_options()
@@ -125,6 +129,14 @@
         """Return whether any other router is connected."""
         return any(self.streams.values())
 
+    def counters(self) -> Counter:
+        """Return counts of frames, messages, bytes and closed streams by kind."""
+        links = [link for _, link in self._links.values()]
+        total = Counter(self._ended)
+        for part in (self._server, *links):
+            total.update(part.counters)
+        return total
+
     def maintain(self) -> None:
         """Dial the members of the region, and hang up on routers that are gone."""
         settings = self._context.settings
@@ -158,7 +170,7 @@
         if address == member.peers:
             return
         if link:
-            link.stop()
+            self._end(link)
         link = PeerLink(member.peers, **self._stream_options())
         self._links[router] = (member.peers, link)
         link.start()
@@ -168,7 +180,11 @@
         if self.streams.get(router):
             return
         _, link = self._links.pop(router)
+        self._end(link)
+
+    def _end(self, link: PeerLink) -> None:
         link.stop()
+        self._ended.update(link.counters)
 
     def _opened(self, stream: PeerStream, _hello: Hello) -> None:
         self.streams.setdefault(stream.name, []).append(stream)
