Wait for full limits before measuring, and measure control traffic and domains

Change: the measures begin once the owner's status shows all servers at their full; domains are measured with the store kept or lost after each command; control traffic at 6, 12, 24 and 48 routers.

--- a/packages/lagoonsail-lab/src/lagoonsail_lab/backlog.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/backlog.py
@@ -4,7 +4,7 @@
 
 import random
 from dataclasses import dataclass
-from math import ceil
+from math import ceil, inf
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.clock import Clock
@@ -12,6 +12,7 @@
 from lagoonsail_lab.caller import Caller, call_in_loop, make_prompt
 from lagoonsail_lab.deployments import make_cordero
 from lagoonsail_lab.fleet import Fleet
+from lagoonsail_lab.processes import ProcessError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -40,6 +41,11 @@
 QUEUE_LIMIT = 1000
 """Calls of one account that may wait at one router."""
 
+FULL_LIMITS_MS = 60_000.0
+"""Time for an owner to raise the limits of all servers, milliseconds."""
+SETTLE_S = 2.0
+"""Time before anything is measured, after all servers may run at their full."""
+
 
 @dataclass(slots=True)
 class Work:
@@ -125,6 +131,49 @@
     return Fleet([make_deployment()], **options)
 
 
+def find_owner(fleet: Fleet, service: ServiceShape) -> tuple[str, dict]:
+    """Return the owner of a service's shard and what it says of the shard.
+
+    Args:
+        fleet: The fleet.
+        service: The service.
+
+    Returns:
+        Name of the router and its status of the shard.
+
+    Raises:
+        ProcessError: If no router owns the shard.
+    """
+    shard = f"{service.qualified()}@{service.region}"
+    for name in fleet.routers:
+        status = fleet.status(name)
+        if status and shard in status["shards"]:
+            return name, status["shards"][shard]
+    raise ProcessError(f"no owner of {shard}", "look at the routers' output")
+
+
+def wait_until_full(fleet: Fleet, service: ServiceShape) -> None:
+    """Wait until the owner runs all servers of a service at their full.
+
+    Args:
+        fleet: The fleet, with calls going on.
+        service: The service.
+
+    Raises:
+        ProcessError: If the time is over.
+    """
+    clock = Clock()
+    until_ms = clock.now_ms() + FULL_LIMITS_MS
+    while clock.now_ms() < until_ms:
+        _, shard = find_owner(fleet, service)
+        servers = shard["servers"].values()
+        if all(s["warm"] and s["limit"] == service.slots for s in servers):
+            eventlet.sleep(SETTLE_S)
+            return
+        eventlet.sleep(0.25)
+    raise ProcessError("limits are not raised", "look at the status of the owner")
+
+
 def count_callers(service: ServiceShape, account: str, factor: float) -> int:
     """Return how many callers ask for a multiple of an account's share."""
     slots = service.slots * len(service.servers)
@@ -150,7 +199,6 @@
 def start_backlog(
     service: ServiceShape,
     balancers: Callable[[int], Balancer | UnevenBalancer],
-    until_ms: float,
     seed: int,
     flooding: str = "",
 ) -> tuple[list[Caller], list]:
@@ -159,12 +207,11 @@
     Args:
         service: The service.
         balancers: Returns the balancer of an account by its number.
-        until_ms: No call begins later, monotonic time.
         seed: Seed of what is called.
         flooding: The account that floods, if any.
 
     Returns:
-        Callers with their records, and green threads to wait for.
+        Callers with their records, and green threads to kill in the end.
     """
     callers, threads = [], []
     for number, account in enumerate(service.accounts):
@@ -174,7 +221,7 @@
         for index in range(count_callers(service, account, factor)):
             chance = random.Random(f"{seed} {account} {index}")
             calls = next_call(service, account, chance)
-            threads.append(eventlet.spawn(call_in_loop, caller, calls, until_ms))
+            threads.append(eventlet.spawn(call_in_loop, caller, calls, inf))
     return callers, threads
 
 
--- /dev/null
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/control_traffic.py
@@ -0,0 +1,353 @@
+"""Measure: what routers cost while they do little, and how that grows."""
+
+from __future__ import annotations
+
+import os
+import random
+import re
+from dataclasses import dataclass, fields
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from lagoonsail_core.clock import Clock
+from lagoonsail_core.green import eventlet, urllib3
+from lagoonsail_lab.backlog import UnevenBalancer
+from lagoonsail_lab.caller import Caller, call_at_rate, make_plain
+from lagoonsail_lab.deployments import Deployment, ServerShape, ServiceShape
+from lagoonsail_lab.figures import AT_MOST, Measure, Series
+from lagoonsail_lab.fleet import Fleet
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+SIZES = ((6, 1), (12, 1), (12, 2), (12, 4))
+"""Routers of a region, and regions."""
+BASE_ACCOUNTS = 16
+"""Accounts of a service where they do not grow."""
+BASE_SERVERS = 4
+"""Backend servers of a service where they do not grow."""
+MANY_ACCOUNTS = (200, 1000)
+"""Accounts of a service where they grow."""
+MANY_SERVERS = (20, 40)
+"""Backend servers of a service where they grow."""
+CALLS_PER_ROUTER_S = 2.0
+"""The light load: calls of each router, a second."""
+WORK_MS = 10.0
+"""Work of one call, milliseconds."""
+SETTLE_S = 3.0
+"""Time after the start before anything is measured, seconds."""
+
+TARGET_REGIONS = 12
+"""Regions of the fleet for which the targets hold."""
+TARGET_ROUTERS = 330
+"""Routers of the fleet for which the targets hold."""
+TARGET_KB_S = 23.0
+"""Most kilobytes a second of a node, in and out."""
+TARGET_CORE_PERCENT = 1.9
+"""Most processor time of a node, percent of a core."""
+TARGET_MB = 128.0
+"""Most resident memory of a node, megabytes."""
+TARGET_WRITES_S = 150.0
+"""Half the writes a second that the key-value service takes."""
+TARGET_READS_S = 1000.0
+"""Half the reads a second that the key-value service takes."""
+
+WRITE_KINDS = ("put", "delete", "txn", "grant", "revoke")
+"""Calls of the key-value service that change keys or make leases."""
+READ_KINDS = ("range", "renew")
+"""Other calls; a renewal writes no key. A waiting watch comes on top."""
+_METRIC_PATTERN = re.compile(r'lagoonsail_(\w+)\{kind="([^"]+)"\} ([0-9.e+]+)')
+
+
+@dataclass(slots=True)
+class Cost:
+    """Mean cost of a node, and calls of the whole fleet on the key-value service."""
+
+    kb_s: float
+    """Kilobytes a second to and from peers and platform, bodies only."""
+    messages_s: float
+    """Messages a second to and from peers."""
+    core_percent: float
+    """Processor time, percent of a core."""
+    busiest_percent: float
+    """Processor time of the busiest node, percent of a core."""
+    mb: float
+    """Resident memory, megabytes."""
+    writes_s: float
+    """Writes of the fleet at the key-value service, a second."""
+    reads_s: float
+    """Reads and renewals of the fleet, a second, and its waiting watches."""
+    renewals_s: float
+    """Lease renewals of the fleet, a second; part of the reads."""
+
+
+@dataclass(slots=True)
+class _Sample:
+    time_ms: float
+    processor_s: list[float]
+    peer_bytes: float
+    platform_bytes: float
+    messages: float
+    mb: float
+    calls: dict[str, int]
+    watches: int
+
+
+def make_region(number: int, routers: int, accounts: int, servers: int) -> Deployment:
+    """Return a region with one plain service.
+
+    Args:
+        number: Number of the region.
+        routers: Its routers.
+        accounts: Accounts of the service.
+        servers: Its backend servers.
+
+    Returns:
+        The deployment, a side of its own.
+    """
+    side, region = f"side-{number}", f"region-{number}"
+    domains = ["norte", "sur"]
+    shapes = [ServerShape(f"s-{i}", domains[i % 2]) for i in range(servers)]
+    shares = {f"account-{i}": 1.0 for i in range(accounts)}
+    service = ServiceShape(side, "registro", "plain", region, shapes, shares, 4)
+    service.options["warm_after"] = 0
+    return Deployment(side, region, domains, [service], routers)
+
+
+def _processor_s(pid: int) -> float:
+    fields_after_name = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields_after_name[11]) + int(fields_after_name[12])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+def _resident_mb(pid: int) -> float:
+    status = Path(f"/proc/{pid}/status").read_text()
+    return int(re.search(r"VmRSS:\s+(\d+)", status)[1]) / 1024.0
+
+
+def _read_counters(http: urllib3.PoolManager, admin: str) -> dict[tuple, float]:
+    text = http.request("GET", f"http://{admin}/metrics").data.decode()
+    return {(n, kind): float(v) for n, kind, v in _METRIC_PATTERN.findall(text)}
+
+
+def _sum_of(counters: list[dict], metric: str, *kinds: str) -> float:
+    return sum(c.get((metric, kind), 0.0) for c in counters for kind in kinds)
+
+
+def _take_sample(fleet: Fleet, http: urllib3.PoolManager) -> _Sample:
+    pids = [router.process.pid for router in fleet.routers.values()]
+    # Processor time first, since the reading of counters costs some.
+    time_ms, processor_s = Clock().now_ms(), [_processor_s(pid) for pid in pids]
+    counters = [_read_counters(http, r.admin) for r in fleet.routers.values()]
+    record = fleet.fetch("GET", fleet.store, "/_record")
+    return _Sample(
+        time_ms,
+        processor_s,
+        _sum_of(counters, "peer_total", "bytes_sent", "bytes_received"),
+        _sum_of(counters, "platform_total", "bytes_in", "bytes_out"),
+        _sum_of(counters, "peer_total", "messages_sent", "messages_received"),
+        sum(_resident_mb(pid) for pid in pids),
+        record["calls"],
+        record["watches"],
+    )
+
+
+def watch_cost(fleet: Fleet, window_s: float) -> Cost:
+    """Return what a running fleet costs.
+
+    Args:
+        fleet: The fleet.
+        window_s: How long it is watched, seconds.
+
+    Returns:
+        The cost.
+    """
+    http = urllib3.PoolManager(num_pools=len(fleet.routers) + 1, retries=False)
+    before = _take_sample(fleet, http)
+    eventlet.sleep(window_s)
+    after = _take_sample(fleet, http)
+    routers = len(fleet.routers)
+    length_s = (after.time_ms - before.time_ms) / 1000.0
+    pairs = zip(before.processor_s, after.processor_s, strict=True)
+    percents = [(b - a) / length_s * 100.0 for a, b in pairs]
+    number = (after.peer_bytes + after.platform_bytes) - (
+        before.peer_bytes + before.platform_bytes
+    )
+
+    def calls(*kinds: str) -> float:
+        total = sum(after.calls.get(k, 0) - before.calls.get(k, 0) for k in kinds)
+        return total / length_s
+
+    return Cost(
+        kb_s=number / length_s / routers / 1000.0,
+        messages_s=(after.messages - before.messages) / length_s / routers,
+        core_percent=sum(percents) / routers,
+        busiest_percent=max(percents),
+        mb=after.mb / routers,
+        writes_s=calls(*WRITE_KINDS),
+        reads_s=calls(*READ_KINDS) + after.watches,
+        renewals_s=calls("renew"),
+    )
+
+
+def _start_light_load(fleet: Fleet, window_s: float, seed: int) -> list:
+    until_ms = Clock().now_ms() + window_s * 1000.0
+    threads = []
+    for deployment in fleet.deployments:
+        routers = {
+            name: router.callers
+            for name, router in fleet.routers.items()
+            if router.side == deployment.side
+        }
+        service = deployment.services[0]
+        for home in range(len(routers)):
+            caller = Caller(UnevenBalancer(routers, home, seed + home))
+            calls = _next_call(service, random.Random(f"{seed} {home}"))
+            arguments = (caller, calls, until_ms, CALLS_PER_ROUTER_S, seed + home)
+            threads.append(eventlet.spawn(call_at_rate, *arguments))
+    return threads
+
+
+def _next_call(service: ServiceShape, chance: random.Random) -> Callable:
+    names = list(service.accounts)
+    side, name = service.side, service.name
+
+    def make():
+        account = chance.choice(names)
+        return make_plain(side, name, account, WORK_MS, "/search", True)
+
+    return make
+
+
+def run_size(
+    routers: int, regions: int, accounts: int, servers: int, window_s: float, seed: int
+) -> tuple[Cost, Cost]:
+    """Return what a fleet of a size costs without load and with a light load.
+
+    Args:
+        routers: Routers of each region.
+        regions: Regions.
+        accounts: Accounts of each region's service.
+        servers: Servers of each region's service.
+        window_s: Length of each window, seconds.
+        seed: Seed of what is called.
+
+    Returns:
+        Both costs.
+    """
+    deployments = [
+        make_region(number, routers, accounts, servers)
+        for number in range(1, regions + 1)
+    ]
+    with Fleet(deployments) as fleet:
+        eventlet.sleep(SETTLE_S)
+        idle = watch_cost(fleet, window_s)
+        threads = _start_light_load(fleet, window_s + 1.0, seed)
+        loaded = watch_cost(fleet, window_s)
+        for thread in threads:
+            thread.wait()
+    return idle, loaded
+
+
+def _slope(points: list[tuple[float, float]]) -> float:
+    """Return the slope of the least-squares line, 0 if it falls.
+
+    Example:
+        >>> _slope([(0.0, 1.0), (1.0, 3.0), (2.0, 5.0)])
+        2.0
+    """
+    mean_x = sum(x for x, _ in points) / len(points)
+    mean_y = sum(y for _, y in points) / len(points)
+    above = sum((x - mean_x) * (y - mean_y) for x, y in points)
+    return max(0.0, above / sum((x - mean_x) ** 2 for x, _ in points))
+
+
+def extrapolate(costs: dict[tuple[int, int], Cost], name: str) -> tuple[float, ...]:
+    """Return how one cost grows, and what it is at the target's size.
+
+    A cost is taken as linear in the routers of the region and in those of the fleet.
+
+    Args:
+        costs: Cost by routers of a region and regions, as in SIZES.
+        name: Field of the cost.
+
+    Returns:
+        Slope by router of the region, slope by router of the fleet, and the cost of
+        a fleet of the target's size.
+    """
+    small, large = SIZES[0][0], SIZES[1][0]
+    values = {size: getattr(cost, name) for size, cost in costs.items()}
+    points = [(n * k, value) for (n, k), value in values.items() if n == large]
+    by_fleet = _slope(points)
+    both = (values[large, 1] - values[small, 1]) / (large - small)
+    by_region = max(0.0, both - by_fleet)
+    more_in_region = TARGET_ROUTERS / TARGET_REGIONS - large
+    more_in_fleet = TARGET_ROUTERS - large
+    value = values[large, 1] + by_region * more_in_region + by_fleet * more_in_fleet
+    return by_region, by_fleet, value
+
+
+def _report_slopes(measure: Measure, load: str, costs: dict, targets: dict) -> None:
+    for field in fields(Cost):
+        name = field.name
+        by_region, by_fleet, value = extrapolate(costs, name)
+        measure.add(f"{load}: {name}, by router of the region", by_region, "each")
+        measure.add(f"{load}: {name}, by router of the fleet", by_fleet, "each")
+        target = (AT_MOST, targets[name]) if name in targets else ("", 0.0)
+        title = f"{load}: {name} at {TARGET_ROUTERS} routers"
+        measure.add(title, value, "by the slopes", *target)
+
+
+def _report_growth(
+    measure: Measure, what: str, points: list[tuple[int, tuple[Cost, Cost]]]
+) -> None:
+    for index, load in enumerate(("no load", "light load")):
+        for name in ("kb_s", "core_percent", "busiest_percent", "mb"):
+            pairs = [(n, getattr(costs[index], name)) for n, costs in points]
+            measure.add(f"{load}: {name}, by {what}", _slope(pairs), "each")
+
+
+def measure_control(window_s: float, seed: int) -> Measure:
+    """Measure the cost of routers at several sizes and with a growing service.
+
+    Args:
+        window_s: Length of each window, seconds.
+        seed: Seed of what is called.
+
+    Returns:
+        The measure.
+    """
+    measure = Measure("control", "routers of the fleet", "KB/s of a node")
+    idle, loaded = {}, {}
+    base = (BASE_ACCOUNTS, BASE_SERVERS)
+    for size in SIZES:
+        idle[size], loaded[size] = run_size(*size, *base, window_s, seed)
+        _show(f"{size[0]} x {size[1]} routers", idle[size], loaded[size])
+    accounts, servers = ([(n, (idle[SIZES[0]], loaded[SIZES[0]]))] for n in base)
+    for count in MANY_ACCOUNTS:
+        costs = run_size(*SIZES[0], count, BASE_SERVERS, window_s, seed)
+        accounts.append((count, costs))
+        _show(f"{count} accounts", *costs)
+    for count in MANY_SERVERS:
+        costs = run_size(*SIZES[0], BASE_ACCOUNTS, count, window_s, seed)
+        servers.append((count, costs))
+        _show(f"{count} servers", *costs)
+    platform = {"writes_s": TARGET_WRITES_S, "reads_s": TARGET_READS_S}
+    node = {"kb_s": TARGET_KB_S, "mb": TARGET_MB}
+    # With load, processor time is mostly that of the calls themselves.
+    processor = {"core_percent": TARGET_CORE_PERCENT}
+    _report_slopes(measure, "no load", idle, {**platform, **node, **processor})
+    _report_slopes(measure, "light load", loaded, {**platform, **node})
+    _report_growth(measure, "account", accounts)
+    _report_growth(measure, "server", servers)
+    for title, costs in (("no load", idle), ("light load", loaded)):
+        sizes = [n * k for n, k in costs]
+        curve = Series(title, sizes, [cost.kb_s for cost in costs.values()])
+        measure.curves.append(curve)
+    return measure
+
+
+def _show(title: str, *costs: Cost) -> None:
+    for load, cost in zip(("no load", "light load"), costs, strict=True):
+        values = " ".join(f"{f.name}={getattr(cost, f.name):.3g}" for f in fields(cost))
+        print(f"  {title}, {load}: {values}", flush=True)
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/domain_outage.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/domain_outage.py
@@ -4,12 +4,22 @@
 
 import random
 from dataclasses import dataclass
+from math import inf
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.clock import Clock
 from lagoonsail_core.green import eventlet
-from lagoonsail_lab.backlog import BASELINE_MODULE, TOKENS, collect_work
+from lagoonsail_lab.backlog import (
+    BASELINE_MODULE,
+    SERVICE,
+    SETTLE_S,
+    TOKENS,
+    collect_work,
+    find_owner,
+    wait_until_full,
+)
 from lagoonsail_lab.caller import (
+    MAX_RETRY_AFTER_S,
     Balancer,
     Caller,
     call_at_rate,
@@ -40,14 +50,16 @@
 """Calls of each service by its kind; engines are then half busy."""
 PLAIN_WORK_MS = 10.0
 """Work of one plain call, milliseconds."""
-SETTLE_S = 5.0
-"""Time before the steady state, seconds."""
+PHASES = (0.2, 0.25, 0.55)
+"""Parts of the time before the domain leaves, while it is out, and after."""
 RESTART_AFTER_S = 4.0
 """Time after which the servers of the domain restart and are cold, seconds."""
 STORE_BACK_S = 2.0
 """Time before the domain returns at which the key-value service is back, seconds."""
 OUT_WITHIN_MS = 3000.0
 """Target: time after the command at which new work has ended, milliseconds."""
+ANSWERS_MS = 40_000.0
+"""Longest time for the last calls to be answered, milliseconds."""
 FULL_USE = 0.8
 """Load of the domain's servers that counts as full use, as a part of the others'."""
 STEP_MS = 500.0
@@ -126,6 +138,18 @@
         thread.wait()
 
 
+def _settle(fleet: Fleet) -> None:
+    """Wait until an owner runs its servers at their full and no call waits."""
+    service = fleet.deployments[0].find(SERVICE)
+    wait_until_full(fleet, service)
+    while True:
+        _, shard = find_owner(fleet, service)
+        if not any(account["waiting"] for account in shard["accounts"].values()):
+            break
+        eventlet.sleep(0.25)
+    eventlet.sleep(SETTLE_S)
+
+
 def _next_call(
     service: ServiceShape, account: str, chance: random.Random
 ) -> Callable[[], Call]:
@@ -145,7 +169,7 @@
     return make_engine_call if service.kind == "engine" else make_plain_call
 
 
-def _start_callers(fleet: Fleet, caller: Caller, until_ms: float, seed: int) -> list:
+def _start_callers(fleet: Fleet, caller: Caller, seed: int) -> list:
     threads = []
     for service in fleet.deployments[0].services:
         total = sum(service.accounts.values())
@@ -153,7 +177,7 @@
             chance = random.Random(f"{seed} {service.name} {account}")
             calls = _next_call(service, account, chance)
             rate = CALLS_PER_S[service.kind] * share / total
-            arguments = (caller, calls, until_ms, rate, seed + number)
+            arguments = (caller, calls, inf, rate, seed + number)
             threads.append(eventlet.spawn(call_at_rate, *arguments))
     return threads
 
@@ -185,15 +209,17 @@
         What was seen.
     """
     clock = Clock()
-    steady_s, out_s, back_s = (duration_s * part for part in (0.25, 0.35, 0.4))
+    steady_s, out_s, back_s = (duration_s * part for part in PHASES)
     with _make_fleet(is_baseline) as fleet:
         _warm_up(fleet)
         addresses = {n: (r.callers, r.admin) for n, r in fleet.routers.items()}
         balancer = Balancer(addresses, seed)
         caller = Caller(balancer)
-        until_ms = clock.now_ms() + (SETTLE_S + duration_s) * 1000.0
-        threads = _start_callers(fleet, caller, until_ms, seed)
-        eventlet.sleep(SETTLE_S)
+        threads = _start_callers(fleet, caller, seed)
+        if is_baseline:
+            eventlet.sleep(SETTLE_S)
+        else:
+            _settle(fleet)
         begun_ms = clock.wall_ms()
         eventlet.sleep(steady_s)
         leaves_ms = _order(fleet, "out", is_store_lost)
@@ -208,7 +234,8 @@
         eventlet.sleep(back_s)
         ended_ms = clock.wall_ms()
         for thread in threads:
-            thread.wait()
+            thread.kill()
+        _wait_for_answers(caller)
         balancer.stop()
         servers = fleet.records()
     outage = Outage(names, leaves_ms, returns_ms)
@@ -216,6 +243,18 @@
     return OutageRun(caller.records, servers, work, outage, begun_ms, ended_ms)
 
 
+def _wait_for_answers(caller: Caller) -> None:
+    clock = Clock()
+    until_ms = clock.now_ms() + ANSWERS_MS
+    while clock.now_ms() < until_ms:
+        if all(r.attempts and r.last.ended_wall_ms for r in caller.records):
+            # A caller that is to make another attempt begins it within its pause.
+            eventlet.sleep(MAX_RETRY_AFTER_S + 0.1)
+            if all(r.last.ended_wall_ms for r in caller.records):
+                return
+        eventlet.sleep(0.1)
+
+
 def find_faults(run: OutageRun) -> list[Fault]:
     """Return what must not happen and did, and calls that failed.
 
@@ -266,6 +305,8 @@
     failed = [r for r in run.records if not r.attempts or not r.is_whole]
     measure.add(f"{title}: calls", len(run.records), "calls")
     measure.add(f"{title}: calls failed", len(failed), "calls", *none)
+    keyed = sum(bool(r.call.idempotency_key) for r in failed)
+    measure.add(f"{title}: of them with an idempotency key", keyed, "calls")
     measure.add(f"{title}: faults found", len(find_faults(run)), "faults", *none)
     repeated = sum(len(r.attempts) - 1 for r in run.records)
     measure.add(f"{title}: attempts refused and made again", repeated, "attempts")
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/fairness.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/fairness.py
@@ -9,12 +9,14 @@
 from lagoonsail_core.green import eventlet
 from lagoonsail_lab.backlog import (
     SERVICE,
+    SETTLE_S,
     TOKENS,
     UnevenBalancer,
     collect_work,
     is_within,
     make_fleet,
     start_backlog,
+    wait_until_full,
     waiting_spans,
 )
 from lagoonsail_lab.figures import AT_MOST, Measure, Series
@@ -26,8 +28,6 @@
 
 FLOODING = "prensa"
 """The account that asks for many times its share."""
-WARM_UP_S = 5.0
-"""Time until the servers run at their full limit, seconds."""
 STEP_MS = 250.0
 """Length of a slice, milliseconds."""
 LARGEST_PART_OF_BASELINE = 0.1
@@ -123,15 +123,16 @@
     with make_fleet(is_baseline) as fleet:
         service = fleet.deployments[0].find(SERVICE)
         routers = {name: router.callers for name, router in fleet.routers.items()}
-        until_ms = clock.now_ms() + (WARM_UP_S + duration_s) * 1000.0
         callers, threads = start_backlog(
             service,
             lambda number: UnevenBalancer(routers, number, seed + number),
-            until_ms,
             seed,
             FLOODING,
         )
-        eventlet.sleep(WARM_UP_S)
+        if is_baseline:
+            eventlet.sleep(SETTLE_S)
+        else:
+            wait_until_full(fleet, service)
         from_ms = clock.wall_ms()
         eventlet.sleep(duration_s)
         until_wall_ms = clock.wall_ms()
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/measure.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/measure.py
@@ -6,46 +6,31 @@
 import os
 import sys
 from pathlib import Path
-from typing import TYPE_CHECKING, Literal
+from typing import Literal
 
 import defopt
 
 from lagoonsail_core.clock import Clock
+from lagoonsail_lab.control_traffic import measure_control
 from lagoonsail_lab.domain_outage import measure_domains
 from lagoonsail_lab.fairness import measure_fairness
 from lagoonsail_lab.measure_plot import plot_measures
 from lagoonsail_lab.utilisation import measure_utilisation
 
-if TYPE_CHECKING:
-    from lagoonsail_lab.figures import Measure
-
-MEASURES = ("fairness", "utilisation", "control", "domains")
-"""Names of the measures."""
-
-
-def run_measure(name: str, duration_s: float, seed: int) -> Measure:
-    """Run one measure.
-
-    Args:
-        name: One of MEASURES.
-        duration_s: Length of its main part, seconds.
-        seed: Seed of what is called.
-
-    Returns:
-        The measure.
-    """
-    if name == "fairness":
-        return measure_fairness(duration_s, seed)
-    if name == "utilisation":
-        return measure_utilisation(duration_s, seed)
-    return measure_domains(duration_s, seed)
+MEASURES = {
+    "fairness": (measure_fairness, 30.0),
+    "utilisation": (measure_utilisation, 15.0),
+    "control": (measure_control, 8.0),
+    "domains": (measure_domains, 36.0),
+}
+"""Function and usual length of the main part in seconds, by measure."""
 
 
 def main(
     *,
     only: Literal["fairness", "utilisation", "control", "domains", ""] = "",
     seed: int = 1,
-    duration_s: float = 20.0,
+    duration_s: float = 0.0,
     out: Path = Path("out"),
 ) -> int:
     """Measure the fleet against a baseline, and write JSON and a plot.
@@ -53,7 +38,7 @@
     Args:
         only: The one measure to run; all if empty.
         seed: Seed of what is called.
-        duration_s: Length of the main part of each measure, seconds.
+        duration_s: Length of the main part of each measure, seconds; 0 for the usual.
         out: Directory of measure.json and measure.png.
 
     Returns:
@@ -61,13 +46,13 @@
     """
     clock = Clock()
     measures = []
-    for name in MEASURES:
+    for name, (measure, usual_s) in MEASURES.items():
         if only and name != only:
             continue
         loads = ", ".join(f"{load:.1f}" for load in os.getloadavg())
         print(f"{name} (seed {seed}, load average before: {loads})", flush=True)
         begun_ms = clock.now_ms()
-        measures.append(run_measure(name, duration_s, seed))
+        measures.append(measure(duration_s or usual_s, seed))
         print(f"  took {(clock.now_ms() - begun_ms) / 1000.0:.0f} s", flush=True)
     out.mkdir(parents=True, exist_ok=True)
     report = {"seed": seed, "measures": [measure.as_dict() for measure in measures]}
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/utilisation.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/utilisation.py
@@ -9,24 +9,23 @@
 from lagoonsail_core.green import eventlet
 from lagoonsail_lab.backlog import (
     SERVICE,
+    SETTLE_S,
     collect_work,
+    find_owner,
     is_within,
     make_fleet,
     start_backlog,
+    wait_until_full,
     waiting_spans,
 )
 from lagoonsail_lab.caller import Balancer
 from lagoonsail_lab.figures import AT_LEAST, Measure, Series
-from lagoonsail_lab.processes import ProcessError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from lagoonsail_lab.backlog import Work
-    from lagoonsail_lab.fleet import Fleet
 
-WARM_UP_S = 6.0
-"""Time until the servers run at their full limit, seconds."""
 STEP_MS = 500.0
 """Length of a slice, milliseconds."""
 HOST_LIST_LAG_S = 5.0
@@ -85,16 +84,6 @@
     return counted / (sum(slots.values()) * length_ms)
 
 
-def _find_owner(fleet: Fleet) -> str:
-    service = fleet.deployments[0].find(SERVICE)
-    shard = f"{service.qualified()}@{service.region}"
-    for name in fleet.routers:
-        status = fleet.status(name)
-        if status and shard in status["shards"]:
-            return name
-    raise ProcessError(f"no owner of {shard}", "look at the routers' output")
-
-
 def run_kill(
     is_baseline: bool, steady_s: float, killed_s: float, seed: int
 ) -> tuple[list[tuple[float, float]], float]:
@@ -114,13 +103,16 @@
         service = fleet.deployments[0].find(SERVICE)
         addresses = {n: (r.callers, r.admin) for n, r in fleet.routers.items()}
         balancer = Balancer(addresses, seed)
-        duration_s = WARM_UP_S + steady_s + killed_s
-        until_ms = clock.now_ms() + duration_s * 1000.0
-        callers, threads = start_backlog(service, lambda _: balancer, until_ms, seed)
-        eventlet.sleep(WARM_UP_S)
+        callers, threads = start_backlog(service, lambda _: balancer, seed)
+        if is_baseline:
+            eventlet.sleep(SETTLE_S)
+        else:
+            wait_until_full(fleet, service)
         from_ms = clock.wall_ms()
         eventlet.sleep(steady_s)
-        name = sorted(fleet.routers)[0] if is_baseline else _find_owner(fleet)
+        name = sorted(fleet.routers)[0]
+        if not is_baseline:
+            name, _ = find_owner(fleet, service)
         killed_ms = clock.wall_ms()
         fleet.kill_router(name)
         eventlet.sleep(HOST_LIST_LAG_S)
