--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -4,6 +4,7 @@
 
 import errno
 import json
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.errors import LagoonsailError
@@ -100,6 +101,7 @@
     __slots__ = (
         "_digests",
         "_heard_ms",
+        "_host_list",
         "_is_stopping",
         "_key_notices",
         "_listeners",
@@ -139,7 +141,7 @@
         self._store = StoreClient(
             settings.store_endpoints, settings.store_timeout_ms, context.clock
         )
-        host_list = HostList(
+        host_list = self._host_list = HostList(
             settings.host_list_url, settings.store_timeout_ms, context.clock
         )
         self._sync = StoreSync(context, self._store, self.configuration)
@@ -290,6 +292,10 @@
         """Return why callers should go to another router, empty if they need not."""
         return unready_reason(self)
 
+    def platform_counters(self) -> Counter:
+        """Return calls and bytes at the platform's services by kind and result."""
+        return self._store.counters + self._host_list.counters
+
     def render_metrics(self) -> bytes:
         """Return the metrics as Prometheus text."""
         self._gauges["running"](self.entry.running)
@@ -298,10 +304,6 @@
         self._gauges["known"](len(self.configuration.members))
         return self._metrics.render()
 
-    def store_counters(self) -> Counter:
-        """Return the calls of the key-value service by kind and result."""
-        return self._store.counters
-
     # Start and stop.
 
     def start(self) -> None:
--- a/packages/lagoonsail-router/src/lagoonsail_router/metrics.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/metrics.py
@@ -68,16 +68,16 @@
         lambda: invariants.violations,
     )
     metrics.counter_of(
-        "peer_stream",
+        "peer",
         "Frames, messages and bytes on streams to other routers, and their ends.",
         "kind",
         daemon.peers.counters,
     )
     metrics.counter_of(
-        "store_calls",
-        "Calls of the key-value service by kind and result.",
+        "platform",
+        "Calls and bytes at the key-value service and the host list, by kind.",
         "kind",
-        lambda: {"_".join(key): n for key, n in daemon.store_counters().items()},
+        lambda: {"_".join(key): n for key, n in daemon.platform_counters().items()},
     )
     return metrics
 
