--- a/packages/lagoonsail-router/src/lagoonsail_router/metrics.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/metrics.py
@@ -19,6 +19,8 @@
     "calls_total": "Calls taken, by service.",
     "claim_conflicts_total": "Claims of a shard that another router won.",
     "config_offers_total": "Offers of configuration to peers with another digest.",
+    "engine_orders_total": "Orders to engines, by what came of them.",
+    "engine_states_malformed_total": "Engines that do not tell what they have loaded.",
     "grants_too_old_total": "Grants that came after their start window.",
     "host_list_reads_failed_total": "Failed reads of the host list.",
     "key_log_conflicts_total": "Writes of idempotency keys that met another writer.",
@@ -68,16 +70,16 @@
         lambda: invariants.violations,
     )
     metrics.counter_of(
-        "peer_stream",
+        "peer",
         "Frames, messages and bytes on streams to other routers, and their ends.",
         "kind",
         daemon.peers.counters,
     )
     metrics.counter_of(
-        "store_calls",
-        "Calls of the key-value service by kind and result.",
+        "platform",
+        "Calls and bytes at the key-value service and the host list, by kind.",
         "kind",
-        lambda: {"_".join(key): n for key, n in daemon.store_counters().items()},
+        lambda: {"_".join(key): n for key, n in daemon.platform_counters().items()},
     )
     return metrics
 
--- a/packages/lagoonsail-router/tests/test_engine_orders.py
+++ b/packages/lagoonsail-router/tests/test_engine_orders.py
@@ -349,7 +349,7 @@
     level = [FULL]
     right = SimpleNamespace(level=lambda: level[0], leaving=set())
     owner = ShardOwner(
-        context, right, store, SHARD, 1, lambda: documents[0], lambda: []
+        context, right, store, SHARD, 1, lambda: documents[0], list, list
     )
     time.pass_ms(INVENTORY_WAIT_MS)
     stream = make_stream("cordero-2")
--- a/packages/lagoonsail-router/tests/test_shard_owner.py
+++ b/packages/lagoonsail-router/tests/test_shard_owner.py
@@ -41,7 +41,9 @@
 
 @pytest.fixture
 def right():
-    return SimpleNamespace(level=lambda: FULL, leaving=set())
+    return SimpleNamespace(
+        level=lambda: FULL, leaving=set(), has_promises=lambda: False
+    )
 
 
 @pytest.fixture
@@ -62,7 +64,14 @@
             return documents[0] if documents else None
 
         owner = ShardOwner(
-            context, right, store, SHARD, epoch, find, lambda: successors
+            context,
+            right,
+            store,
+            SHARD,
+            epoch,
+            find,
+            lambda: successors,
+            lambda: successors,
         )
         owner.keys.load()
         return owner
@@ -255,10 +264,7 @@
     wait_until(lambda: len(stream.of(SlotGrant)) == 2)
 
 
-def test_key_that_cannot_be_recorded_is_refused(
-    owner, stream, store, right, time, wait_until
-):
-    right.has_promises = lambda: False
+def test_key_that_cannot_be_recorded_is_refused(owner, stream, store, time, wait_until):
     store.down = True
     owner.take_request(stream, request(1, key=9))
     time.pass_ms(WAIT_LIMIT_MS + 1)
