--- a/packages/lagoonsail-lab/src/lagoonsail_lab/fleet.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/fleet.py
@@ -105,6 +105,7 @@
         "_processes",
         "_relayed_peers",
         "_relayed_store",
+        "_router_module",
         "_settings",
         "backends",
         "deployments",
@@ -137,6 +138,7 @@
         settings: dict[str, dict[str, str | int]] | None = None,
         relayed_store: Iterable[str] = (),
         relayed_peers: Iterable[str] = (),
+        router_module: str = ROUTER_MODULE,
     ) -> None:
         """Prepare a fleet; nothing is started.
 
@@ -146,6 +148,7 @@
             settings: Further settings of all routers by section and key.
             relayed_store: Routers that reach the key-value service through a relay.
             relayed_peers: Routers that other routers reach through a relay.
+            router_module: What is run as a router.
         """
         self.deployments = deployments
         self._is_own_directory = directory is None
@@ -153,6 +156,7 @@
         self._settings = settings or {}
         self._relayed_store = frozenset(relayed_store)
         self._relayed_peers = frozenset(relayed_peers)
+        self._router_module = router_module
         self._http = urllib3.PoolManager(
             num_pools=200, maxsize=4, retries=False, timeout=5.0
         )
@@ -275,14 +279,17 @@
             path.write_text(self.write_settings(router))
             arguments = ["--settings", str(path)]
             router.process = Process(
-                router.name, ROUTER_MODULE, arguments, self.directory
+                router.name, self._router_module, arguments, self.directory
             )
             self._processes.append(router.process)
             router.process.start()
             try:
                 router.process.wait_listening()
             except ProcessError:
-                if attempt + 1 == START_ATTEMPTS or router.process.exit_code != 3:
+                # A relay goes on to the port that it was started with.
+                is_fixed = f"peers-{router.name}" in self.relays
+                is_last = attempt + 1 == START_ATTEMPTS
+                if is_fixed or is_last or router.process.exit_code != 3:
                     raise
                 self._choose_ports(router)
                 self.publish_hosts()
@@ -491,6 +498,7 @@
                 "state": router.host_state,
                 "failure_domain": router.failure_domain,
                 "side": router.side,
+                "region": router.region,
             }
             address = relay.address if relay else router.peers
             hosts.append({"targets": [address], "labels": labels})
--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -4,6 +4,7 @@
 
 import errno
 import json
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.errors import LagoonsailError
@@ -12,6 +13,7 @@
     REFUSED_NOT_OWNER,
     Inventory,
     InventoryTaken,
+    KeysNoted,
     SlotCancel,
     SlotDone,
     SlotProgress,
@@ -21,14 +23,21 @@
 )
 from lagoonsail_router.admin import Admin, unready_reason
 from lagoonsail_router.configuration import DOCUMENTS, Configuration
-from lagoonsail_router.context import LEAVING, RouterContext, repeat, start_task
+from lagoonsail_router.context import (
+    LEAVING,
+    SERVING,
+    RouterContext,
+    repeat,
+    start_task,
+)
 from lagoonsail_router.digests import DigestStore
 from lagoonsail_router.entry import Entry
+from lagoonsail_router.key_log import KeyNotices
 from lagoonsail_router.local_stream import LocalStream
-from lagoonsail_router.metrics import render_metrics
+from lagoonsail_router.metrics import declare_gauges, make_metrics
 from lagoonsail_router.ownership import Ownership
 from lagoonsail_router.peers import PeerDirectory
-from lagoonsail_router.right import Right
+from lagoonsail_router.right import RENEWALS_PER_TTL, Right
 from lagoonsail_router.shard_owner import ShardOwner
 from lagoonsail_router.store_sync import StoreSync
 from lagoonsail_router.ticket_desk import TicketDesk
@@ -36,7 +45,11 @@
 from lagoonsail_store.store_client import StoreClient
 
 if TYPE_CHECKING:
+    from collections import Counter
+    from collections.abc import Iterable
+
     from lagoonsail_config.settings import RouterSettings
+    from lagoonsail_core.messages import ServiceDigest
 
 OWNERSHIP_INTERVAL_MS = 100.0
 """Time between two looks at who owns what."""
@@ -52,8 +65,10 @@
 """How long a planned stop tries to hand shards over without the service."""
 BACKLOG = 1024
 """Connections that wait to be accepted."""
-ISOLATION_MS = 5000.0
-"""Time without the service and without any peer after which a router is isolated."""
+LEARNING_MS = 10_000.0
+"""How long a starting router tries to learn the configuration."""
+BOOTSTRAP_PEERS = 8
+"""Routers of the host list that a starting router dials without the service."""
 
 
 class AddressInUseError(LagoonsailError):
@@ -86,8 +101,13 @@
     __slots__ = (
         "_digests",
         "_heard_ms",
+        "_host_list",
+        "_is_stopping",
+        "_key_notices",
         "_listeners",
+        "_gauges",
         "_local_stream",
+        "_metrics",
         "_store",
         "_sync",
         "configuration",
@@ -121,12 +141,16 @@
         self._store = StoreClient(
             settings.store_endpoints, settings.store_timeout_ms, context.clock
         )
-        host_list = HostList(
+        host_list = self._host_list = HostList(
             settings.host_list_url, settings.store_timeout_ms, context.clock
         )
         self._sync = StoreSync(context, self._store, self.configuration)
         self.ownership = Ownership(
-            context, self.configuration, self._store, self._make_owner
+            context,
+            self.configuration,
+            self._store,
+            self._make_owner,
+            lambda: self._sync.revision,
         )
         self.right = Right(
             context,
@@ -141,10 +165,14 @@
         self.desk = TicketDesk(
             context, self.configuration, self.peers, self._local_stream
         )
-        self.entry = Entry(context, self.configuration, self.desk)
-        self._digests = DigestStore(self.peers)
+        self.entry = Entry(context, self.configuration, self.desk, self.is_isolated)
+        self._digests = DigestStore(self.peers, self._on_digest)
+        self._key_notices = KeyNotices(context, self.peers)
+        self._is_stopping = False
         self._heard_ms = context.clock.now_ms()
         self._listeners: list = []
+        self._metrics = make_metrics(self)
+        self._gauges = declare_gauges(self._metrics)
         self._register_handlers()
         self.configuration.subscribe(self._on_record)
 
@@ -155,6 +183,7 @@
         self.peers.handle(SlotStart, self._to_owner(ShardOwner.take_start))
         self.peers.handle(SlotProgress, self._to_owner(ShardOwner.take_progress))
         self.peers.handle(SlotDone, self._to_owner(ShardOwner.take_done))
+        self.peers.handle(KeysNoted, self._take_noted)
         self.peers.subscribe(lambda stream: None, self._lose_stream)
 
     # Owner's side of the messages.
@@ -169,19 +198,40 @@
             epoch,
             lambda: self.configuration.documents.get(service),
             lambda: self._successor_streams(shard),
+            lambda: self._digest_streams(shard),
         )
         digest = self._digests.find(shard)
         if digest:
             owner.adopt(digest)
+        owner.keys.adopt(self._key_notices.find(shard))
         start_task(self.context, "first_poll", owner.poll)
         return owner
 
     def _successor_streams(self, shard: str) -> list:
         names = self.ownership.successors(shard)
         others = [name for name in names if name != self.context.settings.name]
-        streams = [self.peers.stream_to(name) for name in others[:2]]
+        return self._streams_to(others[:2])
+
+    def _digest_streams(self, shard: str) -> list:
+        """Return the streams to the next owners and to the other shards' owners."""
+        document = self.configuration.documents.get(shard.rsplit("@", 1)[0])
+        siblings = document.shards() if document else []
+        owners = {self.configuration.owner_of(other) for other in siblings}
+        owners -= {"", self.context.settings.name}
+        streams = self._successor_streams(shard)
+        return streams + [s for s in self._streams_to(owners) if s not in streams]
+
+    def _streams_to(self, names: Iterable[str]) -> list:
+        streams = [self.peers.stream_to(name) for name in names]
         return [stream for stream in streams if stream]
 
+    def _on_digest(self, digest: ServiceDigest) -> None:
+        """Count what another shard of a service served, in the shards owned here."""
+        service = digest.shard.rsplit("@", 1)[0]
+        for shard, owner in self.ownership.owned.items():
+            if shard != digest.shard and shard.rsplit("@", 1)[0] == service:
+                owner.queue.add_remote(digest.shard, digest.service)
+
     def _take_inventory(self, stream, inventory: Inventory) -> None:
         owner = self.ownership.owned.get(inventory.shard)
         if owner is None or owner.is_releasing:
@@ -208,6 +258,11 @@
 
         return handler
 
+    def _take_noted(self, stream, noted: KeysNoted) -> None:
+        owner = self.ownership.owned.get(noted.shard)
+        if owner:
+            owner.keys.take_noted(stream, noted)
+
     def _lose_stream(self, stream) -> None:
         for owner in self.ownership.owned.values():
             owner.lose_stream(stream)
@@ -231,15 +286,23 @@
         now_ms = self.context.clock.now_ms()
         if self.right.hears_store() or self.peers.has_streams():
             self._heard_ms = now_ms
-        return now_ms - self._heard_ms > ISOLATION_MS
+        return now_ms - self._heard_ms > self.context.settings.reject_after_ms
 
     def unready_reason(self) -> str:
         """Return why callers should go to another router, empty if they need not."""
         return unready_reason(self)
 
+    def platform_counters(self) -> Counter:
+        """Return calls and bytes at the platform's services by kind and result."""
+        return self._store.counters + self._host_list.counters
+
     def render_metrics(self) -> bytes:
         """Return the metrics as Prometheus text."""
-        return render_metrics(self)
+        self._gauges["running"](self.entry.running)
+        self._gauges["waiting"](sum(self.entry.queue.waiting.values()))
+        self._gauges["owned"](len(self.ownership.owned))
+        self._gauges["known"](len(self.configuration.members))
+        return self._metrics.render()
 
     # Start and stop.
 
@@ -263,26 +326,33 @@
         print(json.dumps({"event": "listening", "router": settings.name}), flush=True)
 
     def _learn_configuration(self) -> None:
-        deadline_ms = self.context.clock.now_ms() + ISOLATION_MS
+        deadline_ms = self.context.clock.now_ms() + LEARNING_MS
         while self.context.clock.now_ms() < deadline_ms:
             if self._sync.list_once() or self.configuration.documents:
                 return
+            self._dial_hosts()
             eventlet.sleep(0.1)
         raise StartError(
             "neither the key-value service nor another router answered",
             "check endpoints in [store] of the settings and start the router again",
         )
 
+    def _dial_hosts(self) -> None:
+        self.right.read_hosts()
+        hosts = sorted(self.right.router_hosts().items())
+        for name, address in hosts[:BOOTSTRAP_PEERS]:
+            self.peers.dial(name, address)
+
     def _start_tasks(self) -> None:
         context, settings = self.context, self.context.settings
-        renew_ms = settings.lease_ttl_ms / 6
+        renew_ms = settings.lease_ttl_ms / RENEWALS_PER_TTL
         self.right.read_hosts()
         self.right.register()
         start_task(self.context, "store_sync", self._sync.run)
         repeat(context, renew_ms, self.right.renew, "renew")
-        repeat(context, renew_ms, self.right.renew_through_peers, "renew_by_peers")
-        repeat(context, renew_ms, self.right.gather_promises, "promises")
-        repeat(context, settings.host_list_poll_ms, self.right.read_hosts, "host_list")
+        repeat(context, 500.0, self.right.renew_through_peers, "renew_by_peers")
+        repeat(context, 500.0, self.right.gather_promises, "promises")
+        repeat(context, settings.host_list_poll_ms, self._read_hosts, "host_list")
         repeat(context, PEERS_INTERVAL_MS, self.peers.maintain, "peers")
         repeat(context, OWNERSHIP_INTERVAL_MS, self.ownership.step, "ownership")
         repeat(context, DESK_INTERVAL_MS, self.desk.maintain, "desk")
@@ -290,6 +360,19 @@
         repeat(context, DIGEST_INTERVAL_MS, self._send_digests, "digests")
         repeat(context, 1000.0, self.is_isolated, "isolation")
 
+    def _read_hosts(self) -> None:
+        """Read the host list, and leave or serve as it says of this host."""
+        self.right.read_hosts()
+        if self._is_stopping:
+            return
+        is_leaving = self.context.settings.name in self.right.leaving
+        state = LEAVING if is_leaving else SERVING
+        if state == self.context.state:
+            return
+        self.context.state = state
+        self.context.timeline.record("host_state_changed", state=state)
+        self.right.write_state()
+
     def _poll(self) -> None:
         for owner in list(self.ownership.owned.values()):
             owner.poll()
@@ -315,19 +398,24 @@
         """Stop as planned: take no new work, let all work end, hand shards over."""
         settings = self.context.settings
         deadline_ms = self.context.clock.now_ms() + settings.stop_timeout_ms
+        self._is_stopping = True
         self.context.state = LEAVING
         self.context.timeline.record("leaving")
         self.right.write_state()
         self._wait_while(lambda: self.ownership.owned, self._handover_deadline_ms())
         # Callers and balancer notice with a lag; until then their calls are served.
-        eventlet.sleep(settings.drain_lag_ms / 1000.0)
-        self._wait_while(lambda: self.entry.running, deadline_ms)
+        self._wait_while(lambda: not self._is_quiet(), deadline_ms)
         self._listeners[0].close()
         self._wait_while(lambda: self.entry.running, deadline_ms)
         self.right.revoke()
         self.peers.stop()
         self.context.timeline.record("stopped", unfinished=self.entry.running)
 
+    def _is_quiet(self) -> bool:
+        quiet_ms = self.context.clock.now_ms() - self.entry.taken_ms
+        is_long = quiet_ms > self.context.settings.drain_lag_ms
+        return is_long and not self.entry.running
+
     def _handover_deadline_ms(self) -> float:
         # Without the service no other router can take a shard over, so that a longer
         # wait would help nobody; the slots already granted stay valid.
