--- a/packages/lagoonsail-lab/src/lagoonsail_lab/prove.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/prove.py
@@ -7,6 +7,7 @@
 import random
 import sys
 from collections import Counter
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 import defopt
@@ -37,6 +38,8 @@
 """Engines that are slow enough for one machine and warm soon."""
 LIMITS = {"queue_timeout_ms": 10000, "request_timeout_ms": 20000}
 """Limits of the service documents, short enough for a run to end soon."""
+LATENCY_MS = {"cordero": 0.5, "kalapati": 1.5}
+"""Time under way between failure domains of a side, one way, in the relays."""
 RELAYED_ROUTERS = 2
 """Routers of each side, the last ones, whose paths lead through relays."""
 DRAINED_MS = 3000.0
@@ -162,7 +165,6 @@
         router = self._fleet.routers[name]
         balancer = Balancer({name: (router.callers, router.admin)})
         caller = Caller(balancer, keep_alive=False)
-        probes_before = len(caller.records)
         account = sorted(service.accounts)[0]
         while True:
             record = caller.make(make_call(service, account, self._chance))
@@ -171,7 +173,7 @@
                 break
             eventlet.sleep(LOOK_S)
         balancer.stop()
-        probes += caller.records[probes_before:]
+        probes += caller.records
         if not is_late:
             return []
         last = record.last
@@ -268,13 +270,20 @@
         print(f"{count:>8} {ending}")
 
 
-def main(*, seed: int = 1, duration_s: float = 60.0, small: bool = False) -> int:
+def main(
+    *,
+    seed: int = 1,
+    duration_s: float = 60.0,
+    small: bool = False,
+    directory: Path | None = None,
+) -> int:
     """Run a random schedule of faults over both sides and judge it from the records.
 
     Args:
         seed: Gives the schedule and the calls.
         duration_s: All faults have begun and ended by then, seconds.
         small: Run three routers a side and fewer servers.
+        directory: Keep the output of all processes there; else it is removed.
 
     Returns:
         0 if nothing happened that must not.
@@ -287,7 +296,12 @@
     for step in steps:
         print(step.describe())
     sys.stdout.flush()
-    with Fleet(deployments, relayed_store=relayed, relayed_peers=relayed) as fleet:
+    with Fleet(
+        deployments, directory, relayed_store=relayed, relayed_peers=relayed
+    ) as fleet:
+        for name in relayed:
+            delay_ms = LATENCY_MS[fleet.routers[name].side]
+            fleet.control_relay(f"peers-{name}", delay_ms=delay_ms)
         proof = Proof(fleet, seed)
         faults = proof.run(steps)
         proof.print_faults(faults)
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/schedule.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/schedule.py
@@ -146,7 +146,7 @@
             SERVER_COLD: lambda at_ms: self._server(at_ms, (3000, 3000)),
             SERVER_RESTART: lambda at_ms: self._server(at_ms, (3000, 3000)),
             SERVER_BREAKS: lambda at_ms: self._server(
-                at_ms, (3000, 3000), count=self._chance.randint(1, 5)
+                at_ms, (3000, 3000), count=self._chance.randint(3, 12)
             ),
             SERVER_LATE: lambda at_ms: self._server(
                 at_ms, (2000, 6000), late_ms=self._chance.randint(300, 2000)
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/workload.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/workload.py
@@ -34,6 +34,8 @@
 """Part of the calls whose caller goes away early."""
 PATIENCE_S = (0.02, 0.6)
 """Shortest and longest patience of a caller that goes away, seconds."""
+WITHOUT_KEY = 0.2
+"""Part of the calls that may not be repeated and carry no idempotency key."""
 PREFERRED_ROUTERS = 2
 """Routers that most calls of one account go to."""
 
@@ -178,9 +180,12 @@
     if service.kind == "plain":
         path = chance.choice(["/bibs", "/search"])
         work_ms = round(chance.uniform(*WORK_MS), 1)
-        return make_plain(
+        call = make_plain(
             service.side, service.name, account, work_ms, path, path == "/search"
         )
+        if chance.random() < WITHOUT_KEY:
+            call.idempotency_key = ""
+        return call
     beginning = f"{account} asks about topic {chance.randrange(4)}. " * 8
     text = f"{beginning} Number {chance.getrandbits(64):x}."
     tokens = chance.randint(*TOKENS)
