--- a/packages/lagoonsail-lab/src/lagoonsail_lab/fleet.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/fleet.py
@@ -286,7 +286,10 @@
             try:
                 router.process.wait_listening()
             except ProcessError:
-                if attempt + 1 == START_ATTEMPTS or router.process.exit_code != 3:
+                # A relay goes on to the port that it was started with.
+                is_fixed = f"peers-{router.name}" in self.relays
+                is_last = attempt + 1 == START_ATTEMPTS
+                if is_fixed or is_last or router.process.exit_code != 3:
                     raise
                 self._choose_ports(router)
                 self.publish_hosts()
@@ -495,6 +498,7 @@
                 "state": router.host_state,
                 "failure_domain": router.failure_domain,
                 "side": router.side,
+                "region": router.region,
             }
             address = relay.address if relay else router.peers
             hosts.append({"targets": [address], "labels": labels})
--- a/packages/lagoonsail-router/src/lagoonsail_router/peers.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/peers.py
@@ -97,7 +97,7 @@
 
     def stop(self) -> None:
         """Close all streams."""
-        for _, link in self._links.values():
+        for _, link in list(self._links.values()):
             link.stop()
         self._server.stop()
 
@@ -162,19 +162,27 @@
                 continue
             handler(stream, message)
 
-    def _dial(self, router: str) -> None:
-        member = self._configuration.members.get(router)
-        if member is None or router == self._context.settings.name:
-            return
-        address, link = self._links.get(router, ("", None))
-        if address == member.peers:
+    def dial(self, router: str, address: str) -> None:
+        """Keep a stream to a router.
+
+        Args:
+            router: Name of the other router.
+            address: Its address for streams between routers.
+        """
+        known_address, link = self._links.get(router, ("", None))
+        if known_address == address:
             return
         if link:
             self._end(link)
-        link = PeerLink(member.peers, **self._stream_options())
-        self._links[router] = (member.peers, link)
+        link = PeerLink(address, **self._stream_options())
+        self._links[router] = (address, link)
         link.start()
 
+    def _dial(self, router: str) -> None:
+        member = self._configuration.members.get(router)
+        if member and router != self._context.settings.name:
+            self.dial(router, member.peers)
+
     def _hang_up_if_closed(self, router: str) -> None:
         # An open stream proves that the router lives, whatever the members say.
         if self.streams.get(router):
