Start processes of the laboratory in groups, and measure with default host list polls

Cause: 48 routers started at once did not listen within 20 s at load average 80 on 10 cores; the laboratory reads the host list 4 times a second, which routers do once by default, and that was most of the bytes of an idle node (12 routers in a region: 7.1 KB/s; two such regions: 12.2 KB/s with the same messages). Change: 12 starts at a time; the measure of control traffic uses the default interval.

--- a/packages/lagoonsail-lab/src/lagoonsail_lab/backlog.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/backlog.py
@@ -109,7 +109,7 @@
         self._weights = [0.5**i for i in range(len(names))]
         self._random = random.Random(seed)
 
-    def choose(self, _avoid: str) -> tuple[str, str]:
+    def choose(self, _avoid: str, _preferred: object = "") -> tuple[str, str]:
         """Return name and address of a router."""
         name = self._random.choices(self._names, self._weights)[0]
         return name, self._addresses[name]
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/control_traffic.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/control_traffic.py
@@ -34,6 +34,8 @@
 """The light load: calls of each router, a second."""
 WORK_MS = 10.0
 """Work of one call, milliseconds."""
+SETTINGS = {"host-list": {"poll_ms": 1000}}
+"""The default, which the laboratory shortens elsewhere."""
 SETTLE_S = 3.0
 """Time after the start before anything is measured, seconds."""
 
@@ -239,7 +241,7 @@
         make_region(number, routers, accounts, servers)
         for number in range(1, regions + 1)
     ]
-    with Fleet(deployments) as fleet:
+    with Fleet(deployments, settings=SETTINGS) as fleet:
         eventlet.sleep(SETTLE_S)
         idle = watch_cost(fleet, window_s)
         threads = _start_light_load(fleet, window_s + 1.0, seed)
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/fleet.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/fleet.py
@@ -26,6 +26,8 @@
 
 START_ATTEMPTS = 5
 """Starts of a process whose port was taken meanwhile."""
+STARTS_AT_ONCE = 12
+"""Processes that start at the same time; more would not listen in time."""
 READY_MS = 20000.0
 """Time for all routers to be ready, milliseconds."""
 ROUTER_PREFIX = "/lagoonsail/"
@@ -608,7 +610,8 @@
 
 
 def _for_each(function: Callable[[Any], None], items: Iterable) -> None:
-    threads = [eventlet.spawn(function, item) for item in items]
+    pool = eventlet.GreenPool(STARTS_AT_ONCE)
+    threads = [pool.spawn(function, item) for item in items]
     for thread in threads:
         thread.wait()
 
