--- /dev/null
+++ b/packages/lagoonsail-lab/tests/test_documents_examples.py
@@ -0,0 +1,156 @@
+from __future__ import annotations
+
+import ast
+import doctest
+import re
+from collections import Counter
+from pathlib import Path
+from types import SimpleNamespace
+
+import pytest
+
+from lagoonsail_config.document import parse_document
+from lagoonsail_config.settings import parse_settings
+from lagoonsail_core.metrics import PREFIX
+from lagoonsail_ctl.connection import SECTION
+from lagoonsail_router.metrics import declare_gauges, make_metrics
+
+ROOT = Path(__file__).resolve().parents[3]
+PAGES = sorted([ROOT / "README.md", *(ROOT / "docs").glob("*.md")])
+OPERATING = ROOT / "docs" / "OPERATING.md"
+SOURCES = ROOT / "packages" / "lagoonsail-router" / "src"
+KEY_SHA256 = "64 hex digits"
+
+
+def read_blocks(page, language):
+    return re.findall(rf"^```{language}\n(.*?)^```$", page.read_text(), re.M | re.S)
+
+
+def read_examples(page):
+    """Return the examples of a page as one test, so that later ones use earlier."""
+    blocks = [block for block in read_blocks(page, "python") if ">>>" in block]
+    text = "\n".join(blocks)
+    return doctest.DocTestParser().get_doctest(text, {}, page.name, str(page), 0)
+
+
+def test_pages_have_examples():
+    assert any(read_examples(page).examples for page in PAGES)
+
+
+@pytest.mark.parametrize("page", PAGES, ids=lambda path: path.name)
+def test_examples_of_page_run(page):
+    report = []
+    results = doctest.DocTestRunner().run(read_examples(page), out=report.append)
+    assert results.failed == 0, "".join(report)
+
+
+@pytest.mark.parametrize("page", PAGES, ids=lambda path: path.name)
+def test_links_of_page_lead_to_files(page):
+    targets = re.findall(r"\]\(([^)#:]+)(?:#[^)]*)?\)", page.read_text())
+    assert [name for name in targets if not (page.parent / name).exists()] == []
+
+
+def read_ini(first_section):
+    return [
+        (page.name, block)
+        for page in PAGES
+        for block in read_blocks(page, "ini")
+        if block.startswith(f"[{first_section}]")
+    ]
+
+
+def test_every_ini_example_is_of_a_known_kind():
+    kinds = {"service", "router", SECTION}
+    blocks = [block for page in PAGES for block in read_blocks(page, "ini")]
+    assert {re.match(r"\[([a-z-]+)", block)[1] for block in blocks} <= kinds
+
+
+def test_example_documents_parse():
+    blocks = read_ini("service")
+    assert "INTERFACES.md" in [name for name, _ in blocks]
+    for name, block in blocks:
+        parse_document(block.replace(KEY_SHA256, "0" * 64), name)
+
+
+def test_example_settings_parse():
+    blocks = read_ini("router")
+    assert "INTERFACES.md" in [name for name, _ in blocks]
+    for name, block in blocks:
+        parse_settings(block, name, lambda _: b"an example key of the fleet")
+
+
+def router_metrics():
+    daemon = SimpleNamespace(
+        context=SimpleNamespace(counters=Counter()),
+        peers=SimpleNamespace(counters=Counter),
+        store_counters=Counter,
+    )
+    metrics = make_metrics(daemon)
+    declare_gauges(metrics)
+    rendered = metrics.render().decode()
+    return set(re.findall(rf"^# TYPE ({PREFIX}\w+)", rendered, re.M))
+
+
+def first_names(call, function):
+    """Return the event names that a call of record may be given."""
+    argument = call.args[0]
+    if isinstance(argument, ast.Name):
+        values = [
+            node.value
+            for node in ast.walk(function)
+            if isinstance(node, ast.Assign)
+            and getattr(node.targets[0], "id", "") == argument.id
+        ]
+    else:
+        values = [argument]
+    branches = [
+        branch
+        for value in values
+        for branch in (
+            [value.body, value.orelse] if isinstance(value, ast.IfExp) else [value]
+        )
+    ]
+    return {branch.value for branch in branches}
+
+
+def is_record(node):
+    if not isinstance(node, ast.Call) or not isinstance(node.func, ast.Attribute):
+        return False
+    if node.func.attr == "_record_server":
+        return True
+    owner = getattr(node.func.value, "attr", "")
+    return node.func.attr == "record" and owner == "timeline"
+
+
+def router_events():
+    names = set()
+    for path in SOURCES.rglob("*.py"):
+        for function in ast.walk(ast.parse(path.read_text())):
+            # This one hands on the names that its callers give.
+            if not isinstance(function, ast.FunctionDef) or (
+                function.name == "_record_server"
+            ):
+                continue
+            for node in ast.walk(function):
+                if is_record(node):
+                    names |= first_names(node, function)
+    return names
+
+
+def read_table(heading):
+    """Return the names in the first column of the table below a heading."""
+    section = OPERATING.read_text().split(f"\n## {heading}\n")[1].split("\n## ")[0]
+    return set(re.findall(r"^\| `([a-z0-9_]+)` \|", section, re.M))
+
+
+def test_page_names_every_metric_and_no_other():
+    assert read_table("Metrics") == router_metrics()
+
+
+def test_page_names_every_event_and_no_other():
+    assert read_table("Events") == router_events()
+
+
+def test_names_used_in_the_text_exist():
+    words = set(re.findall(rf"`({PREFIX}\w+)", OPERATING.read_text()))
+    assert words <= router_metrics()
