--- a/packages/lagoonsail-config/tests/test_example_settings.py
+++ b/packages/lagoonsail-config/tests/test_example_settings.py
@@ -37,7 +37,9 @@
 
 def test_page_lists_every_key_with_its_default():
     page = (ROOT / "docs" / "OPERATING.md").read_text()
-    rows = set(re.findall(r"^\| `\[([a-z-]+)\] ([a-z_]+)` .*\| ([^|]*) \|$", page, re.M))
+    rows = set(
+        re.findall(r"^\| `\[([a-z-]+)\] ([a-z_]+)` .*\| ([^|]*) \|$", page, re.M)
+    )
     expected = {
         (section, key.name, _shown(key.default))
         for section, keys in SETTINGS_KEYS.items()
