--- a/packages/lagoonsail-router/src/lagoonsail_router/peers.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/peers.py
@@ -30,10 +30,10 @@
     """Streams by router name, and the handlers of messages by their type."""
 
     __slots__ = (
-        "_closed_counters",
         "_configuration",
         "_context",
         "_digests",
+        "_ended",
         "_handlers",
         "_links",
         "_on_close",
@@ -57,8 +57,9 @@
         self._on_close: list[Callable] = []
         self._links: dict[str, tuple[str, PeerLink]] = {}
         self._digests: dict[str, tuple[int, int]] = {}
+        # Counters of links that were given up.
+        self._ended: Counter = Counter()
         self.streams = {}
-        self._closed_counters: Counter = Counter()
         self._server = PeerServer(
             context.settings.peers_address, **self._stream_options()
         )
@@ -124,17 +125,18 @@
         self._dial(router)
         return None
 
-    def counters(self) -> Counter:
-        """Return what was counted on all streams since the start."""
-        total = Counter(self._server.counters) + self._closed_counters
-        for _, link in self._links.values():
-            total += link.counters
-        return total
-
     def has_streams(self) -> bool:
         """Return whether any other router is connected."""
         return any(self.streams.values())
 
+    def counters(self) -> Counter:
+        """Return counts of frames, messages, bytes and closed streams by kind."""
+        links = [link for _, link in self._links.values()]
+        total = Counter(self._ended)
+        for part in (self._server, *links):
+            total.update(part.counters)
+        return total
+
     def maintain(self) -> None:
         """Dial the members of the region, and hang up on routers that are gone."""
         settings = self._context.settings
@@ -171,8 +173,7 @@
         if known_address == address:
             return
         if link:
-            self._closed_counters += link.counters
-            link.stop()
+            self._end(link)
         link = PeerLink(address, **self._stream_options())
         self._links[router] = (address, link)
         link.start()
@@ -187,8 +188,11 @@
         if self.streams.get(router):
             return
         _, link = self._links.pop(router)
-        self._closed_counters += link.counters
+        self._end(link)
+
+    def _end(self, link: PeerLink) -> None:
         link.stop()
+        self._ended.update(link.counters)
 
     def _opened(self, stream: PeerStream, _hello: Hello) -> None:
         self.streams.setdefault(stream.name, []).append(stream)
