--- a/packages/lagoonsail-lab/tests/test_documents_examples.py
+++ b/packages/lagoonsail-lab/tests/test_documents_examples.py
@@ -12,7 +12,7 @@
 from lagoonsail_config.document import parse_document
 from lagoonsail_config.settings import parse_settings
 from lagoonsail_core.metrics import PREFIX
-from lagoonsail_ctl.connection import SECTION
+from lagoonsail_ctl.connection import SECTION, load_connection
 from lagoonsail_router.metrics import declare_gauges, make_metrics
 
 ROOT = Path(__file__).resolve().parents[3]
@@ -67,7 +67,8 @@
 
 def test_example_documents_parse():
     blocks = read_ini("service")
-    assert "INTERFACES.md" in [name for name, _ in blocks]
+    names = [name for name, _ in blocks]
+    assert {"INTERFACES.md", "SERVICE-DOCUMENT.md"} <= set(names)
     for name, block in blocks:
         parse_document(block.replace(KEY_SHA256, "0" * 64), name)
 
@@ -79,6 +80,16 @@
         parse_settings(block, name, lambda _: b"an example key of the fleet")
 
 
+def test_example_of_the_commands_settings_is_read(tmp_path):
+    (tmp_path / "lagoonctl.key").write_text("an example key of the fleet")
+    blocks = read_ini(SECTION)
+    assert "LAGOONCTL.md" in [name for name, _ in blocks]
+    for _name, block in blocks:
+        path = tmp_path / "lagoonctl.ini"
+        path.write_text(block)
+        load_connection(path, {})
+
+
 def router_metrics():
     daemon = SimpleNamespace(
         context=SimpleNamespace(counters=Counter()),
