Follow the renamed metrics, and read them from a real daemon

State: two link tests are red until docs/DESIGN.md, CAPACITY.md, PROOFS.md and MEASURES.md are there.

--- a/packages/lagoonsail-lab/tests/test_documents_examples.py
+++ b/packages/lagoonsail-lab/tests/test_documents_examples.py
@@ -3,9 +3,7 @@
 import ast
 import doctest
 import re
-from collections import Counter
 from pathlib import Path
-from types import SimpleNamespace
 
 import pytest
 
@@ -13,10 +11,10 @@
 from lagoonsail_config.settings import parse_settings
 from lagoonsail_core.metrics import PREFIX
 from lagoonsail_ctl.connection import SECTION, load_connection
-from lagoonsail_router.metrics import declare_gauges, make_metrics
+from lagoonsail_router.daemon import Daemon
 
 ROOT = Path(__file__).resolve().parents[3]
-PAGES = sorted([ROOT / "README.md", *(ROOT / "docs").glob("*.md")])
+PAGES = sorted([*ROOT.glob("*.md"), *(ROOT / "docs").glob("*.md")])
 OPERATING = ROOT / "docs" / "OPERATING.md"
 SOURCES = ROOT / "packages" / "lagoonsail-router" / "src"
 KEY_SHA256 = "64 hex digits"
@@ -50,6 +48,20 @@
     assert [name for name in targets if not (page.parent / name).exists()] == []
 
 
+def anchors_of(page):
+    headings = re.findall(r"^#+ (.+)$", page.read_text(), re.M)
+    plain = [re.sub(r"[^\w\- ]", "", heading.lower()) for heading in headings]
+    return {text.replace(" ", "-") for text in plain}
+
+
+@pytest.mark.parametrize("page", PAGES, ids=lambda path: path.name)
+def test_links_of_page_lead_to_headings(page):
+    links = re.findall(r"\]\(([^)#:]*)#([^)]+)\)", page.read_text())
+    for name, anchor in links:
+        target = page.parent / name if name else page
+        assert anchor in anchors_of(target), (name, anchor)
+
+
 def read_ini(first_section):
     return [
         (page.name, block)
@@ -91,14 +103,9 @@
 
 
 def router_metrics():
-    daemon = SimpleNamespace(
-        context=SimpleNamespace(counters=Counter()),
-        peers=SimpleNamespace(counters=Counter),
-        store_counters=Counter,
-    )
-    metrics = make_metrics(daemon)
-    declare_gauges(metrics)
-    rendered = metrics.render().decode()
+    settings = read_ini("router")[0][1]
+    daemon = Daemon(parse_settings(settings, "page", lambda _: b""))
+    rendered = daemon.render_metrics().decode()
     return set(re.findall(rf"^# TYPE ({PREFIX}\w+)", rendered, re.M))
 
 
