--- a/packages/lagoonsail-router/tests/test_right.py
+++ b/packages/lagoonsail-router/tests/test_right.py
@@ -277,6 +277,18 @@
     assert right.promised_until_ms("cordero-2") == float("-inf")
 
 
+@pytest.mark.parametrize("standing", ["no member", "another incarnation"])
+def test_nothing_is_promised_to_a_router_without_a_known_lease(
+    right, peers, time, configuration, member_value, standing
+):
+    if standing == "another incarnation":
+        configuration.apply("members/cordero-2", 5, member_value("cordero-2", 7))
+    stream = peers.connect("cordero-2", incarnation=99)
+    time.pass_ms(TTL_MS)
+    peers.deliver(stream, PromiseRequest(1, PROMISE_MS))
+    assert [m.promised for m in stream.of(PromiseResult)] == [False]
+
+
 def test_lease_of_a_peer_is_renewed_or_the_outage_reported(
     right, store, peers, wait_until
 ):
