--- a/packages/lagoonsail-router/tests/test_right.py
+++ b/packages/lagoonsail-router/tests/test_right.py
@@ -246,8 +246,9 @@
 
 
 def test_promise_is_given_only_without_the_service_and_counts_from_receipt(
-    right, store, peers, time
+    right, peers, time, configuration, member_value
 ):
+    configuration.apply("members/cordero-2", 90, member_value("cordero-2"))
     stream = peers.connect("cordero-2")
     peers.deliver(stream, PromiseRequest(1, PROMISE_MS))
     assert [m.promised for m in stream.of(PromiseResult)] == [False]
@@ -262,6 +263,32 @@
     assert right.promised_until_ms("cordero-2") == until_ms
 
 
+@pytest.mark.parametrize("members", [["cordero-3"], ["cordero-2"]])
+def test_nothing_is_promised_to_a_router_whose_lease_has_ended(
+    right, peers, time, configuration, member_value, members
+):
+    """It is no member, or an earlier incarnation of one."""
+    for name in members:
+        configuration.apply(f"members/{name}", 90, member_value(name))
+    stream = peers.connect("cordero-2", incarnation=2)
+    time.pass_ms(TTL_MS)
+    peers.deliver(stream, PromiseRequest(1, PROMISE_MS))
+    assert [m.promised for m in stream.of(PromiseResult)] == [False]
+    assert right.promised_until_ms("cordero-2") == float("-inf")
+
+
+@pytest.mark.parametrize("standing", ["no member", "another incarnation"])
+def test_nothing_is_promised_to_a_router_without_a_known_lease(
+    right, peers, time, configuration, member_value, standing
+):
+    if standing == "another incarnation":
+        configuration.apply("members/cordero-2", 5, member_value("cordero-2", 7))
+    stream = peers.connect("cordero-2", incarnation=99)
+    time.pass_ms(TTL_MS)
+    peers.deliver(stream, PromiseRequest(1, PROMISE_MS))
+    assert [m.promised for m in stream.of(PromiseResult)] == [False]
+
+
 def test_lease_of_a_peer_is_renewed_or_the_outage_reported(
     right, store, peers, wait_until
 ):
