Take no caller's leaving for a fault of its server

Cause: when the caller of a whole, repeatable answer goes away, the entry router aborts the exchange itself and then gave the slot back as broken; without an incarnation the owner took that for a server that fell over, and set a warm server back to its cold limit. Change: whether the caller is gone is asked first, and the slot goes back as cancelled. Before: test_server_stays_warm_when_a_caller_goes_away failed with (False, 'broken'). After: it passes.

--- a/packages/lagoonsail-router/src/lagoonsail_router/entry.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/entry.py
@@ -208,9 +208,11 @@
             self._record_doubt(call, grant)
             return None, self._broken(call, 504, error), attempt
         except BrokenError as error:
-            self._finish(grant, OUTCOME_BROKEN, attempt)
             if call.is_repeatable and is_gone():
+                # It was this router that broke the answer off, not the server.
+                self._finish(grant, OUTCOME_CANCELLED, attempt)
                 raise CallerGoneError from error
+            self._finish(grant, OUTCOME_BROKEN, attempt)
             self._record_doubt(call, grant)
             return None, self._broken(call, 502, error), attempt
         finally:
