Take no router's loss for a fault of the servers that it used

Cause: slots of a lost entry router, and slots whose SlotDone was lost with a stream, were freed as broken with no incarnation, so that one killed router set every warm server that it had used back to its cold limit. Ruled out: the request on the server ends because its connection closes; a server that really restarted shows by its incarnation, its load report and its refusals. Before: test_server_stays_warm_when_an_entry_router_is_killed failed with (False, 'broken').

--- a/packages/lagoonsail-lab/tests/test_warm_server.py
+++ b/packages/lagoonsail-lab/tests/test_warm_server.py
@@ -10,6 +10,7 @@
 
 SHARD = "cordero/asistente@sierra-central"
 WARM_MS = 30_000.0
+NOTICE_S = 4.0
 
 
 def make_call(tokens):
@@ -68,3 +69,18 @@
     _, server = find_owner(fleet)
     assert server["running"] == 0
     assert (server["warm"], server["setback"]) == (True, before)
+
+
+def test_server_stays_warm_when_an_entry_router_is_killed(fleet, make_caller):
+    owner = warm_up(fleet, make_caller("cordero-1"))
+    other = next(name for name in fleet.routers if name != owner)
+    before = find_owner(fleet)[1]["setback"]
+    call = eventlet.spawn(make_caller(other).make, make_call(400))
+    eventlet.sleep(0.3)
+    assert find_owner(fleet)[1]["running"] == 1
+    fleet.kill_router(other)
+    call.wait()
+    eventlet.sleep(NOTICE_S)
+    _, server = find_owner(fleet)
+    assert server["running"] == 0
+    assert (server["warm"], server["setback"]) == (True, before)
--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -279,8 +279,9 @@
             held[slot.epoch, slot.number] = slot
         for key, slot in list(self.slots.items()):
             if slot.holder == holder and key not in held:
-                # Its SlotDone was lost together with the old stream.
-                self._free(slot, OUTCOME_BROKEN, 0.0, None)
+                # Its SlotDone was lost together with the old stream, which tells
+                # nothing about the server.
+                self._free(slot, OUTCOME_CANCELLED, 0.0, None)
         for key, slot in held.items():
             self._adopt_slot(key, slot)
         stream.send(InventoryTaken(self.shard, self.epoch))
@@ -616,7 +617,8 @@
             if slot.orphaned_ms is not None and slot.orphaned_ms < settled_ms
         ]
         for slot in orphans[: max(0, old - report.running)]:
-            self._free(slot, OUTCOME_BROKEN, 0.0, None)
+            # The loss of a router tells nothing about the server.
+            self._free(slot, OUTCOME_CANCELLED, 0.0, None)
 
     def _read_cache_events(self, name: str, server: Server) -> None:
         events = read_cache_events(server.entry.address, server.cache_sequence)
