--- a/packages/lagoonsail-router/src/lagoonsail_router/metrics.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/metrics.py
@@ -19,6 +19,8 @@
     "calls_total": "Calls taken, by service.",
     "claim_conflicts_total": "Claims of a shard that another router won.",
     "config_offers_total": "Offers of configuration to peers with another digest.",
+    "engine_orders_total": "Orders to engines, by what came of them.",
+    "engine_states_malformed_total": "Engines that do not tell what they have loaded.",
     "grants_too_old_total": "Grants that came after their start window.",
     "host_list_reads_failed_total": "Failed reads of the host list.",
     "key_log_conflicts_total": "Writes of idempotency keys that met another writer.",
