--- a/packages/lagoonsail-lab/src/lagoonsail_lab/workload.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/workload.py
@@ -26,7 +26,7 @@
 """Shortest and longest work of a plain call, milliseconds."""
 ENGINE_PAUSE_S = 0.2
 """Mean pause of an engine's caller, seconds."""
-PLAIN_PAUSE_S = 0.8
+PLAIN_PAUSE_S = 0.4
 """Mean pause of a plain service's caller, seconds."""
 HINT_FACTOR = 4.0
 """Hints of the cost are wrong by up to this factor."""
@@ -34,6 +34,8 @@
 """Part of the calls whose caller goes away early."""
 PATIENCE_S = (0.02, 0.6)
 """Shortest and longest patience of a caller that goes away, seconds."""
+RETRYING = 0.8
+"""Part of the accounts that send a call in doubt again with the same key."""
 WITHOUT_KEY = 0.2
 """Part of the calls that may not be repeated and carry no idempotency key."""
 PREFERRED_ROUTERS = 2
@@ -74,7 +76,7 @@
             self._balancers[side],
             keep_alive=self._chance.random() < 0.5,
             preferred=frozenset(self._chance.sample(routers, PREFERRED_ROUTERS)),
-            retries_unknown=self._chance.random() < 0.5,
+            retries_unknown=self._chance.random() < RETRYING,
         )
 
     def start(self) -> list:
