--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/main.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/main.py
@@ -47,7 +47,7 @@
   lagoonctl apply asistente.ini --wait-s 10
   lagoonctl domain-out cordero/norte --wait-s 10
   lagoonctl show cordero/asistente
-  lagoonctl timeline --domain norte --format svg > timeline.svg
+  lagoonctl timeline --domain cordero/norte --format svg > timeline.svg
   lagoonctl COMMAND --help
 """
 """Last lines of the help."""
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/timeline_command.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/timeline_command.py
@@ -140,8 +140,8 @@
     Examples::
 
         lagoonctl timeline --follow
-        lagoonctl timeline --server asistente-3 --format json
-        lagoonctl timeline --domain norte --format svg > timeline.svg
+        lagoonctl timeline --server cordero/asistente/asistente-3 --format json
+        lagoonctl timeline --domain cordero/norte --format svg > timeline.svg
 
     Args:
         connection: Key-value service and routers.
--- a/packages/lagoonsail-lab/tests/test_proof_cold.py
+++ b/packages/lagoonsail-lab/tests/test_proof_cold.py
@@ -44,6 +44,6 @@
         late = hurried(proof.runs_of(fleet, proof.engine), turned_ms + DETECTION_MS)
         assert late == []
         # It is not left alone either: work comes back to it.
-        record = fleet.records()["cordero/asistente/asistente-1"]
+        record = fleet.records()["cordero/asistente-1"]
         after = [r for r in record["runs"] if r["started_wall_ms"] > turned_ms + 1000.0]
         assert after
--- a/packages/lagoonsail-lab/tests/test_proof_domain_out.py
+++ b/packages/lagoonsail-lab/tests/test_proof_domain_out.py
@@ -75,7 +75,7 @@
         traffic = proof.traffic(fleet, seed=33)
         traffic.loop(traffic.search, 4)
         proof.warm_up(fleet, proof.plain, 1)
-        backend = fleet.backends["cordero/registro/registro-1"]
+        backend = fleet.backends["cordero/registro-1"]
         hosts = fleet.fetch("GET", fleet.host_list, "/hosts")
         labels = {"name": "registro-1", "state": "leaving", "role": "server"}
         leaving = {"targets": [backend.address], "labels": labels}
--- a/packages/lagoonsail-router/src/lagoonsail_router/call_queue.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/call_queue.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.messages import (
+    REFUSED_ACCOUNT,
     REFUSED_DUPLICATE,
     REFUSED_QUEUE_FULL,
     SlotGrant,
@@ -198,6 +199,14 @@
             "too many requests of the account wait in the fleet",
             "send fewer requests at once, or try again later",
         )
+    if reason == REFUSED_ACCOUNT:
+        return make_problem(
+            call,
+            401,
+            reason,
+            "the client account was removed from the service document",
+            "use the key of an account in its document",
+        )
     return make_problem(
         call,
         503,
--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -129,6 +129,7 @@
         "_heard_ms",
         "_host_list",
         "_is_stopping",
+        "_stopped_ms",
         "_key_notices",
         "_listeners",
         "_gauges",
@@ -195,6 +196,7 @@
         self._digests = DigestStore(self.peers, self._on_digest)
         self._key_notices = KeyNotices(context, self.peers)
         self._is_stopping = False
+        self._stopped_ms = float("-inf")
         self._heard_ms = context.clock.now_ms()
         self._listeners: list = []
         self._metrics = make_metrics(self)
@@ -307,6 +309,11 @@
         """Return whether this router reaches the key-value service now."""
         return self.right.hears_store()
 
+    def _watch_isolation(self) -> None:
+        """Notice changes of the right and of isolation also while nobody asks."""
+        self.right.level()
+        self.is_isolated()
+
     def is_isolated(self) -> bool:
         """Return whether neither the service nor any peer was heard for a while."""
         now_ms = self.context.clock.now_ms()
@@ -387,7 +394,7 @@
         repeat(context, DESK_INTERVAL_MS, self.desk.maintain, "desk")
         repeat(context, POLL_INTERVAL_MS, self._poll, "poll")
         repeat(context, DIGEST_INTERVAL_MS, self._send_digests, "digests")
-        repeat(context, 1000.0, self.is_isolated, "isolation")
+        repeat(context, 250.0, self._watch_isolation, "isolation")
 
     def _tend_hosts(self) -> None:
         self._read_hosts()
@@ -438,6 +445,7 @@
         settings = self.context.settings
         deadline_ms = self.context.clock.now_ms() + settings.stop_timeout_ms
         self._is_stopping = True
+        self._stopped_ms = self.context.clock.now_ms()
         self.context.state = LEAVING
         self.context.timeline.record("leaving")
         self.right.write_state()
@@ -451,7 +459,8 @@
         self.context.timeline.record("stopped", unfinished=self.entry.running)
 
     def _is_quiet(self) -> bool:
-        quiet_ms = self.context.clock.now_ms() - self.entry.taken_ms
+        last_ms = max(self.entry.taken_ms, self._stopped_ms)
+        quiet_ms = self.context.clock.now_ms() - last_ms
         is_long = quiet_ms > self.context.settings.drain_lag_ms
         return is_long and not self.entry.running
 
--- a/packages/lagoonsail-router/src/lagoonsail_router/entry.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import secrets
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.green import eventlet
@@ -93,7 +94,8 @@
             The body.
         """
         self.running += 1
-        request_id = env.get("HTTP_X_REQUEST_ID", "")[:128]
+        # Made up here, so that refusals carry the same number as the call would.
+        request_id = env.setdefault("HTTP_X_REQUEST_ID", secrets.token_hex(8))[:128]
         try:
             now_ms = self.taken_ms = self._context.clock.now_ms()
             call = read_call(env, self._configuration, now_ms)
--- a/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
@@ -48,9 +48,23 @@
 """Most keys of one shard that a next owner remembers."""
 
 
-def keys_prefix(shard: str) -> str:
-    """Return the prefix under which the keys of a shard are stored."""
-    return f"/lagoonsail-keys/{shard}/"
+def keys_prefix(store_prefix: str, shard: str) -> str:
+    """Return the prefix under which the keys of a shard are stored.
+
+    It lies outside the prefix of the settings, which every router watches.
+
+    Args:
+        store_prefix: Prefix of the settings, with a slash at its end.
+        shard: The shard.
+
+    Returns:
+        The prefix.
+
+    Example:
+        >>> keys_prefix("/lagoonsail/", "cordero/registro@sierra-central")
+        '/lagoonsail-keys/cordero/registro@sierra-central/'
+    """
+    return f"{store_prefix.rstrip('/')}-keys/{shard}/"
 
 
 @dataclass(slots=True)
@@ -110,7 +124,7 @@
         self._noted: set[str] = set()
         self._notice_number = 0
         self._store_retry_ms = float("-inf")
-        self._prefix = keys_prefix(shard)
+        self._prefix = keys_prefix(context.settings.store_prefix, shard)
         self._stored: dict[int, int] = {}
         self._used: dict[int, tuple[int, float]] = {}
         self._pending: dict[int, _Pending] = {}
--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -16,6 +16,7 @@
     OUTCOME_REFUSED,
     OUTCOME_UNREACHABLE,
     OUTCOME_WHOLE,
+    REFUSED_ACCOUNT,
     REFUSED_DUPLICATE,
     REFUSED_KEYS_UNAVAILABLE,
     REFUSED_NOT_OWNER,
@@ -230,7 +231,7 @@
         shares = {account.name: account.share for account in document.accounts.values()}
         for waiting in self.queue.set_shares(shares):
             self._withdraw(waiting)
-            self._refuse(waiting, REFUSED_NOT_OWNER)
+            self._refuse(waiting, REFUSED_ACCOUNT)
         total = sum(entry.slots for entry in document.servers.values())
         self.queue.set_limits(document.max_cost, total)
         now_ms = self._context.clock.now_ms()
@@ -384,7 +385,8 @@
         if not self.queue.add(waiting):
             if waiting.key:
                 self.keys.give_back(waiting.key)
-            self._refuse(waiting, REFUSED_QUEUE_FULL)
+            is_known = self.queue.has_account(waiting.account)
+            self._refuse(waiting, REFUSED_QUEUE_FULL if is_known else REFUSED_ACCOUNT)
             return
         self._waiting[waiting.ticket] = waiting
         self.pump()
@@ -441,9 +443,9 @@
         server.limit.finish(
             key, outcome, incarnation, first_ms, duration_ms, cost, now_ms
         )
-        self._record_warmth(server)
         if outcome == OUTCOME_UNREACHABLE:
             server.limit.on_refused(now_ms)
+        self._record_warmth(server)
         if outcome in (OUTCOME_BROKEN, OUTCOME_CANCELLED) and not server.limit.is_warm:
             # The server may notice late that nobody waits for the answer any more.
             server.unknown += 1
@@ -465,7 +467,7 @@
         self._context.timeline.record(
             name,
             server=f"{service}/{server.entry.name}",
-            failure_domain=server.entry.failure_domain,
+            failure_domain=f"{service.split('/')[0]}/{server.entry.failure_domain}",
             **fields,
         )
 
--- a/packages/lagoonsail-router/tests/test_key_log.py
+++ b/packages/lagoonsail-router/tests/test_key_log.py
@@ -62,7 +62,7 @@
 def stored_keys(store):
     """What a later owner would read, by key."""
     found = {}
-    for entry in store.list(keys_prefix(SHARD)).entries:
+    for entry in store.list(keys_prefix("/lagoonsail/", SHARD)).entries:
         found.update(json.loads(entry.value))
     return found
 
@@ -254,7 +254,7 @@
 
 
 def test_late_write_of_an_earlier_change_does_not_undo_a_later_one(make_log, store):
-    prefix = f"{keys_prefix(SHARD)}{1:012d}/"
+    prefix = f"{keys_prefix('/lagoonsail/', SHARD)}{1:012d}/"
     store.put_if(f"{prefix}{2:012d}", json.dumps([[KEY, ORIGIN]]), 0)
     store.put_if(f"{prefix}{1:012d}", json.dumps([[KEY, 0]]), 0)
     assert make_log(2).is_used(KEY, OTHER)
