Prove a frozen owner's return while the key-value service is down

After a take-over it grants nothing beside the new owner, without one it goes on by the promises of all.

--- a/packages/lagoonsail-lab/tests/test_proof_pairs.py
+++ b/packages/lagoonsail-lab/tests/test_proof_pairs.py
@@ -90,3 +90,56 @@
         assert at_other.faults() == []
         late = proof.late_runs(proof.runs_of(fleet), START_WINDOW_MS + 100.0)
         assert [(r["epoch"], r["started_wall_ms"]) for r in late] == []
+
+
+def test_frozen_owner_goes_on_after_a_take_over_when_the_service_is_down(proof):
+    with proof.start_fleet(3, servers=1) as fleet:
+        victim = proof.find_owner(fleet)
+        others = [name for name in fleet.routers if name != victim]
+        at_victim = proof.traffic(fleet, [victim], seed=18)
+        at_others = proof.traffic(fleet, others, seed=19)
+        for traffic in (at_victim, at_others):
+            traffic.loop(traffic.search, 3)
+            traffic.loop(traffic.bib, 1)
+        at_others.wait(1500.0)
+        before = {run["epoch"] for run in proof.runs_of(fleet)}
+        fleet.freeze_router(victim)
+
+        def has_taken_over():
+            return max(run["epoch"] for run in proof.runs_of(fleet)) > max(before)
+
+        assert proof.wait_until(has_taken_over, 9000.0) is not None
+        fleet.control_store(mode="down")
+        at_others.wait(1500.0)
+        fleet.thaw_router(victim)
+        at_others.wait(4000.0)
+        fleet.control_store(mode="up")
+        at_others.wait(1000.0)
+        at_victim.finish()
+        at_others.finish()
+        assert at_victim.faults() == []
+        assert at_others.faults() == []
+        runs = proof.runs_of(fleet)
+        assert proof.late_runs(runs, START_WINDOW_MS + 100.0) == []
+
+
+def test_frozen_owner_goes_on_when_the_service_went_down_before_a_take_over(proof):
+    with proof.start_fleet(3, servers=1) as fleet:
+        proof.settle(fleet)
+        victim = proof.find_owner(fleet)
+        traffic = proof.traffic(fleet, seed=20)
+        traffic.mixed()
+        traffic.wait(1500.0)
+        fleet.control_store(mode="down")
+        fleet.freeze_router(victim)
+        traffic.wait(4000.0)
+        thawed_ms = proof.clock.wall_ms()
+        fleet.thaw_router(victim)
+        traffic.wait(3500.0)
+        end_ms = proof.clock.wall_ms()
+        fleet.control_store(mode="up")
+        traffic.finish()
+        assert traffic.faults() == []
+        # Nobody could take over, so the promises of all let the owner go on.
+        assert len({run["epoch"] for run in proof.runs_of(fleet)}) == 1
+        assert traffic.whole_between(thawed_ms, end_ms, "/search")
