Cut routers off on both paths, and never deliver some of what was frozen

Before, the two paths of one router were only cut together by chance, and every frozen connection went on later.

--- a/packages/lagoonsail-lab/src/lagoonsail_lab/schedule.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/schedule.py
@@ -26,6 +26,9 @@
 """The path between a router and the key-value service is cut or frozen."""
 PEERS_PATH = "peers_path"
 """The path from other routers to a router is cut or frozen."""
+PARTITION = "partition"
+"""A router reaches neither the key-value service nor, if it is the last of its side,
+any router of its side."""
 DOMAIN_OUT = "domain_out"
 """An operator takes a failure domain out and brings it back."""
 SERVER_OUT = "server_out"
@@ -64,7 +67,7 @@
     lambda _chance: {"lose_answers": 0.3, "stale_reads": True},
 )
 """What the key-value service may suffer."""
-FREQUENT = (KILL, FREEZE, STOP, STORE, STORE, STORE_PATH, PEERS_PATH)
+FREQUENT = (KILL, FREEZE, STOP, STORE, STORE, PARTITION, PARTITION)
 """Kinds that are drawn more often than others."""
 RIVALS = ("domain", "same", "opposite")
 """What a second operator orders at the same moment: a failure domain out, the same
@@ -140,6 +143,7 @@
             STORE: self._store,
             STORE_PATH: lambda at_ms: self._path(at_ms, "store"),
             PEERS_PATH: lambda at_ms: self._path(at_ms, "peers"),
+            PARTITION: lambda at_ms: self._path(at_ms, "both"),
             DOMAIN_OUT: self._domain_out,
             SERVER_OUT: self._server_out,
             OPERATORS_RACE: self._race,
@@ -202,9 +206,14 @@
         return Step(at_ms, self._span((1500, 9000)), "", "key_value", options), "store"
 
     def _path(self, at_ms: float, path: str) -> tuple[Step, str]:
-        name = f"{path}-{self._chance.choice(self._relayed)}"
+        router = self._chance.choice(self._relayed)
         options = dict(self._chance.choice(PATH_MODES))
-        return Step(at_ms, self._span((1500, 8000)), "", name, options), name
+        if options["mode"] == "freeze":
+            # What was frozen is delivered late, or never.
+            options["thaws"] = self._chance.random() < 0.5
+        span_ms = self._span((1500, 8000))
+        step = Step(at_ms, span_ms, "", f"{path}-{router}", options)
+        return step, f"paths {router}"
 
     def _domain_out(self, at_ms: float) -> tuple[Step, str]:
         deployment = self._chance.choice(self._deployments)
