--- a/packages/lagoonsail-lab/src/lagoonsail_lab/checker.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/checker.py
@@ -85,6 +85,8 @@
     """Name of the router."""
     wall_ms: float
     """When it was killed, wall time."""
+    ended_wall_ms: float = 0.0
+    """When its process had ended, wall time; 0 if that was in the same moment."""
 
 
 @dataclass(slots=True)
@@ -146,7 +148,8 @@
 def _is_excused(attempt: Attempt, kills: list[Kill]) -> bool:
     return any(
         kill.router == attempt.router
-        and attempt.started_wall_ms <= kill.wall_ms <= attempt.ended_wall_ms
+        and attempt.started_wall_ms <= max(kill.wall_ms, kill.ended_wall_ms)
+        and kill.wall_ms <= attempt.ended_wall_ms
         for kill in kills
     )
 
--- a/packages/lagoonsail-lab/tests/test_checker.py
+++ b/packages/lagoonsail-lab/tests/test_checker.py
@@ -97,6 +97,8 @@
         return kinds([record], make_servers(), kills=[Kill(router, wall_ms)])
 
     assert found("r1", 15.0) == []
+    assert kinds([record], make_servers(), kills=[Kill("r1", 5.0, 10.0)]) == []
+    assert kinds([record], make_servers(), kills=[Kill("r1", 5.0, 9.0)]) == [LOST]
     assert found("r1", 25.0) == found("r1", 5.0) == found("r2", 15.0) == [LOST]
 
 
