Let requests taken over prove nothing of a server that reports itself cold

Cause: a whole answer to a request taken over raised the limit to all that ran together, though the report called the server cold: it may only be finishing what it got while warm, and falls over with the next request. Change: the branch holds only while no report calls the server cold, as for growth. Before: the new test fails with limit 4 == 1; after: it passes, with the package's other 67 tests.

--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_limit.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_limit.py
@@ -492,8 +492,10 @@
         together: int,
         now_ms: float,
     ) -> None:
-        if start.taken_over and together > self.limit:
-            # The server has shown that it carries so many; no growth is needed.
+        is_cold = now_ms < self._cold_until_ms
+        if start.taken_over and together > self.limit and not is_cold:
+            # The server has shown that it carries so many; no growth is needed. One
+            # that says it is cold may only be finishing what it got while warm.
             self.limit = min(together, self.slots)
             self._expected.learn(sample)
             self._note_growth(now_ms)
--- a/packages/lagoonsail-sharing/tests/test_server_limit.py
+++ b/packages/lagoonsail-sharing/tests/test_server_limit.py
@@ -305,6 +305,18 @@
     assert (server.limit, server.incarnation) == (1, "i2")
 
 
+def test_requests_taken_over_prove_nothing_of_a_server_that_reports_cold():
+    server = ServerLimit(slots=8, cold_slots=1, now_ms=0.0)
+    for number in range(4):
+        server.take_over(number, now_ms=0.0)
+    # It turned cold while they ran; a further request would make it fall over.
+    server.on_report(LoadReport("i1", 4, False, 10.0), now_ms=100.0)
+    for number in range(3):
+        server.finish(number, "whole", "i1", 20.0, 500.0, 10.0, now_ms=200.0)
+    assert server.limit == 1
+    assert not server.has_free
+
+
 def test_requests_taken_over_prove_what_the_server_carries():
     server = ServerLimit(8, 1, now_ms=0.0)
     for slot in range(6):
