Leave hints aside where the account's mean cost has been nearer

Cause: with hints wrong by 4 times in both directions, a start was charged up to 4 times the mean or a fourth of it. Calls without progress reports settle only at their end, so an account with low hints started several calls before it was charged, and one with high hints stood back. Change: each account's mean absolute log error of hints and of its mean cost is kept; hints are used while they are no further off than the mean was. The bound is untouched, since an estimate enters it only through the largest cost.

--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/fair_queue.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/fair_queue.py
@@ -116,7 +116,9 @@
         "charged",
         "entry",
         "episode",
+        "hint_error",
         "mean_cost",
+        "mean_error",
         "name",
         "picked",
         "position",
@@ -145,6 +147,9 @@
         # Sum of the charges of running requests, not normalised.
         self.charged = 0.0
         self.mean_cost = 0.0
+        # Mean absolute logarithms of how far hints and the mean cost were off.
+        self.hint_error = 0.0
+        self.mean_error = 0.0
         # By shard: the service first reported and the greatest reported.
         self.remote: dict[str, list[float]] = {}
 
@@ -156,6 +161,8 @@
     account: _Account
     episode: int
     """Episode of the account in which it started."""
+    hint: float = 0.0
+    """The caller's hint; 0 where there was none."""
     charge: float = 0.0
     """What is charged, in the service's unit."""
     normalised: float = 0.0
@@ -354,7 +361,7 @@
             self.cancel(waiting.ticket)
         self._picks += 1
         account.picked = self._picks
-        self._slots[slot] = _Slot(account, account.episode)
+        self._slots[slot] = _Slot(account, account.episode, waiting.estimate)
         self._most_running = max(self._most_running, len(self._slots))
         account.running += 1
         self.progress(slot, self.estimate(waiting))
@@ -370,11 +377,15 @@
 
         Returns:
             The hint, held within a factor of the account's mean cost; the mean cost
-            where there is no hint; at most the largest cost allowed.
+            where there is no hint, or where hints have been further off than the mean
+            was; at most the largest cost allowed.
         """
         account = self._accounts.get(waiting.account)
         mean = account.mean_cost if account else 0.0
-        cost = waiting.estimate or mean or self._mean_cost or DEFAULT_COST
+        hint = waiting.estimate
+        if account and account.hint_error > account.mean_error:
+            hint = 0.0
+        cost = hint or mean or self._mean_cost or DEFAULT_COST
         if mean:
             cost = min(max(cost, mean / HINT_FACTOR), mean * HINT_FACTOR)
         return min(cost, self.max_cost)
@@ -421,6 +432,7 @@
         account.charged = account.charged - running.charge if account.running else 0.0
         self._refund(running, running.charge - cost)
         if cost > 0:
+            _learn_errors(account, running.hint, cost)
             account.mean_cost = _learn(account.mean_cost, cost)
             self._mean_cost = _learn(self._mean_cost, cost)
         return True
@@ -605,6 +617,16 @@
         require(gap <= allowed, "fair_gap", f"gap {gap} exceeds {bound}")
 
 
+def _learn_errors(account: _Account, hint: float, cost: float) -> None:
+    """Note how far the hint and the account's mean were from a cost."""
+    if not 0.0 < hint < math.inf or not account.mean_cost:
+        return
+    hint_error = abs(math.log(cost / hint))
+    mean_error = abs(math.log(cost / account.mean_cost))
+    account.hint_error += LEARNING_RATE * (hint_error - account.hint_error)
+    account.mean_error += LEARNING_RATE * (mean_error - account.mean_error)
+
+
 def _learn(mean: float, cost: float) -> float:
     """Return the mean cost after one more cost."""
     return mean + LEARNING_RATE * (cost - mean) if mean else cost
--- a/packages/lagoonsail-sharing/tests/test_fair_queue_requests.py
+++ b/packages/lagoonsail-sharing/tests/test_fair_queue_requests.py
@@ -86,6 +86,29 @@
     assert estimate(0.001) == pytest.approx(3.0)
 
 
+def settle_hinted(queue, slot, hint, cost):
+    queue.start(Waiting(("a", slot), "a", hint), slot)
+    queue.settle(slot, cost)
+
+
+def test_hints_that_are_further_off_than_the_mean_are_left_aside(queue):
+    for slot in range(40):
+        settle_hinted(queue, slot, 48.0 if slot % 2 else 3.0, 12.0)
+    assert queue.estimate(Waiting(("a", 0), "a", 48.0)) == pytest.approx(12.0)
+    for slot in range(40, 140):
+        cost = 6.0 if slot % 2 else 24.0
+        settle_hinted(queue, slot, cost, cost)
+    assert queue.estimate(Waiting(("a", 0), "a", 24.0)) == 24.0
+
+
+@pytest.mark.parametrize("hint", [float("inf"), float("nan"), -1.0])
+def test_senseless_hints_teach_nothing(queue, hint):
+    for slot in range(3):
+        settle_hinted(queue, slot, 12.0, 12.0)
+    settle_hinted(queue, 3, hint, 12.0)
+    assert queue.estimate(Waiting(("a", 0), "a", 12.0)) == 12.0
+
+
 def test_requests_that_did_not_run_teach_nothing(queue):
     queue.start(Waiting(("a", 1), "a", 8.0), 1)
     queue.settle(1, 0.0)
