--- a/packages/lagoonsail-lab/src/lagoonsail_lab/domain_outage.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/domain_outage.py
@@ -87,6 +87,8 @@
     """Begin of the steady state."""
     ended_ms: float
     """When callers stopped calling."""
+    command_ms: float
+    """How long the command to leave took, milliseconds."""
 
     def phase(self, name: str) -> tuple[float, float]:
         """Return begin and end of `steady`, `out` or `back`."""
@@ -226,6 +228,7 @@
         begun_ms = clock.wall_ms()
         eventlet.sleep(steady_s)
         leaves_ms = _order(fleet, "out", is_store_lost)
+        command_ms = clock.wall_ms() - leaves_ms
         names = frozenset(b.qualified() for b in fleet.backends_of(DOMAIN))
         eventlet.sleep(RESTART_AFTER_S)
         for name in names:
@@ -243,7 +246,9 @@
         servers = fleet.records()
     outage = Outage(names, leaves_ms, returns_ms)
     work = collect_work([caller], servers)
-    return OutageRun(caller.records, servers, work, outage, begun_ms, ended_ms)
+    return OutageRun(
+        caller.records, servers, work, outage, begun_ms, ended_ms, command_ms
+    )
 
 
 def _wait_for_answers(caller: Caller) -> None:
@@ -364,6 +369,7 @@
     measure.add(f"{title}: attempts refused and made again", repeated, "attempts")
     last_ms = last_new_work_ms(run.servers, run.outage)
     measure.add(f"{title}: last new work after the command", last_ms, "ms", *within)
+    measure.add(f"{title}: of that the command itself", run.command_ms, "ms")
     for phase in ("steady", "out", "back"):
         latency_ms = percentile(run.latencies_ms(phase), 99)
         measure.add(f"{title}: p99 latency of engines, {phase}", latency_ms, "ms")
