Carry streams between routers over plain TCP as well

Change: what both transports share stays in stream, server and link; _grpc and _tcp listen and dial. Over TCP a mutual handshake proves the shared key. Default is grpc. A heartbeat without other messages is written at once, without a timer. Tests: all tests of streams run with both transports but those of gRPC's metadata and of its own size limit. Over TCP a link with a key no longer accepts a server without one, since the proof is mutual; that test uses a link without a key there.

--- a/packages/lagoonsail-peer/src/lagoonsail_peer/_bridge.py
+++ b/packages/lagoonsail-peer/src/lagoonsail_peer/_bridge.py
@@ -11,15 +11,13 @@
 import logbook
 
 from lagoonsail_core.green import eventlet
+from lagoonsail_peer.wire import MAX_UNREAD_FRAMES
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from lagoonsail_peer.stream import PeerStream
 
-MAX_UNREAD_FRAMES = 32
-"""Frames of one stream that may wait for the hub; then its reader stops reading."""
-
 _log = logbook.Logger("lagoonsail.peer")
 _local = threading.local()
 
@@ -79,7 +77,7 @@
     return bridge
 
 
-class Outgoing:
+class GrpcOutgoing:
     """Frames that wait for gRPC, as the iterator which its native thread consumes."""
 
     __slots__ = (
@@ -123,7 +121,7 @@
         """Let the iterator end after the frames that wait."""
         self._frames.put(None)
 
-    def __iter__(self) -> Outgoing:
+    def __iter__(self) -> GrpcOutgoing:
         return self
 
     def __next__(self) -> bytes:
@@ -136,7 +134,7 @@
         return frame
 
 
-class Wire:
+class GrpcWire:
     """The native part of one stream: what to send, and how to read and cancel."""
 
     __slots__ = (
@@ -145,18 +143,13 @@
         "_credits",
         "_is_cancelled",
         "_lock",
-        "is_ended",
         "outgoing",
         "stream",
     )
 
-    is_ended: bool
-    """Whether the native reader has ended; set in the hub's thread."""
-
     def __init__(self, bridge: Bridge) -> None:
-        self.outgoing = Outgoing()
+        self.outgoing = GrpcOutgoing()
         self.stream: PeerStream | None = None
-        self.is_ended = False
         self._bridge = bridge
         self._credits = threading.Semaphore(MAX_UNREAD_FRAMES)
         self._lock = threading.Lock()
@@ -216,6 +209,5 @@
             self.stream.on_frame(frame)
 
     def _take_end(self, reason: str) -> None:
-        self.is_ended = True
         if self.stream is not None:
             self.stream.on_end(reason)
--- /dev/null
+++ b/packages/lagoonsail-peer/src/lagoonsail_peer/_grpc.py
@@ -0,0 +1,255 @@
+"""Streams as gRPC calls, which run in native threads."""
+
+from __future__ import annotations
+
+import contextlib
+import threading
+from concurrent import futures
+from typing import TYPE_CHECKING
+
+import grpc
+import logbook
+
+from lagoonsail_core.messages import MAX_FRAME_BYTES
+from lagoonsail_peer._bridge import GrpcWire, get_bridge
+from lagoonsail_peer.signing import SignatureChecker, SignatureError, sign
+from lagoonsail_peer.stream import CLOSED_BROKEN, StreamOptions
+from lagoonsail_peer.wire import (
+    MAX_CALLS,
+    REFUSED_METADATA,
+    REFUSED_TOO_MANY_STREAMS,
+    Intake,
+    Listener,
+    wait_until,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from lagoonsail_peer._bridge import Bridge, GrpcOutgoing
+
+SERVICE = "lagoonsail.Peer"
+"""Name of the gRPC service."""
+METHOD_PATH = f"/{SERVICE}/Stream"
+"""Path of its only method."""
+METADATA_ROUTER = "x-lagoonsail-router"
+"""Metadata key of the dialling router's name."""
+METADATA_INCARNATION = "x-lagoonsail-incarnation"
+"""Metadata key of the dialling router's incarnation."""
+METADATA_SIGNATURE = "x-lagoonsail-signature"
+"""Metadata key of the signature."""
+
+SIZE_SLACK_BYTES = 65_536
+"""Frames larger than accepted by at most this are read, so that they are counted.
+
+gRPC refuses larger ones without a reason that the server can see: the stream is then
+counted as broken.
+"""
+
+_log = logbook.Logger("lagoonsail.peer")
+
+
+class _DaemonExecutor(futures.Executor):
+    """Gives each call a daemon thread, so that none can hold up the process's end."""
+
+    def submit(self, fn, /, *args, **kwargs) -> futures.Future:
+        """Run a function in a thread of its own."""
+        future = futures.Future()
+
+        def run() -> None:
+            try:
+                future.set_result(fn(*args, **kwargs))
+            except BaseException as error:
+                future.set_exception(error)
+
+        threading.Thread(target=run, name="peer-call", daemon=True).start()
+        return future
+
+
+def stream_body(router: str, incarnation: int | str) -> bytes:
+    """Return what the signature of a stream covers besides method and path.
+
+    Args:
+        router: Name of the dialling router.
+        incarnation: Its incarnation.
+
+    Returns:
+        The bytes to sign.
+    """
+    return f"{router}\n{incarnation}".encode()
+
+
+def listen(address: str, options: StreamOptions, intake: Intake) -> Listener:
+    """Listen for calls.
+
+    Args:
+        address: Address to listen on.
+        options: What the streams share.
+        intake: Takes the streams.
+
+    Returns:
+        The started listener.
+
+    Raises:
+        RuntimeError: If the address cannot be listened on.
+    """
+    server = grpc.server(
+        _DaemonExecutor(),
+        options=(
+            ("grpc.so_reuseport", 0),
+            ("grpc.max_receive_message_length", MAX_FRAME_BYTES + SIZE_SLACK_BYTES),
+            ("grpc.max_send_message_length", MAX_FRAME_BYTES),
+            ("grpc.max_metadata_size", 8192),
+            ("grpc.keepalive_time_ms", 10_000),
+            ("grpc.keepalive_timeout_ms", int(options.silence_ms)),
+            ("grpc.http2.min_ping_interval_without_data_ms", 5000),
+            ("grpc.http2.max_ping_strikes", 0),
+        ),
+        maximum_concurrent_rpcs=MAX_CALLS,
+    )
+    bridge = get_bridge()
+    checker = SignatureChecker(intake.shared_key, options.clock)
+
+    def serve(frames: Iterator[bytes], context: grpc.ServicerContext) -> GrpcOutgoing:
+        router, incarnation = _admit(context, bridge, checker, intake)
+        return _serve(frames, context, bridge, intake, router, incarnation)
+
+    handler = grpc.stream_stream_rpc_method_handler(serve)
+    server.add_generic_rpc_handlers(
+        (grpc.method_handlers_generic_handler(SERVICE, {"Stream": handler}),)
+    )
+    port = server.add_insecure_port(address)
+    server.start()
+
+    def stop() -> None:
+        wait_until(server.stop(0).is_set, options.clock)
+
+    return Listener(port, stop)
+
+
+def _admit(
+    context: grpc.ServicerContext,
+    bridge: Bridge,
+    checker: SignatureChecker,
+    intake: Intake,
+) -> tuple[str, int]:
+    """Check who calls; runs in a native thread."""
+
+    def refuse(code: grpc.StatusCode, reason: str) -> None:
+        bridge.post(intake.count, f"refused_{reason}")
+        context.abort(code, reason)
+
+    metadata = dict(context.invocation_metadata())
+    router = str(metadata.get(METADATA_ROUTER, ""))
+    incarnation = str(metadata.get(METADATA_INCARNATION, ""))
+    if not router or not incarnation.isascii() or not incarnation.isdecimal():
+        refuse(grpc.StatusCode.UNAUTHENTICATED, REFUSED_METADATA)
+    body = stream_body(router, incarnation)
+    signature = str(metadata.get(METADATA_SIGNATURE, ""))
+    try:
+        checker.check("STREAM", METHOD_PATH, body, signature)
+    except SignatureError as error:
+        refuse(grpc.StatusCode.UNAUTHENTICATED, error.reason)
+    if not intake.enter():
+        refuse(grpc.StatusCode.RESOURCE_EXHAUSTED, REFUSED_TOO_MANY_STREAMS)
+    return router, int(incarnation)
+
+
+def _serve(
+    frames: Iterator[bytes],
+    context: grpc.ServicerContext,
+    bridge: Bridge,
+    intake: Intake,
+    router: str,
+    incarnation: int,
+) -> GrpcOutgoing:
+    """Take one call; runs in a native thread."""
+    wire = GrpcWire(bridge)
+    wire.attach(context.cancel)
+    if not context.add_callback(wire.outgoing.end):
+        wire.outgoing.end()
+    bridge.post(intake.accept, wire, router, incarnation)
+
+    def read() -> None:
+        # When the call was cancelled or broke, gRPC raises a bare Exception or just
+        # ends the iterator, as its threads happen to run.
+        with contextlib.suppress(Exception):
+            wire.read(frames)
+        intake.leave()
+        bridge.post(intake.forget, wire)
+        wire.ended(CLOSED_BROKEN)
+
+    threading.Thread(target=read, name="peer-reader", daemon=True).start()
+    return wire.outgoing
+
+
+def dial(
+    address: str,
+    shared_key: bytes,
+    options: StreamOptions,
+    on_over: Callable[[GrpcWire], None],
+) -> GrpcWire:
+    """Begin a call.
+
+    Args:
+        address: Address of the server.
+        shared_key: Key that signs the call.
+        options: What the streams share.
+        on_over: Called with the wire when the call is over.
+
+    Returns:
+        The wire of the call, which is not connected yet.
+    """
+    bridge = get_bridge()
+    wire = GrpcWire(bridge)
+    metadata = _sign_metadata(shared_key, options)
+
+    def run() -> None:
+        """Dial and read until the call ends; runs in a native thread."""
+        reason = CLOSED_BROKEN
+        channel = _open_channel(address, options.silence_ms)
+        try:
+            call = channel.stream_stream(METHOD_PATH)(wire.outgoing, metadata=metadata)
+            wire.attach(call.cancel)
+            wire.read(call)
+        except grpc.RpcError as error:
+            reason = f"closed_{error.code().name.lower()}"
+        except Exception:
+            _log.exception("the call to {} failed", address)
+        finally:
+            channel.close()
+            bridge.post(on_over, wire)
+            wire.ended(reason)
+
+    threading.Thread(target=run, name="peer-link", daemon=True).start()
+    return wire
+
+
+def _sign_metadata(
+    shared_key: bytes, options: StreamOptions
+) -> tuple[tuple[str, str], ...]:
+    hello = options.identity()
+    body = stream_body(hello.router, hello.incarnation)
+    signature = sign(shared_key, "STREAM", METHOD_PATH, body, options.clock)
+    return (
+        (METADATA_ROUTER, hello.router),
+        (METADATA_INCARNATION, str(hello.incarnation)),
+        (METADATA_SIGNATURE, signature),
+    )
+
+
+def _open_channel(address: str, silence_ms: float) -> grpc.Channel:
+    return grpc.insecure_channel(
+        address,
+        options=(
+            # A connection that has gone silent must not be used again.
+            ("grpc.use_local_subchannel_pool", 1),
+            ("grpc.enable_http_proxy", 0),
+            ("grpc.enable_retries", 0),
+            ("grpc.max_receive_message_length", MAX_FRAME_BYTES + SIZE_SLACK_BYTES),
+            ("grpc.max_send_message_length", MAX_FRAME_BYTES),
+            ("grpc.keepalive_time_ms", 10_000),
+            ("grpc.keepalive_timeout_ms", int(silence_ms)),
+            ("grpc.http2.max_pings_without_data", 0),
+        ),
+    )
--- a/packages/lagoonsail-peer/src/lagoonsail_peer/signing.py
+++ b/packages/lagoonsail-peer/src/lagoonsail_peer/signing.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import hmac
+import json
 import re
 import secrets
 import threading
@@ -106,6 +107,21 @@
     return f"t={wall_ms},n={nonce},s={digest}"
 
 
+def prove(shared_key: bytes, *parts: str) -> str:
+    """Return a proof that its maker holds a key, over what both sides know.
+
+    Args:
+        shared_key: Key that both sides hold.
+        *parts: The prover's role, a challenge of the other side, and what else holds.
+
+    Returns:
+        HMAC-SHA256 in hex digits.
+    """
+    # The list keeps parts apart, so that no two lists share one signed text.
+    text = json.dumps(parts).encode()
+    return hmac.new(shared_key, text, hashlib.sha256).hexdigest()
+
+
 class SignatureChecker:
     """Checks signatures and refuses those seen before; safe for native threads."""
 
--- a/packages/lagoonsail-peer/src/lagoonsail_peer/stream.py
+++ b/packages/lagoonsail-peer/src/lagoonsail_peer/stream.py
@@ -24,7 +24,7 @@
 
     from lagoonsail_core.clock import Clock
     from lagoonsail_core.events import Timeline
-    from lagoonsail_peer._bridge import Wire
+    from lagoonsail_peer.wire import Wire
 
 MAX_WAITING_MESSAGES = 10_000
 """Messages that may wait to be sent on one stream; with more it is closed."""
@@ -43,7 +43,7 @@
 CLOSED_ENDED = "closed_ended"
 """The remote side closed the stream in order."""
 CLOSED_BROKEN = "closed_broken"
-"""The call ended without notice; the server is not told more by gRPC."""
+"""The call or connection ended without notice."""
 CLOSED_SILENT = "closed_silent"
 """Nothing was heard for the silence time."""
 CLOSED_OVERFLOW = "closed_overflow"
@@ -140,7 +140,7 @@
     is_closed: bool
     """Whether the stream is closed; no messages are delivered any more."""
     close_reason: str
-    """Why it was closed: a CLOSED constant or ``closed_`` and a gRPC status."""
+    """Why it was closed: a CLOSED constant or ``closed_`` and a status of gRPC."""
 
     def __init__(self, wire: Wire, options: StreamOptions) -> None:
         now_ms = options.clock.now_ms()
@@ -215,7 +215,7 @@
         self._wire.cancel()
 
     def on_frame(self, data: bytes) -> None:
-        """Take a received frame; called by the bridge.
+        """Take a received frame; from the transport.
 
         Args:
             data: The frame as received.
@@ -231,7 +231,7 @@
         self._inbox.put(partial(self._take, now_ms, data))
 
     def on_end(self, reason: str) -> None:
-        """Take the end of the call, after the frames before it; called by the bridge.
+        """Take the end of the call, after the frames before it; from the transport.
 
         Args:
             reason: Why, as a counter key.
@@ -317,8 +317,11 @@
         return own + self._wire.outgoing.waiting
 
     def _beat(self) -> None:
+        self._pending.append(self._options.make_heartbeat())
         self._pending_beats += 1
-        self.send(self._options.make_heartbeat())
+        # Without other messages it is written at once, which spares a timer.
+        if self._timer is None:
+            self._flush()
 
     def _work(self) -> None:
         while not self.is_closed:
--- a/packages/lagoonsail-peer/tests/peer_process.py
+++ b/packages/lagoonsail-peer/tests/peer_process.py
@@ -30,6 +30,7 @@
     parser.add_argument("--silence-ms", type=float, default=800.0)
     parser.add_argument("--ticks", action="store_true")
     parser.add_argument("--exit-after-ms", type=float, default=0.0)
+    parser.add_argument("--transport", default="grpc")
     parser.add_argument("--skip-stop", action="store_true")
     options = parser.parse_args()
     clock = Clock()
@@ -60,6 +61,7 @@
         silence_ms=options.silence_ms,
         make_heartbeat=lambda: Heartbeat(clock.now_ms(), 0),
         heartbeat_ms=options.heartbeat_ms,
+        transport=options.transport,
     )
     server.start()
     say(event="listening", port=server.port)
--- a/packages/lagoonsail-peer/tests/test_stream_frames.py
+++ b/packages/lagoonsail-peer/tests/test_stream_frames.py
@@ -52,6 +52,7 @@
     wait_until(lambda: server.messages(SlotCancel)[-1].ticket == 9)
 
 
+@pytest.mark.parametrize("transport", ["grpc"], indirect=True)
 def test_far_oversized_frame_is_refused_by_grpc(pair, raw_call, wait_until):
     server, _ = pair
     received = raw_call(server.end.port, [HELLO, b"\x00" * (2 * MAX_FRAME_BYTES)])
