--- a/packages/lagoonsail-config/src/lagoonsail_config/settings.py
+++ b/packages/lagoonsail-config/src/lagoonsail_config/settings.py
@@ -40,6 +40,11 @@
 INVARIANTS_COUNT = "count"
 """A violated invariant is counted and reported."""
 
+TRANSPORT_GRPC = "grpc"
+"""Streams between routers are gRPC calls."""
+TRANSPORT_TCP = "tcp"
+"""Streams between routers are plain TCP connections."""
+
 _LOG_LEVELS = ("debug", "info", "notice", "warning", "error")
 
 SETTINGS_KEYS: dict[str, tuple[Key, ...]] = {
@@ -82,6 +87,12 @@
         number_key("heartbeat_ms", 10, 60_000, "ms", "500"),
         number_key("silence_ms", 20, 600_000, "ms", "2000"),
         number_key("flush_ms", 0, 1000, "ms", "2"),
+        choice_key(
+            "transport",
+            {word: word for word in (TRANSPORT_GRPC, TRANSPORT_TCP)},
+            TRANSPORT_GRPC,
+            "peers_transport",
+        ),
     ),
     "limits": (
         number_key("start_window_ms", 10, 60_000, "ms", "1000"),
@@ -148,6 +159,8 @@
     """Silence after which a stream is closed and dialled again."""
     flush_ms: int
     """Time that messages wait for others of the same frame."""
+    peers_transport: str
+    """TRANSPORT_GRPC or TRANSPORT_TCP; the same on all routers."""
     start_window_ms: int
     """Time after a grant within which the request must reach its server."""
     drain_lag_ms: int
--- a/packages/lagoonsail-peer/benchmarks/stream_cost.py
+++ b/packages/lagoonsail-peer/benchmarks/stream_cost.py
@@ -1,13 +1,15 @@
 """Processor time and bytes that a stream between two routers costs.
 
 Two processes, a dialling and a listening one, exchange messages through a relay in
-this process that counts bytes. Prints one JSON object. Takes about 15 s.
+this process that counts bytes. Prints one JSON object: figures by transport and, if
+both transports are measured, the ratios of TCP to gRPC. Takes about 15 s a transport.
 
-    python packages/lagoonsail-peer/benchmarks/stream_cost.py
+    python packages/lagoonsail-peer/benchmarks/stream_cost.py --transport both
 """
 
 from __future__ import annotations
 
+import argparse
 import json
 import os
 import subprocess
@@ -36,6 +38,9 @@
 HEARTBEAT_MS = 500.0
 """Heartbeat interval."""
 
+TRANSPORTS = ("grpc", "tcp")
+"""What may carry the streams."""
+
 CLOCK = Clock()
 
 
@@ -45,12 +50,13 @@
     print(json.dumps(fields), flush=True)
 
 
-def arguments(name: str, on_messages) -> dict:
+def arguments(name: str, on_messages, transport: str) -> dict:
     """Return what a server and a link take alike.
 
     Args:
         name: Name of the router.
         on_messages: The callback for messages.
+        transport: What carries the streams.
 
     Returns:
         Keyword arguments.
@@ -66,11 +72,16 @@
         "silence_ms": 2000.0,
         "make_heartbeat": lambda: Heartbeat(CLOCK.now_ms(), 2**63),
         "heartbeat_ms": HEARTBEAT_MS,
+        "transport": transport,
     }
 
 
-def listen() -> None:
-    """Serve, and say the processor time when a SlotCancel marks a point."""
+def listen(transport: str) -> None:
+    """Serve, and say the processor time when a SlotCancel marks a point.
+
+    Args:
+        transport: What carries the streams.
+    """
 
     def take(stream, messages) -> None:
         for message in messages:
@@ -78,7 +89,7 @@
                 say(event="mark", mark=message.ticket)
                 stream.send(message)
 
-    server = PeerServer("127.0.0.1:0", **arguments("cordero-1", take))
+    server = PeerServer("127.0.0.1:0", **arguments("cordero-1", take, transport))
     server.start()
     say(event="listening", port=server.port)
     while True:
@@ -88,10 +99,11 @@
 class Dialler:
     """The dialling process: sends, and marks where each measurement begins."""
 
-    __slots__ = ("address", "links", "marked")
+    __slots__ = ("address", "links", "marked", "transport")
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, transport: str) -> None:
         self.address = address
+        self.transport = transport
         self.marked = -1
         self.links: list[PeerLink] = []
 
@@ -103,7 +115,8 @@
         """
         for _ in range(count):
             name = f"cordero-{len(self.links) + 2}"
-            link = PeerLink(self.address, **arguments(name, self.take))
+            options = arguments(name, self.take, self.transport)
+            link = PeerLink(self.address, **options)
             link.start()
             self.links.append(link)
         while not all(link.stream and link.stream.name for link in self.links):
@@ -129,6 +142,9 @@
 
         Args:
             batch: Messages in each; 0 measures the loop alone.
+
+        Raises:
+            RuntimeError: If the stream was closed, so that nothing was measured.
         """
         stream = self.links[0].stream
         for number in range(FLUSHES):
@@ -136,16 +152,19 @@
                 ticket = number * batch + index
                 stream.send(
                     SlotRequest(
-                        ticket,
-                        "cordero/asistente@sierra-central",
-                        "club-norte",
-                        256.0,
-                        [2**63 + 1, 2**63 + 2],
-                        0,
-                        1.25,
+                        ticket=ticket,
+                        shard="cordero/asistente@sierra-central",
+                        account="club-norte",
+                        estimate=256.0,
+                        prefix=[2**63 + 1, 2**63 + 2],
+                        key=0,
+                        call=ticket,
+                        age_ms=1.25,
                     )
                 )
             eventlet.sleep(PAUSE_MS / 1000.0)
+        if stream.is_closed:
+            raise RuntimeError(f"the stream was closed: {stream.close_reason}")
 
     def run(self) -> None:
         """Carry out all measurements."""
@@ -223,19 +242,22 @@
         return self.cpu_ms[mark] - self.cpu_ms[mark - 1]
 
 
-def measure() -> dict:
+def measure(transport: str) -> dict:
     """Run both processes and return the figures.
 
+    Args:
+        transport: What carries the streams.
+
     Returns:
         Costs by messages a flush, and those of an idle stream.
     """
-    listener = Process("listen")
+    listener = Process("listen", transport)
     processes = [listener]
     try:
         while not listener.events:
             eventlet.sleep(0.02)
         relay = CountingRelay(("127.0.0.1", listener.events[0]["port"]))
-        dialler = Process("dial", f"127.0.0.1:{relay.port}")
+        dialler = Process("dial", transport, f"127.0.0.1:{relay.port}")
         processes.append(dialler)
         counted = count_bytes(dialler, relay)
     finally:
@@ -310,14 +332,56 @@
     }
 
 
+def ratios(figures: dict, base: dict) -> dict:
+    """Divide the figures of one transport by those of another.
+
+    Args:
+        figures: Figures, nested by name.
+        base: Figures of the same form.
+
+    Returns:
+        Ratios of the same form, None where the base is not above zero.
+    """
+    result = {}
+    for key, value in figures.items():
+        if isinstance(value, dict):
+            result[key] = ratios(value, base[key])
+        else:
+            result[key] = round(value / base[key], 3) if base[key] > 0 else None
+    return result
+
+
+def measure_all(transports: tuple[str, ...]) -> dict:
+    """Measure transports one after the other.
+
+    Args:
+        transports: Which ones.
+
+    Returns:
+        Figures by transport, ratios if there are two, and load averages.
+    """
+    result: dict = {"load_before": os.getloadavg()}
+    for transport in transports:
+        result[transport] = measure(transport)
+    if len(transports) > 1:
+        result["tcp_to_grpc"] = ratios(result["tcp"], result["grpc"])
+    result["load_after"] = os.getloadavg()
+    return result
+
+
 def main() -> None:
     """Run the part that the command line names, by default the whole benchmark."""
     if sys.argv[1:2] == ["listen"]:
-        listen()
-    elif sys.argv[1:2] == ["dial"]:
-        Dialler(sys.argv[2]).run()
-    else:
-        print(json.dumps(measure(), indent=2))
+        listen(sys.argv[2])
+        return
+    if sys.argv[1:2] == ["dial"]:
+        Dialler(sys.argv[3], sys.argv[2]).run()
+        return
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--transport", choices=(*TRANSPORTS, "both"), default="both")
+    chosen = parser.parse_args().transport
+    transports = TRANSPORTS if chosen == "both" else (chosen,)
+    print(json.dumps(measure_all(transports), indent=2))
 
 
 if __name__ == "__main__":
--- a/packages/lagoonsail-router/src/lagoonsail_router/peers.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/peers.py
@@ -61,7 +61,9 @@
         self._ended: Counter = Counter()
         self.streams = {}
         self._server = PeerServer(
-            context.settings.peers_address, **self._stream_options()
+            context.settings.peers_address,
+            advertised=context.settings.advertised_peers_address,
+            **self._stream_options(),
         )
 
     def _stream_options(self) -> dict:
@@ -78,6 +80,7 @@
             "make_heartbeat": self._make_heartbeat,
             "heartbeat_ms": settings.heartbeat_ms,
             "clock": self._context.clock,
+            "transport": settings.peers_transport,
         }
 
     def _identity(self) -> Hello:
