Hand received frames to the stream's green thread without a timer

Cause: over TCP one frame alone took two further steps of the hub at the receiver: a queue that wakes by a timer, and a round of the hub for it. Change: the reader switches to the stream's green thread instead of to the hub.

--- a/packages/lagoonsail-peer/src/lagoonsail_peer/_bridge.py
+++ b/packages/lagoonsail-peer/src/lagoonsail_peer/_bridge.py
@@ -207,6 +207,7 @@
     def _take(self, frame: bytes) -> None:
         if self.stream is not None:
             self.stream.on_frame(frame)
+            self.stream.wake()
 
     def _take_end(self, reason: str) -> None:
         if self.stream is not None:
--- a/packages/lagoonsail-peer/src/lagoonsail_peer/_tcp.py
+++ b/packages/lagoonsail-peer/src/lagoonsail_peer/_tcp.py
@@ -203,13 +203,15 @@
                     current.throw,
                     lambda: None,
                 )
-            hub.switch()
+            self.stream.hand_over()
 
         def pause() -> None:
             # The listener would switch to this green thread while it waits.
             nonlocal listener
-            hub.remove(listener)
-            listener = None
+            if listener is not None:
+                hub.remove(listener)
+                listener = None
+            self.stream.wake()
             self._resume = eventlet.event.Event()
             self._resume.wait()
 
--- a/packages/lagoonsail-peer/src/lagoonsail_peer/stream.py
+++ b/packages/lagoonsail-peer/src/lagoonsail_peer/stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass, field
 from functools import partial
 from typing import TYPE_CHECKING
@@ -103,12 +104,14 @@
     __slots__ = (
         "_flushed_ms",
         "_inbox",
+        "_is_idle",
         "_is_open",
         "_options",
         "_pending",
         "_pending_beats",
         "_timer",
         "_wire",
+        "_worker",
         "close_reason",
         "done",
         "heard_ms",
@@ -161,10 +164,11 @@
         self._pending_beats = 0
         self._timer = None
         self._flushed_ms = now_ms
-        self._inbox = eventlet.queue.LightQueue()
+        self._inbox: deque[Callable[[], None] | None] = deque()
+        self._is_idle = False
         wire.stream = self
         self._flush()
-        eventlet.spawn(self._work)
+        self._worker = eventlet.spawn(self._work)
         eventlet.spawn(self._tend)
 
     def send(self, message: object) -> None:
@@ -215,7 +219,7 @@
         self._wire.cancel()
 
     def on_frame(self, data: bytes) -> None:
-        """Take a received frame; from the transport.
+        """Take a received frame; the transport then calls `wake` or `hand_over`.
 
         Args:
             data: The frame as received.
@@ -228,7 +232,7 @@
             self.fail(CLOSED_SILENT)
             return
         self.heard_ms = now_ms
-        self._inbox.put(partial(self._take, now_ms, data))
+        self._inbox.append(partial(self._take, now_ms, data))
 
     def on_end(self, reason: str) -> None:
         """Take the end of the call, after the frames before it; from the transport.
@@ -237,7 +241,27 @@
             reason: Why, as a counter key.
         """
         if not self.is_closed:
-            self._inbox.put(partial(self.fail, reason))
+            self._inbox.append(partial(self.fail, reason))
+            self.wake()
+
+    def wake(self) -> None:
+        """Have the stream's green thread work when the running one yields."""
+        if self._is_idle:
+            self._is_idle = False
+            hub = eventlet.hubs.get_hub()
+            hub.schedule_call_global(0, self._worker.switch)
+
+    def hand_over(self) -> None:
+        """Yield to the stream's green thread if it has to work, else to the hub.
+
+        The calling green thread must have a way to be switched to. Unlike `wake` this
+        costs no timer and no further round of the hub.
+        """
+        if self._is_idle and self._inbox:
+            self._is_idle = False
+            self._worker.switch()
+            return
+        eventlet.hubs.get_hub().switch()
 
     def _end(self, reason: str) -> None:
         if self.is_closed:
@@ -255,7 +279,8 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        self._inbox.put(None)
+        self._inbox.append(None)
+        self.wake()
 
     def _flush(self) -> None:
         self._timer = None
@@ -325,7 +350,7 @@
 
     def _work(self) -> None:
         while not self.is_closed:
-            step = self._inbox.get()
+            step = self._next_step()
             if self.is_closed:
                 break
             self._call(step)
@@ -334,6 +359,12 @@
             self._call(self._options.on_close, self)
         self.done.send(None)
 
+    def _next_step(self) -> Callable[[], None] | None:
+        while not self._inbox:
+            self._is_idle = True
+            eventlet.hubs.get_hub().switch()
+        return self._inbox.popleft()
+
     def _take(self, now_ms: float, data: bytes) -> None:
         if len(data) > MAX_FRAME_BYTES:
             self.fail(CLOSED_OVERSIZED)
