Carry peer streams over TCP unless told otherwise

Cause: gRPC's idle streams alone take 61 ms a second at the target's 27 streams, of 19 allowed for all control. Ruled out: longer heartbeats alone (0.4 ms a second remain for each stream without any), grpc.aio (1.2 to 1.6 ms for the dialling side).

--- a/packages/lagoonsail-config/src/lagoonsail_config/settings.py
+++ b/packages/lagoonsail-config/src/lagoonsail_config/settings.py
@@ -90,7 +90,7 @@
         choice_key(
             "transport",
             {word: word for word in (TRANSPORT_GRPC, TRANSPORT_TCP)},
-            TRANSPORT_GRPC,
+            TRANSPORT_TCP,
             "peers_transport",
         ),
     ),
