--- a/packages/lagoonsail-lab/src/lagoonsail_lab/demo.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/demo.py
@@ -22,6 +22,7 @@
     make_prompt,
 )
 from lagoonsail_lab.checker import Outage, check_all, last_new_work_ms
+from lagoonsail_lab.control_traffic import watch_cost
 from lagoonsail_lab.deployments import (
     SHARED_ACCOUNT,
     SHARED_SERVICE,
@@ -61,6 +62,8 @@
 """Time after which a domain that was taken out gets no new work, milliseconds."""
 COMMAND_MS = 10000.0
 """Time for one operator's command, milliseconds."""
+TRAFFIC_WINDOW_S = 3.0
+"""How long control traffic is watched, seconds."""
 SHOWN_FAULTS = 10
 """Faults of each kind that are printed."""
 
@@ -290,7 +293,7 @@
 def print_measures(
     fleet: Fleet, records: list[CallRecord], outage: Outage, duration_s: float
 ) -> None:
-    """Print the measures in short: throughput, waiting, sharing, draining.
+    """Print throughput and latencies, and the brief's four measures in short.
 
     Args:
         fleet: The fleet.
@@ -311,17 +314,68 @@
         f"p99 {percentile(streams, 99):.0f} ms; calls that run once "
         f"p50 {percentile(plain, 50):.0f} ms, p99 {percentile(plain, 99):.0f} ms"
     )
-    spreads = [
-        f"{service.qualified()} {spread_of_shares(service, records):.2f}"
+    engines = [
+        service
         for deployment in fleet.deployments
         for service in deployment.services
         if service.kind == "engine"
     ]
-    print(f"sharing     largest cost by share over smallest: {', '.join(spreads)}")
+    spreads = [
+        f"{service.qualified()} {spread_of_shares(service, records):.2f}"
+        for service in engines
+    ]
+    busy = [
+        f"{service.qualified()} {100.0 * busy_part(fleet, service, duration_s):.0f}%"
+        for service in engines
+    ]
+    traffic = watch_cost(fleet, TRAFFIC_WINDOW_S)
+    failed = sum(not is_answered_while(record, outage) for record in records)
     last_ms = last_new_work_ms(fleet.records(), outage)
+    print("measures")
+    print(f"  fairness     largest cost by share over smallest: {', '.join(spreads)}")
+    print(f"  utilisation  busy slots over the run: {', '.join(busy)}")
     print(
-        f"draining    last new work {max(last_ms, 0.0):.0f} ms after the order was out"
+        f"  control      {traffic.kb_s:.1f} KB/s, {traffic.messages_s:.0f} messages/s "
+        f"and {traffic.core_percent:.1f}% of a core for a router, after the calls"
     )
+    print(
+        f"  domain       {failed} calls failed while it was out; last new work "
+        f"{max(last_ms, 0.0):.0f} ms after the order was out"
+    )
+
+
+def busy_part(fleet: Fleet, service: ServiceShape, duration_s: float) -> float:
+    """Return the part of all slots of a service that was busy over a run.
+
+    The slots that cold servers cannot use yet, and those of a domain that is out, count
+    as idle here; `lagoonsail_lab.measure` leaves them out.
+
+    Args:
+        fleet: The fleet.
+        service: The service.
+        duration_s: Length of the run, seconds.
+
+    Returns:
+        Between 0 and 1.
+    """
+    records = fleet.records()
+    busy_ms = sum(
+        run["ended_wall_ms"] - run["started_wall_ms"]
+        for backend in fleet.backends.values()
+        if backend.service is service
+        for run in records[backend.qualified()]["runs"]
+        if run["ended_wall_ms"]
+    )
+    slots = service.slots * len(service.servers)
+    return min(1.0, busy_ms / (slots * duration_s * 1000.0))
+
+
+def is_answered_while(record: CallRecord, outage: Outage) -> bool:
+    """Return whether a call was answered whole, or did not overlap an outage."""
+    begun_ms = record.attempts[0].started_wall_ms
+    if begun_ms > outage.until_wall_ms:
+        return True
+    return record.is_whole or record.last.ended_wall_ms < outage.from_wall_ms
 
 
 def print_verdict(records: list[CallRecord], faults: list[Fault]) -> bool:
