--- a/packages/lagoonsail-peer/src/lagoonsail_peer/_tcp.py
+++ b/packages/lagoonsail-peer/src/lagoonsail_peer/_tcp.py
@@ -283,9 +283,9 @@
         while True:
             try:
                 connection, _ = listening.accept()
-            except OSError as error:
+            except OSError:
                 # Too many open files, for example: others may be closed soon.
-                _log.warning("cannot accept a connection: {}", error)
+                intake.count("accept_errors")
                 eventlet.sleep(0.1)
                 continue
             if len(tasks) >= MAX_CALLS:
@@ -329,13 +329,16 @@
     accepted: set[str],
 ) -> None:
     """Take one connection until it ends; runs in its green thread."""
-    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     try:
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         with eventlet.Timeout(options.silence_ms / 1000.0):
             router, incarnation = _handshake.check(connection, intake, accepted)
     except _handshake.HandshakeError as error:
         intake.count(f"refused_{error.reason}")
         return
+    except OSError:
+        intake.count(f"refused_{_handshake.REFUSED_ENDED}")
+        return
     except eventlet.Timeout:
         intake.count(f"refused_{_handshake.REFUSED_SILENT}")
         return
