--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -10,7 +10,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 """Root of the repository."""
 
-WORKERS = "4"
+WORKERS = "6"
 """Test processes at once; each starts several processes of its own."""
 
 
@@ -27,7 +27,17 @@
     Returns:
         0 if only known checks fail.
     """
-    command = [sys.executable, "-m", "pytest", "-n", WORKERS, "-rfE", *sys.argv[1:]]
+    command = [
+        sys.executable,
+        "-m",
+        "pytest",
+        "-n",
+        WORKERS,
+        "--dist",
+        "worksteal",
+        "-rfE",
+        *sys.argv[1:],
+    ]
     run = subprocess.run(command, cwd=ROOT, stdout=subprocess.PIPE, text=True)
     print(run.stdout)
     known = read_known_red()
