Measure the way through two routers against a direct call

Change: lagoonsail_lab.path_cost, both ways to the same stand-ins in one run. A first version measured a cold limit: the owner takes direct calls for load that contradicts its own count, and sets the limit back, which is right; the limit is warmed again before each routed round.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 DURATION_S ?= 60
 
-.PHONY: install format lint test ci demo prove measure
+.PHONY: install format lint test demo prove measure path-cost
 
 install: $(VENV)/.installed
 
@@ -34,3 +34,6 @@
 
 measure: install
 	$(PYTHON) -m lagoonsail_lab.measure
+
+path-cost: install
+	$(PYTHON) -m lagoonsail_lab.path_cost
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/control_traffic.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/control_traffic.py
@@ -121,7 +121,8 @@
     return Deployment(side, region, domains, [service], routers)
 
 
-def _processor_s(pid: int) -> float:
+def processor_s(pid: int) -> float:
+    """Return the processor time that a process has used, seconds."""
     fields_after_name = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
     ticks = int(fields_after_name[11]) + int(fields_after_name[12])
     return ticks / os.sysconf("SC_CLK_TCK")
@@ -144,7 +145,7 @@
 def _take_sample(fleet: Fleet, http: urllib3.PoolManager) -> _Sample:
     pids = [router.process.pid for router in fleet.routers.values()]
     # Processor time first, since the reading of counters costs some.
-    time_ms, processor_s = Clock().now_ms(), [_processor_s(pid) for pid in pids]
+    time_ms, processor_s = Clock().now_ms(), [processor_s(pid) for pid in pids]
     counters = [_read_counters(http, r.admin) for r in fleet.routers.values()]
     record = fleet.fetch("GET", fleet.store, "/_record")
     return _Sample(
--- /dev/null
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/path_cost.py
@@ -0,0 +1,244 @@
+"""Measure what the way through two routers costs against a direct call.
+
+    python -m lagoonsail_lab.path_cost [--rounds N]
+
+The entry router is not the owner of the shards, so that each call needs a slot from
+another process. Both ways go to the same stand-ins in one run, in turns.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+from dataclasses import asdict, dataclass
+
+import defopt
+
+from lagoonsail_core.clock import Clock
+from lagoonsail_core.green import eventlet, urllib3
+from lagoonsail_lab.control_traffic import processor_s
+from lagoonsail_lab.demo import percentile
+from lagoonsail_lab.deployments import (
+    Deployment,
+    ServerShape,
+    ServiceShape,
+    account_key,
+)
+from lagoonsail_lab.fleet import Fleet
+
+SIDE, REGION, ACCOUNT = "cordero", "sierra-central", "prensa"
+"""Names of the only deployment."""
+PLAIN, ENGINE = "registro", "asistente"
+"""Names of its services."""
+STREAMS = 32
+"""Streams at once."""
+TOKENS = 100
+"""Tokens of each stream."""
+TOKEN_MS = 20.0
+"""Time of one token at the engine."""
+WARM_TOKENS = 3
+"""Tokens of a stream that only serves to warm the engine's limit."""
+REPORT_S = 3.5
+"""Time after which no load report tells of direct calls any more, seconds."""
+WARM_MS = 60_000.0
+"""How long the limits may take to become full, milliseconds."""
+
+
+@dataclass(slots=True)
+class Way:
+    """What one way to the same stand-ins took."""
+
+    plain_p50_ms: float
+    """Median latency of a plain call."""
+    plain_p99_ms: float
+    """99th centile of it."""
+    first_p50_ms: float
+    """Median time to the first token."""
+    token_gap_p95_ms: float
+    """95th centile of the time between two tokens at the caller."""
+
+
+@dataclass(slots=True)
+class Cost:
+    """Processor time of the routers, in microseconds."""
+
+    entry_us_per_call: float
+    """Entry router, for one plain call."""
+    owner_us_per_call: float
+    """Owner, for one plain call."""
+    entry_us_per_chunk: float
+    """Entry router, for one chunk of a stream, all of the stream's cost in it."""
+    owner_us_per_chunk: float
+    """Owner, likewise."""
+
+
+def make_deployment() -> Deployment:
+    """Return two routers before one plain server and one engine, both warm."""
+
+    def make(name: str, kind: str, slots: int, **options: float) -> ServiceShape:
+        shapes = [ServerShape(f"{name}-1", "banos")]
+        service = ServiceShape(SIDE, name, kind, REGION, shapes, {ACCOUNT: 1.0}, slots)
+        service.options.update(warm_after=0, **options)
+        return service
+
+    services = [
+        make(PLAIN, "plain", 4, work_ms=1.0),
+        make(ENGINE, "engine", STREAMS, token_ms=TOKEN_MS, first_ms=5.0),
+    ]
+    return Deployment(SIDE, REGION, ["banos"], services, 2)
+
+
+class Client:
+    """Calls one address, over connections that it keeps."""
+
+    __slots__ = ("_clock", "_http", "_prefixes")
+
+    def __init__(self, prefixes: dict[str, str]) -> None:
+        self._clock = Clock()
+        self._http = urllib3.PoolManager(maxsize=STREAMS, retries=False, timeout=60.0)
+        self._prefixes = prefixes
+
+    def _headers(self, service: str) -> dict[str, str]:
+        key = account_key(SIDE, service, ACCOUNT)
+        return {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
+
+    def plain_ms(self) -> float:
+        """Return the latency of a plain call."""
+        begun_ms = self._clock.now_ms()
+        url = f"{self._prefixes[PLAIN]}/search"
+        answer = self._http.request("GET", url, headers=self._headers(PLAIN))
+        assert answer.status == 200, answer.data
+        return self._clock.now_ms() - begun_ms
+
+    def stream_ms(self, tokens: int = TOKENS) -> tuple[float, list[float]]:
+        """Return the time to the first token of a stream, and those between tokens."""
+        body = json.dumps({"prompt": f"#tokens={tokens}", "stream": True})
+        begun_ms = self._clock.now_ms()
+        answer = self._http.request(
+            "POST",
+            f"{self._prefixes[ENGINE]}/v1/completions",
+            body=body,
+            headers=self._headers(ENGINE),
+            preload_content=False,
+        )
+        assert answer.status == 200, answer.data
+        times_ms = [self._clock.now_ms() for _ in answer.read_chunked()]
+        answer.release_conn()
+        gaps = [b - a for a, b in zip(times_ms, times_ms[1:], strict=False)]
+        return times_ms[0] - begun_ms, gaps
+
+
+def measure_way(client: Client, calls: int) -> Way:
+    """Return what calls and streams through a client took."""
+    plain = [client.plain_ms() for _ in range(calls)]
+    threads = [eventlet.spawn(client.stream_ms) for _ in range(STREAMS)]
+    streams = [thread.wait() for thread in threads]
+    gaps = [gap for _, all_gaps in streams for gap in all_gaps]
+    return Way(
+        percentile(plain, 50),
+        percentile(plain, 99),
+        percentile([first for first, _ in streams], 50),
+        percentile(gaps, 95),
+    )
+
+
+def measure_cost(client: Client, pids: list[int], calls: int) -> Cost:
+    """Return the processor time of entry router and owner, for calls, then chunks."""
+
+    def spend(work) -> list[float]:
+        before_s = [processor_s(pid) for pid in pids]
+        work()
+        after_s = [processor_s(pid) for pid in pids]
+        used_s = zip(before_s, after_s, strict=True)
+        return [1e6 * (after - before) for before, after in used_s]
+
+    def stream_all() -> None:
+        threads = [eventlet.spawn(client.stream_ms) for _ in range(STREAMS)]
+        for thread in threads:
+            thread.wait()
+
+    by_call = spend(lambda: [client.plain_ms() for _ in range(calls)])
+    by_chunk = spend(stream_all)
+    chunks = STREAMS * TOKENS
+    return Cost(
+        by_call[0] / calls,
+        by_call[1] / calls,
+        by_chunk[0] / chunks,
+        by_chunk[1] / chunks,
+    )
+
+
+def warm_up(fleet: Fleet, owner: str, client: Client) -> None:
+    """Call until the owner gives out all slots of both servers."""
+    clock = Clock()
+    until_ms = clock.now_ms() + WARM_MS
+    while clock.now_ms() < until_ms:
+        tasks = [eventlet.spawn(client.stream_ms, WARM_TOKENS) for _ in range(STREAMS)]
+        tasks += [eventlet.spawn(client.plain_ms) for _ in range(STREAMS)]
+        for task in tasks:
+            task.wait()
+        shards = fleet.status(owner)["shards"].values()
+        if all(s["warm"] for shard in shards for s in shard["servers"].values()):
+            return
+    raise SystemExit("the limits did not become full; run it on a less busy machine")
+
+
+def find_owner(fleet: Fleet) -> str:
+    """Return the router that owns both shards."""
+    clock = Clock()
+    until_ms = clock.now_ms() + 10000.0
+    while clock.now_ms() < until_ms:
+        for name in fleet.routers:
+            status = fleet.status(name)
+            if status and len(status["shards"]) == 2:
+                return name
+        eventlet.sleep(0.1)
+    raise SystemExit("no router owns both shards; run it again")
+
+
+def main(*, calls: int = 300, rounds: int = 2) -> int:
+    """Measure both ways in turns and print the figures as JSON.
+
+    Args:
+        calls: Plain calls in one round.
+        rounds: Rounds of each way.
+
+    Returns:
+        0.
+    """
+    with Fleet([make_deployment()]) as fleet:
+        owner = find_owner(fleet)
+        entry = next(name for name in fleet.routers if name != owner)
+        address = fleet.routers[entry].callers
+        routed = Client({s: f"http://{address}/{SIDE}/{s}" for s in (PLAIN, ENGINE)})
+        addresses = {
+            s: fleet.backends[f"{SIDE}/{s}-1"].address for s in (PLAIN, ENGINE)
+        }
+        direct = Client({s: f"http://{addresses[s]}" for s in (PLAIN, ENGINE)})
+        ways = {"direct": [], "routed": []}
+        for _ in range(rounds):
+            ways["direct"].append(measure_way(direct, calls))
+            # The owner sees load that it did not grant, and sets the limit back.
+            eventlet.sleep(REPORT_S)
+            warm_up(fleet, owner, routed)
+            ways["routed"].append(measure_way(routed, calls))
+        pids = [fleet.routers[name].process.pid for name in (entry, owner)]
+        cost = measure_cost(routed, pids, calls)
+    last_direct, last_routed = ways["direct"][-1], ways["routed"][-1]
+    ratios = {
+        name: round(getattr(last_routed, name) / getattr(last_direct, name), 2)
+        for name in Way.__slots__
+    }
+    result = {
+        "load_average": os.getloadavg()[0],
+        **{name: [asdict(way) for way in found] for name, found in ways.items()},
+        "routed_to_direct": ratios,
+        "processor": asdict(cost),
+    }
+    print(json.dumps(result, indent=1))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(defopt.run(main))
