Give a shard's servers a module of their own, and free slots on silent servers

Change: shard_servers holds limits, reports, pauses and their events; a slot of a lost router is freed after the request timeout where the report cannot be read. Seen: router tests and the proofs of cold servers, killed owners, domains and pairs pass.

--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -10,12 +10,9 @@
 
 from lagoonsail_core.invariants import require
 from lagoonsail_core.messages import (
-    OUTCOME_BROKEN,
     OUTCOME_CANCELLED,
     OUTCOME_NOT_RUN,
-    OUTCOME_REFUSED,
     OUTCOME_UNREACHABLE,
-    OUTCOME_WHOLE,
     REFUSED_ACCOUNT,
     REFUSED_DUPLICATE,
     REFUSED_KEYS_UNAVAILABLE,
@@ -31,16 +28,16 @@
 from lagoonsail_router.engine_orders import EngineOrders
 from lagoonsail_router.key_log import KeyLog
 from lagoonsail_router.load_reports import REPORT_LAG_MS, read_cache_events, read_load
-from lagoonsail_router.right import FULL, GUARDED, LAPSED
+from lagoonsail_router.right import FULL, LAPSED
+from lagoonsail_router.shard_servers import ShardServers
 from lagoonsail_sharing.fair_queue import FairQueue, Waiting
-from lagoonsail_sharing.placement import Candidate, choose_server
+from lagoonsail_sharing.placement import choose_server
 from lagoonsail_sharing.prefix_index import PrefixIndex
-from lagoonsail_sharing.server_limit import ServerLimit
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lagoonsail_config.document import ServerEntry, ServiceDocument
+    from lagoonsail_config.document import ServiceDocument
     from lagoonsail_core.messages import (
         Inventory,
         SlotCancel,
@@ -51,18 +48,14 @@
     )
     from lagoonsail_router.context import RouterContext
     from lagoonsail_router.right import Right
+    from lagoonsail_router.shard_servers import Server
+    from lagoonsail_sharing.placement import Candidate
+    from lagoonsail_sharing.server_limit import LoadReport
     from lagoonsail_store.store_client import StoreClient
 
 INVENTORY_WAIT_MS = 300.0
 """How long a new owner waits for the inventories of entry routers; one that comes later
 is made up for by the load report, which counts what no inventory names."""
-UNREPORTED_HOLD_MS = 10_000.0
-"""How long a new owner leaves a server alone that does not report its load."""
-
-FIRST_PAUSE_MS = 250.0
-"""How long a server gets nothing after its first refusal."""
-LONGEST_PAUSE_MS = 4000.0
-"""Longest such pause; it doubles with each refusal in a row."""
 QUEUE_FACTOR = 16
 """Requests of one account that wait at the owner, in queue limits of one router."""
 
@@ -93,36 +86,6 @@
     """When the holder was lost, None while it is connected."""
 
 
-@dataclass(slots=True)
-class Server:
-    """A backend server as its owner sees it."""
-
-    entry: ServerEntry
-    """Its part of the service document."""
-    limit: ServerLimit
-    """How much it may run now."""
-    hold_until_ms: float
-    """No grant before this time; the server may run what this owner does not know."""
-    is_reported: bool = False
-    """Whether a load report has come in this epoch."""
-    unknown: int = 0
-    """Requests beyond the slots in use that it may still run."""
-    unknown_since_ms: float = 0.0
-    """When the last of these was added; only later reports can take them away."""
-    paused_until_ms: float = 0.0
-    """No grant before this time, since the server refused requests."""
-    refusals: int = 0
-    """Refusals in a row."""
-    setbacks: int = 0
-    """Setbacks of its limit that were recorded on the time line."""
-    was_warm: bool = False
-    """Whether it was warm at the last look."""
-    was_usable: bool = True
-    """Whether it was in service at the last look."""
-    cache_sequence: int = 0
-    """Sequence of the last cache event that was read."""
-
-
 class ShardOwner:
     """Queue, servers and slots of one shard, at its owner."""
 
@@ -134,9 +97,9 @@
         "_is_stopped",
         "_next_slot",
         "_prefixes",
-        "_region",
         "_right",
         "_sequence",
+        "_servers",
         "_sessions",
         "_digest_streams",
         "_waiting",
@@ -182,7 +145,6 @@
         self._right = right
         self._find_document = find_document
         self._digest_streams = digest_streams
-        self._region = shard.rsplit("@", 1)[1]
         self._sessions: dict[tuple[str, int], object] = {}
         self._digest_sent: dict[object, dict] = {}
         self._waiting: dict[tuple, Waiting] = {}
@@ -193,7 +155,8 @@
         self._inventory_until_ms = context.clock.now_ms() + INVENTORY_WAIT_MS
         self.shard = shard
         self.epoch = epoch
-        self.servers = {}
+        self._servers = ShardServers(context, shard, epoch)
+        self.servers = self._servers.by_name
         self.slots = {}
         self.keys = KeyLog(context, store, shard, epoch, right, successor_streams)
         self.is_releasing = False
@@ -214,12 +177,7 @@
             digest: The newest digest that this router received, merged.
         """
         self.queue.adopt(digest.service, digest.positions)
-        now_ms = self._context.clock.now_ms()
-        for name, known in digest.servers.items():
-            server = self.servers.get(name)
-            if server:
-                incarnation, limit = known
-                server.limit.restore(incarnation, limit, now_ms)
+        self._servers.restore(digest.servers)
 
     def update_document(self) -> None:
         """Take over changes of the service document."""
@@ -234,36 +192,9 @@
             self._refuse(waiting, REFUSED_ACCOUNT)
         total = sum(entry.slots for entry in document.servers.values())
         self.queue.set_limits(document.max_cost, total)
-        now_ms = self._context.clock.now_ms()
-        mine = {
-            entry.name: entry
-            for entry in document.servers.values()
-            if (entry.region or document.region) == self._region
-        }
-        for name in set(self.servers) - set(mine):
-            del self.servers[name]
-        for name, entry in mine.items():
-            self._update_server(name, entry, now_ms)
-            self._record_usable(self.servers[name], document.is_usable(entry))
+        self._servers.update(document)
         self.pump()
 
-    def _record_usable(self, server: Server, is_usable: bool) -> None:
-        if is_usable != server.was_usable:
-            event = "server_in" if is_usable else "server_out"
-            self._record_server(event, server)
-        server.was_usable = is_usable
-
-    def _update_server(self, name: str, entry: ServerEntry, now_ms: float) -> None:
-        server = self.servers.get(name)
-        if server and server.entry.address == entry.address:
-            server.entry = entry
-            server.limit.set_slots(entry.slots, entry.cold_slots)
-            return
-        is_plain = self._find_document().kind != "engine"
-        limit = ServerLimit(entry.slots, entry.cold_slots, now_ms, is_plain)
-        hold_until_ms = now_ms + UNREPORTED_HOLD_MS if self.epoch > 1 else now_ms
-        self.servers[name] = Server(entry, limit, hold_until_ms)
-
     # Dealings with entry routers.
 
     def take_inventory(self, stream, inventory: Inventory) -> None:
@@ -436,50 +367,9 @@
         server = self.servers.get(slot.server)
         if server is None:
             return
-        now_ms = self._context.clock.now_ms()
-        incarnation = done.server_incarnation if done else ""
-        first_ms = done.first_ms if done else 0.0
-        duration_ms = done.duration_ms if done else 0.0
-        server.limit.finish(
-            key, outcome, incarnation, first_ms, duration_ms, cost, now_ms
-        )
-        if outcome == OUTCOME_UNREACHABLE:
-            server.limit.on_refused(now_ms)
-        self._record_warmth(server)
-        if outcome in (OUTCOME_BROKEN, OUTCOME_CANCELLED) and not server.limit.is_warm:
-            # The server may notice late that nobody waits for the answer any more.
-            server.unknown += 1
-            server.unknown_since_ms = now_ms
-        self._back_off(server, outcome, now_ms)
-
-    def _record_warmth(self, server: Server) -> None:
-        limit = server.limit
-        setbacks = sum(limit.setbacks.values())
-        if setbacks > server.setbacks:
-            self._record_server("server_cold", server, reason=limit.last_setback)
-        elif limit.is_warm and not server.was_warm:
-            self._record_server("server_warm", server, limit=limit.limit)
-        server.setbacks = setbacks
-        server.was_warm = limit.is_warm
-
-    def _record_server(self, name: str, server: Server, **fields) -> None:
-        service = self.shard.rsplit("@", 1)[0]
-        self._context.timeline.record(
-            name,
-            server=f"{service}/{server.entry.name}",
-            failure_domain=f"{service.split('/')[0]}/{server.entry.failure_domain}",
-            **fields,
-        )
-
-    def _back_off(self, server: Server, outcome: str, now_ms: float) -> None:
-        if outcome == OUTCOME_WHOLE:
-            server.refusals = 0
-        if outcome not in (OUTCOME_UNREACHABLE, OUTCOME_REFUSED):
-            return
-        pause_ms = min(FIRST_PAUSE_MS * 2**server.refusals, LONGEST_PAUSE_MS)
-        server.refusals += 1
-        server.paused_until_ms = max(server.paused_until_ms, now_ms + pause_ms)
-        start_later(self._context, "pump", pause_ms, self.pump)
+        pause_ms = self._servers.finish(server, key, outcome, done)
+        if pause_ms:
+            start_later(self._context, "pump", pause_ms, self.pump)
 
     def _refuse(self, waiting: Waiting, reason: str) -> None:
         self._context.count("slot_refusals_total", reason)
@@ -530,27 +420,11 @@
         document = self._find_document()
         if document is None:
             return []
-        now_ms = self._context.clock.now_ms()
-        return [
-            Candidate(name, server.limit.limit, server.limit.running + server.unknown)
-            for name, server in self.servers.items()
-            if self._is_open(server, document, level, now_ms)
-        ]
-
-    def _is_open(self, server: Server, document, level: str, now_ms: float) -> bool:
-        if not document.is_usable(server.entry):
-            return False
-        if now_ms < server.hold_until_ms and not server.is_reported:
-            return False
-        if now_ms < server.paused_until_ms:
-            return False
-        if server.entry.address in self._right.leaving:
-            return False
-        if self.orders.is_closed(server.entry):
-            return False
-        if level == GUARDED and server.limit.limit <= server.limit.cold_slots:
-            return False
-        return server.limit.running + server.unknown < server.limit.limit
+        return list(
+            self._servers.candidates(
+                document, level, self._right.leaving, self.orders.is_closed
+            )
+        )
 
     def _grant(self, waiting: Waiting, server: Server) -> None:
         self._next_slot += 1
@@ -593,6 +467,20 @@
         for name in list(self.servers):
             start_task(self._context, "poll_server", self._poll_server, name)
 
+    def _free_overdue_orphans(self, server: Server) -> None:
+        """Free slots of lost routers on a server that reports nothing."""
+        document = self._find_document()
+        if document is None:
+            return
+        window_ms = self._context.settings.start_window_ms
+        age_ms = window_ms + document.request_timeout_ms
+        overdue_ms = self._context.clock.now_ms() - age_ms
+        for slot in list(self.slots.values()):
+            is_orphan = slot.orphaned_ms is not None
+            is_here = slot.server == server.entry.name
+            if is_orphan and is_here and slot.granted_ms < overdue_ms:
+                self._free(slot, OUTCOME_CANCELLED, 0.0, None)
+
     def _poll_server(self, name: str) -> None:
         server = self.servers[name]
         result = read_load(server.entry.address, self._context.clock)
@@ -601,6 +489,7 @@
         if isinstance(result, Unavailable):
             self._context.count("load_reports_failed_total")
             self.orders.on_unreachable(server.entry)
+            self._free_overdue_orphans(server)
             return
         self._take_report(name, server, result)
         document = self._find_document()
@@ -624,19 +513,12 @@
 
         self.orders.step(server.entry, document, may_order, on_load)
 
-    def _take_report(self, name: str, server: Server, report) -> None:
+    def _take_report(self, name: str, server: Server, report: LoadReport) -> None:
         now_ms = self._context.clock.now_ms()
-        server.limit.on_report(report, now_ms)
-        self._record_warmth(server)
         settled_ms = now_ms - REPORT_LAG_MS - self._context.settings.start_window_ms
         slots = [slot for slot in self.slots.values() if slot.server == name]
         old = sum(slot.granted_ms < settled_ms for slot in slots)
-        if not server.is_reported:
-            # What this new owner does not know of may be run for lost routers.
-            server.unknown = max(server.unknown, report.running - len(slots))
-        elif report.measured_ms >= server.unknown_since_ms:
-            server.unknown = max(0, min(server.unknown, report.running - old))
-        server.is_reported = True
+        self._servers.take_report(server, report, len(slots), old)
         orphans = [
             slot
             for slot in slots
@@ -661,10 +543,7 @@
         """Tell the next owners, and the service's other shards, what changed."""
         service = self.queue.service()
         positions = self.queue.positions()
-        servers = {
-            name: [server.limit.incarnation, server.limit.limit]
-            for name, server in self.servers.items()
-        }
+        servers = self._servers.states()
         self._sequence += 1
         for stream in self._digest_streams():
             sent = self._digest_sent.setdefault(stream, {"service": {}, "servers": {}})
@@ -694,10 +573,7 @@
         return {
             "epoch": self.epoch,
             "gap": self.queue.gap(),
-            "servers": {
-                name: self._describe_server(server, document)
-                for name, server in self.servers.items()
-            },
+            "servers": self._servers.describe(document),
             "accounts": {
                 name: {
                     "share": account.share,
@@ -708,15 +584,3 @@
                 for name, account in (document.accounts if document else {}).items()
             },
         }
-
-    def _describe_server(self, server: Server, document) -> dict:
-        usable = document is not None and document.is_usable(server.entry)
-        return {
-            "limit": server.limit.limit,
-            "running": server.limit.running,
-            "unknown": server.unknown,
-            "state": "in" if usable else "out",
-            "failure_domain": server.entry.failure_domain,
-            "warm": server.limit.is_warm,
-            "setback": server.limit.last_setback,
-        }
