Name what records a server's event as the check of the pages expects

Cause: the check that OPERATING.md names every event looks for _record_server, which the new module called record. Change: the name.

--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_servers.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_servers.py
@@ -102,7 +102,8 @@
             server = self.by_name[entry.name] = self._make(entry, document)
         is_usable = document.is_usable(entry)
         if is_usable != server.was_usable:
-            self.record("server_in" if is_usable else "server_out", server)
+            event = "server_in" if is_usable else "server_out"
+            self._record_server(event, server)
         server.was_usable = is_usable
 
     def _make(self, entry: ServerEntry, document: ServiceDocument) -> Server:
@@ -188,7 +189,7 @@
         )
         if outcome == OUTCOME_UNREACHABLE:
             server.limit.on_refused(now_ms)
-        self.record_warmth(server)
+        self._record_warmth(server)
         if outcome in (OUTCOME_BROKEN, OUTCOME_CANCELLED) and not server.limit.is_warm:
             # The server may notice late that nobody waits for the answer any more.
             server.unknown += 1
@@ -207,7 +208,7 @@
             settled: Slots that were granted so long ago that the report counts them.
         """
         server.limit.on_report(report, self._context.clock.now_ms())
-        self.record_warmth(server)
+        self._record_warmth(server)
         if not server.is_reported:
             # What this new owner does not know of may be run for lost routers.
             server.unknown = max(server.unknown, report.running - running)
@@ -215,22 +216,20 @@
             server.unknown = max(0, min(server.unknown, report.running - settled))
         server.is_reported = True
 
-    def record_warmth(self, server: Server) -> None:
-        """Record on the time line if a server turned cold or warm."""
+    def _record_warmth(self, server: Server) -> None:
         limit = server.limit
         setbacks = sum(limit.setbacks.values())
         if setbacks > server.setbacks:
-            self.record("server_cold", server, reason=limit.last_setback)
+            self._record_server("server_cold", server, reason=limit.last_setback)
         elif limit.is_warm and not server.was_warm:
-            self.record("server_warm", server, limit=limit.limit)
+            self._record_server("server_warm", server, limit=limit.limit)
         server.setbacks = setbacks
         server.was_warm = limit.is_warm
 
-    def record(self, event: str, server: Server, **fields: str | int) -> None:
-        """Record an event of a server on the time line."""
+    def _record_server(self, name: str, server: Server, **fields: str | int) -> None:
         service = self._shard.rsplit("@", 1)[0]
         self._context.timeline.record(
-            event,
+            name,
             server=f"{service}/{server.entry.name}",
             failure_domain=f"{service.split('/')[0]}/{server.entry.failure_domain}",
             **fields,
