Read the processor time of a fleet again

Cause: a clean-up renamed a function to the name of a local variable, so that the demo and the measure of control traffic failed; no test ran that function. Ruled out: the fleet.

--- a/packages/lagoonsail-lab/src/lagoonsail_lab/control_traffic.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/control_traffic.py
@@ -145,12 +145,12 @@
 def _take_sample(fleet: Fleet, http: urllib3.PoolManager) -> _Sample:
     pids = [router.process.pid for router in fleet.routers.values()]
     # Processor time first, since the reading of counters costs some.
-    time_ms, processor_s = Clock().now_ms(), [processor_s(pid) for pid in pids]
+    time_ms, spent_s = Clock().now_ms(), [processor_s(pid) for pid in pids]
     counters = [_read_counters(http, r.admin) for r in fleet.routers.values()]
     record = fleet.fetch("GET", fleet.store, "/_record")
     return _Sample(
         time_ms,
-        processor_s,
+        spent_s,
         _sum_of(counters, "peer_total", "bytes_sent", "bytes_received")
         + _sum_of(counters, "platform_total", "bytes_in", "bytes_out"),
         _sum_of(counters, "platform_total", "hosts_bytes_in"),
