Take a shard's name apart in one place, and drop what nothing uses

Cause: the service of a shard was cut from its name in eight places; check_name, one constant and the time at which the service was last reached were used by nothing. Ruled out: a change of behaviour. Change: service_of and region_of in names; the dead code is gone.

--- a/packages/lagoonsail-core/src/lagoonsail_core/names.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/names.py
@@ -4,36 +4,10 @@
 
 import re
 
-from lagoonsail_core.errors import LagoonsailError
-
 NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
 """What an unqualified name may look like."""
 
 
-class NameFormatError(LagoonsailError):
-    """A name that is not of the accepted form."""
-
-
-def check_name(name: str) -> str:
-    """Return the name if it is well formed.
-
-    Args:
-        name: An unqualified name.
-
-    Returns:
-        The same name.
-
-    Raises:
-        NameFormatError: If the name is malformed.
-    """
-    if NAME_PATTERN.fullmatch(name):
-        return name
-    raise NameFormatError(
-        f"malformed name {name[:80]!r}",
-        "use 1 to 63 of a-z, 0-9 and hyphen, beginning with a letter or digit",
-    )
-
-
 def qualify(side: str, name: str) -> str:
     """Return the fleet-wide name of something that one side named.
 
@@ -49,3 +23,23 @@
         'cordero/registro'
     """
     return f"{side}/{name}"
+
+
+def service_of(shard: str) -> str:
+    """Return the qualified service of a shard.
+
+    Example:
+        >>> service_of("cordero/registro@sierra-central")
+        'cordero/registro'
+    """
+    return shard.rsplit("@", 1)[0]
+
+
+def region_of(shard: str) -> str:
+    """Return the region of a shard.
+
+    Example:
+        >>> region_of("cordero/registro@sierra-central")
+        'sierra-central'
+    """
+    return shard.rsplit("@", 1)[1]
--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -21,6 +21,7 @@
     SlotRequest,
     SlotStart,
 )
+from lagoonsail_core.names import service_of
 from lagoonsail_router.admin import Admin, unready_reason
 from lagoonsail_router.configuration import DOCUMENTS, Configuration
 from lagoonsail_router.context import (
@@ -46,7 +47,6 @@
 from lagoonsail_store.store_client import StoreClient
 
 if TYPE_CHECKING:
-    from collections import Counter
     from collections.abc import Iterable
 
     from lagoonsail_config.settings import RouterSettings
@@ -220,7 +220,7 @@
     # Owner's side of the messages.
 
     def _make_owner(self, shard: str, epoch: int) -> ShardOwner:
-        service = shard.rsplit("@", 1)[0]
+        service = service_of(shard)
         owner = ShardOwner(
             self.context,
             self.right,
@@ -245,7 +245,7 @@
 
     def _digest_streams(self, shard: str) -> list:
         """Return the streams to the next owners and to the other shards' owners."""
-        document = self.configuration.documents.get(shard.rsplit("@", 1)[0])
+        document = self.configuration.documents.get(service_of(shard))
         siblings = document.shards() if document else []
         owners = {self.configuration.owner_of(other) for other in siblings}
         owners -= {"", self.context.settings.name}
@@ -258,9 +258,9 @@
 
     def _on_digest(self, digest: ServiceDigest) -> None:
         """Count what another shard of a service served, in the shards owned here."""
-        service = digest.shard.rsplit("@", 1)[0]
+        service = service_of(digest.shard)
         for shard, owner in self.ownership.owned.items():
-            if shard != digest.shard and shard.rsplit("@", 1)[0] == service:
+            if shard != digest.shard and service_of(shard) == service:
                 owner.queue.add_remote(digest.shard, digest.service)
 
     def _take_inventory(self, stream, inventory: Inventory) -> None:
@@ -303,7 +303,7 @@
             return
         service = key.removeprefix(DOCUMENTS)
         for shard, owner in self.ownership.owned.items():
-            if shard.rsplit("@", 1)[0] == service:
+            if service_of(shard) == service:
                 owner.update_document()
 
     # Health.
--- a/packages/lagoonsail-router/src/lagoonsail_router/engine_orders.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/engine_orders.py
@@ -15,13 +15,14 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.green import urllib3
+from lagoonsail_core.names import service_of
 from lagoonsail_core.unavailable import Unavailable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from lagoonsail_config.document import ServerEntry, ServiceDocument
-    from lagoonsail_router.context import RouterContext
+from lagoonsail_router.context import RouterContext
 
 ORDERS_PATH = "/orders"
 """Path at an engine for its state and its orders."""
@@ -304,7 +305,7 @@
         if order["order"] == "load" and result in (TAKEN, FAILED):
             on_load()
         self._context.count("engine_orders_total", result)
-        service = self._shard.rsplit("@", 1)[0]
+        service = service_of(self._shard)
         self._context.timeline.record(
             "engine_order",
             server=f"{service}/{server.name}",
--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_servers.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_servers.py
@@ -12,6 +12,7 @@
     OUTCOME_UNREACHABLE,
     OUTCOME_WHOLE,
 )
+from lagoonsail_core.names import region_of, service_of
 from lagoonsail_router.right import GUARDED
 from lagoonsail_sharing.placement import Candidate
 from lagoonsail_sharing.server_limit import ServerLimit
@@ -82,7 +83,7 @@
         Args:
             document: The document of the service.
         """
-        region = self._shard.rsplit("@", 1)[1]
+        region = region_of(self._shard)
         mine = {
             entry.name: entry
             for entry in document.servers.values()
@@ -227,7 +228,7 @@
         server.was_warm = limit.is_warm
 
     def _record_server(self, name: str, server: Server, **fields: str | int) -> None:
-        service = self._shard.rsplit("@", 1)[0]
+        service = service_of(self._shard)
         self._context.timeline.record(
             name,
             server=f"{service}/{server.entry.name}",
--- a/packages/lagoonsail-router/src/lagoonsail_router/store_sync.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/store_sync.py
@@ -24,14 +24,11 @@
         "_context",
         "_store",
         "is_up",
-        "reached_ms",
         "revision",
     )
 
     is_up: bool
     """Whether the last call of this task succeeded."""
-    reached_ms: float
-    """Monotonic time at which the service last answered this task."""
     revision: int
     """Every change up to this revision has been taken in, in order."""
 
@@ -42,7 +39,6 @@
         self._store = store
         self._configuration = configuration
         self.is_up = False
-        self.reached_ms = float("-inf")
         self.revision = 0
 
     def list_once(self) -> bool:
@@ -85,8 +81,6 @@
             self.revision = max(self.revision, batch.revision)
 
     def _set_up(self, is_up: bool) -> None:
-        if is_up:
-            self.reached_ms = self._context.clock.now_ms()
         if is_up == self.is_up:
             return
         self.is_up = is_up
--- a/packages/lagoonsail-router/src/lagoonsail_router/ticket_desk.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/ticket_desk.py
@@ -31,8 +31,6 @@
 """Time after which an unanswered inventory is sent again."""
 FORGET_ATTACHMENT_MS = 600_000.0
 """Idle time after which a shard's owner is no longer followed."""
-REFUSED_BY_START_WINDOW = "grant_too_old"
-"""Label of grants that arrived after their start window."""
 
 
 @dataclass(slots=True)
