Give no shard away for balance to a router that is not connected

The time line of a run that failed shows shard_lost at the owner 18 ms after the kill of the other router: with three shards and two routers the owner gives one away 5 s after its start, here to the router that had just been killed. Until that one's lease ended nobody owned the shard (the KeyError), and the old owner took it back as a cold one (warm False, no setback, seen as well). Ruled out: an owner that ended (its time line goes on), a lapsed lease (level full throughout), a setback of the server (none is recorded). Change: the owner gives a shard for balance to members only to which a stream is open. The test's fleet has one shard, which is never given away, so that the owner that it looks at stays the same; its checks are as they were. Conclusion: an owner can still give a shard to a router that dies a moment later; it is then claimed after the lease, as after any loss of an owner.

--- a/packages/lagoonsail-lab/tests/test_warm_server.py
+++ b/packages/lagoonsail-lab/tests/test_warm_server.py
@@ -20,6 +20,8 @@
 @pytest.fixture(scope="module")
 def fleet():
     deployment = make_cordero(2, 1, 1)
+    # A single shard is never given away for balance, so its owner stays the same.
+    deployment.services = [deployment.find("asistente")]
     deployment.find("asistente").options.update(warm_after=2)
     with Fleet([deployment]) as fleet:
         yield fleet
--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -181,6 +181,7 @@
             self._store,
             self._make_owner,
             lambda: self._sync.revision,
+            self.peers.is_connected,
         )
         self.right = Right(
             context,
--- a/packages/lagoonsail-router/src/lagoonsail_router/ownership.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/ownership.py
@@ -46,6 +46,7 @@
         "_claiming",
         "_configuration",
         "_context",
+        "_is_connected",
         "_lapsed_since",
         "_looked_ms",
         "_make_owner",
@@ -67,8 +68,10 @@
         store: StoreClient,
         make_owner: Callable[[str, int], ShardOwner],
         synced_revision: Callable[[], int],
+        is_connected: Callable[[str], bool],
     ) -> None:
         self._context = context
+        self._is_connected = is_connected
         self._configuration = configuration
         self._store = store
         self._make_owner = make_owner
@@ -292,7 +295,10 @@
             return
         for shard in sorted(self.owned):
             desired = self.desired_owner(shard)
-            if desired != name and loads[desired] < allowed:
+            if desired == name or not self._is_connected(desired):
+                # A member that was lost is a member until its lease ends.
+                continue
+            if loads[desired] < allowed:
                 self._rebalanced_ms = now_ms
                 self._start_release(shard)
                 return
--- a/packages/lagoonsail-router/src/lagoonsail_router/peers.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/peers.py
@@ -128,6 +128,17 @@
         self._dial(router)
         return None
 
+    def is_connected(self, router: str) -> bool:
+        """Return whether a stream to a router is open.
+
+        Args:
+            router: Name of the other router.
+
+        Returns:
+            Whether it is; a silent stream counts until it is closed.
+        """
+        return bool(self.streams.get(router))
+
     def has_streams(self) -> bool:
         """Return whether any other router is connected."""
         return any(self.streams.values())
