Give the schema of service documents and their changes modules of their own

Cause: lagoonsail_config.document had 657 lines: the allowed keys, the data, the checks, the edits of text and the description of changes. Change: document_schema holds sections and keys, document_changes the edits and the description, call_path the normal form of a path; document keeps the data, the checks that compare values, and parse_document. Importers name the new modules. No logic changed. Before: one module of 657 lines. After: 348 lines and three of 165, 158 and 29. Checked by the tests of config, ctl and core, and the examples in docs.

--- a/packages/lagoonsail-config/src/lagoonsail_config/document.py
+++ b/packages/lagoonsail-config/src/lagoonsail_config/document.py
@@ -3,159 +3,31 @@
 from __future__ import annotations
 
 import hashlib
-import re
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
-from urllib.parse import unquote
-
-from lagoonsail_config.checked_ini import (
-    REQUIRED,
-    IniError,
-    Key,
-    Problem,
-    Section,
-    address_key,
-    choice_key,
-    decimal_key,
-    key_of_line,
-    name_key,
-    number_key,
-    pattern_key,
-    read_sections,
-    read_values,
-    section_of_line,
-    split_lines,
+
+from lagoonsail_config.call_path import normalise_path
+from lagoonsail_config.checked_ini import Problem, read_sections, read_values
+from lagoonsail_config.document_schema import (
+    ALLOWED_SECTIONS,
+    COMPLETIONS_PATH,
+    DEFAULT_FILE,
+    KIND_ENGINE,
+    KIND_PLAIN,
+    MAX_DOCUMENT_BYTES,
+    NONE,
+    REPEATABLE_METHODS,
+    SECTION_KEYS,
+    STATE_IN,
+    DocumentError,
+    split_section,
 )
-from lagoonsail_core.names import NAME_PATTERN, qualify
+from lagoonsail_core.names import qualify
 from lagoonsail_core.unavailable import Unavailable
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-MAX_DOCUMENT_BYTES = 1_000_000
-"""Largest document; the key-value service holds values up to a megabyte."""
-
-STATE_IN = "in"
-"""The server or failure domain gets new work."""
-STATE_OUT = "out"
-"""The server or failure domain gets no new work."""
-
-KIND_ENGINE = "engine"
-"""A service of model engines; cost is counted in tokens."""
-KIND_PLAIN = "plain"
-"""A service that is not a model engine; cost is counted in milliseconds."""
-
-REPEATABLE_METHODS = frozenset({"GET", "HEAD", "PUT", "DELETE", "OPTIONS"})
-"""Methods whose calls may be repeated unless the document says otherwise."""
-
-COMPLETIONS_PATH = "/v1/completions"
-"""Path of an engine whose POST may be repeated unless the document says otherwise."""
-
-SHOWN_HASH_DIGITS = 16
-"""Digits of a key's hash that a description of changes shows."""
-
-DEFAULT_FILE = "document"
-"""What problems call a document without a file."""
-
-NONE = "none"
-"""Word for a server without a model or a role, and a model without adapters."""
-
-ROLES = ("mixed", "prefill", "decode")
-"""What a model engine may be told to do: all of a request, or one phase of it."""
-
-_HASH = re.compile("[0-9a-f]{64}")
-_METHODS = ("GET", "HEAD", "PUT", "DELETE", "OPTIONS", "POST", "PATCH")
-_YES_NO = {"yes": True, "no": False}
-_STATES = {STATE_IN: STATE_IN, STATE_OUT: STATE_OUT}
-_MAX_TIMEOUT_MS = 3_600_000
-
-SERVICE_KEYS = (
-    name_key("side"),
-    name_key("name"),
-    choice_key("kind", {KIND_ENGINE: KIND_ENGINE, KIND_PLAIN: KIND_PLAIN}),
-    name_key("region"),
-    number_key("queue_limit", 1, 100_000, "requests for each account", "64"),
-    number_key("queue_timeout_ms", 1, _MAX_TIMEOUT_MS, "ms", "30000"),
-    number_key("request_timeout_ms", 1, _MAX_TIMEOUT_MS, "ms", "120000"),
-    number_key("max_body_bytes", 0, 100_000_000, "bytes", "1000000"),
-    number_key("max_cost", 1, 100_000_000, "tokens (engine) or ms (plain)", "4096"),
-    number_key("retry_budget_percent", 0, 100, "% of the calls", "10"),
-)
-"""Keys of [service]."""
-
-
-def _read_model(text: str) -> str:
-    if not NAME_PATTERN.fullmatch(text):
-        raise ValueError(text)
-    return "" if text == NONE else text
-
-
-def _read_adapters(text: str) -> frozenset[str]:
-    if text == NONE:
-        return frozenset()
-    names = [part.strip() for part in text.split(",")]
-    if not all(NAME_PATTERN.fullmatch(name) and name != NONE for name in names):
-        raise ValueError(text)
-    if len(set(names)) < len(names):
-        raise ValueError(text)
-    return frozenset(names)
-
-
-DOMAIN_KEYS = (choice_key("state", _STATES, STATE_IN),)
-"""Keys of [failure-domain NAME]."""
-
-SERVER_KEYS = (
-    address_key("address"),
-    name_key("failure_domain"),
-    number_key("slots", 1, 10_000, "requests at once"),
-    number_key("cold_slots", 1, 10_000, "requests at once, not above slots", "1"),
-    choice_key("checks_fencing", _YES_NO, "yes"),
-    choice_key("state", _STATES, STATE_IN),
-    name_key("region", ""),
-    Key("model", _read_model, "a [model NAME] of this document, or none", NONE),
-    choice_key("role", {NONE: "", **{role: role for role in ROLES}}, NONE),
-)
-"""Keys of [server NAME]."""
-
-MODEL_KEYS = (
-    pattern_key(
-        "version",
-        "[A-Za-z0-9][A-Za-z0-9._-]{0,62}",
-        "1 to 63 of A-Z, a-z, 0-9, dot, _ and hyphen, first a letter or digit",
-    ),
-    Key("adapters", _read_adapters, "distinct names with commas, or none", NONE),
-)
-"""Keys of [model NAME]."""
-
-ACCOUNT_KEYS = (
-    decimal_key("share", 0.001, 1_000_000, "parts"),
-    pattern_key("key_sha256", _HASH.pattern, "64 hex digits in lower case"),
-)
-"""Keys of [account NAME]."""
-
-CALL_KEYS = (choice_key("repeatable", _YES_NO),)
-"""Keys of [calls METHOD /PREFIX]."""
-
-SECTION_KEYS: dict[str, tuple[Key, ...]] = {
-    "service": SERVICE_KEYS,
-    "failure-domain": DOMAIN_KEYS,
-    "server": SERVER_KEYS,
-    "model": MODEL_KEYS,
-    "account": ACCOUNT_KEYS,
-    "calls": CALL_KEYS,
-}
-"""Keys by the first word of the section's name."""
-
-ALLOWED_SECTIONS = (
-    "[service], [failure-domain NAME], [server NAME], [model NAME], "
-    "[account NAME], [calls METHOD /PREFIX]"
-)
-"""What sections a document may hold, in words."""
-
-
-class DocumentError(IniError):
-    """A service document with at least one mistake."""
-
 
 @dataclass(slots=True)
 class DomainEntry:
@@ -329,51 +201,6 @@
         return [f"{self.qualified()}@{region}" for region in sorted(regions)]
 
 
-def normalise_path(path: str) -> str:
-    """Return the path that a server would take this spelling for.
-
-    Args:
-        path: Path of a request, with or without a query.
-
-    Returns:
-        The path without query, escapes, empty segments and dot segments.
-
-    Example:
-        >>> normalise_path("/bibs//a/../%62?x=1")
-        '/bibs/b'
-    """
-    segments: list[str] = []
-    path = path.partition("?")[0].partition("#")[0]
-    plain = unquote(path, errors="replace").replace("\\", "/")
-    for segment in plain.split("/"):
-        if segment == "..":
-            del segments[-1:]
-        elif segment not in ("", "."):
-            segments.append(segment)
-    return "/" + "/".join(segments)
-
-
-def split_section(name: str) -> tuple[str, str] | None:
-    """Split the name of a section into its kind and what it names.
-
-    Args:
-        name: Text between the brackets, with single spaces.
-
-    Returns:
-        Kind and the rest, or None if a document holds no such section.
-    """
-    kind, _, rest = name.partition(" ")
-    if kind == "service":
-        return (kind, "") if not rest else None
-    if kind == "calls":
-        method, _, prefix = rest.partition(" ")
-        is_known = method in _METHODS and re.fullmatch(r"/[^\s?#]*", prefix)
-        return (kind, rest) if is_known and prefix == normalise_path(prefix) else None
-    if kind in SECTION_KEYS and NAME_PATTERN.fullmatch(rest):
-        return kind, rest
-    return None
-
-
 def _check_server(
     name: str, values: dict, domain_names: list[str], file: str
 ) -> list[Problem]:
@@ -519,139 +346,3 @@
     for (kind, name), values in values_by_section.items():
         _ADD[kind](document, name, values)
     return document
-
-
-def _find_state_line(lines: list[str], section: str) -> tuple[int, int]:
-    """Return the index of the section's state line, and of its last line with text.
-
-    The index of the state line is -1 if there is none; that of the last line is -1 if
-    the section does not exist.
-    """
-    state_index = last_index = -1
-    current = ""
-    for index, line in enumerate(lines):
-        current = section_of_line(line) or current
-        if current != section:
-            continue
-        if section_of_line(line) or key_of_line(line):
-            last_index = index
-        if key_of_line(line) == "state":
-            state_index = index
-    return state_index, last_index
-
-
-def edit_state(text: str, section: str, state: str) -> str:
-    r"""Set the state in one section and keep every other line as it is.
-
-    Args:
-        text: A document without mistakes.
-        section: ``server NAME`` or ``failure-domain NAME``.
-        state: STATE_IN or STATE_OUT.
-
-    Returns:
-        The changed document.
-
-    Raises:
-        DocumentError: If the document has no such section.
-
-    Example:
-        >>> edit_state("[server a]  \n# old\nstate = in\n", "server a", "out")
-        '[server a]  \n# old\nstate = out\n'
-    """
-    lines = split_lines(text)
-    state_index, last_index = _find_state_line(lines, section)
-    if last_index == -1:
-        found = [
-            section_of_line(line)
-            for line in lines
-            if section_of_line(line).startswith(section.partition(" ")[0])
-        ]
-        allowed = ", ".join(found) or "nothing: the document has no such sections"
-        raise DocumentError([Problem(DEFAULT_FILE, section, "", "nothing", allowed)])
-    if state_index == -1:
-        ending = "\r" if lines[last_index].endswith("\r") else ""
-        lines.insert(last_index + 1, f"state = {state}{ending}")
-        return "\n".join(lines)
-    line = lines[state_index]
-    before, _, value = line.partition("=")
-    start = value[: len(value) - len(value.lstrip())] or " "
-    end = value[len(value.rstrip()) :] if value.strip() else ""
-    lines[state_index] = f"{before}={start}{state}{end}"
-    return "\n".join(lines)
-
-
-def _effective_values(section: Section) -> dict[str, str]:
-    """Return the text of each key as it is shown, with defaults filled in."""
-    parts = split_section(section.name)
-    keys = SECTION_KEYS[parts[0]] if parts else ()
-    defaults = {
-        key.name: f"{key.default} (default)"
-        for key in keys
-        if key.default is not REQUIRED
-    }
-    return {**defaults, **_shown_values(section)}
-
-
-def _shown_values(section: Section) -> dict[str, str]:
-    """Return the text of each key; of a well-formed hash only its beginning."""
-    return {
-        key: f"{value[:SHOWN_HASH_DIGITS]}…" if _HASH.fullmatch(value) else value
-        for key, value in section.values.items()
-    }
-
-
-def _without_default_mark(value: str | None) -> str | None:
-    return value.removesuffix(" (default)") if value is not None else None
-
-
-def _describe_section(old: Section, new: Section) -> list[str]:
-    old_values = _effective_values(old)
-    new_values = _effective_values(new)
-    changes = []
-    for key in {**old_values, **new_values}:
-        before = old_values.get(key)
-        after = new_values.get(key)
-        if _without_default_mark(before) == _without_default_mark(after):
-            continue
-        before = before or "nothing"
-        after = after or "nothing"
-        changes.append(f"[{new.name}] {key}: {before} -> {after}")
-    return changes
-
-
-def _describe_whole(section: Section, verb: str) -> str:
-    shown = _shown_values(section)
-    values = ", ".join(f"{key} = {value}" for key, value in shown.items())
-    return (
-        f"[{section.name}] {verb}: {values}" if values else f"[{section.name}] {verb}"
-    )
-
-
-def describe_changes(old: str, new: str) -> list[str]:
-    r"""Describe what differs between two documents, for people.
-
-    Args:
-        old: The older document; empty if there was none.
-        new: The newer document; empty if it is deleted.
-
-    Returns:
-        One line for each difference that has an effect; empty if there is none.
-
-    Example:
-        >>> describe_changes("[server a]\nslots = 4", "[server a]\nslots = 6")
-        ['[server a] slots: 4 -> 6']
-    """
-    old_sections, _ = read_sections(old, DEFAULT_FILE, MAX_DOCUMENT_BYTES)
-    new_sections, _ = read_sections(new, DEFAULT_FILE, MAX_DOCUMENT_BYTES)
-    old_by_name = {section.name: section for section in old_sections}
-    new_by_name = {section.name: section for section in new_sections}
-    changes = []
-    for section in old_sections:
-        if section.name not in new_by_name:
-            changes.append(_describe_whole(section, "removed"))
-    for section in new_sections:
-        if section.name in old_by_name:
-            changes += _describe_section(old_by_name[section.name], section)
-        else:
-            changes.append(_describe_whole(section, "added"))
-    return changes
--- /dev/null
+++ b/packages/lagoonsail-config/src/lagoonsail_config/document_changes.py
@@ -0,0 +1,158 @@
+"""Edits of a service document's text, and what differs between two of them."""
+
+from __future__ import annotations
+
+from lagoonsail_config.checked_ini import (
+    REQUIRED,
+    Problem,
+    Section,
+    key_of_line,
+    read_sections,
+    section_of_line,
+    split_lines,
+)
+from lagoonsail_config.document_schema import (
+    DEFAULT_FILE,
+    HASH_PATTERN,
+    MAX_DOCUMENT_BYTES,
+    SECTION_KEYS,
+    SHOWN_HASH_DIGITS,
+    DocumentError,
+    split_section,
+)
+
+
+def _find_state_line(lines: list[str], section: str) -> tuple[int, int]:
+    """Return the index of the section's state line, and of its last line with text.
+
+    The index of the state line is -1 if there is none; that of the last line is -1 if
+    the section does not exist.
+    """
+    state_index = last_index = -1
+    current = ""
+    for index, line in enumerate(lines):
+        current = section_of_line(line) or current
+        if current != section:
+            continue
+        if section_of_line(line) or key_of_line(line):
+            last_index = index
+        if key_of_line(line) == "state":
+            state_index = index
+    return state_index, last_index
+
+
+def edit_state(text: str, section: str, state: str) -> str:
+    r"""Set the state in one section and keep every other line as it is.
+
+    Args:
+        text: A document without mistakes.
+        section: ``server NAME`` or ``failure-domain NAME``.
+        state: STATE_IN or STATE_OUT.
+
+    Returns:
+        The changed document.
+
+    Raises:
+        DocumentError: If the document has no such section.
+
+    Example:
+        >>> edit_state("[server a]  \n# old\nstate = in\n", "server a", "out")
+        '[server a]  \n# old\nstate = out\n'
+    """
+    lines = split_lines(text)
+    state_index, last_index = _find_state_line(lines, section)
+    if last_index == -1:
+        found = [
+            section_of_line(line)
+            for line in lines
+            if section_of_line(line).startswith(section.partition(" ")[0])
+        ]
+        allowed = ", ".join(found) or "nothing: the document has no such sections"
+        raise DocumentError([Problem(DEFAULT_FILE, section, "", "nothing", allowed)])
+    if state_index == -1:
+        ending = "\r" if lines[last_index].endswith("\r") else ""
+        lines.insert(last_index + 1, f"state = {state}{ending}")
+        return "\n".join(lines)
+    line = lines[state_index]
+    before, _, value = line.partition("=")
+    start = value[: len(value) - len(value.lstrip())] or " "
+    end = value[len(value.rstrip()) :] if value.strip() else ""
+    lines[state_index] = f"{before}={start}{state}{end}"
+    return "\n".join(lines)
+
+
+def _effective_values(section: Section) -> dict[str, str]:
+    """Return the text of each key as it is shown, with defaults filled in."""
+    parts = split_section(section.name)
+    keys = SECTION_KEYS[parts[0]] if parts else ()
+    defaults = {
+        key.name: f"{key.default} (default)"
+        for key in keys
+        if key.default is not REQUIRED
+    }
+    return {**defaults, **_shown_values(section)}
+
+
+def _shown_values(section: Section) -> dict[str, str]:
+    """Return the text of each key; of a well-formed hash only its beginning."""
+    return {
+        key: f"{value[:SHOWN_HASH_DIGITS]}…" if HASH_PATTERN.fullmatch(value) else value
+        for key, value in section.values.items()
+    }
+
+
+def _without_default_mark(value: str | None) -> str | None:
+    return value.removesuffix(" (default)") if value is not None else None
+
+
+def _describe_section(old: Section, new: Section) -> list[str]:
+    old_values = _effective_values(old)
+    new_values = _effective_values(new)
+    changes = []
+    for key in {**old_values, **new_values}:
+        before = old_values.get(key)
+        after = new_values.get(key)
+        if _without_default_mark(before) == _without_default_mark(after):
+            continue
+        before = before or "nothing"
+        after = after or "nothing"
+        changes.append(f"[{new.name}] {key}: {before} -> {after}")
+    return changes
+
+
+def _describe_whole(section: Section, verb: str) -> str:
+    shown = _shown_values(section)
+    values = ", ".join(f"{key} = {value}" for key, value in shown.items())
+    return (
+        f"[{section.name}] {verb}: {values}" if values else f"[{section.name}] {verb}"
+    )
+
+
+def describe_changes(old: str, new: str) -> list[str]:
+    r"""Describe what differs between two documents, for people.
+
+    Args:
+        old: The older document; empty if there was none.
+        new: The newer document; empty if it is deleted.
+
+    Returns:
+        One line for each difference that has an effect; empty if there is none.
+
+    Example:
+        >>> describe_changes("[server a]\nslots = 4", "[server a]\nslots = 6")
+        ['[server a] slots: 4 -> 6']
+    """
+    old_sections, _ = read_sections(old, DEFAULT_FILE, MAX_DOCUMENT_BYTES)
+    new_sections, _ = read_sections(new, DEFAULT_FILE, MAX_DOCUMENT_BYTES)
+    old_by_name = {section.name: section for section in old_sections}
+    new_by_name = {section.name: section for section in new_sections}
+    changes = []
+    for section in old_sections:
+        if section.name not in new_by_name:
+            changes.append(_describe_whole(section, "removed"))
+    for section in new_sections:
+        if section.name in old_by_name:
+            changes += _describe_section(old_by_name[section.name], section)
+        else:
+            changes.append(_describe_whole(section, "added"))
+    return changes
--- a/packages/lagoonsail-config/tests/test_config_fuzz.py
+++ b/packages/lagoonsail-config/tests/test_config_fuzz.py
@@ -3,13 +3,9 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from lagoonsail_config.document import (
-    DocumentError,
-    ServiceDocument,
-    describe_changes,
-    edit_state,
-    parse_document,
-)
+from lagoonsail_config.document import ServiceDocument, parse_document
+from lagoonsail_config.document_changes import describe_changes, edit_state
+from lagoonsail_config.document_schema import DocumentError
 from lagoonsail_config.settings import RouterSettings, SettingsError, parse_settings
 
 WORDS = [
--- a/packages/lagoonsail-config/tests/test_document.py
+++ b/packages/lagoonsail-config/tests/test_document.py
@@ -2,14 +2,9 @@
 
 import pytest
 
-from lagoonsail_config.document import (
-    MAX_DOCUMENT_BYTES,
-    CallEntry,
-    DocumentError,
-    describe_changes,
-    edit_state,
-    parse_document,
-)
+from lagoonsail_config.document import CallEntry, parse_document
+from lagoonsail_config.document_changes import describe_changes, edit_state
+from lagoonsail_config.document_schema import MAX_DOCUMENT_BYTES, DocumentError
 
 
 def find_problems(text: str) -> dict[tuple[str, str], str]:
--- a/packages/lagoonsail-config/tests/test_example_documents.py
+++ b/packages/lagoonsail-config/tests/test_example_documents.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from lagoonsail_config.document import SECTION_KEYS, parse_document
+from lagoonsail_config.document import parse_document
+from lagoonsail_config.document_schema import SECTION_KEYS
 
 ROOT = Path(__file__).resolve().parents[3]
 EXAMPLES = sorted((ROOT / "deploy" / "documents").glob("*.ini"))
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/document_commands.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/document_commands.py
@@ -7,14 +7,13 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_config.checked_ini import Problem
-from lagoonsail_config.document import (
+from lagoonsail_config.document import ServiceDocument, parse_document
+from lagoonsail_config.document_changes import describe_changes
+from lagoonsail_config.document_schema import (
     MAX_DOCUMENT_BYTES,
     STATE_IN,
     STATE_OUT,
     DocumentError,
-    ServiceDocument,
-    describe_changes,
-    parse_document,
 )
 from lagoonsail_ctl.documents import Documents, StoredDocument, resolve_key
 from lagoonsail_ctl.errors import BadInputError, ConflictError
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/state_commands.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/state_commands.py
@@ -6,13 +6,9 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_config.checked_ini import section_of_line, split_lines
-from lagoonsail_config.document import (
-    STATE_IN,
-    STATE_OUT,
-    DocumentError,
-    edit_state,
-    parse_document,
-)
+from lagoonsail_config.document import parse_document
+from lagoonsail_config.document_changes import edit_state
+from lagoonsail_config.document_schema import STATE_IN, STATE_OUT, DocumentError
 from lagoonsail_core.green import eventlet
 from lagoonsail_ctl.document_commands import describe_push
 from lagoonsail_ctl.documents import (
--- a/packages/lagoonsail-router/src/lagoonsail_router/call.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/call.py
@@ -10,7 +10,7 @@
 
 from xxhash import xxh64_intdigest
 
-from lagoonsail_config.document import normalise_path
+from lagoonsail_config.call_path import normalise_path
 from lagoonsail_router.problems import CallProblem
 from lagoonsail_sharing.prefix_index import prefix_hashes
 
--- a/packages/lagoonsail-router/src/lagoonsail_router/configuration.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/configuration.py
@@ -13,7 +13,8 @@
 
 from xxhash import xxh64_intdigest
 
-from lagoonsail_config.document import DocumentError, parse_document
+from lagoonsail_config.document import parse_document
+from lagoonsail_config.document_schema import DocumentError
 from lagoonsail_core.invariants import require
 
 if TYPE_CHECKING:
