--- a/packages/lagoonsail-config/src/lagoonsail_config/document_schema.py
+++ b/packages/lagoonsail-config/src/lagoonsail_config/document_schema.py
@@ -5,9 +5,8 @@
 import re
 
 from lagoonsail_config.call_path import normalise_path
-from lagoonsail_config.checked_ini import (
-    IniError,
-    Key,
+from lagoonsail_config.checked_ini import IniError, Key
+from lagoonsail_config.ini_keys import (
     address_key,
     choice_key,
     decimal_key,
--- a/packages/lagoonsail-config/src/lagoonsail_config/settings.py
+++ b/packages/lagoonsail-config/src/lagoonsail_config/settings.py
@@ -12,15 +12,17 @@
     Key,
     Problem,
     Section,
+    read_sections,
+    read_values,
+    shorten,
+)
+from lagoonsail_config.ini_keys import (
     address_key,
     address_list_key,
     choice_key,
     name_key,
     number_key,
     pattern_key,
-    read_sections,
-    read_values,
-    shorten,
     split_address,
 )
 
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/connection.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/connection.py
@@ -9,12 +9,10 @@
     Key,
     Problem,
     Section,
-    address_list_key,
-    number_key,
-    pattern_key,
     read_sections,
     read_values,
 )
+from lagoonsail_config.ini_keys import address_list_key, number_key, pattern_key
 from lagoonsail_config.settings import (
     MAX_SETTINGS_BYTES,
     SettingsError,
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/fleet.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/fleet.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Generic, TypeVar
 
-from lagoonsail_config.checked_ini import split_address
+from lagoonsail_config.ini_keys import split_address
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_ctl.admin_client import AdminClient
