--- a/packages/lagoonsail-router/tests/test_backend.py
+++ b/packages/lagoonsail-router/tests/test_backend.py
@@ -19,6 +19,9 @@
 
 CLOCK = Clock()
 TIMEOUT_MS = 1000.0
+PART_BYTES = 256 * 1024
+PARTS = 200
+SOCKET_BUFFERS_BYTES = 16 * 1024 * 1024
 DONE = b"data: [DONE]\n\n"
 GRANT = SlotGrant(1, 2, "cordero/registro@sierra-central", 3, "s1", 0.0)
 
@@ -363,3 +366,19 @@
     made = attempt(address, call)
     made.send()
     assert made.measured.cost == 0.0
+
+
+def test_server_is_read_no_faster_than_the_caller_takes_the_stream(serve, attempt):
+    sent = []
+    part = chunk(b"data: " + b"x" * PART_BYTES + b"\n\n")
+    steps = [step for _ in range(PARTS) for step in (part, lambda: sent.append(part))]
+    address, _ = serve([STREAM, *steps, chunk(usage(2) + DONE) + b"0\r\n\r\n"])
+    made = attempt(address, kind="engine")
+    assert made.send().status == 200
+    events = made.events()
+    next(events)
+    eventlet.sleep(0.5)
+    # What the buffers of two sockets hold, and one read.
+    assert len(sent) * PART_BYTES <= SOCKET_BUFFERS_BYTES
+    received = sum(part.count(b"x") for part in events)
+    assert received >= (PARTS - 1) * PART_BYTES
