Say by an exit code that no router answered, and name what is empty

Cause: status, show and timeline reported success whatever the routers said.

Ruled out: a non-zero code when any router is silent. A fleet with one router down is looked at all the time, and the others' answers are whole.

test_wrong_key_is_refused_by_routers asserted code 0 of status, which was the fault: it now asserts 6 for status, show and timeline, and 0 as soon as one router answers.

--- a/packages/lagoonsail-core/src/lagoonsail_core/timeline_view.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/timeline_view.py
@@ -21,6 +21,7 @@
 """Events that are drawn; of more, the last ones are."""
 
 _HEAD_FIELDS = ("logical", "wall_ms", "router", "event")
+_QUALIFIED_FIELDS = ("server", "account", "failure_domain")
 _ROW_HEIGHT = 18
 _LANE_WIDTH = 24
 _MARGIN = 16
@@ -83,19 +84,32 @@
     Args:
         events: Events in any order.
         wanted: Value by field; values are compared as text, so that those of a
-            command line fit. All must agree.
+            command line fit. All must agree. A server, account or failure domain
+            named without a slash stands for all whose last part it is.
 
     Returns:
         The events in the order given.
+
+    Example:
+        >>> events = [{"server": "cordero/asistente/a-1"}, {"server": "a-2"}]
+        >>> len(select_events(events, {"server": "a-1"}))
+        1
     """
     pairs = [(field, str(value)) for field, value in wanted.items()]
     return [
         event
         for event in events
-        if all(field in event and str(event[field]) == text for field, text in pairs)
+        if all(field in event and _fits(event, field, text) for field, text in pairs)
     ]
 
 
+def _fits(event: EventDict, field: str, wanted: str) -> bool:
+    value = str(event[field])
+    if field in _QUALIFIED_FIELDS and "/" not in wanted:
+        value = value.rpartition("/")[2]
+    return value == wanted
+
+
 def _printable(value: object) -> str:
     # Values come from other processes: no control character may reach a terminal.
     text = str(value)
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/command.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/command.py
@@ -125,7 +125,9 @@
             if parameter.name in options
         }
         try:
-            report = function(_connect(**shared_options), *args, **options)
+            connection = _connect(**shared_options)
+            connection.is_json = json
+            report = function(connection, *args, **options)
         except LagoonsailError as error:
             report = Report({}, error=error)
         return _print_report(report, json)
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/connection.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/connection.py
@@ -62,6 +62,8 @@
     """Longest time that one call may take."""
     clock: Clock = field(default_factory=Clock)
     """Gives the time."""
+    is_json: bool = False
+    """Whether what is printed is for programs."""
 
     def open_store(self) -> StoreClient:
         """Return a client of the key-value service.
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/errors.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/errors.py
@@ -16,6 +16,8 @@
 """Someone else changed the same thing; it was left as they made it."""
 EXIT_NOT_IN_FORCE = 5
 """A revision was not in force on all routers in time."""
+EXIT_NO_ROUTER = 6
+"""No router answered what it was asked."""
 
 
 class CommandError(LagoonsailError):
@@ -64,3 +66,9 @@
     """A revision is not in force on some routers."""
 
     exit_code = EXIT_NOT_IN_FORCE
+
+
+class NoRouterError(CommandError):
+    """No router answered what it was asked."""
+
+    exit_code = EXIT_NO_ROUTER
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/fleet.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/fleet.py
@@ -10,13 +10,14 @@
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_ctl.admin_client import AdminClient
-from lagoonsail_ctl.errors import StoreUnavailableError
+from lagoonsail_ctl.errors import NoRouterError, StoreUnavailableError
 from lagoonsail_ctl.records import RecordError, decode_record
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from lagoonsail_ctl.connection import Connection
+    from lagoonsail_ctl.router_status import RouterStatus
 
 T = TypeVar("T")
 
@@ -147,3 +148,47 @@
 
     pool = eventlet.GreenPool(MAX_REQUESTS_AT_ONCE)
     return list(pool.imap(ask, routers))
+
+
+def ask_statuses(
+    connection: Connection,
+) -> tuple[list[RouterStatus], dict[str, str]]:
+    """Ask all routers for their status.
+
+    Args:
+        connection: How to reach the key-value service and the routers.
+
+    Returns:
+        The statuses, and by router why others gave none.
+
+    Raises:
+        StoreUnavailableError: If the members are wanted and cannot be read.
+    """
+    routers = find_routers(connection)
+    answers = ask_all(connection, routers, lambda client: client.get_status())
+    statuses = []
+    silent = {}
+    for answer in answers:
+        if isinstance(answer.result, Unavailable):
+            silent[answer.router.name] = answer.result.reason
+        else:
+            statuses.append(answer.result)
+    return statuses, silent
+
+
+def no_answer_error(answered: object, silent: dict[str, str]) -> NoRouterError | None:
+    """Return the error of a command that no router answered, or None.
+
+    Args:
+        answered: What the routers that answered gave; false if none did.
+        silent: By router, why it did not answer.
+    """
+    if answered:
+        return None
+    problem = f"none of {len(silent)} routers answered" if silent else "no routers"
+    return NoRouterError(
+        problem,
+        "give the fleet's key with --key-file and the right addresses, or start the "
+        "routers",
+        details={"no_answer": silent},
+    )
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/fleet_commands.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/fleet_commands.py
@@ -8,7 +8,7 @@
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_ctl.documents import DOCUMENTS, resolve_key
 from lagoonsail_ctl.errors import BadInputError
-from lagoonsail_ctl.fleet import Answer, ask_all, find_routers
+from lagoonsail_ctl.fleet import ask_statuses, no_answer_error
 from lagoonsail_ctl.in_force import wait_in_force
 from lagoonsail_ctl.report import Report, render_table
 
@@ -47,22 +47,6 @@
     return [getattr(record, name) for name in names]
 
 
-def _ask_statuses(
-    connection: Connection,
-) -> tuple[list[RouterStatus], dict[str, str]]:
-    """Return the statuses, and by router why others did not answer."""
-    routers = find_routers(connection)
-    answers: list[Answer] = ask_all(connection, routers, lambda c: c.get_status())
-    statuses = []
-    silent = {}
-    for answer in answers:
-        if isinstance(answer.result, Unavailable):
-            silent[answer.router.name] = answer.result.reason
-        else:
-            statuses.append(answer.result)
-    return statuses, silent
-
-
 def _describe_silent(silent: dict[str, str]) -> list[str]:
     return [f"no status of {name}: {reason}" for name, reason in silent.items()]
 
@@ -94,7 +78,7 @@
         connection: Key-value service and routers.
         service: SIDE or SIDE/SERVICE; all services if it is left out.
     """
-    statuses, silent = _ask_statuses(connection)
+    statuses, silent = ask_statuses(connection)
     owned = [
         (owner, shard)
         for owner, shard in _owned_shards(statuses)
@@ -102,6 +86,8 @@
     ]
     services = [_service_row(owner, shard) for owner, shard in owned]
     services += _silent_rows(statuses, {row[0] for row in services}, service)
+    if statuses and service and not services:
+        _refuse_unknown(statuses, service)
     servers = [
         [shard.name, *_pick(server, ["name", *SERVER_FIELDS])]
         for _, shard in owned
@@ -123,18 +109,39 @@
         "no_status": silent,
     }
     lines = [
-        *render_table(SERVICE_HEADERS, services),
+        *render_table(SERVICE_HEADERS, services, "(no shards)"),
         "",
-        *render_table(server_headers, servers),
+        *render_table(server_headers, servers, "(no backend servers)"),
         "",
-        *render_table(account_headers, accounts),
+        *render_table(account_headers, accounts, "(no client accounts)"),
         "",
         *render_table(
-            ["service", "waiting_at_entry"], [list(item) for item in backlog.items()]
+            ["service", "waiting_at_entry"],
+            [list(item) for item in backlog.items()],
+            "(no requests wait at entry routers)",
         ),
         *_describe_silent(silent),
     ]
-    return Report(data, lines)
+    return Report(data, lines, error=no_answer_error(statuses, silent))
+
+
+def _refuse_unknown(statuses: list[RouterStatus], wanted: str) -> None:
+    """Refuse a name that no router knows, neither as a document nor as a shard."""
+    known = {
+        key.removeprefix(DOCUMENTS)
+        for status in statuses
+        for key in status.configuration
+        if key.startswith(DOCUMENTS)
+    }
+    for status in statuses:
+        known |= {shard.partition("@")[0] for shard in status.owners}
+        known |= set(status.waiting)
+    if any(_is_selected(name, wanted) for name in known):
+        return
+    raise BadInputError(
+        f"no service or side {wanted[:200]!r}",
+        f"use SIDE or SIDE/SERVICE, one of: {', '.join(sorted(known)) or '(none)'}",
+    )
 
 
 def _is_selected(name: str, wanted: str) -> bool:
@@ -181,7 +188,8 @@
 def status(connection: Connection) -> Report:
     """Show the routers of the fleet, their state and which shards they own.
 
-    With --routers it works while the key-value service is down.
+    With --routers it works while the key-value service is down. If no router answers,
+    for example since the key is wrong, the exit code is 6.
 
     Example::
 
@@ -190,7 +198,7 @@
     Args:
         connection: Key-value service and routers.
     """
-    statuses, silent = _ask_statuses(connection)
+    statuses, silent = ask_statuses(connection)
     routers = [_router_row(item) for item in statuses]
     records = _read_shard_records(connection)
     owners = _owner_rows(statuses, records)
@@ -204,14 +212,14 @@
         "no_status": silent,
     }
     lines = [
-        *render_table(ROUTER_HEADERS, routers),
+        *render_table(ROUTER_HEADERS, routers, "(no router answered)"),
         "",
-        *render_table(owner_headers, owners),
+        *render_table(owner_headers, owners, "(no shards)"),
         "",
-        *render_table(key_headers, revisions),
+        *render_table(key_headers, revisions, "(no documents)"),
         *_describe_silent(silent),
     ]
-    return Report(data, lines)
+    return Report(data, lines, error=no_answer_error(statuses, silent))
 
 
 def _router_row(item: RouterStatus) -> list[object]:
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/main.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/main.py
@@ -40,6 +40,7 @@
 exit codes:
   0 done   1 unexpected failure   2 bad input   3 key-value service unavailable
   4 conflict with another change   5 not in force on all routers in time
+  6 no router answered
 
 examples:
   lagoonctl check asistente.ini
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/report.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/report.py
@@ -52,15 +52,18 @@
     return isinstance(value, int | float) and not isinstance(value, bool)
 
 
-def render_table(headers: list[str], rows: list[list[object]]) -> list[str]:
+def render_table(
+    headers: list[str], rows: list[list[object]], empty: str = "(none)"
+) -> list[str]:
     r"""Return the lines of an aligned table; numbers are aligned to the right.
 
     Args:
         headers: Head of each column.
         rows: Cells of each row.
+        empty: The note that stands in place of a table without rows.
 
     Returns:
-        Lines without trailing spaces; a note if there are no rows.
+        Lines without trailing spaces.
 
     Example:
         >>> print(*render_table(["name", "slots"], [["a-long-one", 8]]), sep="\n")
@@ -68,7 +71,7 @@
         a-long-one      8
     """
     if not rows:
-        return ["(none)"]
+        return [empty]
     cells = [[format_cell(value) for value in row] for row in rows]
     columns = range(len(headers))
     widths = [max(len(row[i]) for row in [headers, *cells]) for i in columns]
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/state_commands.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/state_commands.py
@@ -116,7 +116,7 @@
         naming = [item for item in listed if section in _sections(item.text)]
         if not naming:
             known = {
-                other
+                other.removeprefix("failure-domain ")
                 for item in listed
                 for other in _sections(item.text)
                 if other.startswith("failure-domain ")
@@ -141,7 +141,11 @@
     def read() -> list[StoredDocument]:
         document = documents.read(key)
         if section not in _sections(document.text):
-            known = [s for s in _sections(document.text) if s.startswith("server ")]
+            known = [
+                other.removeprefix("server ")
+                for other in _sections(document.text)
+                if other.startswith("server ")
+            ]
             raise BadInputError(
                 f"{side}/{service} has no backend server {name!r}",
                 f"use one of: {', '.join(known) or '(none)'}",
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/timeline_command.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/timeline_command.py
@@ -16,7 +16,13 @@
 )
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_ctl.errors import BadInputError, CommandError
-from lagoonsail_ctl.fleet import Answer, Router, ask_all, find_routers
+from lagoonsail_ctl.fleet import (
+    Answer,
+    Router,
+    ask_all,
+    find_routers,
+    no_answer_error,
+)
 from lagoonsail_ctl.report import Report
 
 if TYPE_CHECKING:
@@ -58,8 +64,17 @@
 class TimelineReader:
     """Reads what is new in the time lines of all routers."""
 
-    __slots__ = ("_connection", "_members_ms", "_positions", "_routers", "silent")
-
+    __slots__ = (
+        "_connection",
+        "_members_ms",
+        "_positions",
+        "_routers",
+        "answered",
+        "silent",
+    )
+
+    answered: int
+    """Number of routers that answered last time."""
     silent: dict[str, str]
     """By router, why it did not answer last time."""
 
@@ -68,6 +83,7 @@
         self._positions: dict[str, Position] = {}
         self._routers = find_routers(connection)
         self._members_ms = connection.clock.now_ms()
+        self.answered = 0
         self.silent = {}
 
     def read(self) -> list[dict[str, object]]:
@@ -75,7 +91,9 @@
         self._look_for_routers()
         answers = ask_all(self._connection, self._routers, self._ask)
         self.silent = {}
-        return merge_events(self._take(answer) for answer in answers)
+        events = merge_events(self._take(answer) for answer in answers)
+        self.answered = len(answers) - len(self.silent)
+        return events
 
     def _look_for_routers(self) -> None:
         now_ms = self._connection.clock.now_ms()
@@ -149,7 +167,9 @@
         request: Only events of this request.
         server: Only events of this backend server.
         account: Only events of this client account.
-        domain: Only events of this failure domain.
+        domain: Only events of this failure domain. Without SIDE/ or SIDE/SERVICE/
+            before the name, a failure domain, server or account stands for all of
+            that name.
         format: text (else), json with one event a line, or svg.
     """
     filters = {
@@ -159,16 +179,18 @@
         "failure_domain": domain,
     }
     wanted = {field: value for field, value in filters.items() if value}
-    render = _RENDER[format]
+    # One JSON object on standard output would only be whole when nobody follows.
+    render = _RENDER["json" if follow and connection.is_json else format]
     if follow and format == "svg":
         raise BadInputError("an svg cannot be followed", "use --format text or json")
     reader = TimelineReader(connection)
     if follow:
         return _follow(reader, wanted, render)
     events = select_events(reader.read(), wanted)
+    error = no_answer_error(reader.answered, reader.silent)
     notes = [f"no events of {name}: {why}" for name, why in reader.silent.items()]
     data = {"events": events, "no_answer": reader.silent}
-    return Report(data, render(events).splitlines(), notes)
+    return Report(data, render(events).splitlines(), notes, error)
 
 
 def _follow(
--- a/packages/lagoonsail-ctl/tests/test_fleet_views.py
+++ b/packages/lagoonsail-ctl/tests/test_fleet_views.py
@@ -120,9 +120,29 @@
 def test_wrong_key_is_refused_by_routers(run, fleet, tmp_path):
     (tmp_path / "wrong").write_text("fedcba9876543210")
     code, output, _ = run("status", "--key-file", tmp_path / "wrong")
-    assert code == 0
+    assert code == 6
+    assert output["error"] == "NoRouterError"
     assert "signature_wrong" in output["no_status"]["r1"]
     assert fleet[0].refused == 1
+    for command in ("show", "timeline"):
+        assert run(command, "--key-file", tmp_path / "wrong")[0] == 6
+    # One router that answers is enough.
+    fleet[1].stop()
+    assert run("status")[0] == 0
+
+
+def test_unknown_service_is_bad_input_and_empty_tables_are_named(run, fleet):
+    fleet[0].status["configuration"] = {"documents/cordero/asistente": 3}
+    code, output, _ = run("show", "cordero/nope")
+    assert (code, "cordero/asistente" in output["remedy"]) == (2, True)
+    code, text, _ = run("show", "cordero/asistente", json_output=False)
+    assert code == 0
+    assert [line for line in text.splitlines() if line] == [
+        "(no shards)",
+        "(no backend servers)",
+        "(no client accounts)",
+        "(no requests wait at entry routers)",
+    ]
 
 
 def test_mistakes_in_settings_are_listed_at_once(run, settings_file):
--- a/packages/lagoonsail-ctl/tests/test_timeline_command.py
+++ b/packages/lagoonsail-ctl/tests/test_timeline_command.py
@@ -26,7 +26,8 @@
         make_event(1, "r1", server="a", account="x"),
         make_event(2, "r1", server="a", account="y"),
         make_event(3, "r1", request="q7"),
-        make_event(4, "r1", failure_domain="norte"),
+        make_event(4, "r1", failure_domain="cordero/norte"),
+        make_event(5, "r1", failure_domain="kalapati/norte"),
     ]
 
     def logical_times(*arguments):
@@ -36,7 +37,8 @@
     assert logical_times("--server", "a") == [1, 2]
     assert logical_times("--server", "a", "--account", "y") == [2]
     assert logical_times("--request", "q7") == [3]
-    assert logical_times("--domain", "norte") == [4]
+    assert logical_times("--domain", "norte") == [4, 5]
+    assert logical_times("--domain", "cordero/norte") == [4]
 
 
 def test_formats(run, fleet):
@@ -50,6 +52,18 @@
     assert run("timeline", "--format", "svg", "--follow")[0] == 2
 
 
+def test_followed_events_are_json_lines_for_programs(run, fleet, monkeypatch, capsys):
+    def interrupt(seconds=0):
+        if seconds:
+            raise KeyboardInterrupt
+
+    monkeypatch.setattr(eventlet, "sleep", interrupt)
+    fleet[0].events = [make_event(1, "r1")]
+    _, output, _ = run("timeline", "--follow", "--json", json_output=False)
+    lines = [json.loads(line) for line in output.splitlines()]
+    assert lines == [*fleet[0].events, {"no_answer": {}}]
+
+
 def test_malformed_events_of_one_router_hide_no_others(run, fleet):
     fleet[0].events = [{"logical": 1}]
     fleet[1].events = [make_event(2, "r2")]
