Let operators end a service with lagoonctl delete

Cause: an empty document is a deletion in the key-value service, but no command wrote one, so that a service could only be ended by hand at that service.

Ruled out: deleting the key. Its revision would be lost to compare-and-swap and routers that were away could hold the old document for newer. Ruled out as well: taking whatever revision is there; the command names the one that was looked at.

Change: delete writes the empty document in place of the named revision (else code 4), is refused with what is in use while an owner or an entry router has requests that run or wait or a router does not tell (code 7), unless forced; it hands the deletion out, waits, and can be repeated. Routers record document_deleted in the time line.

Run: pytest packages/lagoonsail-ctl/tests/test_delete.py and router test_configuration.py pass. Seen on three live routers: refused for another revision, deleted, in force on all three, repeated, applied again.

--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/errors.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/errors.py
@@ -18,6 +18,8 @@
 """A revision was not in force on all routers in time."""
 EXIT_NO_ROUTER = 6
 """No router answered what it was asked."""
+EXIT_IN_USE = 7
+"""What was to be deleted is in use; it was left as it is."""
 
 
 class CommandError(LagoonsailError):
@@ -72,3 +74,9 @@
     """No router answered what it was asked."""
 
     exit_code = EXIT_NO_ROUTER
+
+
+class InUseError(CommandError):
+    """What is to be deleted is in use."""
+
+    exit_code = EXIT_IN_USE
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/main.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/main.py
@@ -7,6 +7,7 @@
 import defopt
 
 from lagoonsail_ctl.command import command
+from lagoonsail_ctl.delete_command import delete
 from lagoonsail_ctl.document_commands import apply, check, get
 from lagoonsail_ctl.errors import EXIT_UNEXPECTED
 from lagoonsail_ctl.fleet_commands import show, status, wait
@@ -22,6 +23,7 @@
     "check": command(check),
     "get": command(get),
     "apply": command(apply),
+    "delete": command(delete),
     "domain-out": command(domain_out),
     "domain-in": command(domain_in),
     "server-out": command(server_out),
@@ -40,7 +42,7 @@
 exit codes:
   0 done   1 unexpected failure   2 bad input   3 key-value service unavailable
   4 conflict with another change   5 not in force on all routers in time
-  6 no router answered
+  6 no router answered   7 still in use, not deleted
 
 examples:
   lagoonctl check asistente.ini
--- a/packages/lagoonsail-router/src/lagoonsail_router/configuration.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/configuration.py
@@ -256,7 +256,10 @@
     def _interpret_document(self, key: str, revision: int, value: str) -> bool:
         name = key.removeprefix(DOCUMENTS)
         if not value:
-            self.documents.pop(name, None)
+            if self.documents.pop(name, None):
+                self._context.timeline.record(
+                    "document_deleted", key=key, revision=revision
+                )
             return True
         try:
             document = parse_document(value)
