Refuse the calls that wait for a service which was deleted

Cause: seen on a live fleet. 18 calls waited on while the document of their service had been deleted, until their queue timeout of 30 s: the owner sends its waiting requests back as not_owner, and the entry router asks again for as long as the call may wait. A new call got 404 at once.

Ruled out: another reason for the owner's refusal. An owner that learns of the deletion before the entry router would have to tell it from a take-over, and a shard without an owner has nobody to refuse.

--- a/packages/lagoonsail-router/src/lagoonsail_router/call_queue.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/call_queue.py
@@ -19,6 +19,7 @@
 
     from lagoonsail_core.messages import SlotRefusal
     from lagoonsail_router.call import Call
+    from lagoonsail_router.configuration import Configuration
     from lagoonsail_router.context import RouterContext
     from lagoonsail_router.ticket_desk import TicketDesk
 
@@ -35,7 +36,7 @@
 class CallQueue:
     """Bounds the waiting calls of each account, and finds slots for them."""
 
-    __slots__ = ("_context", "_desk", "_is_isolated", "waiting")
+    __slots__ = ("_configuration", "_context", "_desk", "_is_isolated", "waiting")
 
     waiting: Counter
     """Calls that wait, by service and account."""
@@ -43,10 +44,12 @@
     def __init__(
         self,
         context: RouterContext,
+        configuration: Configuration,
         desk: TicketDesk,
         is_isolated: Callable[[], bool],
     ) -> None:
         self._context = context
+        self._configuration = configuration
         self._desk = desk
         self._is_isolated = is_isolated
         self.waiting = Counter()
@@ -125,6 +128,14 @@
     def _check_patience(self, call: Call, is_gone: Callable[[], bool]) -> None:
         if is_gone():
             raise CallerGoneError
+        if call.document.qualified() not in self._configuration.documents:
+            raise make_problem(
+                call,
+                404,
+                "unknown_service",
+                "the service document was deleted",
+                "ask the operators of the service",
+            )
         if self._is_isolated():
             raise make_problem(
                 call,
--- a/packages/lagoonsail-router/src/lagoonsail_router/entry.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/entry.py
@@ -79,7 +79,7 @@
         self._desk = desk
         self._budgets: dict[str, RetryBudget] = {}
         self._calls = 0
-        self.queue = CallQueue(context, desk, is_isolated)
+        self.queue = CallQueue(context, configuration, desk, is_isolated)
         self.running = 0
         self.taken_ms = context.clock.now_ms()
 
