Follow the time line of a router over its restart

Cause: the logical clock of a router begins anew when it starts. The command asked for what is later than the last logical time it had seen, and noticed a restart only if the router had been silent at one look, so that the events of one that came back between two looks (0.5 s) were missed; of one that had been silent, those with a wall time before the last one seen were missed too.

Ruled out: an incarnation in each event, which would show in each line and cost bytes in each answer.

Change: a router tells its incarnation in a header of its operators' answers and takes the caller's in /timeline; of another incarnation it returns all events. The command keeps incarnation and logical time together, and wall time no longer matters.

--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/admin_client.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/admin_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from urllib.parse import urlencode
 
@@ -17,6 +18,24 @@
 
 MAX_ANSWER_BYTES = 32 * 1024 * 1024
 """Largest answer that is read."""
+INCARNATION_HEADER = "X-Lagoonsail-Incarnation"
+"""Header in which a router tells its incarnation beside its time line."""
+
+
+@dataclass(slots=True)
+class Events:
+    """Events that a router keeps."""
+
+    incarnation: str
+    """Incarnation of the router, empty if it did not tell."""
+    items: list[dict[str, object]]
+    """Events as flat dictionaries."""
+
+
+@dataclass(slots=True)
+class _Answer:
+    body: object
+    incarnation: str
 
 
 class AdminClient:
@@ -38,29 +57,34 @@
 
     def get_status(self) -> RouterStatus | Unavailable:
         """Return the router's status, or why it could not be had."""
-        body = self._call("GET", "/status")
-        if isinstance(body, Unavailable):
-            return body
+        answer = self._call("GET", "/status")
+        if isinstance(answer, Unavailable):
+            return answer
         try:
-            return decode_status(body)
+            return decode_status(answer.body)
         except RecordError as error:
             return Unavailable(str(error))
 
-    def get_timeline(self, since: int) -> list[dict[str, object]] | Unavailable:
+    def get_timeline(self, since: int, incarnation: str) -> Events | Unavailable:
         """Return the events that the router keeps.
 
         Args:
             since: Logical time; earlier events and those at it are left out.
+            incarnation: Incarnation of the router to which that time belongs, empty
+                for any. Of another one all events are returned.
 
         Returns:
-            Events as flat dictionaries, or why they could not be had.
+            Events, or why they could not be had.
         """
-        query = urlencode({"since": since})
-        body = self._call("GET", f"/timeline?{query}")
-        if isinstance(body, Unavailable):
-            return body
-        is_list = type(body) is list and all(type(item) is dict for item in body)
-        return body if is_list else Unavailable("the answer is not a list of events")
+        query = {"since": since, "incarnation": incarnation}
+        answer = self._call("GET", f"/timeline?{urlencode(query)}")
+        if isinstance(answer, Unavailable):
+            return answer
+        items = answer.body
+        is_list = type(items) is list and all(type(item) is dict for item in items)
+        if not is_list:
+            return Unavailable("the answer is not a list of events")
+        return Events(answer.incarnation, items)
 
     def post_document(self, key: str, revision: int, text: str) -> None | Unavailable:
         """Hand an accepted document to the router.
@@ -76,10 +100,12 @@
         message = {"key": key, "revision": revision, "value": text}
         # The routers limit the size of the body: characters are sent as they are.
         data = json.dumps(message, ensure_ascii=False).encode("utf-8", "replace")
-        body = self._call("POST", "/documents", data)
-        return body if isinstance(body, Unavailable) else None
+        answer = self._call("POST", "/documents", data)
+        return answer if isinstance(answer, Unavailable) else None
 
-    def _call(self, method: str, target: str, body: bytes = b"") -> object:
+    def _call(
+        self, method: str, target: str, body: bytes = b""
+    ) -> _Answer | Unavailable:
         signature = sign(self._shared_key, method, target, body, self._clock)
         headers = {SIGNATURE_HEADER: signature, "Content-Type": "application/json"}
         timeout_s = self._timeout_ms / 1000.0
@@ -99,7 +125,7 @@
         body: bytes,
         headers: dict[str, str],
         timeout_s: float,
-    ) -> object:
+    ) -> _Answer | Unavailable:
         answer = self._pool.request(
             method,
             f"http://{self.address}{target}",
@@ -118,9 +144,10 @@
         if len(data) > MAX_ANSWER_BYTES:
             return Unavailable(f"an answer of more than {MAX_ANSWER_BYTES} bytes")
         try:
-            return json.loads(data) if data else None
+            body = json.loads(data) if data else None
         except (ValueError, RecursionError):
             return Unavailable("an answer that is not JSON")
+        return _Answer(body, answer.headers.get(INCARNATION_HEADER, ""))
 
 
 def _show_problem(data: bytes) -> str:
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/timeline_command.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/timeline_command.py
@@ -42,23 +42,10 @@
 class Position:
     """How far the events of one router have been read."""
 
+    incarnation: str = ""
+    """Incarnation of the router, whose logical time begins anew at each start."""
     logical: int = 0
     """Logical time of the newest event."""
-    wall_ms: float = float("-inf")
-    """Wall time of the newest event."""
-    is_answering: bool = True
-    """Whether the router answered last time."""
-
-    def is_before(self, event: dict[str, object]) -> bool:
-        """Return whether an event has not been read yet.
-
-        Args:
-            event: An event of the router.
-
-        Returns:
-            Whether it is newer by logical time, or by wall time after a new start.
-        """
-        return event["logical"] > self.logical or event["wall_ms"] > self.wall_ms
 
 
 class TimelineReader:
@@ -108,21 +95,17 @@
 
     def _ask(self, client: AdminClient) -> list[dict[str, object]] | Unavailable:
         position = self._positions.setdefault(client.address, Position())
-        # One that did not answer may have started anew, with an earlier logical time.
-        events = client.get_timeline(position.logical if position.is_answering else 0)
-        position.is_answering = not isinstance(events, Unavailable)
+        events = client.get_timeline(position.logical, position.incarnation)
         if isinstance(events, Unavailable):
             return events
         try:
-            merged = merge_events([events])
+            merged = merge_events([events.items])
         except TimelineFormatError as error:
             return Unavailable(str(error))
-        return [
-            event
-            for event in merged
-            if event["logical"] > position.logical
-            or event["wall_ms"] > position.wall_ms
-        ]
+        if events.incarnation != position.incarnation:
+            position.incarnation = events.incarnation
+            position.logical = 0
+        return [event for event in merged if event["logical"] > position.logical]
 
     def _take(self, answer: Answer) -> list[dict[str, object]]:
         if isinstance(answer.result, Unavailable):
@@ -134,9 +117,7 @@
     def _advance(self, router: Router, events: list[dict[str, object]]) -> None:
         if not events:
             return
-        position = self._positions[router.address]
-        position.logical = events[-1]["logical"]
-        position.wall_ms = max(event["wall_ms"] for event in events)
+        self._positions[router.address].logical = events[-1]["logical"]
 
 
 def timeline(
--- a/packages/lagoonsail-ctl/tests/conftest.py
+++ b/packages/lagoonsail-ctl/tests/conftest.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 from pathlib import Path
+from urllib.parse import parse_qs
 
 import pytest
 
@@ -119,16 +120,23 @@
         if not self.answers:
             start_response("503 Service Unavailable", [])
             return [b"{}"]
-        start_response("200 OK", [("Content-Type", "application/json")])
+        incarnation = str(self.status["incarnation"])
+        headers = [("X-Lagoonsail-Incarnation", incarnation)]
+        start_response("200 OK", headers)
         if path == "/documents":
             self._take(json.loads(body))
             return [b"{}"]
         if path == "/timeline":
-            since = int(query.removeprefix("since="))
-            events = [item for item in self.events if item["logical"] > since]
-            return [json.dumps(events).encode()]
+            return [json.dumps(self._events_since(query)).encode()]
         return [json.dumps(self.status).encode()]
 
+    def _events_since(self, query: str) -> list[dict]:
+        wanted = parse_qs(query)
+        own = str(self.status["incarnation"])
+        is_same = wanted.get("incarnation", [own])[0] == own
+        since = int(wanted["since"][0]) if is_same else 0
+        return [event for event in self.events if event["logical"] > since]
+
     def _take(self, message: dict) -> None:
         self.pushed.append(message)
         if self.takes_documents:
--- a/packages/lagoonsail-ctl/tests/test_timeline_command.py
+++ b/packages/lagoonsail-ctl/tests/test_timeline_command.py
@@ -79,16 +79,24 @@
         fleet[1].events.append(make_event(4, "r2", "later"))
 
     def restart():
-        fleet[0].events = [{**make_event(2, "r1", "restarted"), "wall_ms": 99_000.0}]
+        # Its clock may be behind, too.
+        fleet[0].status["incarnation"] = 2
+        fleet[0].events = [make_event(2, "r1", "restarted")]
         fleet[0].answers = True
 
+    def restart_between_two_looks():
+        fleet[1].status["incarnation"] = 2
+        events = [make_event(number, "r2", f"again-{number}") for number in (1, 4)]
+        fleet[1].events = events
+
     def fall_silent():
         fleet[0].answers = False
 
     def interrupt():
         raise KeyboardInterrupt
 
-    steps = iter([record_later, fall_silent, restart, lambda: None, interrupt])
+    changes = [record_later, fall_silent, restart, restart_between_two_looks]
+    steps = iter([*changes, lambda: None, interrupt])
     sleep = eventlet.sleep
 
     def sleep_and_step(seconds=0):
@@ -101,7 +109,7 @@
     code, output, _ = run("timeline", "--follow", json_output=False)
     assert code == 0
     names = [line.split()[3] for line in output.splitlines()]
-    assert names == ["first", "later", "restarted"]
+    assert names == ["first", "later", "restarted", "again-1", "again-4"]
 
 
 def test_store_may_be_down_when_routers_are_named(run, store, fleet):
--- a/packages/lagoonsail-router/src/lagoonsail_router/admin.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/admin.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from typing import TYPE_CHECKING
 from urllib.parse import parse_qs
 
@@ -21,6 +22,12 @@
 """Longest body of an operator's request."""
 SIGNATURE_HEADER = "HTTP_X_LAGOONSAIL_SIGNATURE"
 """WSGI name of the header with the signature."""
+TEXT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+"""Content type of the metrics."""
+INCARNATION_HEADER = "X-Lagoonsail-Incarnation"
+"""Tells which start of the router an answer comes from."""
+SINCE_PATTERN = re.compile("-?[0-9]{1,19}")
+"""What a logical time may look like."""
 
 
 class Admin:
@@ -46,18 +53,33 @@
         method, path = env["REQUEST_METHOD"], env["PATH_INFO"]
         route = self._routes.get((method, path))
         if route is None:
-            return _reply(start_response, 404, {"error": f"no {method} {path} here"})
+            return self._reply(
+                start_response, 404, {"error": f"no {method} {path} here"}
+            )
         is_signed, handler = route
         length = int(env.get("CONTENT_LENGTH") or 0)
         if length > MAX_BODY_BYTES:
             error = f"body of {length} bytes; send at most {MAX_BODY_BYTES}"
-            return _reply(start_response, 413, {"error": error})
+            return self._reply(start_response, 413, {"error": error})
         body = env["wsgi.input"].read(length) if length else b""
         if is_signed and not self._is_authentic(env, body):
             error = "missing or wrong signature; use lagoonctl with the fleet's key"
-            return _reply(start_response, 401, {"error": error})
+            return self._reply(start_response, 401, {"error": error})
         status, value = handler(env, body)
-        return _reply(start_response, status, value)
+        return self._reply(start_response, status, value)
+
+    def _reply(
+        self, start_response: Callable, status: int, value: object
+    ) -> list[bytes]:
+        is_text = isinstance(value, bytes)
+        body = value if is_text else json.dumps(value).encode()
+        headers = [
+            ("Content-Type", TEXT_TYPE if is_text else "application/json"),
+            ("Content-Length", str(len(body))),
+            (INCARNATION_HEADER, str(self._daemon.context.incarnation)),
+        ]
+        start_response(f"{status} {'OK' if status == 200 else 'Error'}", headers)
+        return [body]
 
     def _is_authentic(self, env: dict, body: bytes) -> bool:
         query = env.get("QUERY_STRING", "")
@@ -111,10 +133,14 @@
         }
 
     def _timeline(self, env: dict, _body: bytes) -> tuple[int, object]:
-        since = parse_qs(env.get("QUERY_STRING", "")).get("since", ["0"])[0]
-        if not since.lstrip("-").isdigit():
+        query = parse_qs(env.get("QUERY_STRING", ""))
+        since = query.get("since", ["0"])[0]
+        if not SINCE_PATTERN.fullmatch(since):
             return 400, {"error": "since is not a number; send a logical time"}
-        events = self._daemon.context.timeline.since(int(since))
+        own = str(self._daemon.context.incarnation)
+        # The logical time of an earlier start says nothing of this one's events.
+        is_same = query.get("incarnation", [own])[0] == own
+        events = self._daemon.context.timeline.since(int(since) if is_same else 0)
         return 200, [event.as_dict() for event in events]
 
     def _push_document(self, _env: dict, body: bytes) -> tuple[int, object]:
@@ -149,12 +175,3 @@
     if daemon.right.level() == LAPSED and not daemon.peers.has_streams():
         return "the right has lapsed and no other router can be reached"
     return ""
-
-
-def _reply(start_response: Callable, status: int, value: object) -> list[bytes]:
-    is_text = isinstance(value, bytes)
-    body = value if is_text else json.dumps(value).encode()
-    kind = "text/plain; version=0.0.4; charset=utf-8" if is_text else "application/json"
-    headers = [("Content-Type", kind), ("Content-Length", str(len(body)))]
-    start_response(f"{status} {'OK' if status == 200 else 'Error'}", headers)
-    return [body]
