Refuse malformed HTTP with a counted problem, and read no refused body

Cause: found by sending bad messages to a live router. The library answered heads that are not HTTP itself, with HTML or an empty body, uncounted, and printed a line for each on standard error past the log; two Content-Length headers and '1_0' as a length were taken; 'Transfer-Encoding: gzip, chunked' failed inside. After any refusal, 413 among them, it read and threw away the whole body, however long, so that the connection could be used again. On the operators' port a since of 5000 digits, '--1' or a superscript two, and JSON nested 200,000 deep gave 500 without a count; a revision above 2^63 or a lone surrogate would have been taken in and could not be sent on to peers.

Ruled out: closing at once. Unread bytes make the kernel reset the connection, and the answer is lost on its way; so the port reads on for at most 500 ms after it has closed its side.

Change: lagoonsail_router.http_port, a protocol class for the library's server on both HTTP ports; each refusal on the operators' port is counted by its reason; what an operator pushes is checked as a whole before it is applied.

Run: test_http_port.py, test_admin.py, test_router_fleet.py, test_router_start.py and test_call.py pass. Before the change the probes showed {} for the counters of 12 cases and 500 for four.

--- a/packages/lagoonsail-router/src/lagoonsail_router/admin.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/admin.py
@@ -8,6 +8,8 @@
 from urllib.parse import parse_qs
 
 from lagoonsail_core import invariants
+from lagoonsail_core.names import NAME_PATTERN
+from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_peer.signing import SignatureChecker, SignatureError
 from lagoonsail_router.configuration import DOCUMENTS
 from lagoonsail_router.context import SERVING
@@ -24,6 +26,12 @@
 """WSGI name of the header with the signature."""
 TEXT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 """Content type of the metrics."""
+MAX_REVISION = 2**63 - 1
+"""Greatest revision of the key-value service."""
+BODY_TOO_LARGE = "body_too_large"
+"""The body is longer than MAX_BODY_BYTES."""
+BODY_TRUNCATED = "body_truncated"
+"""The body ended or broke before its length."""
 INCARNATION_HEADER = "X-Lagoonsail-Incarnation"
 """Tells which start of the router an answer comes from."""
 SINCE_PATTERN = re.compile("-?[0-9]{1,19}")
@@ -50,23 +58,43 @@
 
     def serve(self, env: dict, start_response: Callable) -> list[bytes]:
         """Serve one request, as a WSGI application."""
+        try:
+            status, value = self._answer(env)
+        except Exception:
+            self._daemon.context.logger.exception("an operator's request failed")
+            status, value = 500, {"error": "internal error; report the router's log"}
+            self.count_refused("internal_error")
+        return self._reply(start_response, status, value)
+
+    def count_refused(self, reason: str) -> None:
+        """Count a refused request.
+
+        Args:
+            reason: Why, from a bounded set.
+        """
+        self._daemon.context.count("refused_operators_total", reason)
+
+    def _answer(self, env: dict) -> tuple[int, object]:
         method, path = env["REQUEST_METHOD"], env["PATH_INFO"]
         route = self._routes.get((method, path))
         if route is None:
-            return self._reply(
-                start_response, 404, {"error": f"no {method} {path} here"}
-            )
+            self.count_refused("unknown_path")
+            return 404, {"error": f"no {method} {path} here"}
         is_signed, handler = route
-        length = int(env.get("CONTENT_LENGTH") or 0)
-        if length > MAX_BODY_BYTES:
-            error = f"body of {length} bytes; send at most {MAX_BODY_BYTES}"
-            return self._reply(start_response, 413, {"error": error})
-        body = env["wsgi.input"].read(length) if length else b""
+        body = _read_body(env)
+        if isinstance(body, Unavailable):
+            self.count_refused(body.reason)
+            return (413 if body.reason == BODY_TOO_LARGE else 400), {
+                "error": f"{body.reason}; send at most {MAX_BODY_BYTES} bytes with "
+                "their Content-Length"
+            }
         if is_signed and not self._is_authentic(env, body):
             error = "missing or wrong signature; use lagoonctl with the fleet's key"
-            return self._reply(start_response, 401, {"error": error})
+            return 401, {"error": error}
         status, value = handler(env, body)
-        return self._reply(start_response, status, value)
+        if status == 400:
+            self.count_refused("malformed")
+        return status, value
 
     def _reply(
         self, start_response: Callable, status: int, value: object
@@ -87,8 +115,8 @@
         value = env.get(SIGNATURE_HEADER, "")
         try:
             self._checker.check(env["REQUEST_METHOD"], path, body, value)
-        except SignatureError:
-            self._daemon.context.count("refused_operators_total")
+        except SignatureError as error:
+            self.count_refused(error.reason)
             return False
         return True
 
@@ -144,21 +172,48 @@
         return 200, [event.as_dict() for event in events]
 
     def _push_document(self, _env: dict, body: bytes) -> tuple[int, object]:
-        try:
-            fields = json.loads(body)
-            key, revision = fields["key"], fields["revision"]
-            value = fields["value"]
-        except (ValueError, KeyError, TypeError):
-            return 400, {"error": "send a JSON object with key, revision and value"}
-        is_typed = isinstance(key, str) and isinstance(value, str)
-        if not is_typed or type(revision) is not int or not key.startswith(DOCUMENTS):
-            return 400, {"error": f"the key must begin with {DOCUMENTS}"}
+        document = _parse_push(body)
+        if isinstance(document, Unavailable):
+            return 400, {"error": document.reason}
+        key, revision, value = document
         is_newer = self._daemon.configuration.apply(key, revision, value)
         held = self._daemon.configuration.records.get(key)
         in_force = held is not None and held.revision >= revision
         return (200 if in_force else 409), {"applied": is_newer, "in_force": in_force}
 
 
+def _read_body(env: dict) -> bytes | Unavailable:
+    length = int(env.get("CONTENT_LENGTH") or 0)
+    if length > MAX_BODY_BYTES:
+        return Unavailable(BODY_TOO_LARGE)
+    if not length:
+        return b""
+    try:
+        body = env["wsgi.input"].read(length)
+    except OSError:
+        return Unavailable(BODY_TRUNCATED)
+    return body if len(body) == length else Unavailable(BODY_TRUNCATED)
+
+
+def _parse_push(body: bytes) -> tuple[str, int, str] | Unavailable:
+    """Return key, revision and value of an accepted document that is handed over."""
+    try:
+        fields = json.loads(body)
+        key, revision, value = fields["key"], fields["revision"], fields["value"]
+        value.encode()
+    except (ValueError, KeyError, TypeError, AttributeError, RecursionError):
+        return Unavailable("send a JSON object with key, revision and value")
+    if type(key) is not str or type(value) is not str or type(revision) is not int:
+        return Unavailable("send a text, a number and a text")
+    names = key.removeprefix(DOCUMENTS).split("/")
+    is_key = key.startswith(DOCUMENTS) and len(names) == 2
+    if not is_key or not all(NAME_PATTERN.fullmatch(name) for name in names):
+        return Unavailable(f"the key must be {DOCUMENTS}SIDE/SERVICE")
+    if not 0 < revision <= MAX_REVISION:
+        return Unavailable("the revision is no revision of the key-value service")
+    return key, revision, value
+
+
 def unready_reason(daemon: Daemon) -> str:
     """Return why callers should go to another router, empty if they need not.
 
--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -34,6 +34,7 @@
 )
 from lagoonsail_router.digests import DigestStore
 from lagoonsail_router.entry import Entry
+from lagoonsail_router.http_port import make_protocol
 from lagoonsail_router.key_log import KeyNotices
 from lagoonsail_router.local_stream import LocalStream
 from lagoonsail_router.metrics import declare_gauges, make_metrics
@@ -359,8 +360,15 @@
         self.peers.start()
         self._learn_configuration()
         self._start_tasks()
-        self._serve(callers, self.entry.serve, settings.max_connections)
-        self._serve(admin, Admin(self).serve, 64)
+        operators = Admin(self)
+        count = self.context.count
+        self._serve(
+            callers,
+            self.entry.serve,
+            settings.max_connections,
+            lambda kind: count("problems_total", kind),
+        )
+        self._serve(admin, operators.serve, 64, operators.count_refused)
         self.context.timeline.record("started", incarnation=self.context.incarnation)
         print(json.dumps({"event": "listening", "router": settings.name}), flush=True)
 
@@ -436,12 +444,13 @@
         for owner in list(self.ownership.owned.values()):
             owner.send_digests()
 
-    def _serve(self, sock, application, max_size: int) -> None:
+    def _serve(self, sock, application, max_size: int, on_refused) -> None:
         eventlet.spawn_n(
             eventlet.wsgi.server,
             sock,
             application,
             max_size=max_size,
+            protocol=make_protocol(on_refused),
             log_output=False,
             debug=False,
             minimum_chunk_size=1,
--- a/packages/lagoonsail-router/src/lagoonsail_router/metrics.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/metrics.py
@@ -34,7 +34,7 @@
     "problems_total": "Problem documents sent to callers, by kind.",
     "records_from_peers_total": "Records of configuration learned from peers.",
     "records_rejected_total": "Malformed records of configuration.",
-    "refused_operators_total": "Operators' requests without a right signature.",
+    "refused_operators_total": "Operators' requests that were refused, by reason.",
     "retries_total": "Calls sent again, by service.",
     "slot_refusals_total": "Slot requests refused, by reason.",
     "slots_granted_total": "Slots granted.",
