Spread documents with other bytes than UTF-8 between routers

Cause: the key-value service's client gives such bytes as surrogate escapes and the parser accepts them, in a comment for example, but a frame could not carry them: each offer of that document closed the stream as closed_unencodable, so that the routers lost their streams to each other again and again.

Ruled out: refusing the document. lagoonctl keeps such bytes on purpose, and a comment must not stop a change of failure domains.

Change: frames carry surrogate escapes as the bytes that they stand for.

Run: test_frame_fuzz.py passes; the new test fails with UnicodeEncodeError before the change.

--- a/packages/lagoonsail-core/src/lagoonsail_core/messages.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/messages.py
@@ -322,6 +322,7 @@
     "promise": PromiseRequest,
     "promised": PromiseResult,
 }
+_UNICODE_ERRORS = "surrogateescape"
 _TAG_OF = {kind: tag for tag, kind in _TAGS.items()}
 _FIELDS = {kind: tuple(f.name for f in fields(kind)) for kind in _TAG_OF}
 
@@ -344,7 +345,8 @@
         [_TAG_OF[type(item)], *(getattr(item, name) for name in _FIELDS[type(item)])]
         for item in messages
     ]
-    return msgpack.packb([logical, body])
+    # Documents may hold bytes that are not UTF-8, as surrogate escapes.
+    return msgpack.packb([logical, body], unicode_errors=_UNICODE_ERRORS)
 
 
 def _is_finite(value: object) -> bool:
@@ -418,7 +420,9 @@
     if len(data) > MAX_FRAME_BYTES:
         raise FrameError(f"frame of {len(data)} bytes, at most {MAX_FRAME_BYTES}")
     try:
-        frame = msgpack.unpackb(data, strict_map_key=False)
+        frame = msgpack.unpackb(
+            data, strict_map_key=False, unicode_errors=_UNICODE_ERRORS
+        )
     except (ValueError, TypeError, msgpack.UnpackException) as error:
         # A map with a list as key raises TypeError.
         raise FrameError(f"frame that is not msgpack ({error})") from error
--- a/packages/lagoonsail-core/tests/test_frame_fuzz.py
+++ b/packages/lagoonsail-core/tests/test_frame_fuzz.py
@@ -83,6 +83,12 @@
     check_total(bytes(changed))
 
 
+def test_document_with_other_bytes_than_utf8_passes():
+    text = b"# M\xe9xico\n[service]\n".decode("utf-8", "surrogateescape")
+    push = ConfigPush([["documents/a/b", 7, text]])
+    assert decode_frame(encode_frame(1, [push])) == (1, [push])
+
+
 @pytest.mark.parametrize("length", range(len(SAMPLE)))
 def test_truncated_frame_is_refused(length):
     with pytest.raises(FrameError):
