Bind each TCP frame between routers to its connection and its place

Cause: after the handshake frames were unsigned. Whoever sat on the path could inject, alter, replay, leave out or reorder control messages, grants among them, without the shared key.

Ruled out: signing with a time and a nonce as operators' requests are (about 90 bytes and a table of nonces a frame); TLS, whose certificates nobody gives us yet; a tag of 16 bytes, which costs an idle stream 34 bytes/s more instead of 17.

Change: a tag of 8 bytes behind each frame, BLAKE2b over the frame's number and bytes, with a key for each connection and direction derived from the shared key and both challenges. One frame that is not the next closes the stream as closed_unauthentic_frame; each guess costs a handshake, which needs the key. Without a shared key there is no tag. The protocol is lagoonsail-peer-2.

The tests that send raw frames now seal them; the announced length above the limit counts the tag. Run: pytest packages/lagoonsail-peer passes; nine kinds of tampering are refused.

--- a/packages/lagoonsail-peer/src/lagoonsail_peer/_handshake.py
+++ b/packages/lagoonsail-peer/src/lagoonsail_peer/_handshake.py
@@ -23,7 +23,7 @@
     from lagoonsail_core.green import green_socket
     from lagoonsail_core.messages import Hello
 
-PROTOCOL = "lagoonsail-peer-1"
+PROTOCOL = "lagoonsail-peer-2"
 """First item of the server's challenge."""
 MAX_MESSAGE_BYTES = 4096
 """Longest message of the handshake."""
@@ -74,7 +74,7 @@
 
 def check(
     connection: green_socket.socket, intake: Intake, accepted: set[str]
-) -> tuple[str, int]:
+) -> tuple[str, ...]:
     """Carry out the server's part, and take a place among the streams.
 
     Args:
@@ -83,7 +83,7 @@
         accepted: Addresses that the client may have dialled; empty for any.
 
     Returns:
-        Name and incarnation of the client.
+        What the proofs cover: first the client's name, then its incarnation.
 
     Raises:
         HandshakeError: If the client is refused; it has been told so.
@@ -105,7 +105,7 @@
     except BaseException:
         intake.leave()
         raise
-    return parts[0], int(parts[1])
+    return parts
 
 
 def _check_answer(
@@ -126,7 +126,7 @@
 
 def answer(
     connection: green_socket.socket, shared_key: bytes, address: str, hello: Hello
-) -> None:
+) -> tuple[str, ...]:
     """Carry out the client's part.
 
     Args:
@@ -135,6 +135,9 @@
         address: Address that was dialled.
         hello: Who dials.
 
+    Returns:
+        What the proofs cover.
+
     Raises:
         HandshakeError: If the server refuses, or cannot prove that it holds the key.
     """
@@ -151,6 +154,7 @@
         raise HandshakeError(status, status if status in known else STATUS_BROKEN)
     if not _is_right(shared_key, ROLE_SERVER, parts, proof):
         raise HandshakeError(REFUSED_WRONG, STATUS_UNAUTHENTICATED)
+    return parts
 
 
 def _is_right(shared_key: bytes, role: str, parts: tuple[str, ...], proof: str) -> bool:
--- a/packages/lagoonsail-peer/src/lagoonsail_peer/_tcp.py
+++ b/packages/lagoonsail-peer/src/lagoonsail_peer/_tcp.py
@@ -1,9 +1,9 @@
 """Streams as plain TCP connections, in green threads of the hub.
 
 After the handshake each side sends frames, each behind its length as four bytes, the
-highest first. The hub's listener for reading stays in place between two frames, and
-what the socket takes at once is sent without a green thread: both spare most of the
-cost of a small frame.
+highest first, and before its tag of `_frame_auth`. The hub's listener for reading stays
+in place between two frames, and what the socket takes at once is sent without a green
+thread: both spare most of the cost of a small frame.
 """
 
 from __future__ import annotations
@@ -18,6 +18,7 @@
 from lagoonsail_core.green import eventlet, green_socket
 from lagoonsail_core.messages import MAX_FRAME_BYTES
 from lagoonsail_peer import _handshake
+from lagoonsail_peer._frame_auth import TAG_BYTES, make_opener, make_tagger
 from lagoonsail_peer._places import HANDSHAKE_MS, HandshakePlaces
 from lagoonsail_peer.stream import (
     CLOSED_BROKEN,
@@ -42,6 +43,8 @@
 """Most that is read at once."""
 CLOSED_UNAVAILABLE = "closed_unavailable"
 """The server could not be connected."""
+CLOSED_UNAUTHENTIC = "closed_unauthentic_frame"
+"""A frame was not the next one that the proven remote side sent."""
 
 _LENGTH = struct.Struct(">I")
 _log = logbook.Logger("lagoonsail.peer")
@@ -53,6 +56,7 @@
     __slots__ = (
         "_frames",
         "_is_ended",
+        "_make_tag",
         "_socket",
         "_writer",
         "waiting",
@@ -69,18 +73,30 @@
         self.waiting_bytes = 0
         self._frames: deque[tuple[bytes | memoryview, int]] = deque()
         self._is_ended = False
+        self._make_tag: Callable[[bytes], bytes] | None = None
         self._socket: socket.socket | None = None
         self._writer: eventlet.greenthread.GreenThread | None = None
 
-    def attach(self, connection: socket.socket) -> None:
+    def attach(
+        self, connection: socket.socket, make_tag: Callable[[bytes], bytes]
+    ) -> None:
         """Send what waits, and from now on what is put.
 
         Args:
             connection: A connected socket that does not block.
+            make_tag: Makes the tag of each frame, in their order.
         """
         self._socket = connection
+        self._make_tag = make_tag
+        for index, (frame, messages) in enumerate(self._frames):
+            self._frames[index] = (self._seal(frame), messages)
+        self.waiting_bytes = sum(len(data) for data, _ in self._frames)
         self._send()
 
+    def _seal(self, frame: bytes) -> bytes:
+        tag = self._make_tag(frame)
+        return _LENGTH.pack(len(frame) + len(tag)) + frame + tag
+
     def detach(self) -> None:
         """Send no more; the socket is about to be closed."""
         self._socket = None
@@ -94,7 +110,7 @@
             frame: An encoded frame.
             messages: How many messages it holds, without those that don't count.
         """
-        data = _LENGTH.pack(len(frame)) + frame
+        data = self._seal(frame) if self._make_tag else frame
         self._frames.append((data, messages))
         self.waiting += messages
         self.waiting_bytes += len(data)
@@ -178,11 +194,14 @@
             self._resume.send(None)
             self._resume = None
 
-    def read(self, connection: socket.socket) -> str:
+    def read(
+        self, connection: socket.socket, open_frame: Callable[[bytes], bytes | None]
+    ) -> str:
         """Pass frames to the stream until the connection ends.
 
         Args:
             connection: A connected socket that does not block.
+            open_frame: Checks and removes the tag of each frame, in their order.
 
         Returns:
             Why the stream is to be closed.
@@ -226,30 +245,36 @@
                 if not data:
                     return CLOSED_BROKEN
                 received += data
-                if not self._take(received):
-                    return CLOSED_OVERSIZED
+                refused = self._take(received, open_frame)
+                if refused:
+                    return refused
                 while self._unread >= MAX_UNREAD_FRAMES and not self.stream.is_closed:
                     pause()
         finally:
             if listener is not None:
                 hub.remove(listener)
 
-    def _take(self, received: bytearray) -> bool:
-        """Take whole frames away, and return whether the next one may be read."""
+    def _take(
+        self, received: bytearray, open_frame: Callable[[bytes], bytes | None]
+    ) -> str:
+        """Take whole frames away, and return why no more may be read, if so."""
         start = 0
         end = len(received)
         while end - start >= _LENGTH.size:
             (length,) = _LENGTH.unpack_from(received, start)
-            if length > MAX_FRAME_BYTES:
-                return False
+            if length > MAX_FRAME_BYTES + TAG_BYTES:
+                return CLOSED_OVERSIZED
             stop = start + _LENGTH.size + length
             if stop > end:
                 break
+            frame = open_frame(bytes(received[start + _LENGTH.size : stop]))
+            if frame is None:
+                return CLOSED_UNAUTHENTIC
             self._unread += 1
-            self.stream.on_frame(bytes(received[start + _LENGTH.size : stop]))
+            self.stream.on_frame(frame)
             start = stop
         del received[:start]
-        return True
+        return ""
 
 
 def listen(address: str, options: StreamOptions, intake: Intake) -> Listener:
@@ -332,7 +357,7 @@
     try:
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         with eventlet.Timeout(limit_ms / 1000.0):
-            router, incarnation = _handshake.check(connection, intake, accepted)
+            parts = _handshake.check(connection, intake, accepted)
     except _handshake.HandshakeError as error:
         intake.count(f"refused_{error.reason}")
         return
@@ -348,20 +373,28 @@
     wire.task = eventlet.getcurrent()
     reason = CLOSED_BROKEN
     try:
-        intake.accept(wire, router, incarnation)
+        intake.accept(wire, parts[0], int(parts[1]))
         # A server that is about to stop opens no stream.
         if wire.stream is not None:
-            reason = _run(wire, connection)
+            own, other = _handshake.ROLE_SERVER, _handshake.ROLE_CLIENT
+            make_tag = make_tagger(intake.shared_key, own, parts)
+            open_frame = make_opener(intake.shared_key, other, parts)
+            reason = _run(wire, connection, make_tag, open_frame)
     finally:
         intake.leave()
         _finish(wire, reason, intake.forget)
 
 
-def _run(wire: TcpWire, connection: green_socket.socket) -> str:
+def _run(
+    wire: TcpWire,
+    connection: green_socket.socket,
+    make_tag: Callable[[bytes], bytes],
+    open_frame: Callable[[bytes], bytes | None],
+) -> str:
     """Send and read until the end; returns why the stream is to be closed."""
-    wire.outgoing.attach(connection.fd)
+    wire.outgoing.attach(connection.fd, make_tag)
     try:
-        return wire.read(connection.fd)
+        return wire.read(connection.fd, open_frame)
     finally:
         wire.outgoing.detach()
 
@@ -416,9 +449,11 @@
     try:
         connection = green_socket.create_connection((host.strip("[]"), int(port)))
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        _handshake.answer(connection, shared_key, address, options.identity())
+        parts = _handshake.answer(connection, shared_key, address, options.identity())
         timeout.cancel()
-        return _run(wire, connection)
+        make_tag = make_tagger(shared_key, _handshake.ROLE_CLIENT, parts)
+        open_frame = make_opener(shared_key, _handshake.ROLE_SERVER, parts)
+        return _run(wire, connection, make_tag, open_frame)
     except _handshake.HandshakeError as error:
         return f"closed_{error.status}"
     except OSError:
--- a/packages/lagoonsail-peer/tests/conftest.py
+++ b/packages/lagoonsail-peer/tests/conftest.py
@@ -21,6 +21,7 @@
 from lagoonsail_core.green import eventlet, green_socket
 from lagoonsail_core.messages import Heartbeat, Hello
 from lagoonsail_peer import _handshake
+from lagoonsail_peer._frame_auth import make_tagger
 from lagoonsail_peer._grpc import (
     METADATA_INCARNATION,
     METADATA_ROUTER,
@@ -196,12 +197,14 @@
         _handshake._send(connection, [*head, proof])
         _handshake._receive(connection, 2)
         received = b""
+        make_tag = make_tagger(key, _handshake.ROLE_CLIENT, parts)
         try:
             for frame in frames:
                 if frame is None:
                     connection.shutdown(socket.SHUT_WR)
                     continue
-                connection.sendall(struct.pack(">I", len(frame)) + frame)
+                data = frame + make_tag(frame)
+                connection.sendall(struct.pack(">I", len(data)) + data)
             while data := connection.recv(65536):
                 received += data
         except OSError:
--- a/packages/lagoonsail-peer/tests/test_tcp_handshake.py
+++ b/packages/lagoonsail-peer/tests/test_tcp_handshake.py
@@ -8,6 +8,7 @@
 from lagoonsail_core.green import eventlet, green_socket
 from lagoonsail_core.messages import MAX_FRAME_BYTES, Hello, SlotCancel, encode_frame
 from lagoonsail_peer import _handshake
+from lagoonsail_peer._frame_auth import TAG_BYTES, make_tagger
 from lagoonsail_peer._places import MAX_HANDSHAKES
 from lagoonsail_peer.signing import prove
 from lagoonsail_peer.wire import MAX_STREAMS
@@ -21,8 +22,8 @@
     return "tcp"
 
 
-def framed(frame):
-    return struct.pack(">I", len(frame)) + frame
+def framed(data):
+    return struct.pack(">I", len(data)) + data
 
 
 def make_answer(challenge, address, key=b"key", role=_handshake.ROLE_CLIENT):
@@ -48,7 +49,8 @@
 
 @pytest.fixture
 def shake(server, raw_connect):
-    """Connect, answer the challenge, and return the socket and the server's reply."""
+    """Connect, answer the challenge, and return the socket, the server's reply, and
+    what frames a frame with its tag."""
 
     def call(change=None, **options):
         port = server.end.port
@@ -57,7 +59,10 @@
         if change is not None:
             answer = change(answer)
         _handshake._send(connection, answer)
-        return connection, _handshake._receive(connection, 2)
+        parts = (*answer[:3], challenge, answer[3])
+        make_tag = make_tagger(b"key", _handshake.ROLE_CLIENT, parts)
+        reply = _handshake._receive(connection, 2)
+        return connection, reply, lambda frame: framed(frame + make_tag(frame))
 
     return call
 
@@ -67,16 +72,16 @@
 
 
 def test_server_proves_the_key_over_both_challenges(server, shake):
-    connection, reply = shake()
+    connection, reply, seal = shake()
     assert reply[0] == _handshake.STATUS_OK
     assert len(reply[1]) == 64
-    connection.sendall(framed(HELLO))
+    connection.sendall(seal(HELLO))
     eventlet.sleep(0.05)
     assert [stream.name for stream in server.streams()] == ["raw"]
 
 
 def test_wrong_key_is_refused_over_tcp(server, shake):
-    connection, reply = shake(key=b"other")
+    connection, reply, _ = shake(key=b"other")
     assert reply == [_handshake.STATUS_UNAUTHENTICATED, ""]
     assert is_ended(connection)
     assert refused(server) == {"refused_signature_wrong"}
@@ -216,9 +221,9 @@
 
 
 def test_announced_length_above_the_limit_closes_the_stream(server, shake, wait_until):
-    connection, _ = shake()
-    connection.sendall(framed(HELLO) + framed(encode_frame(1, [SlotCancel(4)])))
-    connection.sendall(struct.pack(">I", MAX_FRAME_BYTES + 1))
+    connection, _, seal = shake()
+    connection.sendall(seal(HELLO) + seal(encode_frame(1, [SlotCancel(4)])))
+    connection.sendall(struct.pack(">I", MAX_FRAME_BYTES + TAG_BYTES + 1))
     wait_until(lambda: server.of("close"))
     assert server.streams()[0].close_reason == "closed_oversized_frame"
     assert [message.ticket for message in server.messages(SlotCancel)] == [4]
@@ -226,8 +231,8 @@
 
 
 def test_frame_that_trickles_in_is_closed_by_silence(server, shake, wait_until):
-    connection, _ = shake()
-    connection.sendall(framed(HELLO) + struct.pack(">I", 1000))
+    connection, _, seal = shake()
+    connection.sendall(seal(HELLO) + struct.pack(">I", 1000))
     wait_until(lambda: server.of("open"))
     started = time.monotonic()
     with pytest.raises(OSError):
@@ -239,9 +244,9 @@
 
 
 def test_frames_in_any_pieces_arrive_whole_and_in_order(server, shake, wait_until):
-    connection, _ = shake()
+    connection, _, seal = shake()
     frames = [encode_frame(1, [SlotCancel(ticket)]) for ticket in range(40)]
-    data = framed(HELLO) + b"".join(framed(frame) for frame in frames)
+    data = seal(HELLO) + b"".join(seal(frame) for frame in frames)
     for start in range(0, len(data), 7):
         connection.sendall(data[start : start + 7])
         eventlet.sleep(0)
@@ -250,6 +255,65 @@
     assert tickets == list(range(40))
 
 
+@pytest.mark.parametrize(
+    "tamper",
+    [
+        lambda first, second, bare: [first, first],
+        lambda first, second, bare: [second, first],
+        lambda first, second, bare: [second],
+        lambda first, second, bare: [first[:8] + bytes([first[8] ^ 1]) + first[9:]],
+        lambda first, second, bare: [first[:-1] + bytes([first[-1] ^ 1])],
+        lambda first, second, bare: [framed(bare)],
+        lambda first, second, bare: [framed(b"short")],
+        lambda first, second, bare: [framed(b"")],
+        lambda first, second, bare: [framed(bare + bytes(TAG_BYTES))],
+    ],
+    ids=[
+        "replayed",
+        "reordered",
+        "left_out",
+        "altered",
+        "altered_tag",
+        "untagged",
+        "short",
+        "empty",
+        "injected",
+    ],
+)
+def test_frame_that_is_not_the_next_one_closes_the_stream(
+    server, shake, wait_until, tamper
+):
+    connection, _, seal = shake()
+    connection.sendall(seal(HELLO))
+    frames = [encode_frame(1, [SlotCancel(ticket)]) for ticket in (70_001, 70_002)]
+    sealed = [seal(frame) for frame in frames]
+    connection.sendall(b"".join(tamper(*sealed, frames[0])))
+    wait_until(lambda: server.of("close"))
+    assert server.streams()[0].close_reason == "closed_unauthentic_frame"
+    assert server.end.counters["closed_unauthentic_frame"] == 1
+    assert is_ended(connection)
+    # At most the frame that came first and in its place was taken.
+    tickets = [message.ticket for message in server.messages(SlotCancel)]
+    assert tickets in ([], [70_001])
+
+
+def test_frame_of_the_other_direction_or_connection_is_refused(
+    server, shake, wait_until
+):
+    first, reply, seal = shake()
+    hello = seal(HELLO)
+    received = b""
+    with eventlet.Timeout(5.0):
+        while len(received) < 4:
+            received += first.recv(65536)
+    first.sendall(received)
+    wait_until(lambda: server.end.counters["closed_unauthentic_frame"] == 1)
+    second, _, _ = shake()
+    second.sendall(hello)
+    wait_until(lambda: server.end.counters["closed_unauthentic_frame"] == 2)
+    assert not server.of("open")
+
+
 def test_connections_that_do_not_answer_leave_room_for_streams(
     server, make_peer, wait_until
 ):
