Name the setback of a server that loads a model

Cause: when the owner orders a load, it sets the engine's limit back through on_refused, so that status and time line said connection_refused although the engine was reached and did as it was told.

Ruled out: leaving the limit as it is until the engine reports: it refuses while it loads and is cold afterwards.

Change: ServerLimit.on_loading, with the reason loading.

Run: test_server_limit.py, test_shard_owner.py and the fleet test of a documented model pass; without the change the time line of that test has connection_refused only.

--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -509,7 +509,7 @@
 
         def on_load() -> None:
             # It takes no requests while it loads, and is cold afterwards.
-            server.limit.on_refused(self._context.clock.now_ms())
+            server.limit.on_loading(self._context.clock.now_ms())
 
         self.orders.step(server.entry, document, may_order, on_load)
 
--- a/packages/lagoonsail-router/tests/test_router_fleet.py
+++ b/packages/lagoonsail-router/tests/test_router_fleet.py
@@ -247,6 +247,15 @@
     assert [order["order"] for order in orders] == ["load", "load_adapter"]
     assert all(int(order["epoch"]) >= 1 for order in orders)
     assert fleet.records()["cordero/asistente-1"]["overloads"] == 0
+    events = [
+        event
+        for name in NAMES
+        for event in fleet.fetch("GET", fleet.routers[name].admin, "/timeline")
+        if event["event"] == "server_cold"
+    ]
+    reasons = [e["reason"] for e in events if e["server"].endswith("/asistente-1")]
+    assert "loading" in reasons
+    assert "connection_refused" not in reasons
 
 
 def test_planned_stop_ends_running_calls_in_peace(fleet, stream, runs):
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_limit.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_limit.py
@@ -410,6 +410,14 @@
         """
         self._set_back("connection_refused", now_ms)
 
+    def on_loading(self, now_ms: float) -> None:
+        """Take note that the server loads something: it refuses, then it is cold.
+
+        Args:
+            now_ms: Local monotonic time.
+        """
+        self._set_back("loading", now_ms)
+
     def set_slots(self, slots: int, cold_slots: int) -> None:
         """Take the limits of a new document; requests that run go on.
 
--- a/packages/lagoonsail-sharing/tests/test_server_limit.py
+++ b/packages/lagoonsail-sharing/tests/test_server_limit.py
@@ -155,6 +155,7 @@
 
     signs = {
         "connection_refused": refused,
+        "loading": lambda server, now_ms: server.on_loading(now_ms),
         "incarnation": finish("whole", "i2"),
         "broken": finish("broken", ""),
         "refused": finish("refused", "i1"),
