--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/timeline_command.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/timeline_command.py
@@ -16,7 +16,13 @@
 )
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_ctl.errors import BadInputError, CommandError
-from lagoonsail_ctl.fleet import Answer, Router, ask_all, find_routers
+from lagoonsail_ctl.fleet import (
+    Answer,
+    Router,
+    ask_all,
+    find_routers,
+    no_answer_error,
+)
 from lagoonsail_ctl.report import Report
 
 if TYPE_CHECKING:
@@ -36,30 +42,26 @@
 class Position:
     """How far the events of one router have been read."""
 
+    incarnation: str = ""
+    """Incarnation of the router, whose logical time begins anew at each start."""
     logical: int = 0
     """Logical time of the newest event."""
-    wall_ms: float = float("-inf")
-    """Wall time of the newest event."""
-    is_answering: bool = True
-    """Whether the router answered last time."""
-
-    def is_before(self, event: dict[str, object]) -> bool:
-        """Return whether an event has not been read yet.
-
-        Args:
-            event: An event of the router.
-
-        Returns:
-            Whether it is newer by logical time, or by wall time after a new start.
-        """
-        return event["logical"] > self.logical or event["wall_ms"] > self.wall_ms
 
 
 class TimelineReader:
     """Reads what is new in the time lines of all routers."""
 
-    __slots__ = ("_connection", "_members_ms", "_positions", "_routers", "silent")
-
+    __slots__ = (
+        "_connection",
+        "_members_ms",
+        "_positions",
+        "_routers",
+        "answered",
+        "silent",
+    )
+
+    answered: int
+    """Number of routers that answered last time."""
     silent: dict[str, str]
     """By router, why it did not answer last time."""
 
@@ -68,6 +70,7 @@
         self._positions: dict[str, Position] = {}
         self._routers = find_routers(connection)
         self._members_ms = connection.clock.now_ms()
+        self.answered = 0
         self.silent = {}
 
     def read(self) -> list[dict[str, object]]:
@@ -75,7 +78,9 @@
         self._look_for_routers()
         answers = ask_all(self._connection, self._routers, self._ask)
         self.silent = {}
-        return merge_events(self._take(answer) for answer in answers)
+        events = merge_events(self._take(answer) for answer in answers)
+        self.answered = len(answers) - len(self.silent)
+        return events
 
     def _look_for_routers(self) -> None:
         now_ms = self._connection.clock.now_ms()
@@ -90,21 +95,17 @@
 
     def _ask(self, client: AdminClient) -> list[dict[str, object]] | Unavailable:
         position = self._positions.setdefault(client.address, Position())
-        # One that did not answer may have started anew, with an earlier logical time.
-        events = client.get_timeline(position.logical if position.is_answering else 0)
-        position.is_answering = not isinstance(events, Unavailable)
+        events = client.get_timeline(position.logical, position.incarnation)
         if isinstance(events, Unavailable):
             return events
         try:
-            merged = merge_events([events])
+            merged = merge_events([events.items])
         except TimelineFormatError as error:
             return Unavailable(str(error))
-        return [
-            event
-            for event in merged
-            if event["logical"] > position.logical
-            or event["wall_ms"] > position.wall_ms
-        ]
+        if events.incarnation != position.incarnation:
+            position.incarnation = events.incarnation
+            position.logical = 0
+        return [event for event in merged if event["logical"] > position.logical]
 
     def _take(self, answer: Answer) -> list[dict[str, object]]:
         if isinstance(answer.result, Unavailable):
@@ -116,9 +117,7 @@
     def _advance(self, router: Router, events: list[dict[str, object]]) -> None:
         if not events:
             return
-        position = self._positions[router.address]
-        position.logical = events[-1]["logical"]
-        position.wall_ms = max(event["wall_ms"] for event in events)
+        self._positions[router.address].logical = events[-1]["logical"]
 
 
 def timeline(
@@ -149,7 +148,9 @@
         request: Only events of this request.
         server: Only events of this backend server.
         account: Only events of this client account.
-        domain: Only events of this failure domain.
+        domain: Only events of this failure domain. Without SIDE/ or SIDE/SERVICE/
+            before the name, a failure domain, server or account stands for all of
+            that name.
         format: text (else), json with one event a line, or svg.
     """
     filters = {
@@ -159,16 +160,18 @@
         "failure_domain": domain,
     }
     wanted = {field: value for field, value in filters.items() if value}
-    render = _RENDER[format]
+    # One JSON object on standard output would only be whole when nobody follows.
+    render = _RENDER["json" if follow and connection.is_json else format]
     if follow and format == "svg":
         raise BadInputError("an svg cannot be followed", "use --format text or json")
     reader = TimelineReader(connection)
     if follow:
         return _follow(reader, wanted, render)
     events = select_events(reader.read(), wanted)
+    error = no_answer_error(reader.answered, reader.silent)
     notes = [f"no events of {name}: {why}" for name, why in reader.silent.items()]
     data = {"events": events, "no_answer": reader.silent}
-    return Report(data, render(events).splitlines(), notes)
+    return Report(data, render(events).splitlines(), notes, error)
 
 
 def _follow(
