Let one relay process stand before several servers and tell routers apart

Paths from routers to backend servers had no relays in the laboratory, since a relay for each would double its processes, and one relay could not cut a single router off: all routers come from the same address. A relay now takes several targets, each with a port of its own, and orders for one target or for connections from one address. A fleet with relayed servers starts one relay process for each side, and its routers through placed_router, which only gives their outgoing HTTP connections a loopback address of their own, as hosts have.

Ruled out: a setting of the router for its source address (nobody but the laboratory wants it); reading the sender out of the request (load reports carry none).

--- a/packages/lagoonsail-lab/src/lagoonsail_lab/fleet.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/fleet.py
@@ -7,7 +7,6 @@
 import shutil
 import signal
 import tempfile
-from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -16,6 +15,14 @@
 from lagoonsail_core.names import qualify
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_lab.deployments import write_document
+from lagoonsail_lab.parts import (
+    Backend,
+    Relay,
+    Router,
+    give_sources,
+    make_backends,
+    make_routers,
+)
 from lagoonsail_lab.processes import Process, ProcessError, free_port, stop_all
 
 if TYPE_CHECKING:
@@ -39,62 +46,8 @@
 """Module of the backend servers by kind of service."""
 ROUTER_MODULE = "lagoonsail_router"
 """Module of the router."""
-
-
-@dataclass(slots=True)
-class Router:
-    """One router of the fleet."""
-
-    name: str
-    """Its name."""
-    side: str
-    """Its side."""
-    region: str
-    """Its region."""
-    failure_domain: str
-    """Its failure domain, unqualified."""
-    callers: str = ""
-    """Address for callers."""
-    admin: str = ""
-    """Address for operators."""
-    peers: str = ""
-    """Address where it listens for other routers."""
-    host_state: str = "live"
-    """What the host list says of it: live, leaving, or empty if not listed."""
-    process: Process | None = None
-    """Its process, after the first start."""
-
-
-@dataclass(slots=True)
-class Backend:
-    """One backend server of the fleet."""
-
-    service: ServiceShape
-    """Its service."""
-    name: str
-    """Its name, unqualified."""
-    failure_domain: str
-    """Its failure domain, unqualified."""
-    address: str = ""
-    """Where it listens."""
-    process: Process | None = None
-    """Its process, after the start."""
-
-    def qualified(self) -> str:
-        """Return the fleet-wide name."""
-        return qualify(self.service.side, self.name)
-
-
-@dataclass(slots=True)
-class Relay:
-    """A relay in the path of a connection, to cut or slow it."""
-
-    address: str
-    """Where it listens."""
-    control: str
-    """Address of its controls."""
-    process: Process
-    """Its process."""
+PLACED_ROUTER_MODULE = "lagoonsail_lab.placed_router"
+"""Module of the router with a source address of its own."""
 
 
 class Fleet:
@@ -105,6 +58,7 @@
         "_is_own_directory",
         "_out",
         "_processes",
+        "_relayed_backends",
         "_relayed_peers",
         "_relayed_store",
         "_router_module",
@@ -127,7 +81,7 @@
     host_list: str
     """Address of the host list."""
     relays: dict[str, Relay]
-    """Relays by `store-ROUTER` or `peers-ROUTER`."""
+    """Relays by `store-ROUTER`, `peers-ROUTER` or `servers-SIDE`."""
     routers: dict[str, Router]
     """Routers by name."""
     store: str
@@ -141,6 +95,7 @@
         relayed_store: Iterable[str] = (),
         relayed_peers: Iterable[str] = (),
         router_module: str = ROUTER_MODULE,
+        relayed_backends: Iterable[str] = (),
     ) -> None:
         """Prepare a fleet; nothing is started.
 
@@ -151,6 +106,8 @@
             relayed_store: Routers that reach the key-value service through a relay.
             relayed_peers: Routers that other routers reach through a relay.
             router_module: What is run as a router.
+            relayed_backends: Backend servers, by qualified name, that routers reach
+                through a relay. Each router then has a source address of its own.
         """
         self.deployments = deployments
         self._is_own_directory = directory is None
@@ -158,6 +115,7 @@
         self._settings = settings or {}
         self._relayed_store = frozenset(relayed_store)
         self._relayed_peers = frozenset(relayed_peers)
+        self._relayed_backends = frozenset(relayed_backends)
         self._router_module = router_module
         self._http = urllib3.PoolManager(
             num_pools=200, maxsize=4, retries=False, timeout=5.0
@@ -171,13 +129,15 @@
             backend.qualified(): backend
             for deployment in deployments
             for service in deployment.services
-            for backend in _make_backends(service)
+            for backend in make_backends(service)
         }
         self.routers = {
             router.name: router
             for deployment in deployments
-            for router in _make_routers(deployment)
+            for router in make_routers(deployment)
         }
+        if self._relayed_backends:
+            give_sources(self.routers.values())
 
     def __enter__(self) -> Fleet:
         try:
@@ -215,6 +175,7 @@
         _for_each(self._start_backend, self.backends.values())
         self.store = store.wait()
         self.host_list = host_list.wait()
+        _for_each(self._relay_backends, self.deployments)
         self.put_documents()
 
     def start_routers(self) -> None:
@@ -275,14 +236,32 @@
         process = self._start_listening(name, "lagoonsail_standins.relay", options)
         self.relays[name] = Relay(_address_of(process), f"127.0.0.1:{control}", process)
 
+    def _relay_backends(self, deployment: Deployment) -> None:
+        """Put one relay process before the relayed backend servers of a side."""
+        backends = [
+            backend
+            for name, backend in self.backends.items()
+            if name in self._relayed_backends
+            and backend.service.side == deployment.side
+        ]
+        if not backends:
+            return
+        name = f"servers-{deployment.side}"
+        self._add_relay(name, ",".join(backend.address for backend in backends))
+        ports = self.relays[name].process.wait_listening()["ports"]
+        for backend, port in zip(backends, ports, strict=True):
+            backend.relay = f"127.0.0.1:{port}"
+
     def _start_router(self, router: Router) -> None:
         for attempt in range(START_ATTEMPTS):
             path = self.directory / f"{router.name}.ini"
             path.write_text(self.write_settings(router))
             arguments = ["--settings", str(path)]
-            router.process = Process(
-                router.name, self._router_module, arguments, self.directory
-            )
+            module = self._router_module
+            if router.source:
+                arguments += ["--source", router.source]
+                module = PLACED_ROUTER_MODULE
+            router.process = Process(router.name, module, arguments, self.directory)
             self._processes.append(router.process)
             router.process.start()
             try:
@@ -409,7 +388,7 @@
         backends = [b for b in self.backends.values() if b.service is service]
         return write_document(
             service,
-            {backend.name: backend.address for backend in backends},
+            {backend.name: backend.relay or backend.address for backend in backends},
             frozenset(
                 domain
                 for domain in service.domains()
@@ -589,26 +568,6 @@
             self.redirect_peers(name)
 
 
-def _make_backends(service: ServiceShape) -> list[Backend]:
-    return [
-        Backend(service, server.name, server.failure_domain)
-        for server in service.servers
-    ]
-
-
-def _make_routers(deployment: Deployment) -> list[Router]:
-    domains = deployment.domains
-    return [
-        Router(
-            f"{deployment.side}-{number + 1}",
-            deployment.side,
-            deployment.region,
-            domains[number % len(domains)],
-        )
-        for number in range(deployment.routers)
-    ]
-
-
 def _for_each(function: Callable[[Any], None], items: Iterable) -> None:
     pool = eventlet.GreenPool(STARTS_AT_ONCE)
     threads = [pool.spawn(function, item) for item in items]
--- a/packages/lagoonsail-lab/tests/test_fleet.py
+++ b/packages/lagoonsail-lab/tests/test_fleet.py
@@ -6,6 +6,7 @@
 import pytest
 
 from lagoonsail_config.document import parse_document
+from lagoonsail_core.green import urllib3
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_lab.deployments import (
     SHARED_DOMAIN,
@@ -93,6 +94,32 @@
     assert fleet.fetch("POST", address, "/v3/kv/range", key)
 
 
+def test_relay_cuts_one_source_off_from_one_server(fleet):
+    servers = [fleet.backends[f"cordero/registro-{n}"].address for n in (1, 2)]
+    fleet._add_relay("servers", ",".join(servers))
+    ports = fleet.relays["servers"].process.wait_listening()["ports"]
+
+    def is_reached(port, source):
+        connection = urllib3.connection.HTTPConnection(
+            "127.0.0.1", port, timeout=2.0, source_address=(source, 0)
+        )
+        try:
+            connection.request("GET", "/_record")
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+        finally:
+            connection.close()
+
+    sources = ["127.0.1.2", "127.0.1.3"]
+    path = {"target": servers[0], "source": sources[0]}
+    fleet.control_relay("servers", **path, mode="cut")
+    reached = [[is_reached(port, source) for source in sources] for port in ports]
+    assert reached == [[False, True], [True, True]]
+    fleet.control_relay("servers", **path, mode="pass")
+    assert is_reached(ports[0], sources[0])
+
+
 def test_process_that_does_not_listen_is_reported_with_its_errors(tmp_path):
     process = Process("wrong", "lagoonsail_standins.relay", [], tmp_path)
     process.start()
--- a/packages/lagoonsail-standins/src/lagoonsail_standins/relay.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/relay.py
@@ -1,11 +1,15 @@
-"""Stand-in for the network between two processes: a TCP relay that fails on demand."""
+"""Stand-in for the network between processes: a TCP relay that fails on demand.
+
+One relay process may stand before several targets, each with a port of its own. What
+it does to connections can differ by target, and by the address that they come from.
+"""
 
 from __future__ import annotations
 
 import json
 import struct
 from collections import Counter
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.clock import Clock
@@ -85,6 +89,8 @@
 
     client: green_socket.socket
     """Towards the client."""
+    source: str
+    """Address that the client's connection comes from."""
     gate: Gate
     """Shut while the connection is frozen."""
     target: green_socket.socket | None = None
@@ -118,17 +124,29 @@
     under way in them waits.
     """
 
-    __slots__ = ("_clock", "_connections", "_target", "control", "counts")
+    __slots__ = (
+        "_by_source",
+        "_clock",
+        "_connections",
+        "_target",
+        "control",
+        "counts",
+        "target",
+    )
 
     control: Control
-    """How connections are treated now."""
+    """How connections are treated now, but for the sources with orders of their own."""
+    target: str
+    """Where connections are passed on to."""
     counts: Counter
     """Connections accepted and refused, and bytes in each direction."""
 
     def __init__(self, target: str, clock: Clock) -> None:
         host, _, port = target.rpartition(":")
+        self.target = target
         self.control = Control()
         self.counts = Counter()
+        self._by_source: dict[str, Control] = {}
         self._target = (host, int(port))
         self._clock = clock
         self._connections: set[Connection] = set()
@@ -140,47 +158,56 @@
             listener: Listening socket.
         """
         while True:
-            client, _ = listener.accept()
-            if self.control.mode == "cut":
+            client, (source, _) = listener.accept()
+            control = self._control_of(source)
+            if control.mode == "cut":
                 self.counts["refused"] += 1
                 reset(client)
                 continue
             self.counts["accepted"] += 1
-            connection = Connection(client, Gate())
-            if self.control.drop_new:
+            connection = Connection(client, source, Gate())
+            if control.drop_new:
                 connection.gate.shut()
             self._connections.add(connection)
             eventlet.spawn(self._carry, connection)
 
-    def set_control(self, request: Request) -> Answer:
-        """Handle `POST /_control`."""
-        body = request.json()
-        unknown = set(body) - set(Control.__dataclass_fields__)
-        if unknown or body.get("mode", "pass") not in MODES:
-            raise MalformedRequestError(
-                f"unknown control {json.dumps(body)}",
-                f"mode is one of {', '.join(MODES)}",
-            )
-        for name, value in body.items():
-            setattr(self.control, name, value)
-        self._apply_mode()
-        return answer_json(asdict(self.control))
+    def _control_of(self, source: str) -> Control:
+        return self._by_source.get(source, self.control)
 
-    def show_counts(self, _request: Request) -> Answer:
-        """Handle `GET /_record`."""
-        frozen = sum(not item.gate.is_open for item in self._connections)
-        return answer_json(
-            {**self.counts, "open": len(self._connections), "frozen": frozen}
-        )
+    def set_control(self, values: dict[str, object], source: str = "") -> Control:
+        """Treat connections in another way from now on.
 
-    def _apply_mode(self) -> None:
+        Args:
+            values: Fields of Control by name; others stay as they are.
+            source: Address whose connections are meant; all if empty.
+
+        Returns:
+            How these connections are treated now.
+        """
+        if source:
+            control = self._by_source.setdefault(source, replace(self.control))
+        else:
+            self._by_source.clear()
+            control = self.control
+        for name, value in values.items():
+            setattr(control, name, value)
         for connection in list(self._connections):
-            if self.control.mode == "cut":
-                self._end(connection)
-            elif self.control.mode == "freeze":
-                connection.gate.shut()
-            elif not self.control.drop_new:
-                connection.gate.open()
+            if not source or connection.source == source:
+                self._apply(control, connection)
+        return control
+
+    def describe(self) -> dict[str, int]:
+        """Return counts, and how many connections are open and frozen now."""
+        frozen = sum(not item.gate.is_open for item in self._connections)
+        return {**self.counts, "open": len(self._connections), "frozen": frozen}
+
+    def _apply(self, control: Control, connection: Connection) -> None:
+        if control.mode == "cut":
+            self._end(connection)
+        elif control.mode == "freeze":
+            connection.gate.shut()
+        elif not control.drop_new:
+            connection.gate.open()
 
     def _end(self, connection: Connection) -> None:
         if connection not in self._connections:
@@ -218,7 +245,7 @@
     ) -> None:
         """Pass one direction on until it ends; a break ends both directions."""
         under_way = eventlet.queue.LightQueue(CHUNKS_IN_FLIGHT)
-        reader = eventlet.spawn(self._read_all, source, under_way)
+        reader = eventlet.spawn(self._read_all, connection, source, under_way)
         try:
             while True:
                 due_ms, chunk = under_way.get()
@@ -235,7 +262,10 @@
             reader.kill()
 
     def _read_all(
-        self, source: green_socket.socket, under_way: eventlet.queue.LightQueue
+        self,
+        connection: Connection,
+        source: green_socket.socket,
+        under_way: eventlet.queue.LightQueue,
     ) -> None:
         chunk = b"-"
         while chunk:
@@ -243,29 +273,63 @@
                 chunk = source.recv(CHUNK_BYTES)
             except BROKEN:
                 chunk = b""
-            under_way.put((self._clock.now_ms() + self.control.delay_ms, chunk))
+            delay_ms = self._control_of(connection.source).delay_ms
+            under_way.put((self._clock.now_ms() + delay_ms, chunk))
+
+
+def make_routes(relays: list[Relay]) -> dict[tuple[str, str], Callable]:
+    """Return the handlers of `/_control` and `/_record`.
+
+    Args:
+        relays: The relays of this process.
+
+    Returns:
+        Handlers by method and path.
+    """
+
+    def set_control(request: Request) -> Answer:
+        values = request.json()
+        target, source = values.pop("target", ""), values.pop("source", "")
+        chosen = [relay for relay in relays if target in ("", relay.target)]
+        unknown = set(values) - set(Control.__dataclass_fields__)
+        if unknown or not chosen or values.get("mode", "pass") not in MODES:
+            raise MalformedRequestError(
+                f"unknown control {json.dumps(values)} of {target or 'all targets'}",
+                f"mode is one of {', '.join(MODES)}",
+            )
+        controls = [relay.set_control(values, source) for relay in chosen]
+        return answer_json(asdict(controls[0]))
+
+    def show_counts(_request: Request) -> Answer:
+        counts = Counter()
+        for relay in relays:
+            counts.update(relay.describe())
+        return answer_json(counts)
+
+    return {("POST", "/_control"): set_control, ("GET", "/_record"): show_counts}
 
 
 def main(*, target: str, port: int = 0, control_port: int = 0) -> None:
     """Pass TCP connections on until SIGTERM.
 
     Args:
-        target: Where connections are passed on to, `ip:port`.
+        target: Where connections are passed on to, `ip:port`; several separated by
+            commas, of which each further one gets any free port.
         port: TCP port; 0 takes any free one.
         control_port: TCP port of `/_control` and `/_record`; 0 takes any free one.
     """
     exit_on_sigterm()
-    relay = Relay(target, Clock())
-    listener, control_listener = listen(port), listen(control_port)
-    routes: dict[tuple[str, str], Callable[[Request], Answer]] = {
-        ("POST", "/_control"): relay.set_control,
-        ("GET", "/_record"): relay.show_counts,
-    }
-    eventlet.spawn(relay.accept_all, listener)
+    clock = Clock()
+    relays = [Relay(address, clock) for address in target.split(",")]
+    listeners = [listen(0 if number else port) for number in range(len(relays))]
+    control_listener = listen(control_port)
+    for relay, listener in zip(relays, listeners, strict=True):
+        eventlet.spawn(relay.accept_all, listener)
+    ports = [listener.getsockname()[1] for listener in listeners]
     print_listening(
-        listener.getsockname()[1], control_port=control_listener.getsockname()[1]
+        ports[0], control_port=control_listener.getsockname()[1], ports=ports
     )
-    serve_listener(control_listener, make_app(routes))
+    serve_listener(control_listener, make_app(make_routes(relays)))
 
 
 if __name__ == "__main__":
--- a/packages/lagoonsail-standins/src/lagoonsail_standins/serving.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/serving.py
@@ -217,7 +217,7 @@
     return listener
 
 
-def print_listening(port: int, **more: int | str) -> None:
+def print_listening(port: int, **more: int | str | list[int]) -> None:
     """Print the line that tells the starter which port is open.
 
     Args:
