Cut, silence and slow the paths to backend servers in the random run

Paths from routers to backend servers were whole in every random run. The last two servers of each large service now have relays, with the side's latency. A new kind of fault strikes the path of one server, of all routers or of one: cut; cut again and again while new connections work; silent while new ones work, and delivered late or never; silent to new ones too; slow. It draws as often as the partitions' half, and never together with another fault of that server. Plain services get 4 s for an answer, so that silent connections outlast it. `--only KIND` draws one kind.

Ruled out: to deliver what connects during a silence when it ends. The network then brings new work up to 8 s late to servers that were taken out 3 s ago, which no router can prevent.

test_schedule counts one kind more. test_prove_short runs seed 13 with this kind alone too.

--- a/packages/lagoonsail-lab/src/lagoonsail_lab/actions.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/actions.py
@@ -17,6 +17,7 @@
     Outage,
     PlannedStop,
 )
+from lagoonsail_lab.deployments import LATENCY_MS
 from lagoonsail_lab.fleet import ROUTER_PREFIX
 from lagoonsail_lab.processes import Process
 
@@ -123,6 +124,7 @@
             schedule.SERVER_BREAKS: self._break_answers,
             schedule.SERVER_LATE: self._answer_late,
             schedule.SERVER_SILENT: self._fall_silent,
+            schedule.SERVER_PATH: self._strike_server_path,
             schedule.HOST_LAG: self._lag_hosts,
             schedule.FLOOD: self._flood,
             schedule.BURST: self._burst,
@@ -213,6 +215,28 @@
                 self._fleet.control_relay(relay, mode="cut")
             self._fleet.control_relay(relay, mode="pass", drop_new=False)
 
+    def _strike_server_path(self, step: Step) -> None:
+        orders = dict(step.options)
+        thaws, router = orders.pop("thaws", True), orders.pop("router", "")
+        backend = self._fleet.backends[step.target]
+        relay = f"servers-{backend.service.side}"
+        path = {"target": backend.address}
+        if router:
+            path["source"] = self._fleet.routers[router].source
+        every_ms = orders.pop("every_ms", step.duration_ms)
+        until_ms = self._clock.now_ms() + step.duration_ms
+        while self._clock.now_ms() < until_ms:
+            self._fleet.control_relay(relay, **path, **orders)
+            if every_ms < step.duration_ms:
+                self._fleet.control_relay(relay, **path, mode="pass")
+            eventlet.sleep(every_ms / 1000.0)
+        if not thaws:
+            self._fleet.control_relay(relay, **path, mode="cut")
+        delay_ms = LATENCY_MS[backend.service.side]
+        self._fleet.control_relay(
+            relay, **path, mode="pass", drop_new=False, delay_ms=delay_ms
+        )
+
     def _lag_hosts(self, step: Step) -> None:
         lag = {"lag_ms": step.options["lag_ms"]}
         self._fleet.fetch("POST", self._fleet.host_list, "/_control", lag)
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/deployments.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/deployments.py
@@ -13,6 +13,8 @@
 """A failure domain that both sides have, with the same name."""
 SHARED_ACCOUNT = "club-norte"
 """A client account that both sides have, with the same name."""
+LATENCY_MS = {"cordero": 0.5, "kalapati": 1.5}
+"""Time under way between failure domains of a side, one way, in the relays."""
 
 
 @dataclass(slots=True)
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/prove.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/prove.py
@@ -13,10 +13,11 @@
 from lagoonsail_core.clock import Clock
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.invariants import FATAL_VARIABLE
+from lagoonsail_core.names import qualify
 from lagoonsail_lab.actions import Actions
 from lagoonsail_lab.caller import RAN_GONE
 from lagoonsail_lab.checker import Fault, check_all
-from lagoonsail_lab.deployments import make_cordero, make_kalapati
+from lagoonsail_lab.deployments import LATENCY_MS, make_cordero, make_kalapati
 from lagoonsail_lab.fleet import Fleet
 from lagoonsail_lab.observer import Observer
 from lagoonsail_lab.recovery import PROBE_ACCOUNT, PROBE_SHARE, Recovery
@@ -37,10 +38,12 @@
 """Engines that are slow enough for one machine and warm soon."""
 LIMITS = {"queue_timeout_ms": 10000, "request_timeout_ms": 20000}
 """Limits of the service documents, short enough for a run to end soon."""
-LATENCY_MS = {"cordero": 0.5, "kalapati": 1.5}
-"""Time under way between failure domains of a side, one way, in the relays."""
 RELAYED_ROUTERS = 2
 """Routers of each side, the last ones, whose paths lead through relays."""
+RELAYED_SERVERS = 2
+"""Servers of each large service, the last ones, whose paths lead through relays."""
+PLAIN_TIMEOUT_MS = 4000
+"""Time for an answer of a plain service; shorter than some faults of paths last."""
 DRAINED_MS = 3000.0
 """Time after which what was taken out gets no new work, milliseconds."""
 DETECTION_MS = 3000.0
@@ -73,6 +76,8 @@
             service.quiet_accounts[PROBE_ACCOUNT] = PROBE_SHARE
             if service.kind == "engine":
                 service.options.update(ENGINE_OPTIONS)
+            else:
+                service.limits["request_timeout_ms"] = PLAIN_TIMEOUT_MS
     return deployments
 
 
@@ -85,6 +90,16 @@
     ]
 
 
+def relayed_servers(deployments: list[Deployment]) -> list[str]:
+    """Return the backend servers whose paths lead through relays."""
+    return [
+        qualify(deployment.side, server.name)
+        for deployment in deployments
+        for service in deployment.services[:2]
+        for server in service.servers[-RELAYED_SERVERS:]
+    ]
+
+
 class Proof:
     """One run over a started fleet."""
 
@@ -212,6 +227,7 @@
     duration_s: float = 60.0,
     small: bool = False,
     directory: Path | None = None,
+    only: list[str] | None = None,
 ) -> int:
     """Run a random schedule of faults over both sides and judge it from the records.
 
@@ -220,6 +236,7 @@
         duration_s: All faults have begun and ended by then, seconds.
         small: Run three routers a side and fewer servers.
         directory: Keep the output of all processes there; else it is removed.
+        only: Kinds of faults that are drawn, as the schedule names them; else all.
 
     Returns:
         0 if nothing happened that must not.
@@ -227,17 +244,25 @@
     os.environ[FATAL_VARIABLE] = "1"
     deployments = make_deployments(small)
     relayed = relayed_routers(deployments)
-    steps = draw_schedule(seed, deployments, relayed, duration_s)
+    servers = relayed_servers(deployments)
+    steps = draw_schedule(seed, deployments, relayed, servers, duration_s, only or ())
     print(f"seed {seed}, {duration_s:g} s, {'small' if small else 'full'} size")
     for step in steps:
         print(step.describe())
     sys.stdout.flush()
     with Fleet(
-        deployments, directory, relayed_store=relayed, relayed_peers=relayed
+        deployments,
+        directory,
+        relayed_store=relayed,
+        relayed_peers=relayed,
+        relayed_backends=servers,
     ) as fleet:
         for name in relayed:
             delay_ms = LATENCY_MS[fleet.routers[name].side]
             fleet.control_relay(f"peers-{name}", delay_ms=delay_ms)
+        for deployment in deployments:
+            side = deployment.side
+            fleet.control_relay(f"servers-{side}", delay_ms=LATENCY_MS[side])
         proof = Proof(fleet, seed)
         faults = proof.run(steps)
         proof.print_faults(faults)
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/schedule.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/schedule.py
@@ -10,7 +10,7 @@
 from lagoonsail_core.names import qualify
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from lagoonsail_lab.deployments import Deployment, ServiceShape
 
@@ -45,6 +45,9 @@
 """A backend server answers late."""
 SERVER_SILENT = "server_silent"
 """A backend server goes silent."""
+SERVER_PATH = "server_path"
+"""The path to a backend server from all routers, or one, is cut, once or again and
+again, frozen or slow."""
 HOST_LAG = "host_lag"
 """The host list lags."""
 FLOOD = "flood"
@@ -67,7 +70,7 @@
     lambda _chance: {"lose_answers": 0.3, "stale_reads": True},
 )
 """What the key-value service may suffer."""
-FREQUENT = (KILL, FREEZE, STOP, STORE, STORE, PARTITION, PARTITION)
+FREQUENT = (KILL, FREEZE, STOP, STORE, STORE, PARTITION, PARTITION, SERVER_PATH)
 """Kinds that are drawn more often than others."""
 RIVALS = ("domain", "same", "opposite")
 """What a second operator orders at the same moment: a failure domain out, the same
@@ -78,6 +81,17 @@
     {"mode": "freeze", "drop_new": True},
 )
 """What a path may suffer."""
+SERVER_PATH_MODES: tuple[Callable[[random.Random], dict], ...] = (
+    lambda _chance: {"mode": "cut"},
+    # Only what exists is cut, again and again, so that calls break under way.
+    lambda chance: {"mode": "cut", "every_ms": chance.randint(150, 400)},
+    lambda chance: {"mode": "freeze", "thaws": chance.random() < 0.7},
+    # What connects meanwhile is never delivered: a request that the network holds back
+    # for longer than servers take to drain is new work for them, whoever sends it.
+    lambda _chance: {"mode": "freeze", "drop_new": True, "thaws": False},
+    lambda chance: {"delay_ms": chance.randint(50, 400)},
+)
+"""What the path to a backend server may suffer."""
 
 
 @dataclass(slots=True)
@@ -112,17 +126,22 @@
 class _Draft:
     """A schedule in the making, with the times at which its targets are struck."""
 
-    __slots__ = ("_busy", "_chance", "_deployments", "_relayed", "steps")
+    __slots__ = ("_busy", "_chance", "_deployments", "_relayed", "_servers", "steps")
 
     steps: list[Step]
     """What was drawn so far."""
 
     def __init__(
-        self, chance: random.Random, deployments: list[Deployment], relayed: list[str]
+        self,
+        chance: random.Random,
+        deployments: list[Deployment],
+        relayed: list[str],
+        relayed_servers: list[str],
     ) -> None:
         self._chance = chance
         self._deployments = deployments
         self._relayed = relayed
+        self._servers = relayed_servers
         self._busy: dict[str, list[tuple[float, float]]] = defaultdict(list)
         self.steps = []
 
@@ -156,6 +175,7 @@
                 at_ms, (2000, 6000), late_ms=self._chance.randint(300, 2000)
             ),
             SERVER_SILENT: lambda at_ms: self._server(at_ms, (1000, 6000)),
+            SERVER_PATH: self._server_path,
             HOST_LAG: self._host_lag,
             FLOOD: lambda at_ms: self._load(at_ms, (2000, 6000), callers=25),
             BURST: lambda at_ms: self._load(at_ms, (1000, 1000), callers=60),
@@ -251,6 +271,17 @@
         name = qualify(service.side, server)
         return Step(at_ms, self._span(bounds), "", name, options), f"server {name}"
 
+    def _server_path(self, at_ms: float) -> tuple[Step, str]:
+        name = self._chance.choice(self._servers)
+        options = self._chance.choice(SERVER_PATH_MODES)(self._chance)
+        if self._chance.random() < 0.5:
+            side = name.split("/")[0]
+            routers = next(d.routers for d in self._deployments if d.side == side)
+            options["router"] = f"{side}-{self._chance.randint(1, routers)}"
+        step = Step(at_ms, self._span((1500, 8000)), "", name, options)
+        # Whether a server turned cold is not learned over a path that is struck.
+        return step, f"server {name}"
+
     def _host_lag(self, at_ms: float) -> tuple[Step, str]:
         options = {"lag_ms": self._chance.randint(1000, 8000)}
         step = Step(at_ms, self._span((2000, 9000)), "", "host_list", options)
@@ -267,7 +298,12 @@
 
 
 def draw_schedule(
-    seed: int, deployments: list[Deployment], relayed: list[str], duration_s: float
+    seed: int,
+    deployments: list[Deployment],
+    relayed: list[str],
+    relayed_servers: list[str],
+    duration_s: float,
+    only: Collection[str] = (),
 ) -> list[Step]:
     """Draw a schedule: faults alone, several kinds together, and one kind twice.
 
@@ -275,14 +311,21 @@
         seed: The same seed gives the same schedule.
         deployments: What runs.
         relayed: Routers whose paths lead through relays.
+        relayed_servers: Backend servers whose paths lead through relays.
         duration_s: All steps have ended by then, seconds.
+        only: Kinds that are drawn; all if empty.
 
     Returns:
         Steps by their beginning.
+
+    Raises:
+        ValueError: If there is no such kind.
     """
     chance = random.Random(seed)
-    draft = _Draft(chance, deployments, relayed)
-    kinds = draft.kinds()
+    draft = _Draft(chance, deployments, relayed, relayed_servers)
+    kinds = [kind for kind in draft.kinds() if not only or kind in only]
+    if not kinds:
+        raise ValueError(f"no kind among {' '.join(only)}")
     at_ms = FIRST_MS
     while at_ms < duration_s * 1000.0:
         for kind in _draw_kinds(chance, kinds):
@@ -299,4 +342,4 @@
         return [chance.choice(kinds)]
     if style == "twice":
         return [chance.choice(kinds)] * 2
-    return chance.sample(kinds, chance.randint(2, 4))
+    return chance.sample(kinds, min(len(kinds), chance.randint(2, 4)))
--- a/packages/lagoonsail-lab/tests/test_prove_short.py
+++ b/packages/lagoonsail-lab/tests/test_prove_short.py
@@ -5,13 +5,14 @@
 
 import pytest
 
-SEEDS = (5, 12)
+RUNS = ((5, ()), (12, ()), (13, ("--only", "server_path")))
+"""Seeds and further options; the last run cuts calls off while servers run them."""
 TIMEOUT_S = 300
 
 
-@pytest.mark.parametrize("seed", SEEDS)
-def test_short_random_run_has_no_fault(seed):
-    arguments = ["--seed", str(seed), "--duration-s", "20", "--small"]
+@pytest.mark.parametrize(("seed", "options"), RUNS)
+def test_short_random_run_has_no_fault(seed, options):
+    arguments = ["--seed", str(seed), "--duration-s", "20", "--small", *options]
     run = subprocess.run(
         [sys.executable, "-m", "lagoonsail_lab.prove", *arguments],
         env={"PYTHONPATH": ":".join(sys.path), "PYTHONWARNINGS": "ignore"},
--- a/packages/lagoonsail-lab/tests/test_schedule.py
+++ b/packages/lagoonsail-lab/tests/test_schedule.py
@@ -3,7 +3,7 @@
 import pytest
 
 from lagoonsail_lab.deployments import make_cordero, make_kalapati
-from lagoonsail_lab.prove import make_deployments, relayed_routers
+from lagoonsail_lab.prove import make_deployments, relayed_routers, relayed_servers
 from lagoonsail_lab.schedule import FREEZE, KILL, STOP, draw_schedule
 
 DURATION_S = 300.0
@@ -11,7 +11,8 @@
 
 def draw(seed, small=False):
     deployments = make_deployments(small)
-    return draw_schedule(seed, deployments, relayed_routers(deployments), DURATION_S)
+    routers, servers = relayed_routers(deployments), relayed_servers(deployments)
+    return draw_schedule(seed, deployments, routers, servers, DURATION_S)
 
 
 def test_same_seed_gives_the_same_schedule():
@@ -27,7 +28,7 @@
 
 def test_every_kind_is_drawn_alone_or_with_others():
     kinds = {step.kind for seed in range(5) for step in draw(seed)}
-    assert len(kinds) == 18
+    assert len(kinds) == 19
 
 
 def test_some_faults_strike_together():
