Measure what the slot messages of a call cost entry router and owner

Cause: stream_cost gives the cost of a message, but a call's slot messages were only counted from the code and multiplied.

Change: packages/lagoonsail-router/benchmarks/slot_cost.py runs real desks, streams and a real owner of 42 servers at a node's 33.3 calls a second over 24 streams, and takes off the same calls without messages.

--- /dev/null
+++ b/packages/lagoonsail-router/benchmarks/slot_cost.py
@@ -0,0 +1,319 @@
+"""Processor time that the slot messages of a call cost its entry router and the owner.
+
+Two processes: the owner of one shard, and in this process entry routers with a stream
+each, which run calls through it. A call asks, starts, reports its cost twice and gives
+its slot back; nothing is sent to a backend server. The same calls without messages, on
+the same idle streams, are taken off. Prints one JSON object after about 30 s.
+
+    python packages/lagoonsail-router/benchmarks/slot_cost.py
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+from types import SimpleNamespace
+
+from lagoonsail_config.document import parse_document
+from lagoonsail_config.settings import load_settings
+from lagoonsail_core.green import eventlet
+from lagoonsail_core.messages import (
+    OUTCOME_WHOLE,
+    Heartbeat,
+    Hello,
+    Inventory,
+    SlotCancel,
+    SlotDone,
+    SlotProgress,
+    SlotRequest,
+    SlotStart,
+)
+from lagoonsail_peer.link import PeerLink
+from lagoonsail_peer.server import PeerServer
+from lagoonsail_router.configuration import Configuration
+from lagoonsail_router.context import RouterContext
+from lagoonsail_router.right import FULL
+from lagoonsail_router.shard_owner import INVENTORY_WAIT_MS, ShardOwner
+from lagoonsail_router.ticket_desk import TicketDesk, make_done
+
+STREAMS = 24
+"""Entry routers, each with a stream of its own: calls are spread over 24 owners."""
+CALLS_PER_S = 33.3
+"""Calls that all of them begin in a second: what a node takes at the target."""
+PHASE_MS = 12_000.0
+"""How long each of the two phases takes."""
+STEP_MS = 700.0
+"""Time between two reports of a call; longer than a heartbeat, as in a real one."""
+PROGRESS = (128.0, 256.0)
+"""Costs that a call reports."""
+WHOLE_COST = 382.0
+"""What a call costs, as the mean at the target."""
+SHARD = "cordero/asistente@sierra-central"
+OWNER = "cordero-1"
+
+SETTINGS = """\
+[router]
+name = {name}
+side = cordero
+region = sierra-central
+failure_domain = banos
+[listen]
+callers = 127.0.0.1:8080
+admin = 127.0.0.1:8081
+peers = 127.0.0.1:8082
+[store]
+endpoints = 127.0.0.1:2379
+[host-list]
+url = http://127.0.0.1:2380/hosts
+"""
+
+DOCUMENT = """\
+[service]
+side = cordero
+name = asistente
+kind = engine
+region = sierra-central
+[failure-domain banos]
+{servers}
+[account norte]
+share = 1
+key_sha256 = {digest}
+"""
+
+SERVER = """\
+[server s{number}]
+address = 127.0.0.1:{port}
+failure_domain = banos
+slots = 8
+cold_slots = 8
+"""
+
+
+def make_context(name: str) -> RouterContext:
+    """Return the shared state of a router with the default settings."""
+    with tempfile.TemporaryDirectory() as directory:
+        path = Path(directory, "router.ini")
+        path.write_text(SETTINGS.format(name=name))
+        return RouterContext(load_settings(path))
+
+
+def stream_options(context: RouterContext, name: str, dispatch) -> dict:
+    """Return what a server and a link take alike, by the default settings.
+
+    Args:
+        context: The router's shared state.
+        name: Name of the router on the stream.
+        dispatch: Takes a stream and its messages.
+    """
+    settings, clock = context.settings, context.clock
+    return {
+        "shared_key": b"benchmark",
+        "identity": lambda: Hello(name, 1, settings.region, clock.now_ms()),
+        "timeline": context.timeline,
+        "on_open": lambda stream, hello: None,
+        "on_messages": dispatch,
+        "on_close": lambda stream: None,
+        "flush_ms": settings.flush_ms,
+        "silence_ms": settings.silence_ms,
+        "make_heartbeat": lambda: Heartbeat(clock.now_ms(), 2**63),
+        "heartbeat_ms": settings.heartbeat_ms,
+        "clock": clock,
+        "transport": "tcp",
+    }
+
+
+def make_dispatch(handlers: dict):
+    """Return a function that hands messages to handlers by type."""
+
+    def dispatch(stream, messages) -> None:
+        for message in messages:
+            handler = handlers.get(type(message))
+            if handler:
+                handler(stream, message)
+
+    return dispatch
+
+
+def own() -> None:
+    """Own the shard, and print the port."""
+    context = make_context(OWNER)
+    # 42 servers, as a shard has at the target.
+    servers = "".join(
+        SERVER.format(number=number, port=9000 + number) for number in range(42)
+    )
+    document = parse_document(DOCUMENT.format(servers=servers, digest="0" * 64))
+    right = SimpleNamespace(level=lambda: FULL, leaving=set())
+    owner = ShardOwner(
+        context, right, None, SHARD, 1, lambda: document, lambda: [], lambda: []
+    )
+    handlers = {
+        Inventory: owner.take_inventory,
+        SlotRequest: owner.take_request,
+        SlotCancel: owner.take_cancel,
+        SlotStart: lambda stream, message: owner.take_start(message),
+        SlotProgress: lambda stream, message: owner.take_progress(message),
+        SlotDone: lambda stream, message: owner.take_done(message),
+    }
+    options = stream_options(context, OWNER, make_dispatch(handlers))
+    server = PeerServer("127.0.0.1:0", **options)
+    server.start()
+    print(server.port, flush=True)
+    while True:
+        eventlet.sleep(60)
+
+
+class EntryRouter:
+    """One entry router: a stream to the owner and a desk."""
+
+    __slots__ = ("desk", "handlers", "link")
+
+    def __init__(self, context, configuration, number: int, address: str) -> None:
+        name = f"cordero-{number + 2}"
+        self.handlers: dict = {}
+        options = stream_options(context, name, make_dispatch(self.handlers))
+        self.link = PeerLink(address, **options)
+        self.link.start()
+        peers = SimpleNamespace(
+            handle=self.handlers.__setitem__,
+            subscribe=lambda on_open, on_close: None,
+            stream_to=lambda owner: self.link.stream,
+        )
+        self.desk = TicketDesk(context, configuration, peers, None)
+
+    def call(self, number: int, now_ms: float) -> None:
+        """Run one call."""
+        desk = self.desk
+        call = desk.ask(
+            SHARD, "norte", 382.0, [2**63 + 1, 2**63 + 2], 0, number, now_ms
+        )
+        grant = call.event.wait()
+        desk.start(grant)
+        for cost in PROGRESS:
+            eventlet.sleep(STEP_MS / 1000.0)
+            desk.progress(grant, cost)
+        eventlet.sleep(STEP_MS / 1000.0)
+        desk.finish(make_done(grant, OUTCOME_WHOLE, WHOLE_COST, "i1", 1400.0, 12860.0))
+
+
+def rest() -> None:
+    """Spend the time of a call without messages."""
+    for _ in range(len(PROGRESS) + 1):
+        eventlet.sleep(STEP_MS / 1000.0)
+
+
+def run_phase(begin) -> int:
+    """Begin calls at the rate of a node, and return how many when all have ended.
+
+    Args:
+        begin: Runs a call; takes its number.
+    """
+    count = int(PHASE_MS / 1000.0 * CALLS_PER_S)
+    running = []
+    for number in range(count):
+        running.append(eventlet.spawn(begin, number))
+        eventlet.sleep(1.0 / CALLS_PER_S)
+    for task in running:
+        task.wait()
+    return count
+
+
+def processor_us(pid: int) -> float:
+    """Return the processor time that a process has used, in microseconds."""
+    # The number of another process's clock, as clock_getcpuclockid computes it.
+    return time.clock_gettime((~pid << 3) | 2) * 1e6
+
+
+def count_messages(routers: list[EntryRouter]) -> Counter:
+    """Return the sums of the counters of all links."""
+    total: Counter = Counter()
+    for router in routers:
+        total.update(router.link.counters)
+    return total
+
+
+def measure(port: int, pids: dict[str, int]) -> dict:
+    """Run both phases and return the costs of a call.
+
+    Args:
+        port: Port of the owner.
+        pids: Processes by role.
+    """
+    context = make_context("cordero-2")
+    configuration = Configuration(context)
+    fields = {"owner": OWNER, "incarnation": 1, "lease": 7, "epoch": 1}
+    record = json.dumps({**fields, "state": "owned"})
+    configuration.apply(f"shards/{SHARD}", 1, record)
+    address = f"127.0.0.1:{port}"
+    routers = [
+        EntryRouter(context, configuration, number, address)
+        for number in range(STREAMS)
+    ]
+    while not all(item.link.stream and item.link.stream.name for item in routers):
+        eventlet.sleep(0.01)
+    # Until then a new owner grants nothing.
+    eventlet.sleep(INVENTORY_WAIT_MS / 1000.0 + 0.2)
+    # The first dealings of each router with the owner are no part of a call.
+    for item in routers:
+        item.desk.ask(
+            SHARD, "norte", 1.0, [], 0, 0, context.clock.now_ms()
+        ).event.wait()
+
+    def call(number: int) -> None:
+        routers[number % STREAMS].call(number, context.clock.now_ms())
+
+    marks = [({role: processor_us(pid) for role, pid in pids.items()}, Counter())]
+    for begin in (lambda number: rest(), call):
+        before = count_messages(routers)
+        calls = run_phase(begin)
+        used = {role: processor_us(pid) for role, pid in pids.items()}
+        marks.append((used, count_messages(routers) - before))
+    (start, _), (middle, idle), (end, loaded) = marks
+    result = {
+        f"{role}_us_per_call": round(
+            (end[role] + start[role] - 2 * middle[role]) / calls
+        )
+        for role in pids
+    }
+    result["sum_us_per_call"] = sum(result.values())
+    result["ms_per_s_of_a_node"] = round(
+        result["sum_us_per_call"] * CALLS_PER_S / 1000.0, 1
+    )
+    for key in ("frames_sent", "frames_received", "messages_sent", "bytes_sent"):
+        result[f"{key}_per_call"] = round((loaded[key] - idle[key]) / calls, 2)
+    seconds = PHASE_MS / 1000.0 * STREAMS
+    result["idle_us_per_stream_and_second"] = {
+        role: round((middle[role] - start[role]) / seconds) for role in pids
+    }
+    return result
+
+
+def main() -> None:
+    """Run the part that the command line names, by default the whole benchmark."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("part", nargs="?", choices=("owner",))
+    if parser.parse_args().part == "owner":
+        own()
+        return
+    owner = subprocess.Popen(
+        [sys.executable, __file__, "owner"], stdout=subprocess.PIPE, text=True
+    )
+    try:
+        port = int(owner.stdout.readline())
+        result = {"load_before": os.getloadavg()}
+        result |= measure(port, {"entry": os.getpid(), "owner": owner.pid})
+        result["load_after"] = os.getloadavg()
+    finally:
+        owner.kill()
+        owner.wait()
+    print(json.dumps(result, indent=2))
+
+
+if __name__ == "__main__":
+    main()
