Send starts and progress reports along with the next frame

Cause: of the six frames of a call three carry what nobody waits for: its start and two reports of cost.

Change: PeerStream.send_along queues a message without scheduling a flush; it goes with the next frame, at the latest that of the next heartbeat. The desk sends SlotStart and SlotProgress so. Only a release reads starts, and waits 1.1 windows at most as before.

Weighed: leaving SlotStart out. A release would then wait 1.1 windows after the last grant, in which the shard grants nothing, and the message no longer has a frame.

Frames of a call 6 to 3.

Tests: FakeStream of the router's tests gets send_along, which does what send does there; two new tests in test_stream_order.

--- a/packages/lagoonsail-peer/src/lagoonsail_peer/stream.py
+++ b/packages/lagoonsail-peer/src/lagoonsail_peer/stream.py
@@ -177,14 +177,8 @@
         Args:
             message: An instance of a class of `lagoonsail_core.messages`.
         """
-        if self.is_closed:
-            self._options.counters["messages_dropped"] += 1
-            return
-        self._pending.append(message)
-        if self._waiting() > MAX_WAITING_MESSAGES:
-            self.fail(CLOSED_OVERFLOW)
-            return
-        if self._timer is not None:
+        self.send_along(message)
+        if self.is_closed or self._timer is not None:
             return
         idle_ms = self._options.clock.now_ms() - self._flushed_ms
         # An idle stream flushes as soon as the running green thread yields.
@@ -192,6 +186,22 @@
         hub = eventlet.hubs.get_hub()
         self._timer = hub.schedule_call_global(delay_ms / 1000.0, self._flush)
 
+    def send_along(self, message: object) -> None:
+        """Queue a message for the next frame, at the latest that of the next heartbeat.
+
+        A small message costs little, the frame around it most: send so what nobody
+        waits for. On a closed stream it is dropped.
+
+        Args:
+            message: An instance of a class of `lagoonsail_core.messages`.
+        """
+        if self.is_closed:
+            self._options.counters["messages_dropped"] += 1
+            return
+        self._pending.append(message)
+        if self._waiting() > MAX_WAITING_MESSAGES:
+            self.fail(CLOSED_OVERFLOW)
+
     def close(self) -> None:
         """Close the stream in order: what was sent before is still delivered.
 
--- a/packages/lagoonsail-peer/tests/test_stream_order.py
+++ b/packages/lagoonsail-peer/tests/test_stream_order.py
@@ -50,6 +50,29 @@
     assert link.end.counters["frames_sent"] - before <= spent_ms / 2.0 + 4
 
 
+def test_message_sent_along_makes_no_frame_and_goes_with_the_next(
+    make_peer, wait_until
+):
+    # Longer than the test: no heartbeat carries anything.
+    quiet = {"heartbeat_ms": 60_000.0, "silence_ms": 120_000.0}
+    server = make_peer(name="server", **quiet)
+    link = make_peer(f"127.0.0.1:{server.end.port}", **quiet)
+    wait_until(lambda: link.of("open") and server.of("open"))
+    before = link.end.counters["frames_sent"]
+    link.end.stream.send_along(SlotCancel(1))
+    eventlet.sleep(0.05)
+    assert link.end.counters["frames_sent"] == before
+    link.end.stream.send(SlotCancel(2))
+    wait_until(lambda: tickets(server) == [1, 2])
+    assert link.end.counters["frames_sent"] == before + 1
+
+
+def test_heartbeat_takes_messages_sent_along_with_it(pair, wait_until):
+    server, link = pair
+    link.end.stream.send_along(SlotCancel(1))
+    wait_until(lambda: tickets(server) == [1])
+
+
 def test_idle_stream_sends_without_waiting_for_the_flush_time(pair):
     server, link = pair
     eventlet.sleep(0.02)
--- a/packages/lagoonsail-router/src/lagoonsail_router/local_stream.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/local_stream.py
@@ -53,6 +53,10 @@
         self._is_draining = True
         eventlet.spawn_n(self._drain)
 
+    def send_along(self, message: object) -> None:
+        """Deliver a message; here it costs no frame."""
+        self.send(message)
+
     def _drain(self) -> None:
         try:
             while self._queue:
--- a/packages/lagoonsail-router/src/lagoonsail_router/ticket_desk.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/ticket_desk.py
@@ -210,16 +210,23 @@
         return held is not None and held.done is None
 
     def start(self, grant: SlotGrant) -> None:
-        """Tell the owner that the request is being sent."""
-        self._send(grant.shard, SlotStart(grant.shard, grant.epoch, grant.slot))
+        """Tell the owner that the request is being sent.
+
+        Only a release of the shard waits for this, for one start window at most.
+        """
+        self._note(grant.shard, SlotStart(grant.shard, grant.epoch, grant.slot))
 
     def progress(self, grant: SlotGrant, cost: float) -> None:
-        """Tell the owner what the request has cost so far."""
+        """Tell the owner what the request has cost so far.
+
+        The bound of fairness holds without this; a report up to one heartbeat late
+        only lets the charge lag by what the request costs in that time.
+        """
         held = self.held.get((grant.shard, grant.epoch, grant.slot))
         if held:
             held.cost = cost
         message = SlotProgress(grant.shard, grant.epoch, grant.slot, cost)
-        self._send(grant.shard, message)
+        self._note(grant.shard, message)
 
     def finish(self, done: SlotDone) -> None:
         """Give a slot back.
@@ -346,6 +353,12 @@
         attachment.stream.send(message)
         return True
 
+    def _note(self, shard: str, message: object) -> None:
+        """Send what nobody waits for along with the next frame to the owner."""
+        attachment = self.attachments.get(shard)
+        if attachment and attachment.is_open:
+            attachment.stream.send_along(message)
+
     def _take_grant(self, stream, grant: SlotGrant) -> None:
         now_ms = self._context.clock.now_ms()
         call = self.waiting.pop(grant.ticket, None)
--- a/packages/lagoonsail-router/tests/conftest.py
+++ b/packages/lagoonsail-router/tests/conftest.py
@@ -135,6 +135,9 @@
         self.sent.append(message)
         self.on_send(message)
 
+    def send_along(self, message):
+        self.send(message)
+
     def of(self, kind):
         return [message for message in self.sent if type(message) is kind]
 
