Ask whether a server may be chosen only where it ranks first

Change: servers with a free slot are ranked first, and those questions are asked only of one that ranks before all that were allowed so far. The server chosen is the same.

Run: test_placement with doctest, test_shard_owner, test_engine_orders, all passed.

--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -49,7 +49,6 @@
     from lagoonsail_router.context import RouterContext
     from lagoonsail_router.right import Right
     from lagoonsail_router.shard_servers import Server
-    from lagoonsail_sharing.placement import Candidate
     from lagoonsail_sharing.server_limit import LoadReport
     from lagoonsail_store.store_client import StoreClient
 
@@ -409,22 +408,23 @@
         waiting = self.queue.pick()
         if waiting is None:
             return False
-        candidates = self._candidates(level)
-        if not candidates:
+        name = self._choose(waiting, level)
+        if name is None:
             return False
-        name = choose_server(candidates, waiting.prefix, self._prefixes)
         self._grant(waiting, self.servers[name])
         return True
 
-    def _candidates(self, level: str) -> list[Candidate]:
+    def _choose(self, waiting: Waiting, level: str) -> str | None:
         document = self._find_document()
         if document is None:
-            return []
-        return list(
-            self._servers.candidates(
-                document, level, self._right.leaving, self.orders.is_closed
-            )
-        )
+            return None
+        leaving, is_closed = self._right.leaving, self.orders.is_closed
+
+        def may_take(name: str) -> bool:
+            return self._servers.may_take(name, document, level, leaving, is_closed)
+
+        candidates = self._servers.candidates()
+        return choose_server(candidates, waiting.prefix, self._prefixes, may_take)
 
     def _grant(self, waiting: Waiting, server: Server) -> None:
         self._next_slot += 1
--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_servers.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_servers.py
@@ -133,36 +133,40 @@
             for name, server in self.by_name.items()
         }
 
-    def candidates(
+    def candidates(self) -> Iterator[Candidate]:
+        """Yield the servers that have a free slot by their limits."""
+        for name, server in self.by_name.items():
+            limit = server.limit
+            taken = limit.running + server.unknown
+            if taken < limit.limit:
+                yield Candidate(name, limit.limit, taken)
+
+    def may_take(
         self,
+        name: str,
         document: ServiceDocument,
         level: str,
         leaving: set[str],
         is_closed: Callable[[ServerEntry], bool],
-    ) -> Iterator[Candidate]:
-        """Yield the servers that may take one more request.
+    ) -> bool:
+        """Return whether a server with a free slot may take one more request now.
 
         Args:
+            name: Name of the server.
             document: The document in force.
             level: Level of the owner's right.
             leaving: Addresses of leaving hosts.
             is_closed: Tells whether an order keeps a server from taking requests.
-
-        Yields:
-            Candidates.
         """
-        now_ms = self._context.clock.now_ms()
-        for name, server in self.by_name.items():
-            limit = server.limit
-            taken = limit.running + server.unknown
-            if taken >= limit.limit or not document.is_usable(server.entry):
-                continue
-            if server.entry.address in leaving or is_closed(server.entry):
-                continue
-            if level == GUARDED and limit.limit <= limit.cold_slots:
-                continue
-            if _is_rested(server, now_ms):
-                yield Candidate(name, limit.limit, taken)
+        server = self.by_name[name]
+        entry, limit = server.entry, server.limit
+        if not document.is_usable(entry) or entry.address in leaving:
+            return False
+        if is_closed(entry):
+            return False
+        if level == GUARDED and limit.limit <= limit.cold_slots:
+            return False
+        return _is_rested(server, self._context.clock.now_ms())
 
     def finish(
         self, server: Server, slot: tuple[int, int], outcome: str, done: SlotDone | None
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/placement.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/placement.py
@@ -25,7 +25,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from lagoonsail_sharing.prefix_index import PrefixIndex
 
@@ -43,22 +43,30 @@
 
 
 def choose_server(
-    candidates: Iterable[Candidate], prefix: list[int], cache_index: PrefixIndex
+    candidates: Iterable[Candidate],
+    prefix: list[int],
+    cache_index: PrefixIndex,
+    may_take: Callable[[str], bool] = lambda name: True,
 ) -> str | None:
     """Choose the server for a request.
 
     Args:
-        candidates: The usable servers of the shard.
+        candidates: The servers of the shard.
         prefix: Hashes of the prompt's prefixes; empty for plain services.
         cache_index: What the servers' caches are likely to hold.
+        may_take: Tells by name whether a server may be chosen; asked only of those
+            that rank before all that were allowed so far.
 
     Returns:
         Name of a server with a free slot, or None if there is none.
     """
-
-    def rank(candidate: Candidate) -> tuple[int, float, str]:
-        held = cache_index.match(candidate.name, prefix) if prefix else 0
-        return -held, candidate.running / candidate.limit, candidate.name
-
-    free = [c for c in candidates if c.running < c.limit]
-    return min(free, key=rank).name if free else None
+    best = best_rank = None
+    for candidate in candidates:
+        if candidate.running >= candidate.limit:
+            continue
+        name = candidate.name
+        held = cache_index.match(name, prefix) if prefix else 0
+        rank = (-held, candidate.running / candidate.limit, name)
+        if (best_rank is None or rank < best_rank) and may_take(name):
+            best, best_rank = name, rank
+    return best
