Judge a stream by its pace after the first byte, and learn how often answers are slow

The same holds for any service whose answers now and then take long. Ruled out: reports that call the engine cold (it says it is warm), refused or broken answers (none), overload (no engine ran more than its slots). Change: a stream's sample is its time for one unit only. Slow answers on end are a step if so many are unlikely at the rate of slow answers that a warm server has shown, at least 2 and at most 10. Left: a server that is cold until its first byte only is not seen by its speed.

--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_limit.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_limit.py
@@ -6,6 +6,11 @@
 start sets it back: another incarnation, a refused connection, an answer broken by a
 server that gives no incarnation, a latency step, or a load report that contradicts.
 
+A stream's speed is its time for one unit after the first byte: the time until then
+grows with the prompt, and with what the server's cache lacks of it, on a warm server
+too. Answers that are slow by chance now and then make no step: the more often they
+come, the more of them on end it takes, up to `MAX_STEP_ANSWERS`.
+
 The expected speed is learned from answers at or above the cold limit and outlives a
 cold phase. A server whose speed is not known yet must first answer
 `STEADY_ANSWERS` times at one speed, or once much faster than before. So must one that
@@ -52,7 +57,13 @@
 STEP_FACTOR = 3.0
 """An answer slower than this times the expected may be a latency step."""
 STEP_ANSWERS = 2
-"""So many slow answers on end are a latency step."""
+"""Least number of slow answers on end that are a latency step."""
+STEP_CHANCE = 1e-6
+"""So unlikely must slow answers on end be, at the rate known so far, to be a step."""
+MAX_STEP_ANSWERS = 10
+"""So many slow answers on end are a step however often they come by chance."""
+SLOW_RATE_WEIGHT = 0.001
+"""Weight of the newest answer in the rate of slow answers."""
 STEP_DEVIATIONS = 6.0
 """A latency step exceeds the mean by so many mean absolute deviations as well."""
 FIRST_SLACK_MS = 5.0
@@ -226,6 +237,7 @@
         "_cold_until_ms",
         "_running",
         "_slow",
+        "_slow_rate",
         "_steady",
         "_tells_warmth",
         "cold_slots",
@@ -270,6 +282,7 @@
         self._generation = 0
         self._cold_until_ms = float("-inf")
         self._tells_warmth = False
+        self._slow_rate = 0.0
         self._peak = 0
         self._peak_before = 0
         self.slots = slots
@@ -489,7 +502,7 @@
         if self.cost_is_time or cost <= 0:
             return Sample(duration_ms, 0.0, STREAM_SIZE)
         if first_ms < AT_ONCE_FRACTION * duration_ms:
-            return Sample(first_ms, (duration_ms - first_ms) / cost, STREAM_SIZE)
+            return Sample(0.0, (duration_ms - first_ms) / cost, STREAM_SIZE)
         # The time to the first unit is hidden in the whole: compare like costs only.
         return Sample(0.0, duration_ms / cost, round(cost).bit_length())
 
@@ -509,7 +522,7 @@
             self._note_growth(now_ms)
             return
         if self._expected.is_near(sample):
-            self._slow = 0
+            self._note_no_step()
             self._expected.learn(sample)
             self._grow(start, now_ms)
             return
@@ -521,13 +534,27 @@
     def _learn_slow(self, sample: Sample, now_ms: float) -> None:
         """Go back to cold on a latency step; else get used to a slower pace."""
         if not self._expected.is_step(sample):
-            self._slow = 0
+            self._note_no_step()
             self._expected.learn(sample)
             return
         self._slow += 1
-        if self._slow >= STEP_ANSWERS:
+        if self._slow >= STEP_ANSWERS and self._is_no_chance():
             self._set_back("latency_step", now_ms)
 
+    def _is_no_chance(self) -> bool:
+        """Return whether so many slow answers on end hardly come by chance."""
+        is_many = self._slow >= MAX_STEP_ANSWERS
+        return is_many or self._slow_rate**self._slow <= STEP_CHANCE
+
+    def _note_no_step(self) -> None:
+        """Count the slow answers of a warm server that were no step."""
+        slow, self._slow = self._slow, 0
+        if not self.is_warm:
+            return
+        for _ in range(slow):
+            self._slow_rate += SLOW_RATE_WEIGHT * (1.0 - self._slow_rate)
+        self._slow_rate -= SLOW_RATE_WEIGHT * self._slow_rate
+
     def _learn_cold(self, start: _Start, sample: Sample, now_ms: float) -> None:
         """Find the expected speed of a server that is cold or new."""
         recent = self._recent
--- a/packages/lagoonsail-sharing/tests/test_server_limit.py
+++ b/packages/lagoonsail-sharing/tests/test_server_limit.py
@@ -342,3 +342,39 @@
         duration_ms = 40.0 if number < 4 else 10.0
         server.finish(number, "whole", "", duration_ms, duration_ms, duration_ms, 1.0)
         assert server.limit == (1 if number < 4 else 2)
+
+
+def test_time_to_the_first_byte_is_no_sign_while_the_stream_keeps_its_pace():
+    """It grows with the prompt, and with what the cache lacks of it."""
+    server, _, now_ms = warm()
+    while server.running:
+        server.finish(next(iter(server._running)), "cancelled", "", 0.0, 0.0, 0.0, 0.0)
+    for number in range(200):
+        first_ms = 1500.0 if number % 20 >= 17 else 20.0
+        server.start(number, now_ms)
+        server.finish(number, "whole", "i1", first_ms, first_ms + 500.0, 100.0, 0.0)
+    assert server.is_warm
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_answers_that_are_slow_by_chance_stop_setting_back(seed):
+    """One in ten takes 40 times as long; the rate is learned from the first ones."""
+    server = ServerLimit(4, 1, now_ms=0.0, cost_is_time=True)
+    random = Random(seed)
+    for number in range(5000):
+        while server.has_free:
+            server.start(f"{number}/{server.running}", 0.0)
+        duration_ms = 400.0 if random.random() < 0.1 else 10.0
+        slot = next(iter(server._running))
+        server.finish(slot, "whole", "", duration_ms, duration_ms, 1.0, 0.0)
+        if number == 1000:
+            early = server.setbacks["latency_step"]
+    assert server.setbacks["latency_step"] <= early + 1
+    late = server.setbacks["latency_step"]
+    for number in range(20):
+        slot = next(iter(server._running))
+        server.finish(slot, "whole", "", 4000.0, 4000.0, 1.0, 0.0)
+        while server.has_free:
+            server.start(f"late {number}/{server.running}", 0.0)
+    # A real step is still seen.
+    assert server.setbacks["latency_step"] > late
