--- a/packages/lagoonsail-lab/src/lagoonsail_lab/processes.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/processes.py
@@ -9,6 +9,7 @@
 import socket
 import subprocess
 import sys
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.clock import Clock
@@ -24,6 +25,8 @@
 """Highest port that is used; the system takes those above for outgoing calls."""
 PORT_ATTEMPTS = 200
 """How many ports are tried before giving up."""
+KEPT_PORTS = 400
+"""Ports that stay reserved; a fleet needs less than half of them."""
 LISTENING_MS = 20000.0
 """Time for a process to say that it listens, milliseconds."""
 STOP_MS = 5000.0
@@ -32,7 +35,8 @@
 """Time between two looks at a process, seconds."""
 
 _random = random.Random(os.getpid())
-_given: set[int] = set()
+# Given ports, oldest first, each with a datagram socket that reserves it.
+_given: OrderedDict[int, socket.socket] = OrderedDict()
 
 
 class ProcessError(LagoonsailError):
@@ -40,7 +44,11 @@
 
 
 def free_port() -> int:
-    """Return a port that is free now and was not returned before.
+    """Return a TCP port that is free, and reserve it among the users of this function.
+
+    It stays free for some time until a process listens on it, in which other test
+    processes look for ports too: each holds the UDP port of the same number, which
+    nothing else here uses.
 
     Returns:
         The port.
@@ -50,18 +58,38 @@
     """
     for _ in range(PORT_ATTEMPTS):
         port = _random.randint(FIRST_PORT, LAST_PORT)
-        if port in _given:
+        if port in _given or not _is_free(port):
+            continue
+        reservation = _reserve(port)
+        if reservation is None:
             continue
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        _given.add(port)
+        _given[port] = reservation
+        while len(_given) > KEPT_PORTS:
+            _given.popitem(last=False)[1].close()
         return port
     raise ProcessError("no free port found", "end other processes that listen")
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+def _reserve(port: int) -> socket.socket | None:
+    """Return a socket that holds the UDP port, None if another process does."""
+    reservation = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    try:
+        reservation.bind(("127.0.0.1", port))
+    except OSError:
+        reservation.close()
+        return None
+    return reservation
+
+
 class Process:
     """One process of a Python module, with its output in files."""
 
--- a/packages/lagoonsail-lab/tests/test_fleet.py
+++ b/packages/lagoonsail-lab/tests/test_fleet.py
@@ -2,12 +2,15 @@
 
 import base64
 import signal
+from collections import OrderedDict
+from types import SimpleNamespace
 
 import pytest
 
 from lagoonsail_config.document import parse_document
 from lagoonsail_core.green import urllib3
 from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_lab import processes
 from lagoonsail_lab.deployments import (
     SHARED_DOMAIN,
     account_key,
@@ -106,7 +109,7 @@
         try:
             connection.request("GET", "/_record")
             return connection.getresponse().status == 200
-        except OSError:
+        except (OSError, urllib3.exceptions.HTTPError):
             return False
         finally:
             connection.close()
@@ -136,3 +139,16 @@
     process.kill()
     assert process.exit_code == -signal.SIGKILL
     assert not process.is_running
+
+
+def test_ports_are_given_to_one_test_process_only(monkeypatch):
+    """Another one draws the same numbers, and finds no listener yet."""
+    ports = [processes.free_port() for _ in range(3)]
+    drawn, chance = iter(ports), processes._random
+
+    def draw(first, last):
+        return next(drawn, None) or chance.randint(first, last)
+
+    monkeypatch.setattr(processes, "_given", OrderedDict())
+    monkeypatch.setattr(processes, "_random", SimpleNamespace(randint=draw))
+    assert processes.free_port() not in ports
