Leave load reports of idle servers out, and read cache events less often

Cause: an owner reads two reports of each server a second.

Change: of a server on which nothing runs and nothing unknown may run, that has reported in this epoch and that the document does not manage, a report is read every 5 s. From the first one left out until one is read it takes no more than when cold; a grant to it, or a request that finds no slot, has it read at once. Servers in use are read each second as before, so that one that turns cold is noticed as before. Cache events, which only guide the choice, are read every 2.5 s. Reads of one server no longer overlap.

Ruled out: a longer interval for idle servers without the cold limit: one that turns cold while idle would be hurried by the first eight calls.

Tests: one new in test_shard_owner.

--- /dev/null
+++ b/packages/lagoonsail-router/benchmarks/report_cost.py
@@ -0,0 +1,113 @@
+"""Processor time that reading the load of its backend servers costs a shard's owner.
+
+The owner has the 42 engines of a shard at the target, all at one stand-in in a process
+of its own, and polls once a second as a router does: first idle, then with one request
+on each engine. Prints one JSON object after about 25 s.
+
+    python packages/lagoonsail-router/benchmarks/report_cost.py
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+import subprocess
+import sys
+import time
+from types import SimpleNamespace
+
+from slot_cost import DOCUMENT, SERVER, SHARD, make_context
+
+from lagoonsail_config.document import parse_document
+from lagoonsail_core.green import eventlet
+from lagoonsail_core.messages import Inventory
+from lagoonsail_router.right import FULL
+from lagoonsail_router.shard_owner import ShardOwner
+
+SERVERS = 42
+"""Engines of the shard."""
+POLLS = 11
+"""Polls of a phase, of which the first is not counted."""
+METRICS = "".join(f'engine:m_{n}{{model="m"}} {n}.0\n' for n in range(20))
+EVENTS = '{"events": []}'
+
+
+def serve() -> None:
+    """Answer reports and cache events, and print the port."""
+    listening = socket.create_server(("127.0.0.1", 0), backlog=128)
+    print(listening.getsockname()[1], flush=True)
+    running = 0
+    while True:
+        connection, _ = listening.accept()
+        path = connection.recv(65_536).split(b" ", 2)[1]
+        if path == b"/run":
+            running = 1
+        is_events = path.startswith(b"/cache_events")
+        body = (
+            EVENTS if is_events else f"engine:num_requests_running {running}\n{METRICS}"
+        )
+        head = "HTTP/1.1 200 OK\r\nX-Server-Incarnation: i1\r\nConnection: close\r\n"
+        answer = f"{head}Content-Length: {len(body)}\r\n\r\n{body}"
+        connection.sendall(answer.encode())
+        connection.close()
+
+
+def make_owner(port: int) -> ShardOwner:
+    """Return the owner of a shard whose servers all have this port."""
+    context = make_context("cordero-1")
+    servers = "".join(SERVER.format(number=n, port=9000 + n) for n in range(SERVERS))
+    document = parse_document(DOCUMENT.format(servers=servers, digest="0" * 64))
+    for entry in document.servers.values():
+        entry.address = f"127.0.0.1:{port}"
+    right = SimpleNamespace(level=lambda: FULL, leaving=set())
+    owner = ShardOwner(
+        context, right, None, SHARD, 1, lambda: document, lambda: [], lambda: []
+    )
+    # There is no key-value service to read keys from.
+    owner.keys.is_loaded = True
+    return owner
+
+
+def run_polls(owner: ShardOwner) -> float:
+    """Poll as a router does, and return the us of processor time a server and poll."""
+    for number in range(POLLS):
+        if number == 1:
+            before_s = time.process_time()
+        owner.poll()
+        owner.pump()
+        eventlet.sleep(1.0)
+    spent_s = time.process_time() - before_s
+    return round(spent_s * 1e6 / SERVERS / (POLLS - 1), 1)
+
+
+def measure(port: int) -> dict:
+    """Run both phases and return their costs."""
+    owner = make_owner(port)
+    idle_us = run_polls(owner)
+    socket.create_connection(("127.0.0.1", port)).sendall(b"GET /run HTTP/1.1\r\n\r\n")
+    stream = SimpleNamespace(name="cordero-2", incarnation=1, send=lambda message: None)
+    running = [[1, n + 1, f"s{n}", "norte", 0.0, 0.0] for n in range(SERVERS)]
+    owner.take_inventory(stream, Inventory(SHARD, running))
+    return {"idle_us": idle_us, "in_use_us": run_polls(owner), "servers": SERVERS}
+
+
+def main() -> None:
+    """Run the stand-in or the benchmark."""
+    if sys.argv[1:] == ["serve"]:
+        serve()
+        return
+    command = [sys.executable, __file__, "serve"]
+    server = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+    try:
+        result = {"load_before": os.getloadavg()}
+        result |= measure(int(server.stdout.readline()))
+        result["load_after"] = os.getloadavg()
+    finally:
+        server.kill()
+        server.wait()
+    print(json.dumps(result, indent=2))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/lagoonsail-router/src/lagoonsail_router/engine_orders.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/engine_orders.py
@@ -135,7 +135,8 @@
     return None
 
 
-def _is_managed(server: ServerEntry) -> bool:
+def is_managed(server: ServerEntry) -> bool:
+    """Return whether the document says what an engine is to have loaded."""
     return bool(server.model or server.role)
 
 
@@ -182,7 +183,7 @@
         self._pauses: dict[str, _Pause] = {}
         servers = document.servers.values() if document else ()
         # An earlier owner may have them loading.
-        self._unread = {server.name for server in servers if _is_managed(server)}
+        self._unread = {server.name for server in servers if is_managed(server)}
 
     def is_closed(self, server: ServerEntry) -> bool:
         """Return whether an engine gets no new requests, because of its orders.
@@ -190,7 +191,7 @@
         Args:
             server: The engine's part of the document.
         """
-        if not _is_managed(server):
+        if not is_managed(server):
             return False
         return server.name in self._changing or server.name in self._unread
 
@@ -201,7 +202,7 @@
             server: The engine's part of the document.
         """
         # It may load, or have begun anew, when it comes back.
-        if _is_managed(server):
+        if is_managed(server):
             self._unread.add(server.name)
         self._changing.discard(server.name)
 
@@ -224,7 +225,7 @@
         """
         name = server.name
         self._changing.intersection_update(document.servers)
-        if not _is_managed(server):
+        if not is_managed(server):
             self._changing.discard(name)
             return
         if name in self._at_work:
--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -27,7 +27,7 @@
 from lagoonsail_router.context import start_later, start_task
 from lagoonsail_router.engine_orders import EngineOrders
 from lagoonsail_router.key_log import KeyLog
-from lagoonsail_router.load_reports import REPORT_LAG_MS, read_cache_events, read_load
+from lagoonsail_router.load_reports import REPORT_LAG_MS, read_load
 from lagoonsail_router.right import FULL, LAPSED
 from lagoonsail_router.shard_servers import ShardServers
 from lagoonsail_sharing.fair_queue import FairQueue, Waiting
@@ -410,6 +410,8 @@
             return False
         name = self._choose(waiting, level)
         if name is None:
+            for resting in self._servers.resting():
+                self._start_reading(resting)
             return False
         self._grant(waiting, self.servers[name])
         return True
@@ -456,6 +458,8 @@
         )
         stream.send(grant)
         self._context.count("slots_granted_total")
+        if server.is_resting:
+            self._start_reading(name)
 
     # Periodic work.
 
@@ -464,8 +468,16 @@
         if not self.keys.is_loaded:
             self.keys.load()
         self.keys.expire()
-        for name in list(self.servers):
-            start_task(self._context, "poll_server", self._poll_server, name)
+        for name, server in list(self.servers.items()):
+            if not self._servers.rest(server):
+                self._start_reading(name)
+
+    def _start_reading(self, name: str) -> None:
+        server = self.servers[name]
+        if not server.is_reading:
+            server.is_reading = True
+            server.read_ms = self._context.clock.now_ms()
+            start_task(self._context, "poll_server", self._poll_server, name, server)
 
     def _free_overdue_orphans(self, server: Server) -> None:
         """Free slots of lost routers on a server that reports nothing."""
@@ -481,9 +493,11 @@
             if is_orphan and is_here and slot.granted_ms < overdue_ms:
                 self._free(slot, OUTCOME_CANCELLED, 0.0, None)
 
-    def _poll_server(self, name: str) -> None:
-        server = self.servers[name]
-        result = read_load(server.entry.address, self._context.clock)
+    def _poll_server(self, name: str, server: Server) -> None:
+        try:
+            result = read_load(server.entry.address, self._context.clock)
+        finally:
+            server.is_reading = server.is_resting = False
         if self._is_stopped or self.servers.get(name) is not server:
             return
         if isinstance(result, Unavailable):
@@ -494,7 +508,7 @@
         self._take_report(name, server, result)
         document = self._find_document()
         if document and document.kind == "engine":
-            self._read_cache_events(name, server)
+            self._servers.read_cache(server, self._prefixes)
             self._give_orders(server, document)
         self.pump()
 
@@ -528,17 +542,6 @@
             # The loss of a router tells nothing about the server.
             self._free(slot, OUTCOME_CANCELLED, 0.0, None)
 
-    def _read_cache_events(self, name: str, server: Server) -> None:
-        events = read_cache_events(server.entry.address, server.cache_sequence)
-        if not isinstance(events, list):
-            return
-        for event in events:
-            server.cache_sequence = max(server.cache_sequence, event.sequence)
-            if event.is_reset:
-                self._prefixes.forget(name)
-                continue
-            self._prefixes.on_events(name, event.sequence, event.stored, event.removed)
-
     def send_digests(self) -> None:
         """Tell the next owners, and the service's other shards, what changed."""
         service = self.queue.service()
--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_servers.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_servers.py
@@ -13,6 +13,8 @@
     OUTCOME_WHOLE,
 )
 from lagoonsail_core.names import region_of, service_of
+from lagoonsail_router.engine_orders import is_managed
+from lagoonsail_router.load_reports import read_cache_events
 from lagoonsail_router.right import GUARDED
 from lagoonsail_sharing.placement import Candidate
 from lagoonsail_sharing.server_limit import ServerLimit
@@ -23,6 +25,7 @@
     from lagoonsail_config.document import ServerEntry, ServiceDocument
     from lagoonsail_core.messages import SlotDone
     from lagoonsail_router.context import RouterContext
+    from lagoonsail_sharing.prefix_index import PrefixIndex
     from lagoonsail_sharing.server_limit import LoadReport
 
 UNREPORTED_HOLD_MS = 10_000.0
@@ -31,6 +34,10 @@
 """How long a server gets nothing after its first refusal."""
 LONGEST_PAUSE_MS = 4000.0
 """Longest such pause; it doubles with each refusal in a row."""
+IDLE_READ_MS = 5000.0
+"""Time between two load reports that are read of a server on which nothing runs."""
+CACHE_READ_MS = 2500.0
+"""Time between two reads of an engine's cache events, which only guide the choice."""
 
 
 @dataclass(slots=True)
@@ -61,6 +68,15 @@
     """Whether it was in service at the last look."""
     cache_sequence: int = 0
     """Sequence of the last cache event that was read."""
+    cache_read_ms: float = float("-inf")
+    """When cache events were last read."""
+    read_ms: float = float("-inf")
+    """When the last read of a load report began."""
+    is_reading: bool = False
+    """Whether a load report is being read."""
+    is_resting: bool = False
+    """Whether a report was left out since nothing runs on it; until the next one it may
+    have turned cold, and takes no more than then."""
 
 
 class ShardServers:
@@ -136,10 +152,10 @@
     def candidates(self) -> Iterator[Candidate]:
         """Yield the servers that have a free slot by their limits."""
         for name, server in self.by_name.items():
-            limit = server.limit
-            taken = limit.running + server.unknown
-            if taken < limit.limit:
-                yield Candidate(name, limit.limit, taken)
+            limit = _limit(server)
+            taken = server.limit.running + server.unknown
+            if taken < limit:
+                yield Candidate(name, limit, taken)
 
     def may_take(
         self,
@@ -159,15 +175,59 @@
             is_closed: Tells whether an order keeps a server from taking requests.
         """
         server = self.by_name[name]
-        entry, limit = server.entry, server.limit
+        entry = server.entry
         if not document.is_usable(entry) or entry.address in leaving:
             return False
         if is_closed(entry):
             return False
-        if level == GUARDED and limit.limit <= limit.cold_slots:
+        if level == GUARDED and _limit(server) <= server.limit.cold_slots:
             return False
         return _is_rested(server, self._context.clock.now_ms())
 
+    def rest(self, server: Server) -> bool:
+        """Return whether the next load report of a server may be left out.
+
+        Args:
+            server: The server.
+        """
+        is_idle = server.is_reported and not server.limit.running + server.unknown
+        if not is_idle or is_managed(server.entry):
+            return False
+        if self._context.clock.now_ms() >= server.read_ms + IDLE_READ_MS:
+            return False
+        server.is_resting = True
+        return True
+
+    def resting(self) -> list[str]:
+        """Return the names of the servers in service whose reports are left out."""
+        return [
+            name
+            for name, server in self.by_name.items()
+            if server.is_resting and server.was_usable
+        ]
+
+    def read_cache(self, server: Server, prefixes: PrefixIndex) -> None:
+        """Read an engine's cache events if that is due.
+
+        Args:
+            server: The engine.
+            prefixes: What the servers of the shard hold.
+        """
+        now_ms = self._context.clock.now_ms()
+        if now_ms < server.cache_read_ms + CACHE_READ_MS:
+            return
+        server.cache_read_ms = now_ms
+        name = server.entry.name
+        events = read_cache_events(server.entry.address, server.cache_sequence)
+        if not isinstance(events, list):
+            return
+        for event in events:
+            server.cache_sequence = max(server.cache_sequence, event.sequence)
+            if event.is_reset:
+                prefixes.forget(name)
+                continue
+            prefixes.on_events(name, event.sequence, event.stored, event.removed)
+
     def finish(
         self, server: Server, slot: tuple[int, int], outcome: str, done: SlotDone | None
     ) -> float:
@@ -247,6 +307,12 @@
         }
 
 
+def _limit(server: Server) -> int:
+    """Return how many requests may run on a server by what is known now."""
+    limit = server.limit
+    return limit.cold_slots if server.is_resting else limit.limit
+
+
 def _is_rested(server: Server, now_ms: float) -> bool:
     """Return whether neither a take-over nor a refusal keeps a server from work."""
     if now_ms < server.hold_until_ms and not server.is_reported:
--- a/packages/lagoonsail-router/tests/test_shard_owner.py
+++ b/packages/lagoonsail-router/tests/test_shard_owner.py
@@ -34,7 +34,11 @@
     QUEUE_FACTOR,
     ShardOwner,
 )
-from lagoonsail_router.shard_servers import FIRST_PAUSE_MS, UNREPORTED_HOLD_MS
+from lagoonsail_router.shard_servers import (
+    FIRST_PAUSE_MS,
+    IDLE_READ_MS,
+    UNREPORTED_HOLD_MS,
+)
 from lagoonsail_sharing.server_limit import LoadReport
 
 SHARD = "cordero/registro@sierra-central"
@@ -379,6 +383,36 @@
     assert len(stream.of(SlotGrant)) == 1
 
 
+def test_idle_server_is_not_read_and_counts_as_cold_until_it_is(
+    owner, stream, report, time, monkeypatch, wait_until, documents
+):
+    documents[0].servers["s2"].state = "out"
+    owner.update_document()
+    report(running=0)
+    owner.servers["s1"].limit.restore("i-1", 2, time.now_ms)
+    asked, answered = [], eventlet.event.Event()
+
+    def read_load(address, clock):
+        asked.append(address)
+        answered.wait()
+        return LoadReport("i-1", 0, None, clock.now_ms())
+
+    monkeypatch.setattr(shard_owner, "read_load", read_load)
+    time.pass_ms(IDLE_READ_MS - 1)
+    owner.poll()
+    owner.take_request(stream, request(1))
+    owner.take_request(stream, request(2))
+    assert len(stream.of(SlotGrant)) == 1
+    wait_until(lambda: asked == ["127.0.0.1:9001"])
+    answered.send(None)
+    wait_until(lambda: len(stream.of(SlotGrant)) == 2)
+    for grant in stream.of(SlotGrant):
+        owner.take_done(done(grant))
+    time.pass_ms(IDLE_READ_MS)
+    owner.poll()
+    wait_until(lambda: len(asked) == 3)
+
+
 def test_orphaned_slot_is_free_once_reports_show_that_it_has_ended(
     owner, stream, report, time
 ):
