Measure slot messages in a busy process too, and give their figures

Cause: benchmarks/slot_cost.py measured frames that come alone to processes that sleep in between. A node at the target passes on tokens for 1.5 cores, so it is awake already.

Change: a third part of the benchmark runs calls back to back on all streams.

--- a/packages/lagoonsail-router/benchmarks/slot_cost.py
+++ b/packages/lagoonsail-router/benchmarks/slot_cost.py
@@ -3,7 +3,9 @@
 Two processes: the owner of one shard, and in this process entry routers with a stream
 each, which run calls through it. A call asks, starts, reports its cost twice and gives
 its slot back; nothing is sent to a backend server. The same calls without messages, on
-the same idle streams, are taken off. Prints one JSON object after about 30 s.
+the same idle streams, are taken off. Then the routers run calls back to back, so that
+both processes are busy throughout, as a node that passes on tokens is: an idle process
+pays for each wake-up as well. Prints one JSON object after about 35 s.
 
     python packages/lagoonsail-router/benchmarks/slot_cost.py
 """
@@ -23,6 +25,7 @@
 
 from lagoonsail_config.document import parse_document
 from lagoonsail_config.settings import load_settings
+from lagoonsail_core.clock import Clock
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.messages import (
     OUTCOME_WHOLE,
@@ -49,6 +52,8 @@
 """Calls that all of them begin in a second: what a node takes at the target."""
 PHASE_MS = 12_000.0
 """How long each of the two phases takes."""
+BUSY_MS = 4000.0
+"""How long calls are run back to back."""
 STEP_MS = 700.0
 """Time between two reports of a call; longer than a heartbeat, as in a real one."""
 PROGRESS = (128.0, 256.0)
@@ -187,7 +192,7 @@
         )
         self.desk = TicketDesk(context, configuration, peers, None)
 
-    def call(self, number: int, now_ms: float) -> None:
+    def call(self, number: int, now_ms: float, step_ms: float = STEP_MS) -> None:
         """Run one call."""
         desk = self.desk
         call = desk.ask(
@@ -196,9 +201,9 @@
         grant = call.event.wait()
         desk.start(grant)
         for cost in PROGRESS:
-            eventlet.sleep(STEP_MS / 1000.0)
+            eventlet.sleep(step_ms / 1000.0)
             desk.progress(grant, cost)
-        eventlet.sleep(STEP_MS / 1000.0)
+        eventlet.sleep(step_ms / 1000.0)
         desk.finish(make_done(grant, OUTCOME_WHOLE, WHOLE_COST, "i1", 1400.0, 12860.0))
 
 
@@ -224,6 +229,27 @@
     return count
 
 
+def run_busy(routers: list[EntryRouter], clock: Clock) -> int:
+    """Have each router run calls back to back, and return how many.
+
+    Args:
+        routers: The entry routers.
+        clock: The clock.
+    """
+    until_ms = clock.now_ms() + BUSY_MS
+    count = 0
+
+    def loop(router: EntryRouter) -> None:
+        nonlocal count
+        while clock.now_ms() < until_ms:
+            count += 1
+            router.call(count, clock.now_ms(), 0.0)
+
+    for task in [eventlet.spawn(loop, router) for router in routers]:
+        task.wait()
+    return count
+
+
 def processor_us(pid: int) -> float:
     """Return the processor time that a process has used, in microseconds."""
     # The number of another process's clock, as clock_getcpuclockid computes it.
@@ -291,6 +317,15 @@
     result["idle_us_per_stream_and_second"] = {
         role: round((middle[role] - start[role]) / seconds) for role in pids
     }
+    before = {role: processor_us(pid) for role, pid in pids.items()}
+    calls = run_busy(routers, context.clock)
+    busy = {
+        f"{role}_us_per_call": round((processor_us(pid) - before[role]) / calls)
+        for role, pid in pids.items()
+    }
+    busy["sum_us_per_call"] = sum(busy.values())
+    busy["ms_per_s_of_a_node"] = round(busy["sum_us_per_call"] * CALLS_PER_S / 1e3, 1)
+    result["busy"] = busy
     return result
 
 
