Feed every decoder with hypothesis, and refuse what it cannot carry

Cause: fuzz tests fed frames, documents, settings, signatures, statuses and time lines, but not the answers of the key-value service, the host list, load reports, cache events, engine states, answers of backend servers, records of keys, members and shards, callers' requests, pushed documents, the TCP handshake and lagoonctl's options. Reading them for that showed: an answer with 1e999 or NaN completion tokens became a cost that the owner's stream refuses as malformed, so that one backend server could close the streams of a router; JSON nested deep failed a call that was answered whole; the id of a completion became part of a path unchecked; an infinite number of running requests, an infinite hash, or a malformed record of keys failed a task of the router in place of a typed refusal.

Ruled out: going on without a record of keys that cannot be read. The call may have run, so that calls with keys wait, as they did, but now counted.

Change: the parsers are functions of their own, take plausible numbers only and return Unavailable with a reason; a completion's id must look like one; MALFORMED covers what deep or infinite JSON raises.

--- a/packages/lagoonsail-ctl/tests/test_ctl_fuzz.py
+++ b/packages/lagoonsail-ctl/tests/test_ctl_fuzz.py
@@ -5,7 +5,9 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
+from lagoonsail_config.settings import SettingsError
 from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_ctl.connection import SETTINGS_KEYS, Connection, load_connection
 from lagoonsail_ctl.document_commands import split_revision_line
 from lagoonsail_ctl.fleet import Member, decode_member
 from lagoonsail_ctl.records import RecordError
@@ -60,3 +62,13 @@
     lines = render_table(["a", "b"], rows)
     assert all(line.isprintable() for line in lines)
     assert len(lines) == max(len(rows), 0) + 1
+
+
+@fuzzed
+@given(st.sampled_from(SETTINGS_KEYS), st.text(max_size=20))
+def test_any_option_is_taken_or_refused_as_a_mistake(key, text):
+    try:
+        assert type(load_connection(None, {key.name: text})) is Connection
+    except SettingsError as error:
+        assert error.problems
+        assert str(error)
--- /dev/null
+++ b/packages/lagoonsail-peer/tests/test_handshake_fuzz.py
@@ -0,0 +1,97 @@
+from __future__ import annotations
+
+import json
+import struct
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from lagoonsail_core.messages import Hello
+from lagoonsail_peer import _handshake
+from lagoonsail_peer._frame_auth import make_opener, make_tagger
+from lagoonsail_peer.wire import Intake
+
+fuzzed = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=200,
+    # A busy machine must not change the verdict.
+    suppress_health_check=[HealthCheck.too_slow],
+)
+values = st.recursive(
+    st.one_of(st.none(), st.integers(), st.floats(), st.text(max_size=8)),
+    lambda inner: st.lists(inner, max_size=5),
+    max_leaves=8,
+)
+lists = st.lists(st.text(max_size=8), min_size=2, max_size=5)
+bodies = (values | lists).map(lambda value: json.dumps(value).encode())
+messages = bodies.map(lambda body: struct.pack(">H", len(body)) + body)
+data = st.binary(max_size=60) | st.lists(messages, max_size=2).map(b"".join)
+PARTS = ("r1", "1", "127.0.0.1:1", "00", "11")
+
+
+class Received:
+    """A connection on which all has been received that ever will."""
+
+    def __init__(self, data: bytes) -> None:
+        self.rest = data
+        self.sent = b""
+
+    def recv(self, size: int) -> bytes:
+        part, self.rest = self.rest[:size], self.rest[size:]
+        return part
+
+    def sendall(self, data: bytes) -> None:
+        self.sent += data
+
+
+@pytest.fixture(scope="module", params=[b"key", b""], ids=["key", "no_key"])
+def key(request):
+    return request.param
+
+
+@fuzzed
+@given(received=data)
+def test_any_answer_of_a_client_is_refused_or_names_it(key, received):
+    places = []
+    intake = Intake(
+        key,
+        "",
+        enter=lambda: not places.append(1),
+        leave=places.pop,
+        accept=None,
+        forget=None,
+        count=None,
+    )
+    try:
+        router, incarnation = _handshake.check(Received(received), intake, set())[:2]
+    except _handshake.HandshakeError as error:
+        assert error.remedy
+        assert not places
+        return
+    # Only without a key is anything believed.
+    assert not key
+    assert router
+    assert int(incarnation) >= 0
+
+
+@fuzzed
+@given(received=data)
+def test_any_answer_of_a_server_is_refused_or_no_key_is_wanted(key, received):
+    hello = Hello("r1", 1, "sierra", 0.0)
+    try:
+        _handshake.answer(Received(received), key, "127.0.0.1:1", hello)
+    except _handshake.HandshakeError as error:
+        assert error.remedy
+        return
+    assert not key
+
+
+@fuzzed
+@given(st.binary(max_size=40), st.binary(max_size=40))
+def test_only_the_frame_that_was_tagged_is_opened(frame, other):
+    sealed = frame + make_tagger(b"key", "client", PARTS)(frame)
+    for data in (other, sealed):
+        opened = make_opener(b"key", "client", PARTS)(data)
+        assert opened == (frame if data == sealed else None)
--- a/packages/lagoonsail-router/src/lagoonsail_router/backend.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/backend.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import json
+import re
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -26,6 +27,10 @@
 """Longest pause within a stream before it is taken for dead."""
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """Longest answer that is passed on in one piece."""
+MAX_TOKENS = 1e9
+"""Most tokens that an answer may say it has."""
+ID_PATTERN = re.compile("[A-Za-z0-9._~-]{1,200}")
+"""What the id of a completion may look like, since it becomes part of a path."""
 MAX_RESUMES = 3
 """How often one stream is resumed."""
 END_OF_EVENT = b"\n\n"
@@ -283,10 +288,7 @@
         if self._call.document.kind != "engine":
             measured.cost = measured.duration_ms
             return
-        try:
-            measured.cost = float(json.loads(answer.body)["usage"]["completion_tokens"])
-        except (ValueError, KeyError, TypeError):
-            measured.cost = 0.0
+        measured.cost = _tokens_of(_decode(answer.body)) or 0.0
 
     def _read_events(self, state: _StreamState) -> Iterator[bytes]:
         for chunk in self._chunks():
@@ -336,28 +338,41 @@
         return self._response.status == 200
 
 
+def _decode(text: bytes) -> dict:
+    """Return a JSON object, empty if the text is none."""
+    try:
+        payload = json.loads(text)
+    except (ValueError, RecursionError):
+        return {}
+    return payload if isinstance(payload, dict) else {}
+
+
 def _payloads(whole: bytes) -> Iterator[dict]:
     for event in whole.split(END_OF_EVENT):
-        text = event.removeprefix(b"data: ")
-        try:
-            payload = json.loads(text)
-        except ValueError:
-            continue
-        if isinstance(payload, dict):
-            yield payload
+        yield _decode(event.removeprefix(b"data: "))
 
 
 def _find_completion_id(whole: bytes) -> str:
     for payload in _payloads(whole):
-        if isinstance(payload.get("id"), str):
-            return payload["id"]
+        completion_id = payload.get("id")
+        if isinstance(completion_id, str) and ID_PATTERN.fullmatch(completion_id):
+            return completion_id
     return ""
 
 
 def _find_usage(whole: bytes) -> float | None:
     for payload in _payloads(whole):
-        usage = payload.get("usage")
-        if isinstance(usage, dict) and not payload.get("choices"):
-            tokens = usage.get("completion_tokens")
-            return float(tokens) if isinstance(tokens, int) and tokens >= 0 else 0.0
+        if isinstance(payload.get("usage"), dict) and not payload.get("choices"):
+            return _tokens_of(payload) or 0.0
     return None
+
+
+def _tokens_of(payload: dict) -> float | None:
+    """Return the tokens of an answer; what is no plausible number is none.
+
+    The cost goes to the owner of the shard, whose stream closes on what is no number.
+    """
+    usage = payload.get("usage")
+    tokens = usage.get("completion_tokens") if isinstance(usage, dict) else None
+    is_number = type(tokens) in (int, float) and 0 <= tokens <= MAX_TOKENS
+    return float(tokens) if is_number else None
--- a/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
@@ -20,6 +20,7 @@
 
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.messages import KeysNoted, KeysNotice
+from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_router.context import start_task
 from lagoonsail_store.store_client import Conflict, Written
 
@@ -48,6 +49,28 @@
 """Most keys of one shard that a next owner remembers."""
 
 
+def parse_keys(value: str) -> list[tuple[int, int]] | Unavailable:
+    """Check and decode a record of keys.
+
+    Args:
+        value: JSON list of pairs.
+
+    Returns:
+        Pairs of key and origin, or what is wrong with the record.
+    """
+    try:
+        pairs = json.loads(value)
+    except (ValueError, RecursionError) as error:
+        return Unavailable(f"record of keys that is not JSON ({error!r:.200})")
+    is_list = type(pairs) is list and all(
+        type(pair) is list and [type(item) for item in pair] == [int, int]
+        for pair in pairs
+    )
+    if not is_list:
+        return Unavailable("record of keys that is no list of pairs of numbers")
+    return [(key, origin) for key, origin in pairs]
+
+
 def keys_prefix(store_prefix: str, shard: str) -> str:
     """Return the prefix under which the keys of a shard are stored.
 
@@ -147,8 +170,14 @@
             return False
         now_ms = self._context.clock.now_ms()
         # By name: a write whose answer was lost may be carried out after the next.
-        for entry in sorted(listing.entries, key=lambda entry: entry.key):
-            for key, origin in json.loads(entry.value):
+        entries = sorted(listing.entries, key=lambda entry: entry.key)
+        recorded = [parse_keys(entry.value) for entry in entries]
+        if any(isinstance(pairs, Unavailable) for pairs in recorded):
+            # A key that cannot be read may have run: nothing with a key may run here.
+            self._context.count("key_log_malformed_total")
+            return False
+        for pairs in recorded:
+            for key, origin in pairs:
                 self._stored[key] = origin
                 self._used.pop(key, None)
                 if origin:
--- a/packages/lagoonsail-router/src/lagoonsail_router/load_reports.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/load_reports.py
@@ -18,6 +18,8 @@
 """Time after which a report is given up, in seconds as urllib3 takes it."""
 MAX_REPORT_BYTES = 262_144
 """Longest report that is read."""
+MAX_RUNNING = 1_000_000
+"""Most running requests that a report may tell of."""
 REPORT_LAG_MS = 2000.0
 """Assumed greatest age of what a report says."""
 
@@ -71,14 +73,31 @@
     if not result:
         return result
     body, incarnation = result
+    return parse_load(body, incarnation, clock.now_ms() - REPORT_LAG_MS)
+
+
+def parse_load(
+    body: bytes, incarnation: str, measured_ms: float
+) -> LoadReport | Unavailable:
+    """Check and decode a load report.
+
+    Args:
+        body: Prometheus text.
+        incarnation: Incarnation of the server that sent it.
+        measured_ms: Monotonic time of which it tells.
+
+    Returns:
+        The report, or what is wrong with it.
+    """
     samples = dict(_SAMPLE.findall(body.decode("utf-8", "replace")))
     try:
         running = int(float(samples["engine:num_requests_running"]))
         warm = samples.get("engine:warm")
         is_warm = None if warm is None else float(warm) > 0
-    except (KeyError, ValueError) as error:
-        return Unavailable(f"malformed load report from {address}: {error}")
-    measured_ms = clock.now_ms() - REPORT_LAG_MS
+    except (KeyError, ValueError, OverflowError) as error:
+        return Unavailable(f"malformed load report ({error!r:.200})")
+    if not 0 <= running <= MAX_RUNNING:
+        return Unavailable(f"load report with {running:.3g} running requests")
     return LoadReport(incarnation, running, is_warm, measured_ms)
 
 
@@ -95,11 +114,22 @@
     result = _get(address, f"/cache_events?after={after}")
     if isinstance(result, Unavailable):
         return result
-    body, _ = result
+    return parse_cache_events(result[0])
+
+
+def parse_cache_events(body: bytes) -> list[CacheEvent] | Unavailable:
+    """Check and decode the prefix-cache events of a model engine.
+
+    Args:
+        body: JSON.
+
+    Returns:
+        Events in order, or what is wrong with them.
+    """
     try:
         return [_parse_event(event) for event in json.loads(body)["events"]]
-    except (ValueError, KeyError, TypeError) as error:
-        return Unavailable(f"malformed cache events from {address}: {error}")
+    except (ValueError, KeyError, TypeError, OverflowError, RecursionError) as error:
+        return Unavailable(f"malformed cache events ({error!r:.200})")
 
 
 def _parse_event(event: dict) -> CacheEvent:
--- a/packages/lagoonsail-router/src/lagoonsail_router/metrics.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/metrics.py
@@ -24,6 +24,7 @@
     "grants_too_old_total": "Grants that came after their start window.",
     "host_list_reads_failed_total": "Failed reads of the host list.",
     "key_log_conflicts_total": "Writes of idempotency keys that met another writer.",
+    "key_log_malformed_total": "Reads of idempotency keys that met a malformed record.",
     "key_log_writes_total": "Writes of idempotency keys.",
     "key_notices_refused_total": "Notices of keys refused because too many are held.",
     "key_notices_total": "Notices of keys to the next owners, without the service.",
--- /dev/null
+++ b/packages/lagoonsail-router/tests/test_router_fuzz.py
@@ -0,0 +1,163 @@
+"""Whatever others send, it is decoded or refused with a typed result."""
+
+from __future__ import annotations
+
+import json
+import math
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_router.admin import _parse_push
+from lagoonsail_router.backend import (
+    _decode,
+    _find_completion_id,
+    _find_usage,
+    _tokens_of,
+)
+from lagoonsail_router.call import Call, read_call
+from lagoonsail_router.engine_orders import EngineState, _Answer, _parse_state
+from lagoonsail_router.key_log import parse_keys
+from lagoonsail_router.load_reports import parse_cache_events, parse_load
+from lagoonsail_router.problems import CallProblem
+from lagoonsail_sharing.server_limit import LoadReport
+
+NAMES = ["usage", "completion_tokens", "id", "choices", "events", "kind", "hash"]
+NAMES += ["sequence", "adapters", "model", "version", "role", "loading", "key"]
+NAMES += ["revision", "value", "prompt", "max_tokens", "stream", "owner", "lease"]
+NAMES += ["incarnation", "epoch", "state", "router", "region"]
+words = st.sampled_from(["stored", "owned", "documents/a/b", "cordero-2", "1"])
+scalars = st.one_of(
+    st.none(), st.booleans(), st.integers(), st.floats(), st.text(max_size=5), words
+)
+values = st.recursive(
+    scalars,
+    lambda inner: (
+        st.lists(inner, max_size=4)
+        | st.dictionaries(st.sampled_from(NAMES), inner, max_size=8)
+    ),
+    max_leaves=14,
+)
+texts = values.map(json.dumps) | st.text(max_size=30)
+bodies = texts.map(lambda text: text.encode("utf-8", "replace")) | st.binary()
+fuzzed = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=200,
+    suppress_health_check=[
+        # A busy machine must not change the verdict.
+        HealthCheck.too_slow,
+        # The fixtures hold what one example after the other is given.
+        HealthCheck.function_scoped_fixture,
+    ],
+)
+DEEP = b"[" * 100_000
+
+
+def is_cost(value) -> bool:
+    return value is None or (math.isfinite(value) and value >= 0)
+
+
+def check_answer(body: bytes) -> None:
+    """What a backend server answers never becomes a cost that no frame can carry."""
+    assert is_cost(_tokens_of(_decode(body)))
+    assert is_cost(_find_usage(b"data: " + body + b"\n\n"))
+    completion_id = _find_completion_id(b"data: " + body + b"\n\n")
+    assert completion_id.isascii()
+    assert "/" not in completion_id
+    state = _parse_state(_Answer(200, body, ""))
+    assert state is None or type(state) is EngineState
+    assert isinstance(parse_cache_events(body), list | Unavailable)
+
+
+@fuzzed
+@given(bodies)
+def test_any_answer_of_a_backend_server_is_read_or_passed_over(body):
+    check_answer(body)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        DEEP,
+        b'{"usage": {"completion_tokens": 1e999}}',
+        b'{"usage": {"completion_tokens": NaN}}',
+        b'{"usage": {"completion_tokens": 1%s}}' % (b"0" * 400),
+        b'{"id": "../../orders"}',
+        b'{"events": [{"kind": "stored", "hash": Infinity, "sequence": 1}]}',
+    ],
+)
+def test_hostile_answer_of_a_backend_server_is_passed_over(body):
+    check_answer(body)
+
+
+@fuzzed
+@given(
+    st.sampled_from(["engine:num_requests_running", "engine:warm", "x{a=1}"]),
+    st.one_of(st.floats().map(str), st.integers().map(str), st.text(max_size=6)),
+)
+def test_any_load_report_is_read_or_refused(name, value):
+    body = f"engine:num_requests_running 3\n{name} {value}\n"
+    report = parse_load(body.encode("utf-8", "replace"), "i1", 5.0)
+    assert isinstance(report, LoadReport | Unavailable)
+    assert not report or 0 <= report.running <= 1_000_000
+
+
+@fuzzed
+@given(texts)
+def test_any_record_of_keys_is_read_or_refused(text):
+    pairs = parse_keys(text)
+    assert isinstance(pairs, list | Unavailable)
+    assert not pairs or all(type(item) is int for pair in pairs for item in pair)
+
+
+@fuzzed
+@given(bodies)
+def test_any_pushed_document_is_read_or_refused(body):
+    parsed = _parse_push(body)
+    if not isinstance(parsed, Unavailable):
+        key, revision, value = parsed
+        assert key.startswith("documents/")
+        assert 0 < revision < 2**63
+        assert value.encode() is not None
+
+
+@fuzzed
+@given(
+    st.sampled_from(["members/cordero-2", "shards/a/b@c", "documents/a/b", "x"]),
+    texts,
+)
+def test_any_record_is_taken_or_rejected_and_counted(configuration, key, text):
+    before = sum(configuration._context.counters.values())
+    is_taken = configuration.apply(key, configuration.changes + 1, text)
+    counted = sum(configuration._context.counters.values()) - before
+    assert (is_taken, counted >= 1) in ((True, False), (False, True))
+    json.dumps(configuration.revisions())
+
+
+@fuzzed
+@given(
+    st.sampled_from(["REQUEST_METHOD", "RAW_PATH_INFO", "QUERY_STRING"])
+    | st.sampled_from(["HTTP_AUTHORIZATION", "HTTP_X_COST_HINT", "HTTP_X_REQUEST_ID"])
+    | st.sampled_from(["HTTP_IDEMPOTENCY_KEY", "HTTP_ACCEPT", "CONTENT_TYPE"]),
+    # The server decodes what it receives byte by byte.
+    st.binary(max_size=40).map(lambda data: data.decode("latin1")),
+    bodies,
+)
+def test_any_call_is_taken_or_refused_with_a_problem(
+    configuration, make_document, make_env, name, value, body
+):
+    configuration.apply("documents/cordero/registro", 1, make_document())
+    configuration.apply(
+        "documents/cordero/asistente", 2, make_document("asistente", "engine")
+    )
+    for path in ("/cordero/registro/bibs?a=1", "/cordero/asistente/v1/completions"):
+        env = make_env(path, "POST", body)
+        for fields in (env, {**env, name: value}):
+            try:
+                assert type(read_call(fields, configuration, 0.0)) is Call
+            except CallProblem as problem:
+                assert problem.ran == "no"
+                assert json.loads(problem.body("q"))["type"]
--- a/packages/lagoonsail-store/src/lagoonsail_store/endpoints.py
+++ b/packages/lagoonsail-store/src/lagoonsail_store/endpoints.py
@@ -21,7 +21,14 @@
 """How often all endpoints are tried within the time of one call."""
 ROUND_PAUSE_MS = 50.0
 """Longest pause between two rounds; the pause is random."""
-MALFORMED = (ValueError, KeyError, TypeError, AttributeError)
+MALFORMED = (
+    ValueError,
+    LookupError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 """What a malformed answer raises while it is read."""
 
 
--- a/packages/lagoonsail-store/src/lagoonsail_store/host_list.py
+++ b/packages/lagoonsail-store/src/lagoonsail_store/host_list.py
@@ -73,7 +73,10 @@
         >>> parse_hosts(b'[{"targets":["10.0.0.1:1"],"labels":{"name":"a"}}]')[0].name
         'a'
     """
-    groups = json.loads(data)
+    try:
+        groups = json.loads(data)
+    except RecursionError as error:
+        raise ValueError("answer that is nested too deep") from error
     _check(type(groups) is list, "answer that is no list")
     return [host for group in groups for host in _read_group(group)]
 
