Name router, incarnation and event in each line of the log

Cause: only lines that come from the time line carried them; those of the streams between routers and of unexpected failures had a channel and free text.

Ruled out: changing each call; the streams' package knows neither router nor incarnation.

Change: the router's handler has a format with the three, and a processor gives them to each record; what has no event of its own is event=failure.

--- a/packages/lagoonsail-router/src/lagoonsail_router/context.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/context.py
@@ -72,13 +72,7 @@
 
     def _log_event(self, event) -> None:
         details = " ".join(f"{key}={value}" for key, value in event.fields.items())
-        self.logger.info(
-            "router={} incarnation={} event={} {}",
-            event.router,
-            self.incarnation,
-            event.name,
-            details,
-        )
+        self.logger.info("{}", details, extra={"event": event.name})
 
     def count(self, name: str, label: str = "", amount: float = 1) -> None:
         """Add to a counter.
--- a/packages/lagoonsail-router/tests/test_router_start.py
+++ b/packages/lagoonsail-router/tests/test_router_start.py
@@ -5,10 +5,12 @@
 import subprocess
 import sys
 
+import logbook
 import pytest
 
 from lagoonsail_core.green import eventlet
 from lagoonsail_lab.processes import Process, free_port
+from lagoonsail_router.main import LINE_FORMAT, _name_lines
 
 SETTINGS = """\
 [router]
@@ -101,3 +103,15 @@
     assert "neither the key-value service nor another router answered" in errors
     assert "endpoints in [store]" in errors
     assert "Traceback" not in errors
+
+
+def test_each_line_of_the_log_names_router_incarnation_and_event(capsys):
+    handler = logbook.StreamHandler(sys.stderr, format_string=LINE_FORMAT)
+    logger = logbook.Logger("lagoonsail.peer")
+    with handler.applicationbound(), _name_lines("cordero-1", 7).applicationbound():
+        logger.info("lease={}", 9, extra={"event": "lease_granted"})
+        logger.error("something else")
+    lines = capsys.readouterr().err.splitlines()
+    head = "router=cordero-1 incarnation=7 event="
+    assert lines[0].endswith(f"INFO: {head}lease_granted lease=9")
+    assert lines[1].endswith(f"ERROR: {head}failure something else")
