--- a/packages/lagoonsail-router/tests/test_router_fleet.py
+++ b/packages/lagoonsail-router/tests/test_router_fleet.py
@@ -5,6 +5,7 @@
 import base64
 import json
 import re
+import signal
 
 import pytest
 
@@ -289,3 +290,18 @@
     assert runs()[-1]["state"] == "whole"
     # The other router serves on, also what the stopped one owned.
     assert b"[DONE]" in stream(3, "cordero-1").data
+
+
+def test_second_signal_ends_a_planned_stop_at_once(fleet, stream, wait_until):
+    chunks = stream(tokens=500, prompt="signals").read_chunked()
+    next(chunks)
+    process = fleet.routers["cordero-1"].process
+    process.signal(signal.SIGTERM)
+    wait_until(lambda: fleet.status("cordero-1")["state"] == "leaving")
+    next(chunks)
+    assert process.is_running
+    process.signal(signal.SIGTERM)
+    assert process.wait(5000.0) == 5
+    # The stream that it cut cannot pass as whole.
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        b"".join(chunks)
