--- a/packages/lagoonsail-router/src/lagoonsail_router/metrics.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/metrics.py
@@ -7,6 +7,7 @@
 
 from lagoonsail_core import invariants
 from lagoonsail_core.metrics import Metrics
+from lagoonsail_router.entry import HISTOGRAMS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -24,6 +25,7 @@
     "grants_too_old_total": "Grants that came after their start window.",
     "host_list_reads_failed_total": "Failed reads of the host list.",
     "key_log_conflicts_total": "Writes of idempotency keys that met another writer.",
+    "key_log_malformed_total": "Reads of idempotency keys that met a malformed record.",
     "key_log_writes_total": "Writes of idempotency keys.",
     "key_notices_refused_total": "Notices of keys refused because too many are held.",
     "key_notices_total": "Notices of keys to the next owners, without the service.",
@@ -60,6 +62,8 @@
         metrics.counter_of(
             name.removesuffix("_total"), doc, "kind", _reader(daemon, name)
         )
+    for name, doc in HISTOGRAMS.items():
+        metrics.histogram_of(name, doc, daemon.entry.durations[name])
     metrics.counter_of(
         "invariant_checks", "Checks of invariants.", "kind", lambda: invariants.checks
     )
--- a/packages/lagoonsail-router/tests/test_router_fleet.py
+++ b/packages/lagoonsail-router/tests/test_router_fleet.py
@@ -4,6 +4,8 @@
 
 import base64
 import json
+import re
+import signal
 
 import pytest
 
@@ -103,6 +105,24 @@
     assert apart >= tokens * 3 / 4, gaps
 
 
+def test_durations_are_shown_as_histograms(fleet, send):
+    address = fleet.routers["cordero-1"].admin
+    pool = urllib3.PoolManager(retries=False, timeout=20.0)
+
+    def count(name):
+        lines = pool.request("GET", f"http://{address}/metrics").data.decode()
+        found = re.findall(rf"^lagoonsail_{name}_ms_count (\S+)$", lines, re.MULTILINE)
+        return float(found[0])
+
+    names = ("slot_wait", "answer_first", "answer")
+    before = [count(name) for name in names]
+    answer = send("/cordero/registro/bibs", {"work_ms": 5})
+    assert (answer.status, answer.data[:1]) == (200, b"{")
+    after = [count(name) for name in names]
+    assert [new - old for new, old in zip(after, before, strict=True)] == [1, 1, 1]
+    pool.clear()
+
+
 def test_caller_that_goes_away_cancels_its_request(stream, runs, wait_until):
     answer = stream(tokens=2000)
     next(answer.read_chunked())
@@ -270,3 +290,18 @@
     assert runs()[-1]["state"] == "whole"
     # The other router serves on, also what the stopped one owned.
     assert b"[DONE]" in stream(3, "cordero-1").data
+
+
+def test_second_signal_ends_a_planned_stop_at_once(fleet, stream, wait_until):
+    chunks = stream(tokens=500, prompt="signals").read_chunked()
+    next(chunks)
+    process = fleet.routers["cordero-1"].process
+    process.signal(signal.SIGTERM)
+    wait_until(lambda: fleet.status("cordero-1")["state"] == "leaving")
+    next(chunks)
+    assert process.is_running
+    process.signal(signal.SIGTERM)
+    assert process.wait(5000.0) == 5
+    # The stream that it cut cannot pass as whole.
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        b"".join(chunks)
