--- a/packages/lagoonsail-lab/src/lagoonsail_lab/backlog.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/backlog.py
@@ -115,20 +115,35 @@
         return name, self._addresses[name]
 
 
-def make_deployment() -> Deployment:
-    """Return Cordero with its engines only, warm at once."""
+def make_deployment(**options: float) -> Deployment:
+    """Return Cordero with its engines only, warm at once.
+
+    Args:
+        options: Further options of the engines.
+
+    Returns:
+        The deployment.
+    """
     deployment = make_cordero()
     service = deployment.find(SERVICE)
-    service.options.update(ENGINE_OPTIONS)
+    service.options.update(ENGINE_OPTIONS, **options)
     service.limits["queue_limit"] = QUEUE_LIMIT
     deployment.services = [service]
     return deployment
 
 
-def make_fleet(is_baseline: bool) -> Fleet:
-    """Return a fleet with the routers of the project or of the baseline."""
+def make_fleet(is_baseline: bool, **engine: float) -> Fleet:
+    """Return a fleet with the routers of the project or of the baseline.
+
+    Args:
+        is_baseline: Whether routers are those of the baseline.
+        engine: Further options of the engines.
+
+    Returns:
+        The fleet, not started yet.
+    """
     options = {"router_module": BASELINE_MODULE} if is_baseline else {}
-    return Fleet([make_deployment()], **options)
+    return Fleet([make_deployment(**engine)], **options)
 
 
 def find_owner(fleet: Fleet, service: ServiceShape) -> tuple[str, dict]:
--- a/packages/lagoonsail-standins/src/lagoonsail_standins/engine_reports.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/engine_reports.py
@@ -29,10 +29,16 @@
 class LaggingMetrics:
     """Samples of an engine's load, shown only when they are old enough."""
 
-    __slots__ = ("_backend", "_clock", "_lag_ms", "_samples")
-
-    def __init__(self, backend: Backend, lag_ms: float) -> None:
+    __slots__ = ("_backend", "_clock", "_count", "_lag_ms", "_samples")
+
+    def __init__(
+        self,
+        backend: Backend,
+        lag_ms: float,
+        count: Callable[[], dict[str, float]] = dict,
+    ) -> None:
         self._backend = backend
+        self._count = count
         self._clock = backend.clock
         self._lag_ms = lag_ms
         self._samples: deque[tuple[float, str]] = deque()
@@ -46,6 +52,7 @@
             "engine:num_requests_waiting": backend.waiting,
             "engine:warm": int(backend.is_warm),
             "process_start_time_seconds": round(backend.started_wall_ms / 1000.0, 3),
+            **self._count(),
         }
         lines = [
             f"# TYPE {name} gauge\n{name} {value}\n" for name, value in values.items()
@@ -64,17 +71,20 @@
         return self._samples[0][1]
 
 
-def make_metrics_handler(backend: Backend, lag_ms: float) -> Callable:
+def make_metrics_handler(
+    backend: Backend, lag_ms: float, count: Callable[[], dict[str, float]] = dict
+) -> Callable:
     """Return the handler of `GET /metrics`, and begin to take samples.
 
     Args:
         backend: The server.
         lag_ms: How far its report lags, milliseconds.
+        count: Returns further values by name.
 
     Returns:
         A handler of requests.
     """
-    metrics = LaggingMetrics(backend, lag_ms)
+    metrics = LaggingMetrics(backend, lag_ms, count)
 
     def sample() -> None:
         while True:
@@ -93,9 +103,19 @@
 class PromptCache:
     """Which prefixes an engine holds, and the events that tell of changes."""
 
-    __slots__ = ("_blocks", "_clock", "_events", "_lag_ms", "_sequence")
+    __slots__ = (
+        "_asked",
+        "_blocks",
+        "_clock",
+        "_events",
+        "_held",
+        "_lag_ms",
+        "_sequence",
+    )
 
     def __init__(self, clock: Clock, lag_ms: float) -> None:
+        self._asked = 0
+        self._held = 0
         self._clock = clock
         self._lag_ms = lag_ms
         self._blocks: OrderedDict[int, None] = OrderedDict()
@@ -113,6 +133,8 @@
         """
         hashes = prefix_hashes(prompt)
         held = sum(1 for item in hashes if item in self._blocks)
+        self._asked += len(hashes)
+        self._held += held
         for item in hashes:
             if item not in self._blocks:
                 self._tell("stored", item)
@@ -123,6 +145,13 @@
             self._tell("removed", removed)
         return held * BLOCK_CHARACTERS
 
+    def count(self) -> dict[str, float]:
+        """Return how many blocks prompts had so far, and how many were held."""
+        return {
+            "engine:prefix_cache_queries": self._asked,
+            "engine:prefix_cache_hits": self._held,
+        }
+
     def clear(self) -> None:
         """Remove all prefixes; readers see one event for all."""
         self._blocks.clear()
--- a/packages/lagoonsail-standins/src/lagoonsail_standins/model_engine.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/model_engine.py
@@ -61,6 +61,8 @@
     """Length of the whole answer."""
     is_stream: bool
     """Whether the caller asked for a stream."""
+    prefill_ms: float = 0.0
+    """Time for the part of the prompt that the cache did not hold, while warm."""
 
     def token(self, index: int) -> str:
         """Return one token of the answer.
@@ -121,6 +123,7 @@
         "_is_resumable",
         "_load_ms",
         "_orders",
+        "_prefill_ms",
         "_token_ms",
         "_weight_store",
         "adapters",
@@ -153,8 +156,10 @@
         is_resumable: bool = False,
         weight_store: str = "",
         load_ms: float = 200.0,
+        prefill_ms: float = 0.0,
     ) -> None:
         self._backend = backend
+        self._prefill_ms = prefill_ms
         self._load_ms = load_ms
         self._token_ms = token_ms
         self._first_ms = first_ms
@@ -163,7 +168,9 @@
         self._completions: OrderedDict[str, Completion] = OrderedDict()
         self._orders: list[dict] = []
         self.cache = PromptCache(backend.clock, report_lag_ms)
-        self.show_metrics = make_metrics_handler(backend, report_lag_ms)
+        self.show_metrics = make_metrics_handler(
+            backend, report_lag_ms, self.cache.count
+        )
         self._forget_orders()
         backend.on_restart = self._begin_incarnation
 
@@ -228,12 +235,13 @@
         admitted = self._backend.admit(request)
         if isinstance(admitted, Answer):
             return admitted
-        self.cache.add(prompt)
+        missing = len(prompt) - self.cache.add(prompt)
         completion = Completion(
             admitted,
             prompt,
             count_tokens(prompt, max_tokens),
             bool(fields.get("stream")),
+            self._prefill_ms * missing / 1000.0,
         )
         self._keep(completion)
         return self._answer(completion, 0)
@@ -269,7 +277,8 @@
 
     def _generate(self, completion: Completion, first: int) -> Iterable[int]:
         run = completion.run
-        self._backend.work(run, self._first_ms + self._backend.late_ms)
+        first_ms = self._first_ms + completion.prefill_ms
+        self._backend.work(run, first_ms + self._backend.late_ms)
         for index in range(first, completion.tokens):
             self._backend.work(run, self._token_ms)
             run.cost = float(index + 1)
@@ -482,6 +491,7 @@
     resumable: bool = False,
     weight_store: str = "",
     load_ms: float = 200.0,
+    prefill_ms: float = 0.0,
 ) -> None:
     """Serve a model engine.
 
@@ -500,13 +510,21 @@
         weight_store: URL of the weights, loaded before anything is answered; those of
             ordered models and adapters stand beside it.
         load_ms: Time that loading an ordered model or adapter takes.
+        prefill_ms: Time for 1000 characters of a prompt that the cache does not hold.
     """
     options = BackendOptions(
         name, slots, cold_slots, warm_after, cold_factor, checks_fencing
     )
     backend = Backend(options)
     engine = Engine(
-        backend, token_ms, first_ms, report_lag_ms, resumable, weight_store, load_ms
+        backend,
+        token_ms,
+        first_ms,
+        report_lag_ms,
+        resumable,
+        weight_store,
+        load_ms,
+        prefill_ms,
     )
     engine.start()
     serve(make_engine_app(backend, engine), port)
