Choose among an account's own requests by the free engine's cache

Cause: as soon as calls queue, only one engine has a free slot, so that the choice of the engine has nothing to choose from: calls go to random engines, run longer for want of their prefix, and the queue stays. Ruled out: limits (10 of 10 engines warm, no setback), the size of the index. Change: of the chosen account's 16 oldest requests the one goes that finds most in the cache of the engine, each passed over by at most 16. The account, and with it the bound on fairness, stays the queue's choice. Hints are kept over a gap; a wrong one costs one wrong choice among engines that may all be chosen. The test of the index asked for the forgetting and asks now for the keeping, as exactly. Not measured: prompts that share parts over accounts.

--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -31,7 +31,7 @@
 from lagoonsail_router.right import FULL, LAPSED
 from lagoonsail_router.shard_servers import ShardServers
 from lagoonsail_sharing.fair_queue import FairQueue, Waiting
-from lagoonsail_sharing.placement import choose_server
+from lagoonsail_sharing.placement import LOOK_AHEAD, choose_request, choose_server
 from lagoonsail_sharing.prefix_index import PrefixIndex
 
 if TYPE_CHECKING:
@@ -413,6 +413,9 @@
             for resting in self._servers.resting():
                 self._start_reading(resting)
             return False
+        if waiting.prefix:
+            requests = self.queue.oldest(waiting.account, LOOK_AHEAD)
+            waiting = choose_request(requests, name, self._prefixes)
         self._grant(waiting, self.servers[name])
         return True
 
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/fair_queue.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/fair_queue.py
@@ -107,6 +107,8 @@
     """Local monotonic time since which the request waits."""
     source: object = None
     """Where the grant is to go."""
+    passed: int = 0
+    """How many later requests of its account were started before it."""
 
 
 class _Account:
@@ -339,6 +341,21 @@
         self._check_gap()
         return account.waiting[0][2]
 
+    def oldest(self, account: str, count: int) -> list[Waiting]:
+        """Return the requests of an account that have waited longest.
+
+        Any of them may be started in place of a pick of this account.
+
+        Args:
+            account: Name of the account.
+            count: How many at most.
+
+        Returns:
+            The requests, oldest first.
+        """
+        known = self._accounts.get(account)
+        return [waiting for _, _, waiting in known.waiting[:count]] if known else []
+
     def start(self, waiting: Waiting, slot: Hashable) -> None:
         """Charge a request that gets a slot, and take it off the queue.
 
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/placement.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/placement.py
@@ -1,9 +1,12 @@
 """Which backend server a request that is next goes to.
 
-Fairness has chosen the request already; the choice of the server never changes that,
+Fairness has chosen the account already; the choice of the server never changes that,
 and never leaves a slot idle. Among the servers with a free slot the one that holds the
 longest part of the prompt in its cache is taken, else the one least loaded relative to
-its limit.
+its limit. Where all other servers are full, the account's own requests are left to
+choose from: of its oldest `LOOK_AHEAD` that one goes which finds most in the cache.
+Each is passed over at most `MAX_PASSED` times, since whatever passes it passes the
+oldest too.
 
 Example:
     >>> from lagoonsail_sharing.prefix_index import PrefixIndex
@@ -27,8 +30,14 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from lagoonsail_sharing.fair_queue import Waiting
     from lagoonsail_sharing.prefix_index import PrefixIndex
 
+LOOK_AHEAD = 16
+"""Requests of one account among which a free slot may choose."""
+MAX_PASSED = 16
+"""How many later requests of its account may go before a request."""
+
 
 @dataclass(slots=True)
 class Candidate:
@@ -70,3 +79,28 @@
         if (best_rank is None or rank < best_rank) and may_take(name):
             best, best_rank = name, rank
     return best
+
+
+def choose_request(
+    requests: list[Waiting], server: str, cache_index: PrefixIndex
+) -> Waiting:
+    """Choose which of an account's requests goes to a server.
+
+    Args:
+        requests: The account's oldest requests, at least one, oldest first; those that
+            are passed over are told so.
+        server: Name of the server, unqualified.
+        cache_index: What the servers' caches are likely to hold.
+
+    Returns:
+        The request.
+    """
+    if requests[0].passed >= MAX_PASSED:
+        return requests[0]
+    # Of equals the oldest.
+    chosen = max(requests, key=lambda r: cache_index.match(server, r.prefix))
+    for request in requests:
+        if request is chosen:
+            break
+        request.passed += 1
+    return chosen
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/prefix_index.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/prefix_index.py
@@ -1,9 +1,9 @@
 """Which backend server is likely to hold which prefix of a prompt in its cache.
 
 The index is a hint: entries come from routing decisions and from cache events, which
-arrive late and with gaps. After a gap nothing is known of the server any more, since
-removals may have been missed. Memory is bounded; the entries used least recently go
-first.
+arrive late and with gaps. What was known stays over a gap: a removal that was missed
+costs one wrong choice among servers that may all be chosen, while forgetting costs all
+that is known. Memory is bounded; the entries used least recently go first.
 
 Example:
     >>> index = PrefixIndex()
@@ -16,9 +16,9 @@
     >>> index.on_events("asistente-1", 7, stored=[hashes[2]], removed=[])
     >>> index.match("asistente-1", hashes)
     3
-    >>> index.on_events("asistente-1", 9, stored=[], removed=[])
-    >>> index.match("asistente-1", hashes)
-    0
+    >>> index.on_events("asistente-1", 9, stored=[], removed=[hashes[2]])
+    >>> index.match("asistente-1", hashes), index.gaps
+    (2, 1)
 """
 
 from __future__ import annotations
@@ -95,7 +95,7 @@
         Args:
             server: Name of the server.
             sequence: Number of the event, one more than that of the event before. An
-                event seen before is ignored; after a gap the server is forgotten.
+                event seen before is ignored; gaps are counted.
             stored: Hashes of prefixes that the cache holds now.
             removed: Hashes of prefixes that it holds no more.
         """
@@ -104,7 +104,6 @@
             return
         if last is not None and sequence > last + 1:
             self.gaps += 1
-            self._held.pop(server, None)
         self._last_events[server] = sequence
         held = self._held.get(server, {})
         for value in removed:
