Let silent connections keep no operator out

Cause: the operators' port served 64 connections, each of which could be silent for the stop timeout (60 s), so that 64 of them held up /readyz, /metrics and lagoonctl.

Ruled out: places of their own as on the peers port; here each request is signed anew, and probes are not signed at all.

Change: 512 connections, and 5 s of silence.

--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -71,6 +71,10 @@
 """Time between two reads of the host list for each host in it."""
 HOST_LIST_AGE_PART = 0.3
 """Longest such time, as a part of the age up to which the list may be relied upon."""
+MAX_ADMIN_CONNECTIONS = 512
+"""Connections of operators, balancers and whoever else reaches that port."""
+ADMIN_SILENCE_MS = 5000.0
+"""How long such a connection may be silent."""
 BACKLOG = 1024
 """Connections that wait to be accepted."""
 LEARNING_MS = 10_000.0
@@ -366,9 +370,16 @@
             callers,
             self.entry.serve,
             settings.max_connections,
+            settings.stop_timeout_ms,
             lambda kind: count("problems_total", kind),
         )
-        self._serve(admin, operators.serve, 64, operators.count_refused)
+        self._serve(
+            admin,
+            operators.serve,
+            MAX_ADMIN_CONNECTIONS,
+            ADMIN_SILENCE_MS,
+            operators.count_refused,
+        )
         self.context.timeline.record("started", incarnation=self.context.incarnation)
         print(json.dumps({"event": "listening", "router": settings.name}), flush=True)
 
@@ -444,7 +455,9 @@
         for owner in list(self.ownership.owned.values()):
             owner.send_digests()
 
-    def _serve(self, sock, application, max_size: int, on_refused) -> None:
+    def _serve(
+        self, sock, application, max_size: int, silence_ms: float, on_refused
+    ) -> None:
         eventlet.spawn_n(
             eventlet.wsgi.server,
             sock,
@@ -454,7 +467,7 @@
             log_output=False,
             debug=False,
             minimum_chunk_size=1,
-            socket_timeout=self.context.settings.stop_timeout_ms / 1000.0,
+            socket_timeout=silence_ms / 1000.0,
         )
 
     def stop(self) -> None:
--- a/packages/lagoonsail-router/tests/test_router_fleet.py
+++ b/packages/lagoonsail-router/tests/test_router_fleet.py
@@ -123,6 +123,19 @@
     pool.clear()
 
 
+def test_silent_connections_keep_no_operator_out(fleet):
+    host, port = fleet.routers["cordero-1"].admin.split(":")
+    idle = [eventlet.connect((host, int(port))) for _ in range(200)]
+    eventlet.sleep(0.1)
+    url = f"http://{host}:{port}/healthz"
+    assert urllib3.PoolManager(retries=False).request("GET", url, timeout=2.0).data
+    # Each is closed in time, so that its place is free again.
+    with eventlet.Timeout(15.0):
+        assert idle[0].recv(1) == b""
+    for connection in idle:
+        connection.close()
+
+
 def test_caller_that_goes_away_cancels_its_request(stream, runs, wait_until):
     answer = stream(tokens=2000)
     next(answer.read_chunked())
