Let a peer write keys of an owner that is cut off; wait for no lost write

Chosen: a peer writes, for the owner and epoch of the newest record that it knows. A name is put only where nothing is, and the same content there counts as done, so that a write that is done twice or late changes nothing. For (b): after a failed write the service is away until a probe in a task of its own succeeds; meanwhile keys go to the next owners while promises hold, else to a peer.

Tests changed: KeyLog and ShardOwner take a KeyStore, so their fixtures give one; a test of a lost answer no longer moves the clock past the pause, since the pause is a task's. STORE_RETRY_MS is gone with it.

--- a/packages/lagoonsail-core/src/lagoonsail_core/messages.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/messages.py
@@ -234,6 +234,34 @@
     """Number of the notice."""
 
 
+@dataclass(slots=True)
+class KeysWrite:
+    """Asks a peer to write keys of a shard that the sender owns to the service."""
+
+    nonce: int
+    """Number of the question."""
+    shard: str
+    """The shard."""
+    epoch: int
+    """Epoch of the sender's ownership."""
+    number: int
+    """Number of the write, which grows in the epoch."""
+    changes: list[list]
+    """Pairs of key hash and origin; origin 0 frees a key."""
+
+
+@dataclass(slots=True)
+class KeysWritten:
+    """Answer to a write through a peer."""
+
+    nonce: int
+    """Number of the question."""
+    revision: int
+    """Revision of the write; 0 if it is not known to be done."""
+    reason: str
+    """Why it is not known to be done, else empty."""
+
+
 @dataclass(slots=True)
 class RenewRequest:
     """Asks a peer to renew the sender's lease at the key-value service."""
@@ -317,6 +345,8 @@
     "digest": ServiceDigest,
     "keys": KeysNotice,
     "noted": KeysNoted,
+    "write": KeysWrite,
+    "written": KeysWritten,
     "renew": RenewRequest,
     "renewed": RenewResult,
     "promise": PromiseRequest,
--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -35,6 +35,7 @@
 from lagoonsail_router.digests import DigestStore
 from lagoonsail_router.entry import Entry
 from lagoonsail_router.key_log import KeyNotices
+from lagoonsail_router.key_store import KeyStore
 from lagoonsail_router.local_stream import LocalStream
 from lagoonsail_router.metrics import declare_gauges, make_metrics
 from lagoonsail_router.ownership import Ownership
@@ -134,6 +135,7 @@
         "_is_stopping",
         "_stopped_ms",
         "_key_notices",
+        "_key_store",
         "_listeners",
         "_gauges",
         "_local_stream",
@@ -198,6 +200,7 @@
         self.entry = Entry(context, self.configuration, self.desk, self.is_isolated)
         self._digests = DigestStore(self.peers, self._on_digest)
         self._key_notices = KeyNotices(context, self.peers)
+        self._key_store = KeyStore(context, self._store, self.configuration, self.peers)
         self._is_stopping = False
         self._stopped_ms = float("-inf")
         self._heard_ms = context.clock.now_ms()
@@ -224,7 +227,7 @@
         owner = ShardOwner(
             self.context,
             self.right,
-            self._store,
+            self._key_store,
             shard,
             epoch,
             lambda: self.configuration.documents.get(service),
--- a/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
@@ -7,9 +7,10 @@
 comes through, while the same call may ask the new owner again: its entry router asks
 only as long as it has sent nothing.
 
-While nobody reaches the service, and so nobody can take the shard over, the keys go to
-the memory of the next owners instead, which must answer before a slot is granted. They
-are written to the service once it is back, by the owner or by the one that follows.
+An owner that does not reach the service lets a peer write for it. While nobody reaches
+it, and so nobody can take the shard over, the keys go to the memory of the next owners
+instead, which must answer before a slot is granted. They are written to the service
+once it is back, by the owner or by the one that follows.
 """
 
 from __future__ import annotations
@@ -21,52 +22,27 @@
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.messages import KeysNoted, KeysNotice
 from lagoonsail_router.context import start_task
-from lagoonsail_store.store_client import Conflict, Written
+from lagoonsail_router.key_store import RETENTION_MS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from lagoonsail_router.context import RouterContext
+    from lagoonsail_router.key_store import KeyStore
     from lagoonsail_router.peers import PeerDirectory
     from lagoonsail_router.right import Right
-    from lagoonsail_store.store_client import StoreClient
 
-RETENTION_MS = 900_000.0
-"""How long a key is remembered at the least."""
-LEASE_ROTATION_MS = 300_000.0
-"""Age at which new writes go under a new lease, so that leases stay few."""
 FLUSH_INTERVAL_MS = 50.0
 """Least time between two writes of one shard."""
 WAIT_LIMIT_MS = 6000.0
 """How long a call waits for its key to be recorded; longer than a lease, after which
 the next owners can be told instead."""
-STORE_RETRY_MS = 500.0
-"""Pause after a write that the service did not take."""
 NOTICE_WAIT_MS = 500.0
 """How long the next owners may take to answer a notice."""
 MAX_NOTED_KEYS = 100_000
 """Most keys of one shard that a next owner remembers."""
 
 
-def keys_prefix(store_prefix: str, shard: str) -> str:
-    """Return the prefix under which the keys of a shard are stored.
-
-    It lies outside the prefix of the settings, which every router watches.
-
-    Args:
-        store_prefix: Prefix of the settings, with a slash at its end.
-        shard: The shard.
-
-    Returns:
-        The prefix.
-
-    Example:
-        >>> keys_prefix("/lagoonsail/", "cordero/registro@sierra-central")
-        '/lagoonsail-keys/cordero/registro@sierra-central/'
-    """
-    return f"{store_prefix.rstrip('/')}-keys/{shard}/"
-
-
 @dataclass(slots=True)
 class _Pending:
     key: int
@@ -85,17 +61,13 @@
         "_given_back",
         "_is_running",
         "_late",
-        "_lease",
-        "_lease_ms",
         "_noted",
         "_notice_number",
         "_pending",
-        "_prefix",
         "_right",
         "_sequence",
         "_shard",
         "_store",
-        "_store_retry_ms",
         "_stored",
         "_successor_streams",
         "_used",
@@ -108,7 +80,7 @@
     def __init__(
         self,
         context: RouterContext,
-        store: StoreClient,
+        store: KeyStore,
         shard: str,
         epoch: int,
         right: Right,
@@ -123,8 +95,6 @@
         self._late: dict[int, int] = {}
         self._noted: set[str] = set()
         self._notice_number = 0
-        self._store_retry_ms = float("-inf")
-        self._prefix = keys_prefix(context.settings.store_prefix, shard)
         self._stored: dict[int, int] = {}
         self._used: dict[int, tuple[int, float]] = {}
         self._pending: dict[int, _Pending] = {}
@@ -132,8 +102,6 @@
         self._freeing: set[int] = set()
         self._is_running = False
         self._sequence = 0
-        self._lease = 0
-        self._lease_ms = float("-inf")
         self.is_loaded = False
 
     def load(self) -> bool:
@@ -142,7 +110,7 @@
         Returns:
             Whether the service answered.
         """
-        listing = self._store.list(self._prefix)
+        listing = self._store.read(self._shard)
         if not listing:
             return False
         now_ms = self._context.clock.now_ms()
@@ -240,25 +208,36 @@
 
     def _flush(self) -> None:
         batch = list(self._pending.values())
-        late = dict(self._late)
         keys = [[item.key, item.origin] for item in batch]
-        self._freeing = set(self._given_back)
-        freed_keys = [[key, 0] for key in self._freeing]
-        changes = [*map(list, late.items()), *keys, *freed_keys]
-        is_written = self._write(changes)
-        freed, self._freeing = self._freeing, set()
-        if is_written:
-            self._given_back -= freed
-            self._stored.update(changes)
-            for key in late:
-                self._late.pop(key, None)
+        if self._write(keys):
             self._finish(batch)
-        elif batch and self._share(keys):
+        elif self._share(keys):
             self._late.update(keys)
             self._finish(batch)
         else:
             self._give_up_overdue()
 
+    def _write(self, keys: list[list[int]]) -> bool:
+        has_promises = self._right.has_promises
+        if self._store.is_away and has_promises():
+            # The next owners answer at once; the service is probed meanwhile.
+            return False
+        late = dict(self._late)
+        self._freeing = set(self._given_back)
+        changes = [*map(list, late.items()), *keys, *([k, 0] for k in self._freeing)]
+        self._sequence += 1
+        written = self._store.write(
+            self._shard, self._epoch, self._sequence, changes, has_promises
+        )
+        freed, self._freeing = self._freeing, set()
+        if not written:
+            return False
+        self._given_back -= freed
+        self._stored.update(changes)
+        for key in late:
+            self._late.pop(key, None)
+        return True
+
     def _finish(self, batch: list[_Pending]) -> None:
         for item in batch:
             if self._pending.get(item.key) is item:
@@ -268,7 +247,7 @@
     def _share(self, keys: list[list[int]]) -> bool:
         """Let the next owners remember keys, while nobody can take the shard over."""
         streams = self._successor_streams()
-        if not streams or not self._right.has_promises():
+        if not keys or not streams or not self._right.has_promises():
             return False
         self._notice_number += 1
         self._noted = set()
@@ -293,37 +272,6 @@
             self._given_back.add(item.key)
             item.on_recorded(False)
 
-    def _write(self, changes: list[list[int]]) -> bool:
-        if self._context.clock.now_ms() < self._store_retry_ms:
-            return False
-        if not self._renew_lease():
-            self._store_retry_ms = self._context.clock.now_ms() + STORE_RETRY_MS
-            return False
-        self._sequence += 1
-        value = json.dumps(changes)
-        name = f"{self._prefix}{self._epoch:012d}/{self._sequence:012d}"
-        written = self._store.put_if(name, value, 0, self._lease)
-        if isinstance(written, Conflict):
-            self._context.count("key_log_conflicts_total")
-            return False
-        if not isinstance(written, Written):
-            # The lease itself may be what the service has lost.
-            self._lease_ms = float("-inf")
-            self._store_retry_ms = self._context.clock.now_ms() + STORE_RETRY_MS
-            return False
-        self._context.count("key_log_writes_total")
-        return True
-
-    def _renew_lease(self) -> bool:
-        now_ms = self._context.clock.now_ms()
-        if self._lease and now_ms - self._lease_ms < LEASE_ROTATION_MS:
-            return True
-        lease = self._store.grant_lease(RETENTION_MS + LEASE_ROTATION_MS)
-        if not lease:
-            return False
-        self._lease, self._lease_ms = lease, now_ms
-        return True
-
 
 class KeyNotices:
     """Keys that this router remembers as a possible next owner, by shard."""
--- a/packages/lagoonsail-router/src/lagoonsail_router/metrics.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/metrics.py
@@ -27,6 +27,8 @@
     "key_log_writes_total": "Writes of idempotency keys.",
     "key_notices_refused_total": "Notices of keys refused because too many are held.",
     "key_notices_total": "Notices of keys to the next owners, without the service.",
+    "key_writes_for_peers_total": "Writes of idempotency keys done for others.",
+    "key_writes_through_peers_total": "Writes of idempotency keys done by others.",
     "lease_renewals_failed_total": "Lease renewals that the service did not answer.",
     "lease_renewals_through_peers_total": "Lease renewals through a peer.",
     "load_reports_failed_total": "Load reports that could not be read.",
--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -47,11 +47,11 @@
         SlotStart,
     )
     from lagoonsail_router.context import RouterContext
+    from lagoonsail_router.key_store import KeyStore
     from lagoonsail_router.right import Right
     from lagoonsail_router.shard_servers import Server
     from lagoonsail_sharing.placement import Candidate
     from lagoonsail_sharing.server_limit import LoadReport
-    from lagoonsail_store.store_client import StoreClient
 
 INVENTORY_WAIT_MS = 300.0
 """How long a new owner waits for the inventories of entry routers; one that comes later
@@ -134,7 +134,7 @@
         self,
         context: RouterContext,
         right: Right,
-        store: StoreClient,
+        key_store: KeyStore,
         shard: str,
         epoch: int,
         find_document: Callable[[], ServiceDocument | None],
@@ -158,7 +158,7 @@
         self._servers = ShardServers(context, shard, epoch)
         self.servers = self._servers.by_name
         self.slots = {}
-        self.keys = KeyLog(context, store, shard, epoch, right, successor_streams)
+        self.keys = KeyLog(context, key_store, shard, epoch, right, successor_streams)
         self.is_releasing = False
         document = find_document()
         self.orders = EngineOrders(context, shard, epoch, document)
--- a/packages/lagoonsail-router/tests/conftest.py
+++ b/packages/lagoonsail-router/tests/conftest.py
@@ -13,6 +13,7 @@
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_router.configuration import Configuration
 from lagoonsail_router.context import RouterContext
+from lagoonsail_router.key_store import KeyStore
 from lagoonsail_store.entries import Absent, Conflict, Entry, Listing, Written
 
 SETTINGS = """\
@@ -204,6 +205,11 @@
     return Configuration(context)
 
 
+@pytest.fixture
+def key_store(context, store, configuration, peers):
+    return KeyStore(context, store, configuration, peers)
+
+
 @pytest.fixture
 def make_document():
     """Writes a service document; the key of an account is its name and "-key"."""
--- a/packages/lagoonsail-router/tests/test_engine_orders.py
+++ b/packages/lagoonsail-router/tests/test_engine_orders.py
@@ -341,7 +341,7 @@
 
 
 def test_engine_that_loads_gets_no_work(
-    context, store, start_engine, write, make_stream, time, wait_until
+    context, key_store, start_engine, write, make_stream, time, wait_until
 ):
     """An owner drains the engine, has it load, and takes it for cold afterwards."""
     address, engine = start_engine(load_ms=200.0)
@@ -349,7 +349,7 @@
     level = [FULL]
     right = SimpleNamespace(level=lambda: level[0], leaving=set())
     owner = ShardOwner(
-        context, right, store, SHARD, 1, lambda: documents[0], list, list
+        context, right, key_store, SHARD, 1, lambda: documents[0], list, list
     )
     time.pass_ms(INVENTORY_WAIT_MS)
     stream = make_stream("cordero-2")
--- a/packages/lagoonsail-router/tests/test_key_log.py
+++ b/packages/lagoonsail-router/tests/test_key_log.py
@@ -6,12 +6,10 @@
 import pytest
 
 from lagoonsail_core.messages import KeysNoted
-from lagoonsail_router.key_log import (
+from lagoonsail_router.key_log import WAIT_LIMIT_MS, KeyLog
+from lagoonsail_router.key_store import (
     LEASE_ROTATION_MS,
     RETENTION_MS,
-    STORE_RETRY_MS,
-    WAIT_LIMIT_MS,
-    KeyLog,
     keys_prefix,
 )
 
@@ -45,9 +43,9 @@
 
 
 @pytest.fixture
-def make_log(context, store, promises, successors):
+def make_log(context, key_store, promises, successors):
     def make(epoch=1):
-        log = KeyLog(context, store, SHARD, epoch, promises, lambda: successors)
+        log = KeyLog(context, key_store, SHARD, epoch, promises, lambda: successors)
         assert log.load()
         return log
 
@@ -133,7 +131,6 @@
     wait_until(lambda: store.writes)
     assert results == []
     store.lose_answers = False
-    time.pass_ms(STORE_RETRY_MS)
     wait_until(lambda: results)
     assert results == [True]
     assert make_log(epoch=2).is_used(KEY, OTHER)
@@ -152,7 +149,6 @@
     assert not log.is_used(KEY, OTHER)
     # The write took effect all the same, so it is taken back when that is possible.
     store.lose_answers = False
-    time.pass_ms(STORE_RETRY_MS)
     wait_until(lambda: stored_keys(store) == {KEY: 0})
     assert not make_log(epoch=2).is_used(KEY, OTHER)
 
@@ -189,9 +185,11 @@
     assert stored_keys(store) == {KEY: ORIGIN}
 
 
-def test_log_is_not_loaded_while_the_service_is_down(context, store, promises):
+def test_log_is_not_loaded_while_the_service_is_down(
+    context, store, key_store, promises
+):
     store.down = True
-    log = KeyLog(context, store, SHARD, 1, promises, list)
+    log = KeyLog(context, key_store, SHARD, 1, promises, list)
     assert not log.load()
     assert not log.is_loaded
 
--- a/packages/lagoonsail-router/tests/test_shard_owner.py
+++ b/packages/lagoonsail-router/tests/test_shard_owner.py
@@ -59,7 +59,7 @@
 
 
 @pytest.fixture
-def make_owner(context, right, store, documents, successors):
+def make_owner(context, right, key_store, documents, successors):
     def make(epoch=1):
         def find():
             return documents[0] if documents else None
@@ -67,7 +67,7 @@
         owner = ShardOwner(
             context,
             right,
-            store,
+            key_store,
             SHARD,
             epoch,
             find,
