Keep a key of an outage used after a change of owner, and write many in parts

Cause, found by reading and shown by unit tests on the reading code before: a new owner adopts the keys that it was told of in an outage, then reads the service, and what it read won. A key that was freed before the outage and used in it was free again, so that a third attempt could run; where two origins differed, the older call might ask again. The keys of an outage, and all that waited with them, also went into one write; a service that bounds its requests (1.5 MB) would refuse it each time. And a key that was given back while it was written late stayed stored as used.

Change: what was noted stays used; if the service names another origin, the key gets one that no call has, so nobody may ask again; late writes begin after the read. At most 5,000 keys of each kind go into one write. What is given back during the write is freed after.

Ruled out: letting the newer one win, since the owner cannot tell which that is.

Red: the former reading: [0] and [202] of test_key_noted_in_an_outage_...; no bound: one write of 10,001 keys; no freeing after: the key stayed.

Conclusion: a retry may be told "unknown" where it could have run, never the reverse.

--- a/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
@@ -17,6 +17,7 @@
 
 import json
 from dataclasses import dataclass
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.green import eventlet
@@ -41,6 +42,10 @@
 """How long the next owners may take to answer a notice."""
 MAX_NOTED_KEYS = 100_000
 """Most keys of one shard that a next owner remembers."""
+MAX_WRITE_KEYS = 5000
+"""Most keys of each kind in one write; the service takes 1.5 MB."""
+SEVERAL_CALLS = 2
+"""Origin of a key that two calls may have used; origins of calls are odd."""
 
 
 @dataclass(slots=True)
@@ -113,29 +118,36 @@
         listing = self._store.read(self._shard)
         if not listing:
             return False
-        now_ms = self._context.clock.now_ms()
+        stored: dict[int, int] = {}
         # By name: a write whose answer was lost may be carried out after the next.
         for entry in sorted(listing.entries, key=lambda entry: entry.key):
-            for key, origin in json.loads(entry.value):
-                self._stored[key] = origin
-                self._used.pop(key, None)
-                if origin:
-                    self._used[key] = (origin, now_ms)
+            stored.update(json.loads(entry.value))
+        for key, origin in stored.items():
+            self._take_stored(key, origin)
         self.is_loaded = True
+        self._start_flushing()
         return True
 
+    def _take_stored(self, key: int, origin: int) -> None:
+        self._stored[key] = origin
+        noted = self._late.get(key)
+        if noted is None and origin:
+            self._used[key] = (origin, self._context.clock.now_ms())
+        elif noted is not None and origin not in (0, noted):
+            # Which of both is the later one cannot be told.
+            self._late[key] = SEVERAL_CALLS
+            self._used[key] = (SEVERAL_CALLS, self._context.clock.now_ms())
+
     def adopt(self, keys: dict[int, int]) -> None:
-        """Take over keys that an earlier owner could not record.
+        """Take over keys that an earlier owner could not record; call it before `load`.
 
         Args:
             keys: Origin by key.
         """
         now_ms = self._context.clock.now_ms()
         for key, origin in keys.items():
-            self._used.setdefault(key, (origin, now_ms))
+            self._used[key] = (origin, now_ms)
             self._late[key] = origin
-        if keys:
-            self._start_flushing()
 
     def take_noted(self, stream, noted: KeysNoted) -> None:
         """Take the answer of a next owner to a notice."""
@@ -207,7 +219,7 @@
             self._is_running = False
 
     def _flush(self) -> None:
-        batch = list(self._pending.values())
+        batch = list(islice(self._pending.values(), MAX_WRITE_KEYS))
         keys = [[item.key, item.origin] for item in batch]
         if self._write(keys):
             self._finish(batch)
@@ -222,8 +234,8 @@
         if self._store.is_away and has_promises():
             # The next owners answer at once; the service is probed meanwhile.
             return False
-        late = dict(self._late)
-        self._freeing = set(self._given_back)
+        late = dict(islice(self._late.items(), MAX_WRITE_KEYS))
+        self._freeing = set(islice(self._given_back, MAX_WRITE_KEYS))
         changes = [*map(list, late.items()), *keys, *([k, 0] for k in self._freeing)]
         self._sequence += 1
         written = self._store.write(
@@ -234,8 +246,12 @@
             return False
         self._given_back -= freed
         self._stored.update(changes)
-        for key in late:
-            self._late.pop(key, None)
+        for key, origin in late.items():
+            if self._late.get(key) == origin:
+                del self._late[key]
+            elif key not in self._used:
+                # Its call gave it back while it was being written.
+                self._given_back.add(key)
         return True
 
     def _finish(self, batch: list[_Pending]) -> None:
@@ -269,6 +285,7 @@
             # The write may have taken effect all the same, so it is taken back too.
             del self._pending[item.key]
             self._used.pop(item.key, None)
+            self._late.pop(item.key, None)
             self._given_back.add(item.key)
             item.on_recorded(False)
 
--- a/packages/lagoonsail-router/tests/test_key_log.py
+++ b/packages/lagoonsail-router/tests/test_key_log.py
@@ -6,7 +6,7 @@
 import pytest
 
 from lagoonsail_core.messages import KeysNoted
-from lagoonsail_router.key_log import WAIT_LIMIT_MS, KeyLog
+from lagoonsail_router.key_log import MAX_WRITE_KEYS, WAIT_LIMIT_MS, KeyLog
 from lagoonsail_router.key_store import (
     LEASE_ROTATION_MS,
     RETENTION_MS,
@@ -44,8 +44,9 @@
 
 @pytest.fixture
 def make_log(context, key_store, promises, successors):
-    def make(epoch=1):
+    def make(epoch=1, noted=()):
         log = KeyLog(context, key_store, SHARD, epoch, promises, lambda: successors)
+        log.adopt(dict(noted))
         assert log.load()
         return log
 
@@ -256,3 +257,35 @@
     store.put_if(f"{prefix}{2:012d}", json.dumps([[KEY, ORIGIN]]), 0)
     store.put_if(f"{prefix}{1:012d}", json.dumps([[KEY, 0]]), 0)
     assert make_log(2).is_used(KEY, OTHER)
+
+
+@pytest.mark.parametrize("stored", [0, OTHER, ORIGIN])
+def test_key_noted_in_an_outage_stays_used_whatever_was_stored_before(
+    make_log, store, wait_until, stored
+):
+    name = f"{keys_prefix('/lagoonsail/', SHARD)}{1:012d}/{1:012d}"
+    store.put_if(name, json.dumps([[KEY, stored]]), 0)
+    log = make_log(epoch=2, noted={KEY: ORIGIN})
+    assert log.is_used(KEY, ORIGIN + 2)
+    # Only a call that is known to be the last one with the key may ask again.
+    assert log.is_used(KEY, OTHER)
+    assert log.is_used(KEY, ORIGIN) == (stored == OTHER)
+    wait_until(lambda: len(store.writes) == 2)
+    later = make_log(epoch=3)
+    assert later.is_used(KEY, ORIGIN + 2)
+    assert later.is_used(KEY, ORIGIN) == (stored == OTHER)
+
+
+def test_many_keys_of_an_outage_are_written_in_parts(make_log, store, wait_until):
+    noted = dict.fromkeys(range(1, 2 * MAX_WRITE_KEYS + 2), ORIGIN)
+    make_log(epoch=2, noted=noted)
+    wait_until(lambda: stored_keys(store) == noted)
+    assert max(len(json.loads(value)) for _, value in store.writes) == MAX_WRITE_KEYS
+
+
+def test_key_that_is_given_back_while_it_is_written_late_is_freed(
+    make_log, store, wait_until
+):
+    log = make_log(epoch=2, noted={KEY: ORIGIN})
+    store.before_answer = lambda: log.give_back(KEY)
+    wait_until(lambda: stored_keys(store) == {KEY: 0})
