--- a/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
@@ -7,46 +7,46 @@
 comes through, while the same call may ask the new owner again: its entry router asks
 only as long as it has sent nothing.
 
-While nobody reaches the service, and so nobody can take the shard over, the keys go to
-the memory of the next owners instead, which must answer before a slot is granted. They
-are written to the service once it is back, by the owner or by the one that follows.
+An owner that does not reach the service lets a peer write for it. While nobody reaches
+it, and so nobody can take the shard over, the keys go to the memory of the next owners
+instead, which must answer before a slot is granted. They are written to the service
+once it is back, by the owner or by the one that follows.
 """
 
 from __future__ import annotations
 
 import json
 from dataclasses import dataclass
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.messages import KeysNoted, KeysNotice
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_router.context import start_task
-from lagoonsail_store.store_client import Conflict, Written
+from lagoonsail_router.key_store import RETENTION_MS
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from lagoonsail_router.context import RouterContext
+    from lagoonsail_router.key_store import KeyStore
     from lagoonsail_router.peers import PeerDirectory
     from lagoonsail_router.right import Right
-    from lagoonsail_store.store_client import StoreClient
 
-RETENTION_MS = 900_000.0
-"""How long a key is remembered at the least."""
-LEASE_ROTATION_MS = 300_000.0
-"""Age at which new writes go under a new lease, so that leases stay few."""
 FLUSH_INTERVAL_MS = 50.0
 """Least time between two writes of one shard."""
 WAIT_LIMIT_MS = 6000.0
 """How long a call waits for its key to be recorded; longer than a lease, after which
 the next owners can be told instead."""
-STORE_RETRY_MS = 500.0
-"""Pause after a write that the service did not take."""
 NOTICE_WAIT_MS = 500.0
 """How long the next owners may take to answer a notice."""
 MAX_NOTED_KEYS = 100_000
 """Most keys of one shard that a next owner remembers."""
+MAX_WRITE_KEYS = 5000
+"""Most keys of each kind in one write; the service takes 1.5 MB."""
+SEVERAL_CALLS = 2
+"""Origin of a key that two calls may have used; origins of calls are odd."""
 
 
 def parse_keys(value: str) -> list[tuple[int, int]] | Unavailable:
@@ -71,25 +71,6 @@
     return [(key, origin) for key, origin in pairs]
 
 
-def keys_prefix(store_prefix: str, shard: str) -> str:
-    """Return the prefix under which the keys of a shard are stored.
-
-    It lies outside the prefix of the settings, which every router watches.
-
-    Args:
-        store_prefix: Prefix of the settings, with a slash at its end.
-        shard: The shard.
-
-    Returns:
-        The prefix.
-
-    Example:
-        >>> keys_prefix("/lagoonsail/", "cordero/registro@sierra-central")
-        '/lagoonsail-keys/cordero/registro@sierra-central/'
-    """
-    return f"{store_prefix.rstrip('/')}-keys/{shard}/"
-
-
 @dataclass(slots=True)
 class _Pending:
     key: int
@@ -108,17 +89,13 @@
         "_given_back",
         "_is_running",
         "_late",
-        "_lease",
-        "_lease_ms",
         "_noted",
         "_notice_number",
         "_pending",
-        "_prefix",
         "_right",
         "_sequence",
         "_shard",
         "_store",
-        "_store_retry_ms",
         "_stored",
         "_successor_streams",
         "_used",
@@ -131,7 +108,7 @@
     def __init__(
         self,
         context: RouterContext,
-        store: StoreClient,
+        store: KeyStore,
         shard: str,
         epoch: int,
         right: Right,
@@ -146,8 +123,6 @@
         self._late: dict[int, int] = {}
         self._noted: set[str] = set()
         self._notice_number = 0
-        self._store_retry_ms = float("-inf")
-        self._prefix = keys_prefix(context.settings.store_prefix, shard)
         self._stored: dict[int, int] = {}
         self._used: dict[int, tuple[int, float]] = {}
         self._pending: dict[int, _Pending] = {}
@@ -155,8 +130,6 @@
         self._freeing: set[int] = set()
         self._is_running = False
         self._sequence = 0
-        self._lease = 0
-        self._lease_ms = float("-inf")
         self.is_loaded = False
 
     def load(self) -> bool:
@@ -165,10 +138,10 @@
         Returns:
             Whether the service answered.
         """
-        listing = self._store.list(self._prefix)
+        listing = self._store.read(self._shard)
         if not listing:
             return False
-        now_ms = self._context.clock.now_ms()
+        stored: dict[int, int] = {}
         # By name: a write whose answer was lost may be carried out after the next.
         entries = sorted(listing.entries, key=lambda entry: entry.key)
         recorded = [parse_keys(entry.value) for entry in entries]
@@ -177,26 +150,33 @@
             self._context.count("key_log_malformed_total")
             return False
         for pairs in recorded:
-            for key, origin in pairs:
-                self._stored[key] = origin
-                self._used.pop(key, None)
-                if origin:
-                    self._used[key] = (origin, now_ms)
+            stored.update(pairs)
+        for key, origin in stored.items():
+            self._take_stored(key, origin)
         self.is_loaded = True
+        self._start_flushing()
         return True
 
+    def _take_stored(self, key: int, origin: int) -> None:
+        self._stored[key] = origin
+        noted = self._late.get(key)
+        if noted is None and origin:
+            self._used[key] = (origin, self._context.clock.now_ms())
+        elif noted is not None and origin not in (0, noted):
+            # Which of both is the later one cannot be told.
+            self._late[key] = SEVERAL_CALLS
+            self._used[key] = (SEVERAL_CALLS, self._context.clock.now_ms())
+
     def adopt(self, keys: dict[int, int]) -> None:
-        """Take over keys that an earlier owner could not record.
+        """Take over keys that an earlier owner could not record; call it before `load`.
 
         Args:
             keys: Origin by key.
         """
         now_ms = self._context.clock.now_ms()
         for key, origin in keys.items():
-            self._used.setdefault(key, (origin, now_ms))
+            self._used[key] = (origin, now_ms)
             self._late[key] = origin
-        if keys:
-            self._start_flushing()
 
     def take_noted(self, stream, noted: KeysNoted) -> None:
         """Take the answer of a next owner to a notice."""
@@ -268,26 +248,41 @@
             self._is_running = False
 
     def _flush(self) -> None:
-        batch = list(self._pending.values())
-        late = dict(self._late)
+        batch = list(islice(self._pending.values(), MAX_WRITE_KEYS))
         keys = [[item.key, item.origin] for item in batch]
-        self._freeing = set(self._given_back)
-        freed_keys = [[key, 0] for key in self._freeing]
-        changes = [*map(list, late.items()), *keys, *freed_keys]
-        is_written = self._write(changes)
-        freed, self._freeing = self._freeing, set()
-        if is_written:
-            self._given_back -= freed
-            self._stored.update(changes)
-            for key in late:
-                self._late.pop(key, None)
+        if self._write(keys):
             self._finish(batch)
-        elif batch and self._share(keys):
+        elif self._share(keys):
             self._late.update(keys)
             self._finish(batch)
         else:
             self._give_up_overdue()
 
+    def _write(self, keys: list[list[int]]) -> bool:
+        has_promises = self._right.has_promises
+        if self._store.is_away and has_promises():
+            # The next owners answer at once; the service is probed meanwhile.
+            return False
+        late = dict(islice(self._late.items(), MAX_WRITE_KEYS))
+        self._freeing = set(islice(self._given_back, MAX_WRITE_KEYS))
+        changes = [*map(list, late.items()), *keys, *([k, 0] for k in self._freeing)]
+        self._sequence += 1
+        written = self._store.write(
+            self._shard, self._epoch, self._sequence, changes, has_promises
+        )
+        freed, self._freeing = self._freeing, set()
+        if not written:
+            return False
+        self._given_back -= freed
+        self._stored.update(changes)
+        for key, origin in late.items():
+            if self._late.get(key) == origin:
+                del self._late[key]
+            elif key not in self._used:
+                # Its call gave it back while it was being written.
+                self._given_back.add(key)
+        return True
+
     def _finish(self, batch: list[_Pending]) -> None:
         for item in batch:
             if self._pending.get(item.key) is item:
@@ -297,7 +292,7 @@
     def _share(self, keys: list[list[int]]) -> bool:
         """Let the next owners remember keys, while nobody can take the shard over."""
         streams = self._successor_streams()
-        if not streams or not self._right.has_promises():
+        if not keys or not streams or not self._right.has_promises():
             return False
         self._notice_number += 1
         self._noted = set()
@@ -319,40 +314,10 @@
             # The write may have taken effect all the same, so it is taken back too.
             del self._pending[item.key]
             self._used.pop(item.key, None)
+            self._late.pop(item.key, None)
             self._given_back.add(item.key)
             item.on_recorded(False)
 
-    def _write(self, changes: list[list[int]]) -> bool:
-        if self._context.clock.now_ms() < self._store_retry_ms:
-            return False
-        if not self._renew_lease():
-            self._store_retry_ms = self._context.clock.now_ms() + STORE_RETRY_MS
-            return False
-        self._sequence += 1
-        value = json.dumps(changes)
-        name = f"{self._prefix}{self._epoch:012d}/{self._sequence:012d}"
-        written = self._store.put_if(name, value, 0, self._lease)
-        if isinstance(written, Conflict):
-            self._context.count("key_log_conflicts_total")
-            return False
-        if not isinstance(written, Written):
-            # The lease itself may be what the service has lost.
-            self._lease_ms = float("-inf")
-            self._store_retry_ms = self._context.clock.now_ms() + STORE_RETRY_MS
-            return False
-        self._context.count("key_log_writes_total")
-        return True
-
-    def _renew_lease(self) -> bool:
-        now_ms = self._context.clock.now_ms()
-        if self._lease and now_ms - self._lease_ms < LEASE_ROTATION_MS:
-            return True
-        lease = self._store.grant_lease(RETENTION_MS + LEASE_ROTATION_MS)
-        if not lease:
-            return False
-        self._lease, self._lease_ms = lease, now_ms
-        return True
-
 
 class KeyNotices:
     """Keys that this router remembers as a possible next owner, by shard."""
