Let a waiting call leave its shard only for one whose owner can be reached

Cause: a call that waits 500 ms at its own region's shard asked the next one of the service for 500 ms, whether or not that owner could be reached. While regions have lost each other such a call holds no place in any queue for that time, so that slots of its own region idle; over 12 regions that would be 11 turns of 500 ms at dead shards.

Ruled out: asking several shards at once. In a deep backlog the queues have the same calls at their heads, and grants for one call at two owners cost a slot each for the time between two regions.

Change: the owners of the other shards are followed from the first look on, and a call moves only to one that has answered the inventory; else it stays.

--- a/packages/lagoonsail-router/src/lagoonsail_router/call_queue.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/call_queue.py
@@ -10,6 +10,7 @@
     REFUSED_DUPLICATE,
     REFUSED_QUEUE_FULL,
     SlotGrant,
+    SlotRefusal,
 )
 from lagoonsail_router.caller_watch import CHECK_INTERVAL_MS
 from lagoonsail_router.problems import UNKNOWN, CallProblem
@@ -17,7 +18,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lagoonsail_core.messages import SlotRefusal
     from lagoonsail_router.call import Call
     from lagoonsail_router.context import RouterContext
     from lagoonsail_router.ticket_desk import TicketDesk
@@ -84,20 +84,23 @@
 
     def _wait_at_shards(self, call: Call, is_gone: Callable[[], bool]) -> SlotGrant:
         shards = self._shards(call)
-        turn = 0
+        shard = shards[0]
         while True:
-            shard = shards[turn % len(shards)]
-            turn += 1
-            patience_ms = MOVE_MS if len(shards) > 1 else float("inf")
-            reply = self._wait_at(call, shard, patience_ms, is_gone)
+            reply = self._wait_at(call, shard, shards, is_gone)
             if isinstance(reply, SlotGrant):
                 return reply
-            if reply is not None:
+            if isinstance(reply, SlotRefusal):
                 raise _refusal(call, reply.reason)
+            shard = reply
 
     def _wait_at(
-        self, call: Call, shard: str, patience_ms: float, is_gone
-    ) -> SlotGrant | SlotRefusal | None:
+        self, call: Call, shard: str, shards: list[str], is_gone
+    ) -> SlotGrant | SlotRefusal | str:
+        """Wait at one shard.
+
+        Returns:
+            The owner's reply, or the shard to ask next.
+        """
         waiting = self._desk.ask(
             shard,
             call.account,
@@ -113,14 +116,26 @@
             while reply is None:
                 reply = waiting.event.wait(timeout=CHECK_INTERVAL_MS / 1000.0)
                 if reply is not None:
-                    break
+                    return reply
                 self._check_patience(call, is_gone)
-                if self._context.clock.now_ms() - begun_ms > patience_ms:
-                    break
+                next_shard = self._next_open(shard, shards)
+                if next_shard and self._context.clock.now_ms() - begun_ms > MOVE_MS:
+                    return next_shard
         finally:
             if reply is None:
                 self._desk.cancel(waiting)
-        return reply
+
+    def _next_open(self, shard: str, shards: list[str]) -> str:
+        """Return the next shard in turn whose owner takes requests, or an empty text.
+
+        While no other owner can be reached, a call keeps its place where it is: to wait
+        elsewhere would let the slots here idle.
+        """
+        place = shards.index(shard) + 1
+        others = shards[place:] + shards[: place - 1]
+        # All of them are asked, so that all are followed.
+        is_open = [self._desk.is_open(other) for other in others]
+        return next((o for o, found in zip(others, is_open, strict=True) if found), "")
 
     def _check_patience(self, call: Call, is_gone: Callable[[], bool]) -> None:
         if is_gone():
--- a/packages/lagoonsail-router/src/lagoonsail_router/ticket_desk.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/ticket_desk.py
@@ -179,6 +179,17 @@
             self._attach(attachment)
         return call
 
+    def is_open(self, shard: str) -> bool:
+        """Return whether the owner of a shard takes requests; follow it from now on.
+
+        Args:
+            shard: The shard.
+        """
+        now_ms = self._context.clock.now_ms()
+        attachment = self.attachments.setdefault(shard, Attachment(shard, now_ms))
+        attachment.used_ms = now_ms
+        return attachment.is_open
+
     def cancel(self, call: WaitingCall) -> None:
         """Withdraw a call that no longer wants a slot."""
         if self.waiting.pop(call.ticket, None) is None:
--- /dev/null
+++ b/packages/lagoonsail-router/tests/test_call_queue.py
@@ -0,0 +1,82 @@
+"""A waiting call moves to another region only where an owner takes requests."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+
+from lagoonsail_core.green import eventlet
+from lagoonsail_core.messages import SlotGrant
+from lagoonsail_router.call_queue import MOVE_MS, CallQueue
+
+NEAR, FAR, THIRD = (f"cordero/registro@{r}" for r in ("sierra-central", "luzon", "z"))
+
+
+class FakeDesk:
+    """Notes which shards are asked; nothing is granted but at one of them."""
+
+    def __init__(self, granting):
+        self.granting, self.open, self.asked, self.cancelled = granting, set(), [], []
+
+    def is_open(self, shard):
+        return shard in self.open
+
+    def ask(self, shard, *_arguments):
+        self.asked.append(shard)
+        event = eventlet.event.Event()
+        if shard == self.granting:
+            event.send(SlotGrant(1, 1, shard, 1, "registro-1", 0.0))
+        return SimpleNamespace(shard=shard, event=event)
+
+    def cancel(self, waiting):
+        self.cancelled.append(waiting.shard)
+
+
+@pytest.fixture
+def desk():
+    """A desk whose third shard alone grants."""
+    return FakeDesk(THIRD)
+
+
+@pytest.fixture
+def queue(desk, context):
+    """The queue of a router of the first region."""
+    return CallQueue(context, desk, lambda: False)
+
+
+@pytest.fixture
+def call(context):
+    """A call of a service with a shard in each of three regions."""
+    document = SimpleNamespace(
+        shards=lambda: [FAR, NEAR, THIRD],
+        qualified=lambda: "cordero/registro",
+        queue_limit=8,
+        queue_timeout_ms=60_000.0,
+    )
+    return SimpleNamespace(
+        document=document,
+        account="prensa",
+        key_hash=0,
+        estimate=0.0,
+        prefix=[],
+        number=1,
+        since_ms=context.clock.now_ms(),
+        may_have_run=False,
+    )
+
+
+def test_call_keeps_its_place_until_another_owner_takes_requests(
+    queue, desk, call, time
+):
+    thread = eventlet.spawn(queue.wait, call, lambda: False)
+    eventlet.sleep(0.01)
+    time.pass_ms(3 * MOVE_MS)
+    eventlet.sleep(0.5)
+    # No other owner is reached: the call stays, and its place is not given up.
+    assert (desk.asked, desk.cancelled) == ([NEAR], [])
+    desk.open.add(THIRD)
+    grant = thread.wait()
+    # The shard between, whose owner is not reached, is passed over.
+    assert grant.shard == THIRD
+    assert (desk.asked, desk.cancelled) == ([NEAR, THIRD], [NEAR])
