Prove one service over two regions, together and cut off from each other

Cause: nothing showed over processes what a service whose servers stand in two regions does.

Change: lagoonsail_lab.regions starts such a fleet. A server of a deployment may name its region, the checker takes the number of cold slots, and a relay may cut only the connections whose client begins with a text: between routers that is the client's name, so that streams within a region go on.

Conclusion: regions cut off from each other, and one of them from the key-value service as well, go on by themselves.

--- a/packages/lagoonsail-lab/src/lagoonsail_lab/checker.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/checker.py
@@ -401,6 +401,7 @@
     turns: Iterable[ColdTurn] = (),
     detection_ms: float = 0.0,
     stops: Iterable[PlannedStop] = (),
+    cold_slots: int = 1,
 ) -> list[Fault]:
     """Run all checks.
 
@@ -413,6 +414,7 @@
         turns: Warm servers that turned cold.
         detection_ms: Time after a turn in which falling over is excused.
         stops: Planned stops of routers.
+        cold_slots: Requests that a cold server bears.
 
     Returns:
         The faults.
@@ -422,7 +424,7 @@
         *check_ran_once(records, servers),
         *check_not_run(records, servers),
         *check_answers(records, servers),
-        *check_cold_servers(servers, turns=turns, detection_ms=detection_ms),
+        *check_cold_servers(servers, cold_slots, turns, detection_ms),
         *check_outages(servers, outages, within_ms),
         *check_planned_stops(records, servers, stops),
     ]
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/deployments.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/deployments.py
@@ -23,6 +23,8 @@
     """Its name, unqualified."""
     failure_domain: str
     """Failure domain, unqualified."""
+    region: str = ""
+    """Region, empty for that of its service."""
 
 
 @dataclass(slots=True)
@@ -36,7 +38,7 @@
     kind: str
     """`engine` or `plain`."""
     region: str
-    """Region of all its servers."""
+    """Region of the servers that name none."""
     servers: list[ServerShape]
     """Its servers."""
     accounts: dict[str, float]
@@ -258,6 +260,8 @@
             "checks_fencing": "yes" if service.kind == "engine" else "no",
             "state": "out" if server.name in servers_out else "in",
         }
+        if server.region:
+            values["region"] = server.region
         sections.append((f"server {server.name}", values))
     for account, share in service.accounts.items():
         key = account_key(service.side, service.name, account)
--- /dev/null
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/regions.py
@@ -0,0 +1,136 @@
+"""A fleet in two regions, which can lose each other and the key-value service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lagoonsail_core.names import qualify
+from lagoonsail_lab.deployments import Deployment, ServerShape, ServiceShape
+from lagoonsail_lab.fleet import Fleet
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+NEAR, FAR = "sierra-central", "luzon"
+"""The two regions."""
+SIDES = {NEAR: "cordero", FAR: "kalapati"}
+"""Side of each region's routers, which begins their names."""
+DOMAINS = ["banos", "puyo"]
+"""Failure domains, one for each region."""
+PLAIN, ENGINE = "registro", "asistente"
+"""The services, both of the first side, with a server in each region."""
+ACCOUNTS = {"club-norte": 3.0, "prensa": 1.0}
+"""Share by account."""
+SLOTS = 4
+"""Slots of each server."""
+OPTIONS = {"cold_slots": SLOTS, "warm_after": 1}
+"""Options of the servers. All slots may be used also when they seem cold: calls that
+take any time would pass for that, and slow start is not what is proved here."""
+LEASE_MS = 2000
+"""Lease time of the routers."""
+SETTINGS = {
+    "store": {"lease_ttl_ms": LEASE_MS, "timeout_ms": 500},
+    "host-list": {"max_lag_ms": 2000},
+}
+"""Settings of the routers by section."""
+
+
+def make_fleet(routers: int = 2, **limits: int) -> Fleet:
+    """Return a fleet whose services have one server in each of two regions.
+
+    Args:
+        routers: Routers of each region.
+        limits: Further lines of the documents' section `service`.
+
+    Returns:
+        The fleet, not started, with relays before all routers and before the
+        key-value service of the first region's.
+    """
+
+    def make(name: str, kind: str) -> ServiceShape:
+        servers = [
+            ServerShape(f"{name}-{number + 1}", DOMAINS[number], region)
+            for number, region in enumerate(SIDES)
+        ]
+        values = {"queue_timeout_ms": 15000, **limits}
+        return ServiceShape(
+            SIDES[NEAR],
+            name,
+            kind,
+            NEAR,
+            servers,
+            ACCOUNTS,
+            SLOTS,
+            OPTIONS,
+            values,
+        )
+
+    services = [make(PLAIN, "plain"), make(ENGINE, "engine")]
+    deployments = [
+        Deployment(SIDES[NEAR], NEAR, DOMAINS[:1], services, routers),
+        Deployment(SIDES[FAR], FAR, DOMAINS[1:], [], routers),
+    ]
+    names = {
+        region: [f"{side}-{number + 1}" for number in range(routers)]
+        for region, side in SIDES.items()
+    }
+    return Fleet(
+        deployments,
+        settings=SETTINGS,
+        relayed_store=names[NEAR],
+        relayed_peers=names[NEAR] + names[FAR],
+    )
+
+
+def routers_of(fleet: Fleet, region: str) -> list[str]:
+    """Return the names of a region's routers."""
+    return [name for name, router in fleet.routers.items() if router.region == region]
+
+
+def cut_regions(fleet: Fleet, is_cut: bool = True) -> None:
+    """Cut the streams between the regions, or let them pass again.
+
+    Args:
+        fleet: The fleet.
+        is_cut: Whether they are cut from now on.
+    """
+    for region, other in ((NEAR, FAR), (FAR, NEAR)):
+        text = f'"{SIDES[other]}-' if is_cut else ""
+        for name in routers_of(fleet, region):
+            fleet.control_relay(f"peers-{name}", cut_from=text)
+
+
+def cut_store(fleet: Fleet, mode: str = "cut") -> None:
+    """Cut the first region off from the key-value service, or let it pass again.
+
+    Args:
+        fleet: The fleet.
+        mode: `cut` or `pass`.
+    """
+    for name in routers_of(fleet, NEAR):
+        fleet.control_relay(f"store-{name}", mode=mode)
+
+
+def shard_of(service: str, region: str) -> str:
+    """Return the name of a service's shard in a region."""
+    return f"{qualify(SIDES[NEAR], service)}@{region}"
+
+
+def owners(fleet: Fleet, shard: str, ask: Iterable[str]) -> set[str]:
+    """Return who owns a shard as routers see it; empty text for nobody.
+
+    Args:
+        fleet: The fleet.
+        shard: The shard.
+        ask: Routers that are asked.
+    """
+    found = [fleet.status(name) for name in ask]
+    return {(status or {}).get("owners", {}).get(shard, "") for status in found}
+
+
+def runs_at(fleet: Fleet, service: str, region: str) -> list[dict]:
+    """Return what a region's server of a service ran, by start; nothing refused."""
+    number = list(SIDES).index(region) + 1
+    record = fleet.records()[qualify(SIDES[NEAR], f"{service}-{number}")]
+    runs = [run for run in record["runs"] if run["state"] != "refused"]
+    return sorted(runs, key=lambda run: run["started_wall_ms"])
--- /dev/null
+++ b/packages/lagoonsail-lab/tests/test_proof_regions.py
@@ -0,0 +1,213 @@
+"""One service in two regions: no slot idles while work waits in the other one, shares
+hold over both, and either goes on alone when they lose each other."""
+
+from __future__ import annotations
+
+import pytest
+
+from lagoonsail_core.green import eventlet
+from lagoonsail_lab.caller import make_prompt
+from lagoonsail_lab.regions import (
+    ACCOUNTS,
+    ENGINE,
+    FAR,
+    LEASE_MS,
+    NEAR,
+    PLAIN,
+    SIDES,
+    SLOTS,
+    cut_regions,
+    cut_store,
+    make_fleet,
+    owners,
+    routers_of,
+    runs_at,
+    shard_of,
+)
+
+MOVE_MS = 500.0
+"""Time after which a waiting call asks the other region."""
+BUSY_MS = 300.0
+"""Room for a busy machine."""
+JOIN_MS = 5000.0
+"""Time after a cut until all routers know each other and an owner of each shard."""
+LOUD, QUIET = "club-norte", "prensa"
+"""Accounts with 3 shares and 1."""
+TOKENS = 10
+"""Cost of every stream of the fairness proof."""
+
+
+@pytest.fixture
+def start(proof):
+    """Start callers of one region."""
+
+    def start_callers(fleet, region, seed):
+        return proof.traffic(fleet, routers_of(fleet, region), seed)
+
+    return start_callers
+
+
+def faults(*callers):
+    """Return what the checker finds; cold servers bear all their slots here."""
+    return [f for traffic in callers for f in traffic.faults(cold_slots=SLOTS)]
+
+
+def spawn(traffic, work_ms, calls=SLOTS):
+    """Begin calls; what they return can be waited for."""
+    return [
+        eventlet.spawn(traffic.caller.make, traffic.search(work_ms))
+        for _ in range(calls)
+    ]
+
+
+def warm_up(fleet, callers):
+    """Let the server of each region answer; then it is warm."""
+    for region, traffic in callers.items():
+        for _ in range(10):
+            for thread in spawn(traffic, 20.0):
+                thread.wait()
+            if runs_at(fleet, PLAIN, region):
+                break
+
+
+def test_slot_of_one_region_does_not_idle_while_a_call_waits_in_the_other(proof, start):
+    with make_fleet() as fleet:
+        near, far = start(fleet, NEAR, 71), start(fleet, FAR, 72)
+        warm_up(fleet, {NEAR: near, FAR: far})
+        long_calls = spawn(near, 12000.0)
+        near.wait(300.0)
+        # The other region has free slots.
+        moved = near.caller.make(near.search())
+        # It has none, and gets one while the call waits.
+        idle_ms = []
+        for number in range(6):
+            filling = spawn(far, 900.0 + 170.0 * number)
+            far.wait(100.0)
+            waiting = near.caller.make(near.search())
+            for thread in filling:
+                thread.wait()
+            runs = runs_at(fleet, PLAIN, FAR)[-SLOTS - 1 :]
+            free_ms = min(run["ended_wall_ms"] for run in runs[:SLOTS])
+            idle_ms.append(runs[-1]["started_wall_ms"] - free_ms)
+            assert runs[-1]["request_id"] == waiting.last.request_id
+        for thread in long_calls:
+            thread.wait()
+        near.finish()
+        far.finish()
+        print("moved_ms", moved.latency_ms, "idle_ms", idle_ms)
+        assert faults(near, far) == []
+        assert moved.is_whole and moved.latency_ms < MOVE_MS + BUSY_MS
+        assert max(idle_ms) < MOVE_MS + BUSY_MS
+
+
+def served(traffic, from_ms, until_ms):
+    """Return the tokens of whole answers that ended in an interval."""
+    return sum(
+        record.last.cost
+        for record in traffic.caller.whole()
+        if from_ms < record.last.ended_wall_ms < until_ms
+    )
+
+
+def test_accounts_that_enter_in_one_region_each_are_served_by_share_over_both(
+    proof, start
+):
+    with make_fleet() as fleet:
+        near, far = start(fleet, NEAR, 73), start(fleet, FAR, 74)
+        account_of = {id(near): LOUD, id(far): QUIET}
+
+        def call(traffic):
+            text = f"{account_of[id(traffic)]} {len(traffic.caller.records)}"
+            account = account_of[id(traffic)]
+            return make_prompt(SIDES[NEAR], ENGINE, account, TOKENS, False, text)
+
+        near.loop(lambda: call(near), 60, pause_ms=1.0)
+        far.loop(lambda: call(far), 20, pause_ms=1.0)
+        near.wait(4000.0)
+        from_ms = proof.clock.wall_ms()
+        near.wait(10000.0)
+        until_ms = proof.clock.wall_ms()
+        near.finish()
+        far.finish()
+        assert faults(near, far) == []
+        loud, quiet = (served(t, from_ms, until_ms) for t in (near, far))
+        a_second = (loud + quiet) / (until_ms - from_ms) * 1000.0 / 2.0
+        # Twice the sum of the shards' bounds over an interval, answers at both of its
+        # ends, and what the other shard runs in the second between two digests.
+        bound = 2 * (2 * SLOTS * TOKENS) + 2 * (2 * SLOTS * TOKENS) + a_second
+        gap = abs(loud / ACCOUNTS[LOUD] - quiet / ACCOUNTS[QUIET])
+        print("loud", loud, "quiet", quiet, "gap", gap, "bound", bound)
+        assert quiet > 0
+        assert gap <= bound
+
+
+def idle_of_round(fleet, region, traffic, work_ms=700.0):
+    """Return how long a slot was free while half of a region's calls waited for one."""
+    calls = [thread.wait() for thread in spawn(traffic, work_ms, 2 * SLOTS)]
+    ids = {record.last.request_id for record in calls}
+    runs = [run for run in runs_at(fleet, PLAIN, region) if run["request_id"] in ids]
+    assert len(runs) == 2 * SLOTS, "served by the region's own server"
+    return runs[SLOTS]["started_wall_ms"] - min(run["ended_wall_ms"] for run in runs)
+
+
+def test_regions_that_lose_each_other_go_on_alone_and_join_again(proof, start):
+    with make_fleet() as fleet:
+        callers = {NEAR: start(fleet, NEAR, 75), FAR: start(fleet, FAR, 76)}
+        warm_up(fleet, callers)
+        for traffic in callers.values():
+            traffic.loop(traffic.stream, 2)
+            traffic.loop(traffic.bib, 1)
+        near = callers[NEAR]
+
+        def run_rounds():
+            begin_ms = proof.clock.wall_ms()
+            for _ in range(3):
+                rounds = [
+                    eventlet.spawn(idle_of_round, fleet, region, traffic)
+                    for region, traffic in callers.items()
+                ]
+                idle_ms.extend(thread.wait() for thread in rounds)
+            for traffic in callers.values():
+                assert traffic.whole_between(begin_ms, proof.clock.wall_ms(), "/v1")
+
+        idle_ms = []
+        cut_regions(fleet)
+        near.wait(1000.0)
+        run_rounds()
+        cut_store(fleet)
+        near.wait(2.0 * LEASE_MS)
+        run_rounds()
+        levels = {fleet.status(name)["right"] for name in routers_of(fleet, NEAR)}
+        epochs = {
+            run["epoch"]
+            for region in SIDES
+            for service in (PLAIN, ENGINE)
+            for run in runs_at(fleet, service, region)
+        }
+        cut_regions(fleet, is_cut=False)
+        cut_store(fleet, "pass")
+
+        def is_joined():
+            seen = [owners(fleet, shard_of(PLAIN, r), fleet.routers) for r in SIDES]
+            members = [len(fleet.status(name)["members"]) for name in fleet.routers]
+            is_known = all(len(names) == 1 and "" not in names for names in seen)
+            return is_known and min(members) == len(fleet.routers)
+
+        joined_ms = proof.wait_until(is_joined, JOIN_MS)
+        near.wait(3000.0)
+        # The other region serves what waits here again.
+        long_calls = spawn(near, 3000.0)
+        near.wait(300.0)
+        moved = near.caller.make(near.search())
+        for thread in long_calls:
+            thread.wait()
+        for traffic in callers.values():
+            traffic.finish()
+        print("idle_ms", idle_ms, "joined_ms", joined_ms, "moved_ms", moved.latency_ms)
+        assert faults(*callers.values()) == []
+        assert levels == {"extended"}
+        # Nobody took a shard over, neither within a region nor from the other one.
+        assert epochs == {1}
+        assert max(idle_ms) < BUSY_MS
+        assert joined_ms is not None
+        assert moved.is_whole and moved.latency_ms < MOVE_MS + BUSY_MS
--- a/packages/lagoonsail-standins/src/lagoonsail_standins/relay.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/relay.py
@@ -49,6 +49,8 @@
     """Time under way in each direction."""
     drop_new: bool = False
     """Accept new connections, but pass nothing on while this is set."""
+    cut_from: str = ""
+    """Cut only the connections whose client sends this text in its first bytes."""
 
 
 class Gate:
@@ -89,6 +91,8 @@
     """Shut while the connection is frozen."""
     target: green_socket.socket | None = None
     """Towards the target, once it is open."""
+    opening: bytes = b""
+    """What the client sent first."""
 
 
 def reset(sock: green_socket.socket | None) -> None:
@@ -175,13 +179,17 @@
 
     def _apply_mode(self) -> None:
         for connection in list(self._connections):
-            if self.control.mode == "cut":
+            if self.control.mode == "cut" or self._is_cut(connection):
                 self._end(connection)
             elif self.control.mode == "freeze":
                 connection.gate.shut()
             elif not self.control.drop_new:
                 connection.gate.open()
 
+    def _is_cut(self, connection: Connection) -> bool:
+        text = self.control.cut_from.encode()
+        return bool(text) and text in connection.opening
+
     def _end(self, connection: Connection) -> None:
         if connection not in self._connections:
             return
@@ -224,6 +232,11 @@
                 due_ms, chunk = under_way.get()
                 eventlet.sleep(max(0.0, due_ms - self._clock.now_ms()) / 1000.0)
                 connection.gate.wait()
+                if direction == "out" and not connection.opening:
+                    connection.opening = chunk
+                    if self._is_cut(connection):
+                        self._end(connection)
+                        return
                 if not chunk:
                     sink.shutdown(green_socket.SHUT_WR)
                     return
