Use the backend servers of a region whose routers are all dead

Cause: a shard was claimed by routers of its own region only, so that the servers of a region without routers got nothing for as long as that lasted.

Ruled out: a rule by leases alone. The owners of a region that is cut off with its service gone act by promises of each other; a router elsewhere that only sees their leases end would grant beside them. Ruled out too: promises of all regions (a cut between regions would end the right of each), and a foreign owner by promises (its region's routers aren't those that may take over).

Change: a router claims a shard of another region when the region has no member and the host list, read without a gap, has not shown a router of it for five lags, though it did before. A router that the list has not shown for three lags since its renewal trusts no promises until it renews: so its right has ended before. The three best by rendezvous hashing may claim, 5 s after each other. A foreign owner grants while its right is full, and releases the shard when the region has a serving router. What waits for a lapse that another has claimed is forgotten.

Not proved over processes: a list that loses a living region while the service is away; test_right and test_ownership hold both halves of that rule.

--- a/packages/lagoonsail-router/src/lagoonsail_router/ownership.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/ownership.py
@@ -2,7 +2,8 @@
 
 An assignment record names the owner of a shard, its lease and its epoch. It changes by
 compare-and-swap only. A member claims a shard that nobody owns, that was released, or
-whose owner's lease has ended for longer than any grant of that owner can be used.
+whose owner's lease has ended for longer than any grant of that owner can be used. It
+claims shards of its own region, and of regions without routers as `foreign` says.
 """
 
 from __future__ import annotations
@@ -15,9 +16,11 @@
 from lagoonsail_core.clock import longest_ms
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.invariants import require
+from lagoonsail_core.names import region_of
 from lagoonsail_router.configuration import OWNED, RELEASED, SHARDS
 from lagoonsail_router.context import LEAVING, SERVING, start_task
-from lagoonsail_sharing.assignment import rendezvous_owner
+from lagoonsail_router.foreign import ForeignShards
+from lagoonsail_sharing.assignment import rank_owners, rendezvous_owner
 from lagoonsail_store.store_client import Conflict, Written
 
 if TYPE_CHECKING:
@@ -35,6 +38,8 @@
 """Time between two full looks while nothing changes."""
 REBALANCE_INTERVAL_MS = 5000.0
 """Least time between two shards that one router gives away for balance."""
+SUCCESSORS = 3
+"""Members that are told what a next owner needs."""
 RELEASE_RETRY_MS = 100.0
 """Pause before a release whose outcome is unknown is written again."""
 
@@ -46,6 +51,7 @@
         "_claiming",
         "_configuration",
         "_context",
+        "_foreign",
         "_lapsed_since",
         "_looked_ms",
         "_make_owner",
@@ -74,6 +80,7 @@
         self._make_owner = make_owner
         self._synced_revision = synced_revision
         self._right: Right | None = None
+        self._foreign: ForeignShards | None = None
         self._claiming: set[str] = set()
         self._lapsed_since: dict[tuple[str, int], float] = {}
         self._looked_ms = float("-inf")
@@ -84,6 +91,7 @@
     def attach(self, right: Right) -> None:
         """Use a right; ownership and right need each other."""
         self._right = right
+        self._foreign = ForeignShards(self._context, self._configuration, right.listed)
 
     def regional_shards(self) -> list[str]:
         """Return the shards of this router's region, by the documents in force."""
@@ -103,14 +111,7 @@
     def successors(self, shard: str) -> list[str]:
         """Return the serving members of the region, best owner first."""
         candidates = self._serving_members()
-        ranked = []
-        while candidates:
-            best = rendezvous_owner(shard, candidates)
-            ranked.append(best)
-            candidates.remove(best)
-            if len(ranked) == 3:
-                break
-        return ranked
+        return rank_owners(shard, candidates, SUCCESSORS)
 
     def drop_all(self) -> None:
         """Stop acting as an owner; the lease has lapsed."""
@@ -124,13 +125,16 @@
             return
         if not self._is_due():
             return
+        self._forget_lapses()
         shards = self.regional_shards()
-        for shard in shards:
+        for shard in [*shards, *self._foreign.to_take()]:
             self._consider(shard)
         if self._context.state == LEAVING:
             for shard in list(self.owned):
                 self._start_release(shard)
             return
+        for shard in self._foreign.to_give_back(list(self.owned)):
+            self._start_release(shard)
         self._rebalance(shards)
 
     def _is_due(self) -> bool:
@@ -152,6 +156,13 @@
         self._seen, self._looked_ms = seen, now_ms
         return True
 
+    def _forget_lapses(self) -> None:
+        """Wait no longer for what another router has claimed meanwhile."""
+        shards = self._configuration.shards
+        for shard, epoch in list(self._lapsed_since):
+            if shard not in shards or shards[shard].epoch != epoch:
+                del self._lapsed_since[shard, epoch]
+
     def _serving_members(self) -> list[str]:
         region = self._context.settings.region
         return sorted(
@@ -176,7 +187,8 @@
             return
         if self._context.state == LEAVING:
             return
-        if self.desired_owner(shard) != self._context.settings.name:
+        name, region = self._context.settings.name, self._context.settings.region
+        if region_of(shard) == region and self.desired_owner(shard) != name:
             return
         record = self._configuration.shards.get(shard)
         if record and not self._is_free(shard, record):
@@ -290,7 +302,7 @@
         allowed = math.ceil(IMBALANCE_LIMIT * len(shards) / len(members))
         if loads[name] <= allowed:
             return
-        for shard in sorted(self.owned):
+        for shard in sorted(self.owned.keys() & set(shards)):
             desired = self.desired_owner(shard)
             if desired != name and loads[desired] < allowed:
                 self._rebalanced_ms = now_ms
--- a/packages/lagoonsail-router/src/lagoonsail_router/right.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/right.py
@@ -6,7 +6,8 @@
 1. renewing the lease directly;
 2. renewing it through a peer that reaches the service;
 3. where nobody reaches the service, the promise of every other router of the region
-   that the host list shows, not to take over for a stated time.
+   that the host list shows, not to take over for a stated time. Routers of other
+   regions are not asked; `listed_regions` says why that is safe.
 
 Otherwise the right lapses.
 """
@@ -27,6 +28,7 @@
 )
 from lagoonsail_router.configuration import MEMBERS
 from lagoonsail_router.context import start_task
+from lagoonsail_router.listed_regions import ListedRegions
 from lagoonsail_store.store_client import Written
 
 if TYPE_CHECKING:
@@ -36,7 +38,7 @@
     from lagoonsail_router.configuration import Configuration
     from lagoonsail_router.context import RouterContext
     from lagoonsail_router.peers import PeerDirectory
-    from lagoonsail_store.host_list import HostList
+    from lagoonsail_store.host_list import Host, HostList
     from lagoonsail_store.store_client import StoreClient
 
 FULL = "full"
@@ -89,6 +91,7 @@
         "leaving",
         "lease",
         "lease_until_ms",
+        "listed",
         "promise_until_ms",
         "renewed_ms",
     )
@@ -99,6 +102,8 @@
     """Lease at the key-value service, 0 before the first."""
     renewed_ms: float
     """When the last successful renewal was sent."""
+    listed: ListedRegions
+    """What the host list shows of regions."""
     lease_until_ms: float
     """Until when the lease surely holds, by this host's clock."""
     promise_until_ms: float
@@ -127,6 +132,7 @@
         self._seen_in_hosts_since_ms = float("inf")
         self._last_level = LAPSED
         self.leaving = set()
+        self.listed = ListedRegions(context)
         self.lease = 0
         self.renewed_ms = float("-inf")
         self.lease_until_ms = float("-inf")
@@ -155,7 +161,7 @@
             return FULL
         if now_ms < self.lease_until_ms:
             return GUARDED
-        if now_ms < self.promise_until_ms:
+        if self._has_promises_at(now_ms):
             return EXTENDED
         return LAPSED
 
@@ -165,15 +171,18 @@
 
     def has_promises(self) -> bool:
         """Return whether no other router can take over now, lease or not."""
-        return self._context.clock.now_ms() < self.promise_until_ms
+        return self._has_promises_at(self._context.clock.now_ms())
+
+    def _has_promises_at(self, now_ms: float) -> bool:
+        is_sure = self.listed.may_trust_promises(now_ms)
+        return is_sure and now_ms < self.promise_until_ms
 
     def router_hosts(self) -> dict[str, str]:
         """Return address by name of the other routers on the host list."""
         return {
             host.name: host.address
             for host in self._hosts
-            if host.labels.get("role", ROUTER_ROLE) == ROUTER_ROLE
-            and host.name != self._context.settings.name
+            if _is_router(host) and host.name != self._context.settings.name
         }
 
     def promised_until_ms(self, router: str) -> float:
@@ -242,6 +251,7 @@
             return
         self._hosts = hosts
         self._hosts_read_ms = sent_ms
+        self.listed.take([host for host in hosts if _is_router(host)], sent_ms)
         self.leaving = {
             value
             for host in hosts
@@ -290,6 +300,7 @@
 
     def _set_renewed(self, sent_ms: float, ttl_ms: float) -> None:
         self.renewed_ms = max(self.renewed_ms, sent_ms)
+        self.listed.note_renewed(sent_ms)
         self.lease_until_ms = max(self.lease_until_ms, sent_ms + shortest_ms(ttl_ms))
 
     def renew_through_peers(self) -> None:
@@ -389,3 +400,7 @@
     def _is_member(self, stream: PeerStream) -> bool:
         member = self._configuration.members.get(stream.name)
         return member is not None and member.incarnation == stream.incarnation
+
+
+def _is_router(host: Host) -> bool:
+    return host.labels.get("role", ROUTER_ROLE) == ROUTER_ROLE
--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -23,6 +23,7 @@
     SlotGrant,
     SlotRefusal,
 )
+from lagoonsail_core.names import region_of
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_router.context import start_later, start_task
 from lagoonsail_router.engine_orders import EngineOrders
@@ -94,6 +95,7 @@
         "_digest_sent",
         "_find_document",
         "_inventory_until_ms",
+        "_is_foreign",
         "_is_stopped",
         "_next_slot",
         "_prefixes",
@@ -150,6 +152,7 @@
         self._waiting: dict[tuple, Waiting] = {}
         self._sequence = 0
         self._next_slot = 0
+        self._is_foreign = region_of(shard) != context.settings.region
         self._is_stopped = False
         self._prefixes = PrefixIndex()
         self._inventory_until_ms = context.clock.now_ms() + INVENTORY_WAIT_MS
@@ -404,7 +407,8 @@
     def _grant_one(self) -> bool:
         # The level is read for each grant: this process may have been paused.
         level = self._right.level()
-        if level == LAPSED:
+        if level == LAPSED or (self._is_foreign and level != FULL):
+            # Promises count the routers of this region, not those of the shard's.
             return False
         waiting = self.queue.pick()
         if waiting is None:
--- a/packages/lagoonsail-router/tests/test_right.py
+++ b/packages/lagoonsail-router/tests/test_right.py
@@ -13,6 +13,7 @@
     RenewResult,
 )
 from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_router.listed_regions import SURE_LAGS
 from lagoonsail_router.right import (
     EXTENDED,
     FULL,
@@ -319,3 +320,24 @@
     time.pass_ms(context.settings.host_list_max_lag_ms + 1)
     right.read_hosts()
     assert right.may_take_over()
+
+
+def test_router_that_was_not_listed_for_long_trusts_no_promises_until_it_renews(
+    right, store, peers, hosts, time, context
+):
+    lag_ms = context.settings.host_list_max_lag_ms
+    own = hosts.pop(0)
+    time.pass_ms(SURE_LAGS * lag_ms + 1)
+    right.read_hosts()
+    hosts.insert(0, own)
+    right.read_hosts()
+    gather_through(right, store, peers, time, ["cordero-2", "cordero-3"])
+    assert right.level() == LAPSED
+    store.down = False
+    right.renew()
+    assert right.level() == FULL
+    right.read_hosts()
+    store.down = True
+    time.pass_ms(TTL_MS)
+    right.gather_promises()
+    assert right.level() == EXTENDED
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/assignment.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/assignment.py
@@ -66,6 +66,30 @@
     return max(members, key=weight)
 
 
+def rank_owners(shard: str, members: list[str], count: int) -> list[str]:
+    """Return the best owners of a shard, best first.
+
+    Args:
+        shard: Name of the shard.
+        members: Names of the members, in any order.
+        count: How many to return at most.
+
+    Returns:
+        Names of members; the first is what `rendezvous_owner` gives.
+
+    Example:
+        >>> rank_owners("cordero/registro@sierra-central", ["a", "b", "c"], 2)
+        ['a', 'c']
+    """
+    candidates = list(members)
+    ranked = []
+    while candidates and len(ranked) < count:
+        best = rendezvous_owner(shard, candidates)
+        ranked.append(best)
+        candidates.remove(best)
+    return ranked
+
+
 @dataclass(slots=True)
 class Move:
     """A shard that changes its owner."""
