--- a/packages/lagoonsail-lab/src/lagoonsail_lab/deployments.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/deployments.py
@@ -25,6 +25,8 @@
     """Its name, unqualified."""
     failure_domain: str
     """Failure domain, unqualified."""
+    region: str = ""
+    """Region, empty for that of its service."""
 
 
 @dataclass(slots=True)
@@ -38,7 +40,7 @@
     kind: str
     """`engine` or `plain`."""
     region: str
-    """Region of all its servers."""
+    """Region of the servers that name none."""
     servers: list[ServerShape]
     """Its servers."""
     accounts: dict[str, float]
@@ -262,6 +264,8 @@
             "checks_fencing": "yes" if service.kind == "engine" else "no",
             "state": "out" if server.name in servers_out else "in",
         }
+        if server.region:
+            values["region"] = server.region
         sections.append((f"server {server.name}", values))
     for account, share in {**service.accounts, **service.quiet_accounts}.items():
         key = account_key(service.side, service.name, account)
