Prove that a region off the host list grants nothing beside a foreign owner

Cause: the rule that lets a foreign owner be safe was held by tests of its two halves only.

Change: a proof over processes: the first region loses the streams to the other, the key-value service and its entries in the host list, is taken over, and is listed again while the service is still away. Its routers stay lapsed, and get their shards back once they reach the service.

--- a/packages/lagoonsail-lab/tests/test_proof_regions.py
+++ b/packages/lagoonsail-lab/tests/test_proof_regions.py
@@ -272,3 +272,42 @@
             assert not [ms for ms in starts if stop_ms < ms < up_ms]
             assert [ms for ms in starts if up_ms < ms < back_ms]
             assert proof.late_runs(runs, START_WINDOW_MS) == []
+
+
+def test_region_that_the_list_lost_grants_nothing_beside_a_foreign_owner(proof, start):
+    with make_fleet(queue_timeout_ms=4000) as fleet:
+        near, far = start(fleet, NEAR, 79), start(fleet, FAR, 80)
+        warm_up(fleet, {NEAR: near, FAR: far})
+        near.loop(near.search, 2)
+        far.loop(lambda: far.search(500.0), 3 * SLOTS)
+        near.wait(1000.0)
+        # The region lives, but has lost the others, the service and its place.
+        cut_regions(fleet)
+        cut_store(fleet)
+        for name in routers_of(fleet, NEAR):
+            fleet.routers[name].host_state = ""
+        fleet.publish_hosts()
+        far_names = set(routers_of(fleet, FAR))
+
+        def is_taken():
+            return owners(fleet, shard_of(PLAIN, NEAR), far_names) <= far_names
+
+        taken_ms = proof.wait_until(is_taken, TAKEN_MS)
+        # Its routers are listed again, and would promise each other everything.
+        for name in routers_of(fleet, NEAR):
+            fleet.routers[name].host_state = "live"
+        fleet.publish_hosts()
+        far.wait(6000.0)
+        levels = {fleet.status(name)["right"] for name in routers_of(fleet, NEAR)}
+        cut_store(fleet, "pass")
+        cut_regions(fleet, is_cut=False)
+        far.wait(6000.0)
+        near.finish()
+        far.finish()
+        assert taken_ms is not None
+        assert faults(near, far) == []
+        runs = runs_at(fleet, PLAIN, NEAR)
+        assert proof.late_runs(runs, START_WINDOW_MS) == []
+        assert levels == {"lapsed"}
+        # It was taken over, and given back.
+        assert {run["epoch"] for run in runs} == {1, 2, 3}
