Give records of calls and the judgement of answers modules of their own

Change: call_record holds calls, attempts and records, answers the judgement; importers name the new modules. No logic changed. Checked by the tests of caller, checker, report, recovery and measures, and the lab's doctests.

--- a/packages/lagoonsail-lab/src/lagoonsail_lab/backlog.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/backlog.py
@@ -17,7 +17,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from lagoonsail_lab.caller import Balancer, Call
+    from lagoonsail_lab.call_record import Call
+    from lagoonsail_lab.caller import Balancer
     from lagoonsail_lab.deployments import Deployment, ServiceShape
 
 BASELINE_MODULE = "lagoonsail_lab.baseline_router"
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/caller.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/caller.py
@@ -2,16 +2,23 @@
 
 from __future__ import annotations
 
-import hashlib
 import json
 import random
-import re
 import uuid
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.clock import Clock
 from lagoonsail_core.green import eventlet, urllib3
+from lagoonsail_lab.answers import judge_answer
+from lagoonsail_lab.call_record import (
+    RAN_GONE,
+    RAN_LOST,
+    RAN_NO,
+    RAN_UNKNOWN,
+    Attempt,
+    Call,
+    CallRecord,
+)
 from lagoonsail_lab.deployments import account_key
 
 if TYPE_CHECKING:
@@ -32,107 +39,11 @@
 RETRY_PAUSE_S = 0.02
 """Wait before another attempt when no Retry-After says more, seconds."""
 
-RAN_NO = "no"
-"""Nothing of the call ran."""
-RAN_UNKNOWN = "unknown"
-"""The call may have run."""
-RAN_LOST = "lost"
-"""No answer came that said what happened."""
-RAN_GONE = "gone"
-"""The caller went away before the answer's end."""
 RETRIED_STATUSES = (0, 429, 503)
 """Status codes after which another attempt may help; 0 if no connection opened."""
 PREFERENCE = 0.7
 """Part of the attempts that go to a preferred router, if one is ready."""
 
-_TOKENS_PATTERN = re.compile(r"#tokens=(\d+)")
-
-
-@dataclass(slots=True)
-class Call:
-    """What a caller asks for."""
-
-    side: str
-    """Side of the service."""
-    service: str
-    """Service, unqualified."""
-    account: str
-    """Client account, unqualified."""
-    method: str
-    """HTTP method."""
-    path: str
-    """Path below the service."""
-    body: bytes
-    """Body."""
-    is_stream: bool = False
-    """Whether the answer is a stream of events."""
-    is_repeatable: bool = True
-    """Whether the service's document says that the call may run twice."""
-    idempotency_key: str = ""
-    """Value of Idempotency-Key, or empty."""
-    cost_hint: float = 0.0
-    """Value of X-Cost-Hint; 0 sends none."""
-
-
-@dataclass(slots=True)
-class Attempt:
-    """One request of a call to one router."""
-
-    request_id: str
-    """Value of X-Request-Id; differs for each attempt."""
-    router: str
-    """Entry router."""
-    status: int = 0
-    """Status code, 0 if none came."""
-    ran: str = ""
-    """Empty if the answer came to its end, else one of the RAN constants."""
-    reason: str = ""
-    """What was wrong with the answer, empty if it is whole."""
-    retry_after_s: float = 0.0
-    """What Retry-After said, seconds."""
-    started_wall_ms: float = 0.0
-    """When the attempt began, wall time."""
-    first_ms: float = 0.0
-    """Time until the first byte of the body, milliseconds; 0 if none came."""
-    ended_wall_ms: float = 0.0
-    """When the attempt ended, wall time."""
-    cost: float = 0.0
-    """Tokens of a whole engine answer, or 1 for a plain one."""
-
-
-@dataclass(slots=True)
-class CallRecord:
-    """One call and what became of it."""
-
-    call: Call
-    """The call."""
-    attempts: list[Attempt] = field(default_factory=list)
-    """Its attempts in order; the last one is the caller's answer."""
-
-    @property
-    def last(self) -> Attempt:
-        """The attempt whose answer the caller took."""
-        return self.attempts[-1]
-
-    @property
-    def is_whole(self) -> bool:
-        """Whether the answer came to its end and is the call's own."""
-        return self.last.status == 200 and not self.last.ran and not self.last.reason
-
-    @property
-    def latency_ms(self) -> float:
-        """Time from the first attempt until the end of the last, milliseconds."""
-        return self.last.ended_wall_ms - self.attempts[0].started_wall_ms
-
-    @property
-    def first_ms(self) -> float:
-        """Time from the first attempt until the first byte of the answer's body."""
-        return (
-            self.last.started_wall_ms
-            + self.last.first_ms
-            - self.attempts[0].started_wall_ms
-        )
-
 
 class Balancer:
     """Knows which routers are ready and chooses among them."""
@@ -359,121 +270,6 @@
         return [r for r in self.records if r.attempts and r.is_whole]
 
 
-def judge_answer(
-    call: Call, attempt: Attempt, body: bytes, headers: dict[str, str]
-) -> None:
-    """Decide whether an answer that came to its end is whole and the call's own.
-
-    Args:
-        call: The call.
-        attempt: Its attempt with the status; the verdict is written here.
-        body: Whole body.
-        headers: Headers of the answer.
-    """
-    if attempt.status != 200:
-        _judge_problem(attempt, body, headers)
-    elif call.is_stream:
-        _judge_stream(call, attempt, body)
-    elif call.path == "/v1/completions":
-        _judge_completion(call, attempt, body)
-    else:
-        _judge_echo(call, attempt, body)
-
-
-def _judge_problem(attempt: Attempt, body: bytes, headers: dict[str, str]) -> None:
-    attempt.retry_after_s = _read_seconds(headers.get("Retry-After", "0"))
-    problem = _load_object(body)
-    attempt.reason = str(problem.get("title") or problem.get("error") or "no problem")
-    attempt.ran = _read_ran(problem, headers)
-
-
-def _read_ran(problem: dict, headers: dict[str, str]) -> str:
-    ran = problem.get("ran")
-    if ran in (RAN_NO, RAN_UNKNOWN):
-        return ran
-    # A server's own error is an answer that routers pass back as it is; a router's
-    # own error has to say whether the call ran.
-    return RAN_UNKNOWN if "X-Server-Incarnation" in headers else RAN_LOST
-
-
-def _judge_stream(call: Call, attempt: Attempt, body: bytes) -> None:
-    events = body.decode(errors="replace").split("\n\n")
-    texts = []
-    for event in events:
-        if event.startswith("event: error"):
-            problem = _load_object(event.partition("data: ")[2].encode())
-            attempt.ran = RAN_UNKNOWN
-            attempt.reason = f"stream broke: {problem.get('title', '')}"
-            return
-        choices = _load_object(event.removeprefix("data: ").encode()).get("choices")
-        if choices:
-            texts.append(str(choices[0].get("text", "")))
-    if "data: [DONE]" not in events:
-        attempt.reason = "stream without its last event"
-        return
-    _judge_text(call, attempt, "".join(texts))
-
-
-def _judge_completion(call: Call, attempt: Attempt, body: bytes) -> None:
-    choices = _load_object(body).get("choices") or [{}]
-    _judge_text(call, attempt, str(choices[0].get("text", "")))
-
-
-def _judge_text(call: Call, attempt: Attempt, text: str) -> None:
-    expected = expected_text(_load_object(call.body).get("prompt", ""))
-    if text == expected:
-        attempt.cost = float(text.count(" "))
-        return
-    own = text.startswith(expected[:8])
-    attempt.reason = "text cut or changed" if own else "text of another prompt"
-
-
-def _judge_echo(call: Call, attempt: Attempt, body: bytes) -> None:
-    answer = _load_object(body)
-    if answer.get("echo") != hashlib.sha256(call.body).hexdigest():
-        attempt.reason = "echo of another body"
-    elif answer.get("request_id") != attempt.request_id:
-        attempt.reason = "answer to another request"
-    elif answer.get("path") != call.path.partition("?")[0]:
-        attempt.reason = "answer to another path"
-    else:
-        attempt.cost = 1.0
-
-
-def expected_text(prompt: str) -> str:
-    """Return the whole answer that belongs to a prompt.
-
-    Args:
-        prompt: The prompt; `#tokens=N` in it says how long the answer is.
-
-    Returns:
-        The text.
-
-    Example:
-        >>> expected_text("a #tokens=1").endswith("-0 ")
-        True
-    """
-    found = _TOKENS_PATTERN.search(prompt)
-    digest = hashlib.sha256(prompt.encode()).hexdigest()[:8]
-    count = int(found[1]) if found else 0
-    return "".join(f"{digest}-{index} " for index in range(count))
-
-
-def _load_object(data: bytes) -> dict:
-    try:
-        value = json.loads(data)
-    except ValueError:
-        return {}
-    return value if isinstance(value, dict) else {}
-
-
-def _read_seconds(text: str) -> float:
-    try:
-        return max(0.0, float(text))
-    except ValueError:
-        return 0.0
-
-
 def make_prompt(
     side: str,
     service: str,
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/checker.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/checker.py
@@ -9,12 +9,12 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from lagoonsail_lab.caller import RAN_LOST, RAN_NO, RAN_UNKNOWN
+from lagoonsail_lab.call_record import RAN_LOST, RAN_NO, RAN_UNKNOWN
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from lagoonsail_lab.caller import Attempt, CallRecord
+    from lagoonsail_lab.call_record import Attempt, CallRecord
 
 LOST = "lost"
 """A call without an answer that says what became of it."""
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/demo.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/demo.py
@@ -35,7 +35,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from lagoonsail_lab.caller import Call, CallRecord
+    from lagoonsail_lab.call_record import Call, CallRecord
     from lagoonsail_lab.checker import Fault
     from lagoonsail_lab.deployments import Deployment, ServiceShape
 
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/domain_outage.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/domain_outage.py
@@ -39,7 +39,7 @@
     from collections.abc import Callable
 
     from lagoonsail_lab.backlog import Work
-    from lagoonsail_lab.caller import Call, CallRecord
+    from lagoonsail_lab.call_record import Call, CallRecord
     from lagoonsail_lab.checker import Fault
     from lagoonsail_lab.deployments import ServiceShape
 
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/prefix_locality.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/prefix_locality.py
@@ -30,7 +30,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lagoonsail_lab.caller import Call
+    from lagoonsail_lab.call_record import Call
     from lagoonsail_lab.deployments import ServiceShape
     from lagoonsail_lab.fleet import Fleet
 
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/prove.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/prove.py
@@ -15,7 +15,7 @@
 from lagoonsail_core.invariants import FATAL_VARIABLE
 from lagoonsail_core.names import qualify
 from lagoonsail_lab.actions import Actions
-from lagoonsail_lab.caller import RAN_GONE
+from lagoonsail_lab.call_record import RAN_GONE
 from lagoonsail_lab.checker import Fault, check_all
 from lagoonsail_lab.deployments import LATENCY_MS, make_cordero, make_kalapati
 from lagoonsail_lab.fleet import Fleet
@@ -25,7 +25,7 @@
 from lagoonsail_lab.workload import Workload
 
 if TYPE_CHECKING:
-    from lagoonsail_lab.caller import CallRecord
+    from lagoonsail_lab.call_record import CallRecord
     from lagoonsail_lab.deployments import Deployment
     from lagoonsail_lab.schedule import Step
 
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/recovery.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/recovery.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lagoonsail_lab.caller import CallRecord
+    from lagoonsail_lab.call_record import CallRecord
     from lagoonsail_lab.deployments import ServiceShape
     from lagoonsail_lab.fleet import Fleet
     from lagoonsail_lab.observer import Observer
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/workload.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/workload.py
@@ -8,15 +8,10 @@
 
 from lagoonsail_core.clock import Clock
 from lagoonsail_core.green import eventlet
-from lagoonsail_lab.caller import (
-    Balancer,
-    Caller,
-    make_plain,
-    make_prompt,
-)
+from lagoonsail_lab.caller import Balancer, Caller, make_plain, make_prompt
 
 if TYPE_CHECKING:
-    from lagoonsail_lab.caller import Call, CallRecord
+    from lagoonsail_lab.call_record import Call, CallRecord
     from lagoonsail_lab.deployments import ServiceShape
     from lagoonsail_lab.fleet import Fleet
 
--- a/packages/lagoonsail-lab/tests/test_caller.py
+++ b/packages/lagoonsail-lab/tests/test_caller.py
@@ -7,14 +7,13 @@
 
 from lagoonsail_core.clock import Clock
 from lagoonsail_core.green import eventlet
+from lagoonsail_lab.answers import expected_text, judge_answer
+from lagoonsail_lab.call_record import Attempt
 from lagoonsail_lab.caller import (
-    Attempt,
     Balancer,
     Caller,
     call_at_rate,
     call_in_loop,
-    expected_text,
-    judge_answer,
     make_plain,
     make_prompt,
 )
--- a/packages/lagoonsail-lab/tests/test_checker.py
+++ b/packages/lagoonsail-lab/tests/test_checker.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lagoonsail_lab.caller import Attempt, Call, CallRecord
+from lagoonsail_lab.call_record import Attempt, Call, CallRecord
 from lagoonsail_lab.checker import (
     CUT,
     LOST,
--- a/packages/lagoonsail-lab/tests/test_demo_report.py
+++ b/packages/lagoonsail-lab/tests/test_demo_report.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from lagoonsail_lab.caller import Attempt, CallRecord, make_prompt
+from lagoonsail_lab.call_record import Attempt, CallRecord
+from lagoonsail_lab.caller import make_prompt
 from lagoonsail_lab.checker import LOST, Fault
 from lagoonsail_lab.demo import count_callers, print_verdict, spread_of_shares
 from lagoonsail_lab.deployments import make_cordero
--- a/packages/lagoonsail-lab/tests/test_proof_keyed_calls.py
+++ b/packages/lagoonsail-lab/tests/test_proof_keyed_calls.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-from lagoonsail_lab.caller import RAN_NO
+from lagoonsail_lab.call_record import RAN_NO
 
 LEASE_MS = 2000.0
 """Lease time of the fleet; promises last as long."""
--- a/packages/lagoonsail-lab/tests/test_proof_owner_killed.py
+++ b/packages/lagoonsail-lab/tests/test_proof_owner_killed.py
@@ -1,7 +1,7 @@
 from __future__ import annotations
 
 from lagoonsail_core.green import eventlet
-from lagoonsail_lab.caller import RAN_NO
+from lagoonsail_lab.call_record import RAN_NO
 from lagoonsail_lab.checker import check_ran_once
 
 NEW_GRANTS_MS = 6000.0
--- a/packages/lagoonsail-lab/tests/test_proof_silent_connections.py
+++ b/packages/lagoonsail-lab/tests/test_proof_silent_connections.py
@@ -1,6 +1,6 @@
 from __future__ import annotations
 
-from lagoonsail_lab.caller import RAN_LOST
+from lagoonsail_lab.call_record import RAN_LOST
 
 START_WINDOW_MS = 1000.0
 """How long a grant may be used."""
--- a/packages/lagoonsail-lab/tests/test_recovery.py
+++ b/packages/lagoonsail-lab/tests/test_recovery.py
@@ -6,7 +6,7 @@
 import pytest
 
 from lagoonsail_lab import recovery as recovery_module
-from lagoonsail_lab.caller import Attempt, Call, CallRecord
+from lagoonsail_lab.call_record import Attempt, Call, CallRecord
 from lagoonsail_lab.checker import NOT_SERVED
 from lagoonsail_lab.recovery import Recovery
 
