--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 DURATION_S ?= 60
 
-.PHONY: install format lint test demo prove measure path-cost
+.PHONY: install format lint test demo prove measure path-cost prefix-locality
 
 install: $(VENV)/.installed
 
@@ -37,3 +37,6 @@
 
 path-cost: install
 	$(PYTHON) -m lagoonsail_lab.path_cost
+
+prefix-locality: install
+	$(PYTHON) -m lagoonsail_lab.prefix_locality
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/placement.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/placement.py
@@ -27,6 +27,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from xxhash import xxh64_intdigest
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
@@ -75,12 +77,25 @@
             continue
         name = candidate.name
         held = cache_index.match(name, prefix) if prefix else 0
-        rank = (-held, candidate.running / candidate.limit, name)
-        if (best_rank is None or rank < best_rank) and may_take(name):
+        rank = (-held, candidate.running / candidate.limit)
+        is_first = (
+            best is None
+            or rank < best_rank
+            or (rank == best_rank and _goes_before(name, best, prefix))
+        )
+        if is_first and may_take(name):
             best, best_rank = name, rank
     return best
 
 
+def _goes_before(name: str, other: str, prefix: list[int]) -> bool:
+    """Decide between equals by name, or so that new prefixes spread over the caches."""
+    if not prefix:
+        return name < other
+    own, others = (xxh64_intdigest(n.encode(), prefix[0]) for n in (name, other))
+    return own < others
+
+
 def choose_request(
     requests: list[Waiting], server: str, cache_index: PrefixIndex
 ) -> Waiting:
