Let benchmarks share the parts of a bare router by a module

Change: what slot_cost and report_cost share is lagoonsail_lab.bare_router. Before: ModuleNotFoundError at collection. After: the file is collected; report_cost.py runs to its end.

--- a/packages/lagoonsail-router/benchmarks/report_cost.py
+++ b/packages/lagoonsail-router/benchmarks/report_cost.py
@@ -17,11 +17,10 @@
 import time
 from types import SimpleNamespace
 
-from slot_cost import DOCUMENT, SERVER, SHARD, make_context
-
 from lagoonsail_config.document import parse_document
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.messages import Inventory
+from lagoonsail_lab.bare_router import DOCUMENT, SERVER, SHARD, make_context
 from lagoonsail_router.right import FULL
 from lagoonsail_router.shard_owner import ShardOwner
 
--- a/packages/lagoonsail-router/benchmarks/slot_cost.py
+++ b/packages/lagoonsail-router/benchmarks/slot_cost.py
@@ -17,14 +17,11 @@
 import os
 import subprocess
 import sys
-import tempfile
 import time
 from collections import Counter
-from pathlib import Path
 from types import SimpleNamespace
 
 from lagoonsail_config.document import parse_document
-from lagoonsail_config.settings import load_settings
 from lagoonsail_core.clock import Clock
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.messages import (
@@ -38,6 +35,7 @@
     SlotRequest,
     SlotStart,
 )
+from lagoonsail_lab.bare_router import DOCUMENT, SERVER, SHARD, make_context
 from lagoonsail_peer.link import PeerLink
 from lagoonsail_peer.server import PeerServer
 from lagoonsail_router.configuration import Configuration
@@ -60,54 +58,8 @@
 """Costs that a call reports."""
 WHOLE_COST = 382.0
 """What a call costs, as the mean at the target."""
-SHARD = "cordero/asistente@sierra-central"
 OWNER = "cordero-1"
 
-SETTINGS = """\
-[router]
-name = {name}
-side = cordero
-region = sierra-central
-failure_domain = banos
-[listen]
-callers = 127.0.0.1:8080
-admin = 127.0.0.1:8081
-peers = 127.0.0.1:8082
-[store]
-endpoints = 127.0.0.1:2379
-[host-list]
-url = http://127.0.0.1:2380/hosts
-"""
-
-DOCUMENT = """\
-[service]
-side = cordero
-name = asistente
-kind = engine
-region = sierra-central
-[failure-domain banos]
-{servers}
-[account norte]
-share = 1
-key_sha256 = {digest}
-"""
-
-SERVER = """\
-[server s{number}]
-address = 127.0.0.1:{port}
-failure_domain = banos
-slots = 8
-cold_slots = 8
-"""
-
-
-def make_context(name: str) -> RouterContext:
-    """Return the shared state of a router with the default settings."""
-    with tempfile.TemporaryDirectory() as directory:
-        path = Path(directory, "router.ini")
-        path.write_text(SETTINGS.format(name=name))
-        return RouterContext(load_settings(path))
-
 
 def stream_options(context: RouterContext, name: str, dispatch) -> dict:
     """Return what a server and a link take alike, by the default settings.
