Collect the documented shards in one place, and the settings of a bare router too

Change: Configuration.documented_shards serves both; the tests' fixture takes the text of bare_router. No logic changed. Checked by lint and the tests of the router, the proofs over regions and of a killed owner. The whole suite was not run on this commit.

--- a/packages/lagoonsail-router/src/lagoonsail_router/configuration.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/configuration.py
@@ -238,6 +238,12 @@
         member = self.members.get(shard_record.owner)
         return member is None or member.lease != shard_record.lease
 
+    def documented_shards(self) -> set[str]:
+        """Return the shards of all services by the documents in force."""
+        return {
+            shard for document in self.documents.values() for shard in document.shards()
+        }
+
     def owner_of(self, shard: str) -> str:
         """Return the name of the live owner of a shard, or an empty string."""
         record = self.shards.get(shard)
--- a/packages/lagoonsail-router/src/lagoonsail_router/foreign.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/foreign.py
@@ -44,11 +44,7 @@
     def to_take(self) -> list[str]:
         """Return the shards that this router may claim, if nobody owns them."""
         own = self._context.settings.region
-        shards = {
-            shard
-            for document in self._configuration.documents.values()
-            for shard in document.shards()
-        }
+        shards = self._configuration.documented_shards()
         self._note_members({region_of(shard) for shard in shards} - {own})
         return sorted(shard for shard in shards if self._may_take(shard))
 
--- a/packages/lagoonsail-router/src/lagoonsail_router/ownership.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/ownership.py
@@ -99,11 +99,7 @@
     def regional_shards(self) -> list[str]:
         """Return the shards of this router's region, by the documents in force."""
         suffix = f"@{self._context.settings.region}"
-        shards = {
-            shard
-            for document in self._configuration.documents.values()
-            for shard in document.shards()
-        }
+        shards = self._configuration.documented_shards()
         return sorted(shard for shard in shards if shard.endswith(suffix))
 
     def desired_owner(self, shard: str) -> str:
--- a/packages/lagoonsail-router/tests/conftest.py
+++ b/packages/lagoonsail-router/tests/conftest.py
@@ -11,27 +11,12 @@
 from lagoonsail_core.clock import Clock
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_lab.bare_router import SETTINGS
 from lagoonsail_router.configuration import Configuration
 from lagoonsail_router.context import RouterContext
 from lagoonsail_router.key_store import KeyStore
 from lagoonsail_store.entries import Absent, Conflict, Entry, Listing, Written
 
-SETTINGS = """\
-[router]
-name = cordero-1
-side = cordero
-region = sierra-central
-failure_domain = banos
-[listen]
-callers = 127.0.0.1:8080
-admin = 127.0.0.1:8081
-peers = 127.0.0.1:8082
-[store]
-endpoints = 127.0.0.1:2379
-[host-list]
-url = http://127.0.0.1:2380/hosts
-"""
-
 DOCUMENT = """\
 [service]
 side = cordero
@@ -199,7 +184,7 @@
 @pytest.fixture
 def context(tmp_path, time):
     path = tmp_path / "router.ini"
-    path.write_text(SETTINGS)
+    path.write_text(SETTINGS.format(name="cordero-1"))
     return RouterContext(load_settings(path), time.clock)
 
 
