Ask for promises as soon as a write of keys is in doubt

Cause: when an outage of the key-value service begins, keyed calls waited 2.3 to 2.4 s. Their owner asked for promises only when its lease was 0.7 ttl old, though its write of keys had failed long before, and the others refused until theirs was as old. So the wait was set by the age of leases, not by what was known. Ruled out: the way to the next owners (one round trip), the 50 ms between writes. Change: a write that fails, or has no answer after 300 ms, makes the owner ask at once, until a renewal sent later succeeds. A router that heard the service a short while ago sends a renewal when it is asked, and promises unless that is answered within 300 ms; one renewal serves all that ask meanwhile. With the promises the write is given up: carried out late it changes nothing, as one whose answer was lost. The test that a router which hears the service promises nothing now waits for that answer, since it comes after a look at the service. Conclusion: the wait is 0.3 + 0.3 s and two round trips, whatever the ttl.

--- a/packages/lagoonsail-lab/tests/test_proof_keyed_calls.py
+++ b/packages/lagoonsail-lab/tests/test_proof_keyed_calls.py
@@ -1,5 +1,7 @@
 from __future__ import annotations
 
+import pytest
+
 from lagoonsail_lab.call_record import RAN_NO
 
 LEASE_MS = 2000.0
@@ -12,6 +14,8 @@
 """Time after which a write has failed and promises are held."""
 KNOWN_START_MS = 1000.0
 """Bound of the p99 of the time until a keyed call starts after that."""
+BEGIN_START_MS = 1200.0
+"""Bound of the time until a keyed call starts when an outage begins."""
 RETRIES = 20
 """Calls that are tried again."""
 DUPLICATE_STATUS = 409
@@ -120,3 +124,34 @@
         assert {r.last.status for r in again.caller.records} == {DUPLICATE_STATUS}
         assert again.faults(kills=kills) == []
         assert traffic.faults(kills=kills) == []
+
+
+@pytest.mark.parametrize("mode", ["down", "silent"])
+def test_keyed_calls_wait_a_short_while_when_an_outage_begins(proof, mode):
+    settings = {"store": {"timeout_ms": 1000, "lease_ttl_ms": 3000}}
+    with proof.start_fleet(3, settings=settings) as fleet:
+        proof.settle(fleet)
+        victim = proof.find_owner(fleet)
+        other, third = [name for name in fleet.routers if name != victim]
+        traffic = proof.traffic(fleet, [victim, other], seed=75)
+        traffic.loop(traffic.bib, 4)
+        traffic.wait(1500.0)
+        lost_ms = proof.clock.wall_ms()
+        fleet.control_store(mode=mode)
+        traffic.wait(5000.0)
+        end_ms = proof.clock.wall_ms()
+        begun = begun_between(
+            traffic.caller.records, lost_ms - 200.0, end_ms - 2.0 * BEGIN_START_MS
+        )
+        waits = start_waits(proof, fleet, begun)
+        assert begun
+        assert len(waits) == len(begun)
+        assert waits[-1] < BEGIN_START_MS
+        # Its owner ends as the service returns; who follows must know its keys.
+        fleet.control_store(mode="up")
+        kills = proof.kill(fleet, victim)
+        again = try_again(proof, fleet, third, traffic.whole_between(lost_ms, end_ms))
+        traffic.finish()
+        assert {r.last.status for r in again.caller.records} == {DUPLICATE_STATUS}
+        assert again.faults(kills=kills) == []
+        assert traffic.faults(kills=kills) == []
--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -206,7 +206,9 @@
         self.entry = Entry(context, self.configuration, self.desk, self.is_isolated)
         self._digests = DigestStore(self.peers, self._on_digest)
         self._key_notices = KeyNotices(context, self.peers)
-        self._key_store = KeyStore(context, self._store, self.configuration, self.peers)
+        self._key_store = KeyStore(
+            context, self._store, self.configuration, self.peers, self.right.doubt
+        )
         self._is_stopping = False
         self._stopped_ms = float("-inf")
         self._heard_ms = context.clock.now_ms()
--- a/packages/lagoonsail-router/src/lagoonsail_router/key_store.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/key_store.py
@@ -7,7 +7,8 @@
 writes only for the owner of the newest epoch that it has heard of.
 
 Once a write has failed, no other one waits for the service until it has answered a
-probe, which runs in a task of its own.
+probe, which runs in a task of its own. A write that takes long makes the router ask for
+promises, and counts as failed as soon as the keys can be kept elsewhere.
 """
 
 from __future__ import annotations
@@ -35,6 +36,10 @@
 """How long a key is remembered at the least."""
 LEASE_ROTATION_MS = 300_000.0
 """Age at which new writes go under a new lease, so that leases stay few."""
+PATIENCE_MS = 300.0
+"""How long a write may take before promises are asked for."""
+PROMISES_LOOK_MS = 10.0
+"""Time between two looks at whether they have come."""
 PROBE_INTERVAL_MS = 500.0
 """Pause before each probe of a service that did not take a write."""
 PEERS_RETRY_MS = 200.0
@@ -74,6 +79,7 @@
         "_lease",
         "_lease_ms",
         "_nonce",
+        "_on_doubt",
         "_peers",
         "_retry_ms",
         "_store",
@@ -90,11 +96,13 @@
         store: StoreClient,
         configuration: Configuration,
         peers: PeerDirectory,
+        on_doubt: Callable[[], None],
     ) -> None:
         self._context = context
         self._store = store
         self._configuration = configuration
         self._peers = peers
+        self._on_doubt = on_doubt
         self._answers: dict[int, dict[str, KeysWritten]] = {}
         self._nonce = 0
         self._writer = ""
@@ -139,7 +147,7 @@
         """
         write = KeysWrite(0, shard, epoch, number, changes)
         if not self.is_away:
-            written = self._put(write)
+            written = self._put_patiently(write, has_other_way)
             if written or not self.is_away:
                 return written
         if has_other_way():
@@ -148,6 +156,34 @@
 
     # Directly.
 
+    def _put_patiently(
+        self, write: KeysWrite, has_other_way: Callable[[], bool]
+    ) -> Written | Unavailable:
+        """Write, and give up early if that takes long and there is another way.
+
+        The write may be carried out all the same, as one whose answer was lost.
+        """
+        done = eventlet.event.Event()
+        start_task(self._context, "keys_write", self._put_and_tell, write, done)
+        written = done.wait(PATIENCE_MS / 1000.0)
+        if written is None:
+            self._on_doubt()
+        while written is None:
+            if has_other_way():
+                self._set_away()
+                return Unavailable("the key-value service takes long to answer")
+            written = done.wait(PROMISES_LOOK_MS / 1000.0)
+        if self.is_away:
+            self._on_doubt()
+        return written
+
+    def _put_and_tell(self, write: KeysWrite, done: eventlet.event.Event) -> None:
+        written = Unavailable("the write ended with an error")
+        try:
+            written = self._put(write)
+        finally:
+            done.send(written)
+
     def _put(self, write: KeysWrite) -> Written | Unavailable:
         lease = self._find_lease()
         if not lease:
--- a/packages/lagoonsail-router/src/lagoonsail_router/right.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/right.py
@@ -60,6 +60,11 @@
 """Value of the host list's label ``role`` for routers; also its default."""
 STORE_DOWN_TTL_MS = -1.0
 """Value of RenewResult.ttl_ms when the peer cannot reach the service either."""
+PROBE_MS = 300.0
+"""How long the service may take to answer a renewal that is sent to look whether it is
+reached; then a router that is asked for a promise gives it."""
+PROBE_LOOK_MS = 5.0
+"""Time between two looks at whether it has answered."""
 RENEWERS_AT_ONCE = 2
 """Peers that are asked at once to renew the lease."""
 
@@ -78,12 +83,16 @@
         "_attempts",
         "_configuration",
         "_context",
+        "_doubted_ms",
+        "_failed_renewals",
         "_hosts",
         "_hosts_read_ms",
         "_last_level",
         "_nonce",
         "_on_lost",
         "_peers",
+        "_probe_failures",
+        "_probe_ms",
         "_promised_until",
         "_store",
         "_host_list",
@@ -127,6 +136,11 @@
         self._attempts: dict[int, _Attempt] = {}
         self._nonce = 0
         self._promised_until: dict[str, float] = {}
+        self._doubted_ms = float("-inf")
+        self._failed_renewals = 0
+        # Renewals that had failed when the last probe was sent, and when that was.
+        self._probe_failures = 0
+        self._probe_ms = float("-inf")
         self._hosts: list = []
         self._hosts_read_ms = float("-inf")
         self._seen_in_hosts_since_ms = float("inf")
@@ -169,6 +183,14 @@
         """Return whether the lease was renewed recently."""
         return self._level_at(self._context.clock.now_ms()) == FULL
 
+    def doubt(self) -> None:
+        """Ask for promises at once: the service did not answer another call.
+
+        Promises are asked for until a renewal that is sent from now on succeeds.
+        """
+        self._doubted_ms = self._context.clock.now_ms()
+        start_task(self._context, "promises", self.gather_promises)
+
     def has_promises(self) -> bool:
         """Return whether no other router can take over now, lease or not."""
         return self._has_promises_at(self._context.clock.now_ms())
@@ -212,6 +234,7 @@
         if isinstance(ttl_ms, float):
             self._take_ttl(sent_ms, ttl_ms)
             return
+        self._failed_renewals += 1
         self._context.count("lease_renewals_failed_total")
 
     def register(self) -> bool:
@@ -323,7 +346,8 @@
 
     def gather_promises(self) -> None:
         """Ask every router of the region not to take over, while renewals fail."""
-        if self.hears_store() or not self.lease:
+        is_doubted = self._doubted_ms >= self.renewed_ms
+        if not self.lease or (self.hears_store() and not is_doubted):
             return
         settings = self._context.settings
         now_ms = self._context.clock.now_ms()
@@ -383,10 +407,39 @@
         self, stream: PeerStream, request: PromiseRequest
     ) -> None:
         if self.hears_store():
+            start_task(
+                self._context, "promise", self._promise_unless_heard, stream, request
+            )
+            return
+        self._promise(stream, request)
+
+    def _promise_unless_heard(
+        self, stream: PeerStream, request: PromiseRequest
+    ) -> None:
+        """Look first whether the service, heard a short while ago, is still heard."""
+        if self._hears_probe():
             # The asker can renew its lease through this router instead.
             reason = "this router reaches the key-value service"
             stream.send(PromiseResult(request.nonce, False, reason))
             return
+        self._promise(stream, request)
+
+    def _hears_probe(self) -> bool:
+        """Return whether the service answers a renewal that is sent now."""
+        clock = self._context.clock
+        if clock.now_ms() - self._probe_ms > PROBE_MS:
+            self._probe_ms = clock.now_ms()
+            self._probe_failures = self._failed_renewals
+            start_task(self._context, "probe", self.renew)
+        # One renewal answers all that ask within its time.
+        sent_ms, failures = self._probe_ms, self._probe_failures
+        while self.renewed_ms < sent_ms and self._failed_renewals == failures:
+            if clock.now_ms() - sent_ms > PROBE_MS:
+                return False
+            eventlet.sleep(PROBE_LOOK_MS / 1000.0)
+        return self.renewed_ms >= sent_ms
+
+    def _promise(self, stream: PeerStream, request: PromiseRequest) -> None:
         if not self._is_member(stream):
             # Its shards may have another owner, which a promise would not undo.
             reason = "the asker's lease has ended as far as this router knows"
--- a/packages/lagoonsail-router/tests/conftest.py
+++ b/packages/lagoonsail-router/tests/conftest.py
@@ -194,8 +194,14 @@
 
 
 @pytest.fixture
-def key_store(context, store, configuration, peers):
-    return KeyStore(context, store, configuration, peers)
+def doubts():
+    """One entry for each time that the key store had promises asked for."""
+    return []
+
+
+@pytest.fixture
+def key_store(context, store, configuration, peers, doubts):
+    return KeyStore(context, store, configuration, peers, lambda: doubts.append(1))
 
 
 @pytest.fixture
--- a/packages/lagoonsail-router/tests/test_right.py
+++ b/packages/lagoonsail-router/tests/test_right.py
@@ -247,11 +247,12 @@
 
 
 def test_promise_is_given_only_without_the_service_and_counts_from_receipt(
-    right, peers, time, configuration, member_value
+    right, peers, time, configuration, member_value, wait_until
 ):
     configuration.apply("members/cordero-2", 90, member_value("cordero-2"))
     stream = peers.connect("cordero-2")
     peers.deliver(stream, PromiseRequest(1, PROMISE_MS))
+    wait_until(lambda: stream.of(PromiseResult))
     assert [m.promised for m in stream.of(PromiseResult)] == [False]
     assert right.promised_until_ms("cordero-2") == float("-inf")
     time.pass_ms(TTL_MS)
