Give field checks, key messages and right messages modules of their own

cause: messages.py had grown to 466 lines with four matters: the messages of streams and slots, those of idempotency keys, those of renewals and promises, and the checks of received fields. change: key_messages, right_messages and field_checks hold the last three; messages keeps the rest with the tags and the encoding (340 lines), and imports their classes for its tags. No message, tag or encoding changes. ruled out: a module of its own for the encoding. It would fit better, but moves names that lagoonsail-peer imports, which others are changing now. tests: those of lagoonsail-core and lagoonsail-router's units pass; field_checks has a doctest.

--- a/packages/lagoonsail-core/src/lagoonsail_core/messages.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/messages.py
@@ -8,14 +8,18 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, fields
-from typing import TYPE_CHECKING, get_args, get_origin, get_type_hints
 
 import msgpack
 
 from lagoonsail_core.errors import LagoonsailError
-
-if TYPE_CHECKING:
-    from collections.abc import Callable
+from lagoonsail_core.field_checks import make_checks
+from lagoonsail_core.key_messages import KeysNoted, KeysNotice, KeysWrite, KeysWritten
+from lagoonsail_core.right_messages import (
+    PromiseRequest,
+    PromiseResult,
+    RenewRequest,
+    RenewResult,
+)
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 """Largest frame that is accepted."""
@@ -212,98 +216,6 @@
     """Incarnation, limit and warmth by server, where they changed."""
 
 
-@dataclass(slots=True)
-class KeysNotice:
-    """Idempotency keys that their owner cannot record at the key-value service now."""
-
-    shard: str
-    """The shard."""
-    number: int
-    """Number of the notice at the sender."""
-    keys: list[list]
-    """Pairs of key hash and origin."""
-
-
-@dataclass(slots=True)
-class KeysNoted:
-    """Says that the sender remembers the keys of a notice."""
-
-    shard: str
-    """The shard."""
-    number: int
-    """Number of the notice."""
-
-
-@dataclass(slots=True)
-class KeysWrite:
-    """Asks a peer to write keys of a shard that the sender owns to the service."""
-
-    nonce: int
-    """Number of the question."""
-    shard: str
-    """The shard."""
-    epoch: int
-    """Epoch of the sender's ownership."""
-    number: int
-    """Number of the write, which grows in the epoch."""
-    changes: list[list]
-    """Pairs of key hash and origin; origin 0 frees a key."""
-
-
-@dataclass(slots=True)
-class KeysWritten:
-    """Answer to a write through a peer."""
-
-    nonce: int
-    """Number of the question."""
-    revision: int
-    """Revision of the write; 0 if it is not known to be done."""
-    reason: str
-    """Why it is not known to be done, else empty."""
-
-
-@dataclass(slots=True)
-class RenewRequest:
-    """Asks a peer to renew the sender's lease at the key-value service."""
-
-    nonce: int
-    """Number of the attempt."""
-    lease: int
-    """Lease at the key-value service."""
-
-
-@dataclass(slots=True)
-class RenewResult:
-    """Answer to a renewal through a peer."""
-
-    nonce: int
-    """Number of the attempt."""
-    ttl_ms: float
-    """Remaining time of the lease; 0 if it has lapsed, -1 if the service is down."""
-
-
-@dataclass(slots=True)
-class PromiseRequest:
-    """Asks a member not to take over the sender's shards for a while."""
-
-    nonce: int
-    """Number of the attempt."""
-    duration_ms: float
-    """How long, from the receipt of this message."""
-
-
-@dataclass(slots=True)
-class PromiseResult:
-    """Answer to a promise request."""
-
-    nonce: int
-    """Number of the attempt."""
-    promised: bool
-    """Whether the sender will take over nothing from the receiver meanwhile."""
-    reason: str
-    """Why it was not promised, else empty."""
-
-
 REFUSED_NOT_OWNER = "not_owner"
 """The receiver of the slot request does not own the shard now."""
 REFUSED_QUEUE_FULL = "queue_full"
@@ -379,45 +291,7 @@
     return msgpack.packb([logical, body], unicode_errors=_UNICODE_ERRORS)
 
 
-def _is_finite(value: object) -> bool:
-    # NaN and infinity would pass every later comparison.
-    return type(value) in (int, float) and abs(value) < 1e300
-
-
-def _make_list_check(inner: Callable[[object], bool]) -> Callable[[object], bool]:
-    return lambda value: type(value) is list and all(map(inner, value))
-
-
-def _make_dict_check(
-    key_check: Callable[[object], bool], value_check: Callable[[object], bool]
-) -> Callable[[object], bool]:
-    return lambda value: (
-        type(value) is dict
-        and all(map(key_check, value))
-        and all(map(value_check, value.values()))
-    )
-
-
-def _make_check(hint: object) -> Callable[[object], bool]:
-    """Return the check of a field; made once, since every message passes it."""
-    if get_origin(hint) is list:
-        return _make_list_check(_make_check(get_args(hint)[0]))
-    if get_origin(hint) is dict:
-        key_hint, value_hint = get_args(hint)
-        return _make_dict_check(_make_check(key_hint), _make_check(value_hint))
-    if hint is float:
-        return _is_finite
-    if hint is list:
-        return lambda value: type(value) is list
-    return lambda value: type(value) is hint
-
-
-def _make_checks(kind: type) -> tuple[tuple[str, Callable[[object], bool]], ...]:
-    hints = get_type_hints(kind)
-    return tuple((name, _make_check(hints[name])) for name in _FIELDS[kind])
-
-
-_CHECKS = {kind: _make_checks(kind) for kind in _TAG_OF}
+_CHECKS = {kind: make_checks(kind) for kind in _TAG_OF}
 
 
 def _decode_message(item: object) -> object:
--- a/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
@@ -21,7 +21,7 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.green import eventlet
-from lagoonsail_core.messages import KeysNoted, KeysNotice
+from lagoonsail_core.key_messages import KeysNoted, KeysNotice
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_router.context import start_task
 from lagoonsail_router.key_store import RETENTION_MS
--- a/packages/lagoonsail-router/src/lagoonsail_router/key_store.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/key_store.py
@@ -16,7 +16,7 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.green import eventlet
-from lagoonsail_core.messages import KeysWrite, KeysWritten
+from lagoonsail_core.key_messages import KeysWrite, KeysWritten
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_router.configuration import OWNED
 from lagoonsail_router.context import start_task
