Follow the owners of shards in a module of its own

Behaviour and messages are unchanged. tests: test_ticket_desk imports the moved names from where they are now; nothing else in it changes.

--- a/packages/lagoonsail-router/benchmarks/slot_cost.py
+++ b/packages/lagoonsail-router/benchmarks/slot_cost.py
@@ -40,9 +40,10 @@
 from lagoonsail_peer.server import PeerServer
 from lagoonsail_router.configuration import Configuration
 from lagoonsail_router.context import RouterContext
+from lagoonsail_router.held_slot import make_done
 from lagoonsail_router.right import FULL
 from lagoonsail_router.shard_owner import INVENTORY_WAIT_MS, ShardOwner
-from lagoonsail_router.ticket_desk import TicketDesk, make_done
+from lagoonsail_router.ticket_desk import TicketDesk
 
 STREAMS = 24
 """Entry routers, each with a stream of its own: calls are spread over 24 owners."""
--- /dev/null
+++ b/packages/lagoonsail-router/src/lagoonsail_router/attachments.py
@@ -0,0 +1,171 @@
+"""The routers that this one deals with for its shards: their owners."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonsail_core.messages import Inventory
+    from lagoonsail_router.configuration import Configuration
+    from lagoonsail_router.context import RouterContext
+    from lagoonsail_router.peers import PeerDirectory
+
+ATTACH_RETRY_MS = 300.0
+"""Time after which an unanswered inventory is sent again."""
+FORGET_ATTACHMENT_MS = 600_000.0
+"""Idle time after which a shard's owner is no longer followed."""
+
+
+@dataclass(slots=True)
+class Attachment:
+    """The dealings with the owner of one shard."""
+
+    shard: str
+    """The shard."""
+    used_ms: float
+    """When a call last needed the shard."""
+    stream: object = None
+    """Stream to the owner, None while there is none."""
+    sent_ms: float = 0.0
+    """When the inventory was sent on the stream."""
+    is_open: bool = False
+    """Whether the owner has answered the inventory."""
+
+
+class Attachments:
+    """The dealings with the owners of the shards in use."""
+
+    __slots__ = (
+        "_configuration",
+        "_context",
+        "_local_stream",
+        "_make_inventory",
+        "_on_detach",
+        "_peers",
+        "by_shard",
+    )
+
+    by_shard: dict[str, Attachment]
+    """Dealings by shard."""
+
+    def __init__(
+        self,
+        context: RouterContext,
+        configuration: Configuration,
+        peers: PeerDirectory,
+        local_stream: object,
+        make_inventory: Callable[[str], Inventory],
+        on_detach: Callable[[str], None],
+    ) -> None:
+        self._context = context
+        self._configuration = configuration
+        self._peers = peers
+        self._local_stream = local_stream
+        self._make_inventory = make_inventory
+        self._on_detach = on_detach
+        self.by_shard = {}
+
+    def use(self, shard: str) -> Attachment:
+        """Return the dealings with a shard's owner, and follow it from now on.
+
+        Args:
+            shard: The shard.
+        """
+        now_ms = self._context.clock.now_ms()
+        attachment = self.by_shard.setdefault(shard, Attachment(shard, now_ms))
+        attachment.used_ms = now_ms
+        return attachment
+
+    def open_stream(self, shard: str) -> object | None:
+        """Return the stream to a shard's owner if it takes requests, else None.
+
+        Args:
+            shard: The shard.
+        """
+        attachment = self.by_shard.get(shard)
+        return attachment.stream if attachment and attachment.is_open else None
+
+    def on_stream(self, shard: str, stream: object) -> Attachment | None:
+        """Return the dealings with a shard's owner if they go over a stream.
+
+        Args:
+            shard: The shard.
+            stream: The stream.
+        """
+        attachment = self.by_shard.get(shard)
+        return attachment if attachment and attachment.stream is stream else None
+
+    def follow(self, is_in_use: Callable[[str], bool]) -> None:
+        """Turn to the present owners, and forget shards that were idle for long.
+
+        Args:
+            is_in_use: Tells whether calls wait or run at a shard.
+        """
+        now_ms = self._context.clock.now_ms()
+        for attachment in list(self.by_shard.values()):
+            is_old = now_ms - attachment.used_ms >= FORGET_ATTACHMENT_MS
+            if is_old and not is_in_use(attachment.shard):
+                del self.by_shard[attachment.shard]
+                continue
+            self._follow_one(attachment, now_ms)
+
+    def _follow_one(self, attachment: Attachment, now_ms: float) -> None:
+        stream = self._stream_to_owner(attachment.shard)
+        if stream is None:
+            self._detach(attachment)
+            return
+        if attachment.stream is not stream:
+            self._detach(attachment)
+            self.attach(attachment)
+            return
+        is_late = now_ms - attachment.sent_ms > ATTACH_RETRY_MS
+        if not attachment.is_open and is_late:
+            self.attach(attachment)
+
+    def _stream_to_owner(self, shard: str) -> object | None:
+        owner = self._configuration.owner_of(shard)
+        if not owner:
+            return None
+        if owner == self._context.settings.name:
+            return self._local_stream
+        return self._peers.stream_to(owner)
+
+    def attach(self, attachment: Attachment) -> None:
+        """Send the inventory to the owner if there is a stream.
+
+        Args:
+            attachment: The dealings to begin.
+        """
+        stream = self._stream_to_owner(attachment.shard)
+        if stream is None:
+            return
+        attachment.stream = stream
+        attachment.sent_ms = self._context.clock.now_ms()
+        stream.send(self._make_inventory(attachment.shard))
+
+    def close(self, attachment: Attachment) -> None:
+        """Ask the owner nothing more until it answers a new inventory.
+
+        Args:
+            attachment: The dealings with the owner.
+        """
+        attachment.is_open = False
+        attachment.sent_ms = self._context.clock.now_ms()
+
+    def lose_stream(self, stream: object) -> None:
+        """End the dealings over a stream that has closed.
+
+        Args:
+            stream: The stream.
+        """
+        for attachment in self.by_shard.values():
+            if attachment.stream is stream:
+                self._detach(attachment)
+
+    def _detach(self, attachment: Attachment) -> None:
+        attachment.stream = None
+        attachment.is_open = False
+        self._on_detach(attachment.shard)
--- a/packages/lagoonsail-router/src/lagoonsail_router/entry.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/entry.py
@@ -28,9 +28,9 @@
 from lagoonsail_router.call_queue import CallerGoneError, CallQueue
 from lagoonsail_router.caller_watch import CHECK_INTERVAL_MS, make_caller_watch
 from lagoonsail_router.context import LEAVING
+from lagoonsail_router.held_slot import make_done
 from lagoonsail_router.problems import UNKNOWN, CallProblem
 from lagoonsail_router.retry_budget import RetryBudget
-from lagoonsail_router.ticket_desk import make_done
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
--- a/packages/lagoonsail-router/src/lagoonsail_router/ticket_desk.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/ticket_desk.py
@@ -21,17 +21,15 @@
     SlotRequest,
     SlotStart,
 )
+from lagoonsail_router.attachments import Attachments
+from lagoonsail_router.held_slot import HeldSlot, make_done
 
 if TYPE_CHECKING:
+    from lagoonsail_router.attachments import Attachment
     from lagoonsail_router.configuration import Configuration
     from lagoonsail_router.context import RouterContext
     from lagoonsail_router.peers import PeerDirectory
 
-ATTACH_RETRY_MS = 300.0
-"""Time after which an unanswered inventory is sent again."""
-FORGET_ATTACHMENT_MS = 600_000.0
-"""Idle time after which a shard's owner is no longer followed."""
-
 
 @dataclass(slots=True)
 class WaitingCall:
@@ -59,47 +57,13 @@
     """Whether the present owner has been asked."""
 
 
-@dataclass(slots=True)
-class HeldSlot:
-    """A slot that this router holds."""
-
-    grant: SlotGrant
-    """The grant."""
-    account: str
-    """Client account."""
-    granted_ms: float
-    """When the grant arrived."""
-    cost: float = 0.0
-    """Cost so far."""
-    done: SlotDone | None = None
-    """What could not be delivered to the owner yet."""
-
-
-@dataclass(slots=True)
-class Attachment:
-    """The dealings with the owner of one shard."""
-
-    shard: str
-    """The shard."""
-    used_ms: float
-    """When a call last needed the shard."""
-    stream: object = None
-    """Stream to the owner, None while there is none."""
-    sent_ms: float = 0.0
-    """When the inventory was sent on the stream."""
-    is_open: bool = False
-    """Whether the owner has answered the inventory."""
-
-
 class TicketDesk:
-    """Waiting calls, held slots and attachments of this router."""
+    """Waiting calls and held slots of this router."""
 
     __slots__ = (
-        "_configuration",
+        "_attachments",
         "_context",
-        "_local_stream",
         "_next_ticket",
-        "_peers",
         "attachments",
         "held",
         "waiting",
@@ -120,13 +84,18 @@
         local_stream: object,
     ) -> None:
         self._context = context
-        self._configuration = configuration
-        self._peers = peers
-        self._local_stream = local_stream
         self._next_ticket = 0
         self.waiting = {}
         self.held = {}
-        self.attachments = {}
+        self._attachments = Attachments(
+            context,
+            configuration,
+            peers,
+            local_stream,
+            self._inventory,
+            self._forget_asked,
+        )
+        self.attachments = self._attachments.by_shard
         peers.handle(SlotGrant, self._take_grant)
         peers.handle(SlotRefusal, self._take_refusal)
         peers.handle(InventoryTaken, self._take_inventory_answer)
@@ -170,13 +139,11 @@
             event,
         )
         self.waiting[call.ticket] = call
-        now_ms = self._context.clock.now_ms()
-        attachment = self.attachments.setdefault(shard, Attachment(shard, now_ms))
-        attachment.used_ms = now_ms
+        attachment = self._attachments.use(shard)
         if attachment.is_open:
-            self._send_request(attachment, call)
+            self._send_request(attachment.stream, call)
         elif attachment.stream is None:
-            self._attach(attachment)
+            self._attachments.attach(attachment)
         return call
 
     def is_open(self, shard: str) -> bool:
@@ -185,19 +152,16 @@
         Args:
             shard: The shard.
         """
-        now_ms = self._context.clock.now_ms()
-        attachment = self.attachments.setdefault(shard, Attachment(shard, now_ms))
-        attachment.used_ms = now_ms
-        return attachment.is_open
+        return self._attachments.use(shard).is_open
 
     def cancel(self, call: WaitingCall) -> None:
         """Withdraw a call that no longer wants a slot."""
         if self.waiting.pop(call.ticket, None) is None:
             self._give_back_reply(call)
             return
-        attachment = self.attachments.get(call.shard)
-        if attachment and attachment.is_open and call.is_asked:
-            attachment.stream.send(SlotCancel(call.ticket))
+        stream = self._attachments.open_stream(call.shard)
+        if stream and call.is_asked:
+            stream.send(SlotCancel(call.ticket))
 
     def _give_back_reply(self, call: WaitingCall) -> None:
         """Give back a grant that came just before its call was cancelled."""
@@ -255,48 +219,16 @@
 
     def maintain(self) -> None:
         """Follow the owners of the shards in use."""
-        now_ms = self._context.clock.now_ms()
-        for attachment in list(self.attachments.values()):
-            if self._is_idle(attachment, now_ms):
-                del self.attachments[attachment.shard]
-                continue
-            self._follow(attachment, now_ms)
-
-    def _is_idle(self, attachment: Attachment, now_ms: float) -> bool:
-        if now_ms - attachment.used_ms < FORGET_ATTACHMENT_MS:
-            return False
-        shard = attachment.shard
-        in_use = any(call.shard == shard for call in self.waiting.values())
-        return not in_use and not any(key[0] == shard for key in self.held)
+        self._attachments.follow(self._is_in_use)
 
-    def _follow(self, attachment: Attachment, now_ms: float) -> None:
-        stream = self._stream_to_owner(attachment.shard)
-        if stream is None:
-            self._detach(attachment)
-            return
-        if attachment.stream is not stream:
-            self._detach(attachment)
-            self._attach(attachment)
-            return
-        is_late = now_ms - attachment.sent_ms > ATTACH_RETRY_MS
-        if not attachment.is_open and is_late:
-            self._attach(attachment)
-
-    def _stream_to_owner(self, shard: str) -> object | None:
-        owner = self._configuration.owner_of(shard)
-        if not owner:
-            return None
-        if owner == self._context.settings.name:
-            return self._local_stream
-        return self._peers.stream_to(owner)
-
-    def _attach(self, attachment: Attachment) -> None:
-        stream = self._stream_to_owner(attachment.shard)
-        if stream is None:
-            return
-        attachment.stream = stream
-        attachment.sent_ms = self._context.clock.now_ms()
-        stream.send(self._inventory(attachment.shard))
+    def _is_in_use(self, shard: str) -> bool:
+        is_waiting = any(call.shard == shard for call in self.waiting.values())
+        return is_waiting or any(key[0] == shard for key in self.held)
+
+    def _forget_asked(self, shard: str) -> None:
+        for call in self.waiting.values():
+            if call.shard == shard:
+                call.is_asked = False
 
     def _inventory(self, shard: str) -> Inventory:
         now_ms = self._context.clock.now_ms()
@@ -314,24 +246,13 @@
         ]
         return Inventory(shard, running)
 
-    def _detach(self, attachment: Attachment) -> None:
-        attachment.stream = None
-        attachment.is_open = False
-        for call in self.waiting.values():
-            if call.shard == attachment.shard:
-                call.is_asked = False
-
     def _lose_stream(self, stream) -> None:
-        for attachment in self.attachments.values():
-            if attachment.stream is stream:
-                self._detach(attachment)
+        self._attachments.lose_stream(stream)
         self.maintain()
 
     def _take_inventory_answer(self, stream, answer: InventoryTaken) -> None:
-        attachment = self.attachments.get(answer.shard)
-        if attachment is None or attachment.stream is not stream:
-            return
-        if answer.epoch == 0:
+        attachment = self._attachments.on_stream(answer.shard, stream)
+        if attachment is None or answer.epoch == 0:
             return
         attachment.is_open = True
         for key, held in list(self.held.items()):
@@ -340,11 +261,11 @@
                 del self.held[key]
         for call in list(self.waiting.values()):
             if call.shard == answer.shard and not call.is_asked:
-                self._send_request(attachment, call)
+                self._send_request(stream, call)
 
-    def _send_request(self, attachment: Attachment, call: WaitingCall) -> None:
+    def _send_request(self, stream, call: WaitingCall) -> None:
         call.is_asked = True
-        attachment.stream.send(
+        stream.send(
             SlotRequest(
                 call.ticket,
                 call.shard,
@@ -358,17 +279,17 @@
         )
 
     def _send(self, shard: str, message: object) -> bool:
-        attachment = self.attachments.get(shard)
-        if attachment is None or not attachment.is_open:
+        stream = self._attachments.open_stream(shard)
+        if stream is None:
             return False
-        attachment.stream.send(message)
+        stream.send(message)
         return True
 
     def _note(self, shard: str, message: object) -> None:
         """Send what nobody waits for along with the next frame to the owner."""
-        attachment = self.attachments.get(shard)
-        if attachment and attachment.is_open:
-            attachment.stream.send_along(message)
+        stream = self._attachments.open_stream(shard)
+        if stream:
+            stream.send_along(message)
 
     def _take_grant(self, stream, grant: SlotGrant) -> None:
         now_ms = self._context.clock.now_ms()
@@ -393,44 +314,9 @@
         call.event.send(refusal)
 
     def _ask_again(self, call: WaitingCall, stream) -> None:
-        attachment = self.attachments.get(call.shard)
-        if attachment is None or attachment.stream is not stream:
+        attachment = self._attachments.on_stream(call.shard, stream)
+        if attachment is None:
             # The next owner may have been asked already.
             return
         call.is_asked = False
-        # Until the owner answers a new inventory, it is not asked again.
-        attachment.is_open = False
-        attachment.sent_ms = self._context.clock.now_ms()
-
-
-def make_done(
-    grant: SlotGrant,
-    outcome: str,
-    cost: float = 0.0,
-    server_incarnation: str = "",
-    first_ms: float = 0.0,
-    duration_ms: float = 0.0,
-) -> SlotDone:
-    """Return the message that gives a slot back.
-
-    Args:
-        grant: The grant of the slot.
-        outcome: One of the OUTCOME constants.
-        cost: Whole cost in the service's unit.
-        server_incarnation: Incarnation that the server reported.
-        first_ms: Time until the first byte.
-        duration_ms: Time until the end.
-
-    Returns:
-        The message.
-    """
-    return SlotDone(
-        grant.shard,
-        grant.epoch,
-        grant.slot,
-        outcome,
-        float(cost),
-        server_incarnation,
-        float(first_ms),
-        float(duration_ms),
-    )
+        self._attachments.close(attachment)
--- a/packages/lagoonsail-router/tests/test_ticket_desk.py
+++ b/packages/lagoonsail-router/tests/test_ticket_desk.py
@@ -17,12 +17,9 @@
     SlotRequest,
     SlotStart,
 )
-from lagoonsail_router.ticket_desk import (
-    ATTACH_RETRY_MS,
-    FORGET_ATTACHMENT_MS,
-    TicketDesk,
-    make_done,
-)
+from lagoonsail_router.attachments import ATTACH_RETRY_MS, FORGET_ATTACHMENT_MS
+from lagoonsail_router.held_slot import make_done
+from lagoonsail_router.ticket_desk import TicketDesk
 
 SHARD = "cordero/registro@sierra-central"
 KEY = f"shards/{SHARD}"
