Split the fair queue into its parts

cause: fair_queue.py had grown to 649 lines with six matters. change: waiting has the request that waits, queue_account what is known of an account, backlog the heap over backlogged accounts, charges what running requests are charged, cost_estimate what a request is expected to cost, gap_bound the bound with its proof and its check, remote_service what other shards report. fair_queue puts them together (390 lines).

--- a/packages/lagoonsail-lab/src/lagoonsail_lab/baseline_router.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/baseline_router.py
@@ -29,8 +29,8 @@
 from lagoonsail_router.problems import UNKNOWN, CallProblem
 from lagoonsail_router.store_sync import StoreSync
 from lagoonsail_sharing.baseline import FifoQueue, choose_random_server
-from lagoonsail_sharing.fair_queue import Waiting
 from lagoonsail_sharing.placement import Candidate
+from lagoonsail_sharing.waiting import Waiting
 from lagoonsail_store.host_list import HostList
 from lagoonsail_store.store_client import StoreClient
 
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/fairness.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/fairness.py
@@ -173,7 +173,7 @@
     slots = service.slots * len(service.servers)
 
     def bound(pair: tuple[str, str]) -> float:
-        # Twice (1) of fair_queue, since the interval begins at any time.
+        # Twice (1) of gap_bound, since the interval begins at any time.
         return 2 * slots * TOKENS[1] / min(shares[name] for name in pair)
 
     unit = "tokens/share"
--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -31,9 +31,10 @@
 from lagoonsail_router.load_reports import REPORT_LAG_MS, read_load
 from lagoonsail_router.right import FULL, LAPSED
 from lagoonsail_router.shard_servers import ShardServers
-from lagoonsail_sharing.fair_queue import FairQueue, Waiting
+from lagoonsail_sharing.fair_queue import FairQueue
 from lagoonsail_sharing.placement import LOOK_AHEAD, choose_request, choose_server
 from lagoonsail_sharing.prefix_index import PrefixIndex
+from lagoonsail_sharing.waiting import Waiting
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/lagoonsail-sharing/benchmarks/fair_queue_cost.py
+++ b/packages/lagoonsail-sharing/benchmarks/fair_queue_cost.py
@@ -15,7 +15,8 @@
 
 import defopt
 
-from lagoonsail_sharing.fair_queue import FairQueue, Waiting
+from lagoonsail_sharing.fair_queue import FairQueue
+from lagoonsail_sharing.waiting import Waiting
 
 SLOTS = 64
 """Slots in use at once."""
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/baseline.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/baseline.py
@@ -7,7 +7,7 @@
     >>> queue = FifoQueue(max_waiting_per_account=2)
     >>> queue.set_shares({"a": 1.0, "b": 1.0})
     []
-    >>> from lagoonsail_sharing.fair_queue import Waiting
+    >>> from lagoonsail_sharing.waiting import Waiting
     >>> for number, account in enumerate("aab"):
     ...     _ = queue.add(Waiting((number,), account, 1.0, since_ms=float(number)))
     >>> for slot in range(2):
@@ -25,8 +25,8 @@
     from collections.abc import Hashable, Iterable
     from random import Random
 
-    from lagoonsail_sharing.fair_queue import Waiting
     from lagoonsail_sharing.placement import Candidate
+    from lagoonsail_sharing.waiting import Waiting
 
 
 class FifoQueue:
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/fair_queue.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/fair_queue.py
@@ -1,51 +1,11 @@
 """The queue of one shard, served in order of normalised service.
 
-Terms. The normalised service of an account is the cost charged to it divided by its
-share. The position of an account is its normalised service in this shard, plus what
-other shards report, plus an offset that this queue sets when the account comes back
-from idle. The waiting request at the head of the backlogged account with the least
-position goes first.
-
-Charges. A running request is charged max(estimate, progress); when it ends, the real
-cost replaces the charge. So a position falls only when an estimate is settled.
-
-Bound. Let L be the largest cost of one request, S the most slots in use at once, w the
-shares, n_a the slots that account a has in use. At any time write
-
-    hi_a = position_a + sum over running requests of a of (L - charge) / w_a
-    lo_a = position_a - sum over running requests of a of charge / w_a
-
-The cost really run lies between, whatever the estimates were. Without a new start of a,
-hi_a never grows and lo_a never falls: each settled charge was counted in full. When a
-starts a request it has the least position, so for each backlogged b just after it
-
-    hi_a - lo_b <= n_a * L / w_a + n_b * L / w_b <= S * L / min(w_a, w_b)
-
-and hence, for any two accounts while both are backlogged,
-
-    |position_a - position_b| <= S * L / min(w_a, w_b)            (1)
-
-both by charges and by real costs. Over an interval in which both were backlogged from
-its beginning to its end, the normalised service received differs by at most twice that,
-and by (1) itself if the interval begins when they join at the same position. A wrong
-estimate enters only through L, once for each running request.
-
-Joining keeps (1). An account that comes back joins at no less than the least position
-among the backlogged (with none, at the greatest position picked so far), which no
-later refund for requests started before can undercut, and at no more than
-min(lo) + S * L / min(w): neither credit nor debt beyond (1) outlives an idle time.
-Service reported by other shards, a new set of shares and a take-over move positions
-from outside; after them positions are cut down to the same ceiling. The service that
-is published is not touched by these offsets.
-
-Over K shards that exchange digests, the least position is chosen by values up to T ms
-old. For accounts backlogged in every shard, the service in all shards together differs
-by at most the sum of (1) over the shards plus T * R / min(w), where R is the cost that
-the other shards run in one ms: at the last start of an account anywhere the others had
-at least its service as it was known there. This holds while no report brings more than
-the sum of (1), the ceiling above which service elsewhere is forgotten.
+The oldest request of the backlogged account with the least position goes first. A
+request that starts is charged an estimate, and its cost when it ends. `gap_bound` has
+the terms, and the proof that the gap between any two accounts stays bounded.
 
 Example:
+    >>> from lagoonsail_sharing.waiting import Waiting
     >>> queue = FairQueue(max_waiting_per_account=8, max_cost=10.0)
     >>> queue.set_shares({"a": 1.0, "b": 3.0})
     []
@@ -68,107 +28,25 @@
 
 from __future__ import annotations
 
-import heapq
 import math
 from bisect import bisect_left, insort
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.invariants import require
+from lagoonsail_sharing.backlog import Backlog
+from lagoonsail_sharing.charges import Charges
+from lagoonsail_sharing.cost_estimate import CostEstimate
+from lagoonsail_sharing.gap_bound import GapBound
+from lagoonsail_sharing.queue_account import QueueAccount
+from lagoonsail_sharing.remote_service import RemoteService
 
 if TYPE_CHECKING:
     from collections.abc import Hashable
 
-HINT_FACTOR = 4.0
-"""A hint is used within this factor of the account's mean cost."""
-LEARNING_RATE = 0.1
-"""Weight of the newest cost in the mean cost of an account."""
+    from lagoonsail_sharing.waiting import Waiting
+
 DEFAULT_COST = 1.0
 """Estimate where there is neither a hint nor any settled cost."""
-ROUNDING = 1e-9
-"""Relative error allowed for sums of floating-point numbers."""
-
-
-@dataclass(slots=True)
-class Waiting:
-    """A request that waits for a slot."""
-
-    ticket: tuple
-    """Identifies the request: sender, sender's incarnation, number."""
-    account: str
-    """Client account, unqualified."""
-    estimate: float
-    """The caller's hint in the service's unit; 0 where there is none."""
-    prefix: list[int] = field(default_factory=list)
-    """Hashes of the prompt's prefixes, shortest first."""
-    key: int = 0
-    """Hash of the idempotency key of a call that may not be repeated, else 0."""
-    since_ms: float = 0.0
-    """Local monotonic time since which the request waits."""
-    source: object = None
-    """Where the grant is to go."""
-    passed: int = 0
-    """How many later requests of its account were started before it."""
-
-
-class _Account:
-    """What the queue knows of one account."""
-
-    __slots__ = (
-        "charged",
-        "entry",
-        "episode",
-        "hint_error",
-        "mean_cost",
-        "mean_error",
-        "name",
-        "picked",
-        "position",
-        "refundable",
-        "remote",
-        "running",
-        "served",
-        "share",
-        "waiting",
-    )
-
-    def __init__(self, name: str, share: float) -> None:
-        self.name = name
-        self.share = share
-        self.served = 0.0
-        # Unlike served, this includes remote service and the offset.
-        self.position = 0.0
-        self.waiting: list[tuple[float, int, Waiting]] = []
-        self.entry: tuple | None = None
-        self.picked = 0
-        # Counts the times the account became backlogged.
-        self.episode = 0
-        # What requests of earlier episodes may still give back, normalised.
-        self.refundable = 0.0
-        self.running = 0
-        # Sum of the charges of running requests, not normalised.
-        self.charged = 0.0
-        self.mean_cost = 0.0
-        # Mean absolute logarithms of how far hints and the mean cost were off.
-        self.hint_error = 0.0
-        self.mean_error = 0.0
-        # By shard: the service first reported and the greatest reported.
-        self.remote: dict[str, list[float]] = {}
-
-
-@dataclass(slots=True)
-class _Slot:
-    """A running request."""
-
-    account: _Account
-    episode: int
-    """Episode of the account in which it started."""
-    hint: float = 0.0
-    """The caller's hint; 0 where there was none."""
-    charge: float = 0.0
-    """What is charged, in the service's unit."""
-    normalised: float = 0.0
-    """The same as counted in the account's service, by the shares of the time."""
 
 
 class FairQueue:
@@ -182,18 +60,13 @@
 
     __slots__ = (
         "_accounts",
-        "_backlogged",
+        "_backlog",
+        "_bound",
         "_by_ticket",
-        "_heap",
-        "_largest_cost",
-        "_least_share",
-        "_mean_cost",
-        "_most_running",
+        "_charges",
         "_picks",
+        "_remote",
         "_sequence",
-        "_shards",
-        "_slots",
-        "_unchecked",
         "_virtual",
         "max_cost",
         "max_waiting_per_account",
@@ -211,21 +84,15 @@
         slots: int = 0,
     ) -> None:
         self.max_waiting_per_account = max_waiting_per_account
-        self._accounts: dict[str, _Account] = {}
-        self._backlogged: dict[str, _Account] = {}
-        # Lowest position first. An entry may lag behind a position that has grown.
-        self._heap: list[tuple[float, int, str]] = []
-        self._by_ticket: dict[tuple, tuple[_Account, float, int]] = {}
-        self._slots: dict[Hashable, _Slot] = {}
-        self._shards: set[str] = set()
+        self._accounts: dict[str, QueueAccount] = {}
+        self._backlog = Backlog()
+        self._bound = GapBound()
+        self._charges = Charges(self._backlog, self._bound)
+        self._by_ticket: dict[tuple, tuple[QueueAccount, float, int]] = {}
+        self._remote = RemoteService()
         self._virtual = 0.0
-        self._largest_cost = 0.0
-        self._most_running = 0
-        self._least_share = 1.0
-        self._mean_cost = 0.0
         self._sequence = 0
         self._picks = 0
-        self._unchecked = 0
         self.set_limits(max_cost, slots)
 
     def __len__(self) -> int:
@@ -246,8 +113,8 @@
         """
         self.max_cost = max_cost
         if max_cost < math.inf:
-            self._largest_cost = max(self._largest_cost, max_cost)
-        self._most_running = max(self._most_running, slots)
+            self._bound.note_cost(max_cost)
+        self._bound.note_running(slots)
 
     def set_shares(self, shares: dict[str, float]) -> list[Waiting]:
         """Take the accounts of a new document; service already counted stays.
@@ -262,18 +129,19 @@
             require(share > 0, "share_positive", f"{name} has share {share}")
             account = self._accounts.get(name)
             if account is None:
-                self._accounts[name] = _Account(name, share)
+                self._accounts[name] = QueueAccount(name, share)
             else:
                 account.share = share
         removed = []
         for name in self._accounts.keys() - shares.keys():
             account = self._accounts.pop(name)
-            self._backlogged.pop(name, None)
+            self._backlog.remove(name)
+            self._remote.forget(name)
             removed.extend(waiting for _, _, waiting in account.waiting)
             account.waiting.clear()
         for waiting in removed:
             del self._by_ticket[waiting.ticket]
-        self._least_share = min(shares.values(), default=1.0)
+        self._bound.least_share = min(shares.values(), default=1.0)
         self._cut_positions()
         return removed
 
@@ -321,7 +189,7 @@
         index = bisect_left(account.waiting, (since_ms, sequence))
         waiting = account.waiting.pop(index)[2]
         if not account.waiting:
-            del self._backlogged[account.name]
+            self._backlog.remove(account.name)
         return waiting
 
     def pick(self) -> Waiting | None:
@@ -335,10 +203,10 @@
             InvariantError: If the gap between backlogged accounts exceeds its bound.
                 Checked once for as many picks as accounts are backlogged.
         """
-        account = self._least()
+        account = self._backlog.least()
         if account is None:
             return None
-        self._check_gap()
+        self._bound.check(self._backlog.accounts())
         return account.waiting[0][2]
 
     def oldest(self, account: str, count: int) -> list[Waiting]:
@@ -368,7 +236,7 @@
             InvariantError: If a less served account is backlogged or the slot is used.
         """
         account = self._accounts.get(waiting.account)
-        require(slot not in self._slots, "slot_used_once", f"slot {slot}")
+        require(slot not in self._charges, "slot_used_once", f"slot {slot}")
         if account is None:
             return
         is_queued = waiting.ticket in self._by_ticket
@@ -378,10 +246,7 @@
             self.cancel(waiting.ticket)
         self._picks += 1
         account.picked = self._picks
-        self._slots[slot] = _Slot(account, account.episode, waiting.estimate)
-        self._most_running = max(self._most_running, len(self._slots))
-        account.running += 1
-        self.progress(slot, self.estimate(waiting))
+        self._charges.start(account, slot, waiting.estimate, self.estimate(waiting))
         if not is_queued:
             # Its account need not have been the least served.
             self._cut_positions()
@@ -398,14 +263,9 @@
             was; at most the largest cost allowed.
         """
         account = self._accounts.get(waiting.account)
-        mean = account.mean_cost if account else 0.0
-        hint = waiting.estimate
-        if account and account.hint_error > account.mean_error:
-            hint = 0.0
-        cost = hint or mean or self._mean_cost or DEFAULT_COST
-        if mean:
-            cost = min(max(cost, mean / HINT_FACTOR), mean * HINT_FACTOR)
-        return min(cost, self.max_cost)
+        estimate = account.estimate if account else CostEstimate()
+        default = self._charges.mean_cost or DEFAULT_COST
+        return min(estimate.of(waiting.estimate, default), self.max_cost)
 
     def progress(self, slot: Hashable, cost: float) -> None:
         """Charge what a running request has cost beyond its charge so far.
@@ -414,18 +274,7 @@
             slot: The slot; one that is not in use is ignored.
             cost: Cost so far in the service's unit.
         """
-        running = self._slots.get(slot)
-        if running is None or cost <= running.charge:
-            return
-        account = running.account
-        grown = cost - running.charge
-        normalised = grown / account.share
-        running.charge = cost
-        running.normalised += normalised
-        self._largest_cost = max(self._largest_cost, cost)
-        account.charged += grown
-        account.served += normalised
-        account.position += normalised
+        self._charges.raise_to(slot, cost)
 
     def settle(self, slot: Hashable, cost: float) -> bool:
         """Replace the charge of a request that has ended by its cost.
@@ -439,20 +288,7 @@
         Returns:
             Whether the slot was in use.
         """
-        cost = max(cost, 0.0)
-        self.progress(slot, cost)
-        running = self._slots.pop(slot, None)
-        if running is None:
-            return False
-        account = running.account
-        account.running -= 1
-        account.charged = account.charged - running.charge if account.running else 0.0
-        self._refund(running, running.charge - cost)
-        if cost > 0:
-            _learn_errors(account, running.hint, cost)
-            account.mean_cost = _learn(account.mean_cost, cost)
-            self._mean_cost = _learn(self._mean_cost, cost)
-        return True
+        return self._charges.settle(slot, max(cost, 0.0))
 
     def service(self) -> dict[str, float]:
         """Return the normalised service of each account in this shard.
@@ -507,23 +343,14 @@
             shard: The shard that reports.
             service: What `service` gave at its owner.
         """
-        is_first = shard not in self._shards
-        self._shards.add(shard)
-        for name, served in service.items():
-            account = self._accounts.get(name)
-            if account is None:
-                continue
-            seen = account.remote.get(shard)
-            if seen is None:
-                seen = account.remote[shard] = [served if is_first else 0.0] * 2
-            if served > seen[1]:
-                account.position += served - seen[1]
-                seen[1] = served
+        growth = self._remote.take(shard, service, self._accounts)
+        for name, grown in growth.items():
+            self._accounts[name].position += grown
         self._cut_positions()
 
     def gap(self) -> float:
         """Return the largest difference of position between backlogged accounts."""
-        positions = [account.position for account in self._backlogged.values()]
+        positions = [account.position for account in self._backlog.accounts()]
         return max(positions) - min(positions) if positions else 0.0
 
     def bound(self, max_cost: float, slots: int) -> float:
@@ -536,114 +363,28 @@
         Returns:
             slots * max_cost / least share, in the service's unit per share.
         """
-        return slots * max_cost / self._least_share
+        return slots * max_cost / self._bound.least_share
 
-    def _refund(self, slot: _Slot, cost: float) -> None:
-        if cost <= 0:
-            return
-        account = slot.account
-        normalised = slot.normalised * cost / slot.charge
-        account.served -= normalised
-        # What was charged at a smaller share may exceed what the bound reckons with.
-        normalised = min(normalised, cost / account.share)
-        if slot.episode != account.episode:
-            normalised = min(normalised, account.refundable)
-            account.refundable -= normalised
-        account.position -= normalised
-        if account.waiting:
-            self._push(account)
-
-    def _push(self, account: _Account) -> None:
-        account.entry = (account.position, account.picked, account.name)
-        heapq.heappush(self._heap, account.entry)
-        if len(self._heap) > 4 * len(self._backlogged) + 64:
-            self._rebuild()
-
-    def _rebuild(self) -> None:
-        self._heap.clear()
-        for account in self._backlogged.values():
-            account.entry = (account.position, account.picked, account.name)
-            self._heap.append(account.entry)
-        heapq.heapify(self._heap)
-
-    def _least(self) -> _Account | None:
-        heap = self._heap
-        while heap:
-            entry = heap[0]
-            account = self._backlogged.get(entry[2])
-            if account is None or account.entry is not entry:
-                heapq.heappop(heap)
-                continue
-            if account.position == entry[0] and account.picked == entry[1]:
-                return account
-            account.entry = (account.position, account.picked, account.name)
-            heapq.heapreplace(heap, account.entry)
-        return None
-
-    def _join(self, account: _Account) -> None:
-        least = self._least()
+    def _join(self, account: QueueAccount) -> None:
+        least = self._backlog.least()
         floor = least.position if least else self._virtual
         if account.position > floor:
-            ceiling = self._ceiling(floor) - self._headroom(account)
+            ceiling = self._bound.ceiling(self._backlog.accounts(), floor)
+            ceiling -= account.headroom(self._bound.largest_cost)
             account.position = min(account.position, ceiling)
         account.position = max(account.position, floor)
         account.refundable = account.position - floor
         account.episode += 1
-        self._backlogged[account.name] = account
-        self._push(account)
-
-    def _headroom(self, account: _Account) -> float:
-        """Return by how much a position can grow without a new start."""
-        room = account.running * self._largest_cost - account.charged
-        return max(room, 0.0) / account.share
-
-    def _ceiling(self, default: float) -> float:
-        """Return the least lower limit of a position, plus the bound."""
-        lowest = min(
-            (a.position - a.charged / a.share for a in self._backlogged.values()),
-            default=default,
-        )
-        return lowest + self.bound(self._largest_cost, self._most_running)
+        self._backlog.add(account)
 
     def _cut_positions(self) -> None:
         """Restore the bound after positions or shares were changed from outside."""
-        ceiling = self._ceiling(0.0)
-        for account in self._backlogged.values():
-            excess = account.position + self._headroom(account) - ceiling
-            if excess > 0:
-                account.position -= excess
-        self._rebuild()
-
-    def _check_least(self, account: _Account) -> None:
-        least = self._least()
+        self._bound.cut(self._backlog.accounts())
+        self._backlog.reorder()
+
+    def _check_least(self, account: QueueAccount) -> None:
+        least = self._backlog.least()
         detail = (
             f"{account.name} at {account.position}, {least.name} at {least.position}"
         )
         require(account.position <= least.position, "fair_start", detail)
-
-    def _check_gap(self) -> None:
-        # A check is linear; one for each round of picks costs no more than the picks.
-        self._unchecked += 1
-        if self._unchecked < len(self._backlogged):
-            return
-        self._unchecked = 0
-        positions = [account.position for account in self._backlogged.values()]
-        gap = max(positions) - min(positions)
-        bound = self.bound(self._largest_cost, self._most_running)
-        allowed = bound + ROUNDING * (abs(max(positions)) + bound)
-        require(gap <= allowed, "fair_gap", f"gap {gap} exceeds {bound}")
-
-
-def _learn_errors(account: _Account, hint: float, cost: float) -> None:
-    """Note how far the hint and the account's mean were from a cost."""
-    if not 0.0 < hint < math.inf or not account.mean_cost:
-        return
-    hint_error = abs(math.log(cost / hint))
-    mean_error = abs(math.log(cost / account.mean_cost))
-    account.hint_error += LEARNING_RATE * (hint_error - account.hint_error)
-    account.mean_error += LEARNING_RATE * (mean_error - account.mean_error)
-
-
-def _learn(mean: float, cost: float) -> float:
-    """Return the mean cost after one more cost."""
-    return mean + LEARNING_RATE * (cost - mean) if mean else cost
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/placement.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/placement.py
@@ -32,8 +32,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from lagoonsail_sharing.fair_queue import Waiting
     from lagoonsail_sharing.prefix_index import PrefixIndex
+    from lagoonsail_sharing.waiting import Waiting
 
 LOOK_AHEAD = 16
 """Requests of one account among which a free slot may choose."""
--- a/packages/lagoonsail-sharing/tests/conftest.py
+++ b/packages/lagoonsail-sharing/tests/conftest.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lagoonsail_sharing.fair_queue import Waiting
+from lagoonsail_sharing.waiting import Waiting
 
 
 @dataclass
--- a/packages/lagoonsail-sharing/tests/test_fair_queue_bound.py
+++ b/packages/lagoonsail-sharing/tests/test_fair_queue_bound.py
@@ -6,7 +6,8 @@
 
 from lagoonsail_core.invariants import InvariantError
 from lagoonsail_sharing.baseline import FifoQueue
-from lagoonsail_sharing.fair_queue import FairQueue, Waiting
+from lagoonsail_sharing.fair_queue import FairQueue
+from lagoonsail_sharing.waiting import Waiting
 
 MAX_COST = 100.0
 NAMES = "abcde"
--- a/packages/lagoonsail-sharing/tests/test_fair_queue_requests.py
+++ b/packages/lagoonsail-sharing/tests/test_fair_queue_requests.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from lagoonsail_sharing.fair_queue import FairQueue, Waiting
+from lagoonsail_sharing.fair_queue import FairQueue
+from lagoonsail_sharing.waiting import Waiting
 
 
 @pytest.fixture
--- a/packages/lagoonsail-sharing/tests/test_fair_queue_returning.py
+++ b/packages/lagoonsail-sharing/tests/test_fair_queue_returning.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
-from lagoonsail_sharing.fair_queue import FairQueue, Waiting
+from lagoonsail_sharing.fair_queue import FairQueue
+from lagoonsail_sharing.waiting import Waiting
 
 
 def queue_of(*names, max_cost=10.0, slots=2, waiting=10_000):
--- a/packages/lagoonsail-sharing/tests/test_placement.py
+++ b/packages/lagoonsail-sharing/tests/test_placement.py
@@ -6,7 +6,6 @@
 from hypothesis import strategies as st
 
 from lagoonsail_sharing.baseline import choose_random_server
-from lagoonsail_sharing.fair_queue import Waiting
 from lagoonsail_sharing.placement import (
     MAX_PASSED,
     Candidate,
@@ -14,6 +13,7 @@
     choose_server,
 )
 from lagoonsail_sharing.prefix_index import PrefixIndex, prefix_hashes
+from lagoonsail_sharing.waiting import Waiting
 
 PREFIXES = ([9], [1], [1, 2], [1, 2])
 loads = st.lists(
