Split the owner of a shard into its parts

Behaviour and messages are unchanged. tests: test_shard_owner replaces read_load in server_polls, where it is called now; nothing else in it changes.

--- /dev/null
+++ b/packages/lagoonsail-router/src/lagoonsail_router/server_polls.py
@@ -0,0 +1,110 @@
+"""Reads of the load reports of a shard's backend servers, and what they lead to."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_router.context import start_task
+from lagoonsail_router.load_reports import read_load
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonsail_config.document import ServiceDocument
+    from lagoonsail_router.context import RouterContext
+    from lagoonsail_router.shard_servers import Server
+    from lagoonsail_router.shard_state import ShardState
+    from lagoonsail_sharing.server_limit import LoadReport
+
+
+class ServerPolls:
+    """Reads load reports and cache events, each server in a task of its own."""
+
+    __slots__ = (
+        "_context",
+        "_is_stopped",
+        "_may_order",
+        "_on_report",
+        "_on_silent",
+        "_servers",
+        "_state",
+    )
+
+    def __init__(
+        self,
+        context: RouterContext,
+        state: ShardState,
+        is_stopped: Callable[[], bool],
+        may_order: Callable[[], bool],
+        on_report: Callable[[Server, LoadReport], None],
+        on_silent: Callable[[Server], None],
+    ) -> None:
+        self._context = context
+        self._state = state
+        self._servers = state.servers
+        self._is_stopped = is_stopped
+        self._may_order = may_order
+        self._on_report = on_report
+        self._on_silent = on_silent
+
+    def poll(self) -> None:
+        """Read the servers whose reports are not left out this time."""
+        for server in list(self._servers.by_name.values()):
+            if not self._servers.rest(server):
+                self.start(server)
+
+    def wake_resting(self) -> None:
+        """Read the servers in service whose reports were left out."""
+        for name in self._servers.resting():
+            self.start(self._servers.by_name[name])
+
+    def start(self, server: Server) -> None:
+        """Begin to read a server unless that is under way.
+
+        Args:
+            server: The server.
+        """
+        if not server.is_reading:
+            server.is_reading = True
+            server.read_ms = self._context.clock.now_ms()
+            start_task(self._context, "poll_server", self._read, server)
+
+    def _read(self, server: Server) -> None:
+        try:
+            result = read_load(server.entry.address, self._context.clock)
+        finally:
+            server.is_reading = server.is_resting = False
+        is_known = self._servers.by_name.get(server.entry.name) is server
+        if self._is_stopped() or not is_known:
+            return
+        if isinstance(result, Unavailable):
+            self._context.count("load_reports_failed_total")
+            self._state.orders.on_unreachable(server.entry)
+            self._on_silent(server)
+            return
+        self._on_report(server, result)
+
+    def read_engine(self, server: Server) -> None:
+        """Read an engine's cache events, and give it orders.
+
+        Args:
+            server: The server, which has just reported its load.
+        """
+        document = self._state.find_document()
+        if document and document.kind == "engine":
+            self._servers.read_cache(server, self._state.prefixes)
+            self._give_orders(server, document)
+
+    def _give_orders(self, server: Server, document: ServiceDocument) -> None:
+        def may_order() -> bool:
+            now_ms = self._context.clock.now_ms()
+            is_known = server.is_reported or now_ms >= server.hold_until_ms
+            is_idle = server.limit.running + server.unknown == 0
+            return self._may_order() and is_known and is_idle
+
+        def on_load() -> None:
+            # It takes no requests while it loads, and is cold afterwards.
+            server.limit.on_loading(self._context.clock.now_ms())
+
+        self._state.orders.step(server.entry, document, may_order, on_load)
--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -1,38 +1,35 @@
-"""What the owner of a shard decides: which waiting request gets which free slot."""
+"""The owner of a shard: its dealings with entry routers and backend servers."""
 
 from __future__ import annotations
 
 from collections import Counter
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from xxhash import xxh64_intdigest
-
-from lagoonsail_core.invariants import require
 from lagoonsail_core.messages import (
     OUTCOME_CANCELLED,
     OUTCOME_NOT_RUN,
     OUTCOME_UNREACHABLE,
     REFUSED_ACCOUNT,
-    REFUSED_DUPLICATE,
-    REFUSED_KEYS_UNAVAILABLE,
-    REFUSED_NOT_OWNER,
-    REFUSED_QUEUE_FULL,
     InventoryTaken,
-    ServiceDigest,
-    SlotGrant,
-    SlotRefusal,
 )
-from lagoonsail_core.names import region_of
-from lagoonsail_core.unavailable import Unavailable
-from lagoonsail_router.context import start_later, start_task
+from lagoonsail_router.context import start_later
+from lagoonsail_router.digest_sender import DigestSender
 from lagoonsail_router.engine_orders import EngineOrders
+from lagoonsail_router.granted_slots import (
+    GrantedSlots,
+    Slot,
+    ended_orphans,
+    overdue_orphans,
+)
+from lagoonsail_router.grants import Grants
 from lagoonsail_router.key_log import KeyLog
-from lagoonsail_router.load_reports import REPORT_LAG_MS, read_load
-from lagoonsail_router.right import FULL, LAPSED
+from lagoonsail_router.load_reports import REPORT_LAG_MS
+from lagoonsail_router.right import FULL
+from lagoonsail_router.server_polls import ServerPolls
 from lagoonsail_router.shard_servers import ShardServers
+from lagoonsail_router.shard_state import ShardState
+from lagoonsail_router.waiting_requests import WaitingRequests
 from lagoonsail_sharing.fair_queue import FairQueue
-from lagoonsail_sharing.placement import LOOK_AHEAD, choose_request, choose_server
 from lagoonsail_sharing.prefix_index import PrefixIndex
 from lagoonsail_sharing.waiting import Waiting
 
@@ -42,6 +39,7 @@
     from lagoonsail_config.document import ServiceDocument
     from lagoonsail_core.messages import (
         Inventory,
+        ServiceDigest,
         SlotCancel,
         SlotDone,
         SlotProgress,
@@ -61,50 +59,21 @@
 """Requests of one account that wait at the owner, in queue limits of one router."""
 
 
-@dataclass(slots=True)
-class Slot:
-    """A slot that was granted and not yet given back."""
-
-    epoch: int
-    """Epoch of the grant."""
-    number: int
-    """Slot number in that epoch."""
-    server: str
-    """Backend server."""
-    account: str
-    """Client account."""
-    holder: tuple[str, int]
-    """Name and incarnation of the entry router."""
-    stream: object
-    """Stream on which the holder deals with this owner."""
-    granted_ms: float
-    """When it was granted."""
-    key: int = 0
-    """Hash of the idempotency key, 0 if there is none."""
-    is_started: bool = False
-    """Whether the holder said that it sent the request."""
-    orphaned_ms: float | None = None
-    """When the holder was lost, None while it is connected."""
-
-
 class ShardOwner:
     """Queue, servers and slots of one shard, at its owner."""
 
     __slots__ = (
         "_context",
-        "_digest_sent",
+        "_digests",
         "_find_document",
+        "_granted",
+        "_grants",
         "_inventory_until_ms",
-        "_is_foreign",
         "_is_stopped",
-        "_next_slot",
-        "_prefixes",
+        "_polls",
+        "_requests",
         "_right",
-        "_sequence",
         "_servers",
-        "_sessions",
-        "_digest_streams",
-        "_waiting",
         "epoch",
         "is_releasing",
         "keys",
@@ -146,26 +115,42 @@
         self._context = context
         self._right = right
         self._find_document = find_document
-        self._digest_streams = digest_streams
-        self._sessions: dict[tuple[str, int], object] = {}
-        self._digest_sent: dict[object, dict] = {}
-        self._waiting: dict[tuple, Waiting] = {}
-        self._sequence = 0
-        self._next_slot = 0
-        self._is_foreign = region_of(shard) != context.settings.region
         self._is_stopped = False
-        self._prefixes = PrefixIndex()
         self._inventory_until_ms = context.clock.now_ms() + INVENTORY_WAIT_MS
         self.shard = shard
         self.epoch = epoch
-        self._servers = ShardServers(context, shard, epoch)
-        self.servers = self._servers.by_name
-        self.slots = {}
         self.keys = KeyLog(context, key_store, shard, epoch, right, successor_streams)
         self.is_releasing = False
         document = find_document()
         self.orders = EngineOrders(context, shard, epoch, document)
         self.queue = FairQueue(QUEUE_FACTOR * (document.queue_limit if document else 1))
+        self._granted = GrantedSlots()
+        self.slots = self._granted.by_key
+        self._servers = ShardServers(context, shard, epoch)
+        self.servers = self._servers.by_name
+        state = ShardState(
+            shard,
+            epoch,
+            find_document,
+            self.queue,
+            self._granted,
+            self._servers,
+            self.orders,
+            PrefixIndex(),
+        )
+        self._requests = WaitingRequests(
+            context, self.queue, self.keys, self._is_accepting, self.pump
+        )
+        self._digests = DigestSender(state, digest_streams)
+        self._polls = ServerPolls(
+            context,
+            state,
+            lambda: self._is_stopped,
+            self._may_order,
+            self._take_report,
+            self._free_overdue_orphans,
+        )
+        self._grants = Grants(context, right, state, self._requests, self._polls)
         self.update_document()
 
     def stop(self) -> None:
@@ -173,6 +158,9 @@
         self.refuse_waiting()
         self._is_stopped = True
 
+    def _is_accepting(self) -> bool:
+        return not self._is_stopped and not self.is_releasing
+
     def adopt(self, digest: ServiceDigest) -> None:
         """Go on from the last digest of an earlier owner.
 
@@ -191,8 +179,8 @@
             return
         shares = {account.name: account.share for account in document.accounts.values()}
         for waiting in self.queue.set_shares(shares):
-            self._withdraw(waiting)
-            self._refuse(waiting, REFUSED_ACCOUNT)
+            self._requests.withdraw(waiting)
+            self._requests.refuse(waiting, REFUSED_ACCOUNT)
         total = sum(entry.slots for entry in document.servers.values())
         self.queue.set_limits(document.max_cost, total)
         self._servers.update(document)
@@ -208,17 +196,17 @@
             inventory: What it runs on this shard.
         """
         holder = (stream.name, stream.incarnation)
-        self._sessions[holder] = stream
-        for waiting in list(self._waiting.values()):
-            # The old stream may not be seen to close yet.
-            if waiting.ticket[:2] == holder and waiting.source is not stream:
-                self._withdraw(waiting)
+        self._requests.sessions[holder] = stream
+        # The old stream may not be seen to close yet.
+        self._requests.withdraw_if(
+            lambda w: w.ticket[:2] == holder and w.source is not stream
+        )
         held = {}
         for item in inventory.running:
             slot = self._slot_of_inventory(item, holder, stream)
             held[slot.epoch, slot.number] = slot
-        for key, slot in list(self.slots.items()):
-            if slot.holder == holder and key not in held:
+        for key, slot in self._granted.of_holder(holder).items():
+            if key not in held:
                 # Its SlotDone was lost together with the old stream, which tells
                 # nothing about the server.
                 self._free(slot, OUTCOME_CANCELLED, 0.0, None)
@@ -253,15 +241,12 @@
         Args:
             stream: The stream that closed.
         """
-        for holder in [h for h, s in self._sessions.items() if s is stream]:
-            del self._sessions[holder]
-        self._digest_sent.pop(stream, None)
-        for waiting in [w for w in self._waiting.values() if w.source is stream]:
-            self._withdraw(waiting)
-        now_ms = self._context.clock.now_ms()
-        for slot in self.slots.values():
-            if slot.stream is stream:
-                slot.orphaned_ms = now_ms
+        sessions = self._requests.sessions
+        for holder in [h for h, s in sessions.items() if s is stream]:
+            del sessions[holder]
+        self._digests.forget(stream)
+        self._requests.withdraw_if(lambda waiting: waiting.source is stream)
+        self._granted.orphan(stream, self._context.clock.now_ms())
 
     def take_request(self, stream, request: SlotRequest) -> None:
         """Queue a request for a slot.
@@ -270,73 +255,14 @@
             stream: Stream of the entry router.
             request: The request.
         """
-        now_ms = self._context.clock.now_ms()
-        waiting = Waiting(
-            (stream.name, stream.incarnation, request.ticket),
-            request.account,
-            request.estimate,
-            request.prefix,
-            request.key,
-            now_ms - max(0.0, request.age_ms),
-            stream,
-        )
-        if self.is_releasing or self._is_stopped:
-            self._refuse(waiting, REFUSED_NOT_OWNER)
-            return
-        if not request.key:
-            self._enqueue(waiting)
-            return
-        origin_text = f"{stream.name}\0{stream.incarnation}\0{request.call}"
-        self._record_key(waiting, (xxh64_intdigest(origin_text.encode()) >> 1) | 1)
-
-    def _record_key(self, waiting: Waiting, origin: int) -> None:
-        if not self.keys.is_loaded:
-            # The entry router asks again, by when the keys will have been read.
-            self._refuse(waiting, REFUSED_NOT_OWNER)
-            return
-        if self.keys.is_used(waiting.key, origin):
-            self._refuse(waiting, REFUSED_DUPLICATE)
-            return
-
-        def on_recorded(is_stored: bool) -> None:
-            if not is_stored:
-                self._refuse(waiting, REFUSED_KEYS_UNAVAILABLE)
-            elif self._is_current(waiting):
-                self._enqueue(waiting)
-            else:
-                self.keys.give_back(waiting.key)
-
-        self.keys.record(waiting.key, origin, on_recorded)
-
-    def _is_current(self, waiting: Waiting) -> bool:
-        if self._is_stopped or self.is_releasing:
-            self._refuse(waiting, REFUSED_NOT_OWNER)
-            return False
-        name, incarnation, _ = waiting.ticket
-        return self._sessions.get((name, incarnation)) is waiting.source
-
-    def _enqueue(self, waiting: Waiting) -> None:
-        if not self.queue.add(waiting):
-            if waiting.key:
-                self.keys.give_back(waiting.key)
-            is_known = self.queue.has_account(waiting.account)
-            self._refuse(waiting, REFUSED_QUEUE_FULL if is_known else REFUSED_ACCOUNT)
-            return
-        self._waiting[waiting.ticket] = waiting
-        self.pump()
+        self._requests.take(stream, request)
 
     def take_cancel(self, stream, cancel: SlotCancel) -> None:
         """Withdraw a waiting request."""
         ticket = (stream.name, stream.incarnation, cancel.ticket)
-        waiting = self._waiting.get(ticket)
+        waiting = self._requests.by_ticket.get(ticket)
         if waiting:
-            self._withdraw(waiting)
-
-    def _withdraw(self, waiting: Waiting) -> None:
-        del self._waiting[waiting.ticket]
-        self.queue.cancel(waiting.ticket)
-        if waiting.key:
-            self.keys.give_back(waiting.key)
+            self._requests.withdraw(waiting)
 
     def take_start(self, message: SlotStart) -> None:
         """Note that a granted request was sent to its server."""
@@ -374,101 +300,24 @@
         if pause_ms:
             start_later(self._context, "pump", pause_ms, self.pump)
 
-    def _refuse(self, waiting: Waiting, reason: str) -> None:
-        self._context.count("slot_refusals_total", reason)
-        waiting.source.send(SlotRefusal(waiting.ticket[2], reason))
-
     def refuse_waiting(self) -> None:
         """Send every waiting request back to its entry router."""
-        for waiting in list(self._waiting.values()):
-            self._withdraw(waiting)
-            self._refuse(waiting, REFUSED_NOT_OWNER)
+        self._requests.refuse_all()
 
     def has_unstarted_grants(self) -> bool:
         """Return whether a connected holder may still start what was granted."""
-        now_ms = self._context.clock.now_ms()
         window_ms = self._context.settings.start_window_ms * 1.1
-        return any(
-            not slot.is_started and now_ms - slot.granted_ms < window_ms
-            for slot in self.slots.values()
-        )
-
-    # Grants.
+        return self._granted.has_unstarted(self._context.clock.now_ms(), window_ms)
 
     def pump(self) -> None:
         """Grant free slots to waiting requests for as long as there are both."""
-        if self._is_stopped or self.is_releasing:
+        if not self._is_accepting():
             return
         if self._context.clock.now_ms() < self._inventory_until_ms:
             return
-        while self._grant_one():
+        while self._grants.grant_one():
             pass
 
-    def _grant_one(self) -> bool:
-        # The level is read for each grant: this process may have been paused.
-        level = self._right.level()
-        if level == LAPSED or (self._is_foreign and level != FULL):
-            # Promises count the routers of this region, not those of the shard's.
-            return False
-        waiting = self.queue.pick()
-        if waiting is None:
-            return False
-        name = self._choose(waiting, level)
-        if name is None:
-            for resting in self._servers.resting():
-                self._start_reading(resting)
-            return False
-        if waiting.prefix:
-            requests = self.queue.oldest(waiting.account, LOOK_AHEAD)
-            waiting = choose_request(requests, name, self._prefixes)
-        self._grant(waiting, self.servers[name])
-        return True
-
-    def _choose(self, waiting: Waiting, level: str) -> str | None:
-        document = self._find_document()
-        if document is None:
-            return None
-        leaving, is_closed = self._right.leaving, self.orders.is_closed
-
-        def may_take(name: str) -> bool:
-            return self._servers.may_take(name, document, level, leaving, is_closed)
-
-        candidates = self._servers.candidates()
-        return choose_server(candidates, waiting.prefix, self._prefixes, may_take)
-
-    def _grant(self, waiting: Waiting, server: Server) -> None:
-        self._next_slot += 1
-        now_ms = self._context.clock.now_ms()
-        name = server.entry.name
-        key = (self.epoch, self._next_slot)
-        require(
-            self._find_document().is_usable(server.entry), "no_grant_out_of_service"
-        )
-        self.queue.start(waiting, key)
-        del self._waiting[waiting.ticket]
-        server.limit.start(key, now_ms)
-        stream = waiting.source
-        holder = (stream.name, stream.incarnation)
-        self.slots[key] = Slot(
-            self.epoch,
-            self._next_slot,
-            name,
-            waiting.account,
-            holder,
-            stream,
-            now_ms,
-            waiting.key,
-        )
-        self._prefixes.add(name, waiting.prefix)
-        basis_ms = stream.remote_sent_ms
-        grant = SlotGrant(
-            waiting.ticket[2], self._next_slot, self.shard, self.epoch, name, basis_ms
-        )
-        stream.send(grant)
-        self._context.count("slots_granted_total")
-        if server.is_resting:
-            self._start_reading(name)
-
     # Periodic work.
 
     def poll(self) -> None:
@@ -476,16 +325,10 @@
         if not self.keys.is_loaded:
             self.keys.load()
         self.keys.expire()
-        for name, server in list(self.servers.items()):
-            if not self._servers.rest(server):
-                self._start_reading(name)
+        self._polls.poll()
 
-    def _start_reading(self, name: str) -> None:
-        server = self.servers[name]
-        if not server.is_reading:
-            server.is_reading = True
-            server.read_ms = self._context.clock.now_ms()
-            start_task(self._context, "poll_server", self._poll_server, name, server)
+    def _may_order(self) -> bool:
+        return self._is_accepting() and self._right.level() == FULL
 
     def _free_overdue_orphans(self, server: Server) -> None:
         """Free slots of lost routers on a server that reports nothing."""
@@ -495,91 +338,31 @@
         window_ms = self._context.settings.start_window_ms
         age_ms = window_ms + document.request_timeout_ms
         overdue_ms = self._context.clock.now_ms() - age_ms
-        for slot in list(self.slots.values()):
-            is_orphan = slot.orphaned_ms is not None
-            is_here = slot.server == server.entry.name
-            if is_orphan and is_here and slot.granted_ms < overdue_ms:
-                self._free(slot, OUTCOME_CANCELLED, 0.0, None)
-
-    def _poll_server(self, name: str, server: Server) -> None:
-        try:
-            result = read_load(server.entry.address, self._context.clock)
-        finally:
-            server.is_reading = server.is_resting = False
-        if self._is_stopped or self.servers.get(name) is not server:
-            return
-        if isinstance(result, Unavailable):
-            self._context.count("load_reports_failed_total")
-            self.orders.on_unreachable(server.entry)
-            self._free_overdue_orphans(server)
-            return
-        self._take_report(name, server, result)
-        document = self._find_document()
-        if document and document.kind == "engine":
-            self._servers.read_cache(server, self._prefixes)
-            self._give_orders(server, document)
-        self.pump()
-
-    def _give_orders(self, server: Server, document: ServiceDocument) -> None:
-        def may_order() -> bool:
-            now_ms = self._context.clock.now_ms()
-            is_known = server.is_reported or now_ms >= server.hold_until_ms
-            is_idle = server.limit.running + server.unknown == 0
-            is_owner = not self._is_stopped and not self.is_releasing
-            is_owner = is_owner and self._right.level() == FULL
-            return is_owner and is_known and is_idle
-
-        def on_load() -> None:
-            # It takes no requests while it loads, and is cold afterwards.
-            server.limit.on_loading(self._context.clock.now_ms())
-
-        self.orders.step(server.entry, document, may_order, on_load)
+        slots = self._granted.on_server(server.entry.name)
+        for slot in overdue_orphans(slots, overdue_ms):
+            self._free(slot, OUTCOME_CANCELLED, 0.0, None)
 
-    def _take_report(self, name: str, server: Server, report: LoadReport) -> None:
+    def _take_report(self, server: Server, report: LoadReport) -> None:
         now_ms = self._context.clock.now_ms()
         settled_ms = now_ms - REPORT_LAG_MS - self._context.settings.start_window_ms
-        slots = [slot for slot in self.slots.values() if slot.server == name]
+        slots = self._granted.on_server(server.entry.name)
         old = sum(slot.granted_ms < settled_ms for slot in slots)
         self._servers.take_report(server, report, len(slots), old)
-        orphans = [
-            slot
-            for slot in slots
-            if slot.orphaned_ms is not None and slot.orphaned_ms < settled_ms
-        ]
-        for slot in orphans[: max(0, old - report.running)]:
+        for slot in ended_orphans(slots, old - report.running, settled_ms):
             # The loss of a router tells nothing about the server.
             self._free(slot, OUTCOME_CANCELLED, 0.0, None)
+        self._polls.read_engine(server)
+        self.pump()
 
     def send_digests(self) -> None:
         """Tell the next owners, and the service's other shards, what changed."""
-        service = self.queue.service()
-        positions = self.queue.positions()
-        servers = self._servers.states()
-        self._sequence += 1
-        for stream in self._digest_streams():
-            sent = self._digest_sent.setdefault(stream, {"service": {}, "servers": {}})
-            changed = {k: v for k, v in service.items() if sent["service"].get(k) != v}
-            moved = {k: v for k, v in servers.items() if sent["servers"].get(k) != v}
-            if not changed and not moved:
-                continue
-            stream.send(
-                ServiceDigest(
-                    self.shard,
-                    self.epoch,
-                    self._sequence,
-                    changed,
-                    {name: positions[name] for name in changed},
-                    moved,
-                )
-            )
-            sent["service"] = service
-            sent["servers"] = servers
+        self._digests.send()
 
     def describe(self) -> dict:
         """Return the state of the shard for operators."""
         document = self._find_document()
         running = Counter(slot.account for slot in self.slots.values())
-        waiting = Counter(item.account for item in self._waiting.values())
+        waiting = Counter(item.account for item in self._requests.by_ticket.values())
         service = self.queue.service()
         return {
             "epoch": self.epoch,
--- /dev/null
+++ b/packages/lagoonsail-router/src/lagoonsail_router/waiting_requests.py
@@ -0,0 +1,167 @@
+"""The requests that wait at the owner of a shard, from their receipt to a grant."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from xxhash import xxh64_intdigest
+
+from lagoonsail_core.messages import (
+    REFUSED_ACCOUNT,
+    REFUSED_DUPLICATE,
+    REFUSED_KEYS_UNAVAILABLE,
+    REFUSED_NOT_OWNER,
+    REFUSED_QUEUE_FULL,
+    SlotRefusal,
+)
+from lagoonsail_sharing.waiting import Waiting
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonsail_core.messages import SlotRequest
+    from lagoonsail_router.context import RouterContext
+    from lagoonsail_router.key_log import KeyLog
+    from lagoonsail_sharing.fair_queue import FairQueue
+
+
+class WaitingRequests:
+    """The requests in the queue of a shard, by ticket."""
+
+    __slots__ = (
+        "_context",
+        "_is_accepting",
+        "_keys",
+        "_on_queued",
+        "_queue",
+        "by_ticket",
+        "sessions",
+    )
+
+    by_ticket: dict[tuple, Waiting]
+    """Requests by ticket."""
+    sessions: dict[tuple[str, int], object]
+    """Stream of each entry router, by its name and incarnation."""
+
+    def __init__(
+        self,
+        context: RouterContext,
+        queue: FairQueue,
+        keys: KeyLog,
+        is_accepting: Callable[[], bool],
+        on_queued: Callable[[], None],
+    ) -> None:
+        self._context = context
+        self._queue = queue
+        self._keys = keys
+        self._is_accepting = is_accepting
+        self._on_queued = on_queued
+        self.by_ticket = {}
+        self.sessions = {}
+
+    def take(self, stream, request: SlotRequest) -> None:
+        """Queue a request, after its idempotency key is recorded if it has one.
+
+        Args:
+            stream: Stream of the entry router.
+            request: The request.
+        """
+        now_ms = self._context.clock.now_ms()
+        waiting = Waiting(
+            (stream.name, stream.incarnation, request.ticket),
+            request.account,
+            request.estimate,
+            request.prefix,
+            request.key,
+            now_ms - max(0.0, request.age_ms),
+            stream,
+        )
+        if not self._is_accepting():
+            self.refuse(waiting, REFUSED_NOT_OWNER)
+            return
+        if not request.key:
+            self._enqueue(waiting)
+            return
+        origin_text = f"{stream.name}\0{stream.incarnation}\0{request.call}"
+        self._record_key(waiting, (xxh64_intdigest(origin_text.encode()) >> 1) | 1)
+
+    def _record_key(self, waiting: Waiting, origin: int) -> None:
+        if not self._keys.is_loaded:
+            # The entry router asks again, by when the keys will have been read.
+            self.refuse(waiting, REFUSED_NOT_OWNER)
+            return
+        if self._keys.is_used(waiting.key, origin):
+            self.refuse(waiting, REFUSED_DUPLICATE)
+            return
+
+        def on_recorded(is_stored: bool) -> None:
+            if not is_stored:
+                self.refuse(waiting, REFUSED_KEYS_UNAVAILABLE)
+            elif self._is_current(waiting):
+                self._enqueue(waiting)
+            else:
+                self._keys.give_back(waiting.key)
+
+        self._keys.record(waiting.key, origin, on_recorded)
+
+    def _is_current(self, waiting: Waiting) -> bool:
+        if not self._is_accepting():
+            self.refuse(waiting, REFUSED_NOT_OWNER)
+            return False
+        name, incarnation, _ = waiting.ticket
+        return self.sessions.get((name, incarnation)) is waiting.source
+
+    def _enqueue(self, waiting: Waiting) -> None:
+        if not self._queue.add(waiting):
+            if waiting.key:
+                self._keys.give_back(waiting.key)
+            is_known = self._queue.has_account(waiting.account)
+            self.refuse(waiting, REFUSED_QUEUE_FULL if is_known else REFUSED_ACCOUNT)
+            return
+        self.by_ticket[waiting.ticket] = waiting
+        self._on_queued()
+
+    def leave(self, waiting: Waiting) -> None:
+        """Forget a request that was granted; the queue has forgotten it already.
+
+        Args:
+            waiting: The request.
+        """
+        del self.by_ticket[waiting.ticket]
+
+    def withdraw(self, waiting: Waiting) -> None:
+        """Take a request off the queue, and free its idempotency key.
+
+        Args:
+            waiting: The request.
+        """
+        del self.by_ticket[waiting.ticket]
+        self._queue.cancel(waiting.ticket)
+        if waiting.key:
+            self._keys.give_back(waiting.key)
+
+    def withdraw_if(self, is_lost: Callable[[Waiting], bool]) -> None:
+        """Withdraw the requests that nobody waits for any more.
+
+        Args:
+            is_lost: Tells which.
+        """
+        for waiting in list(self.by_ticket.values()):
+            if is_lost(waiting):
+                self.withdraw(waiting)
+
+    def refuse_all(self) -> None:
+        """Send every request back to its entry router."""
+        for waiting in list(self.by_ticket.values()):
+            self.withdraw(waiting)
+            self.refuse(waiting, REFUSED_NOT_OWNER)
+
+    def refuse(self, waiting: Waiting, reason: str) -> None:
+        """Tell the entry router that a request will not be granted.
+
+        Args:
+            waiting: The request, which is not queued.
+            reason: One of the REFUSED constants.
+        """
+        self._context.count("slot_refusals_total", reason)
+        waiting.source.send(SlotRefusal(waiting.ticket[2], reason))
--- a/packages/lagoonsail-router/tests/test_shard_owner.py
+++ b/packages/lagoonsail-router/tests/test_shard_owner.py
@@ -26,7 +26,7 @@
     SlotStart,
 )
 from lagoonsail_core.unavailable import Unavailable
-from lagoonsail_router import shard_owner
+from lagoonsail_router import server_polls
 from lagoonsail_router.key_log import WAIT_LIMIT_MS
 from lagoonsail_router.right import FULL, GUARDED, LAPSED
 from lagoonsail_router.shard_owner import (
@@ -122,7 +122,7 @@
             asked.append(address)
             return LoadReport("i-1", running, None, clock.now_ms())
 
-        monkeypatch.setattr(shard_owner, "read_load", read_load)
+        monkeypatch.setattr(server_polls, "read_load", read_load)
         owner.poll()
         wait_until(lambda: len(asked) == len(owner.servers))
 
@@ -397,7 +397,7 @@
         answered.wait()
         return LoadReport("i-1", 0, None, clock.now_ms())
 
-    monkeypatch.setattr(shard_owner, "read_load", read_load)
+    monkeypatch.setattr(server_polls, "read_load", read_load)
     time.pass_ms(IDLE_READ_MS - 1)
     owner.poll()
     owner.take_request(stream, request(1))
@@ -428,7 +428,7 @@
 def test_orphaned_slot_on_a_silent_server_is_free_after_the_request_timeout(
     owner, stream, time, monkeypatch, wait_until, context
 ):
-    monkeypatch.setattr(shard_owner, "read_load", lambda *_: Unavailable("silent"))
+    monkeypatch.setattr(server_polls, "read_load", lambda *_: Unavailable("silent"))
     owner.take_request(stream, request(1))
     owner.lose_stream(stream)
     timeout_ms = context.settings.start_window_ms + 1000.0
