Hand the call queue to the entry

cause: Entry and CallQueue had the same constructor, and Entry took a function only to hand it on. change: the daemon makes the queue and gives it to the entry.

--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -23,6 +23,7 @@
 )
 from lagoonsail_core.names import service_of
 from lagoonsail_router.admin import Admin, unready_reason
+from lagoonsail_router.call_queue import CallQueue
 from lagoonsail_router.configuration import DOCUMENTS, Configuration
 from lagoonsail_router.context import (
     LEAVING,
@@ -203,7 +204,8 @@
         self.desk = TicketDesk(
             context, self.configuration, self.peers, self._local_stream
         )
-        self.entry = Entry(context, self.configuration, self.desk, self.is_isolated)
+        queue = CallQueue(context, self.configuration, self.desk, self.is_isolated)
+        self.entry = Entry(context, self.configuration, self.desk, queue)
         self._digests = DigestStore(self.peers, self._on_digest)
         self._key_notices = KeyNotices(context, self.peers)
         self._key_store = KeyStore(context, self._store, self.configuration, self.peers)
--- a/packages/lagoonsail-router/src/lagoonsail_router/entry.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/entry.py
@@ -25,7 +25,7 @@
     OverdueError,
 )
 from lagoonsail_router.call import read_call
-from lagoonsail_router.call_queue import CallerGoneError, CallQueue
+from lagoonsail_router.call_queue import CallerGoneError
 from lagoonsail_router.caller_watch import CHECK_INTERVAL_MS, make_caller_watch
 from lagoonsail_router.context import LEAVING
 from lagoonsail_router.held_slot import make_done
@@ -37,6 +37,7 @@
 
     from lagoonsail_router.backend import Answer
     from lagoonsail_router.call import Call
+    from lagoonsail_router.call_queue import CallQueue
     from lagoonsail_router.configuration import Configuration
     from lagoonsail_router.context import RouterContext
     from lagoonsail_router.ticket_desk import TicketDesk
@@ -82,7 +83,7 @@
         context: RouterContext,
         configuration: Configuration,
         desk: TicketDesk,
-        is_isolated: Callable[[], bool],
+        queue: CallQueue,
     ) -> None:
         self._context = context
         self._configuration = configuration
@@ -90,7 +91,7 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._calls = 0
         self.durations = {name: Durations() for name in HISTOGRAMS}
-        self.queue = CallQueue(context, configuration, desk, is_isolated)
+        self.queue = queue
         self.running = 0
         self.taken_ms = context.clock.now_ms()
 
