--- a/packages/lagoonsail-router/src/lagoonsail_router/entry.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/entry.py
@@ -25,18 +25,19 @@
     OverdueError,
 )
 from lagoonsail_router.call import read_call
-from lagoonsail_router.call_queue import CallerGoneError, CallQueue
+from lagoonsail_router.call_queue import CallerGoneError
 from lagoonsail_router.caller_watch import CHECK_INTERVAL_MS, make_caller_watch
 from lagoonsail_router.context import LEAVING
+from lagoonsail_router.held_slot import make_done
 from lagoonsail_router.problems import UNKNOWN, CallProblem
 from lagoonsail_router.retry_budget import RetryBudget
-from lagoonsail_router.ticket_desk import make_done
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
     from lagoonsail_router.backend import Answer
     from lagoonsail_router.call import Call
+    from lagoonsail_router.call_queue import CallQueue
     from lagoonsail_router.configuration import Configuration
     from lagoonsail_router.context import RouterContext
     from lagoonsail_router.ticket_desk import TicketDesk
@@ -82,7 +83,7 @@
         context: RouterContext,
         configuration: Configuration,
         desk: TicketDesk,
-        is_isolated: Callable[[], bool],
+        queue: CallQueue,
     ) -> None:
         self._context = context
         self._configuration = configuration
@@ -90,7 +91,7 @@
         self._budgets: dict[str, RetryBudget] = {}
         self._calls = 0
         self.durations = {name: Durations() for name in HISTOGRAMS}
-        self.queue = CallQueue(context, configuration, desk, is_isolated)
+        self.queue = queue
         self.running = 0
         self.taken_ms = context.clock.now_ms()
 
