Count what the gRPC port refuses, where the library lets it be seen

Cause: calls of unknown paths and calls above the limit of calls are refused by the gRPC library itself, so that no counter of the router showed them. An incarnation of more than 4300 digits passed the check and then failed in int(): nothing was counted, and the place among the 128 streams was lost for good (seen with an empty key only, since the signature is checked in between).

Ruled out: an interceptor sees calls only, and just what the generic handler sees already; channelz needs private functions and drops failed connections; a listening socket of one's own cannot hand connections on to the library from Python; an acceptor in green threads that checks the preface and passes the bytes on is a proxy in the data path.

Change: _grpc_calls.GrpcCalls is both what gRPC asks for the handler of each call and what starts its thread, so that unknown paths (refused_method_unknown) and calls that were found but never started (refused_too_many_calls, the last one with the next call) are counted. An incarnation has at most 20 digits, as over TCP.

Tests: test_grpc_port.py.

--- a/packages/lagoonsail-peer/src/lagoonsail_peer/_grpc.py
+++ b/packages/lagoonsail-peer/src/lagoonsail_peer/_grpc.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import threading
-from concurrent import futures
 from typing import TYPE_CHECKING
 
 import grpc
@@ -12,6 +11,7 @@
 
 from lagoonsail_core.messages import MAX_FRAME_BYTES
 from lagoonsail_peer._bridge import GrpcWire, get_bridge
+from lagoonsail_peer._grpc_calls import GrpcCalls
 from lagoonsail_peer.signing import SignatureChecker, SignatureError, sign
 from lagoonsail_peer.stream import CLOSED_BROKEN, StreamOptions
 from lagoonsail_peer.wire import (
@@ -39,6 +39,9 @@
 METADATA_SIGNATURE = "x-lagoonsail-signature"
 """Metadata key of the signature."""
 
+MAX_INCARNATION_DIGITS = 20
+"""Digits of an incarnation; it is a number of 64 bits."""
+
 SIZE_SLACK_BYTES = 65_536
 """Frames larger than accepted by at most this are read, so that they are counted.
 
@@ -49,23 +52,6 @@
 _log = logbook.Logger("lagoonsail.peer")
 
 
-class _DaemonExecutor(futures.Executor):
-    """Gives each call a daemon thread, so that none can hold up the process's end."""
-
-    def submit(self, fn, /, *args, **kwargs) -> futures.Future:
-        """Run a function in a thread of its own."""
-        future = futures.Future()
-
-        def run() -> None:
-            try:
-                future.set_result(fn(*args, **kwargs))
-            except BaseException as error:
-                future.set_exception(error)
-
-        threading.Thread(target=run, name="peer-call", daemon=True).start()
-        return future
-
-
 def stream_body(router: str, incarnation: int | str) -> bytes:
     """Return what the signature of a stream covers besides method and path.
 
@@ -93,8 +79,21 @@
     Raises:
         RuntimeError: If the address cannot be listened on.
     """
+    bridge = get_bridge()
+    checker = SignatureChecker(intake.shared_key, options.clock)
+
+    def count_refused(reason: str) -> None:
+        bridge.post(intake.count, f"refused_{reason}")
+
+    def serve(frames: Iterator[bytes], context: grpc.ServicerContext) -> GrpcOutgoing:
+        router, incarnation = _admit(context, checker, intake, count_refused)
+        return _serve(frames, context, bridge, intake, router, incarnation)
+
+    handler = grpc.stream_stream_rpc_method_handler(serve)
+    calls = GrpcCalls(METHOD_PATH, handler, count_refused)
     server = grpc.server(
-        _DaemonExecutor(),
+        calls,
+        handlers=(calls,),
         options=(
             ("grpc.so_reuseport", 0),
             ("grpc.max_receive_message_length", MAX_FRAME_BYTES + SIZE_SLACK_BYTES),
@@ -107,17 +106,6 @@
         ),
         maximum_concurrent_rpcs=MAX_CALLS,
     )
-    bridge = get_bridge()
-    checker = SignatureChecker(intake.shared_key, options.clock)
-
-    def serve(frames: Iterator[bytes], context: grpc.ServicerContext) -> GrpcOutgoing:
-        router, incarnation = _admit(context, bridge, checker, intake)
-        return _serve(frames, context, bridge, intake, router, incarnation)
-
-    handler = grpc.stream_stream_rpc_method_handler(serve)
-    server.add_generic_rpc_handlers(
-        (grpc.method_handlers_generic_handler(SERVICE, {"Stream": handler}),)
-    )
     port = server.add_insecure_port(address)
     server.start()
 
@@ -129,20 +117,21 @@
 
 def _admit(
     context: grpc.ServicerContext,
-    bridge: Bridge,
     checker: SignatureChecker,
     intake: Intake,
+    count_refused: Callable[[str], None],
 ) -> tuple[str, int]:
     """Check who calls; runs in a native thread."""
 
     def refuse(code: grpc.StatusCode, reason: str) -> None:
-        bridge.post(intake.count, f"refused_{reason}")
+        count_refused(reason)
         context.abort(code, reason)
 
     metadata = dict(context.invocation_metadata())
     router = str(metadata.get(METADATA_ROUTER, ""))
     incarnation = str(metadata.get(METADATA_INCARNATION, ""))
-    if not router or not incarnation.isascii() or not incarnation.isdecimal():
+    is_number = incarnation.isascii() and incarnation.isdecimal()
+    if not router or not is_number or len(incarnation) > MAX_INCARNATION_DIGITS:
         refuse(grpc.StatusCode.UNAUTHENTICATED, REFUSED_METADATA)
     body = stream_body(router, incarnation)
     signature = str(metadata.get(METADATA_SIGNATURE, ""))
