Count the service of other shards also after their owners were lost

Cause: add_remote counted only what lay above the greatest sum ever reported by a shard. When a shard's owner and both next owners die together (all routers of a region restart), or a router of another region takes it over without having had its digests, the new sums begin at 0, and nothing was counted until they had passed the old ones, for as long as the service had run before. Two more faults of the same exchange, found by reading and by unit tests: digests carry changes only, so that a queue which began to count at such a digest (a next owner of a sibling that takes a shard over) later counted the whole past of the accounts that were not in it at once, up to the ceiling; and shards of one service that one router owned did not hear of each other at all, since an owner never sent digests to itself. For the same reason a router that lost a shard and claimed it again had forgotten its sums.

Ruled out: the epoch's order in DigestStore, which was right.

Change: sums count by epoch; in a new epoch a smaller sum is the new base. The store passes on the merged sums, not the changes, and drops what an owner of a new epoch does not know. Digests go to this router's own stream as well.

Left: what other shards serve while a shard has no owner is not counted in it.

--- a/packages/lagoonsail-lab/tests/test_proof_region_shares.py
+++ b/packages/lagoonsail-lab/tests/test_proof_region_shares.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from lagoonsail_core.green import eventlet
 from lagoonsail_lab.caller import make_prompt
 from lagoonsail_lab.regions import (
     ACCOUNTS,
@@ -13,11 +14,16 @@
     SIDES,
     SLOTS,
     make_fleet,
+    owners,
     routers_of,
+    runs_at,
+    shard_of,
 )
 
 LOUD, QUIET = "club-norte", "prensa"
 """The accounts."""
+EQUAL = {LOUD: 1.0, QUIET: 1.0}
+"""Equal shares."""
 TOKENS = 10
 """Cost of every call."""
 CALLERS = 2 * SLOTS
@@ -42,9 +48,10 @@
     return start_callers
 
 
-def faults(callers):
+def faults(callers, kills=()):
     """Return what the checker finds; cold servers bear all their slots here."""
-    return [f for traffic in callers for f in traffic.faults(cold_slots=SLOTS)]
+    options = {"cold_slots": SLOTS, "kills": kills}
+    return [f for traffic in callers for f in traffic.faults(**options)]
 
 
 def served(traffic, from_ms, until_ms):
@@ -80,28 +87,72 @@
         assert gap <= bound
 
 
+def measure(proof, callers, duration_ms):
+    """Return the gap between two accounts of equal shares, and its bound.
+
+    Args:
+        proof: What the proofs share.
+        callers: Callers of each account.
+        duration_ms: Time for which tokens are counted.
+    """
+    from_ms = proof.clock.wall_ms()
+    callers[0][0].wait(duration_ms)
+    until_ms = proof.clock.wall_ms()
+    tokens = [sum(served(t, from_ms, until_ms) for t in group) for group in callers]
+    a_second = sum(tokens) / (until_ms - from_ms) * 1000.0 / 2.0
+    # Twice the design's bound over an interval, and answers at both of its ends.
+    bound = 2 * (2 * SLOTS * TOKENS + a_second) + 2 * (2 * SLOTS * TOKENS)
+    gap = abs(tokens[0] - tokens[1])
+    print("tokens", tokens, "gap", gap, "bound", bound)
+    return gap, bound
+
+
 def test_account_that_waits_in_one_region_only_keeps_its_share_over_both(proof, start):
-    with make_fleet(accounts={LOUD: 1.0, QUIET: 1.0}) as fleet:
+    with make_fleet(accounts=EQUAL) as fleet:
         quiet = [start(fleet, NEAR, QUIET, 81, CALLERS)]
         loud = [
-            start(fleet, NEAR, LOUD, 82, CALLERS),
-            start(fleet, FAR, LOUD, 83, CALLERS),
+            start(fleet, region, LOUD, seed, CALLERS)
+            for region, seed in ((NEAR, 82), (FAR, 83))
         ]
         quiet[0].wait(4000.0)
-        from_ms = proof.clock.wall_ms()
-        quiet[0].wait(10000.0)
-        until_ms = proof.clock.wall_ms()
+        gap, bound = measure(proof, [loud, quiet], 10000.0)
         for traffic in quiet + loud:
             traffic.finish()
         assert faults(quiet + loud) == []
-        tokens = [
-            sum(served(traffic, from_ms, until_ms) for traffic in callers)
-            for callers in (loud, quiet)
+        assert gap <= bound
+
+
+def test_share_over_both_regions_holds_when_all_routers_of_one_restarted(proof, start):
+    with make_fleet(accounts=EQUAL) as fleet:
+        loud = [
+            start(fleet, region, LOUD, seed, CALLERS)
+            for region, seed in ((NEAR, 84), (FAR, 85))
+        ]
+        # As long as what follows: the owners of the other region have seen more of this
+        # one's service than its next owner will have counted by the end.
+        loud[0].wait(9000.0)
+        kills = [k for name in routers_of(fleet, NEAR) for k in proof.kill(fleet, name)]
+        restarts = [
+            eventlet.spawn(fleet.restart_router, name)
+            for name in routers_of(fleet, NEAR)
         ]
-        a_second = sum(tokens) / (until_ms - from_ms) * 1000.0 / 2.0
-        # Twice the design's bound over an interval, and answers at both of its ends.
-        bound = 2 * (2 * SLOTS * TOKENS + a_second) + 2 * (2 * SLOTS * TOKENS)
-        gap = abs(tokens[0] - tokens[1])
-        waits = [record.latency_ms for record in quiet[0].caller.whole()]
-        print("tokens", tokens, "gap", gap, "bound", bound, "longest", max(waits))
+        for thread in restarts:
+            thread.wait()
+        shard = shard_of(ENGINE, NEAR)
+
+        def is_owned():
+            names = owners(fleet, shard, fleet.routers)
+            return len(names) == 1 and "" not in names and max(epochs()) > 1
+
+        def epochs():
+            return {run["epoch"] for run in runs_at(fleet, ENGINE, NEAR)}
+
+        owned_ms = proof.wait_until(is_owned, 8000.0)
+        quiet = [start(fleet, FAR, QUIET, 86, CALLERS)]
+        quiet[0].wait(1000.0)
+        gap, bound = measure(proof, [loud, quiet], 7000.0)
+        for traffic in quiet + loud:
+            traffic.finish()
+        assert faults(quiet + loud, kills) == []
+        assert owned_ms is not None
         assert gap <= bound
--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -253,12 +253,15 @@
         return self._streams_to(others[:2])
 
     def _digest_streams(self, shard: str) -> list:
-        """Return the streams to the next owners and to the other shards' owners."""
+        """Return the streams to the next owners and to the other shards' owners.
+
+        This router is among them: it may own another shard, or this one once more.
+        """
         document = self.configuration.documents.get(service_of(shard))
         siblings = document.shards() if document else []
         owners = {self.configuration.owner_of(other) for other in siblings}
         owners -= {"", self.context.settings.name}
-        streams = self._successor_streams(shard)
+        streams = [self._local_stream, *self._successor_streams(shard)]
         return streams + [s for s in self._streams_to(owners) if s not in streams]
 
     def _streams_to(self, names: Iterable[str]) -> list:
@@ -270,7 +273,7 @@
         service = service_of(digest.shard)
         for shard, owner in self.ownership.owned.items():
             if shard != digest.shard and service_of(shard) == service:
-                owner.queue.add_remote(digest.shard, digest.service)
+                owner.queue.add_remote(digest.shard, digest.service, digest.epoch)
 
     def _take_inventory(self, stream, inventory: Inventory) -> None:
         owner = self.ownership.owned.get(inventory.shard)
--- a/packages/lagoonsail-router/src/lagoonsail_router/digests.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/digests.py
@@ -1,4 +1,4 @@
-"""Digests that this router received as a possible next owner."""
+"""Digests of shards, for their next owners and for the service's other shards."""
 
 from __future__ import annotations
 
@@ -24,12 +24,20 @@
     def __init__(
         self, peers: PeerDirectory, on_digest: Callable[[ServiceDigest], None]
     ) -> None:
+        """Take the digests that come in.
+
+        Args:
+            peers: Streams to other routers.
+            on_digest: Called with the whole state of a shard after each change. Changes
+                alone would not do: who begins to count needs to know where each
+                account stands.
+        """
         self._on_digest = on_digest
         self._merged: dict[str, ServiceDigest] = {}
         peers.handle(ServiceDigest, self._take)
 
     def find(self, shard: str) -> ServiceDigest | None:
-        """Return what is known of a shard, None if this router never was a successor.
+        """Return what is known of a shard, None if no digest of it ever came.
 
         Args:
             shard: The shard.
@@ -37,15 +45,18 @@
         return self._merged.get(shard)
 
     def _take(self, _stream, digest: ServiceDigest) -> None:
-        merged = self._merged.setdefault(
-            digest.shard, ServiceDigest(digest.shard, 0, 0, {}, {}, {})
-        )
+        merged = self._merged.get(digest.shard)
+        if merged is None or digest.epoch > merged.epoch:
+            # An owner's first digest on a stream has everything. What an earlier owner
+            # knew and this one does not is lost, also for who follows it.
+            merged = ServiceDigest(digest.shard, digest.epoch, 0, {}, {}, {})
+            self._merged[digest.shard] = merged
         if (digest.epoch, digest.sequence) <= (merged.epoch, merged.sequence):
             return
-        self._on_digest(digest)
-        merged.epoch, merged.sequence = digest.epoch, digest.sequence
+        merged.sequence = digest.sequence
         merged.service.update(digest.service)
         merged.positions.update(digest.positions)
         for server, state in digest.servers.items():
             if _is_server_state(state):
                 merged.servers[server] = state
+        self._on_digest(merged)
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/fair_queue.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/fair_queue.py
@@ -217,7 +217,8 @@
         self._heap: list[tuple[float, int, str]] = []
         self._by_ticket: dict[tuple, tuple[_Account, float, int]] = {}
         self._slots: dict[Hashable, _Slot] = {}
-        self._shards: set[str] = set()
+        # Epoch of the last report by shard.
+        self._shards: dict[str, int] = {}
         self._virtual = 0.0
         self._largest_cost = 0.0
         self._most_running = 0
@@ -497,18 +498,23 @@
                 account.position = max(account.position, position - base)
         self._cut_positions()
 
-    def add_remote(self, shard: str, service: dict[str, float]) -> None:
+    def add_remote(self, shard: str, service: dict[str, float], epoch: int = 0) -> None:
         """Count the service of another shard of the same service.
 
-        Sums count from the first report of a shard on, and the greatest report holds:
-        reports may be repeated or come late.
+        Sums count from the first report of a shard on, and the greatest report of an
+        epoch holds: reports may be repeated or come late. An owner that knows less than
+        the one before it counts from its own first report on.
 
         Args:
             shard: The shard that reports.
-            service: What `service` gave at its owner.
+            service: What `service` gave at its owner, for all accounts.
+            epoch: Epoch of the owner.
         """
         is_first = shard not in self._shards
-        self._shards.add(shard)
+        known_epoch = self._shards.setdefault(shard, epoch)
+        if epoch < known_epoch:
+            return
+        self._shards[shard] = epoch
         for name, served in service.items():
             account = self._accounts.get(name)
             if account is None:
@@ -516,6 +522,8 @@
             seen = account.remote.get(shard)
             if seen is None:
                 seen = account.remote[shard] = [served if is_first else 0.0] * 2
+            if epoch > known_epoch:
+                seen[1] = min(seen[1], served)
             if served > seen[1]:
                 account.position += served - seen[1]
                 seen[1] = served
--- a/packages/lagoonsail-sharing/tests/test_fair_queue_returning.py
+++ b/packages/lagoonsail-sharing/tests/test_fair_queue_returning.py
@@ -116,6 +116,26 @@
     assert load.order == ["b", "b"]
 
 
+def test_owner_that_knows_less_than_the_last_one_counts_from_its_first_report(
+    make_load,
+):
+    queue = queue_of("a", "b", max_cost=100.0)
+    load = make_load(queue, 2)
+    for _ in range(9):
+        load.arrive("a", 10.0)
+        load.arrive("b", 10.0)
+    queue.add_remote("s@north", {"a": 5e6, "b": 7e6}, 1)
+    queue.add_remote("s@north", {"a": 1.0, "b": 7e6 + 20.0}, 2)
+    assert queue.gap() == 20.0
+    queue.add_remote("s@north", {"a": 31.0, "b": 7e6 + 20.0}, 2)
+    assert queue.gap() == 10.0
+    # A late report of the earlier owner changes nothing.
+    queue.add_remote("s@north", {"a": 6e6, "b": 8e6}, 1)
+    assert queue.gap() == 10.0
+    queue.add_remote("s@north", {"a": 41.0, "b": 7e6 + 20.0}, 2)
+    assert queue.gap() == 20.0
+
+
 def test_change_of_shares_makes_no_jump(make_load):
     queue = queue_of("a", "b")
     load = make_load(queue, 2)
