--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/fair_queue.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/fair_queue.py
@@ -333,17 +333,19 @@
                 account.position = max(account.position, position - base)
         self._cut_positions()
 
-    def add_remote(self, shard: str, service: dict[str, float]) -> None:
+    def add_remote(self, shard: str, service: dict[str, float], epoch: int = 0) -> None:
         """Count the service of another shard of the same service.
 
-        Sums count from the first report of a shard on, and the greatest report holds:
-        reports may be repeated or come late.
+        Sums count from the first report of a shard on, and the greatest report of an
+        epoch holds: reports may be repeated or come late. An owner that knows less than
+        the one before it counts from its own first report on.
 
         Args:
             shard: The shard that reports.
-            service: What `service` gave at its owner.
+            service: What `service` gave at its owner, for all accounts.
+            epoch: Epoch of the owner.
         """
-        growth = self._remote.take(shard, service, self._accounts)
+        growth = self._remote.take(shard, service, self._accounts, epoch)
         for name, grown in growth.items():
             self._accounts[name].position += grown
         self._cut_positions()
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/remote_service.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/remote_service.py
@@ -19,36 +19,50 @@
 
 
 class RemoteService:
-    """The greatest sums that were reported, by shard and account."""
+    """The greatest sums of the newest epochs, by shard and account."""
 
-    __slots__ = ("_greatest",)
+    __slots__ = ("_epochs", "_greatest")
 
     def __init__(self) -> None:
+        self._epochs: dict[str, int] = {}
         self._greatest: dict[str, dict[str, float]] = {}
 
     def take(
-        self, shard: str, service: dict[str, float], accounts: Container[str]
+        self,
+        shard: str,
+        service: dict[str, float],
+        accounts: Container[str],
+        epoch: int = 0,
     ) -> dict[str, float]:
         """Return by how much the sums of a shard have grown.
 
-        Sums count from the first report of a shard on, and the greatest report holds:
-        reports may be repeated or come late.
+        Sums count from the first report of a shard on, and the greatest report of an
+        epoch holds: reports may be repeated or come late. An owner that knows less than
+        the one before it counts from its own first report on.
 
         Args:
             shard: The shard that reports.
-            service: Its sum by account.
+            service: Its sum by account, for all accounts.
             accounts: Names of the known accounts; others are left out.
+            epoch: Epoch of the owner.
 
         Returns:
             Growth by account, of those whose sum has grown.
         """
-        is_first = shard not in self._greatest
+        is_first = shard not in self._epochs
+        known_epoch = self._epochs.setdefault(shard, epoch)
+        if epoch < known_epoch:
+            return {}
+        self._epochs[shard] = epoch
         greatest = self._greatest.setdefault(shard, {})
         growth = {}
         for name, served in service.items():
             if name not in accounts:
                 continue
-            known = greatest.setdefault(name, served if is_first else 0.0)
+            known = greatest.get(name, served if is_first else 0.0)
+            if epoch > known_epoch:
+                known = min(known, served)
+            greatest[name] = known
             if served > known:
                 growth[name] = served - known
                 greatest[name] = served
