Release a shard only once its keys are at the service

Cause: found by reading. Keys that an outage kept from the service are with the next owners only. A planned stop right after the outage released the shard before they were written; a router that had joined meanwhile could claim it without knowing them, and run a key tried again a second time. Change: a release waits for them, as for grants on their way. It needs the service anyway, and they are written within half a second of its return. Shown red: test_release_waits_for_grants_on_their_way_and_unwritten_keys[unwritten] with the new condition left out.

--- a/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
@@ -193,6 +193,10 @@
         used = self._used.get(key)
         return used is not None and used[0] != origin
 
+    def has_late(self) -> bool:
+        """Return whether some keys are not at the service yet, only at next owners."""
+        return bool(self._late)
+
     def record(
         self, key: int, origin: int, on_recorded: Callable[[bool], None]
     ) -> None:
--- a/packages/lagoonsail-router/src/lagoonsail_router/ownership.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/ownership.py
@@ -260,7 +260,10 @@
     def _release(self, shard: str, owner: ShardOwner) -> None:
         """Hand a shard over without waiting for a lease to end."""
         owner.refuse_waiting()
-        while owner.has_unstarted_grants() and self.owned.get(shard) is owner:
+        while self.owned.get(shard) is owner and (
+            # Whoever claims the shard next need not be one that was told of the keys.
+            owner.has_unstarted_grants() or owner.has_unwritten_keys()
+        ):
             eventlet.sleep(0.02)
         if self.owned.get(shard) is not owner:
             return
--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -309,6 +309,10 @@
         window_ms = self._context.settings.start_window_ms * 1.1
         return self._granted.has_unstarted(self._context.clock.now_ms(), window_ms)
 
+    def has_unwritten_keys(self) -> bool:
+        """Return whether next owners keep keys that the service doesn't have yet."""
+        return self.keys.has_late()
+
     def pump(self) -> None:
         """Grant free slots to waiting requests for as long as there are both."""
         if not self._is_accepting():
--- a/packages/lagoonsail-router/tests/test_key_log.py
+++ b/packages/lagoonsail-router/tests/test_key_log.py
@@ -228,8 +228,10 @@
     wait_until(lambda: results)
     assert results == [True]
     assert [s.notices[0].keys for s in successors] == [[[KEY, ORIGIN]]] * 2
+    assert log.has_late()
     store.down = False
-    wait_until(lambda: time.pass_ms(50.0) or stored_keys(store) == {KEY: ORIGIN})
+    wait_until(lambda: time.pass_ms(50.0) or not log.has_late())
+    assert stored_keys(store) == {KEY: ORIGIN}
 
 
 @pytest.mark.parametrize("fault", ["no promises", "a silent successor", "nobody"])
--- a/packages/lagoonsail-router/tests/test_ownership.py
+++ b/packages/lagoonsail-router/tests/test_ownership.py
@@ -29,6 +29,7 @@
         self.shard, self.epoch = shard, epoch
         self.is_releasing = False
         self.unstarted = 0
+        self.unwritten = 0
         self.log = []
 
     def refuse_waiting(self):
@@ -43,6 +44,9 @@
     def has_unstarted_grants(self):
         return self.unstarted > 0
 
+    def has_unwritten_keys(self):
+        return self.unwritten > 0
+
 
 @pytest.fixture
 def right(context):
@@ -262,18 +266,19 @@
     assert owner.log == ["stop"]
 
 
-def test_release_waits_for_grants_on_their_way(
-    ownership, step, store, context, configuration, wait_until
+@pytest.mark.parametrize("what", ["unstarted", "unwritten"])
+def test_release_waits_for_grants_on_their_way_and_unwritten_keys(
+    ownership, step, store, context, configuration, wait_until, what
 ):
     step()
     owner = ownership.owned[SHARD]
-    owner.unstarted = 1
+    setattr(owner, what, 1)
     context.state = LEAVING
     step()
     assert owner.is_releasing
     eventlet.sleep(0.05)
     assert configuration.shards[SHARD].state == "owned"
-    owner.unstarted = 0
+    setattr(owner, what, 0)
     wait_until(lambda: not ownership.owned)
     assert owner.log == ["refuse_waiting", "send_digests", "stop"]
     assert configuration.shards[SHARD].state == "released"
