Close connections to the gRPC port that do not begin HTTP/2 within the silence time

Cause: a connection that says nothing, or only a part of the preface, was kept open by the library beyond 5 s, where the test gave up; the TCP port ends such after 1 s. Whoever reaches the port could hold the process's descriptors.

Ruled out: the library's keepalive, which begins after the preface only.

Change: grpc.server_handshake_timeout_ms is the silence time. The library does not count these either; the page says so.

Tests: test_connection_that_says_nothing_is_closed, two cases, red (timed out after 5 s) without the option; closed after 0.8 s with a silence time of 800 ms. packages/ lagoonsail-peer: 188 passed.

--- a/packages/lagoonsail-peer/src/lagoonsail_peer/_grpc.py
+++ b/packages/lagoonsail-peer/src/lagoonsail_peer/_grpc.py
@@ -99,6 +99,8 @@
             ("grpc.max_receive_message_length", MAX_FRAME_BYTES + SIZE_SLACK_BYTES),
             ("grpc.max_send_message_length", MAX_FRAME_BYTES),
             ("grpc.max_metadata_size", 8192),
+            # The library's own limit lets strangers keep connections open for long.
+            ("grpc.server_handshake_timeout_ms", int(options.silence_ms)),
             ("grpc.keepalive_time_ms", 10_000),
             ("grpc.keepalive_timeout_ms", int(options.silence_ms)),
             ("grpc.http2.min_ping_interval_without_data_ms", 5000),
--- a/packages/lagoonsail-peer/tests/test_grpc_port.py
+++ b/packages/lagoonsail-peer/tests/test_grpc_port.py
@@ -206,3 +206,14 @@
     # The library tells nobody of these; the pages say so.
     refused = {key for key in server.end.counters if key.startswith("refused_")}
     assert refused == {key for key in before if key.startswith("refused_")}
+
+
+@pytest.mark.parametrize("beginning", [b"", b"PRI * HTTP/2.0"], ids=["none", "part"])
+def test_connection_that_says_nothing_is_closed(pair, connect, beginning):
+    server, link = pair
+    connection = connect(server.end.port)
+    connection.sendall(beginning)
+    # It is closed after the silence time of 800 ms; the socket gives up after 5 s.
+    while connection.recv(4096):
+        pass
+    assert not link.of("close")
