Split the backend stand-in into runs, connection, application and server

Cause: backend.py (481 lines) held what is recorded of a run, the connection that a green thread answers, the HTTP routes and the server's cold or warm state.

Change: pure moves. runs.Run with its states, caller_connection (is_caller_gone, drop_caller, keep_connection), backend_app (send_body, make_backend_app); backend.py keeps the server (357 lines). Names that other modules use lose their underscore.

packages/lagoonsail-standins: 25 passed, as before.

--- a/packages/lagoonsail-standins/src/lagoonsail_standins/backend.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/backend.py
@@ -1,20 +1,21 @@
-"""What both backend stand-ins share: the record of runs and the cold or warm state."""
+"""A backend server: what runs on it, and its cold or warm state."""
 
 from __future__ import annotations
 
 import hashlib
 import os
-import socket
 from collections import deque
 from dataclasses import asdict, dataclass
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.clock import Clock
 from lagoonsail_core.green import eventlet
-from lagoonsail_standins.serving import Answer, BrokenAnswerError, answer_json, make_app
+from lagoonsail_standins.caller_connection import drop_caller, is_caller_gone
+from lagoonsail_standins.runs import BROKEN, CANCELLED, REFUSED, RUNNING, WHOLE, Run
+from lagoonsail_standins.serving import Answer, BrokenAnswerError, answer_json
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
     from lagoonsail_standins.serving import Request
 
@@ -23,45 +24,6 @@
 LOOK_MS = 10.0
 """Longest time of work between two looks at the caller's connection, milliseconds."""
 
-RUNNING = "running"
-"""The run has not ended."""
-WHOLE = "whole"
-"""The answer was made and handed over whole."""
-CANCELLED = "cancelled"
-"""The caller cancelled or closed the connection."""
-BROKEN = "broken"
-"""The server broke the run off."""
-REFUSED = "refused"
-"""Nothing was run."""
-
-
-@dataclass(slots=True, eq=False)
-class Run:
-    """One request as a backend server saw it."""
-
-    request_id: str
-    """Value of X-Request-Id, or one made up here."""
-    idempotency_key: str
-    """Value of Idempotency-Key, empty if there was none."""
-    path: str
-    """Path of the request."""
-    body_sha256: str
-    """Hash of the body, 64 hex digits."""
-    epoch: int
-    """Value of X-Lagoonsail-Epoch, 0 if there was none."""
-    state: str
-    """One of the state constants of this module."""
-    started_wall_ms: float
-    """When the request arrived, wall time."""
-    ended_wall_ms: float = 0.0
-    """When the run ended, wall time; 0 while it runs."""
-    cost: float = 0.0
-    """Tokens or milliseconds of work done."""
-    cold: bool = False
-    """Whether the server was cold at the start."""
-    running_at_start: int = 0
-    """Requests that ran at the start, this one included."""
-
 
 @dataclass(slots=True)
 class BackendOptions:
@@ -343,11 +305,11 @@
 
     def pause_while_silent(self) -> None:
         """Wait until the server answers again or the caller goes away."""
-        while self.is_silent and not _is_caller_gone():
+        while self.is_silent and not is_caller_gone():
             eventlet.sleep(LOOK_MS / 1000.0)
 
     def _look(self, run: Run) -> None:
-        if run.state == RUNNING and _is_caller_gone():
+        if run.state == RUNNING and is_caller_gone():
             self.finish(run, CANCELLED)
         if run.state != RUNNING:
             drop_caller()
@@ -393,89 +355,3 @@
         self.late_ms = float(orders.get("late_ms", self.late_ms))
         self.is_silent = bool(orders.get("silent", self.is_silent))
         return answer_json({"incarnation": self.incarnation}, headers=self.headers())
-
-
-def send_body(
-    backend: Backend, run: Run, work: Callable[[], None], body: bytes, shown: bytes
-) -> Iterable[bytes]:
-    """Do the work of a run, then hand over a body of known length.
-
-    Args:
-        backend: The server.
-        run: The run, which is finished here.
-        work: Does the work; raises BrokenAnswerError if the run ends meanwhile.
-        body: The whole body.
-        shown: What is sent of it; empty for HEAD.
-
-    Yields:
-        The body, or half of it if the answer is to break.
-
-    Raises:
-        BrokenAnswerError: If the answer breaks.
-    """
-    try:
-        breaks = backend.takes_break()
-        work()
-        if breaks:
-            yield shown[: len(body) // 2]
-            backend.finish(run, BROKEN)
-            drop_caller()
-            raise BrokenAnswerError
-        yield shown
-        backend.finish(run, WHOLE)
-    finally:
-        # Reached early when the connection closes while the body is written.
-        backend.finish(run, CANCELLED)
-
-
-_local = eventlet.corolocal.local()
-
-
-def _is_caller_gone() -> bool:
-    try:
-        seen = _local.connection.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-    return not seen
-
-
-def drop_caller() -> None:
-    """Close the connection of the request that this green thread answers."""
-    try:
-        _local.connection.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        # The caller closed it first.
-        return
-
-
-def make_backend_app(
-    backend: Backend,
-    routes: dict[tuple[str, str], Callable[[Request], Answer]],
-    fallback: Callable[[Request], Answer],
-) -> Callable:
-    """Return the WSGI application of a backend server.
-
-    Args:
-        backend: The server.
-        routes: Handlers by method and exact path, besides those for tests.
-        fallback: Handler of all other requests.
-
-    Returns:
-        The application.
-    """
-    app = make_app(
-        {
-            **routes,
-            ("POST", "/_control"): backend.control,
-            ("GET", "/_record"): lambda _request: answer_json(backend.record()),
-        },
-        fallback,
-    )
-
-    def watched_app(environ: dict, start_response: Callable) -> Iterable[bytes]:
-        _local.connection = environ["eventlet.input"].get_socket()
-        return app(environ, start_response)
-
-    return watched_app
--- a/packages/lagoonsail-standins/src/lagoonsail_standins/model_engine.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/model_engine.py
@@ -11,19 +11,11 @@
 from urllib.parse import urljoin
 
 from lagoonsail_core.green import eventlet, urllib3
-from lagoonsail_standins.backend import (
-    BROKEN,
-    CANCELLED,
-    RUNNING,
-    WHOLE,
-    Backend,
-    BackendOptions,
-    Run,
-    drop_caller,
-    make_backend_app,
-    send_body,
-)
+from lagoonsail_standins.backend import Backend, BackendOptions
+from lagoonsail_standins.backend_app import make_backend_app, send_body
+from lagoonsail_standins.caller_connection import drop_caller
 from lagoonsail_standins.engine_reports import PromptCache, make_metrics_handler
+from lagoonsail_standins.runs import BROKEN, CANCELLED, RUNNING, WHOLE, Run
 from lagoonsail_standins.serving import (
     Answer,
     BrokenAnswerError,
--- a/packages/lagoonsail-standins/src/lagoonsail_standins/plain_service.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/plain_service.py
@@ -5,12 +5,8 @@
 import json
 from typing import TYPE_CHECKING
 
-from lagoonsail_standins.backend import (
-    Backend,
-    BackendOptions,
-    make_backend_app,
-    send_body,
-)
+from lagoonsail_standins.backend import Backend, BackendOptions
+from lagoonsail_standins.backend_app import make_backend_app, send_body
 from lagoonsail_standins.engine_reports import make_metrics_handler
 from lagoonsail_standins.serving import Answer, run, serve
 
