--- a/packages/lagoonsail-standins/tests/test_backend_servers.py
+++ b/packages/lagoonsail-standins/tests/test_backend_servers.py
@@ -8,7 +8,8 @@
 
 from lagoonsail_core.green import eventlet, urllib3
 from lagoonsail_standins.backend import Backend, BackendOptions
-from lagoonsail_standins.model_engine import Engine, hash_prompt, make_engine_app
+from lagoonsail_standins.completions import hash_prompt
+from lagoonsail_standins.model_engine import Engine, make_engine_app
 from lagoonsail_standins.plain_service import make_plain_app
 from lagoonsail_standins.serving import listen, serve_listener
 
