--- a/packages/lagoonsail-lab/tests/test_proof_region_shares.py
+++ b/packages/lagoonsail-lab/tests/test_proof_region_shares.py
@@ -1,4 +1,4 @@
-"""One service in two regions: shares hold over both, wherever calls come in."""
+"""One service in several regions: shares hold over all, wherever calls come in."""
 
 from __future__ import annotations
 
@@ -13,6 +13,7 @@
     NEAR,
     SIDES,
     SLOTS,
+    THIRD,
     make_fleet,
     owners,
     routers_of,
@@ -20,6 +21,8 @@
     shard_of,
 )
 
+REGIONS = (NEAR, FAR, THIRD)
+"""The regions."""
 LOUD, QUIET = "club-norte", "prensa"
 """The accounts."""
 EQUAL = {LOUD: 1.0, QUIET: 1.0}
@@ -87,22 +90,29 @@
         assert gap <= bound
 
 
-def measure(proof, callers, duration_ms):
-    """Return the gap between two accounts of equal shares, and its bound.
+def measure(proof, callers, duration_ms, shares=EQUAL, regions=2):
+    """Return the gap between two accounts, and its bound.
 
     Args:
         proof: What the proofs share.
-        callers: Callers of each account.
+        callers: Callers by account.
         duration_ms: Time for which tokens are counted.
+        shares: Share by account, the least of them 1.
+        regions: Number of regions.
     """
     from_ms = proof.clock.wall_ms()
-    callers[0][0].wait(duration_ms)
+    callers[QUIET][0].wait(duration_ms)
     until_ms = proof.clock.wall_ms()
-    tokens = [sum(served(t, from_ms, until_ms) for t in group) for group in callers]
-    a_second = sum(tokens) / (until_ms - from_ms) * 1000.0 / 2.0
+    tokens = {
+        account: sum(served(traffic, from_ms, until_ms) for traffic in group)
+        for account, group in callers.items()
+    }
+    a_second = sum(tokens.values()) / (until_ms - from_ms) * 1000.0
+    elsewhere = a_second * (regions - 1) / regions
+    full = regions * SLOTS * TOKENS
     # Twice the design's bound over an interval, and answers at both of its ends.
-    bound = 2 * (2 * SLOTS * TOKENS + a_second) + 2 * (2 * SLOTS * TOKENS)
-    gap = abs(tokens[0] - tokens[1])
+    bound = 2 * (full + elsewhere) + 2 * full
+    gap = abs(tokens[LOUD] / shares[LOUD] - tokens[QUIET] / shares[QUIET])
     print("tokens", tokens, "gap", gap, "bound", bound)
     return gap, bound
 
@@ -115,7 +125,7 @@
             for region, seed in ((NEAR, 82), (FAR, 83))
         ]
         quiet[0].wait(4000.0)
-        gap, bound = measure(proof, [loud, quiet], 10000.0)
+        gap, bound = measure(proof, {LOUD: loud, QUIET: quiet}, 10000.0)
         for traffic in quiet + loud:
             traffic.finish()
         assert faults(quiet + loud) == []
@@ -150,9 +160,25 @@
         owned_ms = proof.wait_until(is_owned, 8000.0)
         quiet = [start(fleet, FAR, QUIET, 86, CALLERS)]
         quiet[0].wait(1000.0)
-        gap, bound = measure(proof, [loud, quiet], 7000.0)
+        gap, bound = measure(proof, {LOUD: loud, QUIET: quiet}, 7000.0)
         for traffic in quiet + loud:
             traffic.finish()
         assert faults(quiet + loud, kills) == []
         assert owned_ms is not None
         assert gap <= bound
+
+
+def test_account_that_waits_in_one_region_only_keeps_its_share_over_three(proof, start):
+    with make_fleet(regions=REGIONS) as fleet:
+        quiet = [start(fleet, NEAR, QUIET, 97, CALLERS)]
+        loud = [
+            start(fleet, region, LOUD, 98 + number, CALLERS)
+            for number, region in enumerate(REGIONS)
+        ]
+        quiet[0].wait(4000.0)
+        callers = {LOUD: loud, QUIET: quiet}
+        gap, bound = measure(proof, callers, 14000.0, ACCOUNTS, len(REGIONS))
+        for traffic in quiet + loud:
+            traffic.finish()
+        assert faults(quiet + loud) == []
+        assert gap <= bound
