Measure slot messages under a backlog too

cause: at the target 38 calls a second of 13 s each want the 336 slots of a shard, so calls wait at the owner; slot_cost.py measured calls that never wait. change: a third phase runs 480 callers back to back.

--- a/packages/lagoonsail-router/benchmarks/slot_cost.py
+++ b/packages/lagoonsail-router/benchmarks/slot_cost.py
@@ -5,7 +5,8 @@
 its slot back; nothing is sent to a backend server. The same calls without messages, on
 the same idle streams, are taken off. Then the routers run calls back to back, so that
 both processes are busy throughout, as a node that passes on tokens is: an idle process
-pays for each wake-up as well. Prints one JSON object after about 30 s.
+pays for each wake-up as well; at last with more calls than slots, so that calls wait at
+the owner. Prints one JSON object after about 35 s.
 
     python packages/lagoonsail-router/benchmarks/slot_cost.py
 
@@ -65,6 +66,9 @@
 """Costs that a call reports."""
 WHOLE_COST = 382.0
 """What a call costs, as the mean at the target."""
+BACKLOG_CALLERS = 20
+"""Callers of each router in the last phase: 480 calls for the 336 slots, as at the
+target, where 38 calls a second of 13 s each want the slots of a shard."""
 OWNER = "cordero-1"
 
 
@@ -188,12 +192,13 @@
     return count
 
 
-def run_busy(routers: list[EntryRouter], clock: Clock) -> int:
+def run_busy(routers: list[EntryRouter], clock: Clock, callers: int) -> int:
     """Have each router run calls back to back, and return how many.
 
     Args:
         routers: The entry routers.
         clock: The clock.
+        callers: Calls of each router at a time.
     """
     until_ms = clock.now_ms() + BUSY_MS
     count = 0
@@ -204,7 +209,7 @@
             count += 1
             router.call(count, clock.now_ms(), 0.0)
 
-    for task in [eventlet.spawn(loop, router) for router in routers]:
+    for task in [eventlet.spawn(loop, router) for router in routers * callers]:
         task.wait()
     return count
 
@@ -276,16 +281,31 @@
     result["idle_us_per_stream_and_second"] = {
         role: round((middle[role] - start[role]) / seconds) for role in pids
     }
+    result["busy"] = measure_busy(routers, context.clock, pids, 1)
+    result["backlogged"] = measure_busy(routers, context.clock, pids, BACKLOG_CALLERS)
+    return result
+
+
+def measure_busy(
+    routers: list[EntryRouter], clock: Clock, pids: dict[str, int], callers: int
+) -> dict:
+    """Run calls back to back and return the costs of a call.
+
+    Args:
+        routers: The entry routers.
+        clock: The clock.
+        pids: Processes by role.
+        callers: Calls of each router at a time.
+    """
     before = {role: processor_us(pid) for role, pid in pids.items()}
-    calls = run_busy(routers, context.clock)
-    busy = {
+    calls = run_busy(routers, clock, callers)
+    costs = {
         f"{role}_us_per_call": round((processor_us(pid) - before[role]) / calls)
         for role, pid in pids.items()
     }
-    busy["sum_us_per_call"] = sum(busy.values())
-    busy["ms_per_s_of_a_node"] = round(busy["sum_us_per_call"] * CALLS_PER_S / 1e3, 1)
-    result["busy"] = busy
-    return result
+    costs["sum_us_per_call"] = sum(costs.values())
+    costs["ms_per_s_of_a_node"] = round(costs["sum_us_per_call"] * CALLS_PER_S / 1e3, 1)
+    return costs
 
 
 def run_once(checkout: str) -> dict:
@@ -317,7 +337,7 @@
         results["before"].append(run_once(before))
         results["after"].append(run_once(str(Path(__file__).parents[3])))
     summary: dict = {"load": os.getloadavg()}
-    for phase in ("paced", "busy"):
+    for phase in ("paced", "busy", "backlogged"):
         for key in ("entry_us_per_call", "owner_us_per_call", "sum_us_per_call"):
             costs = {
                 side: [
