--- a/packages/lagoonsail-router/src/lagoonsail_router/server_polls.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/server_polls.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.unavailable import Unavailable
-from lagoonsail_router.context import start_task
-from lagoonsail_router.load_reports import read_load
+from lagoonsail_router.load_reports import ask_load
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from lagoonsail_config.document import ServiceDocument
+    from lagoonsail_router.batched_gets import BatchedGets
     from lagoonsail_router.context import RouterContext
     from lagoonsail_router.shard_servers import Server
     from lagoonsail_router.shard_state import ShardState
@@ -19,10 +20,11 @@
 
 
 class ServerPolls:
-    """Reads load reports and cache events, each server in a task of its own."""
+    """Reads load reports and cache events, those of one moment in one batch."""
 
     __slots__ = (
         "_context",
+        "_gets",
         "_is_stopped",
         "_may_order",
         "_on_report",
@@ -35,6 +37,7 @@
         self,
         context: RouterContext,
         state: ShardState,
+        gets: BatchedGets,
         is_stopped: Callable[[], bool],
         may_order: Callable[[], bool],
         on_report: Callable[[Server, LoadReport], None],
@@ -42,6 +45,7 @@
     ) -> None:
         self._context = context
         self._state = state
+        self._gets = gets
         self._servers = state.servers
         self._is_stopped = is_stopped
         self._may_order = may_order
@@ -68,13 +72,11 @@
         if not server.is_reading:
             server.is_reading = True
             server.read_ms = self._context.clock.now_ms()
-            start_task(self._context, "poll_server", self._read, server)
+            address, clock = server.entry.address, self._context.clock
+            ask_load(self._gets, address, clock, partial(self._take, server))
 
-    def _read(self, server: Server) -> None:
-        try:
-            result = read_load(server.entry.address, self._context.clock)
-        finally:
-            server.is_reading = server.is_resting = False
+    def _take(self, server: Server, result: LoadReport | Unavailable) -> None:
+        server.is_reading = server.is_resting = False
         is_known = self._servers.by_name.get(server.entry.name) is server
         if self._is_stopped() or not is_known:
             return
@@ -93,7 +95,7 @@
         """
         document = self._state.find_document()
         if document and document.kind == "engine":
-            self._servers.read_cache(server, self._state.prefixes)
+            self._servers.read_cache(server, self._state.prefixes, self._gets)
             self._give_orders(server, document)
 
     def _give_orders(self, server: Server, document: ServiceDocument) -> None:
@@ -107,4 +109,5 @@
             # It takes no requests while it loads, and is cold afterwards.
             server.limit.on_loading(self._context.clock.now_ms())
 
-        self._state.orders.step(server.entry, document, may_order, on_load)
+        entry, gets = server.entry, self._gets
+        self._state.orders.look(entry, document, gets, may_order, on_load)
--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -12,6 +12,7 @@
     REFUSED_ACCOUNT,
     InventoryTaken,
 )
+from lagoonsail_router.batched_gets import BatchedGets
 from lagoonsail_router.context import start_later
 from lagoonsail_router.digest_sender import DigestSender
 from lagoonsail_router.engine_orders import EngineOrders
@@ -145,6 +146,7 @@
         self._polls = ServerPolls(
             context,
             state,
+            BatchedGets(context, self.pump),
             lambda: self._is_stopped,
             self._may_order,
             self._take_report,
@@ -356,7 +358,6 @@
             # The loss of a router tells nothing about the server.
             self._free(slot, OUTCOME_CANCELLED, 0.0, None)
         self._polls.read_engine(server)
-        self.pump()
 
     def send_digests(self) -> None:
         """Tell the next owners, and the service's other shards, what changed."""
