Restart test servers on ports that the system gives to nobody else

Cause: test_restarted_server_is_seen_as_a_new_incarnation[grpc] failed once in a run of 700 tests, six at a time: the second process never said that it listened. Its port came from the system's range for outgoing connections; between the kill and the restart the link dials that very port, and other test processes open connections, any of which may be given it. Ruled out: a slow start (10 s; others took below 1 s). Change: the tests that start a process again on its port draw it from below that range, by the function that the fleets use. Nothing they assert has changed.

--- a/packages/lagoonsail-peer/tests/test_stream_redial.py
+++ b/packages/lagoonsail-peer/tests/test_stream_redial.py
@@ -4,6 +4,7 @@
 
 from lagoonsail_core.clock import Clock
 from lagoonsail_core.green import eventlet
+from lagoonsail_lab.processes import free_port
 
 CLOCK = Clock()
 
@@ -11,7 +12,8 @@
 def test_restarted_server_is_seen_as_a_new_incarnation(
     start_child, make_peer, wait_until
 ):
-    child = start_child("--incarnation", "1")
+    # Not a port that the system gave: it may give that to another connection meanwhile.
+    child = start_child("--incarnation", "1", "--port", str(free_port()))
     link = make_peer(f"127.0.0.1:{child.port}")
     wait_until(lambda: link.of("open"))
     child.process.kill()
@@ -27,7 +29,7 @@
 def test_link_that_is_started_first_finds_the_server(
     start_child, make_peer, wait_until
 ):
-    child = start_child()
+    child = start_child("--port", str(free_port()))
     child.end()
     link = make_peer(f"127.0.0.1:{child.port}")
     eventlet.sleep(0.3)
--- a/packages/lagoonsail-store/tests/test_store_outage.py
+++ b/packages/lagoonsail-store/tests/test_store_outage.py
@@ -6,6 +6,7 @@
 
 from lagoonsail_core.green import eventlet, green_socket
 from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_lab.processes import free_port
 from lagoonsail_store.store_client import Absent, Conflict, Entry, Written
 
 TIMEOUT_MS = 300.0
@@ -145,7 +146,8 @@
 
 
 def test_new_cluster_with_lower_revisions_is_accepted(start, connect):
-    first = start("key_value")
+    # Not a port that the system gave: it may give that to another connection meanwhile.
+    first = start("key_value", "--port", str(free_port()))
     client = connect(first.address)
     client.put_if("/a", "1", 0)
     assert first.stop() == 0
