Split the daemon into its parts, HTTP serving, shard messages and planned stop

Cause: daemon.py (512 lines) held the listening sockets, the owner's side of all messages, the reading of the host list and the planned stop beside the putting together.

Change: pure moves. http_server (listen, start_serving), shard_messages.ShardMessages (makes owners, hands them what other routers send, polls and digests), host_state (pause between reads, the step that leaves or serves as the list says), planned_stop.PlannedStop. daemon.py keeps the parts, health, start and tasks (275 lines). Handlers are registered in the order of before.

packages/lagoonsail-router: 310 passed (-n 4).

--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -2,57 +2,33 @@
 
 from __future__ import annotations
 
-import errno
 import json
 from collections import Counter
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.errors import LagoonsailError
-from lagoonsail_core.green import eventlet, green_socket
-from lagoonsail_core.messages import (
-    REFUSED_NOT_OWNER,
-    Inventory,
-    InventoryTaken,
-    KeysNoted,
-    SlotCancel,
-    SlotDone,
-    SlotProgress,
-    SlotRefusal,
-    SlotRequest,
-    SlotStart,
-)
-from lagoonsail_core.names import service_of
+from lagoonsail_core.green import eventlet
 from lagoonsail_router.admin import Admin, unready_reason
-from lagoonsail_router.configuration import DOCUMENTS, Configuration
-from lagoonsail_router.context import (
-    LEAVING,
-    SERVING,
-    RouterContext,
-    repeat,
-    run_in_turn,
-    start_task,
-)
-from lagoonsail_router.digests import DigestStore
+from lagoonsail_router.configuration import Configuration
+from lagoonsail_router.context import RouterContext, repeat, run_in_turn, start_task
 from lagoonsail_router.entry import Entry
-from lagoonsail_router.http_port import make_protocol
-from lagoonsail_router.key_log import KeyNotices
+from lagoonsail_router.host_state import host_list_pause_ms, make_host_reader
+from lagoonsail_router.http_server import listen, start_serving
 from lagoonsail_router.key_store import KeyStore
 from lagoonsail_router.local_stream import LocalStream
 from lagoonsail_router.metrics import declare_gauges, make_metrics
 from lagoonsail_router.ownership import Ownership
 from lagoonsail_router.peers import PeerDirectory
+from lagoonsail_router.planned_stop import PlannedStop
 from lagoonsail_router.right import RENEWALS_PER_TTL, Right
-from lagoonsail_router.shard_owner import ShardOwner
+from lagoonsail_router.shard_messages import ShardMessages
 from lagoonsail_router.store_sync import StoreSync
 from lagoonsail_router.ticket_desk import TicketDesk
 from lagoonsail_store.host_list import HostList
 from lagoonsail_store.store_client import StoreClient
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from lagoonsail_config.settings import RouterSettings
-    from lagoonsail_core.messages import ServiceDigest
 
 OWNERSHIP_INTERVAL_MS = 100.0
 """Time between two looks at who owns what."""
@@ -66,85 +42,33 @@
 """Time between two looks at the right and at whether anybody is heard."""
 PEERS_INTERVAL_MS = 500.0
 """Time between two looks at which routers to dial."""
-UNWRITTEN_HANDOVER_MS = 2000.0
-"""How long a planned stop tries to hand shards over without the service."""
-HOST_READ_MS = 10.0
-"""Time between two reads of the host list for each host in it."""
-HOST_LIST_AGE_PART = 0.3
-"""Longest such time, as a part of the age up to which the list may be relied upon."""
 MAX_ADMIN_CONNECTIONS = 512
 """Connections of operators, balancers and whoever else reaches that port."""
 ADMIN_SILENCE_MS = 5000.0
 """How long such a connection may be silent."""
-BACKLOG = 1024
-"""Connections that wait to be accepted."""
 LEARNING_MS = 10_000.0
 """How long a starting router tries to learn the configuration."""
 BOOTSTRAP_PEERS = 8
 """Routers of the host list that a starting router dials without the service."""
 
 
-def host_list_pause_ms(hosts: int, poll_ms: float, max_lag_ms: float) -> float:
-    """Return how much longer than usual to wait after a host list was read.
-
-    The bytes of one read grow with the list, so a long list is read more seldom, but
-    often enough that what is known of it is not too old.
-
-    Args:
-        hosts: Hosts in the list.
-        poll_ms: Usual time between two reads.
-        max_lag_ms: Age above which the list may not be relied upon.
-
-    Returns:
-        Milliseconds to wait beyond the usual time.
-
-    Example:
-        >>> [host_list_pause_ms(hosts, 1000.0, 10_000.0) for hosts in (100, 200, 900)]
-        [0.0, 1000.0, 2000.0]
-    """
-    interval_ms = min(hosts * HOST_READ_MS, max_lag_ms * HOST_LIST_AGE_PART)
-    return max(0.0, interval_ms - poll_ms)
-
-
-class AddressInUseError(LagoonsailError):
-    """An address of the settings cannot be listened on."""
-
-
 class StartError(LagoonsailError):
     """The router cannot learn the configuration at its start."""
 
 
-def _listen(address: str) -> green_socket.socket:
-    host, port = address.rsplit(":", 1)
-    sock = green_socket.socket()
-    sock.setsockopt(green_socket.SOL_SOCKET, green_socket.SO_REUSEADDR, 1)
-    try:
-        sock.bind((host, int(port)))
-    except OSError as error:
-        what = "in use" if error.errno == errno.EADDRINUSE else str(error)
-        raise AddressInUseError(
-            f"cannot listen on {address}: {what}",
-            "free the address or choose another in [listen] of the settings",
-        ) from error
-    sock.listen(BACKLOG)
-    return sock
-
-
 class Daemon:
     """A router with all its parts."""
 
     __slots__ = (
-        "_digests",
+        "_gauges",
         "_heard_ms",
         "_host_list",
-        "_is_stopping",
-        "_stopped_ms",
-        "_key_notices",
-        "_key_store",
         "_listeners",
-        "_gauges",
         "_local_stream",
         "_metrics",
+        "_read_hosts",
+        "_shard_messages",
+        "_stop",
         "_store",
         "_sync",
         "configuration",
@@ -186,7 +110,7 @@
             context,
             self.configuration,
             self._store,
-            self._make_owner,
+            lambda shard, epoch: self._shard_messages.make_owner(shard, epoch),
             lambda: self._sync.revision,
             self.peers.is_connected,
         )
@@ -204,116 +128,22 @@
             context, self.configuration, self.peers, self._local_stream
         )
         self.entry = Entry(context, self.configuration, self.desk, self.is_isolated)
-        self._digests = DigestStore(self.peers, self._on_digest)
-        self._key_notices = KeyNotices(context, self.peers)
-        self._key_store = KeyStore(context, self._store, self.configuration, self.peers)
-        self._is_stopping = False
-        self._stopped_ms = float("-inf")
+        self._shard_messages = ShardMessages(
+            context,
+            self.configuration,
+            self.peers,
+            self.ownership,
+            self.right,
+            KeyStore(context, self._store, self.configuration, self.peers),
+        )
+        self._stop = PlannedStop(context, self.ownership, self.right, self.entry)
+        self._read_hosts = make_host_reader(
+            context, self.right, lambda: self._stop.is_begun
+        )
         self._heard_ms = context.clock.now_ms()
         self._listeners: list = []
         self._metrics = make_metrics(self)
         self._gauges = declare_gauges(self._metrics)
-        self._register_handlers()
-        self.configuration.subscribe(self._on_record)
-
-    def _register_handlers(self) -> None:
-        self.peers.handle(Inventory, self._take_inventory)
-        self.peers.handle(SlotRequest, self._take_request)
-        self.peers.handle(SlotCancel, self._take_cancel)
-        self.peers.handle(SlotStart, self._to_owner(ShardOwner.take_start))
-        self.peers.handle(SlotProgress, self._to_owner(ShardOwner.take_progress))
-        self.peers.handle(SlotDone, self._to_owner(ShardOwner.take_done))
-        self.peers.handle(KeysNoted, self._take_noted)
-        self.peers.subscribe(lambda stream: None, self._lose_stream)
-
-    # Owner's side of the messages.
-
-    def _make_owner(self, shard: str, epoch: int) -> ShardOwner:
-        service = service_of(shard)
-        owner = ShardOwner(
-            self.context,
-            self.right,
-            self._key_store,
-            shard,
-            epoch,
-            lambda: self.configuration.documents.get(service),
-            lambda: self._successor_streams(shard),
-            lambda: self._digest_streams(shard),
-        )
-        digest = self._digests.find(shard)
-        if digest:
-            owner.adopt(digest)
-        owner.keys.adopt(self._key_notices.find(shard))
-        start_task(self.context, "first_poll", owner.poll)
-        return owner
-
-    def _successor_streams(self, shard: str) -> list:
-        names = self.ownership.successors(shard)
-        others = [name for name in names if name != self.context.settings.name]
-        return self._streams_to(others[:2])
-
-    def _digest_streams(self, shard: str) -> list:
-        """Return the streams to the next owners and to the other shards' owners."""
-        document = self.configuration.documents.get(service_of(shard))
-        siblings = document.shards() if document else []
-        owners = {self.configuration.owner_of(other) for other in siblings}
-        owners -= {"", self.context.settings.name}
-        streams = self._successor_streams(shard)
-        return streams + [s for s in self._streams_to(owners) if s not in streams]
-
-    def _streams_to(self, names: Iterable[str]) -> list:
-        streams = [self.peers.stream_to(name) for name in names]
-        return [stream for stream in streams if stream]
-
-    def _on_digest(self, digest: ServiceDigest) -> None:
-        """Count what another shard of a service served, in the shards owned here."""
-        service = service_of(digest.shard)
-        for shard, owner in self.ownership.owned.items():
-            if shard != digest.shard and service_of(shard) == service:
-                owner.queue.add_remote(digest.shard, digest.service)
-
-    def _take_inventory(self, stream, inventory: Inventory) -> None:
-        owner = self.ownership.owned.get(inventory.shard)
-        if owner is None or owner.is_releasing:
-            stream.send(InventoryTaken(inventory.shard, 0))
-            return
-        owner.take_inventory(stream, inventory)
-
-    def _take_request(self, stream, request: SlotRequest) -> None:
-        owner = self.ownership.owned.get(request.shard)
-        if owner is None:
-            stream.send(SlotRefusal(request.ticket, REFUSED_NOT_OWNER))
-            return
-        owner.take_request(stream, request)
-
-    def _take_cancel(self, stream, cancel: SlotCancel) -> None:
-        for owner in self.ownership.owned.values():
-            owner.take_cancel(stream, cancel)
-
-    def _to_owner(self, take):
-        def handler(_stream, message) -> None:
-            owner = self.ownership.owned.get(message.shard)
-            if owner:
-                take(owner, message)
-
-        return handler
-
-    def _take_noted(self, stream, noted: KeysNoted) -> None:
-        owner = self.ownership.owned.get(noted.shard)
-        if owner:
-            owner.keys.take_noted(stream, noted)
-
-    def _lose_stream(self, stream) -> None:
-        for owner in self.ownership.owned.values():
-            owner.lose_stream(stream)
-
-    def _on_record(self, key: str) -> None:
-        if not key.startswith(DOCUMENTS):
-            return
-        service = key.removeprefix(DOCUMENTS)
-        for shard, owner in self.ownership.owned.items():
-            if service_of(shard) == service:
-                owner.update_document()
 
     # Health.
 
@@ -362,22 +192,22 @@
             StartError: If neither the service nor any peer tells the configuration.
         """
         settings = self.context.settings
-        callers = _listen(settings.callers_address)
-        admin = _listen(settings.admin_address)
+        callers = listen(settings.callers_address)
+        admin = listen(settings.admin_address)
         self._listeners = [callers, admin]
         self.peers.start()
         self._learn_configuration()
         self._start_tasks()
         operators = Admin(self)
         count = self.context.count
-        self._serve(
+        start_serving(
             callers,
             self.entry.serve,
             settings.max_connections,
             settings.stop_timeout_ms,
             lambda kind: count("problems_total", kind),
         )
-        self._serve(
+        start_serving(
             admin,
             operators.serve,
             MAX_ADMIN_CONNECTIONS,
@@ -415,14 +245,14 @@
         repeat(context, 500.0, self.right.renew_through_peers, "renew_by_peers")
         repeat(context, 500.0, self.right.gather_promises, "promises")
         repeat(context, settings.host_list_poll_ms, self._tend_hosts, "host_list")
-        repeat(context, POLL_INTERVAL_MS, self._poll, "poll")
+        repeat(context, POLL_INTERVAL_MS, self._shard_messages.poll, "poll")
         run_in_turn(
             context,
             [
                 (OWNERSHIP_INTERVAL_MS, self.ownership.step, "ownership"),
                 (DESK_INTERVAL_MS, self.desk.maintain, "desk"),
                 (PEERS_INTERVAL_MS, self.peers.maintain, "peers"),
-                (DIGEST_INTERVAL_MS, self._send_digests, "digests"),
+                (DIGEST_INTERVAL_MS, self._shard_messages.send_digests, "digests"),
                 (ISOLATION_INTERVAL_MS, self._watch_isolation, "isolation"),
             ],
         )
@@ -437,76 +267,9 @@
         )
         eventlet.sleep(pause_ms / 1000.0)
 
-    def _read_hosts(self) -> None:
-        """Read the host list, and leave or serve as it says of this host."""
-        self.right.read_hosts()
-        if self._is_stopping:
-            return
-        is_leaving = self.context.settings.name in self.right.leaving
-        state = LEAVING if is_leaving else SERVING
-        if state == self.context.state:
-            return
-        self.context.state = state
-        self.context.timeline.record("host_state_changed", state=state)
-        self.right.write_state()
-
-    def _poll(self) -> None:
-        for owner in list(self.ownership.owned.values()):
-            owner.poll()
-            owner.pump()
-
-    def _send_digests(self) -> None:
-        for owner in list(self.ownership.owned.values()):
-            owner.send_digests()
-
-    def _serve(
-        self, sock, application, max_size: int, silence_ms: float, on_refused
-    ) -> None:
-        eventlet.spawn_n(
-            eventlet.wsgi.server,
-            sock,
-            application,
-            max_size=max_size,
-            protocol=make_protocol(on_refused),
-            log_output=False,
-            debug=False,
-            minimum_chunk_size=1,
-            socket_timeout=silence_ms / 1000.0,
-        )
-
     def stop(self) -> None:
         """Stop as planned: take no new work, let all work end, hand shards over."""
-        settings = self.context.settings
-        deadline_ms = self.context.clock.now_ms() + settings.stop_timeout_ms
-        self._is_stopping = True
-        self._stopped_ms = self.context.clock.now_ms()
-        self.context.state = LEAVING
-        self.context.timeline.record("leaving")
-        self.right.write_state()
-        self._wait_while(lambda: self.ownership.owned, self._handover_deadline_ms())
-        # Callers and balancer notice with a lag; until then their calls are served.
-        self._wait_while(lambda: not self._is_quiet(), deadline_ms)
-        self._listeners[0].close()
-        self._wait_while(lambda: self.entry.running, deadline_ms)
+        self._stop.run(self._listeners[0].close)
         self.right.revoke()
         self.peers.stop()
         self.context.timeline.record("stopped", unfinished=self.entry.running)
-
-    def _is_quiet(self) -> bool:
-        last_ms = max(self.entry.taken_ms, self._stopped_ms)
-        quiet_ms = self.context.clock.now_ms() - last_ms
-        is_long = quiet_ms > self.context.settings.drain_lag_ms
-        return is_long and not self.entry.running
-
-    def _handover_deadline_ms(self) -> float:
-        # Without the service no other router can take a shard over, so that a longer
-        # wait would help nobody; the slots already granted stay valid.
-        settings = self.context.settings
-        wait_ms = settings.stop_timeout_ms / 2
-        if not self.right.hears_store():
-            wait_ms = min(wait_ms, UNWRITTEN_HANDOVER_MS)
-        return self.context.clock.now_ms() + wait_ms
-
-    def _wait_while(self, condition, deadline_ms: float) -> None:
-        while condition() and self.context.clock.now_ms() < deadline_ms:
-            eventlet.sleep(0.02)
--- a/packages/lagoonsail-router/src/lagoonsail_router/main.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/main.py
@@ -87,7 +87,8 @@
 
 def _serve(daemon: Daemon, stop: eventlet.event.Event) -> int:
     from lagoonsail_peer.server import AddressError
-    from lagoonsail_router.daemon import AddressInUseError, StartError
+    from lagoonsail_router.daemon import StartError
+    from lagoonsail_router.http_server import AddressInUseError
 
     try:
         daemon.start()
