Split the lab's fleet and the demonstration by what they do

Cause: fleet.py (598 lines) held starting processes, HTTP calls, settings files, what is out of service, and the fleet itself; demo.py (479 lines) its callers and its report as well, of which three other modules took the percentile.

Change: pure moves. process_start, process_calls, router_settings, router_start, service_states and parts.describe_hosts; Fleet keeps its methods (444 lines: it is one class of short methods that hand on). demo_load, demo_report and percentile; demo.py keeps the run (157 lines). The two errors of redirect_peers name the key in place of the router. test_demo_report.py imports from the new places; nothing else of it is changed.

12 files of the lab's tests: 88 passed (-n 4): fleet, fleet_routers, demo_report, documents_examples, merged_fleet, planned_stop, silent_connections, host_list, transport_grpc, recovery, measures, prefix_locality. make demo: not run for this commit.

--- a/packages/lagoonsail-lab/src/lagoonsail_lab/domain_outage.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/domain_outage.py
@@ -29,10 +29,11 @@
     make_prompt,
 )
 from lagoonsail_lab.checker import Outage, check_all, last_new_work_ms
-from lagoonsail_lab.demo import percentile, set_domain
+from lagoonsail_lab.demo import set_domain
 from lagoonsail_lab.deployments import make_cordero
 from lagoonsail_lab.figures import AT_MOST, BELOW, Measure, Series
 from lagoonsail_lab.fleet import Fleet
+from lagoonsail_lab.percentile import percentile
 from lagoonsail_lab.utilisation import STEP_MS, busy_shares
 
 if TYPE_CHECKING:
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/fleet.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/fleet.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import base64
-import json
 import shutil
 import signal
 import tempfile
@@ -11,34 +9,31 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.clock import Clock
-from lagoonsail_core.green import eventlet, urllib3
-from lagoonsail_core.names import qualify
+from lagoonsail_core.green import eventlet
 from lagoonsail_core.unavailable import Unavailable
-from lagoonsail_lab.deployments import write_document
 from lagoonsail_lab.parts import (
     Backend,
     Relay,
     Router,
+    describe_hosts,
     give_sources,
     make_backends,
     make_routers,
 )
+from lagoonsail_lab.process_calls import ProcessCalls
+from lagoonsail_lab.process_start import address_of, for_each, start_listening
 from lagoonsail_lab.processes import Process, ProcessError, free_port, stop_all
+from lagoonsail_lab.router_settings import ROUTER_PREFIX, write_router_settings
+from lagoonsail_lab.router_start import choose_ports, start_router
+from lagoonsail_lab.service_states import ServiceStates
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
-    from typing import Any
+    from collections.abc import Iterable
 
     from lagoonsail_lab.deployments import Deployment, ServiceShape
 
-START_ATTEMPTS = 5
-"""Starts of a process whose port was taken meanwhile."""
-STARTS_AT_ONCE = 12
-"""Processes that start at the same time; more would not listen in time."""
 READY_MS = 20000.0
 """Time for all routers to be ready, milliseconds."""
-ROUTER_PREFIX = "/lagoonsail/"
-"""Beginning of every key of the fleet."""
 STAND_INS = {
     "engine": "lagoonsail_standins.model_engine",
     "plain": "lagoonsail_standins.plain_service",
@@ -46,23 +41,21 @@
 """Module of the backend servers by kind of service."""
 ROUTER_MODULE = "lagoonsail_router"
 """Module of the router."""
-PLACED_ROUTER_MODULE = "lagoonsail_lab.placed_router"
-"""Module of the router with a source address of its own."""
 
 
 class Fleet:
     """Stand-ins and routers as processes, with files in one directory."""
 
     __slots__ = (
-        "_http",
+        "_calls",
         "_is_own_directory",
-        "_out",
         "_processes",
         "_relayed_backends",
         "_relayed_peers",
         "_relayed_store",
         "_router_module",
         "_settings",
+        "_states",
         "backends",
         "deployments",
         "directory",
@@ -117,10 +110,7 @@
         self._relayed_peers = frozenset(relayed_peers)
         self._relayed_backends = frozenset(relayed_backends)
         self._router_module = router_module
-        self._http = urllib3.PoolManager(
-            num_pools=200, maxsize=4, retries=False, timeout=5.0
-        )
-        self._out: set[str] = set()
+        self._calls = ProcessCalls()
         self._processes: list[Process] = []
         self.store = ""
         self.host_list = ""
@@ -131,6 +121,7 @@
             for service in deployment.services
             for backend in make_backends(service)
         }
+        self._states = ServiceStates(self.backends)
         self.routers = {
             router.name: router
             for deployment in deployments
@@ -168,14 +159,14 @@
 
         def start_platform(name: str) -> str:
             process = self._start_listening(name, f"lagoonsail_standins.{name}", {})
-            return _address_of(process)
+            return address_of(process)
 
         store = eventlet.spawn(start_platform, "key_value")
         host_list = eventlet.spawn(start_platform, "host_list")
-        _for_each(self._start_backend, self.backends.values())
+        for_each(self._start_backend, self.backends.values())
         self.store = store.wait()
         self.host_list = host_list.wait()
-        _for_each(self._relay_backends, self.deployments)
+        for_each(self._relay_backends, self.deployments)
         self.put_documents()
 
     def start_routers(self) -> None:
@@ -185,10 +176,10 @@
             ProcessError: If one does not get ready.
         """
         for router in self.routers.values():
-            self._choose_ports(router)
-        _for_each(self._add_relays, self.routers.values())
+            choose_ports(router)
+        for_each(self._add_relays, self.routers.values())
         self.publish_hosts()
-        _for_each(self._start_router, self.routers.values())
+        for_each(self._start_router, self.routers.values())
         self.wait_ready()
         for name in sorted(self._relayed_peers):
             self.redirect_peers(name)
@@ -196,19 +187,9 @@
     def _start_listening(
         self, name: str, module: str, options: dict[str, str | int | float | bool]
     ) -> Process:
-        for attempt in range(START_ATTEMPTS):
-            arguments = ["--port", str(free_port()), *_write_options(options)]
-            process = Process(name, module, arguments, self.directory)
-            self._processes.append(process)
-            process.start()
-            try:
-                process.wait_listening()
-            except ProcessError:
-                if attempt + 1 == START_ATTEMPTS or not _is_port_taken(process):
-                    raise
-                continue
-            return process
-        raise ProcessError(f"{name} found no free port", "end other processes")
+        return start_listening(
+            name, module, options, self.directory, self._processes.append
+        )
 
     def _start_backend(self, backend: Backend) -> None:
         service = backend.service
@@ -217,12 +198,7 @@
             options.setdefault("checks_fencing", True)
         name = backend.qualified().replace("/", "-")
         backend.process = self._start_listening(name, STAND_INS[service.kind], options)
-        backend.address = _address_of(backend.process)
-
-    def _choose_ports(self, router: Router) -> None:
-        router.callers = f"127.0.0.1:{free_port()}"
-        router.admin = f"127.0.0.1:{free_port()}"
-        router.peers = f"127.0.0.1:{free_port()}"
+        backend.address = address_of(backend.process)
 
     def _add_relays(self, router: Router) -> None:
         if router.name in self._relayed_store:
@@ -234,7 +210,7 @@
         control = free_port()
         options = {"target": target, "control_port": control}
         process = self._start_listening(name, "lagoonsail_standins.relay", options)
-        self.relays[name] = Relay(_address_of(process), f"127.0.0.1:{control}", process)
+        self.relays[name] = Relay(address_of(process), f"127.0.0.1:{control}", process)
 
     def _relay_backends(self, deployment: Deployment) -> None:
         """Put one relay process before the relayed backend servers of a side."""
@@ -253,29 +229,16 @@
             backend.relay = f"127.0.0.1:{port}"
 
     def _start_router(self, router: Router) -> None:
-        for attempt in range(START_ATTEMPTS):
-            path = self.directory / f"{router.name}.ini"
-            path.write_text(self.write_settings(router))
-            arguments = ["--settings", str(path)]
-            module = self._router_module
-            if router.source:
-                arguments += ["--source", router.source]
-                module = PLACED_ROUTER_MODULE
-            router.process = Process(router.name, module, arguments, self.directory)
-            self._processes.append(router.process)
-            router.process.start()
-            try:
-                router.process.wait_listening()
-            except ProcessError:
-                # A relay goes on to the port that it was started with.
-                is_fixed = f"peers-{router.name}" in self.relays
-                is_last = attempt + 1 == START_ATTEMPTS
-                if is_fixed or is_last or router.process.exit_code != 3:
-                    raise
-                self._choose_ports(router)
-                self.publish_hosts()
-                continue
-            return
+        # A relay goes on to the port that it was started with.
+        is_fixed = f"peers-{router.name}" in self.relays
+        start_router(
+            router,
+            self._router_module,
+            self.directory,
+            self.write_settings,
+            self._processes.append,
+            None if is_fixed else self.publish_hosts,
+        )
 
     def write_settings(self, router: Router) -> str:
         """Return the settings of a router.
@@ -286,35 +249,15 @@
         Returns:
             INI text.
         """
-        relay = self.relays.get(f"store-{router.name}")
-        sections: dict[str, dict[str, str | int]] = {
-            "router": {
-                "name": router.name,
-                "side": router.side,
-                "region": router.region,
-                "failure_domain": router.failure_domain,
-            },
-            "listen": {
-                "callers": router.callers,
-                "admin": router.admin,
-                "peers": router.peers,
-            },
-            "store": {
-                "endpoints": relay.address if relay else self.store,
-                "prefix": ROUTER_PREFIX,
-            },
-            "host-list": {"url": f"http://{self.host_list}/hosts", "poll_ms": 250},
-        }
-        peers_relay = self.relays.get(f"peers-{router.name}")
-        if peers_relay:
-            sections["peers"] = {"advertised": peers_relay.address}
-        for section, values in self._settings.items():
-            sections.setdefault(section, {}).update(values)
-        blocks = []
-        for section, values in sections.items():
-            lines = [f"{key} = {value}" for key, value in values.items()]
-            blocks.append("\n".join([f"[{section}]", *lines]))
-        return "\n\n".join(blocks) + "\n"
+        store = self.relays.get(f"store-{router.name}")
+        peers = self.relays.get(f"peers-{router.name}")
+        return write_router_settings(
+            router,
+            store.address if store else self.store,
+            self.host_list,
+            peers.address if peers else "",
+            self._settings,
+        )
 
     def wait_ready(self, names: Iterable[str] | None = None) -> None:
         """Wait until routers are ready for callers.
@@ -346,7 +289,7 @@
         routers = [router.process for router in self.routers.values()]
         stop_all([process for process in routers if process])
         stop_all(self._processes)
-        self._http.clear()
+        self._calls.close()
         if self._is_own_directory:
             shutil.rmtree(self.directory, ignore_errors=True)
 
@@ -364,14 +307,7 @@
         Returns:
             The decoded answer, or why there is none.
         """
-        body = None if value is None else json.dumps(value)
-        try:
-            answer = self._http.request(method, f"http://{address}{path}", body=body)
-            if answer.status != 200:
-                return Unavailable(f"status {answer.status}: {answer.data[:200]!r}")
-            return answer.json()
-        except (urllib3.exceptions.HTTPError, ValueError) as error:
-            return Unavailable(f"{type(error).__name__}: {error}")
+        return self._calls.fetch(method, address, path, value)
 
     def put_documents(self) -> None:
         """Write all service documents to the key-value service.
@@ -385,24 +321,11 @@
 
     def document(self, service: ServiceShape) -> str:
         """Return the present document of a service, as the fleet would write it."""
-        backends = [b for b in self.backends.values() if b.service is service]
-        return write_document(
-            service,
-            {backend.name: backend.relay or backend.address for backend in backends},
-            frozenset(
-                domain
-                for domain in service.domains()
-                if qualify(service.side, domain) in self._out
-            ),
-            frozenset(b.name for b in backends if b.qualified() in self._out),
-        )
+        return self._states.document(service)
 
     def _put_document(self, service: ServiceShape) -> None:
         key = f"{ROUTER_PREFIX}documents/{service.qualified()}"
-        value = {"key": _encode(key), "value": _encode(self.document(service))}
-        result = self.fetch("POST", self.store, "/v3/kv/put", value)
-        if isinstance(result, Unavailable):
-            raise ProcessError(f"put of {key}: {result.reason}", "look at key_value")
+        self._calls.put_document(self.store, key, self.document(service))
 
     def redirect_peers(self, name: str) -> None:
         """Let other routers dial a router's relay, by editing its member record.
@@ -418,18 +341,9 @@
         Raises:
             ProcessError: If the record cannot be read or written.
         """
-        key = _encode(f"{ROUTER_PREFIX}members/{name}")
-        found = self.fetch("POST", self.store, "/v3/kv/range", {"key": key})
-        if not found or not found.get("kvs"):
-            raise ProcessError(f"no member record of {name}", "look at its output")
-        entry = found["kvs"][0]
-        member = json.loads(base64.b64decode(entry["value"]))
-        member["peers"] = self.relays[f"peers-{name}"].address
-        value = _encode(json.dumps(member))
-        lease = entry.get("lease", "0")
-        put = {"key": key, "value": value, "lease": lease}
-        if not self.fetch("POST", self.store, "/v3/kv/put", put):
-            raise ProcessError(f"no put of {name}'s record", "look at key_value")
+        address = self.relays[f"peers-{name}"].address
+        key = f"{ROUTER_PREFIX}members/{name}"
+        self._calls.redirect_member(self.store, key, address)
 
     def set_state(self, name: str, state: str) -> None:
         """Take a failure domain or a backend server out, or bring it back.
@@ -440,14 +354,7 @@
             name: Its qualified name; a server's name wins over a domain's.
             state: `in` or `out`.
         """
-        self._out.discard(name)
-        if state == "out":
-            self._out.add(name)
-        touched = {
-            backend.service.qualified(): backend.service
-            for backend in self.backends_of(name)
-        }
-        for service in touched.values():
+        for service in self._states.set(name, state):
             self._put_document(service)
 
     def backends_of(self, name: str) -> list[Backend]:
@@ -459,39 +366,16 @@
         Returns:
             The backend servers.
         """
-        if name in self.backends:
-            return [self.backends[name]]
-        return [
-            backend
-            for backend in self.backends.values()
-            if qualify(backend.service.side, backend.failure_domain) == name
-        ]
+        return self._states.backends_of(name)
 
     def publish_hosts(self) -> None:
         """Write the host list from the routers' host states."""
-        hosts = []
-        for router in self.routers.values():
-            if not router.host_state:
-                continue
-            relay = self.relays.get(f"peers-{router.name}")
-            labels = {
-                "name": router.name,
-                "state": router.host_state,
-                "failure_domain": router.failure_domain,
-                "side": router.side,
-                "region": router.region,
-            }
-            address = relay.address if relay else router.peers
-            hosts.append({"targets": [address], "labels": labels})
-        self._order(self.host_list, {"hosts": hosts})
+        hosts = describe_hosts(self.routers.values(), self.relays)
+        self._calls.order(self.host_list, {"hosts": hosts})
 
     def is_ready(self, name: str) -> bool:
         """Return whether a router says that callers may come."""
-        url = f"http://{self.routers[name].admin}/readyz"
-        try:
-            return self._http.request("GET", url, timeout=1.0).status == 200
-        except urllib3.exceptions.HTTPError:
-            return False
+        return self._calls.is_ready(self.routers[name].admin)
 
     def status(self, name: str) -> dict | Unavailable:
         """Return what a router's `/status` shows."""
@@ -505,25 +389,17 @@
         }
         return {name: record for name, record in records.items() if record}
 
-    def _order(self, address: str, orders: dict[str, object]) -> None:
-        result = self.fetch("POST", address, "/_control", orders)
-        if isinstance(result, Unavailable):
-            raise ProcessError(
-                f"{address} takes no orders: {result.reason}",
-                "look at its files in the directory of the fleet",
-            )
-
     def control_backend(self, name: str, **orders: object) -> None:
         """Give orders to a backend server's `/_control`."""
-        self._order(self.backends[name].address, orders)
+        self._calls.order(self.backends[name].address, orders)
 
     def control_store(self, **orders: object) -> None:
         """Give orders to the key-value service's `/_control`."""
-        self._order(self.store, orders)
+        self._calls.order(self.store, orders)
 
     def control_relay(self, name: str, **orders: object) -> None:
         """Give orders to a relay's `/_control`."""
-        self._order(self.relays[name].control, orders)
+        self._calls.order(self.relays[name].control, orders)
 
     def kill_router(self, name: str) -> None:
         """End a router at once."""
@@ -566,33 +442,3 @@
         self.wait_ready([name])
         if name in self._relayed_peers:
             self.redirect_peers(name)
-
-
-def _for_each(function: Callable[[Any], None], items: Iterable) -> None:
-    pool = eventlet.GreenPool(STARTS_AT_ONCE)
-    threads = [pool.spawn(function, item) for item in items]
-    for thread in threads:
-        thread.wait()
-
-
-def _write_options(options: dict[str, str | int | float | bool]) -> list[str]:
-    arguments = []
-    for name, value in options.items():
-        flag = f"--{name.replace('_', '-')}"
-        if value is True:
-            arguments.append(flag)
-        elif value is not False:
-            arguments += [flag, str(value)]
-    return arguments
-
-
-def _address_of(process: Process) -> str:
-    return f"127.0.0.1:{process.arguments[1]}"
-
-
-def _is_port_taken(process: Process) -> bool:
-    return "Address already in use" in process.errors()
-
-
-def _encode(text: str) -> str:
-    return base64.b64encode(text.encode()).decode()
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/parts.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/parts.py
@@ -118,3 +118,32 @@
     """
     for number, router in enumerate(routers, 2):
         router.source = f"127.0.1.{number}"
+
+
+def describe_hosts(
+    routers: Iterable[Router], relays: dict[str, Relay]
+) -> list[dict[str, object]]:
+    """Return what the host list shows of the routers that are to be listed.
+
+    Args:
+        routers: The routers.
+        relays: Relays by name; that of a router's streams stands for its address.
+
+    Returns:
+        The entries, as HTTP service discovery shows them.
+    """
+    hosts = []
+    for router in routers:
+        if not router.host_state:
+            continue
+        relay = relays.get(f"peers-{router.name}")
+        labels = {
+            "name": router.name,
+            "state": router.host_state,
+            "failure_domain": router.failure_domain,
+            "side": router.side,
+            "region": router.region,
+        }
+        address = relay.address if relay else router.peers
+        hosts.append({"targets": [address], "labels": labels})
+    return hosts
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/path_cost.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/path_cost.py
@@ -18,7 +18,6 @@
 from lagoonsail_core.clock import Clock
 from lagoonsail_core.green import eventlet, urllib3
 from lagoonsail_lab.control_traffic import processor_s
-from lagoonsail_lab.demo import percentile
 from lagoonsail_lab.deployments import (
     Deployment,
     ServerShape,
@@ -26,6 +25,7 @@
     account_key,
 )
 from lagoonsail_lab.fleet import Fleet
+from lagoonsail_lab.percentile import percentile
 
 SIDE, REGION, ACCOUNT = "cordero", "sierra-central", "prensa"
 """Names of the only deployment."""
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/prefix_locality.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/prefix_locality.py
@@ -25,7 +25,7 @@
     make_fleet,
 )
 from lagoonsail_lab.caller import Balancer, Caller, call_at_rate, make_prompt
-from lagoonsail_lab.demo import percentile
+from lagoonsail_lab.percentile import percentile
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/lagoonsail-lab/tests/test_demo_report.py
+++ b/packages/lagoonsail-lab/tests/test_demo_report.py
@@ -7,7 +7,8 @@
 from lagoonsail_lab.call_record import Attempt, CallRecord
 from lagoonsail_lab.caller import make_prompt
 from lagoonsail_lab.checker import LOST, Fault
-from lagoonsail_lab.demo import count_callers, print_verdict, spread_of_shares
+from lagoonsail_lab.demo_load import count_callers
+from lagoonsail_lab.demo_report import print_verdict, spread_of_shares
 from lagoonsail_lab.deployments import make_cordero
 
 
