Mend what lagoonctl says to wrong input and at bad times

Cause: all commands were run by hand against a fleet of three routers with wrong input, with the wrong key, without routers, and with the key-value service away, silent and losing answers.

Ruled out: exit codes were right in all cases tried, and are unchanged.

Change: UsageError (code 2) as JSON; the other texts; Endpoints says "may have been carried out" of writes only (reads are the calls that check their answers by find_fault).

--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/command.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/command.py
@@ -94,6 +94,19 @@
     return exit_code
 
 
+def print_error(error: LagoonsailError, json: bool) -> int:
+    """Print the error of a command that did nothing.
+
+    Args:
+        error: The error.
+        json: Whether programs read it.
+
+    Returns:
+        Exit code.
+    """
+    return _print_report(Report({}, error=error), json)
+
+
 def _insert_help(doc: str) -> str:
     """Add the help on the shared options at the end of the Args section."""
     before, marker, arguments = inspect.cleandoc(doc).partition("Args:\n")
@@ -129,7 +142,7 @@
             connection.is_json = json
             report = function(connection, *args, **options)
         except LagoonsailError as error:
-            report = Report({}, error=error)
+            return print_error(error, json)
         return _print_report(report, json)
 
     hints = get_type_hints(function, None, {"Connection": Connection})
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/delete_command.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/delete_command.py
@@ -5,8 +5,13 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_ctl.document_commands import describe_push
-from lagoonsail_ctl.documents import Documents, StoredDocument, resolve_key
-from lagoonsail_ctl.errors import BadInputError, ConflictError, InUseError
+from lagoonsail_ctl.documents import (
+    Documents,
+    StoredDocument,
+    missing_document,
+    resolve_key,
+)
+from lagoonsail_ctl.errors import ConflictError, InUseError
 from lagoonsail_ctl.fleet import ask_statuses
 from lagoonsail_ctl.in_force import add_wait, push_documents
 from lagoonsail_ctl.report import Report
@@ -46,7 +51,7 @@
     documents = Documents(connection)
     stored = documents.read(key)
     if not stored.revision:
-        raise BadInputError(f"there is no document of {service}", "see lagoonctl show")
+        raise missing_document(service)
     lines = []
     if not stored.text:
         lines.append("it was deleted before")
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/document_commands.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/document_commands.py
@@ -15,7 +15,12 @@
     STATE_OUT,
     DocumentError,
 )
-from lagoonsail_ctl.documents import Documents, StoredDocument, resolve_key
+from lagoonsail_ctl.documents import (
+    Documents,
+    StoredDocument,
+    missing_document,
+    resolve_key,
+)
 from lagoonsail_ctl.errors import BadInputError, ConflictError
 from lagoonsail_ctl.in_force import add_wait, push_documents
 from lagoonsail_ctl.report import Report, render_table
@@ -51,7 +56,8 @@
             return file.read(MAX_DOCUMENT_BYTES + 100).decode("utf-8")
     except (OSError, ValueError) as error:
         allowed = "a readable file in UTF-8"
-        problem = Problem(str(path), "", "", str(error), allowed)
+        found = getattr(error, "strerror", None) or str(error)
+        problem = Problem(str(path), "", "", found, allowed)
         raise DocumentError([problem]) from error
 
 
@@ -129,7 +135,7 @@
     """
     stored = Documents(connection).read(resolve_key(connection, service))
     if not stored.text:
-        raise BadInputError(f"there is no document of {service}", "see lagoonctl show")
+        raise missing_document(service)
     data = {"key": stored.key, "revision": stored.revision, "value": stored.text}
     text = f"{REVISION_LINE.format(stored.revision)}\n{stored.text}"
     return Report(data, text.removesuffix("\n").split("\n"))
@@ -242,8 +248,8 @@
 def _stale(stored: StoredDocument, expected: int, changes: list[str]) -> ConflictError:
     return ConflictError(
         f"{stored.key} is at revision {stored.revision}, not {expected}",
-        "take up what your file would change without your meaning it (see lagoonctl "
-        f"get), then apply it with --replace-revision {stored.revision}",
+        "your file would make these changes to it; get it again and repeat your edit, "
+        f"or apply yours with --replace-revision {stored.revision}",
         changes or [NO_EFFECT],
         {
             "key": stored.key,
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/documents.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/documents.py
@@ -82,6 +82,15 @@
     return DOCUMENTS + name
 
 
+def missing_document(service: str) -> BadInputError:
+    """Return the error of a command on a service without a document.
+
+    Args:
+        service: ``SIDE/SERVICE``.
+    """
+    return BadInputError(f"there is no document of {service}", "see lagoonctl show")
+
+
 def _size(document: StoredDocument) -> int:
     return len(document.text.encode("utf-8", "surrogateescape"))
 
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/errors.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/errors.py
@@ -52,6 +52,10 @@
     exit_code = EXIT_BAD_INPUT
 
 
+class UsageError(BadInputError):
+    """The command line cannot be parsed."""
+
+
 class StoreUnavailableError(CommandError):
     """The key-value service did not answer."""
 
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/fleet_commands.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/fleet_commands.py
@@ -108,6 +108,9 @@
         "waiting_at_entry": backlog,
         "no_status": silent,
     }
+    error = no_answer_error(statuses, silent)
+    if error:
+        return Report(data, _describe_silent(silent), error=error)
     lines = [
         *render_table(SERVICE_HEADERS, services, "(no shards)"),
         "",
@@ -122,7 +125,7 @@
         ),
         *_describe_silent(silent),
     ]
-    return Report(data, lines, error=no_answer_error(statuses, silent))
+    return Report(data, lines)
 
 
 def _refuse_unknown(statuses: list[RouterStatus], wanted: str) -> None:
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/in_force.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/in_force.py
@@ -92,7 +92,7 @@
             continue
         held = answer.result.configuration
         behind = [
-            f"{key} is at revision {held.get(key, 0)}"
+            f"{key} is at revision {held.get(key, '0, which is none')}"
             for key, revision in revisions.items()
             if held.get(key, 0) < revision
         ]
@@ -168,9 +168,9 @@
     wanted = ", ".join(f"{key} {revision}" for key, revision in revisions.items())
     listing = [f"{item.router.name}: {item.reason}" for item in lagging]
     return NotInForceError(
-        f"{wanted} not in force after {timeout_s:g} s on {len(lagging)} of "
+        f"{wanted} not seen in force after {timeout_s:g} s on {len(lagging)} of "
         f"{routers} routers",
-        "look at these routers with lagoonctl status, or wait longer",
+        "wait longer, or look at these routers with lagoonctl status",
         listing or ["no router is a member"],
         {"routers": routers, "lagging": [item.as_dict() for item in lagging]},
     )
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/main.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/main.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import contextlib
+import io
 import sys
+from typing import TYPE_CHECKING
 
 import defopt
 
-from lagoonsail_ctl.command import command
+from lagoonsail_ctl.command import command, print_error
 from lagoonsail_ctl.delete_command import delete
 from lagoonsail_ctl.document_commands import apply, check, get
-from lagoonsail_ctl.errors import EXIT_UNEXPECTED
+from lagoonsail_ctl.errors import EXIT_UNEXPECTED, UsageError
 from lagoonsail_ctl.fleet_commands import show, status, wait
 from lagoonsail_ctl.state_commands import (
     domain_in,
@@ -19,6 +22,9 @@
 )
 from lagoonsail_ctl.timeline_command import timeline
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 COMMANDS = {
     "check": command(check),
     "get": command(get),
@@ -65,7 +71,26 @@
     Returns:
         Exit code.
     """
-    call = defopt.bind(
+    argv = sys.argv[1:] if argv is None else argv
+    try:
+        call = _bind_for_programs(argv) if "--json" in argv else _bind(argv)
+    except UsageError as error:
+        sys.exit(print_error(error, json=True))
+    # Documents may hold bytes that are not UTF-8.
+    for stream in (sys.stdout, sys.stderr):
+        stream.reconfigure(errors="backslashreplace")
+    try:
+        return call()
+    except KeyboardInterrupt:
+        return EXIT_UNEXPECTED
+    except BrokenPipeError:
+        # Whoever reads the output has seen enough.
+        sys.stderr.close()
+        return EXIT_UNEXPECTED
+
+
+def _bind(argv: list[str]) -> Callable[[], int]:
+    return defopt.bind(
         COMMANDS,
         argv=argv,
         short={},
@@ -77,17 +102,20 @@
             "epilog": EPILOG,
         },
     )
-    # Documents may hold bytes that are not UTF-8.
-    for stream in (sys.stdout, sys.stderr):
-        stream.reconfigure(errors="backslashreplace")
+
+
+def _bind_for_programs(argv: list[str]) -> Callable[[], int]:
+    """Parse arguments; what argparse would print on standard error is raised."""
+    printed = io.StringIO()
     try:
-        return call()
-    except KeyboardInterrupt:
-        return EXIT_UNEXPECTED
-    except BrokenPipeError:
-        # Whoever reads the output has seen enough.
-        sys.stderr.close()
-        return EXIT_UNEXPECTED
+        with contextlib.redirect_stderr(printed):
+            return _bind(argv)
+    except SystemExit as end:
+        if not end.code:
+            raise
+        problem = printed.getvalue().rpartition("error: ")[2].strip()
+        remedy = "see lagoonctl --help, and lagoonctl COMMAND --help"
+        raise UsageError(problem, remedy) from end
 
 
 if __name__ == "__main__":
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/state_commands.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/state_commands.py
@@ -14,6 +14,7 @@
 from lagoonsail_ctl.documents import (
     Documents,
     StoredDocument,
+    missing_document,
     resolve_key,
     split_names,
     take_batch,
@@ -109,6 +110,10 @@
 
     def read() -> list[StoredDocument]:
         listed = documents.list_side(side)
+        if not listed:
+            raise BadInputError(
+                f"no service of the side {side!r}", "see lagoonctl show"
+            )
         naming = [item for item in listed if section in _sections(item.text)]
         if not naming:
             known = {
@@ -136,6 +141,8 @@
 
     def read() -> list[StoredDocument]:
         document = documents.read(key)
+        if not document.text:
+            raise missing_document(f"{side}/{service}")
         if section not in _sections(document.text):
             known = [
                 other.removeprefix("server ")
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/timeline_command.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/timeline_command.py
@@ -167,13 +167,21 @@
     reader = TimelineReader(connection)
     if follow:
         return _follow(reader, wanted, render)
-    events = select_events(reader.read(), wanted)
+    read = reader.read()
+    events = select_events(read, wanted)
     error = no_answer_error(reader.answered, reader.silent)
     notes = [f"no events of {name}: {why}" for name, why in reader.silent.items()]
+    if read and not events:
+        notes.append(_describe_no_match(wanted, len(read)))
     data = {"events": events, "no_answer": reader.silent}
     return Report(data, render(events).splitlines(), notes, error)
 
 
+def _describe_no_match(wanted: dict[str, str], kept: int) -> str:
+    filters = ", ".join(f"{field} {value[:200]}" for field, value in wanted.items())
+    return f"none of the {kept} events that the routers keep is of {filters}"
+
+
 def _follow(
     reader: TimelineReader,
     wanted: dict[str, str],
--- a/packages/lagoonsail-store/src/lagoonsail_store/endpoints.py
+++ b/packages/lagoonsail-store/src/lagoonsail_store/endpoints.py
@@ -90,7 +90,8 @@
             path: Path of the call.
             body: JSON object; posting it twice must do no more than posting it once.
             timeout_ms: Bound of the whole call with all attempts, in milliseconds.
-            find_fault: Says why an answer is not accepted; empty if it is.
+            find_fault: Says why an answer is not accepted; empty if it is. Given for
+                reads only, which change nothing.
 
         Returns:
             The answer, or why there is none.
@@ -112,7 +113,8 @@
             lost = result
             in_doubt = in_doubt or lost.may_have_run
         self.counters[kind, "unavailable"] += 1
-        doubt = "; it may have been carried out" if in_doubt else ""
+        may_have_changed = in_doubt and find_fault is None
+        doubt = "; it may have been carried out" if may_have_changed else ""
         return Unavailable(f"key-value service: {lost.reason}{doubt}")
 
     def _attempts(self, kind: str, deadline_ms: float) -> Iterator[tuple[int, int]]:
