--- a/packages/lagoonsail-lab/tests/test_documents_examples.py
+++ b/packages/lagoonsail-lab/tests/test_documents_examples.py
@@ -169,6 +169,22 @@
     assert read_table("Events") == router_events()
 
 
+def parts_of_kind(name):
+    """Return a kind without what counters put before or behind it."""
+    return re.sub("^(refused|closed|hosts)_|_(ok|conflict|unavailable)$", "", name)
+
+
+def test_kinds_and_fields_named_in_the_text_stand_in_the_code():
+    sources = "\n".join(
+        path.read_text() for path in ROOT.glob("packages/*/src/**/*.py")
+    )
+    words = set(re.findall(r"[a-z]+(?:_[a-z]+)*", sources))
+    named = set(re.findall(r"`([a-z]+(?:_[a-z]+)+)`", OPERATING.read_text()))
+    # Names of metrics have tests of their own.
+    kinds = {name for name in named if not name.startswith(PREFIX)}
+    assert {name for name in kinds - words if parts_of_kind(name) not in words} == set()
+
+
 def test_names_used_in_the_text_exist():
     words = set(re.findall(rf"`({PREFIX}\w+)", OPERATING.read_text()))
     assert words <= router_metrics()
