Look at the servers once for a round of grants, and not while all are full

cause: SIGPROF samples of an owner under a backlog (480 callers, 336 slots) had 73% of its time in pump: each slot given back brought two choices over 42 servers, of which the second found none, each request that joined the full shard one more, and each choice asked the prefix index about all servers, also with one of them free (30%). ruled out: frames. Under a backlog they are coalesced; hub, timers and writing are below 10%.

--- a/packages/lagoonsail-router/src/lagoonsail_router/grants.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/grants.py
@@ -15,9 +15,9 @@
     from lagoonsail_router.context import RouterContext
     from lagoonsail_router.right import Right
     from lagoonsail_router.server_polls import ServerPolls
-    from lagoonsail_router.shard_servers import Server
     from lagoonsail_router.shard_state import ShardState
     from lagoonsail_router.waiting_requests import WaitingRequests
+    from lagoonsail_sharing.placement import Candidate
     from lagoonsail_sharing.waiting import Waiting
 
 
@@ -27,6 +27,7 @@
     __slots__ = (
         "_context",
         "_is_foreign",
+        "_may_have_room",
         "_next_slot",
         "_polls",
         "_requests",
@@ -49,49 +50,74 @@
         self._polls = polls
         self._is_foreign = region_of(state.shard) != context.settings.region
         self._next_slot = 0
+        # False only while every server is full by its limit.
+        self._may_have_room = True
 
-    def grant_one(self) -> bool:
-        """Grant one slot if there is a free one and a request that waits.
+    def note_room(self) -> None:
+        """Note that some server may have room for one more request than before."""
+        self._may_have_room = True
 
-        Returns:
-            Whether there may be more to grant.
+    def grant_all(self) -> None:
+        """Grant free slots to waiting requests for as long as there are both."""
+        if not self._may_have_room:
+            return
+        free: dict[str, Candidate] | None = None
+        while (level := self._read_level()) != LAPSED:
+            waiting = self._state.queue.pick()
+            if waiting is None:
+                return
+            if free is None:
+                free = {found.name: found for found in self._state.servers.candidates()}
+            name = self._choose(waiting, level, free)
+            if name is None:
+                # Whether a server with room may be taken can change with time alone.
+                self._may_have_room = bool(free)
+                self._polls.wake_resting()
+                return
+            self._grant(self._choose_request(waiting, name), name)
+            _take_slot(free, name)
+
+    def check_room(self) -> None:
+        """Check that no server has room that went unnoticed.
+
+        Raises:
+            InvariantError: If one has.
         """
-        # The level is read for each grant: this process may have been paused.
+        if not self._may_have_room:
+            found = next(self._state.servers.candidates(), None)
+            require(found is None, "no_room_unnoticed", str(found))
+
+    def _read_level(self) -> str:
+        # It is read for each grant: this process may have been paused.
         level = self._right.level()
-        if level == LAPSED or (self._is_foreign and level != FULL):
-            # Promises count the routers of this region, not those of the shard's.
-            return False
-        waiting = self._state.queue.pick()
-        if waiting is None:
-            return False
-        name = self._choose(waiting, level)
-        if name is None:
-            self._polls.wake_resting()
-            return False
-        if waiting.prefix:
-            requests = self._state.queue.oldest(waiting.account, LOOK_AHEAD)
-            waiting = choose_request(requests, name, self._state.prefixes)
-        self._grant(waiting, self._state.servers.by_name[name])
-        return True
-
-    def _choose(self, waiting: Waiting, level: str) -> str | None:
+        # Promises count the routers of this region, not those of the shard's.
+        return level if level == FULL or not self._is_foreign else LAPSED
+
+    def _choose(
+        self, waiting: Waiting, level: str, free: dict[str, Candidate]
+    ) -> str | None:
         document = self._state.find_document()
         if document is None:
             return None
-        leaving, is_closed = self._right.leaving, self._state.orders.is_closed
+        servers, leaving = self._state.servers, self._right.leaving
+        is_closed = self._state.orders.is_closed
 
         def may_take(name: str) -> bool:
-            return self._state.servers.may_take(
-                name, document, level, leaving, is_closed
-            )
+            return servers.may_take(name, document, level, leaving, is_closed)
 
-        candidates = self._state.servers.candidates()
-        return choose_server(candidates, waiting.prefix, self._state.prefixes, may_take)
+        prefixes = self._state.prefixes
+        return choose_server(free.values(), waiting.prefix, prefixes, may_take)
 
-    def _grant(self, waiting: Waiting, server: Server) -> None:
+    def _choose_request(self, waiting: Waiting, server: str) -> Waiting:
+        if not waiting.prefix:
+            return waiting
+        requests = self._state.queue.oldest(waiting.account, LOOK_AHEAD)
+        return choose_request(requests, server, self._state.prefixes)
+
+    def _grant(self, waiting: Waiting, name: str) -> None:
+        server = self._state.servers.by_name[name]
         self._next_slot += 1
         now_ms = self._context.clock.now_ms()
-        name = server.entry.name
         key = (self._state.epoch, self._next_slot)
         require(
             self._state.find_document().is_usable(server.entry),
@@ -126,3 +152,9 @@
         self._context.count("slots_granted_total")
         if server.is_resting:
             self._polls.start(server)
+
+
+def _take_slot(free: dict[str, Candidate], name: str) -> None:
+    free[name].running += 1
+    if free[name].running >= free[name].limit:
+        del free[name]
--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -169,6 +169,7 @@
         """
         self.queue.adopt(digest.service, digest.positions)
         self._servers.restore(digest.servers)
+        self._grants.note_room()
 
     def update_document(self) -> None:
         """Take over changes of the service document."""
@@ -184,6 +185,7 @@
         total = sum(entry.slots for entry in document.servers.values())
         self.queue.set_limits(document.max_cost, total)
         self._servers.update(document)
+        self._grants.note_room()
         self.pump()
 
     # Dealings with entry routers.
@@ -297,6 +299,7 @@
         if server is None:
             return
         pause_ms = self._servers.finish(server, key, outcome, done)
+        self._grants.note_room()
         if pause_ms:
             start_later(self._context, "pump", pause_ms, self.pump)
 
@@ -315,8 +318,7 @@
             return
         if self._context.clock.now_ms() < self._inventory_until_ms:
             return
-        while self._grants.grant_one():
-            pass
+        self._grants.grant_all()
 
     # Periodic work.
 
@@ -326,12 +328,15 @@
             self.keys.load()
         self.keys.expire()
         self._polls.poll()
+        self._grants.check_room()
 
     def _may_order(self) -> bool:
         return self._is_accepting() and self._right.level() == FULL
 
     def _free_overdue_orphans(self, server: Server) -> None:
         """Free slots of lost routers on a server that reports nothing."""
+        # It may have been resting, and is not any more.
+        self._grants.note_room()
         document = self._find_document()
         if document is None:
             return
@@ -348,6 +353,7 @@
         slots = self._granted.on_server(server.entry.name)
         old = sum(slot.granted_ms < settled_ms for slot in slots)
         self._servers.take_report(server, report, len(slots), old)
+        self._grants.note_room()
         for slot in ended_orphans(slots, old - report.running, settled_ms):
             # The loss of a router tells nothing about the server.
             self._free(slot, OUTCOME_CANCELLED, 0.0, None)
--- a/packages/lagoonsail-router/tests/test_shard_owner.py
+++ b/packages/lagoonsail-router/tests/test_shard_owner.py
@@ -6,6 +6,7 @@
 
 from lagoonsail_config.document import parse_document
 from lagoonsail_core.green import eventlet
+from lagoonsail_core.invariants import InvariantError
 from lagoonsail_core.messages import (
     OUTCOME_BROKEN,
     OUTCOME_NOT_RUN,
@@ -38,6 +39,7 @@
     FIRST_PAUSE_MS,
     IDLE_READ_MS,
     UNREPORTED_HOLD_MS,
+    ShardServers,
 )
 from lagoonsail_sharing.server_limit import LoadReport
 
@@ -466,3 +468,91 @@
     assert first.sequence < second.sequence
     assert list(second.service) == ["norte"]
     assert second.service["norte"] > 0
+
+
+# Room that comes while every server is full and a request waits.
+
+
+@pytest.fixture
+def full(owner, stream, time):
+    """Both servers run what they bear when cold, and request 3 waits."""
+    for ticket in (1, 2, 3):
+        owner.take_request(stream, request(ticket))
+    assert len(stream.of(SlotGrant)) == 2
+    return owner
+
+
+def free_by_done(owner, stream, documents):
+    owner.take_done(done(stream.of(SlotGrant)[0]))
+
+
+def free_by_document(owner, stream, documents):
+    entry = documents[0].servers["s1"]
+    entry.slots = entry.cold_slots = 3
+    owner.update_document()
+
+
+def free_by_digest(owner, stream, documents):
+    owner.adopt(ServiceDigest(SHARD, 1, 9, {}, {}, {"s1": ["i-1", 2]}))
+    owner.pump()
+
+
+@pytest.mark.parametrize("free", [free_by_done, free_by_document, free_by_digest])
+def test_room_that_comes_in_a_full_shard_is_granted_at_once(
+    full, stream, documents, free
+):
+    free(full, stream, documents)
+    assert [grant.ticket for grant in stream.of(SlotGrant)] == [1, 2, 3]
+
+
+def test_room_after_a_report_is_granted_at_once(full, stream, report, time):
+    report(running=1)
+    full.take_inventory(stream, Inventory(SHARD, []))
+    full.take_request(stream, request(4))
+    assert len(stream.of(SlotGrant)) == 2
+    time.pass_ms(1.0)
+    report(running=0)
+    assert [grant.ticket for grant in stream.of(SlotGrant)] == [1, 2, 3, 4]
+
+
+def test_silent_server_counts_as_cold_no_longer_than_it_is_read(
+    owner, stream, report, time, monkeypatch, documents, wait_until
+):
+    del documents[0].servers["s2"]
+    owner.update_document()
+    report(running=0)
+    owner.servers["s1"].limit.restore("i-1", 2, time.now_ms)
+    monkeypatch.setattr(server_polls, "read_load", lambda *_: Unavailable("silent"))
+    owner.poll()
+    for ticket in (1, 2):
+        owner.take_request(stream, request(ticket))
+    assert len(stream.of(SlotGrant)) == 1
+    wait_until(lambda: not owner.servers["s1"].is_resting)
+    owner.pump()
+    assert len(stream.of(SlotGrant)) == 2
+
+
+def test_requests_that_join_a_full_shard_look_at_no_server(
+    full, stream, monkeypatch, context
+):
+    looks = []
+    candidates = ShardServers.candidates
+
+    def count(servers):
+        looks.append(servers)
+        return candidates(servers)
+
+    monkeypatch.setattr(ShardServers, "candidates", count)
+    for ticket in range(4, 9):
+        full.take_request(stream, request(ticket))
+    assert looks == []
+    full.take_done(done(stream.of(SlotGrant)[0]))
+    assert len(looks) == 1
+    assert len(stream.of(SlotGrant)) == 3
+
+
+def test_room_that_went_unnoticed_violates_an_invariant(full, monkeypatch):
+    monkeypatch.setattr(server_polls, "read_load", lambda *_: Unavailable("silent"))
+    full.servers["s1"].limit.limit = 2
+    with pytest.raises(InvariantError):
+        full.poll()
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/placement.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/placement.py
@@ -74,12 +74,16 @@
     Returns:
         Name of a server with a free slot, or None if there is none.
     """
-    held_by = cache_index.matches(prefix) if prefix else {}
+    free = [
+        candidate for candidate in candidates if candidate.running < candidate.limit
+    ]
+    # What one server holds makes no difference where there is no other.
+    held_by = cache_index.matches(prefix) if prefix and len(free) > 1 else {}
     equals: list[str] = []
     best_held, best_load = -1, 0.0
-    for candidate in candidates:
+    for candidate in free:
         held = held_by.get(candidate.name, 0)
-        if held < best_held or candidate.running >= candidate.limit:
+        if held < best_held:
             continue
         load = candidate.running / candidate.limit
         if held == best_held and load >= best_load:
