Measure the state reads of managed engines, and give the cost of reports anew

report_cost.py reads the states of managed engines in a third phase.

They stay at one a second: an engine that began anew may have lost its model, and takes requests until its state is read.

--- a/packages/lagoonsail-router/benchmarks/report_cost.py
+++ b/packages/lagoonsail-router/benchmarks/report_cost.py
@@ -2,7 +2,8 @@
 
 The owner has the 42 engines of a shard at the target, all at one stand-in in a process
 of its own, and polls once a second as a router does: first idle, then with one request
-on each engine. Prints one JSON object after about 25 s.
+on each engine, then with a role for each in the document, so that their states are read
+too. Prints one JSON object after about 36 s.
 
     python packages/lagoonsail-router/benchmarks/report_cost.py
 """
@@ -26,10 +27,14 @@
 
 SERVERS = 42
 """Engines of the shard."""
+ROLE = "mixed"
+"""Role of the engines."""
 POLLS = 11
 """Polls of a phase, of which the first is not counted."""
 METRICS = "".join(f'engine:m_{n}{{model="m"}} {n}.0\n' for n in range(20))
 EVENTS = '{"events": []}'
+STATE = {"model": "m", "version": "1", "adapters": ["a"], "role": ROLE}
+ORDERS = json.dumps({**STATE, "loading": False, "orders": []})
 
 
 def serve() -> None:
@@ -42,10 +47,11 @@
         path = connection.recv(65_536).split(b" ", 2)[1]
         if path == b"/run":
             running = 1
-        is_events = path.startswith(b"/cache_events")
-        body = (
-            EVENTS if is_events else f"engine:num_requests_running {running}\n{METRICS}"
-        )
+        body = f"engine:num_requests_running {running}\n{METRICS}"
+        if path.startswith(b"/cache_events"):
+            body = EVENTS
+        elif path == b"/orders":
+            body = ORDERS
         head = "HTTP/1.1 200 OK\r\nX-Server-Incarnation: i1\r\nConnection: close\r\n"
         answer = f"{head}Content-Length: {len(body)}\r\n\r\n{body}"
         connection.sendall(answer.encode())
@@ -81,14 +87,23 @@
 
 
 def measure(port: int) -> dict:
-    """Run both phases and return their costs."""
+    """Run all phases and return their costs."""
     owner = make_owner(port)
     idle_us = run_polls(owner)
     socket.create_connection(("127.0.0.1", port)).sendall(b"GET /run HTTP/1.1\r\n\r\n")
     stream = SimpleNamespace(name="cordero-2", incarnation=1, send=lambda message: None)
     running = [[1, n + 1, f"s{n}", "norte", 0.0, 0.0] for n in range(SERVERS)]
     owner.take_inventory(stream, Inventory(SHARD, running))
-    return {"idle_us": idle_us, "in_use_us": run_polls(owner), "servers": SERVERS}
+    in_use_us = run_polls(owner)
+    for server in owner.servers.values():
+        server.entry.role = ROLE
+    managed_us = run_polls(owner)
+    return {
+        "idle_us": idle_us,
+        "in_use_us": in_use_us,
+        "managed_us": managed_us,
+        "servers": SERVERS,
+    }
 
 
 def main() -> None:
