Read the keys of earlier owners in a task of their own

Cause: found while the terms of the 4 s in which a cold server is to be noticed were put together. A new owner that had not read the keys of earlier owners tried so at the start of each poll and waited for the key-value service. While that is silent, load reports of all its shards were read once in an interval and a timeout, not once a second. The first poll and the poll of the interval also read them both at once.

Change: KeyLog.start_loading reads them in one task at a time; the poll waits for nothing.

Tests: test_cold_by_reports, a server in use that turns cold right after a read is noticed by its reports alone within 4 s, also where reports take 0.5 s, another server is silent, or the service is.

--- a/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/key_log.py
@@ -87,6 +87,7 @@
         "_epoch",
         "_freeing",
         "_given_back",
+        "_is_loading",
         "_is_running",
         "_late",
         "_noted",
@@ -128,10 +129,26 @@
         self._pending: dict[int, _Pending] = {}
         self._given_back: set[int] = set()
         self._freeing: set[int] = set()
+        self._is_loading = False
         self._is_running = False
         self._sequence = 0
         self.is_loaded = False
 
+    def start_loading(self) -> None:
+        """Read the keys that earlier owners recorded, in a task of its own.
+
+        Whoever asks is not held up while the service is silent.
+        """
+        if not self._is_loading:
+            self._is_loading = True
+            start_task(self._context, "load_keys", self._load_once)
+
+    def _load_once(self) -> None:
+        try:
+            self.load()
+        finally:
+            self._is_loading = False
+
     def load(self) -> bool:
         """Read the keys that earlier owners recorded.
 
--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -477,7 +477,7 @@
     def poll(self) -> None:
         """Read load reports and cache events, and free slots of lost routers."""
         if not self.keys.is_loaded:
-            self.keys.load()
+            self.keys.start_loading()
         self.keys.expire()
         for name, server in list(self.servers.items()):
             if not self._servers.rest(server):
--- /dev/null
+++ b/packages/lagoonsail-router/tests/test_cold_by_reports.py
@@ -0,0 +1,119 @@
+"""A server that turns cold is noticed by its reports alone, in the time promised."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+
+from lagoonsail_config.document import parse_document
+from lagoonsail_core.clock import Clock
+from lagoonsail_core.green import eventlet
+from lagoonsail_core.messages import Inventory
+from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_router.context import RouterContext, repeat
+from lagoonsail_router.daemon import POLL_INTERVAL_MS
+from lagoonsail_router.load_reports import REPORT_LAG_MS, REPORT_TIMEOUT_MS
+from lagoonsail_router.right import FULL
+from lagoonsail_router.shard_owner import ShardOwner
+from lagoonsail_standins.backend import Backend, BackendOptions
+from lagoonsail_standins.model_engine import Engine, make_engine_app
+from lagoonsail_standins.serving import listen, serve_listener
+
+SHARD = "cordero/registro@sierra-central"
+PROMISE_MS = 4000.0
+CLOCK = Clock()
+
+
+@pytest.fixture
+def serve():
+    """Serves an application in this process; gives its address."""
+    threads = []
+
+    def start(app):
+        listener = listen(0)
+        threads.append(eventlet.spawn(serve_listener, listener, app))
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+    yield start
+    for thread in threads:
+        thread.kill()
+
+
+@pytest.fixture
+def real(context):
+    """A router's context whose time passes."""
+    return RouterContext(context.settings, CLOCK)
+
+
+@pytest.fixture
+def start_owner(real, key_store, make_document, make_stream):
+    """Starts an owner that polls as a router does, with one call on each server."""
+    owners = []
+
+    def start(addresses):
+        text = make_document(kind="engine")
+        for number, address in enumerate(addresses, 1):
+            text = text.replace(f"127.0.0.1:900{number}", address)
+        document = parse_document(text)
+        right = SimpleNamespace(level=lambda: FULL, leaving=set())
+        owner = ShardOwner(
+            real, right, key_store, SHARD, 1, lambda: document, list, list
+        )
+        owners.append(owner)
+        running = [[1, n, f"s{n}", "norte", 0.0, 0.0] for n in (1, 2)]
+        owner.take_inventory(make_stream("cordero-2"), Inventory(SHARD, running))
+        repeat(
+            real, POLL_INTERVAL_MS, lambda: owner._is_stopped or owner.poll(), "poll"
+        )
+        return owner
+
+    yield start
+    for owner in owners:
+        owner.stop()
+
+
+def test_time_to_notice_a_cold_server_is_within_the_promise():
+    assert REPORT_TIMEOUT_MS < POLL_INTERVAL_MS
+    assert REPORT_LAG_MS + POLL_INTERVAL_MS + REPORT_TIMEOUT_MS < PROMISE_MS
+
+
+@pytest.mark.parametrize("report_ms", [0.0, 500.0])
+@pytest.mark.parametrize("fault", ["none", "other server silent", "store silent"])
+def test_cold_server_in_use_is_noticed_by_its_reports(
+    serve, start_owner, wait_until, store, monkeypatch, report_ms, fault
+):
+    backend = Backend(BackendOptions("e", 2, 1, 0, 4.0, True))
+    app = make_engine_app(backend, Engine(backend, 2.0, 2.0, REPORT_LAG_MS, True))
+    asked = []
+
+    def slow_app(environ, start_response):
+        if environ["PATH_INFO"] == "/metrics":
+            asked.append(1)
+            eventlet.sleep(report_ms / 1000.0)
+        return app(environ, start_response)
+
+    def silent_app(environ, start_response):
+        eventlet.sleep(60.0)
+
+    def wait_long(_shard):
+        eventlet.sleep(60.0)
+        return Unavailable("silent")
+
+    if fault == "store silent":
+        monkeypatch.setattr(store, "list", wait_long)
+    other = silent_app if fault == "other server silent" else app
+    owner = start_owner([serve(slow_app), serve(other)])
+    limit = owner.servers["s1"].limit
+    limit.restore("", 2, CLOCK.now_ms())
+    # A report counts if it was made after the last change of the limit.
+    eventlet.sleep((REPORT_LAG_MS + POLL_INTERVAL_MS) / 1000.0)
+    assert limit.limit == 2
+    # The longest wait: the next report is asked for almost one interval from now.
+    before = len(asked)
+    wait_until(lambda: len(asked) > before)
+    turned_ms = CLOCK.now_ms()
+    backend.turn_cold()
+    wait_until(lambda: limit.limit == 1, bound_s=PROMISE_MS / 500.0)
+    assert limit.last_setback == "reported_cold"
+    assert REPORT_LAG_MS <= CLOCK.now_ms() - turned_ms <= PROMISE_MS
