--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_owner.py
@@ -331,7 +331,7 @@
     def poll(self) -> None:
         """Read load reports and cache events, and free slots of lost routers."""
         if not self.keys.is_loaded:
-            self.keys.load()
+            self.keys.start_loading()
         self.keys.expire()
         self._polls.poll()
         self._grants.check_room()
