--- a/packages/lagoonsail-router/tests/test_digests.py
+++ b/packages/lagoonsail-router/tests/test_digests.py
@@ -53,7 +53,7 @@
     daemon.configuration.apply("documents/cordero/registro", 1, document)
 
     def make(shard, epoch):
-        owner = daemon._make_owner(shard, epoch)
+        owner = daemon._shard_messages.make_owner(shard, epoch)
         daemon.ownership.owned[shard] = owner
         return owner
 
--- a/packages/lagoonsail-router/tests/test_shard_owner.py
+++ b/packages/lagoonsail-router/tests/test_shard_owner.py
@@ -528,7 +528,11 @@
     owner.update_document()
     report(running=0)
     owner.servers["s1"].limit.restore("i-1", 2, time.now_ms)
-    monkeypatch.setattr(server_polls, "read_load", lambda *_: Unavailable("silent"))
+    monkeypatch.setattr(
+        server_polls,
+        "ask_load",
+        lambda *a: eventlet.spawn_n(a[-1], Unavailable("silent")),
+    )
     owner.poll()
     for ticket in (1, 2):
         owner.take_request(stream, request(ticket))
@@ -558,7 +562,7 @@
 
 
 def test_room_that_went_unnoticed_violates_an_invariant(full, monkeypatch):
-    monkeypatch.setattr(server_polls, "read_load", lambda *_: Unavailable("silent"))
+    monkeypatch.setattr(server_polls, "ask_load", lambda *_: None)
     full.servers["s1"].limit.limit = 2
     with pytest.raises(InvariantError):
         full.poll()
