Give servers and links of streams one set of options

Change: both take an address, the shared key, StreamOptions and the transport. Each counts in counters of its own. A router makes its options, with their heartbeats, once.

Tests: no check is changed. conftest and peer_process make the options in place of the arguments; test_address_in_use_is_a_typed_error hands over the options of the first server, since a server without callbacks can no longer be written as a list of None.

Not run: the other packages.

--- a/packages/lagoonsail-peer/benchmarks/stream_cost.py
+++ b/packages/lagoonsail-peer/benchmarks/stream_cost.py
@@ -22,8 +22,10 @@
 from lagoonsail_core.events import Timeline
 from lagoonsail_core.green import eventlet, green_socket
 from lagoonsail_core.messages import Heartbeat, Hello, SlotCancel, SlotRequest
+from lagoonsail_peer.heartbeats import Heartbeats
 from lagoonsail_peer.link import PeerLink
 from lagoonsail_peer.server import PeerServer
+from lagoonsail_peer.stream import StreamOptions
 
 BATCHES = (1, 10, 100)
 """Messages in one flush."""
@@ -37,6 +39,8 @@
 """How long idle streams are measured."""
 HEARTBEAT_MS = 500.0
 """Heartbeat interval."""
+SHARED_KEY = b"benchmark"
+"""Key of both sides."""
 
 TRANSPORTS = ("grpc", "tcp")
 """What may carry the streams."""
@@ -50,30 +54,28 @@
     print(json.dumps(fields), flush=True)
 
 
-def arguments(name: str, on_messages, transport: str) -> dict:
+def make_options(name: str, on_messages) -> StreamOptions:
     """Return what a server and a link take alike.
 
     Args:
         name: Name of the router.
         on_messages: The callback for messages.
-        transport: What carries the streams.
 
     Returns:
-        Keyword arguments.
+        The options.
     """
-    return {
-        "shared_key": b"benchmark",
-        "identity": lambda: Hello(name, 1, "sierra-central", CLOCK.now_ms()),
-        "timeline": Timeline(name, CLOCK),
-        "on_open": lambda stream, hello: None,
-        "on_messages": on_messages,
-        "on_close": lambda stream: None,
-        "flush_ms": 2.0,
-        "silence_ms": 2000.0,
-        "make_heartbeat": lambda: Heartbeat(CLOCK.now_ms(), 2**63),
-        "heartbeat_ms": HEARTBEAT_MS,
-        "transport": transport,
-    }
+    return StreamOptions(
+        identity=lambda: Hello(name, 1, "sierra-central", CLOCK.now_ms()),
+        timeline=Timeline(name, CLOCK),
+        on_open=lambda stream, hello: None,
+        on_messages=on_messages,
+        on_close=lambda stream: None,
+        flush_ms=2.0,
+        silence_ms=2000.0,
+        make_heartbeat=lambda: Heartbeat(CLOCK.now_ms(), 2**63),
+        heartbeats=Heartbeats(HEARTBEAT_MS, CLOCK),
+        clock=CLOCK,
+    )
 
 
 def listen(transport: str) -> None:
@@ -89,7 +91,8 @@
                 say(event="mark", mark=message.ticket)
                 stream.send(message)
 
-    server = PeerServer("127.0.0.1:0", **arguments("cordero-1", take, transport))
+    options = make_options("cordero-1", take)
+    server = PeerServer("127.0.0.1:0", SHARED_KEY, options, transport)
     server.start()
     say(event="listening", port=server.port)
     while True:
@@ -115,8 +118,8 @@
         """
         for _ in range(count):
             name = f"cordero-{len(self.links) + 2}"
-            options = arguments(name, self.take, self.transport)
-            link = PeerLink(self.address, **options)
+            options = make_options(name, self.take)
+            link = PeerLink(self.address, SHARED_KEY, options, self.transport)
             link.start()
             self.links.append(link)
         while not all(link.stream and link.stream.name for link in self.links):
--- a/packages/lagoonsail-peer/src/lagoonsail_peer/link.py
+++ b/packages/lagoonsail-peer/src/lagoonsail_peer/link.py
@@ -2,22 +2,17 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from lagoonsail_core.clock import Clock
 from lagoonsail_core.green import eventlet
 from lagoonsail_peer import _grpc, _tcp
-from lagoonsail_peer.heartbeats import Heartbeats
 from lagoonsail_peer.stream import PeerStream, StreamOptions
 from lagoonsail_peer.wire import TRANSPORT_GRPC, TRANSPORT_TCP, wait_until
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from lagoonsail_core.events import Timeline
-    from lagoonsail_core.messages import Heartbeat, Hello
     from lagoonsail_peer.wire import Wire
 
 _DIAL = {TRANSPORT_GRPC: _grpc.dial, TRANSPORT_TCP: _tcp.dial}
@@ -52,38 +47,23 @@
         self,
         address: str,
         shared_key: bytes,
-        identity: Callable[[], Hello],
-        timeline: Timeline,
-        on_open: Callable[[PeerStream, Hello], None],
-        on_messages: Callable[[PeerStream, list], None],
-        on_close: Callable[[PeerStream], None],
-        flush_ms: float,
-        silence_ms: float,
-        make_heartbeat: Callable[[], Heartbeat],
-        heartbeat_ms: float,
-        clock: Clock | None = None,
+        options: StreamOptions,
         transport: str = TRANSPORT_GRPC,
-        heartbeats: Heartbeats | None = None,
     ) -> None:
-        clock = clock or Clock()
+        """Prepare; nothing is dialled.
+
+        Args:
+            address: Address to dial.
+            shared_key: Key that both sides must hold; empty for no check.
+            options: What its streams share; they count in counters of the link.
+            transport: What carries the streams.
+        """
         self.counters = Counter()
         self.stream = None
         self._address = address
         self._shared_key = shared_key
         self._transport = transport
-        self._options = StreamOptions(
-            identity=identity,
-            timeline=timeline,
-            on_open=on_open,
-            on_messages=on_messages,
-            on_close=on_close,
-            flush_ms=flush_ms,
-            silence_ms=silence_ms,
-            make_heartbeat=make_heartbeat,
-            heartbeats=heartbeats or Heartbeats(heartbeat_ms, clock),
-            clock=clock,
-            counters=self.counters,
-        )
+        self._options = dataclasses.replace(options, counters=self.counters)
         self._random = random.Random()
         self._wires: set[Wire] = set()
         self._is_stopping = False
--- a/packages/lagoonsail-peer/src/lagoonsail_peer/server.py
+++ b/packages/lagoonsail-peer/src/lagoonsail_peer/server.py
@@ -7,10 +7,8 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from lagoonsail_core.clock import Clock
 from lagoonsail_core.errors import LagoonsailError
 from lagoonsail_peer import _grpc, _tcp
-from lagoonsail_peer.heartbeats import Heartbeats
 from lagoonsail_peer.stream import PeerStream, StreamOptions
 from lagoonsail_peer.wire import (
     MAX_STREAMS,
@@ -23,10 +21,6 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
-    from lagoonsail_core.events import Timeline
-    from lagoonsail_core.messages import Heartbeat, Hello
     from lagoonsail_peer.wire import Wire
 
 _LISTEN = {TRANSPORT_GRPC: _grpc.listen, TRANSPORT_TCP: _tcp.listen}
@@ -62,38 +56,24 @@
         self,
         address: str,
         shared_key: bytes,
-        identity: Callable[[], Hello],
-        timeline: Timeline,
-        on_open: Callable[[PeerStream, Hello], None],
-        on_messages: Callable[[PeerStream, list], None],
-        on_close: Callable[[PeerStream], None],
-        flush_ms: float,
-        silence_ms: float,
-        make_heartbeat: Callable[[], Heartbeat],
-        heartbeat_ms: float,
-        clock: Clock | None = None,
+        options: StreamOptions,
         transport: str = TRANSPORT_GRPC,
-        heartbeats: Heartbeats | None = None,
         advertised: str = "",
     ) -> None:
-        clock = clock or Clock()
+        """Prepare; nothing is opened.
+
+        Args:
+            address: Address to listen on.
+            shared_key: Key that the other side must hold; empty for no check.
+            options: What its streams share; they count in counters of the server.
+            transport: What carries the streams.
+            advertised: Address that other routers are told, empty if it is not known.
+        """
         self.counters = Counter()
         self.port = 0
         self._address = address
         self._transport = transport
-        self._options = StreamOptions(
-            identity=identity,
-            timeline=timeline,
-            on_open=on_open,
-            on_messages=on_messages,
-            on_close=on_close,
-            flush_ms=flush_ms,
-            silence_ms=silence_ms,
-            make_heartbeat=make_heartbeat,
-            heartbeats=heartbeats or Heartbeats(heartbeat_ms, clock),
-            clock=clock,
-            counters=self.counters,
-        )
+        self._options = dataclasses.replace(options, counters=self.counters)
         self._wires: set[Wire] = set()
         self._intake = Intake(
             shared_key=shared_key,
--- a/packages/lagoonsail-peer/src/lagoonsail_peer/stream.py
+++ b/packages/lagoonsail-peer/src/lagoonsail_peer/stream.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from dataclasses import dataclass, field
 from functools import partial
 from typing import TYPE_CHECKING
 
 import logbook
 
+from lagoonsail_core.clock import Clock
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.messages import (
     MAX_FRAME_BYTES,
@@ -20,10 +21,8 @@
 )
 
 if TYPE_CHECKING:
-    from collections import Counter
     from collections.abc import Callable
 
-    from lagoonsail_core.clock import Clock
     from lagoonsail_core.events import Timeline
     from lagoonsail_peer.heartbeats import Heartbeats
     from lagoonsail_peer.wire import Wire
@@ -67,7 +66,7 @@
 
 @dataclass(slots=True)
 class StreamOptions:
-    """What all streams of one server or link share."""
+    """What the streams of a server and of links share."""
 
     identity: Callable[[], Hello]
     """Makes this side's Hello."""
@@ -87,9 +86,9 @@
     """Makes the heartbeat to send next."""
     heartbeats: Heartbeats
     """Sends the heartbeats of all streams."""
-    clock: Clock
+    clock: Clock = field(default_factory=Clock)
     """Monotonic time."""
-    counters: Counter
+    counters: Counter = field(default_factory=Counter)
     """Counts frames, messages, bytes, and closed streams by reason."""
     expected: tuple[str, int] | None = field(default=None)
     """Router and incarnation that the Hello must show, if they are known."""
--- a/packages/lagoonsail-peer/tests/conftest.py
+++ b/packages/lagoonsail-peer/tests/conftest.py
@@ -29,9 +29,11 @@
     METHOD_PATH,
     stream_body,
 )
+from lagoonsail_peer.heartbeats import Heartbeats
 from lagoonsail_peer.link import PeerLink
 from lagoonsail_peer.server import PeerServer
 from lagoonsail_peer.signing import sign
+from lagoonsail_peer.stream import StreamOptions
 
 CHILD = Path(__file__).with_name("peer_process.py")
 CLOCK = Clock()
@@ -69,25 +71,31 @@
         self.ahead_ms = 0.0
         self.timeline = Timeline(name, CLOCK)
         self.on_messages = lambda stream, messages: None
+        clock = Clock(read_monotonic_ms=lambda: CLOCK.now_ms() + self.ahead_ms)
         self.end = kind(
             address,
             key,
-            lambda: Hello(name, incarnation, "r", CLOCK.now_ms()),
-            self.timeline,
-            self._open,
-            self._messages,
-            lambda stream: self.events.append(("close", stream, CLOCK.now_ms())),
-            2.0,
-            silence_ms,
-            lambda: Heartbeat(CLOCK.now_ms(), 5),
-            heartbeat_ms,
-            Clock(read_monotonic_ms=lambda: CLOCK.now_ms() + self.ahead_ms),
+            StreamOptions(
+                identity=lambda: Hello(name, incarnation, "r", CLOCK.now_ms()),
+                timeline=self.timeline,
+                on_open=self._open,
+                on_messages=self._messages,
+                on_close=self._close,
+                flush_ms=2.0,
+                silence_ms=silence_ms,
+                make_heartbeat=lambda: Heartbeat(CLOCK.now_ms(), 5),
+                heartbeats=Heartbeats(heartbeat_ms, clock),
+                clock=clock,
+            ),
             **options,
         )
 
     def _open(self, stream, hello):
         self.events.append(("open", stream, hello))
 
+    def _close(self, stream):
+        self.events.append(("close", stream, CLOCK.now_ms()))
+
     def _messages(self, stream, messages):
         self.events.extend(("message", stream, message) for message in messages)
         self.on_messages(stream, messages)
--- a/packages/lagoonsail-peer/tests/peer_process.py
+++ b/packages/lagoonsail-peer/tests/peer_process.py
@@ -13,7 +13,9 @@
 from lagoonsail_core.events import Timeline
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.messages import Heartbeat, Hello, SlotCancel
+from lagoonsail_peer.heartbeats import Heartbeats
 from lagoonsail_peer.server import PeerServer
+from lagoonsail_peer.stream import StreamOptions
 
 
 def say(**fields: object) -> None:
@@ -48,20 +50,23 @@
         say(event="open", stream=streams[stream], router=hello.router)
 
     server = PeerServer(
-        address=f"127.0.0.1:{options.port}",
-        shared_key=b"key",
-        identity=lambda: Hello("child", options.incarnation, "r", clock.now_ms()),
-        timeline=Timeline("child", clock),
-        on_open=take_open,
-        on_messages=take_messages,
-        on_close=lambda stream: say(
-            event="close", stream=streams[stream], reason=stream.close_reason
+        f"127.0.0.1:{options.port}",
+        b"key",
+        StreamOptions(
+            identity=lambda: Hello("child", options.incarnation, "r", clock.now_ms()),
+            timeline=Timeline("child", clock),
+            on_open=take_open,
+            on_messages=take_messages,
+            on_close=lambda stream: say(
+                event="close", stream=streams[stream], reason=stream.close_reason
+            ),
+            flush_ms=2.0,
+            silence_ms=options.silence_ms,
+            make_heartbeat=lambda: Heartbeat(clock.now_ms(), 0),
+            heartbeats=Heartbeats(options.heartbeat_ms, clock),
+            clock=clock,
         ),
-        flush_ms=2.0,
-        silence_ms=options.silence_ms,
-        make_heartbeat=lambda: Heartbeat(clock.now_ms(), 0),
-        heartbeat_ms=options.heartbeat_ms,
-        transport=options.transport,
+        options.transport,
     )
     server.start()
     say(event="listening", port=server.port)
--- a/packages/lagoonsail-peer/tests/test_stream_refusal.py
+++ b/packages/lagoonsail-peer/tests/test_stream_refusal.py
@@ -120,9 +120,8 @@
 def test_address_in_use_is_a_typed_error(pair, transport):
     server, _ = pair
     address = f"127.0.0.1:{server.end.port}"
-    times = (2.0, 800.0, None, 100.0)
     second = server_module.PeerServer(
-        address, b"", *[None] * 5, *times, transport=transport
+        address, b"", server.end._options, transport=transport
     )
     with pytest.raises(AddressError):
         second.start()
--- a/packages/lagoonsail-router/benchmarks/slot_cost.py
+++ b/packages/lagoonsail-router/benchmarks/slot_cost.py
@@ -43,8 +43,11 @@
     SlotStart,
 )
 from lagoonsail_lab.bare_router import DOCUMENT, SERVER, SHARD, make_context
+from lagoonsail_peer.heartbeats import Heartbeats
 from lagoonsail_peer.link import PeerLink
 from lagoonsail_peer.server import PeerServer
+from lagoonsail_peer.stream import StreamOptions
+from lagoonsail_peer.wire import TRANSPORT_TCP
 from lagoonsail_router.configuration import Configuration
 from lagoonsail_router.context import RouterContext
 from lagoonsail_router.held_slot import make_done
@@ -70,9 +73,10 @@
 """Callers of each router in the last phase: 480 calls for the 336 slots, as at the
 target, where 38 calls a second of 13 s each want the slots of a shard."""
 OWNER = "cordero-1"
+SHARED_KEY = b"benchmark"
 
 
-def stream_options(context: RouterContext, name: str, dispatch) -> dict:
+def stream_options(context: RouterContext, name: str, dispatch) -> StreamOptions:
     """Return what a server and a link take alike, by the default settings.
 
     Args:
@@ -81,20 +85,18 @@
         dispatch: Takes a stream and its messages.
     """
     settings, clock = context.settings, context.clock
-    return {
-        "shared_key": b"benchmark",
-        "identity": lambda: Hello(name, 1, settings.region, clock.now_ms()),
-        "timeline": context.timeline,
-        "on_open": lambda stream, hello: None,
-        "on_messages": dispatch,
-        "on_close": lambda stream: None,
-        "flush_ms": settings.flush_ms,
-        "silence_ms": settings.silence_ms,
-        "make_heartbeat": lambda: Heartbeat(clock.now_ms(), 2**63),
-        "heartbeat_ms": settings.heartbeat_ms,
-        "clock": clock,
-        "transport": "tcp",
-    }
+    return StreamOptions(
+        identity=lambda: Hello(name, 1, settings.region, clock.now_ms()),
+        timeline=context.timeline,
+        on_open=lambda stream, hello: None,
+        on_messages=dispatch,
+        on_close=lambda stream: None,
+        flush_ms=settings.flush_ms,
+        silence_ms=settings.silence_ms,
+        make_heartbeat=lambda: Heartbeat(clock.now_ms(), 2**63),
+        heartbeats=Heartbeats(settings.heartbeat_ms, clock),
+        clock=clock,
+    )
 
 
 def make_dispatch(handlers: dict):
@@ -130,7 +132,7 @@
         SlotDone: lambda stream, message: owner.take_done(message),
     }
     options = stream_options(context, OWNER, make_dispatch(handlers))
-    server = PeerServer("127.0.0.1:0", **options)
+    server = PeerServer("127.0.0.1:0", SHARED_KEY, options, TRANSPORT_TCP)
     server.start()
     print(server.port, flush=True)
     while True:
@@ -146,7 +148,7 @@
         name = f"cordero-{number + 2}"
         self.handlers: dict = {}
         options = stream_options(context, name, make_dispatch(self.handlers))
-        self.link = PeerLink(address, **options)
+        self.link = PeerLink(address, SHARED_KEY, options, TRANSPORT_TCP)
         self.link.start()
         peers = SimpleNamespace(
             handle=self.handlers.__setitem__,
--- a/packages/lagoonsail-router/src/lagoonsail_router/peers.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/peers.py
@@ -14,6 +14,7 @@
 from lagoonsail_peer.heartbeats import Heartbeats
 from lagoonsail_peer.link import PeerLink
 from lagoonsail_peer.server import PeerServer
+from lagoonsail_peer.stream import StreamOptions
 from lagoonsail_router.configuration import SPREAD_BY_PEERS
 
 if TYPE_CHECKING:
@@ -36,10 +37,10 @@
         "_digests",
         "_ended",
         "_handlers",
-        "_heartbeats",
         "_links",
         "_on_close",
         "_on_open",
+        "_options",
         "_server",
         "streams",
     )
@@ -62,30 +63,31 @@
         # Counters of links that were given up.
         self._ended: Counter = Counter()
         self.streams = {}
-        self._heartbeats = Heartbeats(context.settings.heartbeat_ms, context.clock)
+        settings = context.settings
+        # Shared, so that all streams send their heartbeats at one moment.
+        self._options = self._make_options()
         self._server = PeerServer(
-            context.settings.peers_address,
-            advertised=context.settings.advertised_peers_address,
-            **self._stream_options(),
+            settings.peers_address,
+            settings.shared_key,
+            self._options,
+            settings.peers_transport,
+            settings.advertised_peers_address,
         )
 
-    def _stream_options(self) -> dict:
-        settings = self._context.settings
-        return {
-            "shared_key": settings.shared_key,
-            "identity": self._identity,
-            "timeline": self._context.timeline,
-            "on_open": self._opened,
-            "on_messages": self.dispatch,
-            "on_close": self._closed,
-            "flush_ms": settings.flush_ms,
-            "silence_ms": settings.silence_ms,
-            "make_heartbeat": self._make_heartbeat,
-            "heartbeat_ms": settings.heartbeat_ms,
-            "heartbeats": self._heartbeats,
-            "clock": self._context.clock,
-            "transport": settings.peers_transport,
-        }
+    def _make_options(self) -> StreamOptions:
+        settings, clock = self._context.settings, self._context.clock
+        return StreamOptions(
+            identity=self._identity,
+            timeline=self._context.timeline,
+            on_open=self._opened,
+            on_messages=self.dispatch,
+            on_close=self._closed,
+            flush_ms=settings.flush_ms,
+            silence_ms=settings.silence_ms,
+            make_heartbeat=self._make_heartbeat,
+            heartbeats=Heartbeats(settings.heartbeat_ms, clock),
+            clock=clock,
+        )
 
     def _identity(self) -> Hello:
         return Hello(
@@ -192,7 +194,10 @@
             return
         if link:
             self._end(link)
-        link = PeerLink(address, **self._stream_options())
+        settings = self._context.settings
+        link = PeerLink(
+            address, settings.shared_key, self._options, settings.peers_transport
+        )
         self._links[router] = (address, link)
         link.start()
 
