Declare the options of both backend stand-ins once

Ruled out: a text that holds all options, and options in a file, since callers of the stand-ins would change.

--- a/packages/lagoonsail-standins/src/lagoonsail_standins/model_engine.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/model_engine.py
@@ -6,8 +6,9 @@
 from urllib.parse import urljoin
 
 from lagoonsail_core.green import eventlet, urllib3
-from lagoonsail_standins.backend import Backend, BackendOptions
+from lagoonsail_standins.backend import Backend
 from lagoonsail_standins.backend_app import make_backend_app
+from lagoonsail_standins.backend_options import SharedOptions, add_backend_options
 from lagoonsail_standins.completions import Completions
 from lagoonsail_standins.engine_reports import PromptCache, make_metrics_handler
 from lagoonsail_standins.serving import Answer, answer_json, run, serve
@@ -248,16 +249,10 @@
 
 
 def main(
+    shared: SharedOptions,
     *,
-    port: int = 0,
-    name: str = "engine",
-    slots: int = 8,
-    cold_slots: int = 1,
-    warm_after: int = 8,
-    cold_factor: float = 4.0,
     token_ms: float = 5.0,
     first_ms: float = 20.0,
-    report_lag_ms: float = 1000.0,
     checks_fencing: bool = False,
     resumable: bool = False,
     weight_store: str = "",
@@ -267,15 +262,9 @@
     """Serve a model engine.
 
     Args:
-        port: TCP port; 0 takes any free one.
-        name: Name of the server.
-        slots: Requests that run at once while warm.
-        cold_slots: Requests above which the cold server falls over.
-        warm_after: Whole answers after which the server is warm.
-        cold_factor: How many times slower the cold server is.
+        shared: What both stand-ins of backend servers take.
         token_ms: Time for one token while warm.
         first_ms: Time until the first token while warm.
-        report_lag_ms: Age of what the reports show.
         checks_fencing: Refuse requests of an outdated epoch.
         resumable: Let broken completions be resumed.
         weight_store: URL of the weights, loaded before anything is answered; those of
@@ -283,23 +272,21 @@
         load_ms: Time that loading an ordered model or adapter takes.
         prefill_ms: Time for 1000 characters of a prompt that the cache does not hold.
     """
-    options = BackendOptions(
-        name, slots, cold_slots, warm_after, cold_factor, checks_fencing
-    )
-    backend = Backend(options)
+    shared.backend.checks_fencing = checks_fencing
+    backend = Backend(shared.backend)
     engine = Engine(
         backend,
         token_ms,
         first_ms,
-        report_lag_ms,
+        shared.report_lag_ms,
         resumable,
         weight_store,
         load_ms,
         prefill_ms,
     )
     engine.start()
-    serve(make_engine_app(backend, engine), port)
+    serve(make_engine_app(backend, engine), shared.port)
 
 
 if __name__ == "__main__":
-    run(main)
+    run(add_backend_options(main, "engine", slots=8, warm_after=8))
--- a/packages/lagoonsail-standins/src/lagoonsail_standins/plain_service.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/plain_service.py
@@ -5,8 +5,9 @@
 import json
 from typing import TYPE_CHECKING
 
-from lagoonsail_standins.backend import Backend, BackendOptions
+from lagoonsail_standins.backend import Backend
 from lagoonsail_standins.backend_app import make_backend_app, send_body
+from lagoonsail_standins.backend_options import SharedOptions, add_backend_options
 from lagoonsail_standins.engine_reports import make_metrics_handler
 from lagoonsail_standins.serving import Answer, run, serve
 
@@ -76,31 +77,20 @@
 
 
 def main(
+    shared: SharedOptions,
     *,
-    port: int = 0,
-    name: str = "plain",
-    slots: int = 4,
-    cold_slots: int = 1,
-    warm_after: int = 4,
     work_ms: float = 10.0,
-    cold_factor: float = 4.0,
-    report_lag_ms: float = 1000.0,
 ) -> None:
     """Serve a plain service.
 
     Args:
-        port: TCP port; 0 takes any free one.
-        name: Name of the server.
-        slots: Requests that run at once while warm.
-        cold_slots: Requests above which the cold server falls over.
-        warm_after: Whole answers after which the server is warm.
+        shared: What both stand-ins of backend servers take.
         work_ms: Time that a request takes if its body does not say.
-        cold_factor: How many times slower the cold server is.
-        report_lag_ms: How far the load report lags.
     """
-    options = BackendOptions(name, slots, cold_slots, warm_after, cold_factor)
-    serve(make_plain_app(Backend(options), name, work_ms, report_lag_ms), port)
+    options = shared.backend
+    app = make_plain_app(Backend(options), options.name, work_ms, shared.report_lag_ms)
+    serve(app, shared.port)
 
 
 if __name__ == "__main__":
-    run(main)
+    run(add_backend_options(main, "plain", slots=4, warm_after=4))
