Grant nothing in a region that hears neither the service nor another region

Cause: without the key-value service the owners of a region went on by promises of their own region alone. A region that is cut off from the service and from all other regions cannot know what operators order meanwhile, and went on feeding a failure domain that had been taken out, against what must always hold.

Ways weighed: lapse whenever no other region is heard (stops every region in an outage of the service when no call had opened streams between regions); promises of all routers of all regions (all-to-all). Chosen: one router of each other region on the host list, the one heard last, must promise too; it does so only if it does not reach the service either. It is also asked to renew, so that a region that lost only its way to the service keeps its leases. Their streams are dialled when the first renewal fails.

Left: an order that the service takes while no router of any region reaches it and lagoonctl reaches none; a region that is dead but listed stops the others for the list's lag in an outage of the service.

--- a/packages/lagoonsail-router/src/lagoonsail_router/right.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/right.py
@@ -6,8 +6,10 @@
 1. renewing the lease directly;
 2. renewing it through a peer that reaches the service;
 3. where nobody reaches the service, the promise of every other router of the region
-   that the host list shows, not to take over for a stated time. Routers of other
-   regions are not asked; `listed_regions` says why that is safe.
+   that the host list shows, not to take over for a stated time. Of each other region
+   one router is asked, for what it promises says that it does not reach the service
+   either: a region that is cut off from all others cannot know what operators have
+   ordered meanwhile. `listed_regions` says why not all of them need to be asked.
 
 Otherwise the right lapses.
 """
@@ -60,6 +62,8 @@
 """Value of the host list's label ``role`` for routers; also its default."""
 STORE_DOWN_TTL_MS = -1.0
 """Value of RenewResult.ttl_ms when the peer cannot reach the service either."""
+REDIAL_MS = 1000.0
+"""Time after which another router of a region is dialled, while none is heard."""
 RENEWERS_AT_ONCE = 2
 """Peers that are asked at once to renew the lease."""
 
@@ -213,6 +217,9 @@
             self._take_ttl(sent_ms, ttl_ms)
             return
         self._context.count("lease_renewals_failed_total")
+        # They are asked once the right is guarded; their streams are open by then.
+        for name in self._other_regions():
+            self._peers.stream_to(name)
 
     def register(self) -> bool:
         """Take a new lease and write this router's member record under it.
@@ -309,7 +316,9 @@
             return
         names = [name for name, streams in self._peers.streams.items() if streams]
         fresh = sorted(names, key=lambda name: -self._peers.streams[name][0].heard_ms)
-        asked = fresh[:RENEWERS_AT_ONCE]
+        near = fresh[:RENEWERS_AT_ONCE]
+        far = [name for name in self._other_regions() if name in names]
+        asked = [*near, *(name for name in far if name not in near)]
         lease = self.lease
         attempt = self._ask(asked, lambda nonce: RenewRequest(nonce, lease))
         if attempt is None or lease != self.lease:
@@ -322,7 +331,10 @@
         self._take_ttl(attempt.sent_ms, min(known))
 
     def gather_promises(self) -> None:
-        """Ask every router of the region not to take over, while renewals fail."""
+        """Ask for promises not to take over, while renewals fail.
+
+        Every router of the region is asked, and one of each other region.
+        """
         if self.hears_store() or not self.lease:
             return
         settings = self._context.settings
@@ -336,6 +348,9 @@
             if host.name in routers
             and host.labels.get("region", settings.region) == settings.region
         }
+        if others:
+            # A router alone has nobody to promise it anything, as before.
+            others.update(self._other_regions())
         attempt = self._ask(others, lambda nonce: PromiseRequest(nonce, PROMISE_MS))
         if attempt is None or set(attempt.answers) != others:
             return
@@ -343,6 +358,24 @@
             until_ms = attempt.sent_ms + shortest_ms(PROMISE_MS)
             self.promise_until_ms = max(self.promise_until_ms, until_ms)
 
+    def _other_regions(self) -> list[str]:
+        """Return a router of each other region on the host list, the last one heard."""
+        own = self._context.settings.region
+        regions: dict[str, list[str]] = {}
+        for host in self._hosts:
+            region = host.labels.get("region", own)
+            if _is_router(host) and region != own:
+                regions.setdefault(region, []).append(host.name)
+        return [self._last_heard(names) for names in regions.values()]
+
+    def _last_heard(self, names: list[str]) -> str:
+        streams = self._peers.streams
+        known = [name for name in names if streams.get(name)]
+        if known:
+            return max(known, key=lambda name: streams[name][0].heard_ms)
+        # Another one each time, since some may be dead and still listed.
+        return names[int(self._context.clock.now_ms() / REDIAL_MS) % len(names)]
+
     def _ask(self, names, make: Callable[[int], object]) -> _Attempt | None:
         streams = [self._peers.stream_to(name) for name in names]
         if not streams or not all(streams):
