Take bad answers of engines and of the weight store without haste or harm

Cause: malformed, oversized, slow, refused and lost answers had only been tried by fakes in place of the exchange.

Change: states are checked field by field, and give no orders if malformed or too long; an order that is due again after it was taken is counted as without_effect and waits for the pause, which grows until the engine shows an effect; dates in Retry-After; 5 s for a whole exchange; a status from 500 on counts as no answer.

No existing test was changed.

--- a/packages/lagoonsail-router/src/lagoonsail_router/batched_gets.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/batched_gets.py
@@ -63,6 +63,16 @@
     """Whole body."""
 
 
+class AnswerTooLong(Unavailable):
+    """There is an answer, longer than what is read."""
+
+    __slots__ = ()
+
+
+class _TooLongError(Exception):
+    """More was received than is read."""
+
+
 @dataclass(slots=True, eq=False)
 class _Get:
     address: str
@@ -222,6 +232,9 @@
             epoll.modify(get.sock, select.EPOLLIN)
             return None
         return _read(get)
+    except _TooLongError:
+        reason = f"{get.address}{get.path} answered more than {MAX_BODY_BYTES} bytes"
+        return AnswerTooLong(reason)
     except (OSError, HTTPException, ValueError) as error:
         return get.fail(error)
 
@@ -242,7 +255,7 @@
             parts.append(part)
             is_end = not part
             if sum(map(len, parts)) > MAX_ANSWER_BYTES:
-                raise HTTPException(f"more than {MAX_ANSWER_BYTES} bytes")
+                raise _TooLongError
     get.received = b"".join(parts)
     if is_end or _seems_whole(get.received):
         return _parse(get.received)
@@ -273,7 +286,7 @@
 def _parse(received: bytes) -> GetAnswer:
     answer = _parse_plain(received) or _parse_any(received)
     if len(answer.body) > MAX_BODY_BYTES:
-        raise HTTPException(f"more than {MAX_BODY_BYTES} bytes")
+        raise _TooLongError
     return answer
 
 
--- a/packages/lagoonsail-router/src/lagoonsail_router/engine_orders.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/engine_orders.py
@@ -12,24 +12,28 @@
 import json
 import random
 from dataclasses import dataclass
+from email.utils import parsedate_to_datetime
 from typing import TYPE_CHECKING
 
-from lagoonsail_core.green import urllib3
+from lagoonsail_core.green import eventlet, urllib3
 from lagoonsail_core.names import service_of
 from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_router.backend import CONNECTION_ERRORS
+from lagoonsail_router.batched_gets import AnswerTooLong
 from lagoonsail_router.context import start_task
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from lagoonsail_config.document import ServerEntry, ServiceDocument
+    from lagoonsail_core.clock import Clock
     from lagoonsail_router.batched_gets import BatchedGets, GetAnswer
     from lagoonsail_router.context import RouterContext
 
 ORDERS_PATH = "/orders"
 """Path at an engine for its state and its orders."""
 ORDER_TIMEOUT_S = 5.0
-"""Time for the answer to an order, in seconds as urllib3 takes it."""
+"""Time for the whole answer to an order, in seconds as urllib3 takes it."""
 MAX_STATE_BYTES = 262_144
 """Longest state that is read."""
 CHANGED_AT_ONCE = 2
@@ -61,6 +65,8 @@
 """The engine cannot carry the order out."""
 FAILED = "failed"
 """No answer, or a fault of the engine or the weight store."""
+WITHOUT_EFFECT = "without_effect"
+"""The engine took the order, and afterwards had not changed."""
 
 _RESULTS = {200: TAKEN, 202: TAKEN, 409: BUSY, 412: OUTDATED, 429: LIMITED}
 
@@ -155,6 +161,7 @@
         "_pauses",
         "_settled_ms",
         "_shard",
+        "_taken",
         "_unread",
     )
 
@@ -183,6 +190,8 @@
         self._at_work: set[str] = set()
         self._changing: set[str] = set()
         self._pauses: dict[str, _Pause] = {}
+        # The last order of each engine, while nothing shows that it had an effect.
+        self._taken: dict[str, dict[str, str]] = {}
         servers = document.servers.values() if document else ()
         # An earlier owner may have them loading.
         self._unread = {server.name for server in servers if is_managed(server)}
@@ -314,9 +323,18 @@
     ) -> dict[str, str] | None:
         """Return the order that may be given now; one that is due closes the engine."""
         order = next_order(wanted_state(server, document), state)
+        taken = self._taken.pop(server.name, None)
+        if order is None or (taken and order != taken):
+            self._pauses.pop(server.name, None)
         if order is None:
             self._changing.discard(server.name)
             return None
+        if order == taken:
+            # At once again it would fetch the weights anew, as often as it is read.
+            self._context.count("engine_orders_total", WITHOUT_EFFECT)
+            self._changing.discard(server.name)
+            self._pause(server.name, WITHOUT_EFFECT, self._context.clock.now_ms())
+            return None
         if not self._may_change(server.name, order) or not may_order():
             return None
         return order
@@ -326,11 +344,12 @@
     ) -> EngineState | None:
         """Return the state of an engine that can be given orders now."""
         name = server.name
-        if isinstance(answer, Unavailable):
+        is_too_long = isinstance(answer, AnswerTooLong)
+        if not is_too_long and _judge(answer) == FAILED:
             self.on_unreachable(server)
             return None
         self._unread.discard(name)
-        state = _parse_state(answer)
+        state = None if is_too_long else _parse_state(answer)
         if state is None:
             # It takes no orders, so it serves with what it has.
             self._context.count("engine_states_malformed_total")
@@ -380,19 +399,27 @@
             result=result,
             **order,
         )
-        self._take_result(server.name, result, answer)
+        self._take_result(server.name, order, result, answer)
         return result
 
-    def _take_result(self, name: str, result: str, answer) -> None:
+    def _take_result(
+        self,
+        name: str,
+        order: dict[str, str],
+        result: str,
+        answer: _Answer | Unavailable,
+    ) -> None:
         now_ms = self._context.clock.now_ms()
-        if result in (TAKEN, BUSY):
-            self._pauses.pop(name, None)
+        if result == TAKEN:
+            self._taken[name] = order
+            return
+        if result == BUSY:
             return
         self._changing.discard(name)
         if result == OUTDATED:
             self._is_outdated = True
         elif result == LIMITED:
-            wait_ms = _read_retry_after_ms(answer.retry_after)
+            wait_ms = _read_retry_after_ms(answer.retry_after, self._context.clock)
             until_ms = now_ms + wait_ms * random.uniform(1.0, 1.2)
             self._limited_until_ms = max(self._limited_until_ms, until_ms)
         else:
@@ -404,29 +431,37 @@
         pause_ms = min(FIRST_PAUSE_MS * 2**pause.failures, LONGEST_PAUSE_MS)
         if result == REFUSED:
             pause_ms = LONGEST_PAUSE_MS
-        else:
+        elif result == FAILED:
             # Whether it loads is not known until its state is read.
             self._unread.add(name)
         pause.failures = min(pause.failures + 1, 10)
         pause.until_ms = now_ms + pause_ms * random.uniform(0.5, 1.5)
 
 
-def _judge(answer: _Answer | Unavailable) -> str:
-    if not isinstance(answer, _Answer) or answer.status >= 500:
+def _judge(answer: GetAnswer | _Answer | Unavailable) -> str:
+    if isinstance(answer, Unavailable) or answer.status >= 500:
         return FAILED
     return _RESULTS.get(answer.status, REFUSED)
 
 
-def _read_retry_after_ms(text: str) -> float:
+def _read_retry_after_ms(text: str, clock: Clock) -> float:
+    """Return the time of a Retry-After header, which is in seconds or a date."""
     try:
         wait_ms = float(text) * 1000.0
     except ValueError:
-        wait_ms = FIRST_PAUSE_MS
+        wait_ms = _time_until_ms(text, clock)
     if not wait_ms >= 0:
         wait_ms = FIRST_PAUSE_MS
     return min(wait_ms, LONGEST_LIMIT_MS)
 
 
+def _time_until_ms(date: str, clock: Clock) -> float:
+    try:
+        return parsedate_to_datetime(date).timestamp() * 1000.0 - clock.wall_ms()
+    except (ValueError, TypeError, IndexError, OverflowError, OSError):
+        return FIRST_PAUSE_MS
+
+
 def _exchange(
     method: str, address: str, order: dict | None, headers: dict[str, str]
 ) -> _Answer | Unavailable:
@@ -437,11 +472,13 @@
     )
     body = None if order is None else json.dumps(order)
     try:
-        response = pool.request(
-            method, ORDERS_PATH, body=body, headers=headers, preload_content=False
-        )
-        data = response.read(MAX_STATE_BYTES)
-    except (urllib3.exceptions.HTTPError, OSError) as error:
+        # The timeout of the socket starts anew with each byte that comes.
+        with eventlet.Timeout(ORDER_TIMEOUT_S, TimeoutError("no whole answer in time")):
+            response = pool.request(
+                method, ORDERS_PATH, body=body, headers=headers, preload_content=False
+            )
+            data = response.read(MAX_STATE_BYTES)
+    except CONNECTION_ERRORS as error:
         return Unavailable(f"no answer from {address}{ORDERS_PATH}: {error}")
     finally:
         pool.close()
@@ -449,14 +486,18 @@
 
 
 def _parse_state(answer: GetAnswer | _Answer) -> EngineState | None:
+    """Return the state that an engine shows, None unless each field is of its type."""
     try:
         fields = json.loads(answer.body)
-        adapters = frozenset(map(str, fields["adapters"]))
-        texts = [str(fields[name]) for name in ("model", "version", "role")]
-        is_loading = fields["loading"] is True
+        adapters = fields["adapters"]
+        texts = [fields[name] for name in ("model", "version", "role")]
+        is_loading = fields["loading"]
     except (ValueError, KeyError, TypeError, RecursionError):
         return None
-    if answer.status != 200:
+    if answer.status != 200 or type(is_loading) is not bool:
+        return None
+    # Of a text in place of the list each character would be an adapter to unload.
+    if type(adapters) is not list or any(type(t) is not str for t in texts + adapters):
         return None
     model, version, role = texts
-    return EngineState(model, version, adapters, role, is_loading)
+    return EngineState(model, version, frozenset(adapters), role, is_loading)
--- /dev/null
+++ b/packages/lagoonsail-router/tests/test_engine_bad_answers.py
@@ -0,0 +1,337 @@
+"""Bad answers of engines and of the weight store behind them, over real connections."""
+
+from __future__ import annotations
+
+import json
+from email.utils import formatdate
+
+import pytest
+
+from lagoonsail_config.document import parse_document
+from lagoonsail_core.clock import Clock
+from lagoonsail_core.green import eventlet
+from lagoonsail_router import engine_orders
+from lagoonsail_router.batched_gets import BatchedGets
+from lagoonsail_router.engine_orders import (
+    FIRST_PAUSE_MS,
+    LONGEST_LIMIT_MS,
+    LONGEST_PAUSE_MS,
+    EngineOrders,
+)
+from lagoonsail_standins.backend import Backend, BackendOptions
+from lagoonsail_standins.model_engine import Engine, make_engine_app
+from lagoonsail_standins.serving import listen, serve_listener
+
+SHARD = "cordero/registro@sierra-central"
+TIMEOUT_S = 0.4
+
+
+def http(body=b"{}", status=b"200 OK", more=b""):
+    head = b"HTTP/1.1 %s\r\nContent-Length: %d\r\n%s\r\n" % (status, len(body), more)
+    return head + body
+
+
+def state_of(**fields):
+    state = {"model": "charla", "version": "1", "adapters": [], "role": ""}
+    return http(json.dumps({**state, "loading": False, **fields}).encode())
+
+
+class FakeEngine:
+    """Answers with given bytes; `POST` and `GET` hold them, a list is sent slowly."""
+
+    def __init__(self):
+        self.answers = {"GET": state_of(version="0"), "POST": http()}
+        self.requests = []
+        self.address = ""
+
+    def take(self, connection):
+        request = connection.recv(65_536)
+        method = request[: request.index(b" ")].decode()
+        self.requests.append(method)
+        answer = self.answers[method]
+        if isinstance(answer, bytes):
+            connection.sendall(answer)
+        elif answer is None:
+            eventlet.sleep(60.0)
+        else:
+            for part in answer:
+                connection.sendall(part)
+                eventlet.sleep(TIMEOUT_S / 4)
+        connection.close()
+
+    def orders(self):
+        return self.requests.count("POST")
+
+
+@pytest.fixture
+def threads():
+    threads = []
+    yield threads
+    for thread in threads:
+        thread.kill()
+
+
+@pytest.fixture
+def engine(threads, monkeypatch):
+    monkeypatch.setattr(engine_orders, "ORDER_TIMEOUT_S", TIMEOUT_S)
+    engine, listener = FakeEngine(), listen(0)
+
+    def take(connection):
+        try:
+            engine.take(connection)
+        except OSError:
+            connection.close()
+
+    def accept():
+        while True:
+            connection, _ = listener.accept()
+            threads.append(eventlet.spawn(take, connection))
+
+    threads.append(eventlet.spawn(accept))
+    engine.address = f"127.0.0.1:{listener.getsockname()[1]}"
+    return engine
+
+
+@pytest.fixture
+def write(make_document):
+    """Writes a document of one engine, which is to have model charla in version 1."""
+
+    def make(address, version="1"):
+        text = make_document(kind="engine")
+        start, end = text.index("[server s1]"), text.index("[account norte]")
+        server = f"[server s1]\naddress = {address}\nfailure_domain = banos\n"
+        model = f"slots = 2\nmodel = charla\n[model charla]\nversion = {version}\n"
+        model, more = model.split("[", 1)
+        return parse_document(f"{text[:start]}{server}{model}{text[end:]}[{more}")
+
+    return make
+
+
+@pytest.fixture
+def bench(context, engine, write, time, wait_until):
+    """An owner's orders to the engine; `look` goes on until the engine is done with."""
+
+    class Bench:
+        def __init__(self):
+            self.document = write(engine.address)
+            self.orders = EngineOrders(context, SHARD, 1, self.document)
+            self.gets = BatchedGets(context, lambda: None)
+            self.loads = 0
+            self.is_silent = False
+
+        def on_load(self):
+            self.loads += 1
+
+        def look(self):
+            (server,) = self.document.servers.values()
+            self.orders.look(
+                server, self.document, self.gets, lambda: True, self.on_load
+            )
+            wait_until(self.is_done)
+
+        def is_done(self):
+            if self.is_silent:
+                time.pass_ms(10.0)
+            return not self.orders._at_work
+
+        @property
+        def is_closed(self):
+            return self.orders.is_closed(self.document.servers["s1"])
+
+    return Bench()
+
+
+MALFORMED = {
+    "no object": http(b"[]"),
+    "no JSON": http(b"\xff{"),
+    "deep": http(b"[" * 100_000),
+    "adapters as text": state_of(adapters="abc"),
+    "adapters as object": state_of(adapters={"abc": 1}),
+    "adapter no text": state_of(adapters=[1]),
+    "model no text": state_of(model=None),
+    "version no text": state_of(version=1),
+    "role no text": state_of(role=["decode"]),
+    "loading no truth": state_of(loading="yes"),
+    "unknown path": http(status=b"404 Not Found"),
+    "moved": http(status=b"302 Found", more=b"Location: /elsewhere\r\n"),
+    "too long": http(json.dumps({"orders": ["x" * 100] * 10_000}).encode()),
+}
+
+
+@pytest.mark.parametrize("kind", MALFORMED)
+def test_malformed_state_is_counted_and_changes_nothing(bench, engine, context, kind):
+    engine.answers["GET"] = MALFORMED[kind]
+    for count in (1, 2):
+        bench.look()
+        assert context.counters["engine_states_malformed_total", ""] == count
+    assert engine.requests == ["GET", "GET"]
+    assert (bench.is_closed, bench.loads) == (False, 0)
+
+
+FAILING = {
+    "lost": b"",
+    "broken off": state_of()[:-3],
+    "no HTTP": b"\x00" * 100,
+    "silent": None,
+    "slow": [b"HTTP/1.1 200 OK\r\n", *[b"X: 1\r\n"] * 30],
+    "fault": http(status=b"500 Internal Server Error"),
+    "unavailable": http(status=b"503 Service Unavailable"),
+}
+
+
+@pytest.mark.parametrize("kind", FAILING)
+def test_engine_whose_state_cannot_be_read_gets_nothing(bench, engine, kind):
+    engine.answers["GET"] = state_of()
+    bench.look()
+    assert not bench.is_closed
+    engine.answers["GET"] = FAILING[kind]
+    bench.is_silent = kind == "silent"
+    bench.look()
+    assert bench.is_closed
+    assert (engine.orders(), bench.loads) == (0, 0)
+    engine.answers["GET"] = state_of()
+    bench.look()
+    assert not bench.is_closed
+
+
+@pytest.mark.parametrize("kind", FAILING)
+def test_order_without_a_whole_answer_is_repeated_after_growing_pauses(
+    bench, engine, context, time, kind
+):
+    engine.answers["POST"] = FAILING[kind]
+    bench.look()
+    # It may load: no requests until its state has been read.
+    assert (bench.is_closed, bench.loads, engine.orders()) == (True, 1, 1)
+    assert context.counters["engine_orders_total", "failed"] == 1
+    bench.look()
+    assert (bench.is_closed, engine.orders()) == (False, 1)
+    time.pass_ms(FIRST_PAUSE_MS * 1.5)
+    bench.look()
+    assert engine.orders() == 2
+    time.pass_ms(FIRST_PAUSE_MS * 0.99)
+    bench.look()
+    assert engine.orders() == 2
+
+
+def test_slow_answer_to_an_order_takes_no_place_for_good(bench, engine):
+    """Each byte comes in time, the whole does not."""
+    engine.answers["POST"] = [b"HTTP/1.1 200 OK\r\n", *[b"X: 1\r\n"] * 1000]
+    begun_ms = Clock().now_ms()
+    bench.look()
+    assert Clock().now_ms() - begun_ms < TIMEOUT_S * 1000.0 * 4
+    assert engine.orders() == 1
+
+
+@pytest.mark.parametrize("status", [b"400 Bad", b"404 Not Found", b"302 Found"])
+def test_refused_order_is_not_hurried_and_the_engine_serves_on(
+    bench, engine, context, time, status
+):
+    engine.answers["POST"] = http(b"\xff" * 300_000, status, b"Location: /x\r\n")
+    bench.look()
+    assert context.counters["engine_orders_total", "refused"] == 1
+    for _ in range(3):
+        time.pass_ms(LONGEST_PAUSE_MS * 0.16)
+        bench.look()
+    assert (engine.orders(), bench.is_closed, bench.loads) == (1, False, 0)
+
+
+def test_order_that_was_taken_and_changed_nothing_is_not_hurried(
+    bench, engine, context, time
+):
+    """An engine that fails to load must not fetch its weights again each second."""
+    at_ms = []
+    while len(at_ms) < 6:
+        before = engine.orders()
+        bench.look()
+        assert engine.orders() <= before + 1
+        if engine.orders() > before:
+            at_ms.append(time.now_ms)
+        time.pass_ms(50.0)
+    gaps = [late - early for early, late in zip(at_ms, at_ms[1:], strict=False)]
+    for index, gap in enumerate(gaps):
+        mean_ms = min(FIRST_PAUSE_MS * 2**index, LONGEST_PAUSE_MS)
+        assert mean_ms * 0.5 <= gap <= mean_ms * 1.5 + 200.0
+    assert context.counters["engine_orders_total", "without_effect"] >= 5
+    bench.look()
+    assert not bench.is_closed
+    engine.answers["GET"] = state_of()
+    bench.look()
+    assert bench.orders._pauses == {}
+
+
+@pytest.mark.parametrize("wait_s", [7.0, 100.0, 100_000.0])
+@pytest.mark.parametrize("is_date", [False, True])
+def test_limit_of_the_weight_store_is_kept_in_seconds_and_as_a_date(
+    bench, engine, time, wait_s, is_date
+):
+    until_s = time.clock.wall_ms() / 1000.0 + wait_s
+    text = formatdate(until_s, usegmt=True) if is_date else f"{wait_s}"
+    status = b"429 Too Many Requests"
+    engine.answers["POST"] = http(b"", status, f"Retry-After: {text}\r\n".encode())
+    bench.look()
+    assert (engine.orders(), bench.is_closed, bench.loads) == (1, False, 0)
+    wait_ms = min(wait_s * 1000.0, LONGEST_LIMIT_MS)
+    time.pass_ms(wait_ms * 0.99 - 1000.0 * is_date)
+    bench.look()
+    assert engine.orders() == 1
+    time.pass_ms(wait_ms * 0.25 + 2000.0)
+    bench.look()
+    assert engine.orders() == 2
+
+
+@pytest.mark.parametrize(
+    "text", ["Fri, 99 Zzz 2026 00:00:00 GMT", "Thu, 01 Jan 1970 00:00:00 GMT", "\xff"]
+)
+def test_limit_with_a_malformed_time_still_pauses(bench, engine, time, text):
+    more = f"Retry-After: {text}\r\n".encode("latin1")
+    engine.answers["POST"] = http(b"", b"429 Too Many Requests", more)
+    bench.look()
+    time.pass_ms(FIRST_PAUSE_MS * 0.99)
+    bench.look()
+    assert engine.orders() == 1
+    time.pass_ms(FIRST_PAUSE_MS)
+    bench.look()
+    assert engine.orders() == 2
+
+
+STORE = {
+    "lost": b"",
+    "fault": http(status=b"500 Internal Server Error"),
+    "refused": http(status=b"403 Forbidden"),
+    "no HTTP": b"\x00" * 100,
+    "broken off": http(b"weights")[:-3],
+    "silent": None,
+}
+
+
+@pytest.mark.parametrize("kind", STORE)
+def test_bad_answers_of_the_weight_store_are_not_asked_for_in_a_hurry(
+    context, threads, engine, write, bench, time, wait_until, kind
+):
+    """An engine fetches from a weight store that fails; its orders keep to pauses."""
+    engine.answers["GET"] = STORE[kind]
+    backend = Backend(BackendOptions("e", 2, 1, 0, 4.0, True))
+    url = f"http://{engine.address}/weights/"
+    model = Engine(backend, 2.0, 2.0, 50.0, True, url, 1.0)
+    app = make_engine_app(backend, model)
+    listener = listen(0)
+    threads.append(eventlet.spawn(serve_listener, listener, app))
+    bench.document = write(f"127.0.0.1:{listener.getsockname()[1]}")
+    for _ in range(20):
+        bench.look()
+        eventlet.sleep(0.01)
+    assert engine.requests == ["GET"]
+    results = [
+        context.counters["engine_orders_total", r] for r in ("failed", "refused")
+    ]
+    assert sorted(results) == [0, 1]
+    assert context.counters["engine_orders_total", "taken"] == 0
+    if kind == "silent":
+        # The engine still waits for it, and so gets no requests.
+        assert bench.is_closed
+        return
+    assert not bench.is_closed
+    engine.answers["GET"] = http(b"weights")
+    time.pass_ms(LONGEST_PAUSE_MS * 1.5)
+    wait_until(lambda: bench.look() or model.version == "1")
+    assert engine.requests == ["GET", "GET"]
