--- a/packages/lagoonsail-router/tests/test_router_fuzz.py
+++ b/packages/lagoonsail-router/tests/test_router_fuzz.py
@@ -20,7 +20,13 @@
 )
 from lagoonsail_router.batched_gets import _parse, _parse_any, _parse_plain
 from lagoonsail_router.call import Call, read_call
-from lagoonsail_router.engine_orders import EngineState, _Answer, _parse_state
+from lagoonsail_router.engine_orders import (
+    LONGEST_LIMIT_MS,
+    EngineState,
+    _Answer,
+    _parse_state,
+    _read_retry_after_ms,
+)
 from lagoonsail_router.key_log import parse_keys
 from lagoonsail_router.load_reports import parse_cache_events, parse_load
 from lagoonsail_router.problems import CallProblem
@@ -173,6 +179,50 @@
     assert _parse_plain(head + b"loa") is None
 
 
+states = st.fixed_dictionaries(
+    {
+        "adapters": values | st.lists(st.text(max_size=3), max_size=3),
+        "model": values | st.text(max_size=3),
+        "version": values | st.text(max_size=3),
+        "role": values | st.text(max_size=3),
+        "loading": values | st.booleans(),
+    }
+)
+
+
+@fuzzed
+@given(states)
+def test_any_engine_state_is_taken_as_it_is_or_not_at_all(fields):
+    state = _parse_state(_Answer(200, json.dumps(fields).encode(), ""))
+    assert _parse_state(_Answer(500, json.dumps(fields).encode(), "")) is None
+    if state is not None:
+        assert [state.model, state.version, state.role, state.is_loading] == [
+            fields[name] for name in ("model", "version", "role", "loading")
+        ]
+        assert state.adapters == set(fields["adapters"])
+        assert all(type(adapter) is str for adapter in state.adapters)
+
+
+days = st.sampled_from(["Fri, ", "Zzz, ", ""])
+numbers = st.integers(-1, 10**5)
+dates = st.builds(
+    lambda day, number, year, hour, zone: (
+        f"{day}{number} Dec {year} {hour}:00:00 {zone}"
+    ),
+    days,
+    st.integers(-1, 40),
+    numbers,
+    st.integers(-1, 30),
+    st.sampled_from(["GMT", "+9999", "-0000", ""]) | numbers.map(str),
+)
+
+
+@fuzzed
+@given(dates | st.text(max_size=20) | st.floats().map(str) | st.integers().map(str))
+def test_any_limit_of_the_weight_store_becomes_a_bounded_time(time, text):
+    assert 0 <= _read_retry_after_ms(text, time.clock) <= LONGEST_LIMIT_MS
+
+
 @fuzzed
 @given(texts)
 def test_any_record_of_keys_is_read_or_refused(text):
