Describe the lab's HTTP calls once

Cause: Fleet.fetch carried the whole description of ProcessCalls.fetch, to which it hands on (duplicates: 12 lines).

Change: it names that function.

--- a/packages/lagoonsail-lab/src/lagoonsail_lab/fleet.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/fleet.py
@@ -296,17 +296,7 @@
     def fetch(
         self, method: str, address: str, path: str, value: object = None
     ) -> dict | list | Unavailable:
-        """Call one of the fleet's processes.
-
-        Args:
-            method: HTTP method.
-            address: Its address.
-            path: Path.
-            value: Sent as JSON, if not None.
-
-        Returns:
-            The decoded answer, or why there is none.
-        """
+        """Call one of the fleet's processes, as `ProcessCalls.fetch` does."""
         return self._calls.fetch(method, address, path, value)
 
     def put_documents(self) -> None:
