Wait for both ends of the stream before the path is frozen

Cause: test_frozen_path_is_replaced_by_a_new_connection[tcp] took the server's stream as soon as the link had its own; on a busy machine the server's end opens later (IndexError once in a whole run at a load average of 16).

--- a/packages/lagoonsail-peer/tests/test_stream_silence.py
+++ b/packages/lagoonsail-peer/tests/test_stream_silence.py
@@ -53,7 +53,7 @@
     server = make_peer(name="server", **TIMES)
     relay = start_relay(server.end.port)
     link = make_peer(f"127.0.0.1:{relay.port}", name="behind", **TIMES)
-    wait_until(lambda: link.of("open"))
+    wait_until(lambda: link.of("open") and len(server.of("open")) == 1)
     relay.freeze()
     frozen_ms = CLOCK.now_ms()
     server_stream = server.streams()[-1]
