Give the proofs of shares over regions a margin for unequal regions

Cause: test_account_that_waits_in_one_region_only_keeps_its_share_over_both failed once beside other load (load average 16): 4390 and 3300 tokens, 1090 apart, bound 1089. With equal shares the account that waits in one of two regions needs all of that region's slots; where its servers run a little slower than the other's, by the machine's load, it cannot have its share whatever the routers decide. Ruled out: sums that come late; then the test over three regions with shares of 3 and 1, which leaves a quarter of the region free, would have failed too. Change: shares of 2 and 1, so that two thirds of the region are enough. The bound's formula is as before.

--- a/packages/lagoonsail-lab/tests/test_proof_region_shares.py
+++ b/packages/lagoonsail-lab/tests/test_proof_region_shares.py
@@ -25,8 +25,10 @@
 """The regions."""
 LOUD, QUIET = "club-norte", "prensa"
 """The accounts."""
-EQUAL = {LOUD: 1.0, QUIET: 1.0}
-"""Equal shares."""
+SHARES = {LOUD: 2.0, QUIET: 1.0}
+"""Shares of which two thirds of one region's slots are enough for the account that
+waits there only: with equal ones it would need all of them, and the least difference
+between the regions' servers would show as unfairness."""
 TOKENS = 10
 """Cost of every call."""
 CALLERS = 2 * SLOTS
@@ -90,7 +92,7 @@
         assert gap <= bound
 
 
-def measure(proof, callers, duration_ms, shares=EQUAL, regions=2):
+def measure(proof, callers, duration_ms, shares=SHARES, regions=2):
     """Return the gap between two accounts, and its bound.
 
     Args:
@@ -118,7 +120,7 @@
 
 
 def test_account_that_waits_in_one_region_only_keeps_its_share_over_both(proof, start):
-    with make_fleet(accounts=EQUAL) as fleet:
+    with make_fleet(accounts=SHARES) as fleet:
         quiet = [start(fleet, NEAR, QUIET, 81, CALLERS)]
         loud = [
             start(fleet, region, LOUD, seed, CALLERS)
@@ -133,7 +135,7 @@
 
 
 def test_share_over_both_regions_holds_when_all_routers_of_one_restarted(proof, start):
-    with make_fleet(accounts=EQUAL) as fleet:
+    with make_fleet(accounts=SHARES) as fleet:
         loud = [
             start(fleet, region, LOUD, seed, CALLERS)
             for region, seed in ((NEAR, 84), (FAR, 85))
