Look at all waiting calls from one timer

cause: each call that waited for a slot, and each that waited for its first byte, had a timer of its own each 200 ms, the latter a green thread as well; a timer that is cancelled stays in the hub and wakes an idle process once more. change: periodic_checks runs the checks of all calls from one timer. A check that ends a wait withdraws the request first, so that a grant that comes later goes back; a reply that has come already goes first.

--- a/packages/lagoonsail-router/src/lagoonsail_router/call_queue.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/call_queue.py
@@ -13,6 +13,7 @@
     SlotRefusal,
 )
 from lagoonsail_router.caller_watch import CHECK_INTERVAL_MS
+from lagoonsail_router.periodic_checks import PeriodicChecks
 from lagoonsail_router.problems import UNKNOWN, CallProblem
 
 if TYPE_CHECKING:
@@ -21,10 +22,12 @@
     from lagoonsail_router.call import Call
     from lagoonsail_router.configuration import Configuration
     from lagoonsail_router.context import RouterContext
-    from lagoonsail_router.ticket_desk import TicketDesk
+    from lagoonsail_router.ticket_desk import TicketDesk, WaitingCall
 
 MOVE_MS = 500.0
 """Time after which a call that waits at one shard asks the service's next one."""
+MOVE_CHECK_MS = 100.0
+"""Time between two looks whether a call may ask the next shard."""
 RETRY_AFTER_S = 1
 """When a refused caller should try again, in seconds."""
 
@@ -36,7 +39,15 @@
 class CallQueue:
     """Bounds the waiting calls of each account, and finds slots for them."""
 
-    __slots__ = ("_configuration", "_context", "_desk", "_is_isolated", "waiting")
+    __slots__ = (
+        "_configuration",
+        "_context",
+        "_desk",
+        "_is_isolated",
+        "_moves",
+        "_patience",
+        "waiting",
+    )
 
     waiting: Counter
     """Calls that wait, by service and account."""
@@ -52,6 +63,8 @@
         self._configuration = configuration
         self._desk = desk
         self._is_isolated = is_isolated
+        self._patience = PeriodicChecks(context, "waiting_calls", CHECK_INTERVAL_MS)
+        self._moves = PeriodicChecks(context, "moving_calls", MOVE_CHECK_MS)
         self.waiting = Counter()
 
     def wait(self, call: Call, is_gone: Callable[[], bool]) -> SlotGrant:
@@ -97,7 +110,7 @@
             shard = reply
 
     def _wait_at(
-        self, call: Call, shard: str, shards: list[str], is_gone
+        self, call: Call, shard: str, shards: list[str], is_gone: Callable[[], bool]
     ) -> SlotGrant | SlotRefusal | str:
         """Wait at one shard.
 
@@ -113,20 +126,60 @@
             call.number,
             call.since_ms,
         )
-        begun_ms = self._context.clock.now_ms()
-        reply = None
+        stop_checks = self._begin_checks(call, waiting, shard, shards, is_gone)
         try:
-            while reply is None:
-                reply = waiting.event.wait(timeout=CHECK_INTERVAL_MS / 1000.0)
-                if reply is not None:
-                    return reply
-                self._check_patience(call, is_gone)
-                next_shard = self._next_open(shard, shards)
-                if next_shard and self._context.clock.now_ms() - begun_ms > MOVE_MS:
-                    return next_shard
+            end = waiting.event.wait()
+        except BaseException:
+            self._desk.cancel(waiting)
+            raise
         finally:
-            if reply is None:
-                self._desk.cancel(waiting)
+            stop_checks()
+        if isinstance(end, Exception):
+            raise end
+        return end
+
+    def _begin_checks(
+        self,
+        call: Call,
+        waiting: WaitingCall,
+        shard: str,
+        shards: list[str],
+        is_gone: Callable[[], bool],
+    ) -> Callable[[], None]:
+        """Look at a waiting call from time to time.
+
+        Returns:
+            A function that ends this.
+        """
+        move_ms = self._context.clock.now_ms() + MOVE_MS
+
+        def check_patience() -> None:
+            try:
+                self._check_patience(call, is_gone)
+            except (CallProblem, CallerGoneError) as error:
+                self._end(waiting, error)
+
+        def check_move() -> None:
+            next_shard = self._next_open(shard, shards)
+            if next_shard and self._context.clock.now_ms() > move_ms:
+                self._end(waiting, next_shard)
+
+        stop_patience = self._patience.add(check_patience)
+        if len(shards) == 1:
+            return stop_patience
+        stop_move = self._moves.add(check_move)
+
+        def stop() -> None:
+            stop_patience()
+            stop_move()
+
+        return stop
+
+    def _end(self, waiting: WaitingCall, end: str | Exception) -> None:
+        if not waiting.event.ready():
+            # From here on a grant goes back to the owner.
+            self._desk.cancel(waiting)
+            waiting.event.send(end)
 
     def _next_open(self, shard: str, shards: list[str]) -> str:
         """Return the next shard in turn whose owner takes requests, or an empty text.
--- a/packages/lagoonsail-router/src/lagoonsail_router/entry.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/entry.py
@@ -29,6 +29,7 @@
 from lagoonsail_router.caller_watch import CHECK_INTERVAL_MS, make_caller_watch
 from lagoonsail_router.context import LEAVING
 from lagoonsail_router.held_slot import make_done
+from lagoonsail_router.periodic_checks import PeriodicChecks
 from lagoonsail_router.problems import UNKNOWN, CallProblem
 from lagoonsail_router.retry_budget import RetryBudget
 
@@ -60,6 +61,7 @@
     __slots__ = (
         "_budgets",
         "_calls",
+        "_checks",
         "_configuration",
         "_context",
         "_desk",
@@ -90,6 +92,7 @@
         self._desk = desk
         self._budgets: dict[str, RetryBudget] = {}
         self._calls = 0
+        self._checks = PeriodicChecks(context, "running_calls", CHECK_INTERVAL_MS)
         self.durations = {name: Durations() for name in HISTOGRAMS}
         self.queue = queue
         self.running = 0
@@ -213,7 +216,7 @@
 
     def _exchange(self, call: Call, grant: SlotGrant, attempt: Attempt, is_gone):
         self._desk.start(grant)
-        watch = eventlet.spawn(self._watch_caller, call, attempt, is_gone)
+        stop_watching = self._watch_caller(call, attempt, is_gone)
         try:
             answer = attempt.send()
         except FencedError:
@@ -232,7 +235,7 @@
             self._record_doubt(call, grant)
             return None, self._broken(call, 502, error), attempt
         finally:
-            watch.kill()
+            stop_watching()
         if answer.status == 503 and call.is_repeatable:
             # The owner sends this server nothing for a while, and the queue timeout
             # bounds how often the call asks again, so this needs no retry budget.
@@ -241,13 +244,25 @@
             return None
         return answer, None, attempt
 
-    def _watch_caller(self, call: Call, attempt: Attempt, is_gone) -> None:
-        # A call that may not be repeated is left to finish: its effect is wanted.
-        while call.is_repeatable:
-            eventlet.sleep(CHECK_INTERVAL_MS / 1000.0)
+    def _watch_caller(
+        self, call: Call, attempt: Attempt, is_gone: Callable[[], bool]
+    ) -> Callable[[], None]:
+        """Break the attempt off when the caller goes away.
+
+        Returns:
+            A function that ends the watch.
+        """
+        if not call.is_repeatable:
+            # Such a call is left to finish: its effect is wanted.
+            return lambda: None
+
+        def check() -> None:
             if is_gone():
                 attempt.abort()
-                return
+                stop()
+
+        stop = self._checks.add(check)
+        return stop
 
     def _broken(self, call: Call, status: int, error: Exception) -> CallProblem:
         kind = "answer_overdue" if status == 504 else "answer_broken"
--- a/packages/lagoonsail-router/tests/test_call_queue.py
+++ b/packages/lagoonsail-router/tests/test_call_queue.py
@@ -7,10 +7,18 @@
 import pytest
 
 from lagoonsail_core.green import eventlet
-from lagoonsail_core.messages import SlotGrant
+from lagoonsail_core.messages import (
+    OUTCOME_NOT_RUN,
+    InventoryTaken,
+    SlotCancel,
+    SlotDone,
+    SlotGrant,
+    SlotRequest,
+)
 from lagoonsail_router.call import read_call
-from lagoonsail_router.call_queue import MOVE_MS, CallQueue
+from lagoonsail_router.call_queue import MOVE_MS, CallerGoneError, CallQueue
 from lagoonsail_router.problems import CallProblem
+from lagoonsail_router.ticket_desk import TicketDesk
 
 NEAR, FAR, THIRD = (f"cordero/registro@{r}" for r in ("sierra-central", "luzon", "z"))
 
@@ -103,3 +111,73 @@
     assert problem.ran == "no"
     assert cancelled == [waiting]
     assert not queue.waiting
+
+
+@pytest.fixture
+def real_desk(context, configuration, peers, shard_value):
+    """A desk whose owner takes requests, and the stream to it."""
+    configuration.apply(f"shards/{NEAR}", 1, shard_value("cordero-2"))
+    desk = TicketDesk(context, configuration, peers, None)
+    return desk, peers.connect("cordero-2")
+
+
+def test_grant_after_the_end_of_a_wait_goes_back(
+    context, configuration, peers, real_desk, make_document, make_env
+):
+    key = "documents/cordero/registro"
+    configuration.apply(key, 1, make_document())
+    desk, stream = real_desk
+    queue = CallQueue(context, configuration, desk, lambda: False)
+    call = read_call(make_env(), configuration, context.clock.now_ms())
+    is_gone = []
+    thread = eventlet.spawn(queue.wait, call, lambda: bool(is_gone))
+    eventlet.sleep(0.01)
+    peers.deliver(stream, InventoryTaken(NEAR, 1))
+    (asked,) = stream.of(SlotRequest)
+    is_gone.append(True)
+    with eventlet.Timeout(5.0), pytest.raises(CallerGoneError):
+        thread.wait()
+    assert stream.of(SlotCancel) == [SlotCancel(asked.ticket)]
+    peers.deliver(stream, SlotGrant(asked.ticket, 4, NEAR, 1, "s1", 0.0))
+    assert [done.outcome for done in stream.of(SlotDone)] == [OUTCOME_NOT_RUN]
+    assert desk.held == {}
+    assert not queue.waiting
+
+
+def test_grant_that_came_before_the_end_of_a_wait_is_used(
+    context, configuration, peers, real_desk, make_document, make_env
+):
+    configuration.apply("documents/cordero/registro", 1, make_document())
+    desk, stream = real_desk
+    queue = CallQueue(context, configuration, desk, lambda: False)
+    call = read_call(make_env(), configuration, context.clock.now_ms())
+
+    def is_gone():
+        # The grant comes while the caller's connection is looked at.
+        (asked,) = stream.of(SlotRequest)
+        peers.deliver(stream, SlotGrant(asked.ticket, 4, NEAR, 1, "s1", 0.0))
+        return True
+
+    thread = eventlet.spawn(queue.wait, call, is_gone)
+    eventlet.sleep(0.01)
+    peers.deliver(stream, InventoryTaken(NEAR, 1))
+    with eventlet.Timeout(5.0):
+        assert thread.wait().slot == 4
+    assert stream.of(SlotCancel) == stream.of(SlotDone) == []
+    assert len(desk.held) == 1
+
+
+def test_wait_that_is_killed_withdraws_its_request(
+    context, configuration, peers, real_desk, make_document, make_env
+):
+    configuration.apply("documents/cordero/registro", 1, make_document())
+    desk, stream = real_desk
+    queue = CallQueue(context, configuration, desk, lambda: False)
+    call = read_call(make_env(), configuration, context.clock.now_ms())
+    thread = eventlet.spawn(queue.wait, call, lambda: False)
+    eventlet.sleep(0.01)
+    peers.deliver(stream, InventoryTaken(NEAR, 1))
+    thread.kill()
+    assert len(stream.of(SlotCancel)) == 1
+    assert desk.waiting == {}
+    assert not queue.waiting
