Send digests to two owners of other shards each second, in turn

Cause: an owner sent its digest to all other shards of the service each second. A node has 23 KB/s for all control. CAPACITY.md had counted the two next owners only.

Ways weighed: a longer interval for all (the same bytes, in bursts, also where a service has two shards); a ring (the age grows with K and a break stops it); a designated region (one owner pays for all). Chosen: two of the others each second, in turn, changes only, so that nothing changes for up to three shards.

Left: idle streams to the owners elsewhere, 6 ms/s by reckoning, are not measured; siblings get positions too, which only a foreign take-over needs; more than three shards only by a unit test of the turns.

--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -32,7 +32,7 @@
     run_in_turn,
     start_task,
 )
-from lagoonsail_router.digests import DigestStore
+from lagoonsail_router.digests import DigestStore, choose_in_turn
 from lagoonsail_router.entry import Entry
 from lagoonsail_router.http_port import make_protocol
 from lagoonsail_router.key_log import KeyNotices
@@ -134,6 +134,7 @@
     """A router with all its parts."""
 
     __slots__ = (
+        "_digest_turn",
         "_digests",
         "_heard_ms",
         "_host_list",
@@ -204,6 +205,7 @@
             context, self.configuration, self.peers, self._local_stream
         )
         self.entry = Entry(context, self.configuration, self.desk, self.is_isolated)
+        self._digest_turn = 0
         self._digests = DigestStore(self.peers, self._on_digest)
         self._key_notices = KeyNotices(context, self.peers)
         self._key_store = KeyStore(context, self._store, self.configuration, self.peers)
@@ -262,7 +264,8 @@
         owners = {self.configuration.owner_of(other) for other in siblings}
         owners -= {"", self.context.settings.name}
         streams = [self._local_stream, *self._successor_streams(shard)]
-        return streams + [s for s in self._streams_to(owners) if s not in streams]
+        chosen = self._streams_to(choose_in_turn(owners, self._digest_turn))
+        return streams + [stream for stream in chosen if stream not in streams]
 
     def _streams_to(self, names: Iterable[str]) -> list:
         streams = [self.peers.stream_to(name) for name in names]
@@ -459,6 +462,7 @@
             owner.pump()
 
     def _send_digests(self) -> None:
+        self._digest_turn += 1
         for owner in list(self.ownership.owned.values()):
             owner.send_digests()
 
--- a/packages/lagoonsail-router/src/lagoonsail_router/digests.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/digests.py
@@ -7,11 +7,32 @@
 from lagoonsail_core.messages import ServiceDigest
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from lagoonsail_router.peers import PeerDirectory
 
 
+SIBLINGS_AT_ONCE = 2
+"""Owners of a service's other shards that get a digest each second, in turn."""
+
+
+def choose_in_turn(names: Iterable[str], turn: int) -> list[str]:
+    """Return the owners of other shards whose turn it is to get a digest.
+
+    Args:
+        names: Names of all of them.
+        turn: Grows by one with each round.
+
+    Returns:
+        SIBLINGS_AT_ONCE of them, or all if there are no more. So an owner's traffic
+        does not grow with the number of regions; the age of what others know does.
+    """
+    ordered = sorted(names)
+    count = min(SIBLINGS_AT_ONCE, len(ordered))
+    first = turn * SIBLINGS_AT_ONCE
+    return [ordered[(first + place) % len(ordered)] for place in range(count)]
+
+
 def _is_server_state(value: list) -> bool:
     return [type(item) for item in value] == [str, int]
 
--- a/packages/lagoonsail-router/tests/test_digests.py
+++ b/packages/lagoonsail-router/tests/test_digests.py
@@ -6,7 +6,7 @@
 from lagoonsail_core.messages import ServiceDigest
 from lagoonsail_lab.bare_router import SETTINGS
 from lagoonsail_router.daemon import Daemon
-from lagoonsail_router.digests import DigestStore
+from lagoonsail_router.digests import SIBLINGS_AT_ONCE, DigestStore, choose_in_turn
 from lagoonsail_router.shard_owner import ShardOwner
 from lagoonsail_sharing.fair_queue import Waiting
 
@@ -101,3 +101,13 @@
     run(owner, 1, 10.0)
     owner.send_digests()
     wait_until(lambda: own(NEAR, 3).queue.service() == {"norte": 5.0, "sur": 0.0})
+
+
+@pytest.mark.parametrize("count", range(12))
+def test_each_owner_of_another_shard_has_its_turn(count):
+    names = {f"kalapati-{number}" for number in range(count)}
+    turns = -(-count // SIBLINGS_AT_ONCE)
+    for first in range(20):
+        chosen = [choose_in_turn(names, first + turn) for turn in range(turns)]
+        assert set().union(*chosen) == names
+        assert all(len(set(t)) == min(count, SIBLINGS_AT_ONCE) for t in chosen)
