--- a/packages/lagoonsail-router/src/lagoonsail_router/shard_messages.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/shard_messages.py
@@ -19,7 +19,7 @@
 from lagoonsail_core.names import service_of
 from lagoonsail_router.configuration import DOCUMENTS
 from lagoonsail_router.context import start_task
-from lagoonsail_router.digests import DigestStore
+from lagoonsail_router.digests import DigestStore, choose_in_turn
 from lagoonsail_router.key_log import KeyNotices
 from lagoonsail_router.shard_owner import ShardOwner
 
@@ -43,6 +43,7 @@
     __slots__ = (
         "_configuration",
         "_context",
+        "_digest_turn",
         "_digests",
         "_key_notices",
         "_key_store",
@@ -69,6 +70,7 @@
         self._ownership = ownership
         self._right = right
         self._key_store = key_store
+        self._digest_turn = 0
         self._digests = DigestStore(peers, self._on_digest)
         self._key_notices = KeyNotices(context, peers)
         peers.handle(Inventory, self._take_inventory)
@@ -117,6 +119,7 @@
 
     def send_digests(self) -> None:
         """Send the digests of all shards."""
+        self._digest_turn += 1
         for owner in list(self._ownership.owned.values()):
             owner.send_digests()
 
@@ -135,7 +138,8 @@
         owners = {self._configuration.owner_of(other) for other in siblings}
         owners -= {"", self._context.settings.name}
         streams = [self._local_stream, *self._successor_streams(shard)]
-        return streams + [s for s in self._streams_to(owners) if s not in streams]
+        chosen = self._streams_to(choose_in_turn(owners, self._digest_turn))
+        return streams + [stream for stream in chosen if stream not in streams]
 
     def _streams_to(self, names: Iterable[str]) -> list[PeerStream]:
         streams = [self._peers.stream_to(name) for name in names]
