--- a/packages/lagoonsail-lab/tests/test_proof_keyed_calls.py
+++ b/packages/lagoonsail-lab/tests/test_proof_keyed_calls.py
@@ -53,6 +53,30 @@
     return again
 
 
+def call_with_keys(proof, fleet, seed):
+    """Call through the owner and one other router, while nothing fails yet."""
+    proof.settle(fleet)
+    owner = proof.find_owner(fleet)
+    other = next(name for name in fleet.routers if name != owner)
+    traffic = proof.traffic(fleet, [owner, other], seed)
+    traffic.loop(traffic.bib, 4)
+    traffic.wait(1500.0)
+    return traffic
+
+
+def check_keys_at_the_next_owner(proof, fleet, traffic, interval_ms):
+    """End the owner as the service returns; who follows must know its keys."""
+    owner = proof.find_owner(fleet)
+    third = [name for name in fleet.routers if name != owner][1]
+    fleet.control_store(mode="up")
+    kills = proof.kill(fleet, owner)
+    again = try_again(proof, fleet, third, traffic.whole_between(*interval_ms))
+    traffic.finish()
+    assert {r.last.status for r in again.caller.records} == {DUPLICATE_STATUS}
+    assert again.faults(kills=kills) == []
+    assert traffic.faults(kills=kills) == []
+
+
 def test_keyed_calls_go_on_while_their_owner_alone_is_cut_off(proof):
     names = ["cordero-1", "cordero-2", "cordero-3"]
     with proof.start_fleet(3, relayed_store=names) as fleet:
@@ -98,12 +122,7 @@
 def test_keyed_calls_wait_for_no_write_once_an_outage_is_known(proof):
     settings = {"store": {"timeout_ms": TIMEOUT_MS}}
     with proof.start_fleet(3, settings=settings) as fleet:
-        proof.settle(fleet)
-        victim = proof.find_owner(fleet)
-        other, third = [name for name in fleet.routers if name != victim]
-        traffic = proof.traffic(fleet, [victim, other], seed=72)
-        traffic.loop(traffic.bib, 4)
-        traffic.wait(1500.0)
+        traffic = call_with_keys(proof, fleet, seed=72)
         fleet.control_store(mode="silent")
         traffic.wait(KNOWN_MS)
         known_ms = proof.clock.wall_ms()
@@ -116,26 +135,14 @@
         assert begun
         assert len(waits) == len(begun)
         assert waits[int(0.99 * (len(waits) - 1))] < KNOWN_START_MS
-        # The owner ends as the service returns; who follows must know its keys.
-        fleet.control_store(mode="up")
-        kills = proof.kill(fleet, victim)
-        again = try_again(proof, fleet, third, traffic.whole_between(known_ms, end_ms))
-        traffic.finish()
-        assert {r.last.status for r in again.caller.records} == {DUPLICATE_STATUS}
-        assert again.faults(kills=kills) == []
-        assert traffic.faults(kills=kills) == []
+        check_keys_at_the_next_owner(proof, fleet, traffic, (known_ms, end_ms))
 
 
 @pytest.mark.parametrize("mode", ["down", "silent"])
 def test_keyed_calls_wait_a_short_while_when_an_outage_begins(proof, mode):
     settings = {"store": {"timeout_ms": 1000, "lease_ttl_ms": 3000}}
     with proof.start_fleet(3, settings=settings) as fleet:
-        proof.settle(fleet)
-        victim = proof.find_owner(fleet)
-        other, third = [name for name in fleet.routers if name != victim]
-        traffic = proof.traffic(fleet, [victim, other], seed=75)
-        traffic.loop(traffic.bib, 4)
-        traffic.wait(1500.0)
+        traffic = call_with_keys(proof, fleet, seed=75)
         lost_ms = proof.clock.wall_ms()
         fleet.control_store(mode=mode)
         traffic.wait(5000.0)
@@ -147,11 +154,4 @@
         assert begun
         assert len(waits) == len(begun)
         assert waits[-1] < BEGIN_START_MS
-        # Its owner ends as the service returns; who follows must know its keys.
-        fleet.control_store(mode="up")
-        kills = proof.kill(fleet, victim)
-        again = try_again(proof, fleet, third, traffic.whole_between(lost_ms, end_ms))
-        traffic.finish()
-        assert {r.last.status for r in again.caller.records} == {DUPLICATE_STATUS}
-        assert again.faults(kills=kills) == []
-        assert traffic.faults(kills=kills) == []
+        check_keys_at_the_next_owner(proof, fleet, traffic, (lost_ms, end_ms))
--- a/packages/lagoonsail-router/tests/conftest.py
+++ b/packages/lagoonsail-router/tests/conftest.py
@@ -15,6 +15,7 @@
 from lagoonsail_router.configuration import Configuration
 from lagoonsail_router.context import RouterContext
 from lagoonsail_router.key_store import KeyStore
+from lagoonsail_standins.serving import listen, serve_listener
 from lagoonsail_store.entries import Absent, Conflict, Entry, Listing, Written
 
 DOCUMENT = """\
@@ -188,6 +189,27 @@
     return RouterContext(load_settings(path), time.clock)
 
 
+@pytest.fixture
+def real(context):
+    """A router's context whose time passes."""
+    return RouterContext(context.settings, Clock())
+
+
+@pytest.fixture
+def serve():
+    """Serves an application in this process; gives its address."""
+    threads = []
+
+    def start(app):
+        listener = listen(0)
+        threads.append(eventlet.spawn(serve_listener, listener, app))
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+    yield start
+    for thread in threads:
+        thread.kill()
+
+
 @pytest.fixture
 def configuration(context):
     return Configuration(context)
--- a/packages/lagoonsail-router/tests/test_batched_gets.py
+++ b/packages/lagoonsail-router/tests/test_batched_gets.py
@@ -6,7 +6,6 @@
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_router.batched_gets import MAX_BODY_BYTES, BatchedGets
-from lagoonsail_router.context import RouterContext
 from lagoonsail_standins.relay import Relay
 from lagoonsail_standins.serving import listen
 
@@ -16,12 +15,6 @@
 CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
 
 
-@pytest.fixture
-def real(context):
-    """A router's context whose time passes."""
-    return RouterContext(context.settings, CLOCK)
-
-
 @pytest.fixture
 def serve():
     """Has a function of socket and request answer connections; gives the address."""
--- a/packages/lagoonsail-router/tests/test_cold_by_reports.py
+++ b/packages/lagoonsail-router/tests/test_cold_by_reports.py
@@ -11,41 +11,19 @@
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.messages import Inventory
 from lagoonsail_core.unavailable import Unavailable
-from lagoonsail_router.context import RouterContext, repeat
+from lagoonsail_router.context import repeat
 from lagoonsail_router.daemon import POLL_INTERVAL_MS
 from lagoonsail_router.load_reports import REPORT_LAG_MS, REPORT_TIMEOUT_MS
 from lagoonsail_router.right import FULL
 from lagoonsail_router.shard_owner import ShardOwner
 from lagoonsail_standins.backend import Backend, BackendOptions
 from lagoonsail_standins.model_engine import Engine, make_engine_app
-from lagoonsail_standins.serving import listen, serve_listener
 
 SHARD = "cordero/registro@sierra-central"
 PROMISE_MS = 4000.0
 CLOCK = Clock()
 
 
-@pytest.fixture
-def serve():
-    """Serves an application in this process; gives its address."""
-    threads = []
-
-    def start(app):
-        listener = listen(0)
-        threads.append(eventlet.spawn(serve_listener, listener, app))
-        return f"127.0.0.1:{listener.getsockname()[1]}"
-
-    yield start
-    for thread in threads:
-        thread.kill()
-
-
-@pytest.fixture
-def real(context):
-    """A router's context whose time passes."""
-    return RouterContext(context.settings, CLOCK)
-
-
 @pytest.fixture
 def start_owner(real, key_store, make_document, make_stream):
     """Starts an owner that polls as a router does, with one call on each server."""
--- a/packages/lagoonsail-router/tests/test_engine_orders.py
+++ b/packages/lagoonsail-router/tests/test_engine_orders.py
@@ -29,28 +29,12 @@
 from lagoonsail_router.shard_owner import INVENTORY_WAIT_MS, ShardOwner
 from lagoonsail_standins.backend import Backend, BackendOptions
 from lagoonsail_standins.model_engine import Engine, make_engine_app
-from lagoonsail_standins.serving import listen, serve_listener
 from lagoonsail_standins.weight_store import RateLimit, make_weight_app
 
 SHARD = "cordero/registro@sierra-central"
 CLOCK = Clock()
 
 
-@pytest.fixture
-def serve():
-    """Serves an application in this process; gives its address."""
-    threads = []
-
-    def start(app):
-        listener = listen(0)
-        threads.append(eventlet.spawn(serve_listener, listener, app))
-        return f"127.0.0.1:{listener.getsockname()[1]}"
-
-    yield start
-    for thread in threads:
-        thread.kill()
-
-
 @pytest.fixture
 def start_engine(serve):
     def start(load_ms=50.0, weight_store="", warm_after=0):
