--- a/packages/lagoonsail-peer/src/lagoonsail_peer/stream.py
+++ b/packages/lagoonsail-peer/src/lagoonsail_peer/stream.py
@@ -171,7 +171,8 @@
         wire.stream = self
         self._flush()
         self._worker = eventlet.spawn(self._work)
-        options.heartbeats.add(self)
+        if not self.is_closed:
+            options.heartbeats.add(self)
 
     def send(self, message: object) -> None:
         """Queue a message for the next flush; on a closed stream it is dropped.
--- a/packages/lagoonsail-router/tests/test_engine_orders.py
+++ b/packages/lagoonsail-router/tests/test_engine_orders.py
@@ -328,7 +328,7 @@
     context, key_store, start_engine, write, make_stream, time, wait_until
 ):
     """An owner drains the engine, has it load, and takes it for cold afterwards."""
-    address, engine = start_engine(load_ms=200.0)
+    address, engine = start_engine(load_ms=1000.0)
     documents = [write([address], "1")]
     level = [FULL]
     right = SimpleNamespace(level=lambda: level[0], leaving=set())
@@ -370,8 +370,7 @@
     poll()
     assert len(engine._orders) == 1
     level[0] = FULL
-    while not engine._backend.is_loading:
-        poll()
+    wait_until(lambda: poll() or engine._backend.is_loading)
     assert grants() == [1]
     while engine._backend.is_loading:
         poll()
