--- /dev/null
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -0,0 +1,285 @@
+"""A router on a platform that holds its configuration: its parts, start and stop."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import TYPE_CHECKING
+
+import logbook
+
+from lagoonsail_core.decision_log import DecisionLog
+from lagoonsail_core.green import eventlet
+from lagoonsail_gateway.call_service import HISTOGRAMS, CallService
+from lagoonsail_gateway.connection_pool import ConnectionPool
+from lagoonsail_gateway.dispatcher import Dispatcher
+from lagoonsail_gateway.fleet_share import RouterCount
+from lagoonsail_gateway.server_directory import ServerDirectory
+from lagoonsail_gateway.store_view import StoreView
+from lagoonsail_router.context import (
+    LEAVING,
+    SERVING,
+    RouterContext,
+    run_in_turn,
+    start_task,
+)
+from lagoonsail_router.http_server import listen, start_serving
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from lagoonsail_core.metrics import Metrics
+    from lagoonsail_gateway.gateway_settings import GatewaySettings
+    from lagoonsail_gateway.manifest import Manifest
+    from lagoonsail_gateway.request_format import RequestFormat
+    from lagoonsail_gateway.server_directory import Server
+    from lagoonsail_gateway.store_view import KeyFormat, StoreCalls
+
+COUNTERS = {
+    "answers_total": "Answers passed on, by outcome.",
+    "problems_total": "Refusals and problem documents, by kind.",
+    "records_rejected_total": "Malformed entries of the store.",
+    "repeats_refused_total": "Requests not sent once more for want of a share.",
+    "retries_total": "Requests sent once more, by service.",
+    "store_failures_total": "Calls to the store without an answer.",
+    "task_errors_total": "Failures inside the router's tasks, by task.",
+}
+"""What each counter counts."""
+EXPIRY_INTERVAL_MS = 200.0
+"""Time between two looks at servers that are to be taken as gone."""
+STALE_INTERVAL_MS = 500.0
+"""Time between two looks at connections that were not used for long."""
+IDLE_TIMEOUT_MS = 20_000.0
+"""How long a connection of a caller may be silent."""
+OPERATOR_CONNECTIONS = 64
+"""Connections of the balancer and of metrics readers."""
+BALANCER_LAG_MS = 3000.0
+"""Time in which the balancer notices that a router is not ready any more."""
+STOP_MARGIN_MS = 500.0
+"""By how much a stop ends before the process would be killed."""
+STOP_CHECK_S = 0.02
+"""Time between two looks whether all work has ended."""
+
+
+class _FailureLines(logbook.Handler):
+    """Writes what no part expected to the router's own log."""
+
+    def __init__(self, log: DecisionLog) -> None:
+        super().__init__(level=logbook.WARNING)
+        self._log = log
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        self._log.write(
+            "failure",
+            message=record.message,
+            traceback=record.formatted_exception or "",
+        )
+
+
+class Gateway:
+    """A router with all its parts."""
+
+    __slots__ = (
+        "_listeners",
+        "_membership",
+        "_metrics",
+        "_settings",
+        "calls",
+        "context",
+        "directory",
+        "dispatcher",
+        "log",
+        "pool",
+        "routers",
+        "view",
+    )
+
+    context: RouterContext
+    """Clock, counters and time line."""
+    directory: ServerDirectory
+    """The backend servers."""
+    view: StoreView
+    """What the store holds."""
+    calls: CallService
+    """The callers' side."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        request_format: RequestFormat,
+        key_format: KeyFormat,
+        store_calls: StoreCalls,
+        membership: Callable[[], float],
+    ) -> None:
+        """Put the parts together.
+
+        Args:
+            settings: Checked settings.
+            request_format: Reads and writes heads.
+            key_format: Reads the store's values.
+            store_calls: Calls of the store.
+            membership: Registers the router or renews that, and returns the
+                milliseconds until it wants to be called again.
+        """
+        context = self.context = RouterContext(settings)
+        self._settings = settings
+        self._membership = membership
+        self._listeners: list = []
+        self._metrics: Metrics | None = None
+        self.log = DecisionLog(settings.name, context.clock)
+        context.timeline.subscribe(
+            lambda event: self.log.write(event.name, **event.fields)
+        )
+        _FailureLines(self.log).push_application()
+        self.routers = RouterCount(settings.name)
+        self.directory = ServerDirectory(context.clock)
+        self.pool = ConnectionPool(context.clock)
+        self.dispatcher = Dispatcher(context, self.directory, self.routers)
+        self.calls = CallService(
+            context,
+            settings,
+            request_format,
+            self.dispatcher,
+            self.pool,
+            self.routers,
+            self.log,
+        )
+        self.directory.subscribe(self._on_server)
+        self.view = StoreView(
+            context,
+            store_calls,
+            key_format,
+            self.directory,
+            self.routers,
+            self._use,
+        )
+
+    def start(self) -> None:
+        """Open all ports and start all tasks.
+
+        Raises:
+            AddressInUseError: If a port is taken.
+        """
+        settings = self._settings
+        callers = listen(settings.callers_address)
+        readiness = listen(settings.readiness_address)
+        self._listeners = [callers, readiness]
+        self._serve(
+            callers, self.calls.serve, settings.max_connections, IDLE_TIMEOUT_MS
+        )
+        self._serve(readiness, self._tell_ready, OPERATOR_CONNECTIONS, IDLE_TIMEOUT_MS)
+        metrics = listen(settings.metrics_address)
+        self._serve(metrics, self._tell_metrics, OPERATOR_CONNECTIONS, IDLE_TIMEOUT_MS)
+        start_task(self.context, "store_view", self.view.run)
+        start_task(self.context, "membership", self._keep_membership)
+        run_in_turn(
+            self.context,
+            [
+                (EXPIRY_INTERVAL_MS, self.directory.expire, "expiry"),
+                (STALE_INTERVAL_MS, self.pool.close_stale, "stale"),
+            ],
+        )
+        self.context.timeline.record(
+            "started",
+            incarnation=self.context.incarnation,
+            callers=settings.callers_address,
+        )
+
+    def stop(self) -> None:
+        """Stop as planned: take no new connections, and let all work end."""
+        context = self.context
+        begun_ms = context.clock.now_ms()
+        deadline_ms = begun_ms + self._settings.stop_timeout_ms - STOP_MARGIN_MS
+        context.state = LEAVING
+        context.timeline.record("leaving", running=self.calls.running)
+        # Until the balancer notices, callers still come here.
+        self._wait_while(lambda: not self._is_quiet(begun_ms), deadline_ms)
+        self._listeners[0].close()
+        self._wait_while(lambda: self.calls.running, deadline_ms)
+        context.timeline.record("stopped", unfinished=self.calls.running)
+
+    def _is_quiet(self, begun_ms: float) -> bool:
+        now_ms = self.context.clock.now_ms()
+        return now_ms - begun_ms > BALANCER_LAG_MS and not self.calls.running
+
+    def _wait_while(self, condition: Callable[[], object], deadline_ms: float) -> None:
+        while condition() and self.context.clock.now_ms() < deadline_ms:
+            eventlet.sleep(STOP_CHECK_S)
+
+    def _serve(self, sock, application, connections: int, silence_ms: float) -> None:
+        start_serving(
+            sock,
+            application,
+            connections,
+            silence_ms,
+            lambda kind: self.context.count("problems_total", kind),
+        )
+
+    def _use(self, manifest: Manifest) -> None:
+        self.dispatcher.use(manifest)
+        self.calls.use(manifest)
+
+    def _on_server(self, kind: str, server: Server) -> None:
+        if kind in ("left", "restarted"):
+            self.pool.drop(server)
+
+    def _keep_membership(self) -> None:
+        while True:
+            pause_ms = self._membership()
+            eventlet.sleep(pause_ms / 1000.0)
+
+    def is_ready(self) -> bool:
+        """Return whether callers should come here."""
+        return self.view.manifest is not None and self.context.state == SERVING
+
+    def _tell_ready(self, env: dict, start_response: Callable) -> Iterable[bytes]:
+        is_known = env["PATH_INFO"] == self._settings.readiness_path
+        if not is_known:
+            status = "404 Not Found"
+        elif self.is_ready():
+            status = "200 OK"
+        else:
+            status = "503 Service Unavailable"
+        start_response(status, [("Content-Length", "0")])
+        return [b""]
+
+    def _tell_metrics(self, env: dict, start_response: Callable) -> Iterable[bytes]:
+        if env["PATH_INFO"] != self._settings.metrics_path:
+            start_response("404 Not Found", [("Content-Length", "0")])
+            return [b""]
+        if self._metrics is None:
+            self._metrics = self._make_metrics()
+        text = self._metrics.render()
+        start_response(
+            "200 OK",
+            [("Content-Type", "text/plain"), ("Content-Length", str(len(text)))],
+        )
+        return [text]
+
+    def _make_metrics(self) -> Metrics:
+        # Imported when first asked for, since start-up time is service time.
+        from lagoonsail_core.metrics import Metrics
+
+        metrics = Metrics()
+        for name, doc in COUNTERS.items():
+            short = name.removesuffix("_total")
+            metrics.counter_of(short, doc, "kind", _reader(self.context, name))
+        for name, doc in HISTOGRAMS.items():
+            metrics.histogram_of(name, doc, self.calls.durations[name])
+        metrics.counter_of(
+            "server_connections",
+            "Connections to backend servers, opened anew and used again.",
+            "kind",
+            lambda: {"opened": self.pool.opened, "reused": self.pool.reused},
+        )
+        return metrics
+
+
+def _reader(context: RouterContext, name: str) -> Callable[[], dict[str, float]]:
+    def read() -> dict[str, float]:
+        values: dict[str, float] = defaultdict(float)
+        for (counter, label), value in context.counters.items():
+            if counter == name:
+                values[label or "all"] += value
+        return values
+
+    return read
--- a/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
@@ -86,7 +86,10 @@
     def get_environ(self) -> dict:
         """Return the environment; from here on the application answers."""
         self.wfile = self._real_wfile
-        return super().get_environ()
+        env = super().get_environ()
+        # The parts that WSGI makes of it do not tell "/x" from "/x?".
+        env["lagoonsail.target"] = self.path
+        return env
 
     def handle_one_response(self) -> None:
         """Have the application answer, and close if too much is left unread."""
--- a/packages/lagoonsail-router/src/lagoonsail_router/problems.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/problems.py
@@ -35,7 +35,7 @@
         problem: str,
         remedy: str,
         ran: str = NOT_RUN,
-        retry_after_s: int | None = None,
+        retry_after_s: float | None = None,
     ) -> None:
         super().__init__(problem, remedy)
         self.status = status
