Bound what waits at an engine, and share by max-min over all routers

Ruled out: a longer queue with priorities, since engines take requests in order. Change: routers tell each other by datagrams what they sent and admitted; a request waits half of its objective at most, one of an account above its max-min share less.

--- /dev/null
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/admission.py
@@ -0,0 +1,166 @@
+"""Who gets an engine now, and who is told to come back.
+
+Answers demand beyond what the engines can read. A queue at an engine helps nobody once
+it is longer than callers wait, since engines take requests in order of arrival: so what
+waits there is bounded by a part of the request's objective. An account above its max-min
+share is held to a smaller part, down to a queue that is as good as none, so that it gets
+what nobody else asks for and no more. A request that does not fit is refused at once.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from lagoonsail_sharing.account_shares import FADE_MS, FadingSums, fair_level
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from lagoonsail_core.clock import Clock
+    from lagoonsail_gateway.peer_digests import Digest
+
+QUEUE_PART = 0.5
+"""Part of its objective that a request may wait at an engine."""
+FREE_QUEUE_PART = 0.08
+"""Part that a request of any account may wait: the engine is as good as free."""
+EXCESS_SLOPE = 4.0
+"""How fast the allowed wait falls with the excess over the share."""
+SHORTEST_RETRY_S = 0.2
+"""Shortest Retry-After."""
+LONGEST_RETRY_S = 3.0
+"""Longest Retry-After."""
+
+
+@dataclass(slots=True, frozen=True)
+class Refusal:
+    """Why a request gets no server now."""
+
+    kind: str
+    """Stable name."""
+    reason: str
+    """What decided it, with its figures."""
+    retry_after_s: float
+    """When to come back."""
+    is_over_share: bool = False
+    """Whether the account itself asks for more than its share."""
+
+
+class AccountLoad:
+    """What the accounts asked for and got, over all routers."""
+
+    __slots__ = (
+        "_admitted",
+        "_asked",
+        "_clock",
+        "_level",
+        "_others_admitted",
+        "_others_asked",
+    )
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._asked = FadingSums()
+        self._admitted = FadingSums()
+        self._others_asked: dict[str, float] = {}
+        self._others_admitted: dict[str, float] = {}
+        self._level = math.inf
+
+    def note_asked(self, account: str, cost: float) -> None:
+        """Count what a request asks for.
+
+        Args:
+            account: The client account.
+            cost: Its cost in tokens.
+        """
+        self._asked.add(account, cost, self._clock.now_ms())
+
+    def note_admitted(self, account: str, cost: float) -> None:
+        """Count what a request was given, or took in vain if negative."""
+        self._admitted.add(account, cost, self._clock.now_ms())
+
+    def own_sums(self) -> tuple[dict[str, float], dict[str, float]]:
+        """Return what was asked and admitted at this router."""
+        now_ms = self._clock.now_ms()
+        return self._asked.values(now_ms), self._admitted.values(now_ms)
+
+    def update(self, digests: Iterable[Digest]) -> None:
+        """Take over what the other routers told, and compute the shares anew.
+
+        Args:
+            digests: The newest digest of each.
+        """
+        digests = list(digests)
+        self._others_asked = _sum(digest.asked for digest in digests)
+        self._others_admitted = _sum(digest.admitted for digest in digests)
+        asked, admitted = self.own_sums()
+        asked = _sum([asked, self._others_asked])
+        admitted = _sum([admitted, self._others_admitted])
+        self._level = fair_level(asked.values(), sum(admitted.values()))
+
+    def excess(self, account: str) -> float:
+        """Return what an account was admitted, relative to its max-min share.
+
+        Args:
+            account: The client account.
+
+        Returns:
+            0 for an account that asks for less than its share.
+        """
+        if math.isinf(self._level) or self._level <= 0:
+            return 0.0
+        now_ms = self._clock.now_ms()
+        asked = self._asked.value(account, now_ms)
+        if asked + self._others_asked.get(account, 0.0) <= self._level:
+            return 0.0
+        admitted = self._admitted.value(account, now_ms)
+        return (admitted + self._others_admitted.get(account, 0.0)) / self._level
+
+
+def longest_wait_ms(objective_ms: float, excess: float) -> float:
+    """Return how long a request may wait at an engine.
+
+    Args:
+        objective_ms: Time within which its answer should begin.
+        excess: What its account got, relative to its share.
+
+    Example:
+        >>> longest_wait_ms(800.0, excess=0.0), longest_wait_ms(800.0, excess=2.0)
+        (400.0, 64.0)
+    """
+    part = QUEUE_PART * (1.0 - EXCESS_SLOPE * max(0.0, excess - 1.0))
+    return objective_ms * max(FREE_QUEUE_PART, part)
+
+
+def judge_wait(delay_ms: float, objective_ms: float, excess: float) -> Refusal | None:
+    """Return why a request is refused, None if it may wait at the engine.
+
+    Args:
+        delay_ms: How long it would wait at the best engine.
+        objective_ms: Time within which its answer should begin.
+        excess: What its account got, relative to its share.
+    """
+    allowed_ms = longest_wait_ms(objective_ms, excess)
+    if delay_ms <= allowed_ms:
+        return None
+    is_over_share = excess > 1.0
+    wait_ms = delay_ms - allowed_ms
+    if is_over_share:
+        # Its sum must fade to the share first.
+        wait_ms = max(wait_ms, FADE_MS * math.log(excess))
+    return Refusal(
+        "over_share" if is_over_share else "engines_full",
+        f"{delay_ms:.0f} ms wait at the best engine, {allowed_ms:.0f} ms allowed "
+        f"at {excess:.2f} of the share",
+        round(min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, wait_ms / 1000.0)), 2),
+        is_over_share,
+    )
+
+
+def _sum(parts: Iterable[dict[str, float]]) -> dict[str, float]:
+    total: dict[str, float] = {}
+    for part in parts:
+        for account, value in part.items():
+            total[account] = total.get(account, 0.0) + value
+    return total
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.durations import Durations
+from lagoonsail_gateway.admission import Refusal
 from lagoonsail_gateway.fleet_share import RepeatShare
 from lagoonsail_gateway.gateway_call import GatewayCall, choose_service, make_prompt
 from lagoonsail_gateway.manifest import STREAMING
@@ -40,8 +41,12 @@
 """What takes time, by name in the metrics."""
 RETRY_AFTER_UNKNOWN_S = 0.3
 """When to try again at a router that does not know the configuration yet."""
-RETRY_AFTER_NO_SERVER_S = 0.5
-"""When to try again where no server may get a request now."""
+RETRY_AFTER_NO_REPEAT_S = 0.5
+"""When to try again where the router may not send a request once more."""
+RETRY_AFTER_LEAVING_S = 0.05
+"""When to try again if this router leaves; another one can serve at once."""
+LAST_TAKEN_MS = 3000.0
+"""After this part of a planned stop requests are refused, so that all taken ones end."""
 MAX_CHUNK_BYTES = 65_536
 """Most that is read of a body at once."""
 SHORTEST_LEFT_MS = 5.0
@@ -63,16 +68,16 @@
         "_routers",
         "_settings",
         "durations",
+        "leaving_ms",
         "running",
-        "taken_ms",
     )
 
     durations: dict[str, Durations]
     """What takes time, by name in the metrics."""
     running: int
     """Calls that were taken and not yet answered."""
-    taken_ms: float
-    """Monotonic time at which the last call was taken."""
+    leaving_ms: float
+    """Monotonic time at which a planned stop began."""
 
     def __init__(
         self,
@@ -96,7 +101,7 @@
         self._manifest: Manifest | None = None
         self.durations = {name: Durations() for name in HISTOGRAMS}
         self.running = 0
-        self.taken_ms = float("-inf")
+        self.leaving_ms = float("inf")
 
     @property
     def _clock(self) -> Clock:
@@ -121,7 +126,7 @@
             The body.
         """
         self.running += 1
-        self.taken_ms = now_ms = self._clock.now_ms()
+        now_ms = self._clock.now_ms()
         head = self._format.read_request(env)
         is_streamed = False
         try:
@@ -143,6 +148,14 @@
 
     def _read(self, env: dict, head: RequestHead | None, now_ms: float) -> GatewayCall:
         manifest = self._manifest
+        if now_ms > self.leaving_ms + LAST_TAKEN_MS:
+            raise CallProblem(
+                503,
+                "leaving",
+                "this router is about to stop",
+                "try again at another router",
+                retry_after_s=RETRY_AFTER_LEAVING_S,
+            )
         if manifest is None:
             raise CallProblem(
                 503,
@@ -184,6 +197,7 @@
         self, call: GatewayCall, env: dict, start_response: Callable
     ) -> Iterable[bytes]:
         self._repeat_share(call).note_request()
+        self._dispatcher.accounts.note_asked(call.account, call.cost())
         is_gone = make_caller_watch(env)
         attempt = self._attempt_until_head(call, is_gone)
         if call.route.kind == STREAMING and attempt.answer.status == 200:
@@ -220,17 +234,18 @@
     def _choose(self, call: GatewayCall) -> ServerState:
         if call.deadline_ms - self._clock.now_ms() < SHORTEST_LEFT_MS:
             raise _too_late(call)
-        state = self._dispatcher.choose(call)
-        if state is not None:
-            return state
+        choice = self._dispatcher.choose(call)
+        if not isinstance(choice, Refusal):
+            self._dispatcher.accounts.note_admitted(call.account, call.cost())
+            return choice
         if call.may_have_run:
-            raise _unknown_outcome(call, "no other server can take the request over")
+            raise _unknown_outcome(call, choice.reason)
         raise CallProblem(
-            503,
-            "no_server",
-            f"no server of {call.service} may get the request now",
+            429 if choice.is_over_share else 503,
+            choice.kind,
+            choice.reason,
             "try again after the time in Retry-After",
-            retry_after_s=RETRY_AFTER_NO_SERVER_S,
+            retry_after_s=choice.retry_after_s,
         )
 
     def _check_may_repeat(self, call: GatewayCall, failure: AttemptFailedError) -> None:
@@ -252,7 +267,7 @@
                 "repeats_used_up",
                 f"{failure.reason}, and no repeats are left for {call.service}",
                 "try again after the time in Retry-After",
-                retry_after_s=RETRY_AFTER_NO_SERVER_S,
+                retry_after_s=RETRY_AFTER_NO_REPEAT_S,
             )
         self._context.count("retries_total", call.service)
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -2,23 +2,28 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from lagoonsail_gateway.admission import AccountLoad, Refusal, judge_wait
 from lagoonsail_gateway.fleet_share import WindowLimit
 from lagoonsail_gateway.server_health import ServerHealth
-from lagoonsail_sharing.first_token import EngineLoad, choose_engine, unread_tokens
+from lagoonsail_sharing.first_token import EngineLoad, choose_engine
 
 if TYPE_CHECKING:
     from lagoonsail_gateway.fleet_share import RouterCount
     from lagoonsail_gateway.gateway_call import GatewayCall
     from lagoonsail_gateway.manifest import Manifest, Service
+    from lagoonsail_gateway.peer_digests import Digest
     from lagoonsail_gateway.request_format import ServerLoad
     from lagoonsail_gateway.server_directory import Server, ServerDirectory
     from lagoonsail_router.context import RouterContext
 
 PREFILL_TOKENS_PER_MS = 45.0
 """Prompt tokens that an engine is assumed to read in a millisecond."""
+RETRY_AFTER_NO_SERVER_S = 0.5
+"""When to try again where no server may get a request now."""
 COLD_WINDOW_MS = 1000.0
 """Window in which the requests to a cold server are counted."""
 
@@ -46,17 +51,23 @@
 
     __slots__ = ("_dispatcher", "_is_read", "_unread", "call", "sent_ms", "state")
 
-    def __init__(self, dispatcher: Dispatcher, call: GatewayCall, state: ServerState):
+    call: GatewayCall
+    """The request."""
+    state: ServerState
+    """The server."""
+    sent_ms: float
+    """When it was sent."""
+
+    def __init__(
+        self, dispatcher: Dispatcher, call: GatewayCall, state: ServerState, unread: int
+    ) -> None:
         self._dispatcher = dispatcher
+        self._is_read = False
+        self._unread = unread
         self.call = call
         self.state = state
         self.sent_ms = dispatcher.context.clock.now_ms()
-        self._is_read = False
-        self._unread = 0
-        if call.prompt is not None:
-            is_held = state.load.holds(call.prompt.prefix)
-            self._unread = unread_tokens(call.prompt, state.load, is_home=is_held)
-            state.load.pending_tokens += self._unread
+        state.load.pending_tokens += unread
         state.load.running += 1
 
     def note_first(self) -> None:
@@ -81,8 +92,17 @@
 class Dispatcher:
     """The router's view of all servers, by which it places requests."""
 
-    __slots__ = ("_directory", "_manifest", "_routers", "_states", "context")
-
+    __slots__ = (
+        "_directory",
+        "_manifest",
+        "_routers",
+        "_states",
+        "accounts",
+        "context",
+    )
+
+    accounts: AccountLoad
+    """What the client accounts asked for and got."""
     context: RouterContext
     """Clock, counters and time line."""
 
@@ -90,6 +110,7 @@
         self, context: RouterContext, directory: ServerDirectory, routers: RouterCount
     ) -> None:
         self.context = context
+        self.accounts = AccountLoad(context.clock)
         self._directory = directory
         self._routers = routers
         self._manifest: Manifest | None = None
@@ -104,8 +125,8 @@
         """
         self._manifest = manifest
 
-    def choose(self, call: GatewayCall) -> ServerState | None:
-        """Return the server to which a request goes, None if none may get it now.
+    def choose(self, call: GatewayCall) -> ServerState | Refusal:
+        """Return the server to which a request goes, or why none may get it now.
 
         Args:
             call: The request.
@@ -114,16 +135,13 @@
         states = [self._state(s) for s in self._directory.usable(call.service)]
         states = [s for s in states if s.server.record.server_id not in call.tried]
         if not states or service is None:
-            return None
-        now_ms = self.context.clock.now_ms()
-        healthy = [s for s in states if s.health.may_get(now_ms)]
-        # With most servers in doubt the doubt itself is doubtful.
-        if 2 * len(healthy) < len(states):
-            healthy = states
-        allowed = [s for s in healthy if self._has_room(s, service)]
+            return _no_server(f"no server of {call.service} is there")
+        allowed = [s for s in self._healthy(states) if self._has_room(s, service)]
         if not allowed:
-            return None
+            return _no_server(f"{len(states)} servers of {call.service} are held back")
         state = self._place(call, states, allowed)
+        if isinstance(state, Refusal):
+            return state
         if self._directory.is_cold(state.server):
             state.cold.take(self._cold_part(state, service))
         return state
@@ -136,11 +154,38 @@
             state: The server.
         """
         state.health.note_try(self.context.clock.now_ms())
-        run = Run(self, call, state)
+        unread = 0
         service = self._manifest.services.get(call.service)
-        if call.prompt is not None and service is not None and service.engine:
-            state.load.note_held(call.prompt, service.engine.cache_tokens)
-        return run
+        if call.prompt is not None:
+            shared = state.load.unread_tokens(call.prompt, is_home=False)
+            unread = call.prompt.own_tokens + shared
+            if service is not None and service.engine is not None:
+                state.load.note_held(call.prompt, service.engine.cache_tokens)
+        return Run(self, call, state, unread)
+
+    def pending(self) -> dict[str, tuple[int, int]]:
+        """Return running requests and unread tokens of this router by server."""
+        return {
+            state.server.record.server_id: (
+                state.load.running,
+                int(state.load.pending_tokens),
+            )
+            for state in self._states.values()
+            if state.load.running
+        }
+
+    def update(self, digests: list[Digest]) -> None:
+        """Take over what the other routers told.
+
+        Args:
+            digests: The newest digest of each.
+        """
+        self.accounts.update(digests)
+        for state in self._states.values():
+            server_id = state.server.record.server_id
+            told = [d.pending[server_id] for d in digests if server_id in d.pending]
+            state.load.others_running = sum(running for running, _ in told)
+            state.load.others_pending_tokens = sum(tokens for _, tokens in told)
 
     def is_usable(self, state: ServerState) -> bool:
         """Return whether a server that was chosen may still get the request."""
@@ -162,26 +207,31 @@
                 until_ms=round(state.health.suspended_until_ms),
             )
 
+    def _healthy(self, states: list[ServerState]) -> list[ServerState]:
+        now_ms = self.context.clock.now_ms()
+        healthy = [s for s in states if s.health.may_get(now_ms)]
+        # With most servers in doubt the doubt itself is doubtful.
+        return healthy if 2 * len(healthy) >= len(states) else states
+
     def _place(
         self, call: GatewayCall, states: list[ServerState], allowed: list[ServerState]
-    ) -> ServerState:
+    ) -> ServerState | Refusal:
         if call.prompt is None:
             return min(allowed, key=self._plain_load)
-        by_load = {id(state.load): state for state in states}
-        allowed_loads = {id(state.load) for state in allowed}
-        load = choose_engine(
+        by_id = {state.load.engine_id: state for state in allowed}
+        choice = choose_engine(
             call.prompt,
             [state.load for state in states],
             PREFILL_TOKENS_PER_MS,
-            lambda load: id(load) in allowed_loads,
+            lambda load: load.engine_id in by_id,
         )
-        return by_load[id(load)]
+        excess = self.accounts.excess(call.account)
+        refusal = judge_wait(choice.delay_ms, call.route.objective_ms, excess)
+        return refusal or by_id[choice.load.engine_id]
 
     def _plain_load(self, state: ServerState) -> tuple[float, float]:
-        age_ms = self.context.clock.now_ms() - state.reported_ms
-        reported = state.reported if age_ms < 300.0 else None
-        seen = reported.running + reported.waiting if reported else 0
-        return state.load.running + seen, -age_ms
+        load = state.load
+        return load.running + load.others_running, random.random()
 
     def _has_room(self, state: ServerState, service: Service) -> bool:
         if not self._directory.is_cold(state.server):
@@ -215,3 +265,7 @@
         )
         if kind == "left":
             self._states.pop(record.incarnation(), None)
+
+
+def _no_server(reason: str) -> Refusal:
+    return Refusal("no_server", reason, RETRY_AFTER_NO_SERVER_S)
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_share.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_share.py
@@ -12,6 +12,8 @@
 from xxhash import xxh64_intdigest
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from lagoonsail_core.clock import Clock
 
 ASSUMED_ROUTERS = 8
@@ -23,7 +25,7 @@
 class RouterCount:
     """The routers among which the fleet's bounds are split."""
 
-    __slots__ = ("_members", "_names", "name")
+    __slots__ = ("_addresses", "_members", "_names", "name")
 
     name: str
     """Name of this router."""
@@ -31,16 +33,26 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self._names: set[str] = {name}
+        self._addresses: list[tuple[str, int]] = []
         self._members = 0
 
-    def update(self, names: set[str]) -> None:
+    def update(self, addresses: Mapping[str, str]) -> None:
         """Take over the members that the store shows.
 
         Args:
-            names: Names of all routers with a lease.
+            addresses: IP number and port of each router with a lease, by its name.
         """
-        self._names = names | {self.name}
+        self._names = {*addresses, self.name}
         self._members = len(self._names)
+        others = [a for name, a in sorted(addresses.items()) if name != self.name]
+        pairs = [address.rpartition(":") for address in others]
+        self._addresses = [
+            (host, int(port)) for host, _, port in pairs if host and port.isdigit()
+        ]
+
+    def peer_addresses(self) -> list[tuple[str, int]]:
+        """Return where the other routers take digests."""
+        return self._addresses
 
     def count(self) -> int:
         """Return how many routers share a bound."""
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -13,6 +13,7 @@
 from lagoonsail_gateway.connection_pool import ConnectionPool
 from lagoonsail_gateway.dispatcher import Dispatcher
 from lagoonsail_gateway.fleet_share import RouterCount
+from lagoonsail_gateway.peer_digests import ROUND_MS, Digest, PeerDigests
 from lagoonsail_gateway.server_directory import ServerDirectory
 from lagoonsail_gateway.store_view import StoreView
 from lagoonsail_router.context import (
@@ -36,6 +37,9 @@
 
 COUNTERS = {
     "answers_total": "Answers passed on, by outcome.",
+    "digests_malformed_total": "Digests of other routers that could not be read.",
+    "digests_not_sent_total": "Digests that could not be sent.",
+    "digests_too_long_total": "Digests that fit into no datagram.",
     "problems_total": "Refusals and problem documents, by kind.",
     "records_rejected_total": "Malformed entries of the store.",
     "repeats_refused_total": "Requests not sent once more for want of a share.",
@@ -85,6 +89,7 @@
         "_settings",
         "calls",
         "context",
+        "digests",
         "directory",
         "dispatcher",
         "log",
@@ -143,6 +148,9 @@
             self.routers,
             self.log,
         )
+        self.digests = PeerDigests(
+            context, self.routers, self._make_digest, self.dispatcher.update
+        )
         self.directory.subscribe(self._on_server)
         self.view = StoreView(
             context,
@@ -169,11 +177,14 @@
         self._serve(readiness, self._tell_ready, OPERATOR_CONNECTIONS, IDLE_TIMEOUT_MS)
         metrics = listen(settings.metrics_address)
         self._serve(metrics, self._tell_metrics, OPERATOR_CONNECTIONS, IDLE_TIMEOUT_MS)
+        self.digests.open(settings.digests_address)
+        start_task(self.context, "digests", self.digests.receive)
         start_task(self.context, "store_view", self.view.run)
         start_task(self.context, "membership", self._keep_membership)
         run_in_turn(
             self.context,
             [
+                (ROUND_MS, self.digests.send_round, "digests"),
                 (EXPIRY_INTERVAL_MS, self.directory.expire, "expiry"),
                 (STALE_INTERVAL_MS, self.pool.close_stale, "stale"),
             ],
@@ -187,20 +198,17 @@
     def stop(self) -> None:
         """Stop as planned: take no new connections, and let all work end."""
         context = self.context
-        begun_ms = context.clock.now_ms()
+        begun_ms = self.calls.leaving_ms = context.clock.now_ms()
         deadline_ms = begun_ms + self._settings.stop_timeout_ms - STOP_MARGIN_MS
         context.state = LEAVING
         context.timeline.record("leaving", running=self.calls.running)
         # Until the balancer notices, callers still come here.
-        self._wait_while(lambda: not self._is_quiet(begun_ms), deadline_ms)
+        balancer_ms = begun_ms + BALANCER_LAG_MS
+        self._wait_while(lambda: True, min(balancer_ms, deadline_ms))
         self._listeners[0].close()
         self._wait_while(lambda: self.calls.running, deadline_ms)
         context.timeline.record("stopped", unfinished=self.calls.running)
 
-    def _is_quiet(self, begun_ms: float) -> bool:
-        now_ms = self.context.clock.now_ms()
-        return now_ms - begun_ms > BALANCER_LAG_MS and not self.calls.running
-
     def _wait_while(self, condition: Callable[[], object], deadline_ms: float) -> None:
         while condition() and self.context.clock.now_ms() < deadline_ms:
             eventlet.sleep(STOP_CHECK_S)
@@ -218,6 +226,17 @@
         self.dispatcher.use(manifest)
         self.calls.use(manifest)
 
+    def _make_digest(self, number: int) -> Digest:
+        asked, admitted = self.dispatcher.accounts.own_sums()
+        return Digest(
+            self._settings.name,
+            self.context.incarnation,
+            number,
+            self.dispatcher.pending(),
+            asked,
+            admitted,
+        )
+
     def _on_server(self, kind: str, server: Server) -> None:
         if kind in ("left", "restarted"):
             self.pool.drop(server)
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_call.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_call.py
@@ -9,7 +9,7 @@
 from xxhash import xxh64_intdigest
 
 from lagoonsail_gateway.manifest import token_cost
-from lagoonsail_sharing.first_token import Prompt
+from lagoonsail_sharing.first_token import Prompt, SharedPart
 
 if TYPE_CHECKING:
     from lagoonsail_gateway.manifest import Route
@@ -92,15 +92,17 @@
 def make_prompt(head: RequestHead) -> Prompt | None:
     """Return what of a request's prompt decides where it is read.
 
-    The last part that several requests share stands for all parts before it.
+    Each shared part is named with all before it, as it is kept only behind them.
 
     Args:
         head: Head of the request.
     """
     if not head.prompt_tokens and not head.prompt_parts:
         return None
-    shared = head.prompt_parts[:-1]
+    shared = []
+    key = head.model
+    for part in head.prompt_parts[:-1]:
+        key = f"{key}/{part.part_id}"
+        shared.append(SharedPart(key, part.tokens))
     shared_tokens = sum(part.tokens for part in shared)
-    prefix = f"{head.model}/{shared[-1].part_id}" if shared else ""
-    own_tokens = max(0, head.prompt_tokens - shared_tokens)
-    return Prompt(prefix, shared_tokens, own_tokens)
+    return Prompt(tuple(shared), max(0, head.prompt_tokens - shared_tokens))
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_settings.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_settings.py
@@ -21,6 +21,8 @@
     """IP number and port of the metrics."""
     metrics_path: str
     """Path of the metrics."""
+    digests_address: str
+    """IP number and port for digests of other routers, by UDP."""
     failure_domain: str
     """Failure domain that the router stands in."""
     store_address: str
--- /dev/null
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
@@ -0,0 +1,217 @@
+"""Digests that routers send each other, so that each decides by the fleet's load.
+
+A digest replaces the one before it, so datagrams fit: one that is lost, late or doubled
+harms nothing, and no connection can go silent. Each router sends to a bounded number of
+others in a round, in turn, so that what a router sends and receives does not grow with
+the fleet; what grows is the age of what it knows, `routers / MAX_PEERS_A_ROUND` rounds.
+"""
+
+from __future__ import annotations
+
+import socket
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import msgpack
+
+from lagoonsail_core.green import green_socket
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from lagoonsail_gateway.fleet_share import RouterCount
+    from lagoonsail_router.context import RouterContext
+
+ROUND_MS = 100.0
+"""Time between two rounds."""
+MAX_PEERS_A_ROUND = 12
+"""Routers that get a digest in one round."""
+FORGET_MS = 1500.0
+"""Age at which a digest no longer counts: its router is gone, or cannot be heard."""
+MAX_DATAGRAM_BYTES = 60_000
+"""Longest digest."""
+FORMAT_VERSION = 1
+"""Changes with the layout of a digest; others are left out."""
+
+
+@dataclass(slots=True)
+class Digest:
+    """What a router tells about its own work."""
+
+    router: str
+    """Name of the router."""
+    incarnation: int
+    """Number that grows with each start of the router."""
+    number: int
+    """Number of the digest; grows."""
+    pending: dict[str, tuple[int, int]] = field(default_factory=dict)
+    """Running requests and unread prompt tokens by server."""
+    asked: dict[str, float] = field(default_factory=dict)
+    """Sums of what was asked, by client account."""
+    admitted: dict[str, float] = field(default_factory=dict)
+    """Sums of what was admitted, by client account."""
+
+    def encode(self) -> bytes:
+        """Return the datagram."""
+        return msgpack.packb(
+            [
+                FORMAT_VERSION,
+                self.router,
+                self.incarnation,
+                self.number,
+                self.pending,
+                self.asked,
+                self.admitted,
+            ]
+        )
+
+
+def decode_digest(data: bytes) -> Digest | None:
+    """Return a digest, None if the datagram is none of this version.
+
+    Args:
+        data: The datagram.
+
+    Example:
+        >>> decode_digest(Digest("r1", 7, 1, {"s": (1, 20)}).encode()).pending
+        {'s': (1, 20)}
+        >>> decode_digest(b"garbage") is None
+        True
+    """
+    try:
+        version, router, incarnation, number, pending, asked, admitted = (
+            msgpack.unpackb(data)
+        )
+        if version != FORMAT_VERSION:
+            return None
+        return Digest(
+            str(router),
+            int(incarnation),
+            int(number),
+            {str(server): (int(n), int(t)) for server, (n, t) in pending.items()},
+            {str(account): float(value) for account, value in asked.items()},
+            {str(account): float(value) for account, value in admitted.items()},
+        )
+    except (ValueError, TypeError, AttributeError, msgpack.exceptions.UnpackException):
+        return None
+
+
+class PeerDigests:
+    """Sends this router's digests and keeps the newest of each other router."""
+
+    __slots__ = (
+        "_context",
+        "_heard",
+        "_make",
+        "_next_peer",
+        "_number",
+        "_on_change",
+        "_routers",
+        "_sock",
+    )
+
+    def __init__(
+        self,
+        context: RouterContext,
+        routers: RouterCount,
+        make: Callable[[int], Digest],
+        on_change: Callable[[list[Digest]], None],
+    ) -> None:
+        """Prepare the exchange.
+
+        Args:
+            context: The router's shared state.
+            routers: The other routers and their addresses.
+            make: Makes this router's digest, given its number.
+            on_change: Takes the newest digests of all others after each round.
+        """
+        self._context = context
+        self._routers = routers
+        self._make = make
+        self._on_change = on_change
+        self._heard: dict[str, tuple[float, Digest]] = {}
+        self._number = 0
+        self._next_peer = 0
+        self._sock: green_socket.socket | None = None
+
+    def open(self, address: str) -> None:
+        """Listen for digests.
+
+        Args:
+            address: IP number and port.
+        """
+        host, _, port = address.rpartition(":")
+        self._sock = green_socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._sock.bind((host, int(port)))
+
+    def receive(self) -> None:
+        """Take in digests for ever."""
+        while True:
+            data, _ = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+            self.take(data)
+
+    def take(self, data: bytes) -> None:
+        """Take in one datagram.
+
+        Args:
+            data: The datagram.
+        """
+        digest = decode_digest(data)
+        if digest is None:
+            self._context.count("digests_malformed_total")
+            return
+        if digest.router == self._routers.name:
+            return
+        now_ms = self._context.clock.now_ms()
+        known = self._heard.get(digest.router)
+        if known is None:
+            self._context.timeline.record("peer_heard", peer=digest.router)
+        elif _order(known[1]) >= _order(digest):
+            return
+        self._heard[digest.router] = (now_ms, digest)
+
+    def send_round(self) -> None:
+        """Send a digest to the next routers in turn, and pass on what was heard."""
+        self._forget_silent()
+        self._on_change([digest for _, digest in self._heard.values()])
+        addresses = self._next_addresses()
+        if not addresses:
+            return
+        self._number += 1
+        data = self._make(self._number).encode()
+        if len(data) > MAX_DATAGRAM_BYTES:
+            self._context.count("digests_too_long_total")
+            return
+        for host, port in addresses:
+            self._send(data, host, port)
+
+    def _send(self, data: bytes, host: str, port: int) -> None:
+        try:
+            self._sock.fd.sendto(data, socket.MSG_DONTWAIT, (host, port))
+        except OSError:
+            # The next round replaces it.
+            self._context.count("digests_not_sent_total")
+
+    def _next_addresses(self) -> list[tuple[str, int]]:
+        addresses = self._routers.peer_addresses()
+        count = min(len(addresses), MAX_PEERS_A_ROUND)
+        if not count:
+            return []
+        start = self._next_peer % len(addresses)
+        self._next_peer = start + count
+        return (addresses[start:] + addresses[:start])[:count]
+
+    def _forget_silent(self) -> None:
+        oldest_ms = self._context.clock.now_ms() - FORGET_MS * self._rounds()
+        for router, (heard_ms, _) in list(self._heard.items()):
+            if heard_ms < oldest_ms:
+                del self._heard[router]
+                self._context.timeline.record("peer_silent", peer=router)
+
+    def _rounds(self) -> float:
+        peers = len(self._routers.peer_addresses())
+        return max(1.0, peers / MAX_PEERS_A_ROUND)
+
+
+def _order(digest: Digest) -> tuple[int, int]:
+    return digest.incarnation, digest.number
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
@@ -251,17 +251,20 @@
         self._directory.put(record)
 
     def _apply_groups(self) -> None:
-        domains = self._names(self._format.evacuation_prefix)
+        domains = set(self._values(self._format.evacuation_prefix))
         if domains != self._directory.evacuated:
             self._directory.evacuate(domains)
             self._context.timeline.record(
                 "evacuated", domains=",".join(sorted(domains))
             )
-        self._routers.update(self._names(self._format.router_prefix))
+        members = self._values(self._format.router_prefix)
+        self._routers.update(
+            {name: value.decode("ascii", "replace") for name, value in members.items()}
+        )
 
-    def _names(self, prefix: str) -> set[str]:
+    def _values(self, prefix: str) -> dict[str, bytes]:
         return {
-            key.removeprefix(prefix)
+            key.removeprefix(prefix): item.value
             for key, item in self._items.items()
             if item.value is not None and key.startswith(prefix)
         }
