--- a/packages/lagoonsail-core/src/lagoonsail_core/green.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/green.py
@@ -21,6 +21,7 @@
     import eventlet.semaphore
     import eventlet.wsgi
 
+trampoline = eventlet.hubs.trampoline
 urllib3 = eventlet.import_patched("urllib3")
 
-__all__ = ["eventlet", "green_select", "green_socket", "urllib3"]
+__all__ = ["eventlet", "green_select", "green_socket", "trampoline", "urllib3"]
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/admission.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/admission.py
@@ -21,12 +21,18 @@
     from lagoonsail_core.clock import Clock
     from lagoonsail_gateway.peer_digests import Digest
 
+LONGEST_QUEUE_PART = 1.2
+"""Part of its objective that a request of an account below its share may wait."""
 QUEUE_PART = 0.5
-"""Part of its objective that a request may wait at an engine."""
+"""Part that a request of an account at its share may wait."""
 FREE_QUEUE_PART = 0.08
 """Part that a request of any account may wait: the engine is as good as free."""
-EXCESS_SLOPE = 4.0
-"""How fast the allowed wait falls with the excess over the share."""
+BELOW_SHARE_SLOPE = 1.4
+"""How much more of it a request may wait, for each part of the share that is left."""
+EXCESS_SLOPE = 2.0
+"""How much less of it a request may wait, for each part above the share."""
+SURE_PART = 0.6
+"""Part of the stated rate that engines serve even while some of them are away."""
 SHORTEST_RETRY_S = 0.2
 """Shortest Retry-After."""
 LONGEST_RETRY_S = 3.0
@@ -57,8 +63,13 @@
         "_level",
         "_others_admitted",
         "_others_asked",
+        "known_capacity",
     )
 
+    known_capacity: float
+    """Sum that the engines serve at least, so that a start or an idle time, in which
+    little was admitted, makes no account seem to be above its share."""
+
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._asked = FadingSums()
@@ -66,6 +77,15 @@
         self._others_asked: dict[str, float] = {}
         self._others_admitted: dict[str, float] = {}
         self._level = math.inf
+        self.known_capacity = 0.0
+
+    def use_rate(self, tokens_per_s: float) -> None:
+        """Take over what the engines are said to serve.
+
+        Args:
+            tokens_per_s: Tokens in a second, 0 if nothing is said.
+        """
+        self.known_capacity = SURE_PART * tokens_per_s * FADE_MS / 1000.0
 
     def note_asked(self, account: str, cost: float) -> None:
         """Count what a request asks for.
@@ -97,7 +117,8 @@
         asked, admitted = self.own_sums()
         asked = _sum([asked, self._others_asked])
         admitted = _sum([admitted, self._others_admitted])
-        self._level = fair_level(asked.values(), sum(admitted.values()))
+        capacity = max(sum(admitted.values()), self.known_capacity)
+        self._level = fair_level(asked.values(), capacity)
 
     def excess(self, account: str) -> float:
         """Return what an account was admitted, relative to its max-min share.
@@ -126,11 +147,12 @@
         excess: What its account got, relative to its share.
 
     Example:
-        >>> longest_wait_ms(800.0, excess=0.0), longest_wait_ms(800.0, excess=2.0)
-        (400.0, 64.0)
+        >>> [longest_wait_ms(800.0, excess) for excess in (0.0, 1.0, 2.0)]
+        [960.0, 400.0, 64.0]
     """
-    part = QUEUE_PART * (1.0 - EXCESS_SLOPE * max(0.0, excess - 1.0))
-    return objective_ms * max(FREE_QUEUE_PART, part)
+    slope = BELOW_SHARE_SLOPE if excess < 1.0 else EXCESS_SLOPE
+    part = QUEUE_PART + slope * (1.0 - excess)
+    return objective_ms * min(LONGEST_QUEUE_PART, max(FREE_QUEUE_PART, part))
 
 
 def judge_wait(delay_ms: float, objective_ms: float, excess: float) -> Refusal | None:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -124,6 +124,7 @@
             manifest: The manifest in force.
         """
         self._manifest = manifest
+        self.accounts.use_rate(manifest.limits.tokens_per_s)
 
     def choose(self, call: GatewayCall) -> ServerState | Refusal:
         """Return the server to which a request goes, or why none may get it now.
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
@@ -14,7 +14,7 @@
 
 import httptools
 
-from lagoonsail_core.green import eventlet, green_socket
+from lagoonsail_core.green import eventlet, green_socket, trampoline
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -269,9 +269,8 @@
                 raise ConnectionLostError(self._reason(error)) from error
 
     def _receive(self, deadline_ms: float) -> None:
-        self._sock.settimeout(self._left_ms(deadline_ms) / 1000.0)
         try:
-            data = self._sock.recv(READ_BYTES)
+            data = self._recv(deadline_ms)
         except TimeoutError as error:
             raise ConnectionLostError("no answer", is_timeout=True) from error
         except OSError as error:
@@ -288,6 +287,21 @@
             # What follows the whole answer is no answer; `finish` sees that.
             self._reader.answers.append(Answer())
 
+    def _recv(self, deadline_ms: float) -> bytes:
+        """Read what is there, or wait for it.
+
+        The socket below is read, since eventlet's own shows a reset as a proper end,
+        and an answer without a length would seem to be whole.
+        """
+        while True:
+            left_s = self._left_ms(deadline_ms) / 1000.0
+            try:
+                return self._sock.fd.recv(READ_BYTES)
+            except BlockingIOError:
+                trampoline(
+                    self._sock.fd, read=True, timeout=left_s, timeout_exc=TimeoutError
+                )
+
     def _is_first_whole(self) -> bool:
         answer = self._first_answer()
         return answer is not None and answer.is_whole
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
@@ -234,7 +234,11 @@
             return
         self.manifest = manifest
         self._context.timeline.record(
-            "manifest_in_force", version=manifest.version, revision=item.revision
+            "manifest_in_force",
+            version=manifest.version,
+            revision=item.revision,
+            routes=len(manifest.routes),
+            tokens_per_s=manifest.limits.tokens_per_s,
         )
         self._on_manifest(manifest)
 
--- /dev/null
+++ b/packages/lagoonsail-gateway/tests/conftest.py
@@ -0,0 +1,100 @@
+"""Shared fixtures: servers that answer as a script says, and a clock set by hand."""
+
+from __future__ import annotations
+
+import socket
+import struct
+import threading
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import pytest
+
+from lagoonsail_core.clock import Clock
+
+RESET = b"(reset)"
+"""Step of a script: reset the connection."""
+CLOSE = b"(close)"
+"""Step of a script: close the connection in order."""
+LINGER_NOT = struct.pack("ii", 1, 0)
+
+
+@dataclass(slots=True)
+class ScriptedServer:
+    """Answers the requests of each connection by a script."""
+
+    script: Callable[[bytes], list[bytes]]
+    """Gives the steps of an answer for the head of a request."""
+    sock: socket.socket
+    heads: list[bytes] = field(default_factory=list)
+    connections: int = 0
+
+    @property
+    def address(self) -> str:
+        return "127.0.0.1:%d" % self.sock.getsockname()[1]
+
+    def accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self.sock.accept()
+            except OSError:
+                return
+            self.connections += 1
+            threading.Thread(target=self.serve, args=(connection,), daemon=True).start()
+
+    def serve(self, connection: socket.socket) -> None:
+        buffer = b""
+        while True:
+            while b"\r\n\r\n" not in buffer:
+                try:
+                    data = connection.recv(65_536)
+                except OSError:
+                    return
+                if not data:
+                    return
+                buffer += data
+            head, _, buffer = buffer.partition(b"\r\n\r\n")
+            self.heads.append(head)
+            for step in self.script(head):
+                if step == RESET:
+                    connection.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, LINGER_NOT
+                    )
+                if step in (RESET, CLOSE):
+                    connection.close()
+                    return
+                try:
+                    connection.sendall(step)
+                except OSError:
+                    return
+
+
+@pytest.fixture
+def serve_script():
+    """Start a server with a script; it ends with the test."""
+    servers = []
+
+    def start(script: Callable[[bytes], list[bytes]]) -> ScriptedServer:
+        server = ScriptedServer(script, socket.create_server(("127.0.0.1", 0)))
+        threading.Thread(target=server.accept, daemon=True).start()
+        servers.append(server)
+        return server
+
+    yield start
+    for server in servers:
+        server.sock.close()
+
+
+@dataclass(slots=True)
+class HandClock:
+    """A clock that moves when the test says so."""
+
+    ms: float = 0.0
+
+    def clock(self) -> Clock:
+        return Clock(lambda: self.ms, lambda: self.ms)
+
+
+@pytest.fixture
+def hand_clock() -> HandClock:
+    return HandClock()
