--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
@@ -391,6 +391,7 @@
             first_ms=round(attempt.first_ms - call.since_ms, 1),
             total_ms=round(now_ms - call.since_ms, 1),
             outcome=outcome,
+            **attempt.decided,
         )
 
     def _refuse(
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import random
+from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from lagoonsail_gateway.admission import AccountLoad, Refusal, judge_wait
 from lagoonsail_gateway.fleet_share import WindowLimit
+from lagoonsail_gateway.peer_digests import PromptRead
 from lagoonsail_gateway.server_health import ServerHealth
-from lagoonsail_sharing.first_token import EngineLoad, choose_engine
+from lagoonsail_sharing.first_token import EngineLoad, PrefixCache, choose_engine
 
 if TYPE_CHECKING:
     from lagoonsail_gateway.fleet_share import RouterCount
@@ -24,6 +26,8 @@
 """Prompt tokens that an engine is assumed to read in a millisecond."""
 RETRY_AFTER_NO_SERVER_S = 0.5
 """When to try again where no server may get a request now."""
+READS_TOLD = 48
+"""Prompts that a digest tells: more than a router sends until all were told twice."""
 COLD_WINDOW_MS = 1000.0
 """Window in which the requests to a cold server are counted."""
 
@@ -49,7 +53,7 @@
 class Run:
     """One request at one server, from its sending to its end."""
 
-    __slots__ = ("_dispatcher", "_is_read", "_unread", "call", "sent_ms", "state")
+    __slots__ = ("_dispatcher", "_is_read", "_unread", "call", "queue_ms", "sent_ms", "state", "unread")
 
     call: GatewayCall
     """The request."""
@@ -67,6 +71,8 @@
         self.call = call
         self.state = state
         self.sent_ms = dispatcher.context.clock.now_ms()
+        self.queue_ms = state.load.queue_ms(PREFILL_TOKENS_PER_MS)
+        self.unread = unread
         state.load.pending_tokens += unread
         state.load.running += 1
 
@@ -93,8 +99,11 @@
     """The router's view of all servers, by which it places requests."""
 
     __slots__ = (
+        "_by_id",
         "_directory",
         "_manifest",
+        "_reads",
+        "_reads_count",
         "_routers",
         "_states",
         "accounts",
@@ -115,6 +124,9 @@
         self._routers = routers
         self._manifest: Manifest | None = None
         self._states: dict[tuple[str, int], ServerState] = {}
+        self._by_id: dict[str, ServerState] = {}
+        self._reads: deque[PromptRead] = deque(maxlen=READS_TOLD)
+        self._reads_count = 0
         directory.subscribe(self._on_change)
 
     def use(self, manifest: Manifest) -> None:
@@ -156,12 +168,12 @@
         """
         state.health.note_try(self.context.clock.now_ms())
         unread = 0
-        service = self._manifest.services.get(call.service)
         if call.prompt is not None:
-            shared = state.load.unread_tokens(call.prompt, is_home=False)
+            shared = state.load.cache.unread_tokens(call.prompt)
             unread = call.prompt.own_tokens + shared
-            if service is not None and service.engine is not None:
-                state.load.note_held(call.prompt, service.engine.cache_tokens)
+            state.load.cache.note_read(call.prompt)
+            self._reads.append(PromptRead(state.server.record.server_id, call.prompt))
+            self._reads_count += 1
         return Run(self, call, state, unread)
 
     def pending(self) -> dict[str, tuple[int, int]]:
@@ -175,6 +187,20 @@
             if state.load.running
         }
 
+    def reads(self) -> tuple[list[PromptRead], int]:
+        """Return the prompts that this router sent last, and how many in all."""
+        return list(self._reads), self._reads_count
+
+    def note_read(self, read: PromptRead) -> None:
+        """Take over that another router has sent a prompt.
+
+        Args:
+            read: The prompt and its engine.
+        """
+        state = self._by_id.get(read.server_id)
+        if state is not None:
+            state.load.cache.note_read(read.prompt)
+
     def update(self, digests: list[Digest]) -> None:
         """Take over what the other routers told.
 
@@ -247,14 +273,21 @@
         key = server.record.incarnation()
         state = self._states.get(key)
         if state is None:
-            state = self._states[key] = ServerState(
+            server_id = server.record.server_id
+            cache = PrefixCache(self._cache_tokens(server.record.service))
+            state = self._states[key] = self._by_id[server_id] = ServerState(
                 server,
-                EngineLoad(server.record.server_id),
+                EngineLoad(server_id, cache),
                 ServerHealth(),
                 WindowLimit(self.context.clock, COLD_WINDOW_MS),
             )
         return state
 
+    def _cache_tokens(self, service_name: str) -> int:
+        service = self._manifest.services.get(service_name)
+        has_engine = service is not None and service.engine is not None
+        return service.engine.cache_tokens if has_engine else 0
+
     def _on_change(self, kind: str, server: Server) -> None:
         record = server.record
         self.context.timeline.record(
@@ -265,7 +298,9 @@
             cold_ms=record.cold_left_ms,
         )
         if kind == "left":
-            self._states.pop(record.incarnation(), None)
+            state = self._states.pop(record.incarnation(), None)
+            if state is not None and self._by_id.get(record.server_id) is state:
+                del self._by_id[record.server_id]
 
 
 def _no_server(reason: str) -> Refusal:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -149,7 +149,11 @@
             self.log,
         )
         self.digests = PeerDigests(
-            context, self.routers, self._make_digest, self.dispatcher.update
+            context,
+            self.routers,
+            self._make_digest,
+            self.dispatcher.update,
+            self.dispatcher.note_read,
         )
         self.directory.subscribe(self._on_server)
         self.view = StoreView(
@@ -235,6 +239,7 @@
             self.dispatcher.pending(),
             asked,
             admitted,
+            *self.dispatcher.reads(),
         )
 
     def _on_server(self, kind: str, server: Server) -> None:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_call.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_call.py
@@ -100,9 +100,11 @@
     if not head.prompt_tokens and not head.prompt_parts:
         return None
     shared = []
-    key = head.model
+    key = 0
     for part in head.prompt_parts[:-1]:
-        key = f"{key}/{part.part_id}"
+        # 63 bits, since negative keys have another meaning in `PrefixCache`.
+        text = f"{key}/{head.model}/{part.part_id}"
+        key = xxh64_intdigest(text.encode()) >> 1
         shared.append(SharedPart(key, part.tokens))
     shared_tokens = sum(part.tokens for part in shared)
     return Prompt(tuple(shared), max(0, head.prompt_tokens - shared_tokens))
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
@@ -15,6 +15,7 @@
 import msgpack
 
 from lagoonsail_core.green import green_socket
+from lagoonsail_sharing.first_token import Prompt, SharedPart
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -34,6 +35,27 @@
 """Changes with the layout of a digest; others are left out."""
 
 
+@dataclass(slots=True, frozen=True)
+class PromptRead:
+    """A prompt that a router sent to an engine."""
+
+    server_id: str
+    """The engine."""
+    prompt: Prompt
+    """The prompt."""
+
+    def encode(self) -> list:
+        """Return what stands for it in a digest."""
+        parts = [[part.key, part.tokens] for part in self.prompt.shared]
+        return [self.server_id, parts, self.prompt.own_tokens]
+
+
+def _decode_read(fields: list) -> PromptRead:
+    server_id, parts, own_tokens = fields
+    shared = tuple(SharedPart(int(key), int(tokens)) for key, tokens in parts)
+    return PromptRead(str(server_id), Prompt(shared, int(own_tokens)))
+
+
 @dataclass(slots=True)
 class Digest:
     """What a router tells about its own work."""
@@ -50,6 +72,10 @@
     """Sums of what was asked, by client account."""
     admitted: dict[str, float] = field(default_factory=dict)
     """Sums of what was admitted, by client account."""
+    reads: list[PromptRead] = field(default_factory=list)
+    """The prompts that it sent last, in order; some were told before."""
+    reads_count: int = 0
+    """Prompts that it has sent since its start, the last of `reads` included."""
 
     def encode(self) -> bytes:
         """Return the datagram."""
@@ -62,6 +88,8 @@
                 self.pending,
                 self.asked,
                 self.admitted,
+                [read.encode() for read in self.reads],
+                self.reads_count,
             ]
         )
 
@@ -79,11 +107,10 @@
         True
     """
     try:
-        version, router, incarnation, number, pending, asked, admitted = (
-            msgpack.unpackb(data)
-        )
+        version, *fields = msgpack.unpackb(data)
         if version != FORMAT_VERSION:
             return None
+        router, incarnation, number, pending, asked, admitted, reads, count = fields
         return Digest(
             str(router),
             int(incarnation),
@@ -91,6 +118,8 @@
             {str(server): (int(n), int(t)) for server, (n, t) in pending.items()},
             {str(account): float(value) for account, value in asked.items()},
             {str(account): float(value) for account, value in admitted.items()},
+            [_decode_read(read) for read in reads],
+            int(count),
         )
     except (ValueError, TypeError, AttributeError, msgpack.exceptions.UnpackException):
         return None
@@ -106,6 +135,7 @@
         "_next_peer",
         "_number",
         "_on_change",
+        "_on_read",
         "_routers",
         "_sock",
     )
@@ -116,6 +146,7 @@
         routers: RouterCount,
         make: Callable[[int], Digest],
         on_change: Callable[[list[Digest]], None],
+        on_read: Callable[[PromptRead], None],
     ) -> None:
         """Prepare the exchange.
 
@@ -124,11 +155,13 @@
             routers: The other routers and their addresses.
             make: Makes this router's digest, given its number.
             on_change: Takes the newest digests of all others after each round.
+            on_read: Takes each prompt that another router has sent, once.
         """
         self._context = context
         self._routers = routers
         self._make = make
         self._on_change = on_change
+        self._on_read = on_read
         self._heard: dict[str, tuple[float, Digest]] = {}
         self._number = 0
         self._next_peer = 0
@@ -169,6 +202,8 @@
         elif _order(known[1]) >= _order(digest):
             return
         self._heard[digest.router] = (now_ms, digest)
+        for read in _new_reads(digest, known[1] if known else None):
+            self._on_read(read)
 
     def send_round(self) -> None:
         """Send a digest to the next routers in turn, and pass on what was heard."""
@@ -213,5 +248,12 @@
         return max(1.0, peers / MAX_PEERS_A_ROUND)
 
 
+def _new_reads(digest: Digest, known: Digest | None) -> list[PromptRead]:
+    if known is None or known.incarnation != digest.incarnation:
+        return digest.reads
+    count = min(len(digest.reads), max(0, digest.reads_count - known.reads_count))
+    return digest.reads[len(digest.reads) - count :]
+
+
 def _order(digest: Digest) -> tuple[int, int]:
     return digest.incarnation, digest.number
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
@@ -74,6 +74,7 @@
         "answer",
         "body",
         "call",
+        "decided",
         "first_ms",
         "state",
     )
@@ -108,6 +109,7 @@
         self.answer = None
         self.body = b""
         self.first_ms = 0.0
+        self.decided = {}
 
     def send(self) -> None:
         """Send the request and read the head of the answer.
@@ -118,6 +120,8 @@
         call = self.call
         call.tried.add(self.state.server.record.server_id)
         self._run = self._dispatcher.begin(call, self.state)
+        load = self.state.load
+        self.decided = {"queue_ms": round(self._run.queue_ms), "unread": self._run.unread, "run": load.running, "orun": load.others_running, "sent": self._run.sent_ms}
         connection = self._connect()
         call.arrivals += 1
         call.runs += 1
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/first_token.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/first_token.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from xxhash import xxh64_intdigest
@@ -22,6 +22,8 @@
 
 BATCH_MS_PER_REQUEST = 0.5
 """Delay of a first token by each request that already runs, as steps grow longer."""
+COST_STEP_MS = 20.0
+"""Difference of costs that is smaller than what they are known to."""
 REREAD_WEIGHT = 1.0
 """Weight of reading again what another engine holds, beyond the time that it takes.
 
@@ -34,8 +36,8 @@
 class SharedPart:
     """A part of a prompt that other prompts may begin with as well."""
 
-    key: str
-    """Names the part and all parts before it."""
+    key: int
+    """Hash of the part and all parts before it."""
     tokens: int
     """Its own tokens."""
 
@@ -50,9 +52,74 @@
     """Tokens behind them."""
 
     @property
-    def prefix(self) -> str:
-        """Key of the longest shared prefix, empty if there is none."""
-        return self.shared[-1].key if self.shared else ""
+    def prefix(self) -> int:
+        """Key of the longest shared prefix, 0 if there is none."""
+        return self.shared[-1].key if self.shared else 0
+
+
+class PrefixCache:
+    """What an engine is likely to keep, by what was sent there.
+
+    Prompts that nobody asks for again take room as well, so a shared part that is not
+    used yields after some seconds of traffic.
+
+    Example:
+        >>> cache = PrefixCache(capacity_tokens=100)
+        >>> prompt = Prompt((SharedPart(7, 60),), own_tokens=30)
+        >>> cache.unread_tokens(prompt)
+        60
+        >>> cache.note_read(prompt)
+        >>> cache.unread_tokens(prompt)
+        0
+        >>> cache.note_read(Prompt((), own_tokens=50))
+        >>> cache.unread_tokens(prompt)
+        60
+    """
+
+    __slots__ = ("_own", "_parts", "_tokens", "capacity_tokens")
+
+    capacity_tokens: int
+    """Tokens that the engine can keep."""
+
+    def __init__(self, capacity_tokens: int) -> None:
+        self._parts: OrderedDict[int, int] = OrderedDict()
+        self._tokens = 0
+        self._own = 0
+        self.capacity_tokens = capacity_tokens
+
+    def unread_tokens(self, prompt: Prompt) -> int:
+        """Return how many shared tokens of a prompt the engine is likely to read.
+
+        Args:
+            prompt: The prompt.
+        """
+        unread = 0
+        for part in prompt.shared:
+            # Behind a part that is missing nothing can be kept.
+            if unread or part.key not in self._parts:
+                unread += part.tokens
+        return unread
+
+    def note_read(self, prompt: Prompt) -> None:
+        """Remember that the engine reads a prompt.
+
+        Args:
+            prompt: The prompt.
+        """
+        # Keys of parts that nobody shares are negative, so that they meet no hash.
+        self._own -= 1
+        self._put(self._own, prompt.own_tokens)
+        # The last part goes first: what stands behind a lost part is of no use.
+        for part in reversed(prompt.shared):
+            self._put(part.key, part.tokens)
+        while self._parts and self._tokens > self.capacity_tokens:
+            _, tokens = self._parts.popitem(last=False)
+            self._tokens -= tokens
+
+    def _put(self, key: int, tokens: int) -> None:
+        self._tokens += tokens - self._parts.get(key, 0)
+        self._parts[key] = tokens
+        self._parts.move_to_end(key)
 
 
 @dataclass(slots=True)
@@ -61,6 +128,8 @@
 
     engine_id: str
     """Names the engine, the same at every router."""
+    cache: PrefixCache
+    """What it is likely to keep."""
     pending_tokens: float = 0.0
     """Prompt tokens that this router sent and that brought no first token yet."""
     running: int = 0
@@ -69,8 +138,6 @@
     """The same of all other routers, as they told last."""
     others_running: int = 0
     """The same of all other routers, as they told last."""
-    _held: OrderedDict[str, int] = field(default_factory=OrderedDict)
-    _held_tokens: int = 0
 
     def total_running(self) -> int:
         """Return the requests of all routers that have not ended."""
@@ -84,38 +151,6 @@
         """
         return (self.pending_tokens + self.others_pending_tokens) / tokens_per_ms
 
-    def unread_tokens(self, prompt: Prompt, *, is_home: bool) -> int:
-        """Return how many shared tokens of a prompt the engine is likely to read.
-
-        Args:
-            prompt: The prompt.
-            is_home: Whether other routers send the prefix there as well.
-        """
-        if is_home:
-            return 0
-        unread = 0
-        for part in prompt.shared:
-            # Behind a part that is missing nothing can be kept.
-            if unread or part.key not in self._held:
-                unread += part.tokens
-        return unread
-
-    def note_held(self, prompt: Prompt, cache_tokens: int) -> None:
-        """Remember that the engine reads a prompt.
-
-        Args:
-            prompt: The prompt.
-            cache_tokens: Tokens that the engine can keep.
-        """
-        for part in prompt.shared:
-            if part.key not in self._held:
-                self._held_tokens += part.tokens
-            self._held[part.key] = part.tokens
-            self._held.move_to_end(part.key)
-        while self._held and self._held_tokens > cache_tokens:
-            _, tokens = self._held.popitem(last=False)
-            self._held_tokens -= tokens
-
 
 @dataclass(slots=True, frozen=True)
 class Choice:
@@ -127,9 +162,9 @@
     """Time until the engine begins to read it, and what it takes from others."""
 
 
-def rank(prefix: str, engine_id: str) -> int:
+def rank(prefix: int, engine_id: str) -> int:
     """Return the rank of an engine for a prefix; the highest is the prefix's home."""
-    return xxh64_intdigest(f"{prefix}\0{engine_id}".encode())
+    return xxh64_intdigest(f"{prefix}/{engine_id}".encode())
 
 
 def choose_engine(
@@ -149,18 +184,19 @@
     Returns:
         The choice, None if no engine is allowed.
     """
-    ranks = {load.engine_id: rank(prompt.prefix, load.engine_id) for load in loads}
-    home_id = max(ranks, key=ranks.get) if prompt.shared else ""
+    unread = {load.engine_id: load.cache.unread_tokens(prompt) for load in loads}
+    # What no engine keeps must be read by one of them; the rest is read again.
+    least_unread = min(unread.values(), default=0)
     best: tuple[float, int] | None = None
     choice = None
     for load in loads:
         if not is_allowed(load):
             continue
-        unread = load.unread_tokens(prompt, is_home=load.engine_id == home_id)
-        reread_ms = unread / tokens_per_ms
+        reread_ms = (unread[load.engine_id] - least_unread) / tokens_per_ms
         delay_ms = load.queue_ms(tokens_per_ms) + REREAD_WEIGHT * reread_ms
         cost_ms = delay_ms + reread_ms + load.total_running() * BATCH_MS_PER_REQUEST
-        key = (cost_ms, -ranks[load.engine_id])
+        # Costs that hardly differ give way to the home, so that all routers agree.
+        key = (cost_ms // COST_STEP_MS, -rank(prompt.prefix, load.engine_id))
         if best is None or key < best:
             best = key
             choice = Choice(load, delay_ms)
