--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/admission.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/admission.py
@@ -21,16 +21,20 @@
     from lagoonsail_core.clock import Clock
     from lagoonsail_gateway.peer_digests import Digest
 
-LONGEST_QUEUE_PART = 1.2
-"""Part of its objective that a request of an account below its share may wait."""
-QUEUE_PART = 0.5
-"""Part that a request of an account at its share may wait."""
-FREE_QUEUE_PART = 0.08
-"""Part that a request of any account may wait: the engine is as good as free."""
-BELOW_SHARE_SLOPE = 1.4
-"""How much more of it a request may wait, for each part of the share that is left."""
-EXCESS_SLOPE = 2.0
-"""How much less of it a request may wait, for each part above the share."""
+CALM_WAIT_PART = 1.2
+"""Part of its objective that a request may wait while all accounts get what they ask
+for: a short burst, which is served late rather than not at all."""
+IN_TIME_PART = 0.8
+"""Part of its objective within which a request should be read while accounts contend."""
+SHORTEST_WAIT_PART = 0.3
+"""Part that a request may wait though it takes long to read itself."""
+FREE_PART = 0.1
+"""Part of the allowed wait that is left to an account far above its share: the engine is
+as good as free."""
+FULL_WAIT_EXCESS = 0.85
+"""What an account got, relative to its share, from which on its requests wait less."""
+EXCESS_SLOPE = 2.5
+"""How much less of the allowed wait is left, for each part of the share beyond that."""
 SURE_PART = 0.6
 """Part of the stated rate that engines serve even while some of them are away."""
 SHORTEST_RETRY_S = 0.2
@@ -120,17 +124,18 @@
         capacity = max(sum(admitted.values()), self.known_capacity)
         self._level = fair_level(asked.values(), capacity)
 
-    def excess(self, account: str) -> float:
+    def excess(self, account: str) -> float | None:
         """Return what an account was admitted, relative to its max-min share.
 
         Args:
             account: The client account.
 
         Returns:
-            0 for an account that asks for less than its share.
+            0 for an account that asks for less than its share, None while all accounts
+            together ask for no more than the engines serve.
         """
         if math.isinf(self._level) or self._level <= 0:
-            return 0.0
+            return None
         now_ms = self._clock.now_ms()
         asked = self._asked.value(account, now_ms)
         if asked + self._others_asked.get(account, 0.0) <= self._level:
@@ -139,34 +144,43 @@
         return (admitted + self._others_admitted.get(account, 0.0)) / self._level
 
 
-def longest_wait_ms(objective_ms: float, excess: float) -> float:
+def longest_wait_ms(objective_ms: float, read_ms: float, excess: float | None) -> float:
     """Return how long a request may wait at an engine.
 
     Args:
         objective_ms: Time within which its answer should begin.
-        excess: What its account got, relative to its share.
+        read_ms: How long the engine reads the request itself.
+        excess: What its account got, relative to its share; None if all get what they
+            ask for.
 
     Example:
-        >>> [longest_wait_ms(800.0, excess) for excess in (0.0, 1.0, 2.0)]
-        [960.0, 400.0, 64.0]
+        >>> [longest_wait_ms(800.0, 40.0, excess) for excess in (None, 0.0, 1.05, 2.0)]
+        [960.0, 600.0, 300.0, 60.0]
     """
-    slope = BELOW_SHARE_SLOPE if excess < 1.0 else EXCESS_SLOPE
-    part = QUEUE_PART + slope * (1.0 - excess)
-    return objective_ms * min(LONGEST_QUEUE_PART, max(FREE_QUEUE_PART, part))
+    if excess is None:
+        return objective_ms * CALM_WAIT_PART
+    in_time_ms = objective_ms * IN_TIME_PART - read_ms
+    wait_ms = max(in_time_ms, objective_ms * SHORTEST_WAIT_PART)
+    left = 1.0 - EXCESS_SLOPE * (excess - FULL_WAIT_EXCESS)
+    return round(wait_ms * min(1.0, max(FREE_PART, left)), 1)
 
 
-def judge_wait(delay_ms: float, objective_ms: float, excess: float) -> Refusal | None:
+def judge_wait(
+    delay_ms: float, read_ms: float, objective_ms: float, excess: float | None
+) -> Refusal | None:
     """Return why a request is refused, None if it may wait at the engine.
 
     Args:
         delay_ms: How long it would wait at the best engine.
+        read_ms: How long that engine reads the request itself.
         objective_ms: Time within which its answer should begin.
-        excess: What its account got, relative to its share.
+        excess: What its account got, relative to its share; None if all get what they
+            ask for.
     """
-    allowed_ms = longest_wait_ms(objective_ms, excess)
+    allowed_ms = longest_wait_ms(objective_ms, read_ms, excess)
     if delay_ms <= allowed_ms:
         return None
-    is_over_share = excess > 1.0
+    is_over_share = excess is not None and excess > 1.0
     wait_ms = delay_ms - allowed_ms
     if is_over_share:
         # Its sum must fade to the share first.
@@ -174,7 +188,7 @@
     return Refusal(
         "over_share" if is_over_share else "engines_full",
         f"{delay_ms:.0f} ms wait at the best engine, {allowed_ms:.0f} ms allowed "
-        f"at {excess:.2f} of the share",
+        f"at {excess if excess is None else round(excess, 2)} of the share",
         round(min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, wait_ms / 1000.0)), 2),
         is_over_share,
     )
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -22,7 +22,7 @@
     from lagoonsail_gateway.server_directory import Server, ServerDirectory
     from lagoonsail_router.context import RouterContext
 
-PREFILL_TOKENS_PER_MS = 45.0
+PREFILL_TOKENS_PER_MS = 50.0
 """Prompt tokens that an engine is assumed to read in a millisecond."""
 RETRY_AFTER_NO_SERVER_S = 0.5
 """When to try again where no server may get a request now."""
@@ -53,7 +53,16 @@
 class Run:
     """One request at one server, from its sending to its end."""
 
-    __slots__ = ("_dispatcher", "_is_read", "_unread", "call", "queue_ms", "sent_ms", "state", "unread")
+    __slots__ = (
+        "_dispatcher",
+        "_is_read",
+        "_unread",
+        "call",
+        "queue_ms",
+        "sent_ms",
+        "state",
+        "unread",
+    )
 
     call: GatewayCall
     """The request."""
@@ -253,7 +262,9 @@
             lambda load: load.engine_id in by_id,
         )
         excess = self.accounts.excess(call.account)
-        refusal = judge_wait(choice.delay_ms, call.route.objective_ms, excess)
+        refusal = judge_wait(
+            choice.delay_ms, choice.read_ms, call.route.objective_ms, excess
+        )
         return refusal or by_id[choice.load.engine_id]
 
     def _plain_load(self, state: ServerState) -> tuple[float, float]:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
@@ -121,7 +121,13 @@
         call.tried.add(self.state.server.record.server_id)
         self._run = self._dispatcher.begin(call, self.state)
         load = self.state.load
-        self.decided = {"queue_ms": round(self._run.queue_ms), "unread": self._run.unread, "run": load.running, "orun": load.others_running, "sent": self._run.sent_ms}
+        self.decided = {
+            "queue_ms": round(self._run.queue_ms),
+            "unread": self._run.unread,
+            "run": load.running,
+            "orun": load.others_running,
+            "sent": self._run.sent_ms,
+        }
         connection = self._connect()
         call.arrivals += 1
         call.runs += 1
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/first_token.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/first_token.py
@@ -160,6 +160,8 @@
     """The engine."""
     delay_ms: float
     """Time until the engine begins to read it, and what it takes from others."""
+    read_ms: float
+    """Time that the engine takes to read it."""
 
 
 def rank(prefix: int, engine_id: str) -> int:
@@ -199,5 +201,6 @@
         key = (cost_ms // COST_STEP_MS, -rank(prompt.prefix, load.engine_id))
         if best is None or key < best:
             best = key
-            choice = Choice(load, delay_ms)
+            read_ms = (unread[load.engine_id] + prompt.own_tokens) / tokens_per_ms
+            choice = Choice(load, delay_ms, read_ms)
     return choice
