Give silent servers no new work, and keep connections as long as servers say

Ruled out: keeping them for requests that cannot be sent again, as servers drop some sooner; a silence of 600 ms, which is too near to what long prompts take.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/connection_pool.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/connection_pool.py
@@ -13,8 +13,9 @@
 
 CONNECT_TIMEOUT_MS = 400.0
 """Time allowed for a connection: many round trips, and a small part of a deadline."""
-MAX_IDLE_MS = 2500.0
-"""How long a connection is kept unused; below the idle limits of servers."""
+SURE_IDLE_MS = 2500.0
+"""How long a connection may be unused for a request that cannot be sent again, since
+servers drop connections sooner than they say."""
 MAX_IDLE_PER_SERVER = 64
 """Unused connections to one server that are kept."""
 
@@ -35,25 +36,29 @@
         self.opened = 0
         self.reused = 0
 
-    def take(self, server: Server, *, is_new: bool) -> tuple[ServerConnection, bool]:
-        """Return a connection to a server, and whether it was used before.
+    def take(self, server: Server, *, is_repeatable: bool) -> ServerConnection:
+        """Return a connection to a server.
 
         Args:
             server: The server.
-            is_new: Whether a kept connection will not do.
+            is_repeatable: Whether the request may be sent again.
 
         Raises:
             ConnectFailedError: If a new one is needed and the server is out of reach.
         """
         idle = self._idle.get(server.record.incarnation(), [])
-        while idle and not is_new:
+        while idle:
+            # The one used last is the least likely to have been dropped.
             connection = idle.pop()
             if self._is_fresh(connection) and connection.is_quiet():
-                self.reused += 1
-                return connection, True
+                if is_repeatable or self._idle_ms(connection) < SURE_IDLE_MS:
+                    self.reused += 1
+                    return connection
+                idle.append(connection)
+                break
             connection.close()
         self.opened += 1
-        return connect(server.record.address, self._clock, CONNECT_TIMEOUT_MS), False
+        return connect(server.record.address, self._clock, CONNECT_TIMEOUT_MS)
 
     def give_back(self, server: Server, connection: ServerConnection) -> None:
         """Keep a connection for later requests.
@@ -90,4 +95,7 @@
                 del self._idle[key]
 
     def _is_fresh(self, connection: ServerConnection) -> bool:
-        return self._clock.now_ms() - connection.idle_since_ms < MAX_IDLE_MS
+        return self._idle_ms(connection) < connection.idle_limit_ms
+
+    def _idle_ms(self, connection: ServerConnection) -> float:
+        return self._clock.now_ms() - connection.idle_since_ms
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -18,7 +18,6 @@
     from lagoonsail_gateway.gateway_call import GatewayCall
     from lagoonsail_gateway.manifest import Manifest, Service
     from lagoonsail_gateway.peer_digests import Digest
-    from lagoonsail_gateway.request_format import ServerLoad
     from lagoonsail_gateway.server_directory import Server, ServerDirectory
     from lagoonsail_router.context import RouterContext
 
@@ -26,6 +25,10 @@
 """Prompt tokens that an engine is assumed to read in a millisecond."""
 RETRY_AFTER_NO_SERVER_S = 0.5
 """When to try again where no server may get a request now."""
+SILENCE_MS = 1000.0
+"""How long a server with work may send nothing, beyond the time that it reads."""
+SILENCE_READ_FACTOR = 1.5
+"""By how much reading may take longer than expected."""
 READS_TOLD = 48
 """Prompts that a digest tells: more than a router sends until all were told twice."""
 COLD_WINDOW_MS = 1000.0
@@ -44,10 +47,8 @@
     """How its answers went."""
     cold: WindowLimit
     """Requests sent while it was cold."""
-    reported: ServerLoad | None = None
-    """Load that it told last."""
-    reported_ms: float = float("-inf")
-    """When it told it."""
+    heard_ms: float = 0.0
+    """When something came from it, or the first of its running requests was sent."""
 
 
 class Run:
@@ -56,35 +57,43 @@
     __slots__ = (
         "_dispatcher",
         "_is_read",
+        "_queue_ms",
         "_unread",
-        "call",
-        "queue_ms",
-        "sent_ms",
         "state",
-        "unread",
     )
 
-    call: GatewayCall
-    """The request."""
     state: ServerState
     """The server."""
-    sent_ms: float
-    """When it was sent."""
 
-    def __init__(
-        self, dispatcher: Dispatcher, call: GatewayCall, state: ServerState, unread: int
-    ) -> None:
+    def __init__(self, dispatcher: Dispatcher, state: ServerState, unread: int) -> None:
         self._dispatcher = dispatcher
         self._is_read = False
+        self._queue_ms = state.load.queue_ms(PREFILL_TOKENS_PER_MS)
         self._unread = unread
-        self.call = call
         self.state = state
-        self.sent_ms = dispatcher.context.clock.now_ms()
-        self.queue_ms = state.load.queue_ms(PREFILL_TOKENS_PER_MS)
-        self.unread = unread
         state.load.pending_tokens += unread
         state.load.running += 1
 
+    def describe(self) -> dict[str, object]:
+        """Return what the choice of the server was based on."""
+        load = self.state.load
+        return {
+            "queue_ms": round(self._queue_ms),
+            "unread_tokens": self._unread,
+            "running_here": load.running,
+            "running_elsewhere": load.others_running,
+        }
+
+    def note_sent(self) -> None:
+        """Note that the request leaves; from now on the server owes an answer."""
+        state = self.state
+        if state.load.running == 1:
+            state.heard_ms = self._dispatcher.context.clock.now_ms()
+
+    def note_heard(self) -> None:
+        """Note that something came from the server."""
+        self.state.heard_ms = self._dispatcher.context.clock.now_ms()
+
     def note_first(self) -> None:
         """Note that the first part of the answer has come."""
         if self._is_read:
@@ -183,7 +192,7 @@
             state.load.cache.note_read(call.prompt)
             self._reads.append(PromptRead(state.server.record.server_id, call.prompt))
             self._reads_count += 1
-        return Run(self, call, state, unread)
+        return Run(self, state, unread)
 
     def pending(self) -> dict[str, tuple[int, int]]:
         """Return running requests and unread tokens of this router by server."""
@@ -227,11 +236,6 @@
         """Return whether a server that was chosen may still get the request."""
         return self._directory.is_usable(state.server)
 
-    def note_load(self, state: ServerState, load: ServerLoad) -> None:
-        """Take over what a server says of its load."""
-        state.reported = load
-        state.reported_ms = self.context.clock.now_ms()
-
     def judge(self, state: ServerState, is_good: bool) -> None:
         """Take over how a request went at a server."""
         change = state.health.note(self.context.clock.now_ms(), is_good)
@@ -245,10 +249,24 @@
 
     def _healthy(self, states: list[ServerState]) -> list[ServerState]:
         now_ms = self.context.clock.now_ms()
-        healthy = [s for s in states if s.health.may_get(now_ms)]
+        healthy = [
+            state
+            for state in states
+            if state.health.may_get(now_ms) and not self._is_silent(state, now_ms)
+        ]
         # With most servers in doubt the doubt itself is doubtful.
         return healthy if 2 * len(healthy) >= len(states) else states
 
+    def _is_silent(self, state: ServerState, now_ms: float) -> bool:
+        """Return whether a server with work has sent nothing for longer than it may.
+
+        A server that crashed without a reset, or that is cut off, shows only that.
+        """
+        if not state.load.running:
+            return False
+        read_ms = state.load.queue_ms(PREFILL_TOKENS_PER_MS)
+        return now_ms - state.heard_ms > SILENCE_MS + SILENCE_READ_FACTOR * read_ms
+
     def _place(
         self, call: GatewayCall, states: list[ServerState], allowed: list[ServerState]
     ) -> ServerState | Refusal:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
@@ -83,6 +83,8 @@
     """The answer once its head is there."""
     body: bytes
     """What `read_whole` has read."""
+    decided: dict[str, object]
+    """What the choice of the server was based on, for the log."""
     first_ms: float
     """When the first part of the body came, 0 until then."""
     state: ServerState
@@ -109,7 +111,7 @@
         self.answer = None
         self.body = b""
         self.first_ms = 0.0
-        self.decided = {}
+        self.decided: dict[str, object] = {}
 
     def send(self) -> None:
         """Send the request and read the head of the answer.
@@ -120,22 +122,17 @@
         call = self.call
         call.tried.add(self.state.server.record.server_id)
         self._run = self._dispatcher.begin(call, self.state)
-        load = self.state.load
-        self.decided = {
-            "queue_ms": round(self._run.queue_ms),
-            "unread": self._run.unread,
-            "run": load.running,
-            "orun": load.others_running,
-            "sent": self._run.sent_ms,
-        }
+        self.decided = self._run.describe()
         connection = self._connect()
         call.arrivals += 1
         call.runs += 1
+        self._run.note_sent()
         try:
             connection.send(self._request_bytes(), self._limit_ms())
             answer = connection.read_head(self._limit_ms(), self._is_expected)
         except ConnectionLostError as error:
             raise self._failed(error) from error
+        self._run.note_heard()
         self._check_head(answer)
         self.answer = answer
 
@@ -178,6 +175,7 @@
         try:
             while part := self._connection.read_more(self.answer, self._limit_ms()):
                 self._note_first()
+                self._run.note_heard()
                 if self.call.route.is_resumable:
                     part, rest = _split_events(rest + part)
                     self._note_events(part)
@@ -213,9 +211,9 @@
 
     def _connect(self) -> ServerConnection:
         server = self.state.server
-        is_new = not self.call.route.is_repeatable() and self.call.arrivals > 0
+        is_repeatable = self.call.route.is_repeatable()
         try:
-            connection, _ = self._pool.take(server, is_new=is_new)
+            connection = self._pool.take(server, is_repeatable=is_repeatable)
         except ConnectFailedError as error:
             self._end_run(is_good=False)
             raise AttemptFailedError(UNREACHABLE, str(error)) from error
@@ -254,8 +252,6 @@
 
     def _check_head(self, answer: Answer) -> None:
         facts = self._format.read_answer(answer.status, answer.headers)
-        if facts.load is not None:
-            self._dispatcher.note_load(self.state, facts.load)
         if facts.is_not_run or facts.is_wrong_server:
             self.call.runs -= 1
             self._drain_and_end(answer, is_good=None)
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
@@ -28,6 +28,10 @@
 """Most that is written at once, so that an early answer is seen between the parts."""
 WRITE_WAIT_MS = 100.0
 """How long one write may wait before the connection is looked at for an early answer."""
+UNSTATED_IDLE_MS = 2500.0
+"""How long a connection may be unused if the server does not say how long it waits."""
+IDLE_MARGIN_MS = 1500.0
+"""By how much an unused connection is closed before the server would close it."""
 ABORTED = "aborted"
 """Reason of a connection that was given up on purpose."""
 
@@ -61,6 +65,8 @@
     """Whether the server keeps the connection open after this answer."""
     ends_with_connection: bool = False
     """Whether only the end of the connection ends the body."""
+    idle_limit_ms: float = UNSTATED_IDLE_MS
+    """How long the server keeps the connection open when it is not used."""
     parts: list[bytes] = field(default_factory=list)
     """Parts of the body that were not taken yet."""
 
@@ -92,7 +98,8 @@
         answer = self.answers[-1]
         answer.status = self.parser.get_status_code()
         answer.keeps_open = self.parser.should_keep_alive()
-        names = {name.lower() for name, _ in answer.headers}
+        names = {name.lower(): value for name, value in answer.headers}
+        answer.idle_limit_ms = _read_idle_limit_ms(names.get("keep-alive", ""))
         has_body = answer.status >= 200 and answer.status not in (204, 304)
         is_framed = "content-length" in names or "transfer-encoding" in names
         answer.ends_with_connection = has_body and not is_framed
@@ -118,12 +125,15 @@
         "_is_fully_sent",
         "_reader",
         "_sock",
+        "idle_limit_ms",
         "idle_since_ms",
         "received_bytes",
     )
 
     idle_since_ms: float
     """When the last answer was complete."""
+    idle_limit_ms: float
+    """How long it may be unused."""
     received_bytes: int
     """Bytes received since the last request was sent."""
 
@@ -134,6 +144,7 @@
         self._is_aborted = False
         self._is_fully_sent = True
         self.idle_since_ms = clock.now_ms()
+        self.idle_limit_ms = UNSTATED_IDLE_MS
         self.received_bytes = 0
 
     def is_quiet(self) -> bool:
@@ -225,6 +236,7 @@
             return False
         answers.popleft()
         self.idle_since_ms = self._clock.now_ms()
+        self.idle_limit_ms = answer.idle_limit_ms
         return answer.is_whole and answer.keeps_open and self.is_quiet()
 
     def abort(self) -> None:
@@ -326,6 +338,20 @@
         return ABORTED if self._is_aborted else str(error)
 
 
+def _read_idle_limit_ms(keep_alive: str) -> float:
+    """Return how long a connection may be unused by a Keep-Alive header.
+
+    Example:
+        >>> _read_idle_limit_ms("timeout=10, max=100"), _read_idle_limit_ms("")
+        (8500.0, 2500.0)
+    """
+    for parameter in keep_alive.split(","):
+        name, _, value = parameter.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return max(0.0, int(value) * 1000.0 - IDLE_MARGIN_MS)
+    return UNSTATED_IDLE_MS
+
+
 def connect(address: str, clock: Clock, timeout_ms: float) -> ServerConnection:
     """Open a connection.
 
