Test the gateway's parts, and let a suspended server come back

Cause: a trial that brought no verdict (its caller left) kept a server out for ever, and answers that were on their way at the suspension doubled it at once. Ruled out: counting such answers as trials, which tell nothing new. Also a stand-in of the platform with a demonstration, make demo-platform.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 DURATION_S ?= 60
 
-.PHONY: install format lint test demo prove measure path-cost prefix-locality
+.PHONY: install format lint test demo demo-platform prove measure path-cost prefix-locality
 
 install: $(VENV)/.installed
 
@@ -29,6 +29,9 @@
 demo: install
 	$(PYTHON) -m lagoonsail_lab.demo
 
+demo-platform: install
+	PYTHONPATH=platform/src $(PYTHON) -m lagoonsail_platform_standin.demo
+
 prove: install
 	$(PYTHON) -m lagoonsail_lab.prove --seed $(SEED) --duration-s $(DURATION_S)
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -59,9 +59,12 @@
         "_is_read",
         "_queue_ms",
         "_unread",
+        "sent_ms",
         "state",
     )
 
+    sent_ms: float
+    """When it was sent."""
     state: ServerState
     """The server."""
 
@@ -70,6 +73,7 @@
         self._is_read = False
         self._queue_ms = state.load.queue_ms(PREFILL_TOKENS_PER_MS)
         self._unread = unread
+        self.sent_ms = dispatcher.context.clock.now_ms()
         self.state = state
         state.load.pending_tokens += unread
         state.load.running += 1
@@ -110,7 +114,7 @@
         self.note_first()
         self.state.load.running -= 1
         if is_good is not None:
-            self._dispatcher.judge(self.state, is_good)
+            self._dispatcher.judge(self.state, is_good, self.sent_ms)
 
 
 class Dispatcher:
@@ -236,9 +240,15 @@
         """Return whether a server that was chosen may still get the request."""
         return self._directory.is_usable(state.server)
 
-    def judge(self, state: ServerState, is_good: bool) -> None:
-        """Take over how a request went at a server."""
-        change = state.health.note(self.context.clock.now_ms(), is_good)
+    def judge(self, state: ServerState, is_good: bool, sent_ms: float) -> None:
+        """Take over how a request went at a server.
+
+        Args:
+            state: The server.
+            is_good: Whether it did well.
+            sent_ms: When the request was sent.
+        """
+        change = state.health.note(self.context.clock.now_ms(), is_good, sent_ms)
         if change:
             self.context.timeline.record(
                 change,
--- a/packages/lagoonsail-gateway/tests/conftest.py
+++ b/packages/lagoonsail-gateway/tests/conftest.py
@@ -7,10 +7,13 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from types import SimpleNamespace
 
 import pytest
 
 from lagoonsail_core.clock import Clock
+from lagoonsail_gateway.server_directory import READY, ServerRecord
+from lagoonsail_router.context import RouterContext
 
 RESET = b"(reset)"
 """Step of a script: reset the connection."""
@@ -98,3 +101,47 @@
 @pytest.fixture
 def hand_clock() -> HandClock:
     return HandClock()
+
+
+def _answer(request_id: str, body: bytes) -> bytes:
+    head = f"HTTP/1.1 200 OK\r\nId: {request_id}\r\nContent-Length: {len(body)}"
+    return head.encode() + b"\r\n\r\n" + body
+
+
+@pytest.fixture
+def steps() -> SimpleNamespace:
+    """Steps of a scripted server."""
+    return SimpleNamespace(RESET=RESET, CLOSE=CLOSE, answer=_answer)
+
+
+@pytest.fixture
+def make_record():
+    """Make the record of a backend server."""
+
+    def make(server_id="s1", **changes) -> ServerRecord:
+        fields = {
+            "server_id": server_id,
+            "service": "engine",
+            "address": "127.0.0.1:1",
+            "failure_domain": "north",
+            "state": READY,
+            "cold_left_ms": 0.0,
+            "born_ms": 1,
+        }
+        return ServerRecord(**(fields | changes))
+
+    return make
+
+
+@pytest.fixture
+def context(hand_clock) -> RouterContext:
+    return RouterContext(SimpleNamespace(name="r1"), hand_clock.clock())
+
+
+@pytest.fixture
+def free_address() -> str:
+    """Return an address at which nobody listens."""
+    sock = socket.create_server(("127.0.0.1", 0))
+    address = "127.0.0.1:%d" % sock.getsockname()[1]
+    sock.close()
+    return address
--- /dev/null
+++ b/packages/lagoonsail-gateway/tests/test_admission.py
@@ -0,0 +1,111 @@
+"""Who waits and who is refused, by pattern of load."""
+
+from __future__ import annotations
+
+import pytest
+
+from lagoonsail_gateway.admission import AccountLoad, judge_wait, longest_wait_ms
+from lagoonsail_gateway.peer_digests import Digest
+from lagoonsail_sharing.account_shares import FADE_MS
+
+OBJECTIVE_MS = 800.0
+
+
+@pytest.fixture
+def loads(hand_clock):
+    """The account loads of several routers, which hear each other at once."""
+
+    def make(count):
+        return [AccountLoad(hand_clock.clock()) for _ in range(count)]
+
+    return make
+
+
+def exchange(loads):
+    sums = [load.own_sums() for load in loads]
+    for me, load in enumerate(loads):
+        digests = [
+            Digest(f"r{n}", 1, 1, {}, asked, admitted)
+            for n, (asked, admitted) in enumerate(sums)
+            if n != me
+        ]
+        load.update(digests)
+
+
+def test_flood_from_all_hosts_is_above_its_share_everywhere(loads):
+    routers = loads(6)
+    for router in routers:
+        router.note_asked("flood", 900.0)
+        router.note_admitted("flood", 300.0)
+        router.note_asked("small", 50.0)
+        router.note_admitted("small", 50.0)
+    exchange(routers)
+    assert all(router.excess("flood") == pytest.approx(1.0, 0.01) for router in routers)
+    assert all(router.excess("small") == 0.0 for router in routers)
+
+
+def test_flood_at_one_host_is_seen_by_the_others(loads):
+    routers = loads(3)
+    routers[0].note_asked("flood", 9000.0)
+    routers[0].note_admitted("flood", 3000.0)
+    for router in routers:
+        router.note_asked("small", 50.0)
+        router.note_admitted("small", 50.0)
+    exchange(routers)
+    assert routers[2].excess("flood") >= 1.0
+
+
+def test_nobody_is_above_a_share_while_all_get_what_they_ask(loads):
+    (router,) = loads(1)
+    router.note_asked("large", 900.0)
+    router.note_admitted("large", 900.0)
+    router.update([])
+    assert router.excess("large") is None
+
+
+def test_first_requests_after_an_idle_time_are_above_no_share(loads):
+    (router,) = loads(1)
+    router.use_rate(240_000.0)
+    router.note_asked("large", 30_000.0)
+    router.note_admitted("large", 13_000.0)
+    router.note_asked("small", 1_000.0)
+    router.update([])
+    assert router.excess("large") is None
+
+
+def test_flood_that_ended_is_forgotten_within_seconds(loads, hand_clock):
+    (router,) = loads(1)
+    router.note_asked("flood", 9000.0)
+    router.note_admitted("flood", 3000.0)
+    hand_clock.ms += 6 * FADE_MS
+    router.note_asked("flood", 10.0)
+    router.note_admitted("flood", 10.0)
+    router.note_asked("small", 100.0)
+    router.note_admitted("small", 50.0)
+    router.update([])
+    assert router.excess("flood") == 0.0
+
+
+def test_short_burst_is_served_late_rather_than_refused():
+    assert judge_wait(900.0, 50.0, OBJECTIVE_MS, excess=None) is None
+
+
+def test_what_would_come_late_is_refused_while_accounts_contend():
+    refusal = judge_wait(700.0, 50.0, OBJECTIVE_MS, excess=0.5)
+    assert refusal.kind == "engines_full"
+    assert 0.1 <= refusal.retry_after_s <= 3.0
+
+
+def test_long_prompt_may_still_wait():
+    assert longest_wait_ms(OBJECTIVE_MS, read_ms=2000.0, excess=0.0) > 200.0
+
+
+def test_account_above_its_share_gets_engines_that_are_free():
+    assert judge_wait(10.0, 50.0, OBJECTIVE_MS, excess=5.0) is None
+    refusal = judge_wait(300.0, 50.0, OBJECTIVE_MS, excess=5.0)
+    assert refusal.is_over_share
+
+
+def test_wait_falls_steadily_with_what_an_account_got():
+    waits = [longest_wait_ms(OBJECTIVE_MS, 50.0, n / 10) for n in range(30)]
+    assert waits == sorted(waits, reverse=True)
--- /dev/null
+++ b/packages/lagoonsail-gateway/tests/test_fleet_share.py
@@ -0,0 +1,65 @@
+"""Bounds of the fleet hold also if every router decides alone."""
+
+from __future__ import annotations
+
+import pytest
+
+from lagoonsail_gateway.fleet_share import (
+    ASSUMED_ROUTERS,
+    RepeatShare,
+    RouterCount,
+    WindowLimit,
+)
+
+
+def make_routers(count):
+    addresses = {f"r{number}": f"10.0.0.{number}:7400" for number in range(count)}
+    routers = [RouterCount(name) for name in addresses]
+    for router in routers:
+        router.update(addresses)
+    return routers
+
+
+@pytest.mark.parametrize("count", [1, 5, 6, 9, 73])
+@pytest.mark.parametrize("total", [0, 1, 6, 14])
+def test_parts_add_up_to_the_whole(count, total):
+    parts = [router.part_of(total, "server-1") for router in make_routers(count)]
+    assert sum(parts) == total
+
+
+def test_other_servers_favour_other_routers():
+    routers = make_routers(6)
+    first = {r.name for r in routers if r.part_of(1, "server-1")}
+    others = {r.name for r in routers for n in range(20) if r.part_of(1, f"s{n}")}
+    assert len(first) == 1
+    assert len(others) > 3
+
+
+def test_router_that_knows_no_members_assumes_many():
+    router = RouterCount("r1")
+    assert router.count() == ASSUMED_ROUTERS
+    assert router.part_of(ASSUMED_ROUTERS - 1, "server-1") == 0
+
+
+def test_window_holds_for_any_span_of_its_length(hand_clock):
+    limit = WindowLimit(hand_clock.clock(), window_ms=1000.0)
+    taken = []
+    for _ in range(500):
+        hand_clock.ms += 10.0
+        if limit.take(3):
+            taken.append(hand_clock.ms)
+    for start_ms in taken:
+        inside = [ms for ms in taken if start_ms <= ms < start_ms + 1000.0]
+        assert len(inside) <= 3
+
+
+def test_repeats_of_all_routers_stay_within_the_budget(hand_clock):
+    shares = [
+        RepeatShare(hand_clock.clock(), router, 0.2, 52.0, 10_000.0)
+        for router in make_routers(6)
+    ]
+    for share in shares[:2]:
+        for _ in range(100):
+            share.note_request()
+    granted = sum(share.take() for share in shares for _ in range(500))
+    assert 40 < granted <= 0.2 * 200 + 52
--- /dev/null
+++ b/packages/lagoonsail-gateway/tests/test_peer_digests.py
@@ -0,0 +1,103 @@
+"""Digests that are lost, late, doubled, malformed, or of a router that restarted."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from lagoonsail_gateway.fleet_share import RouterCount
+from lagoonsail_gateway.peer_digests import (
+    FORGET_MS,
+    MAX_PEERS_A_ROUND,
+    Digest,
+    PeerDigests,
+    PromptRead,
+    decode_digest,
+)
+from lagoonsail_sharing.first_token import Prompt, SharedPart
+
+
+def read(number):
+    return PromptRead("s1", Prompt((SharedPart(number, 10),), 5))
+
+
+@pytest.fixture
+def peers(context):
+    routers = RouterCount("r1")
+    heard, reads = [], []
+    digests = PeerDigests(
+        context,
+        routers,
+        lambda number: Digest("r1", 1, number),
+        lambda newest: heard.append({d.router: d for d in newest}),
+        reads.append,
+    )
+    return SimpleNamespace(digests=digests, routers=routers, heard=heard, reads=reads)
+
+
+def take(peers, **fields):
+    peers.digests.take(Digest("r2", **fields).encode())
+
+
+def newest(peers):
+    peers.digests.send_round()
+    return peers.heard[-1]
+
+
+def test_digest_keeps_all_that_it_tells():
+    digest = Digest(
+        "r2", 1 << 62, 3, {"s": (1, 20)}, {"a": 1.5}, {"a": 0.5}, [read(1 << 62)], 9
+    )
+    decoded = decode_digest(digest.encode())
+    assert decoded.reads == digest.reads
+    assert decoded.pending == digest.pending
+    assert (decoded.incarnation, decoded.reads_count) == (1 << 62, 9)
+
+
+def test_older_digest_changes_nothing(peers):
+    take(peers, incarnation=1, number=5, asked={"a": 5.0})
+    take(peers, incarnation=1, number=4, asked={"a": 4.0})
+    assert newest(peers)["r2"].asked == {"a": 5.0}
+
+
+def test_restarted_router_counts_anew(peers):
+    take(peers, incarnation=1, number=50, asked={"a": 5.0})
+    take(peers, incarnation=2, number=1)
+    assert newest(peers)["r2"].asked == {}
+
+
+def test_silent_router_no_longer_counts(peers, hand_clock):
+    take(peers, incarnation=1, number=1)
+    hand_clock.ms += FORGET_MS + 1.0
+    assert newest(peers) == {}
+
+
+def test_prompts_are_taken_once_however_often_they_are_told(peers):
+    first, second, third = read(1), read(2), read(3)
+    take(peers, incarnation=1, number=1, reads=[first], reads_count=1)
+    take(peers, incarnation=1, number=1, reads=[first], reads_count=1)
+    # The second digest is lost; the third tells its prompt again.
+    take(peers, incarnation=1, number=3, reads=[first, second, third], reads_count=3)
+    assert peers.reads == [first, second, third]
+
+
+def test_own_digest_is_left_out(peers):
+    peers.digests.take(Digest("r1", 1, 1).encode())
+    assert newest(peers) == {}
+
+
+def test_rounds_reach_all_routers_in_turn(peers):
+    peers.routers.update({f"p{n}": f"10.0.0.1:{7000 + n}" for n in range(30)})
+    reached = []
+    for _ in range(3):
+        reached += [port for _, port in peers.digests._next_addresses()]
+    assert len(reached) == 3 * MAX_PEERS_A_ROUND
+    assert len(set(reached)) == 30
+
+
+@given(st.binary(max_size=300))
+def test_no_datagram_breaks_the_reader(data):
+    decode_digest(data)
