Test the whole path on the platform over real processes

Cause found by it: a manifest whose list of routes held no object ended the task that follows the store (AttributeError), so that the router would have kept its old view for ever. Ruled out: leaving it to the store to accept only valid manifests.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/admission.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/admission.py
@@ -1,10 +1,11 @@
 """Who gets an engine now, and who is told to come back.
 
-Answers demand beyond what the engines can read. A queue at an engine helps nobody once
-it is longer than callers wait, since engines take requests in order of arrival: so what
-waits there is bounded by a part of the request's objective. An account above its max-min
-share is held to a smaller part, down to a queue that is as good as none, so that it gets
-what nobody else asks for and no more. A request that does not fit is refused at once.
+Answers demand beyond what the engines can read. A queue at an engine helps nobody
+once it is longer than callers wait, since engines take requests in order of arrival: so
+what waits there is bounded by a part of the request's objective. An account above its
+max-min share is held to a smaller part, down to a queue that is as good as none, so
+that it gets what nobody else asks for and no more. A request that does not fit is
+refused at once.
 """
 
 from __future__ import annotations
@@ -22,15 +23,15 @@
     from lagoonsail_gateway.peer_digests import Digest
 
 CALM_WAIT_PART = 1.2
-"""Part of its objective that a request may wait while all accounts get what they ask
-for: a short burst, which is served late rather than not at all."""
+"""Part of its objective that a request may wait while all accounts get what they
+ask for: a short burst, which is served late rather than not at all."""
 IN_TIME_PART = 0.8
-"""Part of its objective within which a request should be read while accounts contend."""
+"""Part of its objective within which a request is read while accounts contend."""
 SHORTEST_WAIT_PART = 0.3
 """Part that a request may wait though it takes long to read itself."""
 FREE_PART = 0.1
-"""Part of the allowed wait that is left to an account far above its share: the engine is
-as good as free."""
+"""Part of the allowed wait that is left to an account far above its share: the
+engine is as good as free."""
 FULL_WAIT_EXCESS = 0.85
 """What an account got, relative to its share, from which on its requests wait less."""
 EXCESS_SLOPE = 2.5
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
@@ -46,7 +46,7 @@
 RETRY_AFTER_LEAVING_S = 0.05
 """When to try again if this router leaves; another one can serve at once."""
 LAST_TAKEN_MS = 3000.0
-"""After this part of a planned stop requests are refused, so that all taken ones end."""
+"""After this part of a planned stop requests are refused, so that the others end."""
 MAX_CHUNK_BYTES = 65_536
 """Most that is read of a body at once."""
 SHORTEST_LEFT_MS = 5.0
@@ -331,7 +331,7 @@
         self, call: GatewayCall, attempt: ServerAttempt, is_gone: Callable[[], bool]
     ) -> Iterator[bytes]:
         outcome = "cancelled"
-        stop_check = watch_caller(self._checks, lambda: attempt, is_gone)
+        stop_check = watch_caller(self._checks, attempt, is_gone)
         try:
             while True:
                 try:
@@ -343,7 +343,7 @@
                     self._note_failure(call, attempt, failure)
                     stop_check()
                     attempt = self._resume(call, attempt, failure, is_gone)
-                    stop_check = watch_caller(self._checks, lambda: attempt, is_gone)
+                    stop_check = watch_caller(self._checks, attempt, is_gone)
         finally:
             stop_check()
             attempt.cancel()
@@ -422,14 +422,14 @@
 
 def watch_caller(
     checks: PeriodicChecks,
-    current: Callable[[], ServerAttempt],
+    attempt: ServerAttempt,
     is_gone: Callable[[], bool],
 ) -> Callable[[], None]:
     """Cancel an attempt once its caller has gone; returns what ends the watch."""
 
     def check() -> None:
         if is_gone():
-            current().abandon()
+            attempt.abandon()
 
     return checks.add(check)
 
@@ -441,7 +441,7 @@
     step: Callable[[], None],
 ) -> None:
     """Run a step of an attempt, which is cancelled once its caller has gone."""
-    stop_check = watch_caller(checks, lambda: attempt, is_gone)
+    stop_check = watch_caller(checks, attempt, is_gone)
     try:
         step()
     finally:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_share.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_share.py
@@ -65,7 +65,7 @@
 
         Args:
             total: Turns of the whole fleet.
-            key: What the turns are for, so that different keys favour different routers.
+            key: What the turns are for; other keys favour other routers.
         """
         count = self.count()
         part, rest = divmod(total, count)
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
@@ -25,9 +25,9 @@
 READ_BYTES = 65_536
 """Most that is read at once."""
 WRITE_BYTES = 32_768
-"""Most that is written at once, so that an early answer is seen between the parts."""
+"""Most that is written at once; an early answer is seen between the parts."""
 WRITE_WAIT_MS = 100.0
-"""How long one write may wait before the connection is looked at for an early answer."""
+"""How long one write may wait until an early answer is looked for."""
 UNSTATED_IDLE_MS = 2500.0
 """How long a connection may be unused if the server does not say how long it waits."""
 IDLE_MARGIN_MS = 1500.0
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_directory.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_directory.py
@@ -79,7 +79,7 @@
         self.evacuated = set()
 
     def subscribe(self, listener: Callable[[str, Server], None]) -> None:
-        """Call a function with each change: `joined`, `changed`, `restarted`, `left`."""
+        """Call a function with `joined`, `changed`, `restarted` and `left` servers."""
         self._listeners.append(listener)
 
     def note_store_trouble(self) -> None:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
@@ -1,8 +1,8 @@
 """What the platform's store holds, followed by one watch.
 
-One watch over all keys is one waiting call and one revision. Each key gives way only to
-a later revision, so that a listing may be read while changes come, and the manifest only
-to a higher version.
+One watch over all keys is one waiting call and one revision. Each key gives way only
+to a later revision, so that a listing may be read while changes come, and the manifest
+only to a higher version.
 """
 
 from __future__ import annotations
@@ -136,12 +136,22 @@
         """Follow the store for ever."""
         pause_ms = RETRY_MS
         while True:
-            if self.step():
+            if self._step_guarded():
                 pause_ms = RETRY_MS
                 continue
             eventlet.sleep(pause_ms / 1000.0)
             pause_ms = min(2 * pause_ms, MAX_RETRY_MS)
 
+    def _step_guarded(self) -> bool:
+        try:
+            return self.step()
+        except Exception:
+            # What nobody expected must not blind the router: all is read anew.
+            self._context.count("task_errors_total", "store_view")
+            self._context.logger.exception("a step of the store's view failed")
+            self._revision = None
+            return False
+
     def step(self) -> bool:
         """Make one call to the store and take over what it says.
 
--- a/packages/lagoonsail-gateway/tests/test_store_view.py
+++ b/packages/lagoonsail-gateway/tests/test_store_view.py
@@ -125,6 +125,11 @@
     assert world.view.manifest.version == 2
 
 
+def test_failure_that_nobody_expected_does_not_end_the_view(world):
+    world.view._calls = StoreCalls(lambda: 1 / 0, None)
+    assert not world.view._step_guarded()
+
+
 def test_evacuations_and_members_are_followed(world):
     world.step(
         page(5, ("evacuate/north", b"{}", 4), ("routers/r2", b"10.0.0.2:7400", 5))
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/account_shares.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/account_shares.py
@@ -2,8 +2,8 @@
 
 Answers a flood by one account from all hosts, and accounts that change their demand
 within seconds. Each router keeps, for each account, sums of what was asked and what was
-admitted, which fade with time. A sum of sums is the fleet's; a router that is lost takes
-only its own with it, and one that is heard twice changes nothing.
+admitted, which fade with time. A sum of sums is the fleet's; a router that is lost
+takes only its own with it, and one that is heard twice changes nothing.
 """
 
 from __future__ import annotations
--- /dev/null
+++ b/tests/platform/conftest.py
@@ -0,0 +1,27 @@
+"""Shared fixtures: a platform of stand-ins, with routers as processes of their own."""
+
+from __future__ import annotations
+
+import pytest
+from lagoonsail_platform_standin.fleet import StandInFleet
+
+
+@pytest.fixture
+def make_fleet(tmp_path):
+    """Start a platform with a number of routers; all ends with the test."""
+    fleets = []
+
+    def make(routers: int) -> StandInFleet:
+        fleet = StandInFleet(tmp_path)
+        fleets.append(fleet)
+        fleet.start(routers)
+        return fleet
+
+    yield make
+    for fleet in fleets:
+        fleet.stop()
+
+
+@pytest.fixture
+def fleet(make_fleet) -> StandInFleet:
+    return make_fleet(1)
--- /dev/null
+++ b/tests/platform/test_platform_path.py
@@ -0,0 +1,216 @@
+"""The whole path on the platform, over real processes and stand-ins."""
+
+from __future__ import annotations
+
+import os
+import signal
+import time
+
+import pytest
+from lagoonsail_platform_standin.fleet import API_KEY, EVENTS
+
+from lagoonsail_core.green import eventlet
+
+ROUTER = "router-1"
+
+
+def ids(fleet, service):
+    return [
+        run["HTTP_LAGOONSAIL_ATTEMPT_ID"]
+        for server in fleet.servers.values()
+        if server.service == service
+        for run in server.runs
+    ]
+
+
+def run_of(fleet, request_id):
+    found = [
+        run
+        for server in fleet.servers.values()
+        for run in server.runs
+        if run["HTTP_LAGOONSAIL_ATTEMPT_ID"] == request_id
+    ]
+    assert len(found) == 1
+    return found[0]
+
+
+def wait_for(condition, timeout_s=5.0):
+    with eventlet.Timeout(timeout_s):
+        while not condition():
+            eventlet.sleep(0.02)
+
+
+def event_ids(body):
+    return [int(line[4:]) for line in body.splitlines() if line.startswith(b"id: ")]
+
+
+def test_request_is_passed_on_as_it_came(fleet):
+    status, headers, body = fleet.ask(ROUTER, "GET", "/read/a%20b?c=&d", "id-1")
+    assert status == 200
+    assert body == b"GET /read/a%20b"
+    assert headers["lagoonsail-attempt-id"] == "id-1"
+    assert headers["lagoonsail-server-seal"].startswith("seal-of-plain")
+    run = run_of(fleet, "id-1")
+    assert run["QUERY_STRING"] == "c=&d"
+    assert run["HTTP_LAGOONSAIL_TENANT_NAME"] == "norte"
+    assert 0 < int(run["HTTP_LAGOONSAIL_REQUEST_DEADLINE"]) <= 3000
+    assert API_KEY not in str(run)
+
+
+def test_headers_that_routers_set_are_not_taken_from_callers(fleet):
+    forged = ("Lagoonsail-Tenant-Name: sur", "Lagoonsail-Pin-Ms: 9", "Kv-From: x/1")
+    fleet.ask(ROUTER, "GET", "/read/1", "id-1", forged)
+    run = run_of(fleet, "id-1")
+    assert run["HTTP_LAGOONSAIL_TENANT_NAME"] == "norte"
+    assert "HTTP_LAGOONSAIL_PIN_MS" not in run
+    assert "HTTP_KV_FROM" not in run
+
+
+def test_unknown_routes_and_keys_are_refused(fleet):
+    assert fleet.ask(ROUTER, "GET", "/nowhere/1", "id-1")[0] == 404
+    fleet.put_manifest(tenants=[{"name": "norte", "api-keys": ["another"]}])
+    wait_for(lambda: fleet.ask(ROUTER, "GET", "/read/1", "id-2")[0] == 401)
+
+
+def test_stream_is_passed_on_event_by_event(fleet):
+    sock = fleet.send(ROUTER, "POST", "/stream/1", "id-1")
+    arrivals = []
+    while part := sock.recv(65_536):
+        arrivals += [time.monotonic()] * part.count(b"data:")
+    assert len(arrivals) == EVENTS
+    assert arrivals[-1] - arrivals[0] > 0.04
+
+
+def test_request_that_was_not_run_goes_to_another_server(fleet):
+    fleet.servers["plain-1"].is_shedding = True
+    for number in range(6):
+        request_id = f"id-{number}"
+        assert fleet.ask(ROUTER, "POST", "/write/1", request_id)[0] == 200
+    ran = [name for name in ids(fleet, "plain") if name.startswith("id-")]
+    assert sorted(ran) == [f"id-{number}" for number in range(6)]
+
+
+def test_refusal_says_when_to_come_back(fleet):
+    for name in ("plain-1", "plain-2"):
+        fleet.servers[name].is_shedding = True
+    status, headers, _ = fleet.ask(ROUTER, "POST", "/write/1", "id-1")
+    assert status == 503
+    assert 0 < float(headers["retry-after"]) < 3
+    assert "id-1" not in ids(fleet, "plain")
+
+
+def test_stream_that_breaks_goes_on_at_another_server(fleet):
+    for name in ("engine-1", "engine-2"):
+        fleet.servers[name].breaks_after = 3
+    status, _, body = fleet.ask(ROUTER, "POST", "/resume/1", "id-1")
+    assert status == 200
+    assert event_ids(body) == list(range(1, EVENTS + 1))
+
+
+def test_stream_that_cannot_be_resumed_breaks_off_and_is_not_run_again(fleet):
+    for name in ("engine-1", "engine-2"):
+        fleet.servers[name].breaks_after = 2
+    assert fleet.ask(ROUTER, "POST", "/stream/1", "id-1")[0] == 0
+    assert ids(fleet, "engine").count("id-1") == 1
+
+
+def test_work_ends_soon_after_its_caller_has_left(fleet):
+    for name in ("engine-1", "engine-2"):
+        fleet.servers[name].pause_s = 0.1
+    sock = fleet.send(ROUTER, "POST", "/stream/1", "id-1")
+    sock.recv(100)
+    sock.close()
+    left_ms = time.monotonic()
+    wait_for(lambda: sum(s.cancelled for s in fleet.servers.values()) == 1)
+    assert time.monotonic() - left_ms < 0.5
+
+
+def test_draining_and_removed_servers_get_no_new_work(fleet):
+    server = fleet.servers["plain-1"]
+    fleet.store.put_json("servers/plain-1", server.record(state="draining"))
+    eventlet.sleep(0.2)
+    before = len(server.runs)
+    for number in range(10):
+        assert fleet.ask(ROUTER, "GET", "/read/1", f"id-{number}")[0] == 200
+    assert len(server.runs) == before
+
+
+def test_evacuated_domain_gets_no_new_work_until_it_is_taken_back(fleet):
+    fleet.store.put("op/evacuate/north", b"{}")
+    wait_for(lambda: fleet.ask(ROUTER, "GET", "/read/1", "id-1")[0] == 503)
+    fleet.store.remove("op/evacuate/north")
+    wait_for(lambda: fleet.ask(ROUTER, "GET", "/read/1", "id-2")[0] == 200)
+
+
+def test_malformed_entries_of_the_store_harm_nothing(fleet):
+    fleet.store.put("servers/strange", b"\xff\x00")
+    fleet.store.put_json("servers/plain-1", {"state": 7})
+    fleet.store.put("op/config", b"[]")
+    eventlet.sleep(0.2)
+    assert fleet.ask(ROUTER, "GET", "/read/1", "id-1")[0] == 200
+
+
+def test_service_goes_on_while_the_store_is_down(fleet):
+    fleet.store.is_down = True
+    eventlet.sleep(1.0)
+    assert fleet.ask(ROUTER, "GET", "/read/1", "id-1")[0] == 200
+    fleet.store.is_down = False
+    fleet.store.forget_history()
+    fleet.put_manifest(routes=[])
+    wait_for(lambda: fleet.ask(ROUTER, "GET", "/read/1", "id-2")[0] == 404)
+
+
+def test_router_without_a_manifest_answers_not_run(fleet):
+    fleet.store.is_down = True
+    fleet.start_router("router-2")
+    wait_for(lambda: fleet.ask("router-2", "GET", "/read/1", "id-1")[0] == 503, 10.0)
+    fleet.store.is_down = False
+    fleet.wait_ready("router-2")
+
+
+def test_planned_stop_lets_streams_end_and_refuses_late_requests(fleet):
+    for name in ("engine-1", "engine-2"):
+        fleet.servers[name].pause_s = 0.2
+    sock = fleet.send(ROUTER, "POST", "/stream/1", "id-1")
+    sock.recv(100)
+    router = fleet.routers[ROUTER]
+    router.send_signal(signal.SIGTERM)
+    eventlet.sleep(0.2)
+    status, headers, _ = fleet.ask(ROUTER, "GET", "/read/1", "id-2")
+    assert status == 200
+    assert headers["connection"] == "close"
+    rest = b""
+    while part := sock.recv(65_536):
+        rest += part
+    assert rest.endswith(b"0\r\n\r\n")
+    wait_for(lambda: router.poll() is not None)
+    assert router.returncode == 0
+
+
+@pytest.mark.parametrize("death", [signal.SIGKILL, signal.SIGSTOP])
+def test_death_of_one_router_does_not_stop_another(make_fleet, death):
+    fleet = make_fleet(2)
+    os.kill(fleet.routers["router-2"].pid, death)
+    slowest_s = 0.0
+    for number in range(40):
+        since_s = time.monotonic()
+        assert fleet.ask(ROUTER, "POST", "/write/1", f"id-{number}")[0] == 200
+        slowest_s = max(slowest_s, time.monotonic() - since_s)
+        eventlet.sleep(0.05)
+    assert slowest_s < 0.5
+
+
+def test_routers_hear_each_other(make_fleet):
+    fleet = make_fleet(2)
+    wait_for(lambda: "peer_heard" in {line["event"] for line in fleet.read_log(ROUTER)})
+
+
+def test_log_leads_from_a_request_to_what_decided_it(fleet):
+    fleet.ask(ROUTER, "POST", "/stream/1", "id-1")
+    fleet.ask(ROUTER, "GET", "/nowhere/1", "id-2")
+    wait_for(lambda: any(x.get("request") == "id-2" for x in fleet.read_log(ROUTER)))
+    lines = {line.get("request"): line for line in fleet.read_log(ROUTER)}
+    assert lines["id-1"]["outcome"] == "answered"
+    assert lines["id-1"]["manifest"] == fleet.version
+    assert lines["id-1"]["server"] in fleet.servers
+    assert lines["id-2"]["kind"] == "unknown_route"
--- /dev/null
+++ b/tests/platform/test_values.py
@@ -0,0 +1,143 @@
+"""Manifests, records and headers as the platform writes them."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from lagoonsail_platform_standin.fleet import HOSTNAME, StandInServer, make_manifest
+
+from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_gateway.manifest import STREAMING, Manifest
+from lagoonsail_gateway.request_format import ServerLoad
+from lagoonsail_gateway.server_directory import ServerRecord
+from lagoonsail_platform.headers import read_answer, read_request, write_request
+from lagoonsail_platform.manifest_values import decode_manifest, decode_server
+
+WORDS = st.sampled_from(["", "a", "/x/", "10.0.0.1:80", "ready", "name", "\x00é"])
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers(-5, 2**60) | st.floats() | WORDS,
+    lambda inner: (
+        st.lists(inner, max_size=3) | st.dictionaries(WORDS, inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+
+
+def decode(fields):
+    return decode_manifest(json.dumps(fields).encode())
+
+
+def test_manifest_is_decoded():
+    manifest = decode(make_manifest(7))
+    assert manifest.version == 7
+    route = manifest.find_route(f"{HOSTNAME}:80", "/resume/x")
+    assert (route.kind, route.is_repeatable()) == (STREAMING, True)
+    assert not manifest.find_route(HOSTNAME, "/stream/x").is_repeatable()
+    assert manifest.find_route(HOSTNAME, "/other") is None
+
+
+def test_longest_prefix_wins():
+    fields = make_manifest(7)
+    fields["routes"].append(fields["routes"][0] | {"name": "x", "prefix": "/read/x/"})
+    assert decode(fields).find_route(HOSTNAME, "/read/x/1").name == "x"
+    assert decode(fields).find_route(HOSTNAME, "/read/y/1").name == "read"
+
+
+def test_split_route_names_its_destinations():
+    fields = make_manifest(7)
+    split = [{"service": "plain", "weight": 90}, {"service": "engine", "weight": 10}]
+    fields["routes"][0]["traffic-split"] = split
+    destinations = decode(fields).find_route(HOSTNAME, "/read/1").destinations
+    assert [(d.service, d.weight) for d in destinations] == [
+        ("plain", 90.0),
+        ("engine", 10.0),
+    ]
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"version": "7"},
+        {"routes": None},
+        {"services": [{}]},
+        {"routes": [{"route-type": "new"}]},
+        {"limits": []},
+    ],
+)
+def test_malformed_manifest_gives_a_reason(change):
+    refused = decode(make_manifest(7) | change)
+    assert isinstance(refused, Unavailable)
+    assert refused.reason
+
+
+@given(st.dictionaries(st.sampled_from(["version", "routes", "services"]), JSON))
+def test_no_manifest_breaks_the_reader(fields):
+    assert isinstance(decode(make_manifest(1) | fields), Manifest | Unavailable)
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from(["state", "address", "service", "zone", "born"]), JSON
+    )
+)
+def test_no_record_breaks_the_reader(fields):
+    record = StandInServer("s1", "plain", "10.0.0.1:80").record() | fields
+    decoded = decode_server("s1", json.dumps(record).encode())
+    assert isinstance(decoded, ServerRecord | Unavailable)
+
+
+def env(**headers):
+    names = {name.upper(): value for name, value in headers.items()}
+    return {f"HTTP_{name}": value for name, value in names.items()}
+
+
+def test_request_head_is_decoded():
+    head = read_request(
+        env(
+            lagoonsail_attempt_id="id",
+            lagoonsail_token_count="1460,80",
+            lagoonsail_prompt_prefix="5c:800,91:410,e4:250",
+            lagoonsail_request_deadline="8000",
+            authorization="Bearer key",
+            kv_from="10.0.0.1:1/x",
+        )
+    )
+    assert (head.prompt_tokens, head.max_output_tokens) == (1460, 80)
+    assert [part.tokens for part in head.prompt_parts] == [800, 410, 250]
+    assert (head.api_key, head.patience_ms) == ("key", 8000.0)
+    names = {name.lower() for name, _ in head.headers}
+    assert "authorization" not in names
+    assert "kv-from" not in names
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        {},
+        {"lagoonsail_attempt_id": "id", "lagoonsail_token_count": "many"},
+        {"lagoonsail_attempt_id": "id", "lagoonsail_request_deadline": "soon"},
+        {"lagoonsail_attempt_id": "id", "lagoonsail_prompt_prefix": "5c:x"},
+    ],
+)
+def test_malformed_head_is_none(headers):
+    assert read_request(env(**headers)) is None
+
+
+def test_resumed_stream_names_the_event_once():
+    head = read_request(env(lagoonsail_attempt_id="id", last_event_id="2"))
+    headers = write_request(head, "s1", "norte", 1500.9, "4")
+    assert [v for n, v in headers if n.lower() == "last-event-id"] == ["4"]
+    assert dict(headers)["Lagoonsail-Request-Deadline"] == "1500"
+
+
+def test_answer_head_is_decoded():
+    facts = read_answer(503, [("Lagoonsail-Not-Executed", "1")])
+    assert facts.is_not_run
+    facts = read_answer(
+        200, [("lagoonsail-server-seal", "x"), ("Lagoonsail-Server-Load", "3,0,8")]
+    )
+    assert (facts.is_sealed, facts.load) == (True, ServerLoad(3, 0, 8))
+    assert read_answer(200, [("Lagoonsail-Server-Load", "3,x")]).load is None
