Start without eventlet's resolver, and import urllib3 only where it is used

Cause: 238 ms of the 484 ms of imports went to a resolver that nobody needs, as all addresses are IP numbers, and start-up is service time after a kill. Ruled out: importing gRPC or defopt late; they are not imported on this path.

--- a/packages/lagoonsail-core/src/lagoonsail_core/green.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/green.py
@@ -6,8 +6,12 @@
 
 from __future__ import annotations
 
+import os
 import warnings
 
+# All addresses are IP numbers; importing eventlet's resolver takes half of a start.
+os.environ.setdefault("EVENTLET_NO_GREENDNS", "yes")
+
 with warnings.catch_warnings():
     # The users chose eventlet; its notice at import would repeat in every process.
     warnings.filterwarnings("ignore", message="(?s).*Eventlet is deprecated")
@@ -22,6 +26,15 @@
     import eventlet.wsgi
 
 trampoline = eventlet.hubs.trampoline
-urllib3 = eventlet.import_patched("urllib3")
 
-__all__ = ["eventlet", "green_select", "green_socket", "trampoline", "urllib3"]
+
+def __getattr__(name: str) -> object:
+    """Import urllib3 when it is first asked for, since not all processes need it."""
+    if name != "urllib3":
+        raise AttributeError(name)
+    library = eventlet.import_patched("urllib3")
+    globals()["urllib3"] = library
+    return library
+
+
+__all__ = ["eventlet", "green_select", "green_socket", "trampoline"]
--- a/packages/lagoonsail-gateway/tests/conftest.py
+++ b/packages/lagoonsail-gateway/tests/conftest.py
@@ -34,7 +34,7 @@
 
     @property
     def address(self) -> str:
-        return "127.0.0.1:%d" % self.sock.getsockname()[1]
+        return f"127.0.0.1:{self.sock.getsockname()[1]}"
 
     def accept(self) -> None:
         while True:
@@ -142,6 +142,6 @@
 def free_address() -> str:
     """Return an address at which nobody listens."""
     sock = socket.create_server(("127.0.0.1", 0))
-    address = "127.0.0.1:%d" % sock.getsockname()[1]
+    address = f"127.0.0.1:{sock.getsockname()[1]}"
     sock.close()
     return address
