Tell other routers of much work at once, and add up what they tell as it comes

Ruled out: shorter rounds for all, which cost processor time without need; adding up all digests for each that comes, which grows with the square of the fleet.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -14,6 +14,8 @@
 from lagoonsail_sharing.first_token import EngineLoad, PrefixCache, choose_engine
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lagoonsail_gateway.fleet_share import RouterCount
     from lagoonsail_gateway.gateway_call import GatewayCall
     from lagoonsail_gateway.manifest import Manifest, Service
@@ -29,6 +31,8 @@
 """How long a server with work may send nothing, beyond the time that it reads."""
 SILENCE_READ_FACTOR = 1.5
 """By how much reading may take longer than expected."""
+MUCH_WORK_TOKENS = 1000
+"""Tokens of a prompt that delay others noticeably until their routers know of them."""
 READS_TOLD = 48
 """Prompts that a digest tells: more than a router sends until all were told twice."""
 COLD_WINDOW_MS = 1000.0
@@ -124,6 +128,8 @@
         "_by_id",
         "_directory",
         "_manifest",
+        "_on_much_work",
+        "_others",
         "_reads",
         "_reads_count",
         "_routers",
@@ -145,12 +151,22 @@
         self._directory = directory
         self._routers = routers
         self._manifest: Manifest | None = None
+        self._on_much_work: Callable[[], None] = lambda: None
         self._states: dict[tuple[str, int], ServerState] = {}
         self._by_id: dict[str, ServerState] = {}
+        self._others: dict[str, tuple[int, int]] = {}
         self._reads: deque[PromptRead] = deque(maxlen=READS_TOLD)
         self._reads_count = 0
         directory.subscribe(self._on_change)
 
+    def on_much_work(self, tell: Callable[[], None]) -> None:
+        """Have the other routers told of work that is worth it.
+
+        Args:
+            tell: Called whenever much work was sent to an engine.
+        """
+        self._on_much_work = tell
+
     def use(self, manifest: Manifest) -> None:
         """Take over the services of a manifest.
 
@@ -196,7 +212,10 @@
             state.load.cache.note_read(call.prompt)
             self._reads.append(PromptRead(state.server.record.server_id, call.prompt))
             self._reads_count += 1
-        return Run(self, state, unread)
+        run = Run(self, state, unread)
+        if unread >= MUCH_WORK_TOKENS:
+            self._on_much_work()
+        return run
 
     def pending(self) -> dict[str, tuple[int, int]]:
         """Return running requests and unread tokens of this router by server."""
@@ -223,18 +242,26 @@
         if state is not None:
             state.load.cache.note_read(read.prompt)
 
-    def update(self, digests: list[Digest]) -> None:
-        """Take over what the other routers told.
+    def replace_digest(self, former: Digest | None, newest: Digest | None) -> None:
+        """Take over what another router told, in place of what it told before.
 
         Args:
-            digests: The newest digest of each.
+            former: Its former digest.
+            newest: Its newest digest; None if it is not heard any more.
         """
-        self.accounts.update(digests)
-        for state in self._states.values():
-            server_id = state.server.record.server_id
-            told = [d.pending[server_id] for d in digests if server_id in d.pending]
-            state.load.others_running = sum(running for running, _ in told)
-            state.load.others_pending_tokens = sum(tokens for _, tokens in told)
+        self._add_pending(former, -1)
+        self._add_pending(newest, 1)
+
+    def _add_pending(self, digest: Digest | None, sign: int) -> None:
+        for server_id, (running, tokens) in digest.pending.items() if digest else ():
+            known_running, known_tokens = self._others.get(server_id, (0, 0))
+            others = (known_running + sign * running, known_tokens + sign * tokens)
+            if others == (0, 0):
+                del self._others[server_id]
+            else:
+                self._others[server_id] = others
+            if server_id in self._by_id:
+                self._by_id[server_id].load.set_others(*others)
 
     def is_usable(self, state: ServerState) -> bool:
         """Return whether a server that was chosen may still get the request."""
@@ -313,6 +340,10 @@
         state = self._states.get(key)
         if state is None:
             server_id = server.record.server_id
+            former = self._by_id.get(server_id)
+            if former is not None:
+                # It has started again, and keeps and knows nothing of before.
+                self._states.pop(former.server.record.incarnation(), None)
             cache = PrefixCache(self._cache_tokens(server.record.service))
             state = self._states[key] = self._by_id[server_id] = ServerState(
                 server,
@@ -320,6 +351,7 @@
                 ServerHealth(),
                 WindowLimit(self.context.clock, COLD_WINDOW_MS),
             )
+            state.load.set_others(*self._others.get(server_id, (0, 0)))
         return state
 
     def _cache_tokens(self, service_name: str) -> int:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -152,9 +152,10 @@
             context,
             self.routers,
             self._make_digest,
-            self.dispatcher.update,
+            self.dispatcher.replace_digest,
             self.dispatcher.note_read,
         )
+        self.dispatcher.on_much_work(self.digests.send_soon)
         self.directory.subscribe(self._on_server)
         self.view = StoreView(
             context,
@@ -188,7 +189,7 @@
         run_in_turn(
             self.context,
             [
-                (ROUND_MS, self.digests.send_round, "digests"),
+                (ROUND_MS, self._exchange_digests, "digests"),
                 (EXPIRY_INTERVAL_MS, self.directory.expire, "expiry"),
                 (STALE_INTERVAL_MS, self.pool.close_stale, "stale"),
             ],
@@ -230,6 +231,10 @@
         self.dispatcher.use(manifest)
         self.calls.use(manifest)
 
+    def _exchange_digests(self) -> None:
+        self.digests.send_round()
+        self.dispatcher.accounts.update(self.digests.newest())
+
     def _make_digest(self, number: int) -> Digest:
         asked, admitted = self.dispatcher.accounts.own_sums()
         return Digest(
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
@@ -15,6 +15,7 @@
 import msgpack
 
 from lagoonsail_core.green import green_socket
+from lagoonsail_router.context import start_later
 from lagoonsail_sharing.first_token import Prompt, SharedPart
 
 if TYPE_CHECKING:
@@ -25,6 +26,8 @@
 
 ROUND_MS = 100.0
 """Time between two rounds."""
+SOON_MS = 5.0
+"""Time until a digest about much new work is sent; what comes meanwhile goes along."""
 MAX_PEERS_A_ROUND = 12
 """Routers that get a digest in one round."""
 FORGET_MS = 1500.0
@@ -134,7 +137,8 @@
         "_make",
         "_next_peer",
         "_number",
-        "_on_change",
+        "_is_due_soon",
+        "_on_replaced",
         "_on_read",
         "_routers",
         "_sock",
@@ -145,7 +149,7 @@
         context: RouterContext,
         routers: RouterCount,
         make: Callable[[int], Digest],
-        on_change: Callable[[list[Digest]], None],
+        on_replaced: Callable[[Digest | None, Digest | None], None],
         on_read: Callable[[PromptRead], None],
     ) -> None:
         """Prepare the exchange.
@@ -154,13 +158,15 @@
             context: The router's shared state.
             routers: The other routers and their addresses.
             make: Makes this router's digest, given its number.
-            on_change: Takes the newest digests of all others after each round.
+            on_replaced: Takes a router's former digest and its new one; either is None
+                if the router was not heard before, or is not heard any more.
             on_read: Takes each prompt that another router has sent, once.
         """
         self._context = context
         self._routers = routers
         self._make = make
-        self._on_change = on_change
+        self._is_due_soon = False
+        self._on_replaced = on_replaced
         self._on_read = on_read
         self._heard: dict[str, tuple[float, Digest]] = {}
         self._number = 0
@@ -201,14 +207,32 @@
             self._context.timeline.record("peer_heard", peer=digest.router)
         elif _order(known[1]) >= _order(digest):
             return
+        former = known[1] if known else None
         self._heard[digest.router] = (now_ms, digest)
-        for read in _new_reads(digest, known[1] if known else None):
+        self._on_replaced(former, digest)
+        for read in _new_reads(digest, former):
             self._on_read(read)
 
     def send_round(self) -> None:
-        """Send a digest to the next routers in turn, and pass on what was heard."""
+        """Send a digest to the next routers in turn, and forget silent ones."""
         self._forget_silent()
-        self._on_change([digest for _, digest in self._heard.values()])
+        self._send_next()
+
+    def send_soon(self) -> None:
+        """Send a digest before the next round, as much work was taken."""
+        if not self._is_due_soon:
+            self._is_due_soon = True
+            start_later(self._context, "digest", SOON_MS, self._send_due)
+
+    def newest(self) -> list[Digest]:
+        """Return the newest digest of each other router."""
+        return [digest for _, digest in self._heard.values()]
+
+    def _send_due(self) -> None:
+        self._is_due_soon = False
+        self._send_next()
+
+    def _send_next(self) -> None:
         addresses = self._next_addresses()
         if not addresses:
             return
@@ -238,9 +262,10 @@
 
     def _forget_silent(self) -> None:
         oldest_ms = self._context.clock.now_ms() - FORGET_MS * self._rounds()
-        for router, (heard_ms, _) in list(self._heard.items()):
+        for router, (heard_ms, digest) in list(self._heard.items()):
             if heard_ms < oldest_ms:
                 del self._heard[router]
+                self._on_replaced(digest, None)
                 self._context.timeline.record("peer_silent", peer=router)
 
     def _rounds(self) -> float:
--- /dev/null
+++ b/packages/lagoonsail-gateway/tests/test_dispatcher.py
@@ -0,0 +1,135 @@
+"""The router's view of all servers, and what it adds up from others."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+
+from lagoonsail_gateway.admission import Refusal
+from lagoonsail_gateway.dispatcher import SILENCE_MS, Dispatcher
+from lagoonsail_gateway.fleet_share import RouterCount
+from lagoonsail_gateway.manifest import Engine, Limits, Manifest, Service
+from lagoonsail_gateway.peer_digests import Digest
+from lagoonsail_gateway.server_directory import ServerDirectory
+from lagoonsail_sharing.first_token import Prompt, SharedPart
+
+
+def make_manifest(cold_requests_per_s=0.0):
+    service = Service("engine", 100, 3000.0, cold_requests_per_s, Engine(8, 400_000))
+    return Manifest(1, [], {"engine": service}, {}, Limits(1000, 1000.0, 0.0), True)
+
+
+@pytest.fixture
+def world(context, make_record, hand_clock):
+    """A dispatcher with three servers."""
+    directory = ServerDirectory(context.clock)
+    for name in ("s1", "s2", "s3"):
+        directory.put(make_record(name))
+    routers = RouterCount("r1")
+    routers.update({"r1": "10.0.0.1:1"})
+    dispatcher = Dispatcher(context, directory, routers)
+    dispatcher.use(make_manifest())
+    return SimpleNamespace(
+        dispatcher=dispatcher, directory=directory, clock=hand_clock, routers=routers
+    )
+
+
+def make_call(prompt=None, tried=()):
+    return SimpleNamespace(
+        service="engine",
+        account="norte",
+        prompt=prompt,
+        tried=set(tried),
+        route=SimpleNamespace(objective_ms=800.0),
+    )
+
+
+PROMPT = Prompt((SharedPart(7, 13_000),), 3_000)
+
+
+def send(world, call):
+    state = world.dispatcher.choose(call)
+    return state, world.dispatcher.begin(call, state)
+
+
+def server_id(state):
+    return state.server.record.server_id
+
+
+def test_work_of_others_moves_a_prompt_away(world):
+    home, _ = send(world, make_call(PROMPT))
+    pending = {server_id(home): (30, 80_000)}
+    world.dispatcher.replace_digest(None, Digest("r2", 1, 1, pending))
+    assert world.dispatcher.choose(make_call(PROMPT)) is not home
+    world.dispatcher.replace_digest(Digest("r2", 1, 1, pending), None)
+    assert world.dispatcher.choose(make_call(PROMPT)) is home
+
+
+def test_digests_add_up_over_routers_and_end_at_zero(world):
+    state, run = send(world, make_call(PROMPT))
+    digests = [Digest(f"r{n}", 1, 1, {server_id(state): (1, 100)}) for n in (2, 3)]
+    for digest in digests:
+        world.dispatcher.replace_digest(None, digest)
+    assert state.load.others_running == 2
+    for digest in digests:
+        world.dispatcher.replace_digest(digest, None)
+    run.end(is_good=True)
+    load = state.load
+    assert (load.others_running, load.others_pending_tokens) == (0, 0)
+    assert (load.running, load.pending_tokens) == (0, 0)
+
+
+def test_much_work_is_told_at_once(world):
+    told = []
+    world.dispatcher.on_much_work(lambda: told.append(1))
+    send(world, make_call(Prompt((), 10)))
+    assert not told
+    send(world, make_call(PROMPT))
+    assert told
+
+
+def test_silent_server_gets_no_more_work(world):
+    state, run = send(world, make_call(PROMPT))
+    run.note_sent()
+    run.note_first()
+    world.clock.ms += SILENCE_MS + 1.0
+    assert world.dispatcher.choose(make_call(PROMPT)) is not state
+    run.note_heard()
+    assert world.dispatcher.choose(make_call(PROMPT)) is state
+
+
+def test_server_that_was_tried_is_left_out(world):
+    first = world.dispatcher.choose(make_call(PROMPT))
+    call = make_call(PROMPT, tried=[server_id(first)])
+    assert world.dispatcher.choose(call) is not first
+    refusal = world.dispatcher.choose(make_call(PROMPT, tried=["s1", "s2", "s3"]))
+    assert isinstance(refusal, Refusal)
+
+
+def test_servers_in_doubt_are_used_if_most_are(world):
+    for _ in range(3):
+        state = world.dispatcher.choose(make_call(PROMPT))
+        for _ in range(9):
+            world.dispatcher.judge(state, False, sent_ms=0.0)
+    assert not isinstance(world.dispatcher.choose(make_call(PROMPT)), Refusal)
+
+
+def test_server_that_started_again_keeps_nothing_of_before(world, make_record):
+    before, run = send(world, make_call(PROMPT))
+    world.directory.put(make_record(server_id(before), born_ms=2))
+    after = world.dispatcher.choose(make_call(PROMPT))
+    run.end(is_good=False)
+    assert after is not before
+    assert (after.load.running, after.load.pending_tokens) == (0, 0)
+    assert len(world.dispatcher._states) == 3
+
+
+def test_cold_server_gets_no_more_than_the_routers_part(world, make_record):
+    for name in ("s1", "s2", "s3"):
+        world.directory.put(make_record(name, cold_left_ms=5000.0))
+    world.dispatcher.use(make_manifest(cold_requests_per_s=2.0))
+    chosen = [world.dispatcher.choose(make_call()) for _ in range(10)]
+    sent = [state for state in chosen if not isinstance(state, Refusal)]
+    assert len(sent) == 6
+    assert max(sent.count(state) for state in sent) == 2
--- a/packages/lagoonsail-gateway/tests/test_peer_digests.py
+++ b/packages/lagoonsail-gateway/tests/test_peer_digests.py
@@ -27,15 +27,17 @@
 @pytest.fixture
 def peers(context):
     routers = RouterCount("r1")
-    heard, reads = [], []
+    replaced, reads = [], []
     digests = PeerDigests(
         context,
         routers,
         lambda number: Digest("r1", 1, number),
-        lambda newest: heard.append({d.router: d for d in newest}),
+        lambda former, newest: replaced.append((former, newest)),
         reads.append,
     )
-    return SimpleNamespace(digests=digests, routers=routers, heard=heard, reads=reads)
+    return SimpleNamespace(
+        digests=digests, routers=routers, replaced=replaced, reads=reads
+    )
 
 
 def take(peers, **fields):
@@ -44,7 +46,7 @@
 
 def newest(peers):
     peers.digests.send_round()
-    return peers.heard[-1]
+    return {digest.router: digest for digest in peers.digests.newest()}
 
 
 def test_digest_keeps_all_that_it_tells():
@@ -69,6 +71,15 @@
     assert newest(peers)["r2"].asked == {}
 
 
+def test_each_digest_is_told_with_the_one_that_it_replaces(peers, hand_clock):
+    take(peers, incarnation=1, number=1, pending={"s": (1, 10)})
+    take(peers, incarnation=1, number=2, pending={"s": (2, 30)})
+    hand_clock.ms += FORGET_MS + 1.0
+    newest(peers)
+    told = [[d and d.pending["s"] for d in pair] for pair in peers.replaced]
+    assert told == [[None, (1, 10)], [(1, 10), (2, 30)], [(2, 30), None]]
+
+
 def test_silent_router_no_longer_counts(peers, hand_clock):
     take(peers, incarnation=1, number=1)
     hand_clock.ms += FORGET_MS + 1.0
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/first_token.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/first_token.py
@@ -139,6 +139,11 @@
     others_running: int = 0
     """The same of all other routers, as they told last."""
 
+    def set_others(self, running: int, pending_tokens: float) -> None:
+        """Take over what the other routers told."""
+        self.others_running = running
+        self.others_pending_tokens = pending_tokens
+
     def total_running(self) -> int:
         """Return the requests of all routers that have not ended."""
         return self.running + self.others_running
