Log the account and the age of what other routers told; answer HEAD without a body

Cause: a refusal's line did not say whose request it was nor how old its inputs were, and an answer to HEAD that states a length was waited for until the deadline (by reading; no route of the users asks for it). test_head_request_is_answered_without_a_body failed first.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
@@ -394,6 +394,12 @@
             **attempt.decided,
         )
 
+    def _account_of(self, head: RequestHead | None) -> str:
+        if self._manifest is None or head is None:
+            return ""
+        account = self._manifest.accounts.get(head.api_key)
+        return account.name if account else ""
+
     def _refuse(
         self,
         problem: CallProblem,
@@ -406,10 +412,12 @@
         self._log.write(
             "refused",
             request=request_id,
+            account=self._account_of(head),
             status=problem.status,
             kind=problem.kind,
             reason=problem.problem,
             manifest=self._manifest.version if self._manifest else None,
+            told_ms_ago=self._dispatcher.told_ms_ago(),
             after_ms=round(self._clock.now_ms() - since_ms, 1),
             ran=problem.ran,
             retry_after_s=problem.retry_after_s,
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -90,6 +90,7 @@
             "unread_tokens": self._unread,
             "running_here": load.running,
             "running_elsewhere": load.others_running,
+            "told_ms_ago": self._dispatcher.told_ms_ago(),
         }
 
     def note_sent(self) -> None:
@@ -134,6 +135,7 @@
         "_reads_count",
         "_routers",
         "_states",
+        "_told_ms",
         "accounts",
         "context",
     )
@@ -157,6 +159,7 @@
         self._others: dict[str, tuple[int, int]] = {}
         self._reads: deque[PromptRead] = deque(maxlen=READS_TOLD)
         self._reads_count = 0
+        self._told_ms = float("-inf")
         directory.subscribe(self._on_change)
 
     def on_much_work(self, tell: Callable[[], None]) -> None:
@@ -249,9 +252,16 @@
             former: Its former digest.
             newest: Its newest digest; None if it is not heard any more.
         """
+        self._told_ms = self.context.clock.now_ms()
         self._add_pending(former, -1)
         self._add_pending(newest, 1)
 
+    def told_ms_ago(self) -> int | None:
+        """Return the age of what another router told last, None if none told."""
+        if self._told_ms == float("-inf"):
+            return None
+        return round(self.context.clock.now_ms() - self._told_ms)
+
     def _add_pending(self, digest: Digest | None, sign: int) -> None:
         for server_id, (running, tokens) in digest.pending.items() if digest else ():
             known_running, known_tokens = self._others.get(server_id, (0, 0))
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
@@ -133,6 +133,8 @@
         except ConnectionLostError as error:
             raise self._failed(error) from error
         self._run.note_heard()
+        if call.method == "HEAD":
+            connection.end_without_body(answer)
         self._check_head(answer)
         self.answer = answer
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
@@ -225,6 +225,16 @@
             self._receive(deadline_ms)
         return answer.take()
 
+    def end_without_body(self, answer: Answer) -> None:
+        """Take an answer as whole though it states a length, as answers to HEAD do.
+
+        Args:
+            answer: The answer, after which the connection is of no further use.
+        """
+        answer.parts.clear()
+        answer.is_whole = True
+        answer.keeps_open = False
+
     def finish(self, answer: Answer) -> bool:
         """Take a whole answer off the connection.
 
--- a/tests/platform/test_platform_path.py
+++ b/tests/platform/test_platform_path.py
@@ -57,6 +57,13 @@
     assert API_KEY not in str(run)
 
 
+def test_head_request_is_answered_without_a_body(fleet):
+    since_s = time.monotonic()
+    status, _, body = fleet.ask(ROUTER, "HEAD", "/read/1", "id-1")
+    assert (status, body) == (200, b"")
+    assert time.monotonic() - since_s < 1.0
+
+
 def test_headers_that_routers_set_are_not_taken_from_callers(fleet):
     forged = ("Lagoonsail-Tenant-Name: sur", "Lagoonsail-Pin-Ms: 9", "Kv-From: x/1")
     fleet.ask(ROUTER, "GET", "/read/1", "id-1", forged)
@@ -213,4 +220,5 @@
     assert lines["id-1"]["outcome"] == "answered"
     assert lines["id-1"]["manifest"] == fleet.version
     assert lines["id-1"]["server"] in fleet.servers
+    assert lines["id-2"]["account"] == "norte"
     assert lines["id-2"]["kind"] == "unknown_route"
