Bear a digest that names a server without work

Cause, by reading: such a digest, which no router of ours sends, raised KeyError and ended the task that hears all others. test_digest_that_names_a_server_without_work_is_borne failed first.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -267,7 +267,7 @@
             known_running, known_tokens = self._others.get(server_id, (0, 0))
             others = (known_running + sign * running, known_tokens + sign * tokens)
             if others == (0, 0):
-                del self._others[server_id]
+                self._others.pop(server_id, None)
             else:
                 self._others[server_id] = others
             if server_id in self._by_id:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
@@ -187,7 +187,15 @@
         """Take in digests for ever."""
         while True:
             data, _ = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+            self._take_guarded(data)
+
+    def _take_guarded(self, data: bytes) -> None:
+        try:
             self.take(data)
+        except Exception:
+            # One strange datagram must not end the hearing of all others.
+            self._context.count("task_errors_total", "digests")
+            self._context.logger.exception("a digest could not be taken in")
 
     def take(self, data: bytes) -> None:
         """Take in one datagram.
--- a/packages/lagoonsail-gateway/tests/test_dispatcher.py
+++ b/packages/lagoonsail-gateway/tests/test_dispatcher.py
@@ -80,6 +80,12 @@
     assert (load.running, load.pending_tokens) == (0, 0)
 
 
+def test_digest_that_names_a_server_without_work_is_borne(world):
+    idle = Digest("r2", 1, 1, {"s1": (0, 0), "unknown": (0, 0)})
+    world.dispatcher.replace_digest(None, idle)
+    world.dispatcher.replace_digest(idle, None)
+
+
 def test_much_work_is_told_at_once(world):
     told = []
     world.dispatcher.on_much_work(lambda: told.append(1))
--- a/packages/lagoonsail-gateway/tests/test_peer_digests.py
+++ b/packages/lagoonsail-gateway/tests/test_peer_digests.py
@@ -95,6 +95,14 @@
     assert peers.reads == [first, second, third]
 
 
+def test_digest_that_fails_does_not_end_the_hearing(peers):
+    peers.digests._on_replaced = lambda former, newest: 1 / 0
+    peers.digests._take_guarded(Digest("r2", 1, 1).encode())
+    peers.digests._on_replaced = lambda former, newest: None
+    peers.digests._take_guarded(Digest("r3", 1, 1).encode())
+    assert "r3" in newest(peers)
+
+
 def test_own_digest_is_left_out(peers):
     peers.digests.take(Digest("r1", 1, 1).encode())
     assert newest(peers) == {}
