Let an engine stand-in that works in no time serve others in between

With tokens of 0 ms the stand-in never yielded until its connection was full, so the first read of its record took 1.4 s alone, 3.6 to 4.3 s beside 12 busy processes (two runs each), and 5 s are allowed. Ruled out: the router; the second read took 0.01 s. This takes the place of the repeated reads in the test, which had eased its bound; the test is as it was before.

--- a/packages/lagoonsail-router/tests/test_slow_caller.py
+++ b/packages/lagoonsail-router/tests/test_slow_caller.py
@@ -17,8 +17,6 @@
 REQUEST_ID = "r" * 128
 MEMORY_MB = 30.0
 """Most that the router may grow; the answer is three times as long."""
-RECORD_ATTEMPTS = 4
-"""Reads of the engine's record, of 5 s each, before it counts as not to be had."""
 WATCH_S = 1.0
 """Time in which an engine that is not held back gets on."""
 
@@ -57,13 +55,7 @@
 
 
 def last_run(fleet):
-    # An engine that is busy on a loaded host may miss the time for one call, and is
-    # then left out of the records.
-    for _ in range(RECORD_ATTEMPTS):
-        record = fleet.records().get("cordero/asistente-1")
-        if record:
-            return record["runs"][-1]
-    return pytest.fail("the engine told no record")
+    return fleet.records()["cordero/asistente-1"]["runs"][-1]
 
 
 def read_memory_mb(fleet):
--- a/packages/lagoonsail-standins/src/lagoonsail_standins/backend.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/backend.py
@@ -289,6 +289,9 @@
         Raises:
             BrokenAnswerError: If the run has ended meanwhile.
         """
+        if work_ms <= 0:
+            # A server that answers at full speed serves others in between.
+            eventlet.sleep(0)
         left_ms = work_ms
         while True:
             self._look(run)
