Make one piece of code serve where the platform's path had written it again

Read once more as a whole. Needless state and work: answers' heads were decoded twice, prompts made twice for split routes, two watches for one attempt, a loop that never came round, a counter and a rank that nobody read, a max-min level in the square of the accounts. An unused connection that went stale between two looks at it was neither kept nor closed.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/admission.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/admission.py
@@ -102,7 +102,12 @@
         self._asked.add(account, cost, self._clock.now_ms())
 
     def note_admitted(self, account: str, cost: float) -> None:
-        """Count what a request was given, or took in vain if negative."""
+        """Count what a request was given.
+
+        Args:
+            account: The client account.
+            cost: Its cost in tokens.
+        """
         self._admitted.add(account, cost, self._clock.now_ms())
 
     def own_sums(self) -> tuple[dict[str, float], dict[str, float]]:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_reading.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_reading.py
@@ -40,30 +40,24 @@
     route = _find_route(manifest, env)
     account = _find_account(manifest, route, head)
     body = read_body(env, manifest.limits.max_body_bytes)
+    prompt = make_prompt(head)
     patience_ms = route.timeout_ms
     if head.patience_ms is not None:
         patience_ms = min(patience_ms, head.patience_ms)
     return GatewayCall(
         head=head,
         route=route,
-        service=choose_service(route, head),
+        service=choose_service(route, prompt),
         account=account.name if account else "",
-        priority=_priority(route, account),
         method=env["REQUEST_METHOD"],
         target=env["lagoonsail.target"],
         body=body,
         since_ms=now_ms,
         deadline_ms=now_ms + patience_ms,
-        prompt=make_prompt(head),
+        prompt=prompt,
     )
 
 
-def _priority(route: Route, account: ClientAccount | None) -> int:
-    if account is not None and account.priority is not None:
-        return account.priority
-    return route.priority
-
-
 def _find_route(manifest: Manifest, env: dict) -> Route:
     path = env["lagoonsail.target"].partition("?")[0]
     route = manifest.find_route(env.get("HTTP_HOST", ""), path)
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
@@ -171,7 +171,7 @@
         self._dispatcher.accounts.note_asked(call.account, call.cost())
         is_gone = make_caller_watch(env)
         attempt = self._attempt_until_head(call, is_gone)
-        if call.route.kind == STREAMING and attempt.answer.status == 200:
+        if _is_stream(call, attempt):
             self._start(attempt, start_response, [])
             return self._stream(call, attempt, is_gone)
         return self._pass_whole(call, attempt, is_gone, start_response)
@@ -192,14 +192,17 @@
             attempt = ServerAttempt(
                 self._context, self._format, self._dispatcher, self._pool, call, state
             )
+            stop_check = watch_caller(self._checks, attempt, is_gone)
             try:
-                with_watch(self._checks, attempt, is_gone, attempt.send)
-                if call.route.kind != STREAMING or attempt.answer.status != 200:
-                    with_watch(self._checks, attempt, is_gone, attempt.read_whole)
+                attempt.send()
+                if not _is_stream(call, attempt):
+                    attempt.read_whole()
             except AttemptFailedError as failure:
                 self._note_failure(call, attempt, failure)
                 self._check_may_repeat(call, failure)
                 continue
+            finally:
+                stop_check()
             return attempt
 
     def _choose(self, call: GatewayCall) -> ServerState:
@@ -313,7 +316,7 @@
                     outcome = "broken"
                     self._note_failure(call, attempt, failure)
                     stop_check()
-                    attempt = self._resume(call, attempt, failure, is_gone)
+                    attempt = self._resume(call, failure, is_gone)
                     stop_check = watch_caller(self._checks, attempt, is_gone)
         finally:
             stop_check()
@@ -324,7 +327,6 @@
     def _resume(
         self,
         call: GatewayCall,
-        attempt: ServerAttempt,
         failure: AttemptFailedError,
         is_gone: Callable[[], bool],
     ) -> ServerAttempt:
@@ -333,14 +335,13 @@
         Raises:
             CallProblem: If it cannot go on; the caller sees an answer that breaks off.
         """
-        if not call.route.is_resumable or attempt.answer is None:
+        if not call.route.is_resumable:
             raise _unknown_outcome(call, failure.reason)
         self._check_may_repeat(call, failure)
-        while True:
-            following = self._attempt_until_head(call, is_gone)
-            if following.answer.status == 200:
-                return following
-            raise _unknown_outcome(call, "the stream was not taken up")
+        following = self._attempt_until_head(call, is_gone)
+        if following.answer.status == 200:
+            return following
+        raise _unknown_outcome(call, "the stream was not taken up")
 
     def _note_end(
         self, call: GatewayCall, attempt: ServerAttempt, outcome: str
@@ -413,18 +414,8 @@
     return checks.add(check)
 
 
-def with_watch(
-    checks: PeriodicChecks,
-    attempt: ServerAttempt,
-    is_gone: Callable[[], bool],
-    step: Callable[[], None],
-) -> None:
-    """Run a step of an attempt, which is cancelled once its caller has gone."""
-    stop_check = watch_caller(checks, attempt, is_gone)
-    try:
-        step()
-    finally:
-        stop_check()
+def _is_stream(call: GatewayCall, attempt: ServerAttempt) -> bool:
+    return call.route.kind == STREAMING and attempt.answer.status == 200
 
 
 def _too_late(call: GatewayCall) -> CallProblem:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/connection_pool.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/connection_pool.py
@@ -85,10 +85,12 @@
     def close_stale(self) -> None:
         """Close the connections that were not used for too long."""
         for key, idle in list(self._idle.items()):
+            kept = []
             for connection in idle:
-                if not self._is_fresh(connection):
+                if self._is_fresh(connection):
+                    kept.append(connection)
+                else:
                     connection.close()
-            kept = [c for c in idle if self._is_fresh(c)]
             if kept:
                 self._idle[key] = kept
             else:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_share.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_share.py
@@ -98,16 +98,24 @@
         self._window_ms = window_ms + WINDOW_MARGIN_MS
         self._taken_ms: deque[float] = deque()
 
+    def count(self) -> int:
+        """Return how many turns were taken in the last window."""
+        start_ms = self._clock.now_ms() - self._window_ms
+        while self._taken_ms and self._taken_ms[0] < start_ms:
+            self._taken_ms.popleft()
+        return len(self._taken_ms)
+
     def left(self, most: int) -> int:
         """Return how many turns are left.
 
         Args:
             most: Turns allowed in one window.
         """
-        start_ms = self._clock.now_ms() - self._window_ms
-        while self._taken_ms and self._taken_ms[0] < start_ms:
-            self._taken_ms.popleft()
-        return most - len(self._taken_ms)
+        return most - self.count()
+
+    def note(self) -> None:
+        """Count a turn, whether or not there is one left."""
+        self._taken_ms.append(self._clock.now_ms())
 
     def take(self, most: int) -> bool:
         """Use one turn.
@@ -120,7 +128,7 @@
         """
         if self.left(most) <= 0:
             return False
-        self._taken_ms.append(self._clock.now_ms())
+        self.note()
         return True
 
 
@@ -153,7 +161,9 @@
 
     def note_request(self) -> None:
         """Count a request that a caller sent."""
-        self._requests.take(1 << 30)
+        # Counted first, so that only the turns of one window are kept.
+        self._requests.count()
+        self._requests.note()
 
     def take(self) -> bool:
         """Use one repeat.
@@ -161,7 +171,7 @@
         Returns:
             Whether there was one.
         """
-        requests = (1 << 30) - self._requests.left(1 << 30)
+        requests = self._requests.count()
         # The requests of a window are counted up to now, the fleet's over all of it.
         most = 0.8 * (self.ratio * requests + self.slack / self._routers.count())
         return self._repeats.take(int(most))
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from functools import partial
 from typing import TYPE_CHECKING
 
 import logbook
@@ -28,6 +28,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from lagoonsail_core.green import green_socket
     from lagoonsail_core.metrics import Metrics
     from lagoonsail_gateway.gateway_settings import GatewaySettings
     from lagoonsail_gateway.manifest import Manifest
@@ -83,7 +84,7 @@
     """A router with all its parts."""
 
     __slots__ = (
-        "_listeners",
+        "_callers_port",
         "_membership",
         "_metrics",
         "_settings",
@@ -128,7 +129,7 @@
         context = self.context = RouterContext(settings)
         self._settings = settings
         self._membership = membership
-        self._listeners: list = []
+        self._callers_port: green_socket.socket | None = None
         self._metrics: Metrics | None = None
         self.log = DecisionLog(settings.name, context.clock)
         context.timeline.subscribe(
@@ -173,9 +174,8 @@
             AddressInUseError: If a port is taken.
         """
         settings = self._settings
-        callers = listen(settings.callers_address)
+        callers = self._callers_port = listen(settings.callers_address)
         readiness = listen(settings.readiness_address)
-        self._listeners = [callers, readiness]
         self._serve(
             callers, self.calls.serve, settings.max_connections, IDLE_TIMEOUT_MS
         )
@@ -210,7 +210,7 @@
         # Until the balancer notices, callers still come here.
         balancer_ms = begun_ms + BALANCER_LAG_MS
         self._wait_while(lambda: True, min(balancer_ms, deadline_ms))
-        self._listeners[0].close()
+        self._callers_port.close()
         self._wait_while(lambda: self.calls.running, deadline_ms)
         context.timeline.record("stopped", unfinished=self.calls.running)
 
@@ -218,7 +218,13 @@
         while condition() and self.context.clock.now_ms() < deadline_ms:
             eventlet.sleep(STOP_CHECK_S)
 
-    def _serve(self, sock, application, connections: int, silence_ms: float) -> None:
+    def _serve(
+        self,
+        sock: green_socket.socket,
+        application: Callable,
+        connections: int,
+        silence_ms: float,
+    ) -> None:
         start_serving(
             sock,
             application,
@@ -291,7 +297,9 @@
         metrics = Metrics()
         for name, doc in COUNTERS.items():
             short = name.removesuffix("_total")
-            metrics.counter_of(short, doc, "kind", _reader(self.context, name))
+            metrics.counter_of(
+                short, doc, "kind", partial(self.context.counts_of, name)
+            )
         for name, doc in HISTOGRAMS.items():
             metrics.histogram_of(name, doc, self.calls.durations[name])
         metrics.counter_of(
@@ -301,14 +309,3 @@
             lambda: {"opened": self.pool.opened, "reused": self.pool.reused},
         )
         return metrics
-
-
-def _reader(context: RouterContext, name: str) -> Callable[[], dict[str, float]]:
-    def read() -> dict[str, float]:
-        values: dict[str, float] = defaultdict(float)
-        for (counter, label), value in context.counters.items():
-            if counter == name:
-                values[label or "all"] += value
-        return values
-
-    return read
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_call.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_call.py
@@ -28,8 +28,6 @@
     """Service that serves it."""
     account: str
     """Client account, empty on public routes."""
-    priority: int
-    """Rank; 0 goes first."""
     method: str
     """HTTP method."""
     target: str
@@ -63,19 +61,18 @@
         return token_cost(self.head.prompt_tokens, self.head.max_output_tokens)
 
 
-def choose_service(route: Route, head: RequestHead) -> str:
+def choose_service(route: Route, prompt: Prompt | None) -> str:
     """Return one of a route's services by their weights.
 
     Requests with the same prefix get the same service, whose caches then serve them.
 
     Args:
         route: The route.
-        head: Head of the request.
+        prompt: What decides where the request is read; None for plain services.
     """
     destinations = route.destinations
     if len(destinations) == 1:
         return destinations[0].service
-    prompt = make_prompt(head)
     if prompt is not None and prompt.prefix:
         text = f"{route.name}\0{prompt.prefix}"
         point = xxh64_intdigest(text.encode()) / 2**64
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/request_format.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/request_format.py
@@ -13,6 +13,19 @@
 
 Headers = list[tuple[str, str]]
 """Header fields in order."""
+ONE_CONNECTION_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+"""Headers that concern one connection only, in lower case."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
@@ -4,10 +4,12 @@
 
 from typing import TYPE_CHECKING
 
+from lagoonsail_gateway.request_format import ONE_CONNECTION_HEADERS
 from lagoonsail_gateway.server_connection import (
     ConnectFailedError,
     ConnectionLostError,
 )
+from lagoonsail_router.event_stream import split_events
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -15,7 +17,7 @@
     from lagoonsail_gateway.connection_pool import ConnectionPool
     from lagoonsail_gateway.dispatcher import Dispatcher, Run, ServerState
     from lagoonsail_gateway.gateway_call import GatewayCall
-    from lagoonsail_gateway.request_format import Headers, RequestFormat
+    from lagoonsail_gateway.request_format import AnswerFacts, Headers, RequestFormat
     from lagoonsail_gateway.server_connection import Answer, ServerConnection
     from lagoonsail_router.context import RouterContext
 
@@ -34,19 +36,6 @@
 """Longest answer that is kept until it is whole, so that it can be asked for again."""
 OVERDUE_GRACE_MS = 100.0
 """How long a server's own answer at the deadline may take to arrive."""
-END_OF_EVENT = b"\n\n"
-"""What ends a server-sent event."""
-
-_ONE_CONNECTION = {
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-}
 
 
 class AttemptFailedError(Exception):
@@ -67,6 +56,7 @@
         "_connection",
         "_context",
         "_dispatcher",
+        "_facts",
         "_format",
         "_is_abandoned",
         "_pool",
@@ -105,6 +95,7 @@
         self._pool = pool
         self._connection: ServerConnection | None = None
         self._run: Run | None = None
+        self._facts: AnswerFacts | None = None
         self._is_abandoned = False
         self.call = call
         self.state = state
@@ -179,7 +170,7 @@
                 self._note_first()
                 self._run.note_heard()
                 if self.call.route.is_resumable:
-                    part, rest = _split_events(rest + part)
+                    part, rest = split_events(rest + part)
                     self._note_events(part)
                 if part:
                     yield part
@@ -194,7 +185,7 @@
         return [
             (name, value)
             for name, value in self.answer.headers
-            if name.lower() not in _ONE_CONNECTION
+            if name.lower() not in ONE_CONNECTION_HEADERS
         ]
 
     def abandon(self) -> None:
@@ -249,11 +240,12 @@
         return self.call.deadline_ms + OVERDUE_GRACE_MS
 
     def _is_expected(self, answer: Answer) -> bool:
-        facts = self._format.read_answer(answer.status, answer.headers)
+        facts = self._facts = self._format.read_answer(answer.status, answer.headers)
         return not facts.request_id or facts.request_id == self.call.head.request_id
 
     def _check_head(self, answer: Answer) -> None:
-        facts = self._format.read_answer(answer.status, answer.headers)
+        # Read by `_is_expected`, which has just taken this answer.
+        facts = self._facts
         if facts.is_not_run or facts.is_wrong_server:
             self.call.runs -= 1
             self._drain_and_end(answer, is_good=None)
@@ -319,12 +311,3 @@
         run, self._run = self._run, None
         if run is not None:
             run.end(is_good=is_good)
-
-
-def _split_events(data: bytes) -> tuple[bytes, bytes]:
-    """Return the whole events at the beginning, and the rest."""
-    end = data.rfind(END_OF_EVENT)
-    if end < 0:
-        return b"", data
-    end += len(END_OF_EVENT)
-    return data[:end], data[end:]
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
@@ -14,7 +14,7 @@
 
 import httptools
 
-from lagoonsail_core.green import eventlet, green_socket, trampoline
+from lagoonsail_core.green import green_socket, trampoline
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -127,15 +127,12 @@
         "_sock",
         "idle_limit_ms",
         "idle_since_ms",
-        "received_bytes",
     )
 
     idle_since_ms: float
     """When the last answer was complete."""
     idle_limit_ms: float
     """How long it may be unused."""
-    received_bytes: int
-    """Bytes received since the last request was sent."""
 
     def __init__(self, sock: green_socket.socket, clock: Clock) -> None:
         self._sock = sock
@@ -145,19 +142,12 @@
         self._is_fully_sent = True
         self.idle_since_ms = clock.now_ms()
         self.idle_limit_ms = UNSTATED_IDLE_MS
-        self.received_bytes = 0
 
     def is_quiet(self) -> bool:
         """Return whether the connection is open and nothing unasked has arrived."""
         if self._reader.answers or not self._is_fully_sent or self._is_aborted:
             return False
-        try:
-            self._peek()
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return not self._has_input()
 
     def send(self, data: bytes, deadline_ms: float) -> None:
         """Send a request.
@@ -172,7 +162,6 @@
         Raises:
             ConnectionLostError: If the connection ended.
         """
-        self.received_bytes = 0
         self._is_fully_sent = False
         view = memoryview(data)
         while view:
@@ -266,12 +255,10 @@
     def _first_answer(self) -> Answer | None:
         return self._reader.answers[0] if self._reader.answers else None
 
-    def _peek(self) -> bytes:
-        return self._sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-
     def _has_input(self) -> bool:
+        """Return whether there is something to read, be it an end or an error."""
         try:
-            self._peek()
+            self._sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except BlockingIOError:
             return False
         except OSError:
@@ -300,7 +287,6 @@
         if not data:
             self._end()
             return
-        self.received_bytes += len(data)
         try:
             self._reader.parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -382,7 +368,7 @@
     sock.settimeout(timeout_ms / 1000.0)
     try:
         sock.connect((host, int(port)))
-    except (OSError, eventlet.Timeout) as error:
+    except OSError as error:
         sock.close()
         raise ConnectFailedError(f"{address}: {error}") from error
     return ServerConnection(sock, clock)
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
@@ -74,7 +74,7 @@
     manifest_key: str
     """Key of the newest manifest."""
     evacuation_prefix: str
-    """Begins the keys that name failed-over failure domains."""
+    """Begins the keys that name failure domains to be left out."""
     server_prefix: str
     """Begins the keys of backend servers."""
     router_prefix: str
--- a/packages/lagoonsail-router/src/lagoonsail_router/backend.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/backend.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.green import eventlet, green_socket, urllib3
+from lagoonsail_router.event_stream import END_OF_EVENT, split_events
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -33,8 +34,6 @@
 """What the id of a completion may look like, since it becomes part of a path."""
 MAX_RESUMES = 3
 """How often one stream is resumed."""
-END_OF_EVENT = b"\n\n"
-"""What ends a server-sent event."""
 END_OF_STREAM = b"data: [DONE]"
 """Last event of a whole stream."""
 
@@ -293,12 +292,9 @@
 
     def _read_events(self, state: _StreamState) -> Iterator[bytes]:
         for chunk in self._chunks():
-            data = state.rest + chunk
-            end = data.rfind(END_OF_EVENT)
-            if end < 0:
-                state.rest = data
+            whole, state.rest = split_events(state.rest + chunk)
+            if not whole:
                 continue
-            whole, state.rest = data[: end + 2], data[end + 2 :]
             self._note_events(state, whole)
             yield whole
             if state.is_done:
--- a/packages/lagoonsail-router/src/lagoonsail_router/call.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/call.py
@@ -15,6 +15,8 @@
 from lagoonsail_sharing.prefix_index import prefix_hashes
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lagoonsail_config.document import ServiceDocument
     from lagoonsail_router.configuration import Configuration
 
@@ -114,7 +116,7 @@
         account=account,
         method=method,
         path=_read_target(raw_path, env.get("QUERY_STRING", "")),
-        headers=_headers_to_pass_on(env),
+        headers=headers_to_pass_on(env, _is_left_out),
         body=body,
         idempotency_key=key,
         key_hash=0 if is_repeatable or not key else _hash_key(document, account, key),
@@ -291,12 +293,20 @@
     )
 
 
-def _headers_to_pass_on(env: dict) -> dict[str, str]:
+def _is_left_out(name: str) -> bool:
+    return name in _NOT_PASSED_ON or name.startswith("HTTP_X_LAGOONSAIL")
+
+
+def headers_to_pass_on(env: dict, is_left_out: Callable[[str], bool]) -> dict[str, str]:
+    """Return the headers of a request that a server gets.
+
+    Args:
+        env: The WSGI environment.
+        is_left_out: Tells by its name in the environment what a server must not get.
+    """
     headers = {}
     for name, value in env.items():
-        if not name.startswith("HTTP_") or name in _NOT_PASSED_ON:
-            continue
-        if name.startswith("HTTP_X_LAGOONSAIL"):
+        if not name.startswith("HTTP_") or is_left_out(name):
             continue
         headers[name[5:].replace("_", "-").title()] = value
     if env.get("CONTENT_TYPE"):
--- a/packages/lagoonsail-router/src/lagoonsail_router/context.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/context.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import secrets
-from collections import Counter
+from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
 from logbook import Logger
@@ -84,6 +84,18 @@
         """
         self.counters[name, label] += amount
 
+    def counts_of(self, name: str) -> dict[str, float]:
+        """Return the values of a counter by label; those without one are of `all`.
+
+        Args:
+            name: Metric name without prefix.
+        """
+        values: dict[str, float] = defaultdict(float)
+        for (counter, label), value in self.counters.items():
+            if counter == name:
+                values[label or "all"] += value
+        return values
+
 
 def start_task(
     context: RouterContext, name: str, function: Callable, *arguments: object
--- /dev/null
+++ b/packages/lagoonsail-router/src/lagoonsail_router/event_stream.py
@@ -0,0 +1,25 @@
+"""Server-sent events as bytes, cut where one event ends."""
+
+from __future__ import annotations
+
+END_OF_EVENT = b"\n\n"
+"""What ends a server-sent event."""
+
+
+def split_events(data: bytes) -> tuple[bytes, bytes]:
+    r"""Return the whole events at the beginning, and the rest.
+
+    Args:
+        data: Part of a stream that begins where an event begins.
+
+    Example:
+        >>> split_events(b"id: 1\n\nid: 2\n\nid")
+        (b'id: 1\n\nid: 2\n\n', b'id')
+        >>> split_events(b"id")
+        (b'', b'id')
+    """
+    end = data.rfind(END_OF_EVENT)
+    if end < 0:
+        return b"", data
+    end += len(END_OF_EVENT)
+    return data[:end], data[end:]
--- a/packages/lagoonsail-router/src/lagoonsail_router/metrics.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
+from functools import partial
 from typing import TYPE_CHECKING
 
 from lagoonsail_core import invariants
@@ -62,7 +62,10 @@
     metrics = Metrics()
     for name, doc in COUNTERS.items():
         metrics.counter_of(
-            name.removesuffix("_total"), doc, "kind", _reader(daemon, name)
+            name.removesuffix("_total"),
+            doc,
+            "kind",
+            partial(daemon.context.counts_of, name),
         )
     for name, doc in HISTOGRAMS.items():
         metrics.histogram_of(name, doc, daemon.entry.durations[name])
@@ -108,14 +111,3 @@
     return {
         name: metrics.gauge(name, doc, unit).set for name, (unit, doc) in names.items()
     }
-
-
-def _reader(daemon: Daemon, name: str) -> Callable[[], dict[str, float]]:
-    def read() -> dict[str, float]:
-        values: dict[str, float] = defaultdict(float)
-        for (counter, label), value in daemon.context.counters.items():
-            if counter == name:
-                values[label or "all"] += value
-        return values
-
-    return read
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/account_shares.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/account_shares.py
@@ -80,10 +80,10 @@
         inf
     """
     left = capacity
-    waiting = sorted(demands)
-    while waiting:
-        level = left / len(waiting)
-        if waiting[0] > level:
+    ordered = sorted(demands)
+    for index, demand in enumerate(ordered):
+        level = left / (len(ordered) - index)
+        if demand > level:
             return level
-        left -= waiting.pop(0)
+        left -= demand
     return math.inf
