Let digests tell only what is new, each prompt encoded once

Cause: each digest told the last 48 prompts, encoded anew for each datagram and decoded at each receiver, though all but a few were known.

Change: a prompt is encoded once; a round's digest tells those of the last two turns, and only new ones are decoded.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import random
-from collections import deque
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from lagoonsail_gateway.admission import AccountLoad, Refusal, judge_wait
 from lagoonsail_gateway.fleet_share import WindowLimit
-from lagoonsail_gateway.peer_digests import PromptRead
+from lagoonsail_gateway.prompt_reads import PromptRead, RecentReads
 from lagoonsail_gateway.server_health import ServerHealth
 from lagoonsail_sharing.first_token import EngineLoad, PrefixCache, choose_engine
 
@@ -33,8 +32,6 @@
 """By how much reading may take longer than expected."""
 MUCH_WORK_TOKENS = 1000
 """Tokens of a prompt that delay others noticeably until their routers know of them."""
-READS_TOLD = 48
-"""Prompts that a digest tells: more than a router sends until all were told twice."""
 COLD_WINDOW_MS = 1000.0
 """Window in which the requests to a cold server are counted."""
 
@@ -131,25 +128,27 @@
         "_manifest",
         "_on_much_work",
         "_others",
-        "_reads",
-        "_reads_count",
         "_routers",
         "_states",
         "_told_ms",
         "accounts",
         "context",
+        "reads",
     )
 
     accounts: AccountLoad
     """What the client accounts asked for and got."""
     context: RouterContext
     """Clock, counters and time line."""
+    reads: RecentReads
+    """The prompts that this router sent."""
 
     def __init__(
         self, context: RouterContext, directory: ServerDirectory, routers: RouterCount
     ) -> None:
         self.context = context
         self.accounts = AccountLoad(context.clock)
+        self.reads = RecentReads(context.clock)
         self._directory = directory
         self._routers = routers
         self._manifest: Manifest | None = None
@@ -157,8 +156,6 @@
         self._states: dict[tuple[str, int], ServerState] = {}
         self._by_id: dict[str, ServerState] = {}
         self._others: dict[str, tuple[int, int]] = {}
-        self._reads: deque[PromptRead] = deque(maxlen=READS_TOLD)
-        self._reads_count = 0
         self._told_ms = float("-inf")
         directory.subscribe(self._on_change)
 
@@ -213,8 +210,8 @@
             shared = state.load.cache.unread_tokens(call.prompt)
             unread = call.prompt.own_tokens + shared
             state.load.cache.note_read(call.prompt)
-            self._reads.append(PromptRead(state.server.record.server_id, call.prompt))
-            self._reads_count += 1
+            server_id = state.server.record.server_id
+            self.reads.add(PromptRead(server_id, call.prompt))
         run = Run(self, state, unread)
         if unread >= MUCH_WORK_TOKENS:
             self._on_much_work()
@@ -231,10 +228,6 @@
             if state.load.running
         }
 
-    def reads(self) -> tuple[list[PromptRead], int]:
-        """Return the prompts that this router sent last, and how many in all."""
-        return list(self._reads), self._reads_count
-
     def note_read(self, read: PromptRead) -> None:
         """Take over that another router has sent a prompt.
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -241,7 +241,7 @@
         self.digests.send_round()
         self.dispatcher.accounts.update(self.digests.newest())
 
-    def _make_digest(self, number: int) -> Digest:
+    def _make_digest(self, number: int, reads_age_ms: float) -> Digest:
         asked, admitted = self.dispatcher.accounts.own_sums()
         return Digest(
             self._settings.name,
@@ -250,7 +250,9 @@
             self.dispatcher.pending(),
             asked,
             admitted,
-            *self.dispatcher.reads(),
+            self.dispatcher.reads.newest(reads_age_ms),
+            self.dispatcher.reads.count,
+            self.digests.wanted(),
         )
 
     def _on_server(self, kind: str, server: Server) -> None:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 import socket
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -15,15 +16,19 @@
 import msgpack
 
 from lagoonsail_core.green import green_socket
+from lagoonsail_gateway.prompt_reads import MALFORMED, MOST_READS, decode_read
 from lagoonsail_router.context import start_later
-from lagoonsail_sharing.first_token import Prompt, SharedPart
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from lagoonsail_gateway.fleet_share import RouterCount
+    from lagoonsail_gateway.prompt_reads import PromptRead
     from lagoonsail_router.context import RouterContext
 
+Address = tuple[str, int]
+"""IP number and port."""
+
 ROUND_MS = 100.0
 """Time between two rounds."""
 SOON_MS = 5.0
@@ -34,31 +39,10 @@
 """Age at which a digest no longer counts: its router is gone, or cannot be heard."""
 MAX_DATAGRAM_BYTES = 60_000
 """Longest digest."""
-FORMAT_VERSION = 1
+FORMAT_VERSION = 2
 """Changes with the layout of a digest; others are left out."""
 
 
-@dataclass(slots=True, frozen=True)
-class PromptRead:
-    """A prompt that a router sent to an engine."""
-
-    server_id: str
-    """The engine."""
-    prompt: Prompt
-    """The prompt."""
-
-    def encode(self) -> list:
-        """Return what stands for it in a digest."""
-        parts = [[part.key, part.tokens] for part in self.prompt.shared]
-        return [self.server_id, parts, self.prompt.own_tokens]
-
-
-def _decode_read(fields: list) -> PromptRead:
-    server_id, parts, own_tokens = fields
-    shared = tuple(SharedPart(int(key), int(tokens)) for key, tokens in parts)
-    return PromptRead(str(server_id), Prompt(shared, int(own_tokens)))
-
-
 @dataclass(slots=True)
 class Digest:
     """What a router tells about its own work."""
@@ -75,10 +59,13 @@
     """Sums of what was asked, by client account."""
     admitted: dict[str, float] = field(default_factory=dict)
     """Sums of what was admitted, by client account."""
-    reads: list[PromptRead] = field(default_factory=list)
-    """The prompts that it sent last, in order; some were told before."""
+    reads: list[bytes] = field(default_factory=list)
+    """The prompts that it sent last, in order, each encoded by itself, since most of
+    them were told before and need no decoding."""
     reads_count: int = 0
     """Prompts that it has sent since its start, the last of `reads` included."""
+    wanted: list[str] = field(default_factory=list)
+    """Routers of whose prompts it missed some, and wants all that they remember."""
 
     def encode(self) -> bytes:
         """Return the datagram."""
@@ -89,10 +76,11 @@
                 self.incarnation,
                 self.number,
                 self.pending,
-                self.asked,
-                self.admitted,
-                [read.encode() for read in self.reads],
+                {account: round(value) for account, value in self.asked.items()},
+                {account: round(value) for account, value in self.admitted.items()},
+                self.reads,
                 self.reads_count,
+                self.wanted,
             ]
         )
 
@@ -113,7 +101,8 @@
         version, *fields = msgpack.unpackb(data)
         if version != FORMAT_VERSION:
             return None
-        router, incarnation, number, pending, asked, admitted, reads, count = fields
+        router, incarnation, number, pending, asked, admitted, *rest = fields
+        reads, count, wanted = rest
         return Digest(
             str(router),
             int(incarnation),
@@ -121,10 +110,11 @@
             {str(server): (int(n), int(t)) for server, (n, t) in pending.items()},
             {str(account): float(value) for account, value in asked.items()},
             {str(account): float(value) for account, value in admitted.items()},
-            [_decode_read(read) for read in reads],
+            list(reads),
             int(count),
+            [str(name) for name in wanted],
         )
-    except (ValueError, TypeError, AttributeError, msgpack.exceptions.UnpackException):
+    except MALFORMED:
         return None
 
 
@@ -142,13 +132,15 @@
         "_on_read",
         "_routers",
         "_sock",
+        "_taken",
+        "_wanted",
     )
 
     def __init__(
         self,
         context: RouterContext,
         routers: RouterCount,
-        make: Callable[[int], Digest],
+        make: Callable[[int, float], Digest],
         on_replaced: Callable[[Digest | None, Digest | None], None],
         on_read: Callable[[PromptRead], None],
     ) -> None:
@@ -157,7 +149,8 @@
         Args:
             context: The router's shared state.
             routers: The other routers and their addresses.
-            make: Makes this router's digest, given its number.
+            make: Makes this router's digest, given its number and the greatest age of
+                the prompts that it tells, in milliseconds.
             on_replaced: Takes a router's former digest and its new one; either is None
                 if the router was not heard before, or is not heard any more.
             on_read: Takes each prompt that another router has sent, once.
@@ -169,6 +162,8 @@
         self._on_replaced = on_replaced
         self._on_read = on_read
         self._heard: dict[str, tuple[float, Digest]] = {}
+        self._taken: dict[str, tuple[int, int]] = {}
+        self._wanted: set[str] = set()
         self._number = 0
         self._next_peer = 0
         self._sock: green_socket.socket | None = None
@@ -186,22 +181,23 @@
     def receive(self) -> None:
         """Take in digests for ever."""
         while True:
-            data, _ = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
-            self._take_guarded(data)
+            data, sender = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+            self._take_guarded(data, sender)
 
-    def _take_guarded(self, data: bytes) -> None:
+    def _take_guarded(self, data: bytes, sender: Address) -> None:
         try:
-            self.take(data)
+            self.take(data, sender)
         except Exception:
             # One strange datagram must not end the hearing of all others.
             self._context.count("task_errors_total", "digests")
             self._context.logger.exception("a digest could not be taken in")
 
-    def take(self, data: bytes) -> None:
+    def take(self, data: bytes, sender: Address) -> None:
         """Take in one datagram.
 
         Args:
             data: The datagram.
+            sender: Where it came from.
         """
         digest = decode_digest(data)
         if digest is None:
@@ -218,8 +214,27 @@
         former = known[1] if known else None
         self._heard[digest.router] = (now_ms, digest)
         self._on_replaced(former, digest)
-        for read in _new_reads(digest, former):
-            self._on_read(read)
+        self._take_reads(digest)
+        if self._routers.name in digest.wanted:
+            self._send_to([sender], math.inf)
+
+    def _take_reads(self, digest: Digest) -> None:
+        incarnation, taken = self._taken.get(digest.router, (digest.incarnation, 0))
+        missing = digest.reads_count - (
+            taken if incarnation == digest.incarnation else 0
+        )
+        count = min(missing, len(digest.reads))
+        if count < min(missing, MOST_READS):
+            self._wanted.add(digest.router)
+        else:
+            self._wanted.discard(digest.router)
+            self._taken[digest.router] = (digest.incarnation, digest.reads_count)
+        for data in digest.reads[len(digest.reads) - count :]:
+            read = decode_read(data)
+            if read is None:
+                self._context.count("digests_malformed_total")
+            else:
+                self._on_read(read)
 
     def send_round(self) -> None:
         """Send a digest to the next routers in turn, and forget silent ones."""
@@ -236,16 +251,23 @@
         """Return the newest digest of each other router."""
         return [digest for _, digest in self._heard.values()]
 
+    def wanted(self) -> list[str]:
+        """Return the routers of whose prompts some were missed."""
+        return list(self._wanted)
+
     def _send_due(self) -> None:
         self._is_due_soon = False
         self._send_next()
 
     def _send_next(self) -> None:
         addresses = self._next_addresses()
-        if not addresses:
-            return
+        if addresses:
+            # Each router is told twice of each prompt, since datagrams are lost.
+            self._send_to(addresses, 2 * ROUND_MS * (self._rounds() + 1))
+
+    def _send_to(self, addresses: list[Address], reads_age_ms: float) -> None:
         self._number += 1
-        data = self._make(self._number).encode()
+        data = self._make(self._number, reads_age_ms).encode()
         if len(data) > MAX_DATAGRAM_BYTES:
             self._context.count("digests_too_long_total")
             return
@@ -259,7 +281,7 @@
             # The next round replaces it.
             self._context.count("digests_not_sent_total")
 
-    def _next_addresses(self) -> list[tuple[str, int]]:
+    def _next_addresses(self) -> list[Address]:
         addresses = self._routers.peer_addresses()
         count = min(len(addresses), MAX_PEERS_A_ROUND)
         if not count:
@@ -273,6 +295,8 @@
         for router, (heard_ms, digest) in list(self._heard.items()):
             if heard_ms < oldest_ms:
                 del self._heard[router]
+                self._taken.pop(router, None)
+                self._wanted.discard(router)
                 self._on_replaced(digest, None)
                 self._context.timeline.record("peer_silent", peer=router)
 
@@ -281,12 +305,5 @@
         return max(1.0, peers / MAX_PEERS_A_ROUND)
 
 
-def _new_reads(digest: Digest, known: Digest | None) -> list[PromptRead]:
-    if known is None or known.incarnation != digest.incarnation:
-        return digest.reads
-    count = min(len(digest.reads), max(0, digest.reads_count - known.reads_count))
-    return digest.reads[len(digest.reads) - count :]
-
-
 def _order(digest: Digest) -> tuple[int, int]:
     return digest.incarnation, digest.number
