Split engine orders: an engine's state, the calls to it, and what to order

Now tests go the way of the product (`look`), a record carries what a change needs, and each of three modules has one concept. No behaviour changes.

--- a/packages/lagoonsail-router/tests/test_engine_bad_answers.py
+++ b/packages/lagoonsail-router/tests/test_engine_bad_answers.py
@@ -10,11 +10,11 @@
 from lagoonsail_config.document import parse_document
 from lagoonsail_core.clock import Clock
 from lagoonsail_core.green import eventlet
-from lagoonsail_router import engine_orders
+from lagoonsail_router import engine_calls, engine_orders
 from lagoonsail_router.batched_gets import BatchedGets
+from lagoonsail_router.engine_calls import LONGEST_LIMIT_MS
 from lagoonsail_router.engine_orders import (
     FIRST_PAUSE_MS,
-    LONGEST_LIMIT_MS,
     LONGEST_PAUSE_MS,
     EngineOrders,
 )
@@ -74,6 +74,7 @@
 @pytest.fixture
 def engine(threads, monkeypatch):
     monkeypatch.setattr(engine_orders, "ORDER_TIMEOUT_S", TIMEOUT_S)
+    monkeypatch.setattr(engine_calls, "ORDER_TIMEOUT_S", TIMEOUT_S)
     engine, listener = FakeEngine(), listen(0)
 
     def take(connection):
--- a/packages/lagoonsail-router/tests/test_engine_orders.py
+++ b/packages/lagoonsail-router/tests/test_engine_orders.py
@@ -18,6 +18,7 @@
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_router import engine_orders
 from lagoonsail_router.context import RouterContext
+from lagoonsail_router.engine_calls import LONGEST_LIMIT_MS, EngineAnswer
 from lagoonsail_router.engine_orders import (
     CHANGED_AT_ONCE,
     FIRST_PAUSE_MS,
@@ -63,12 +64,23 @@
     return make
 
 
+def look(orders, server, document, may_order, on_load):
+    """One look at an engine, until all orders that follow from it are carried out."""
+
+    def add(address, path, timeout_ms, on_answer):
+        on_answer(engine_orders.exchange("GET", address, None, {}))
+
+    orders.look(server, document, SimpleNamespace(add=add), may_order, on_load)
+    while server.name in orders._at_work:
+        eventlet.sleep(0)
+
+
 def bring(orders, document, **options):
     """One look at every engine."""
     may_order = options.get("may_order", lambda: True)
     on_load = options.get("on_load", lambda: None)
     for server in document.servers.values():
-        orders.step(server, document, may_order, on_load)
+        look(orders, server, document, may_order, on_load)
 
 
 def closed(orders, document):
@@ -215,7 +227,7 @@
         if answer is not None:
             return answer
         body = json.dumps({**self.state, "loading": False}).encode()
-        return engine_orders._Answer(200, body, "")
+        return EngineAnswer(200, body, "")
 
     def ordered(self):
         return [order["order"] for method, order in self.sent if method == "POST"]
@@ -224,12 +236,12 @@
 @pytest.fixture
 def engines(monkeypatch):
     fake = FakeEngines()
-    monkeypatch.setattr(engine_orders, "_exchange", fake.exchange)
+    monkeypatch.setattr(engine_orders, "exchange", fake.exchange)
     return fake
 
 
 def status(code, retry_after="", body=b"{}"):
-    return engine_orders._Answer(code, body, retry_after)
+    return EngineAnswer(code, body, retry_after)
 
 
 @pytest.mark.parametrize("answer", [status(503), Unavailable("no answer")])
@@ -296,7 +308,7 @@
     orders.on_unreachable(first)
     engines.answers["GET"] = Unavailable("no answer")
     for server in others:
-        orders.step(server, document, lambda: True, lambda: None)
+        look(orders, server, document, lambda: True, lambda: None)
     assert closed(orders, document) == ["s1", "s2", "s3"]
     assert orders._changing == set()
 
@@ -310,7 +322,7 @@
     time.pass_ms(FIRST_PAUSE_MS * 0.99)
     bring(orders, document)
     assert engines.ordered() == ["load"]
-    time.pass_ms(engine_orders.LONGEST_LIMIT_MS * 1.2)
+    time.pass_ms(LONGEST_LIMIT_MS * 1.2)
     bring(orders, document)
     assert engines.ordered() == ["load"] * 2
 
--- a/packages/lagoonsail-router/tests/test_router_fuzz.py
+++ b/packages/lagoonsail-router/tests/test_router_fuzz.py
@@ -20,13 +20,8 @@
 )
 from lagoonsail_router.batched_gets import _parse, _parse_any, _parse_plain
 from lagoonsail_router.call import Call, read_call
-from lagoonsail_router.engine_orders import (
-    LONGEST_LIMIT_MS,
-    EngineState,
-    _Answer,
-    _parse_state,
-    _read_retry_after_ms,
-)
+from lagoonsail_router.engine_calls import LONGEST_LIMIT_MS, read_retry_after_ms
+from lagoonsail_router.engine_state import EngineState, parse_state
 from lagoonsail_router.key_log import parse_keys
 from lagoonsail_router.load_reports import parse_cache_events, parse_load
 from lagoonsail_router.problems import CallProblem
@@ -75,7 +70,7 @@
     completion_id = _find_completion_id(b"data: " + body + b"\n\n")
     assert completion_id.isascii()
     assert "/" not in completion_id
-    state = _parse_state(_Answer(200, body, ""))
+    state = parse_state(200, body)
     assert state is None or type(state) is EngineState
     assert isinstance(parse_cache_events(body), list | Unavailable)
 
@@ -193,8 +188,8 @@
 @fuzzed
 @given(states)
 def test_any_engine_state_is_taken_as_it_is_or_not_at_all(fields):
-    state = _parse_state(_Answer(200, json.dumps(fields).encode(), ""))
-    assert _parse_state(_Answer(500, json.dumps(fields).encode(), "")) is None
+    state = parse_state(200, json.dumps(fields).encode())
+    assert parse_state(500, json.dumps(fields).encode()) is None
     if state is not None:
         assert [state.model, state.version, state.role, state.is_loading] == [
             fields[name] for name in ("model", "version", "role", "loading")
@@ -220,7 +215,7 @@
 @fuzzed
 @given(dates | st.text(max_size=20) | st.floats().map(str) | st.integers().map(str))
 def test_any_limit_of_the_weight_store_becomes_a_bounded_time(time, text):
-    assert 0 <= _read_retry_after_ms(text, time.clock) <= LONGEST_LIMIT_MS
+    assert 0 <= read_retry_after_ms(text, time.clock) <= LONGEST_LIMIT_MS
 
 
 @fuzzed
