Make fewer calls to the store in a large fleet: long watches, changes gathered

Change: after changes a router waits 10 ms for each router of the fleet, at most 1 s, so that more changes come in one answer. A watch waits 250 ms for each router, 3 to 20 s, and 3 s for 15 s after trouble. Since a lost answer would now stay unnoticed for longer, digests tell the revision that a router knows: one that is behind for a second ends its watch and asks anew, and so does one whose renewal is not answered.

Ruled out: watching fewer keys, as a watch has one prefix.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from functools import partial
 from typing import TYPE_CHECKING
 
@@ -9,6 +10,7 @@
 
 from lagoonsail_core.decision_log import DecisionLog
 from lagoonsail_core.green import eventlet
+from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_gateway.call_service import HISTOGRAMS, CallService
 from lagoonsail_gateway.connection_pool import ConnectionPool
 from lagoonsail_gateway.dispatcher import Dispatcher
@@ -51,6 +53,8 @@
 """What each counter counts."""
 EXPIRY_INTERVAL_MS = 200.0
 """Time between two looks at servers that are to be taken as gone."""
+MEMBERSHIP_RETRY_MS = 1000.0
+"""Pause after a registration or a renewal that failed."""
 STALE_INTERVAL_MS = 500.0
 """Time between two looks at connections that were not used for long."""
 IDLE_TIMEOUT_MS = 20_000.0
@@ -114,7 +118,7 @@
         request_format: RequestFormat,
         key_format: KeyFormat,
         store_calls: StoreCalls,
-        membership: Callable[[], float],
+        membership: Callable[[], float | Unavailable],
     ) -> None:
         """Put the parts together.
 
@@ -124,7 +128,7 @@
             key_format: Reads the store's values.
             store_calls: Calls of the store.
             membership: Registers the router or renews that, and returns the
-                milliseconds until it wants to be called again.
+                milliseconds until it wants to be called again, or why it failed.
         """
         context = self.context = RouterContext(settings)
         self._settings = settings
@@ -153,7 +157,7 @@
             context,
             self.routers,
             self._make_digest,
-            self.dispatcher.replace_digest,
+            self._replace_digest,
             self.dispatcher.note_read,
         )
         self.dispatcher.on_much_work(self.digests.send_soon)
@@ -191,6 +195,7 @@
             [
                 (ROUND_MS, self._exchange_digests, "digests"),
                 (EXPIRY_INTERVAL_MS, self.directory.expire, "expiry"),
+                (EXPIRY_INTERVAL_MS, self.view.check_behind, "store_view"),
                 (STALE_INTERVAL_MS, self.pool.close_stale, "stale"),
             ],
         )
@@ -252,9 +257,15 @@
             admitted,
             self.dispatcher.reads.newest(reads_age_ms),
             self.dispatcher.reads.count,
+            self.view.revision or 0,
             self.digests.wanted(),
         )
 
+    def _replace_digest(self, former: Digest | None, newest: Digest | None) -> None:
+        self.dispatcher.replace_digest(former, newest)
+        if newest is not None:
+            self.view.note_told(newest.store_revision)
+
     def _on_server(self, kind: str, server: Server) -> None:
         if kind in ("left", "restarted"):
             self.pool.drop(server)
@@ -262,7 +273,11 @@
     def _keep_membership(self) -> None:
         while True:
             pause_ms = self._membership()
-            eventlet.sleep(pause_ms / 1000.0)
+            if isinstance(pause_ms, Unavailable):
+                self.view.note_silence(pause_ms.reason)
+                pause_ms = MEMBERSHIP_RETRY_MS
+            # All routers of a fleet may have started at once.
+            eventlet.sleep(pause_ms * random.uniform(0.75, 1.0) / 1000.0)
 
     def is_ready(self) -> bool:
         """Return whether callers should come here."""
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
@@ -64,6 +64,8 @@
     them were told before and need no decoding."""
     reads_count: int = 0
     """Prompts that it has sent since its start, the last of `reads` included."""
+    store_revision: int = 0
+    """Revision up to which it knows the store."""
     wanted: list[str] = field(default_factory=list)
     """Routers of whose prompts it missed some, and wants all that they remember."""
 
@@ -80,6 +82,7 @@
                 {account: round(value) for account, value in self.admitted.items()},
                 self.reads,
                 self.reads_count,
+                self.store_revision,
                 self.wanted,
             ]
         )
@@ -102,7 +105,7 @@
         if version != FORMAT_VERSION:
             return None
         router, incarnation, number, pending, asked, admitted, *rest = fields
-        reads, count, wanted = rest
+        reads, count, store_revision, wanted = rest
         return Digest(
             str(router),
             int(incarnation),
@@ -112,6 +115,7 @@
             {str(account): float(value) for account, value in admitted.items()},
             list(reads),
             int(count),
+            int(store_revision),
             [str(name) for name in wanted],
         )
     except MALFORMED:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
@@ -21,8 +21,23 @@
     from lagoonsail_gateway.server_directory import ServerDirectory, ServerRecord
     from lagoonsail_router.context import RouterContext
 
-WATCH_MS = 3000.0
-"""How long a watch waits, so that one that a silent store has lost is asked again."""
+SHORTEST_WATCH_MS = 3000.0
+"""How long a watch waits at least, and after trouble: an answer that was lost is asked
+for again then."""
+LONGEST_WATCH_MS = 20_000.0
+"""How long a watch waits at most."""
+WATCH_MS_PER_ROUTER = 250.0
+"""Time of a watch for each router of the fleet, which bounds the calls of all: the more
+there are, the sooner one of them tells the others of a change."""
+TROUBLED_MS = 15_000.0
+"""How long after trouble watches are short."""
+GATHER_MS_PER_ROUTER = 10.0
+"""Pause after changes for each router of the fleet, in which more changes gather: each
+answer to a watch is one call for each router."""
+LONGEST_GATHER_MS = 1000.0
+"""Longest such pause: a part of the time in which changes must be in force."""
+BEHIND_MS = 1000.0
+"""Time after which a change that another router knows should be known here, too."""
 RETRY_MS = 150.0
 """Pause after a call that failed."""
 MAX_RETRY_MS = 600.0
@@ -65,6 +80,8 @@
     """Reads all items, no older than the call."""
     watch: Callable[[int, float], StoreItems | Unavailable]
     """Waits for changes after a revision, up to a time in milliseconds."""
+    interrupt: Callable[[], None]
+    """Ends the call that waits, as its answer may be lost; from another task."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -93,14 +110,19 @@
         "_context",
         "_directory",
         "_format",
+        "_has_news",
         "_items",
         "_on_manifest",
+        "_patience_ms",
+        "_behind_since_ms",
         "_relist_at_ms",
-        "_revision",
         "_routers",
+        "_told_revision",
+        "_trouble_ms",
         "heard_ms",
         "is_up",
         "manifest",
+        "revision",
     )
 
     manifest: Manifest | None
@@ -109,6 +131,8 @@
     """When the store last answered."""
     is_up: bool
     """Whether the last call was answered."""
+    revision: int | None
+    """Revision of the store up to which all is known, None if nothing is."""
 
     def __init__(
         self,
@@ -126,8 +150,13 @@
         self._routers = routers
         self._on_manifest = on_manifest
         self._items: dict[str, StoreItem] = {}
-        self._revision: int | None = None
         self._relist_at_ms: float | None = None
+        self._has_news = False
+        self._patience_ms = BEHIND_MS
+        self._told_revision = 0
+        self._behind_since_ms = float("inf")
+        self._trouble_ms = float("-inf")
+        self.revision = None
         self.manifest = None
         self.heard_ms = float("-inf")
         self.is_up = False
@@ -138,6 +167,9 @@
         while True:
             if self._step_guarded():
                 pause_ms = RETRY_MS
+                if self._has_news:
+                    self._has_news = False
+                    eventlet.sleep(self._gather_ms() / 1000.0)
                 continue
             eventlet.sleep(pause_ms / 1000.0)
             pause_ms = min(2 * pause_ms, MAX_RETRY_MS)
@@ -149,7 +181,7 @@
             # What nobody expected must not blind the router: all is read anew.
             self._context.count("task_errors_total", "store_view")
             self._context.logger.exception("a step of the store's view failed")
-            self._revision = None
+            self.revision = None
             return False
 
     def step(self) -> bool:
@@ -160,8 +192,8 @@
         """
         now_ms = self._context.clock.now_ms()
         if self._relist_at_ms is not None and now_ms >= self._relist_at_ms:
-            self._revision = None
-        if self._revision is None:
+            self.revision = None
+        if self.revision is None:
             return self._list()
         return self._watch()
 
@@ -172,7 +204,7 @@
             return False
         self._note_answer()
         self._relist_at_ms = None
-        self._revision = listing.revision
+        self.revision = listing.revision
         listed = {item.key: item for item in listing.items}
         for key, known in list(self._items.items()):
             if key not in listed and known.revision <= listing.revision:
@@ -183,28 +215,83 @@
         return True
 
     def _watch(self) -> bool:
-        wait_ms = WATCH_MS
+        wait_ms = self._watch_ms()
         if self._relist_at_ms is not None:
             left_ms = self._relist_at_ms - self._context.clock.now_ms()
             wait_ms = max(1.0, min(wait_ms, left_ms))
-        changes = self._calls.watch(self._revision, wait_ms)
+        changes = self._calls.watch(self.revision, wait_ms)
         if isinstance(changes, HistoryLost):
-            self._context.timeline.record("store_history_lost", after=self._revision)
-            self._revision = None
+            self._context.timeline.record("store_history_lost", after=self.revision)
+            self.revision = None
             return True
         if isinstance(changes, Unavailable):
             self._note_trouble(changes)
             return False
         self._note_answer()
-        self._revision = max(self._revision, changes.revision)
+        self.revision = max(self.revision, changes.revision)
         for item in changes.items:
             self._take(item)
         if changes.items:
             self._apply_groups()
+            self._has_news = True
         return True
 
+    def _watch_ms(self) -> float:
+        if self._context.clock.now_ms() - self._trouble_ms < TROUBLED_MS:
+            return SHORTEST_WATCH_MS
+        wait_ms = WATCH_MS_PER_ROUTER * self._routers.count()
+        return min(LONGEST_WATCH_MS, max(SHORTEST_WATCH_MS, wait_ms))
+
+    def _gather_ms(self) -> float:
+        return min(LONGEST_GATHER_MS, GATHER_MS_PER_ROUTER * self._routers.count())
+
+    def note_told(self, revision: int) -> None:
+        """Note that another router knows the store up to a revision.
+
+        Args:
+            revision: The revision.
+        """
+        self._told_revision = max(self._told_revision, revision)
+        if self._told_revision <= (self.revision or 0):
+            self._behind_since_ms = float("inf")
+        elif self._behind_since_ms == float("inf"):
+            self._behind_since_ms = self._context.clock.now_ms()
+
+    def check_behind(self) -> None:
+        """Ask the store anew if another router has known more for some time."""
+        if self.revision is None or self._told_revision <= self.revision:
+            self._behind_since_ms = float("inf")
+            return
+        behind_ms = self._context.clock.now_ms() - self._behind_since_ms
+        if behind_ms < self._patience_ms + self._gather_ms():
+            return
+        self._behind_since_ms = self._context.clock.now_ms()
+        # A store that is so slow must not be asked again before it can answer.
+        self._patience_ms = min(2 * self._patience_ms, SHORTEST_WATCH_MS)
+        self._interrupt("another router knows more")
+
+    def note_silence(self, reason: str) -> None:
+        """Ask the store anew since another call was not answered.
+
+        Args:
+            reason: What became of that call.
+        """
+        silent_ms = self._context.clock.now_ms() - self.heard_ms
+        if self.is_up and silent_ms > BEHIND_MS:
+            self._interrupt(reason)
+
+    def _interrupt(self, reason: str) -> None:
+        self._context.timeline.record(
+            "store_watch_ended",
+            reason=reason,
+            revision=self.revision or 0,
+            told=self._told_revision,
+        )
+        self._calls.interrupt()
+
     def _note_trouble(self, problem: Unavailable) -> None:
         self._directory.note_store_trouble()
+        self._trouble_ms = self._context.clock.now_ms()
         self._context.count("store_failures_total")
         if self.is_up:
             self.is_up = False
@@ -213,14 +300,13 @@
     def _note_answer(self) -> None:
         now_ms = self._context.clock.now_ms()
         self.heard_ms = now_ms
+        self._patience_ms = BEHIND_MS
         if not self.is_up:
             self.is_up = True
-            if self._revision is not None:
+            if self.revision is not None:
                 self._directory.note_store_trouble()
                 self._relist_at_ms = now_ms + RELIST_AFTER_TROUBLE_MS
-            self._context.timeline.record(
-                "store_regained", revision=self._revision or 0
-            )
+            self._context.timeline.record("store_regained", revision=self.revision or 0)
 
     def _take(self, item: StoreItem) -> None:
         known = self._items.get(item.key)
--- a/packages/lagoonsail-gateway/tests/test_store_view.py
+++ b/packages/lagoonsail-gateway/tests/test_store_view.py
@@ -10,7 +10,11 @@
 from lagoonsail_gateway.fleet_share import RouterCount
 from lagoonsail_gateway.server_directory import REGISTRATION_GRACE_MS, ServerDirectory
 from lagoonsail_gateway.store_view import (
+    BEHIND_MS,
+    LONGEST_GATHER_MS,
+    LONGEST_WATCH_MS,
     RELIST_AFTER_TROUBLE_MS,
+    SHORTEST_WATCH_MS,
     HistoryLost,
     KeyFormat,
     StoreCalls,
@@ -44,8 +48,15 @@
             Unavailable("broken") if data == b"broken" else make_record(server_id)
         ),
     )
-    calls = StoreCalls(lambda: answers.pop(0), lambda after, wait_ms: answers.pop(0))
-    used = []
+    waits, interrupts, used = [], [], []
+
+    def watch(after, wait_ms):
+        waits.append(wait_ms)
+        return answers.pop(0)
+
+    calls = StoreCalls(
+        lambda: answers.pop(0), watch, lambda: interrupts.append(hand_clock.ms)
+    )
     view = StoreView(context, calls, key_format, directory, routers, used.append)
 
     def step(*pages):
@@ -54,7 +65,13 @@
             view.step()
 
     return SimpleNamespace(
-        view=view, directory=directory, routers=routers, step=step, used=used
+        view=view,
+        directory=directory,
+        routers=routers,
+        step=step,
+        used=used,
+        waits=waits,
+        interrupts=interrupts,
     )
 
 
@@ -126,7 +143,7 @@
 
 
 def test_failure_that_nobody_expected_does_not_end_the_view(world):
-    world.view._calls = StoreCalls(lambda: 1 / 0, None)
+    world.view._calls = StoreCalls(lambda: 1 / 0, None, None)
     assert not world.view._step_guarded()
 
 
@@ -139,3 +156,60 @@
     world.step(page(7, ("evacuate/north", None, 6), ("routers/r2", None, 7)))
     assert world.directory.evacuated == set()
     assert world.routers.peer_addresses() == []
+
+
+def join(world, count):
+    world.routers.update({f"p{n}": f"10.0.0.1:{7000 + n}" for n in range(count)})
+
+
+def test_larger_fleet_watches_longer_and_gathers_changes(world, hand_clock):
+    join(world, 5)
+    world.step(page(5, ("config", b"2", 5)), page(5))
+    join(world, 400)
+    world.step(page(5))
+    assert world.waits == [SHORTEST_WATCH_MS, LONGEST_WATCH_MS]
+    assert world.view._gather_ms() == LONGEST_GATHER_MS
+    # The answer to a watch may have been lost in the same trouble.
+    world.step(Unavailable("silent"))
+    world.step(page(5))
+    assert world.waits[-1] <= SHORTEST_WATCH_MS
+
+
+def test_watch_whose_answer_was_lost_ends_when_another_router_knows_more(
+    world, hand_clock
+):
+    join(world, 5)
+    world.step(page(5, ("config", b"2", 5)))
+    world.view.note_told(7)
+    world.view.check_behind()
+    assert world.interrupts == []
+    hand_clock.ms += BEHIND_MS + 100.0
+    world.view.check_behind()
+    assert len(world.interrupts) == 1
+    # The watch is asked again, and its answer gets longer than the first time.
+    hand_clock.ms += BEHIND_MS + 100.0
+    world.view.check_behind()
+    assert len(world.interrupts) == 1
+    world.step(page(7, ("config", b"3", 7)))
+    hand_clock.ms += 60_000.0
+    world.view.check_behind()
+    assert len(world.interrupts) == 1
+    assert world.view.manifest.version == 3
+
+
+def test_listing_is_not_ended_though_others_know_more(world, hand_clock):
+    world.view.note_told(7)
+    hand_clock.ms += 60_000.0
+    world.view.check_behind()
+    assert world.interrupts == []
+
+
+def test_silence_to_another_call_ends_a_watch_that_has_not_been_heard_lately(
+    world, hand_clock
+):
+    world.step(page(5, ("config", b"2", 5)))
+    world.view.note_silence("no answer")
+    assert world.interrupts == []
+    hand_clock.ms += BEHIND_MS + 1.0
+    world.view.note_silence("no answer")
+    assert len(world.interrupts) == 1
