Tell sums of accounts only when they changed, and let them fade at the receiver

What was told stood still until it was told anew, up to 0.6 s, though sums fade in 1.5 s.

Change: a digest has only the accounts with a request in the last two turns; the receiver keeps each router's sum by account and lets it fade. A router that starts anew takes nothing of its former sums back.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/admission.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/admission.py
@@ -14,13 +14,17 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from lagoonsail_sharing.account_shares import FADE_MS, FadingSums, fair_level
+from lagoonsail_sharing.account_shares import (
+    FADE_MS,
+    FadingSums,
+    FleetSums,
+    fair_level,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Mapping
 
     from lagoonsail_core.clock import Clock
-    from lagoonsail_gateway.peer_digests import Digest
 
 CALM_WAIT_PART = 1.2
 """Part of its objective that a request may wait while all accounts get what they
@@ -79,8 +83,8 @@
         self._clock = clock
         self._asked = FadingSums()
         self._admitted = FadingSums()
-        self._others_asked: dict[str, float] = {}
-        self._others_admitted: dict[str, float] = {}
+        self._others_asked = FleetSums()
+        self._others_admitted = FleetSums()
         self._level = math.inf
         self.known_capacity = 0.0
 
@@ -110,23 +114,48 @@
         """
         self._admitted.add(account, cost, self._clock.now_ms())
 
-    def own_sums(self) -> tuple[dict[str, float], dict[str, float]]:
-        """Return what was asked and admitted at this router."""
+    def recent_sums(self, age_ms: float) -> dict[str, tuple[int, int]]:
+        """Return what accounts asked for and were admitted at this router.
+
+        Args:
+            age_ms: Accounts without a request for so long are left out; their sums
+                have only faded since.
+        """
         now_ms = self._clock.now_ms()
-        return self._asked.values(now_ms), self._admitted.values(now_ms)
+        admitted = self._admitted.recent(now_ms, math.inf)
+        return {
+            account: (round(asked), round(admitted.get(account, 0.0)))
+            for account, asked in self._asked.recent(now_ms, age_ms).items()
+        }
 
-    def update(self, digests: Iterable[Digest]) -> None:
-        """Take over what the other routers told, and compute the shares anew.
+    def note_told(
+        self, router: str, incarnation: int, sums: Mapping[str, tuple[int, int]]
+    ) -> None:
+        """Take over what another router told of its accounts.
 
         Args:
-            digests: The newest digest of each.
+            router: The router.
+            incarnation: Number of its start.
+            sums: What its `recent_sums` returned.
         """
-        digests = list(digests)
-        self._others_asked = _sum(digest.asked for digest in digests)
-        self._others_admitted = _sum(digest.admitted for digest in digests)
-        asked, admitted = self.own_sums()
-        asked = _sum([asked, self._others_asked])
-        admitted = _sum([admitted, self._others_admitted])
+        now_ms = self._clock.now_ms()
+        asked = {account: pair[0] for account, pair in sums.items()}
+        admitted = {account: pair[1] for account, pair in sums.items()}
+        self._others_asked.note_told(router, incarnation, asked, now_ms)
+        self._others_admitted.note_told(router, incarnation, admitted, now_ms)
+
+    def forget(self, router: str) -> None:
+        """Note that a router is not heard any more; what it told fades."""
+        self._others_asked.forget(router)
+        self._others_admitted.forget(router)
+
+    def update(self) -> None:
+        """Compute the shares anew."""
+        now_ms = self._clock.now_ms()
+        asked = _sum(self._asked.values(now_ms), self._others_asked.values(now_ms))
+        admitted = _sum(
+            self._admitted.values(now_ms), self._others_admitted.values(now_ms)
+        )
         capacity = max(sum(admitted.values()), self.known_capacity)
         self._level = fair_level(asked.values(), capacity)
 
@@ -144,10 +173,11 @@
             return None
         now_ms = self._clock.now_ms()
         asked = self._asked.value(account, now_ms)
-        if asked + self._others_asked.get(account, 0.0) <= self._level:
+        if asked + self._others_asked.value(account, now_ms) <= self._level:
             return 0.0
         admitted = self._admitted.value(account, now_ms)
-        return (admitted + self._others_admitted.get(account, 0.0)) / self._level
+        admitted += self._others_admitted.value(account, now_ms)
+        return admitted / self._level
 
 
 def longest_wait_ms(objective_ms: float, read_ms: float, excess: float | None) -> float:
@@ -200,9 +230,6 @@
     )
 
 
-def _sum(parts: Iterable[dict[str, float]]) -> dict[str, float]:
-    total: dict[str, float] = {}
-    for part in parts:
-        for account, value in part.items():
-            total[account] = total.get(account, 0.0) + value
-    return total
+def _sum(one: dict[str, float], other: dict[str, float]) -> dict[str, float]:
+    accounts = one.keys() | other.keys()
+    return {a: one.get(a, 0.0) + other.get(a, 0.0) for a in accounts}
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
@@ -192,6 +192,9 @@
             attempt = ServerAttempt(
                 self._context, self._format, self._dispatcher, self._pool, call, state
             )
+            if is_gone():
+                # A router that lags reads requests whose callers have left already.
+                raise _caller_gone()
             stop_check = watch_caller(self._checks, attempt, is_gone)
             try:
                 attempt.send()
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -248,6 +248,10 @@
         self._told_ms = self.context.clock.now_ms()
         self._add_pending(former, -1)
         self._add_pending(newest, 1)
+        if newest is None:
+            self.accounts.forget(former.router)
+        else:
+            self.accounts.note_told(newest.router, newest.incarnation, newest.sums)
 
     def told_ms_ago(self) -> int | None:
         """Return the age of what another router told last, None if none told."""
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -244,18 +244,16 @@
 
     def _exchange_digests(self) -> None:
         self.digests.send_round()
-        self.dispatcher.accounts.update(self.digests.newest())
+        self.dispatcher.accounts.update()
 
-    def _make_digest(self, number: int, reads_age_ms: float) -> Digest:
-        asked, admitted = self.dispatcher.accounts.own_sums()
+    def _make_digest(self, number: int, news_age_ms: float) -> Digest:
         return Digest(
             self._settings.name,
             self.context.incarnation,
             number,
             self.dispatcher.pending(),
-            asked,
-            admitted,
-            self.dispatcher.reads.newest(reads_age_ms),
+            self.dispatcher.accounts.recent_sums(news_age_ms),
+            self.dispatcher.reads.newest(news_age_ms),
             self.dispatcher.reads.count,
             self.view.revision or 0,
             self.digests.wanted(),
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
@@ -55,10 +55,9 @@
     """Number of the digest; grows."""
     pending: dict[str, tuple[int, int]] = field(default_factory=dict)
     """Running requests and unread prompt tokens by server."""
-    asked: dict[str, float] = field(default_factory=dict)
-    """Sums of what was asked, by client account."""
-    admitted: dict[str, float] = field(default_factory=dict)
-    """Sums of what was admitted, by client account."""
+    sums: dict[str, tuple[int, int]] = field(default_factory=dict)
+    """What client accounts asked for and were admitted, as fading sums; those with a
+    request since the last digests."""
     reads: list[bytes] = field(default_factory=list)
     """The prompts that it sent last, in order, each encoded by itself, since most of
     them were told before and need no decoding."""
@@ -78,8 +77,7 @@
                 self.incarnation,
                 self.number,
                 self.pending,
-                {account: round(value) for account, value in self.asked.items()},
-                {account: round(value) for account, value in self.admitted.items()},
+                self.sums,
                 self.reads,
                 self.reads_count,
                 self.store_revision,
@@ -104,15 +102,14 @@
         version, *fields = msgpack.unpackb(data)
         if version != FORMAT_VERSION:
             return None
-        router, incarnation, number, pending, asked, admitted, *rest = fields
+        router, incarnation, number, pending, sums, *rest = fields
         reads, count, store_revision, wanted = rest
         return Digest(
             str(router),
             int(incarnation),
             int(number),
             {str(server): (int(n), int(t)) for server, (n, t) in pending.items()},
-            {str(account): float(value) for account, value in asked.items()},
-            {str(account): float(value) for account, value in admitted.items()},
+            {str(account): (int(a), int(b)) for account, (a, b) in sums.items()},
             list(reads),
             int(count),
             int(store_revision),
@@ -153,8 +150,8 @@
         Args:
             context: The router's shared state.
             routers: The other routers and their addresses.
-            make: Makes this router's digest, given its number and the greatest age of
-                the prompts that it tells, in milliseconds.
+            make: Makes this router's digest, given its number and how far back it
+                tells of prompts and accounts, in milliseconds.
             on_replaced: Takes a router's former digest and its new one; either is None
                 if the router was not heard before, or is not heard any more.
             on_read: Takes each prompt that another router has sent, once.
@@ -266,12 +263,12 @@
     def _send_next(self) -> None:
         addresses = self._next_addresses()
         if addresses:
-            # Each router is told twice of each prompt, since datagrams are lost.
+            # Each router is told twice of all, since datagrams are lost.
             self._send_to(addresses, 2 * ROUND_MS * (self._rounds() + 1))
 
-    def _send_to(self, addresses: list[Address], reads_age_ms: float) -> None:
+    def _send_to(self, addresses: list[Address], news_age_ms: float) -> None:
         self._number += 1
-        data = self._make(self._number, reads_age_ms).encode()
+        data = self._make(self._number, news_age_ms).encode()
         if len(data) > MAX_DATAGRAM_BYTES:
             self._context.count("digests_too_long_total")
             return
--- a/packages/lagoonsail-gateway/tests/test_admission.py
+++ b/packages/lagoonsail-gateway/tests/test_admission.py
@@ -5,7 +5,6 @@
 import pytest
 
 from lagoonsail_gateway.admission import AccountLoad, judge_wait, longest_wait_ms
-from lagoonsail_gateway.peer_digests import Digest
 from lagoonsail_sharing.account_shares import FADE_MS
 
 OBJECTIVE_MS = 800.0
@@ -22,14 +21,12 @@
 
 
 def exchange(loads):
-    sums = [load.own_sums() for load in loads]
+    told = [load.recent_sums(1000.0) for load in loads]
     for me, load in enumerate(loads):
-        digests = [
-            Digest(f"r{n}", 1, 1, {}, asked, admitted)
-            for n, (asked, admitted) in enumerate(sums)
-            if n != me
-        ]
-        load.update(digests)
+        for number, sums in enumerate(told):
+            if number != me:
+                load.note_told(f"r{number}", 1, sums)
+        load.update()
 
 
 def test_flood_from_all_hosts_is_above_its_share_everywhere(loads):
@@ -55,11 +52,33 @@
     assert routers[2].excess("flood") >= 1.0
 
 
+def test_what_was_told_fades_and_is_replaced(loads, hand_clock):
+    teller, hearer = loads(2)
+    teller.note_asked("flood", 9000.0)
+    teller.note_admitted("flood", 3000.0)
+    for _ in range(3):
+        exchange([teller, hearer])
+    assert hearer._others_admitted.value("flood", hand_clock.ms) == 3000.0
+    hand_clock.ms += FADE_MS
+    faded = hearer._others_admitted.value("flood", hand_clock.ms)
+    assert faded == pytest.approx(3000.0 / 2.718, 0.01)
+    assert teller.recent_sums(FADE_MS / 2) == {}
+
+
+def test_router_that_starts_anew_takes_nothing_back(loads, hand_clock):
+    (hearer,) = loads(1)
+    hearer.note_told("r1", 1, {"flood": (900, 300)})
+    hearer.note_told("r1", 2, {"flood": (9, 3)})
+    assert hearer._others_asked.value("flood", hand_clock.ms) == 909.0
+    hearer.forget("r1")
+    assert hearer._others_asked.value("flood", hand_clock.ms) == 909.0
+
+
 def test_nobody_is_above_a_share_while_all_get_what_they_ask(loads):
     (router,) = loads(1)
     router.note_asked("large", 900.0)
     router.note_admitted("large", 900.0)
-    router.update([])
+    router.update()
     assert router.excess("large") is None
 
 
@@ -69,7 +88,7 @@
     router.note_asked("large", 30_000.0)
     router.note_admitted("large", 13_000.0)
     router.note_asked("small", 1_000.0)
-    router.update([])
+    router.update()
     assert router.excess("large") is None
 
 
@@ -82,7 +101,7 @@
     router.note_admitted("flood", 10.0)
     router.note_asked("small", 100.0)
     router.note_admitted("small", 50.0)
-    router.update([])
+    router.update()
     assert router.excess("flood") == 0.0
 
 
--- a/packages/lagoonsail-gateway/tests/test_peer_digests.py
+++ b/packages/lagoonsail-gateway/tests/test_peer_digests.py
@@ -70,28 +70,27 @@
         1 << 62,
         3,
         {"s": (1, 20)},
-        {"a": 15},
-        {"a": 5},
+        {"a": (15, 5)},
         [read(1 << 62).encode()],
         9,
     )
     decoded = decode_digest(digest.encode())
     assert decode_read(decoded.reads[0]) == read(1 << 62)
-    assert (decoded.asked, decoded.admitted) == ({"a": 15}, {"a": 5})
+    assert decoded.sums == {"a": (15, 5)}
     assert decoded.pending == digest.pending
     assert (decoded.incarnation, decoded.reads_count) == (1 << 62, 9)
 
 
 def test_older_digest_changes_nothing(peers):
-    take(peers, incarnation=1, number=5, asked={"a": 5.0})
-    take(peers, incarnation=1, number=4, asked={"a": 4.0})
-    assert newest(peers)["r2"].asked == {"a": 5.0}
+    take(peers, incarnation=1, number=5, sums={"a": (5, 0)})
+    take(peers, incarnation=1, number=4, sums={"a": (4, 0)})
+    assert newest(peers)["r2"].sums == {"a": (5, 0)}
 
 
 def test_restarted_router_counts_anew(peers):
-    take(peers, incarnation=1, number=50, asked={"a": 5.0})
+    take(peers, incarnation=1, number=50, sums={"a": (5, 0)})
     take(peers, incarnation=2, number=1)
-    assert newest(peers)["r2"].asked == {}
+    assert newest(peers)["r2"].sums == {}
 
 
 def test_each_digest_is_told_with_the_one_that_it_replaces(peers, hand_clock):
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/account_shares.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/account_shares.py
@@ -12,7 +12,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
 FADE_MS = 1500.0
 """Time in which a sum fades to 1/e of its value."""
@@ -62,6 +62,79 @@
                 del self._sums[account], self._updated_ms[account]
         return {a: value for a, value in current.items() if value >= NEGLIGIBLE}
 
+    def recent(self, now_ms: float, age_ms: float) -> dict[str, float]:
+        """Return the sums, as of now, of the accounts that were added to lately.
+
+        Args:
+            now_ms: Monotonic time.
+            age_ms: Age of the oldest addition that counts.
+        """
+        return {
+            account: self.value(account, now_ms)
+            for account, updated_ms in self._updated_ms.items()
+            if updated_ms >= now_ms - age_ms
+        }
+
+
+class FleetSums:
+    """The sums of all other routers, each as it told last and faded since.
+
+    A sum that was told replaces the one that the same router told before; what a router
+    told before it started anew, or fell silent, fades like all others.
+
+    Example:
+        >>> sums = FleetSums()
+        >>> sums.note_told("r1", 1, {"a": 100.0}, now_ms=0.0)
+        >>> sums.note_told("r2", 1, {"a": 50.0}, now_ms=0.0)
+        >>> sums.note_told("r1", 1, {"a": 70.0}, now_ms=0.0)
+        >>> sums.value("a", now_ms=0.0)
+        120.0
+    """
+
+    __slots__ = ("_told", "_total")
+
+    def __init__(self) -> None:
+        self._total = FadingSums()
+        self._told: dict[str, tuple[int, FadingSums]] = {}
+
+    def note_told(
+        self, router: str, incarnation: int, sums: Mapping[str, float], now_ms: float
+    ) -> None:
+        """Take over what a router told.
+
+        Args:
+            router: The router.
+            incarnation: Number of its start.
+            sums: Some of its sums; the others fade.
+            now_ms: Monotonic time.
+        """
+        known = self._told.get(router)
+        if known is None or known[0] != incarnation:
+            known = self._told[router] = (incarnation, FadingSums())
+        told = known[1]
+        for account, value in sums.items():
+            change = value - told.value(account, now_ms)
+            told.add(account, change, now_ms)
+            self._total.add(account, change, now_ms)
+
+    def forget(self, router: str) -> None:
+        """Note that a router is not heard any more.
+
+        Args:
+            router: The router.
+        """
+        self._told.pop(router, None)
+
+    def value(self, account: str, now_ms: float) -> float:
+        """Return an account's sum as of now."""
+        return max(0.0, self._total.value(account, now_ms))
+
+    def values(self, now_ms: float) -> dict[str, float]:
+        """Return all sums as of now, and forget those that have faded."""
+        for _, told in self._told.values():
+            told.values(now_ms)
+        return self._total.values(now_ms)
+
 
 def fair_level(demands: Iterable[float], capacity: float) -> float:
     """Return the max-min level: no account gets more, and none less that asks for it.
