Ask callers to close their connections before idle ones keep new callers waiting

Change: above half of the connections that a port serves, answers carry Connection: close. Both ways of a router use the same lines, which stood twice.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
@@ -17,7 +17,6 @@
     ServerAttempt,
 )
 from lagoonsail_router.caller_watch import CHECK_INTERVAL_MS, make_caller_watch
-from lagoonsail_router.context import LEAVING
 from lagoonsail_router.periodic_checks import PeriodicChecks
 from lagoonsail_router.problems import UNKNOWN, CallProblem, internal_problem
 
@@ -281,12 +280,7 @@
     ) -> None:
         answer = attempt.answer
         headers = [*attempt.headers_to_pass(), *more]
-        start_response(f"{answer.status} Answer", self._closing(headers))
-
-    def _closing(self, headers: list) -> list:
-        if self._context.state == LEAVING:
-            headers.append(("Connection", "close"))
-        return headers
+        start_response(f"{answer.status} Answer", self._context.closing(headers))
 
     def _pass_whole(
         self,
@@ -398,7 +392,7 @@
             retry_after_s=problem.retry_after_s,
         )
         body = problem.body(request_id)
-        headers = self._closing(problem.headers(request_id, body))
+        headers = self._context.closing(problem.headers(request_id, body))
         start_response(problem.status_line(), headers)
         return [body]
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -26,6 +26,7 @@
     start_task,
 )
 from lagoonsail_router.http_server import listen, start_serving
+from lagoonsail_router.open_connections import OpenConnections
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -180,12 +181,10 @@
         settings = self._settings
         callers = self._callers_port = listen(settings.callers_address)
         readiness = listen(settings.readiness_address)
-        self._serve(
-            callers, self.calls.serve, settings.max_connections, IDLE_TIMEOUT_MS
-        )
-        self._serve(readiness, self._tell_ready, OPERATOR_CONNECTIONS, IDLE_TIMEOUT_MS)
+        self._serve(callers, self.calls.serve, self.context.callers)
+        self._serve(readiness, self._tell_ready, OpenConnections(OPERATOR_CONNECTIONS))
         metrics = listen(settings.metrics_address)
-        self._serve(metrics, self._tell_metrics, OPERATOR_CONNECTIONS, IDLE_TIMEOUT_MS)
+        self._serve(metrics, self._tell_metrics, OpenConnections(OPERATOR_CONNECTIONS))
         self.digests.open(settings.digests_address)
         start_task(self.context, "digests", self.digests.receive)
         start_task(self.context, "store_view", self.view.run)
@@ -227,14 +226,13 @@
         self,
         sock: green_socket.socket,
         application: Callable,
-        connections: int,
-        silence_ms: float,
+        connections: OpenConnections,
     ) -> None:
         start_serving(
             sock,
             application,
             connections,
-            silence_ms,
+            IDLE_TIMEOUT_MS,
             lambda kind: self.context.count("problems_total", kind),
         )
 
--- a/packages/lagoonsail-gateway/tests/conftest.py
+++ b/packages/lagoonsail-gateway/tests/conftest.py
@@ -135,7 +135,9 @@
 
 @pytest.fixture
 def context(hand_clock) -> RouterContext:
-    return RouterContext(SimpleNamespace(name="r1"), hand_clock.clock())
+    return RouterContext(
+        SimpleNamespace(name="r1", max_connections=100), hand_clock.clock()
+    )
 
 
 @pytest.fixture
--- a/packages/lagoonsail-router/src/lagoonsail_router/context.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/context.py
@@ -11,6 +11,7 @@
 from lagoonsail_core.clock import Clock
 from lagoonsail_core.events import Timeline
 from lagoonsail_core.green import eventlet
+from lagoonsail_router.open_connections import OpenConnections
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,6 +39,7 @@
     """State that is not the business of any one module."""
 
     __slots__ = (
+        "callers",
         "clock",
         "counters",
         "incarnation",
@@ -49,6 +51,8 @@
 
     settings: RouterSettings
     """Checked settings of this router."""
+    callers: OpenConnections
+    """Connections of callers."""
     clock: Clock
     """The clock."""
     incarnation: int
@@ -62,6 +66,7 @@
 
     def __init__(self, settings: RouterSettings, clock: Clock | None = None) -> None:
         self.settings = settings
+        self.callers = OpenConnections(settings.max_connections)
         self.clock = clock or Clock()
         self.incarnation = make_incarnation(self.clock)
         self.timeline = Timeline(settings.name, self.clock)
@@ -74,6 +79,16 @@
         details = " ".join(f"{key}={value}" for key, value in event.fields.items())
         self.logger.info("{}", details, extra={"event": event.name})
 
+    def closing(self, headers: list[tuple[str, str]]) -> list[tuple[str, str]]:
+        """Return the headers of an answer, with a wish to close where that is due.
+
+        Args:
+            headers: The headers, which are changed.
+        """
+        if self.state == LEAVING or self.callers.is_crowded():
+            headers.append(("Connection", "close"))
+        return headers
+
     def count(self, name: str, label: str = "", amount: float = 1) -> None:
         """Add to a counter.
 
--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -18,6 +18,7 @@
 from lagoonsail_router.key_store import KeyStore
 from lagoonsail_router.local_stream import LocalStream
 from lagoonsail_router.metrics import declare_gauges, make_metrics
+from lagoonsail_router.open_connections import OpenConnections
 from lagoonsail_router.ownership import Ownership
 from lagoonsail_router.peers import PeerDirectory
 from lagoonsail_router.planned_stop import PlannedStop
@@ -209,14 +210,14 @@
         start_serving(
             callers,
             self.entry.serve,
-            settings.max_connections,
+            self.context.callers,
             settings.stop_timeout_ms,
             lambda kind: count("problems_total", kind),
         )
         start_serving(
             admin,
             operators.serve,
-            MAX_ADMIN_CONNECTIONS,
+            OpenConnections(MAX_ADMIN_CONNECTIONS),
             ADMIN_SILENCE_MS,
             operators.count_refused,
         )
--- a/packages/lagoonsail-router/src/lagoonsail_router/entry.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/entry.py
@@ -27,7 +27,6 @@
 from lagoonsail_router.call import read_call
 from lagoonsail_router.call_queue import CallerGoneError
 from lagoonsail_router.caller_watch import CHECK_INTERVAL_MS, make_caller_watch
-from lagoonsail_router.context import LEAVING
 from lagoonsail_router.held_slot import make_done
 from lagoonsail_router.periodic_checks import PeriodicChecks
 from lagoonsail_router.problems import UNKNOWN, CallProblem, internal_problem
@@ -137,15 +136,10 @@
     def _refuse(self, problem: CallProblem, request_id: str, start_response) -> list:
         self._context.count("problems_total", problem.kind)
         body = problem.body(request_id)
-        headers = self._closing(problem.headers(request_id, body))
+        headers = self._context.closing(problem.headers(request_id, body))
         start_response(problem.status_line(), headers)
         return [body]
 
-    def _closing(self, headers: list) -> list:
-        if self._context.state == LEAVING:
-            headers.append(("Connection", "close"))
-        return headers
-
     def _answer(self, call: Call, env: dict, start_response) -> Iterable[bytes]:
         budget = self._budget(call)
         budget.note_call()
@@ -314,7 +308,7 @@
             for index, (name, value) in enumerate(headers)
             if name.lower() != "x-request-id" or index == len(headers) - 1
         ]
-        self._closing(headers)
+        self._context.closing(headers)
         status = f"{answer.status} {_reason(answer.status)}"
         if call.is_stream and answer.status == 200:
             start(status, headers)
--- a/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
@@ -19,6 +19,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lagoonsail_router.open_connections import OpenConnections
+
 MAX_DISCARD_BYTES = 65_536
 """Largest rest of a body that is read so that the connection can be used again."""
 LINGER_MS = 500.0
@@ -33,6 +35,9 @@
 class HttpProtocol(eventlet.wsgi.HttpProtocol):
     """One connection to an HTTP port."""
 
+    connections: OpenConnections
+    """The port's open connections; see `make_protocol`."""
+
     def __init__(self, conn_state: list, server: object) -> None:
         self._must_linger = False
         self._real_wfile = None
@@ -54,9 +59,13 @@
 
     def handle(self) -> None:
         """Serve requests until the connection ends."""
-        super().handle()
-        if self._must_linger:
-            self._linger()
+        self.connections.count += 1
+        try:
+            super().handle()
+            if self._must_linger:
+                self._linger()
+        finally:
+            self.connections.count -= 1
 
     def handle_one_request(self) -> None:
         """Serve a request, or refuse it with a problem document."""
@@ -148,14 +157,20 @@
     return (source.content_length or 0) - source.position
 
 
-def make_protocol(on_refused: Callable[[str], None]) -> type[HttpProtocol]:
+def make_protocol(
+    on_refused: Callable[[str], None], connections: OpenConnections
+) -> type[HttpProtocol]:
     """Return the protocol of a port.
 
     Args:
         on_refused: Called with the kind of each refused request, to count it.
+        connections: Counts the port's open connections.
 
     Returns:
         The class that `eventlet.wsgi.server` takes.
     """
-    members = {"on_refused": lambda _self, kind: on_refused(kind)}
+    members = {
+        "connections": connections,
+        "on_refused": lambda _self, kind: on_refused(kind),
+    }
     return type("PortProtocol", (HttpProtocol,), members)
--- a/packages/lagoonsail-router/src/lagoonsail_router/http_server.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/http_server.py
@@ -12,6 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lagoonsail_router.open_connections import OpenConnections
+
 BACKLOG = 1024
 """Connections that wait to be accepted."""
 
@@ -50,7 +52,7 @@
 def start_serving(
     sock: green_socket.socket,
     application: Callable,
-    max_connections: int,
+    connections: OpenConnections,
     silence_ms: float,
     on_refused: Callable[[str], None],
 ) -> None:
@@ -59,7 +61,7 @@
     Args:
         sock: The listening socket.
         application: WSGI application.
-        max_connections: Connections that are served at once.
+        connections: Bounds and counts the connections.
         silence_ms: How long a connection may be silent.
         on_refused: Called with the kind of each request that is not well-formed.
     """
@@ -67,8 +69,8 @@
         eventlet.wsgi.server,
         sock,
         application,
-        max_size=max_connections,
-        protocol=make_protocol(on_refused),
+        max_size=connections.most,
+        protocol=make_protocol(on_refused, connections),
         log_output=False,
         debug=False,
         minimum_chunk_size=1,
--- a/packages/lagoonsail-router/tests/test_http_port.py
+++ b/packages/lagoonsail-router/tests/test_http_port.py
@@ -9,6 +9,7 @@
 from lagoonsail_core.clock import Clock
 from lagoonsail_core.green import eventlet
 from lagoonsail_router.http_port import MAX_DISCARD_BYTES, make_protocol
+from lagoonsail_router.open_connections import OpenConnections
 
 HEAD = b"POST /x HTTP/1.1\r\nHost: a\r\n"
 
@@ -24,11 +25,12 @@
         return [b"no"]
 
     listening = eventlet.listen(("127.0.0.1", 0))
-    protocol = make_protocol(lambda kind: counts.update([kind]))
+    connections = OpenConnections(most=4)
+    protocol = make_protocol(lambda kind: counts.update([kind]), connections)
     task = eventlet.spawn(
         eventlet.wsgi.server, listening, serve, protocol=protocol, log_output=False
     )
-    yield listening.getsockname(), counts, taken
+    yield listening.getsockname(), counts, taken, connections
     task.kill()
     listening.close()
 
@@ -61,7 +63,7 @@
     ],
 )
 def test_malformed_heads_get_a_problem_and_are_counted(port, capfd, data, status):
-    address, counts, taken = port
+    address, counts, taken, _ = port
     head, _, body = exchange(address, data).partition(b"\r\n\r\n")
     assert head.startswith(f"HTTP/1.1 {status} ".encode())
     assert json.loads(body)["type"] == "urn:lagoonsail:problem:malformed_request"
@@ -72,7 +74,7 @@
 
 
 def test_large_unread_body_ends_the_connection(port):
-    address, _, taken = port
+    address, _, taken, _ = port
     clock = Clock()
     length = b"Content-Length: 1000000000\r\n\r\n"
     begun_ms = clock.now_ms()
@@ -85,7 +87,7 @@
 
 
 def test_small_unread_body_leaves_the_connection_open(port):
-    address, _, taken = port
+    address, _, taken, _ = port
     request = HEAD + b"Content-Length: %d\r\n\r\n" % MAX_DISCARD_BYTES
     connection = eventlet.connect(address)
     with eventlet.Timeout(5.0):
@@ -96,3 +98,21 @@
                 answer += connection.recv(65_536)
     connection.shutdown(socket.SHUT_RDWR)
     assert len(taken) == 2
+
+
+def test_crowded_port_is_noticed_and_forgotten_as_connections_come_and_go(port):
+    address, _, taken, connections = port
+    opened = []
+    with eventlet.Timeout(5.0):
+        for number in range(1, 4):
+            connection = eventlet.connect(address)
+            opened.append(connection)
+            connection.sendall(HEAD + b"Content-Length: 0\r\n\r\n")
+            while len(taken) < number:
+                eventlet.sleep(0.01)
+            assert connections.is_crowded() == (number > connections.most / 2)
+        for connection in opened:
+            connection.close()
+        while connections.count:
+            eventlet.sleep(0.01)
+    assert not connections.is_crowded()
