--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from statistics import median
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -324,9 +325,10 @@
             lambda load: load.engine_id in by_id,
         )
         excess = self.accounts.excess(call.account)
-        refusal = judge_wait(
-            choice.delay_ms, choice.read_ms, call.route.objective_ms, excess
-        )
+        delay_ms = choice.delay_ms
+        if excess is not None and excess > 1.0:
+            delay_ms = max(delay_ms, _usual_queue_ms(allowed))
+        refusal = judge_wait(delay_ms, choice.read_ms, call.route.objective_ms, excess)
         return refusal or by_id[choice.load.engine_id]
 
     def _plain_load(self, state: ServerState) -> tuple[float, float]:
@@ -381,5 +383,14 @@
                 del self._by_id[record.server_id]
 
 
+def _usual_queue_ms(states: list[ServerState]) -> float:
+    """Return the median queue of engines.
+
+    An account that asks often finds each engine in the moment in which it falls idle,
+    or is thought to; if the others are not idle, this one belongs to other accounts.
+    """
+    return median(state.load.queue_ms(PREFILL_TOKENS_PER_MS) for state in states)
+
+
 def _no_server(reason: str) -> Refusal:
     return Refusal("no_server", reason, RETRY_AFTER_NO_SERVER_S)
