Let a test wait until an owner has seen that its order had an effect

Cause: the test went on as soon as the engine had the version, though the owner may have read the state while it still loaded; its next look then finds its order without effect and sends none. The checks are as before, and one more.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import random
-from statistics import median
 from dataclasses import dataclass
+from statistics import median
 from typing import TYPE_CHECKING
 
 from lagoonsail_gateway.admission import AccountLoad, Refusal, judge_wait
--- a/packages/lagoonsail-router/tests/test_engine_orders.py
+++ b/packages/lagoonsail-router/tests/test_engine_orders.py
@@ -126,7 +126,9 @@
     address, engine = start_engine(load_ms=1.0)
     old_document, document = write([address], "1"), write([address], "2")
     old = EngineOrders(context, SHARD, 1, old_document)
-    wait_until(lambda: bring(old, old_document) or engine.version == "1")
+    # Until the old owner has seen that its order had an effect.
+    wait_until(lambda: bring(old, old_document) or not closed(old, old_document))
+    assert engine.version == "1"
     later = EngineOrders(context, SHARD, 2, document)
     bring(later, document)
     assert len(engine._orders) == 1
