--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/admission.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/admission.py
@@ -42,6 +42,10 @@
 """How much less of the allowed wait is left, for each part of the share beyond that."""
 SURE_PART = 0.6
 """Part of the stated rate that engines serve even while some of them are away."""
+BACKLOG_MS = 150.0
+"""Median queue of the engines above which more is admitted than they serve."""
+BACKLOG_PART = 0.9
+"""Part of what was admitted that is shared while that is so, until the queue falls."""
 SHORTEST_RETRY_S = 0.2
 """Shortest Retry-After."""
 LONGEST_RETRY_S = 3.0
@@ -149,14 +153,23 @@
         self._others_asked.forget(router)
         self._others_admitted.forget(router)
 
-    def update(self) -> None:
-        """Compute the shares anew."""
+    def update(self, usual_queue_ms: float) -> None:
+        """Compute the shares anew.
+
+        Args:
+            usual_queue_ms: Median queue of the engines.
+        """
         now_ms = self._clock.now_ms()
         asked = _sum(self._asked.values(now_ms), self._others_asked.values(now_ms))
         admitted = _sum(
             self._admitted.values(now_ms), self._others_admitted.values(now_ms)
         )
-        capacity = max(sum(admitted.values()), self.known_capacity)
+        capacity = sum(admitted.values())
+        if usual_queue_ms > BACKLOG_MS:
+            # They serve less than was admitted, whatever they are said to serve.
+            capacity *= BACKLOG_PART
+        else:
+            capacity = max(capacity, self.known_capacity)
         self._level = fair_level(asked.values(), capacity)
 
     def excess(self, account: str) -> float | None:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -271,6 +271,15 @@
             if server_id in self._by_id:
                 self._by_id[server_id].load.set_others(*others)
 
+    def update_shares(self) -> None:
+        """Compute the shares of the client accounts anew."""
+        engines = [
+            state
+            for state in self._states.values()
+            if state.load.cache.capacity_tokens and self.is_usable(state)
+        ]
+        self.accounts.update(_usual_queue_ms(engines) if engines else 0.0)
+
     def is_usable(self, state: ServerState) -> bool:
         """Return whether a server that was chosen may still get the request."""
         return self._directory.is_usable(state.server)
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -242,7 +242,7 @@
 
     def _exchange_digests(self) -> None:
         self.digests.send_round()
-        self.dispatcher.accounts.update()
+        self.dispatcher.update_shares()
 
     def _make_digest(self, number: int, news_age_ms: float) -> Digest:
         return Digest(
--- a/packages/lagoonsail-gateway/tests/test_admission.py
+++ b/packages/lagoonsail-gateway/tests/test_admission.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from lagoonsail_gateway.admission import AccountLoad, judge_wait, longest_wait_ms
+from lagoonsail_gateway.admission import (
+    BACKLOG_MS,
+    AccountLoad,
+    judge_wait,
+    longest_wait_ms,
+)
 from lagoonsail_sharing.account_shares import FADE_MS
 
 OBJECTIVE_MS = 800.0
@@ -26,7 +31,7 @@
         for number, sums in enumerate(told):
             if number != me:
                 load.note_told(f"r{number}", 1, sums)
-        load.update()
+        load.update(0.0)
 
 
 def test_flood_from_all_hosts_is_above_its_share_everywhere(loads):
@@ -78,7 +83,7 @@
     (router,) = loads(1)
     router.note_asked("large", 900.0)
     router.note_admitted("large", 900.0)
-    router.update()
+    router.update(0.0)
     assert router.excess("large") is None
 
 
@@ -88,10 +93,26 @@
     router.note_asked("large", 30_000.0)
     router.note_admitted("large", 13_000.0)
     router.note_asked("small", 1_000.0)
-    router.update()
+    router.update(0.0)
     assert router.excess("large") is None
 
 
+def test_backlog_shows_a_flood_though_engines_are_said_to_serve_more(loads):
+    """Half of the engines are away, and what is said of them still counts them."""
+    (router,) = loads(1)
+    router.use_rate(240_000.0)
+    for _ in range(10):
+        router.note_asked("flood", 15_000.0)
+        router.note_asked("small", 4_000.0)
+        router.note_admitted("small", 3_000.0)
+    router.note_admitted("flood", 90_000.0)
+    router.update(BACKLOG_MS / 2)
+    assert router.excess("flood") is None
+    router.update(BACKLOG_MS + 1.0)
+    assert router.excess("flood") > 1.0
+    assert router.excess("small") == 0.0
+
+
 def test_flood_that_ended_is_forgotten_within_seconds(loads, hand_clock):
     (router,) = loads(1)
     router.note_asked("flood", 9000.0)
@@ -101,7 +122,7 @@
     router.note_admitted("flood", 10.0)
     router.note_asked("small", 100.0)
     router.note_admitted("small", 50.0)
-    router.update()
+    router.update(0.0)
     assert router.excess("flood") == 0.0
 
 
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/first_token.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/first_token.py
@@ -24,7 +24,7 @@
 """Delay of a first token by each request that already runs, as steps grow longer."""
 COST_STEP_MS = 20.0
 """Difference of costs that is smaller than what they are known to."""
-REREAD_WEIGHT = 1.0
+REREAD_WEIGHT = 2.0
 """Weight of reading again what another engine holds, beyond the time that it takes.
 
 It takes the same time from all that wait behind it, so a way out of one engine's queue
