--- a/packages/lagoonsail-gateway/tests/test_dispatcher.py
+++ b/packages/lagoonsail-gateway/tests/test_dispatcher.py
@@ -139,3 +139,23 @@
     sent = [state for state in chosen if not isinstance(state, Refusal)]
     assert len(sent) == 6
     assert max(sent.count(state) for state in sent) == 2
+
+
+def test_flood_finds_no_engine_in_the_moment_in_which_it_falls_idle(world):
+    """Two of three engines have work, so that the third belongs to other accounts."""
+    accounts = world.dispatcher.accounts
+    pending = dict.fromkeys(("s1", "s2"), (3, 20000))
+    world.dispatcher.choose(make_call(PROMPT))
+    world.dispatcher.replace_digest(None, Digest("r2", 1, 1, pending))
+    accounts.note_asked("norte", 90_000.0)
+    accounts.note_admitted("norte", 60_000.0)
+    accounts.note_asked("sur", 10_000.0)
+    accounts.note_admitted("sur", 10_000.0)
+    world.dispatcher.update_shares()
+    assert accounts.excess("norte") > 1.0
+    refusal = world.dispatcher.choose(make_call(PROMPT))
+    assert isinstance(refusal, Refusal)
+    assert refusal.is_over_share
+    small = make_call(PROMPT)
+    small.account = "sur"
+    assert server_id(world.dispatcher.choose(small)) == "s3"
