--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/admission.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/admission.py
@@ -42,7 +42,7 @@
 """How much less of the allowed wait is left, for each part of the share beyond that."""
 SURE_PART = 0.6
 """Part of the stated rate that engines serve even while some of them are away."""
-BACKLOG_MS = 150.0
+BACKLOG_MS = 300.0
 """Median queue of the engines above which more is admitted than they serve."""
 BACKLOG_PART = 0.9
 """Part of what was admitted that is shared while that is so, until the queue falls."""
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_settings.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_settings.py
@@ -39,5 +39,7 @@
     """Factor by which a cold server's rate may be exceeded in a second."""
     cold_slack: float
     """Requests that a cold server may get in a second beyond that."""
+    change_ms: float
+    """Time within which a change in the store must be in force."""
     max_connections: int
     """Connections of callers that are served at once."""
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
@@ -31,11 +31,11 @@
 there are, the sooner one of them tells the others of a change."""
 TROUBLED_MS = 15_000.0
 """How long after trouble watches are short."""
-GATHER_MS_PER_ROUTER = 10.0
+GATHER_MS_PER_ROUTER = 20.0
 """Pause after changes for each router of the fleet, in which more changes gather: each
 answer to a watch is one call for each router."""
-LONGEST_GATHER_MS = 1000.0
-"""Longest such pause: a part of the time in which changes must be in force."""
+LONGEST_GATHER_PART = 0.4
+"""Longest such pause, as a part of the time in which a change must be in force."""
 BEHIND_MS = 1000.0
 """Time after which a change that another router knows should be known here, too."""
 RETRY_MS = 150.0
@@ -243,7 +243,8 @@
         return min(LONGEST_WATCH_MS, max(SHORTEST_WATCH_MS, wait_ms))
 
     def _gather_ms(self) -> float:
-        return min(LONGEST_GATHER_MS, GATHER_MS_PER_ROUTER * self._routers.count())
+        longest_ms = LONGEST_GATHER_PART * self._context.settings.change_ms
+        return min(longest_ms, GATHER_MS_PER_ROUTER * self._routers.count())
 
     def note_told(self, revision: int) -> None:
         """Note that another router knows the store up to a revision.
--- a/packages/lagoonsail-gateway/tests/conftest.py
+++ b/packages/lagoonsail-gateway/tests/conftest.py
@@ -136,7 +136,8 @@
 @pytest.fixture
 def context(hand_clock) -> RouterContext:
     return RouterContext(
-        SimpleNamespace(name="r1", max_connections=100), hand_clock.clock()
+        SimpleNamespace(name="r1", max_connections=100, change_ms=2000.0),
+        hand_clock.clock(),
     )
 
 
--- a/packages/lagoonsail-gateway/tests/test_store_view.py
+++ b/packages/lagoonsail-gateway/tests/test_store_view.py
@@ -11,7 +11,7 @@
 from lagoonsail_gateway.server_directory import REGISTRATION_GRACE_MS, ServerDirectory
 from lagoonsail_gateway.store_view import (
     BEHIND_MS,
-    LONGEST_GATHER_MS,
+    LONGEST_GATHER_PART,
     LONGEST_WATCH_MS,
     RELIST_AFTER_TROUBLE_MS,
     SHORTEST_WATCH_MS,
@@ -168,7 +168,7 @@
     join(world, 400)
     world.step(page(5))
     assert world.waits == [SHORTEST_WATCH_MS, LONGEST_WATCH_MS]
-    assert world.view._gather_ms() == LONGEST_GATHER_MS
+    assert world.view._gather_ms() == LONGEST_GATHER_PART * 2000.0
     # The answer to a watch may have been lost in the same trouble.
     world.step(Unavailable("silent"))
     world.step(page(5))
