--- a/Makefile
+++ b/Makefile
@@ -2,9 +2,10 @@
 PYTHON = $(VENV)/bin/python
 PACKAGES = $(wildcard packages/*)
 SEED ?= 1
+SEEDS ?= 1
 DURATION_S ?= 60
 
-.PHONY: install format lint test demo demo-platform prove measure path-cost prefix-locality
+.PHONY: install format lint test demo demo-platform soak-platform prove measure path-cost prefix-locality
 
 install: $(VENV)/.installed
 
@@ -32,6 +33,10 @@
 demo-platform: install
 	PYTHONPATH=platform/src $(PYTHON) -m lagoonsail_platform_standin.demo
 
+soak-platform: install
+	PYTHONPATH=platform/src $(PYTHON) -m lagoonsail_platform_standin.soak \
+		--seed $(SEED) --seeds $(SEEDS) --duration-s $(DURATION_S)
+
 prove: install
 	$(PYTHON) -m lagoonsail_lab.prove --seed $(SEED) --duration-s $(DURATION_S)
 
