--- a/tests/platform/test_platform_path.py
+++ b/tests/platform/test_platform_path.py
@@ -198,13 +198,16 @@
 def test_death_of_one_router_does_not_stop_another(make_fleet, death):
     fleet = make_fleet(2)
     os.kill(fleet.routers["router-2"].pid, death)
-    slowest_s = 0.0
+    slowest_s = late_s = 0.0
     for number in range(40):
         since_s = time.monotonic()
         assert fleet.ask(ROUTER, "POST", "/write/1", f"id-{number}")[0] == 200
-        slowest_s = max(slowest_s, time.monotonic() - since_s)
+        slept_s = time.monotonic()
+        slowest_s = max(slowest_s, slept_s - since_s)
         eventlet.sleep(0.05)
-    assert slowest_s < 0.5
+        late_s = max(late_s, time.monotonic() - slept_s - 0.05)
+    # Store and servers are in this process: how late its own timer was tells of them.
+    assert slowest_s < 0.5, f"a timer of this process was {late_s:.3f} s late"
 
 
 def test_routers_hear_each_other(make_fleet):
