One reader of a router's answers and one writer of requests in the stand-in

Reading answers, chunks included, stood in fleet.py and in kept_caller.py, the lines of a request in both and in a test.

--- a/tests/platform/test_platform_path.py
+++ b/tests/platform/test_platform_path.py
@@ -7,7 +7,7 @@
 import time
 
 import pytest
-from lagoonsail_platform_standin.fleet import API_KEY, EVENTS, HOSTNAME
+from lagoonsail_platform_standin.fleet import API_KEY, EVENTS, make_request
 
 from lagoonsail_core.green import eventlet, green_socket
 
@@ -229,16 +229,13 @@
 
 def test_idle_connections_of_callers_make_room_before_new_callers_wait(fleet):
     """The port of `make_settings` serves 400 connections at once."""
-    request = (
-        f"GET /read/1 HTTP/1.1\r\nHost: {HOSTNAME}\r\nContent-Length: 0\r\n"
-        f"Authorization: Bearer {API_KEY}\r\nLagoonsail-Attempt-Id: idle\r\n\r\n"
-    )
+    request = make_request("GET", "/read/1", "idle")
     address = ("127.0.0.1", fleet.ports[ROUTER])
     kept, closing = [], 0
     for _ in range(600):
         sock = green_socket.create_connection(address)
         sock.settimeout(5.0)
-        sock.sendall(request.encode())
+        sock.sendall(request)
         if b"connection: close" in sock.recv(65_536).lower():
             closing += 1
             sock.close()
