Remove what the last changes wrote twice, left unused or did too often

- Counting a problem and answering with its document stood in both ways of a router, as did declaring counters and histograms; each is one method now.
- What a router was told before is cleared of faded sums when it tells again, not for all routers ten times a second; a digest reads only the sums that it tells.
- Whether a view of the store is behind was decided in two places.

Behaviour is as before; no test lost an assertion.

--- a/packages/lagoonsail-core/src/lagoonsail_core/metrics.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/metrics.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from functools import partial
 from typing import TYPE_CHECKING
 
 import aioprometheus
@@ -315,6 +316,30 @@
 
         self._readers.append(update)
 
+    def declare_all(
+        self,
+        counters: Mapping[str, str],
+        read: Callable[[str], Mapping[str, float]],
+        histograms: Mapping[str, str],
+        durations: Mapping[str, Durations],
+    ) -> None:
+        """Declare counters by kind, and histograms of durations.
+
+        Args:
+            counters: What each counter counts, by its name with ``_total``.
+            read: Returns the counts of a counter by kind, given that name.
+            histograms: What takes the time, by name without prefix and unit.
+            durations: Counts the durations, by the same names.
+
+        Raises:
+            MetricError: If a name is malformed or in use.
+        """
+        for name, doc in counters.items():
+            short = name.removesuffix("_total")
+            self.counter_of(short, doc, "kind", partial(read, name))
+        for name, doc in histograms.items():
+            self.histogram_of(name, doc, durations[name])
+
     def render(self) -> bytes:
         """Return all metrics in Prometheus's text format."""
         for update in self._readers:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/admission.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/admission.py
@@ -126,9 +126,8 @@
                 have only faded since.
         """
         now_ms = self._clock.now_ms()
-        admitted = self._admitted.recent(now_ms, math.inf)
         return {
-            account: (round(asked), round(admitted.get(account, 0.0)))
+            account: (round(asked), round(self._admitted.value(account, now_ms)))
             for account, asked in self._asked.recent(now_ms, age_ms).items()
         }
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
@@ -377,7 +377,6 @@
         start_response: Callable,
     ) -> list[bytes]:
         request_id = head.request_id if head else ""
-        self._context.count("problems_total", problem.kind)
         self._log.write(
             "refused",
             request=request_id,
@@ -391,10 +390,7 @@
             ran=problem.ran,
             retry_after_s=problem.retry_after_s,
         )
-        body = problem.body(request_id)
-        headers = self._context.closing(problem.headers(request_id, body))
-        start_response(problem.status_line(), headers)
-        return [body]
+        return self._context.refuse(problem, request_id, start_response)
 
 
 def watch_caller(
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from functools import partial
 from typing import TYPE_CHECKING
 
 import logbook
@@ -308,13 +307,9 @@
         from lagoonsail_core.metrics import Metrics
 
         metrics = Metrics()
-        for name, doc in COUNTERS.items():
-            short = name.removesuffix("_total")
-            metrics.counter_of(
-                short, doc, "kind", partial(self.context.counts_of, name)
-            )
-        for name, doc in HISTOGRAMS.items():
-            metrics.histogram_of(name, doc, self.calls.durations[name])
+        metrics.declare_all(
+            COUNTERS, self.context.counts_of, HISTOGRAMS, self.calls.durations
+        )
         metrics.counter_of(
             "server_connections",
             "Connections to backend servers, opened anew and used again.",
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
@@ -248,10 +248,6 @@
             self._is_due_soon = True
             start_later(self._context, "digest", SOON_MS, self._send_due)
 
-    def newest(self) -> list[Digest]:
-        """Return the newest digest of each other router."""
-        return [digest for _, digest in self._heard.values()]
-
     def wanted(self) -> list[str]:
         """Return the routers of whose prompts some were missed."""
         return list(self._wanted)
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_directory.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_directory.py
@@ -128,17 +128,6 @@
         self._by_service = None
         self.expire()
 
-    def replace_all(self, records: dict[str, ServerRecord]) -> None:
-        """Take over a whole listing.
-
-        Args:
-            records: All records in the store, by server.
-        """
-        for record in records.values():
-            self.put(record)
-        for server_id in self._servers.keys() - records.keys():
-            self.remove(server_id)
-
     def expire(self) -> None:
         """Drop the servers whose time to register again is over."""
         now_ms = self._clock.now_ms()
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
@@ -253,24 +253,26 @@
             revision: The revision.
         """
         self._told_revision = max(self._told_revision, revision)
-        if self._told_revision <= (self.revision or 0):
-            self._behind_since_ms = float("inf")
-        elif self._behind_since_ms == float("inf"):
-            self._behind_since_ms = self._context.clock.now_ms()
+        self._update_behind()
 
     def check_behind(self) -> None:
         """Ask the store anew if another router has known more for some time."""
-        if self.revision is None or self._told_revision <= self.revision:
-            self._behind_since_ms = float("inf")
-            return
-        behind_ms = self._context.clock.now_ms() - self._behind_since_ms
-        if behind_ms < self._patience_ms + self._gather_ms():
+        self._update_behind()
+        now_ms = self._context.clock.now_ms()
+        if now_ms - self._behind_since_ms < self._patience_ms + self._gather_ms():
             return
-        self._behind_since_ms = self._context.clock.now_ms()
+        self._behind_since_ms = now_ms
         # A store that is so slow must not be asked again before it can answer.
         self._patience_ms = min(2 * self._patience_ms, SHORTEST_WATCH_MS)
         self._interrupt("another router knows more")
 
+    def _update_behind(self) -> None:
+        # A listing that is under way brings whatever others know.
+        is_behind = self.revision is not None and self._told_revision > self.revision
+        now_ms = self._context.clock.now_ms()
+        since_ms = min(self._behind_since_ms, now_ms)
+        self._behind_since_ms = since_ms if is_behind else float("inf")
+
     def note_silence(self, reason: str) -> None:
         """Ask the store anew since another call was not answered.
 
--- a/packages/lagoonsail-gateway/tests/test_peer_digests.py
+++ b/packages/lagoonsail-gateway/tests/test_peer_digests.py
@@ -61,7 +61,7 @@
 
 def newest(peers):
     peers.digests.send_round()
-    return {digest.router: digest for digest in peers.digests.newest()}
+    return {name: digest for name, (_, digest) in peers.digests._heard.items()}
 
 
 def test_digest_keeps_all_that_it_tells():
--- a/packages/lagoonsail-router/src/lagoonsail_router/context.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/context.py
@@ -17,6 +17,7 @@
     from collections.abc import Callable
 
     from lagoonsail_config.settings import RouterSettings
+    from lagoonsail_router.problems import CallProblem
 
 SERVING = "serving"
 """State of a router that takes new work."""
@@ -89,6 +90,25 @@
             headers.append(("Connection", "close"))
         return headers
 
+    def refuse(
+        self, problem: CallProblem, request_id: str, start_response: Callable
+    ) -> list[bytes]:
+        """Count a problem and answer with its document, as a WSGI application does.
+
+        Args:
+            problem: What the caller is told.
+            request_id: The request, empty if it names none.
+            start_response: What WSGI gives to begin the answer.
+
+        Returns:
+            The body.
+        """
+        self.count("problems_total", problem.kind)
+        body = problem.body(request_id)
+        headers = self.closing(problem.headers(request_id, body))
+        start_response(problem.status_line(), headers)
+        return [body]
+
     def count(self, name: str, label: str = "", amount: float = 1) -> None:
         """Add to a counter.
 
--- a/packages/lagoonsail-router/src/lagoonsail_router/engine_calls.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/engine_calls.py
@@ -26,7 +26,6 @@
 LONGEST_LIMIT_MS = 600_000.0
 """Longest time for which the weight store's limit is believed."""
 
-
 TAKEN = "taken"
 """The engine has carried the order out, or loads."""
 BUSY = "busy"
--- a/packages/lagoonsail-router/src/lagoonsail_router/entry.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/entry.py
@@ -120,26 +120,19 @@
             body = self._answer(call, env, start_response)
         except CallProblem as problem:
             self.running -= 1
-            return self._refuse(problem, request_id, start_response)
+            return self._context.refuse(problem, request_id, start_response)
         except CallerGoneError:
             self.running -= 1
             self._context.count("callers_gone_total")
-            return self._refuse(_gone(), request_id, start_response)
+            return self._context.refuse(_gone(), request_id, start_response)
         except Exception:
             self.running -= 1
             self._context.logger.exception("call {} failed", request_id)
-            return self._refuse(internal_problem(), request_id, start_response)
+            return self._context.refuse(internal_problem(), request_id, start_response)
         if isinstance(body, list):
             self.running -= 1
         return body
 
-    def _refuse(self, problem: CallProblem, request_id: str, start_response) -> list:
-        self._context.count("problems_total", problem.kind)
-        body = problem.body(request_id)
-        headers = self._context.closing(problem.headers(request_id, body))
-        start_response(problem.status_line(), headers)
-        return [body]
-
     def _answer(self, call: Call, env: dict, start_response) -> Iterable[bytes]:
         budget = self._budget(call)
         budget.note_call()
--- a/packages/lagoonsail-router/src/lagoonsail_router/metrics.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/metrics.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from functools import partial
 from typing import TYPE_CHECKING
 
 from lagoonsail_core import invariants
@@ -60,15 +59,9 @@
         Metrics that read the router's counters when they are rendered.
     """
     metrics = Metrics()
-    for name, doc in COUNTERS.items():
-        metrics.counter_of(
-            name.removesuffix("_total"),
-            doc,
-            "kind",
-            partial(daemon.context.counts_of, name),
-        )
-    for name, doc in HISTOGRAMS.items():
-        metrics.histogram_of(name, doc, daemon.entry.durations[name])
+    metrics.declare_all(
+        COUNTERS, daemon.context.counts_of, HISTOGRAMS, daemon.entry.durations
+    )
     metrics.counter_of(
         "invariant_checks", "Checks of invariants.", "kind", lambda: invariants.checks
     )
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/account_shares.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/account_shares.py
@@ -56,11 +56,18 @@
 
     def values(self, now_ms: float) -> dict[str, float]:
         """Return all sums as of now, and forget those that have faded."""
-        current = {account: self.value(account, now_ms) for account in self._sums}
-        for account, value in current.items():
-            if value < NEGLIGIBLE:
+        self.forget_faded(now_ms)
+        return {account: self.value(account, now_ms) for account in self._sums}
+
+    def forget_faded(self, now_ms: float) -> None:
+        """Forget the sums that are negligible by now.
+
+        Args:
+            now_ms: Monotonic time.
+        """
+        for account in list(self._sums):
+            if self.value(account, now_ms) < NEGLIGIBLE:
                 del self._sums[account], self._updated_ms[account]
-        return {a: value for a, value in current.items() if value >= NEGLIGIBLE}
 
     def recent(self, now_ms: float, age_ms: float) -> dict[str, float]:
         """Return the sums, as of now, of the accounts that were added to lately.
@@ -116,6 +123,7 @@
             change = value - told.value(account, now_ms)
             told.add(account, change, now_ms)
             self._total.add(account, change, now_ms)
+        told.forget_faded(now_ms)
 
     def forget(self, router: str) -> None:
         """Note that a router is not heard any more.
@@ -131,8 +139,6 @@
 
     def values(self, now_ms: float) -> dict[str, float]:
         """Return all sums as of now, and forget those that have faded."""
-        for _, told in self._told.values():
-            told.values(now_ms)
         return self._total.values(now_ms)
 
 
