--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
@@ -3,24 +3,27 @@
 A server may send unexpected data: bytes after a complete response, or a late response
 where the response to the next request is expected. Therefore a response is accepted
 only if it carries the id of the request, and a connection with unread data is closed.
+What a server sends without answering is limited in bytes, because it may never end.
 """
 
 from __future__ import annotations
 
 import socket
-from collections import deque
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import httptools
 
 from lagoonsail_core.green import green_socket, trampoline
+from lagoonsail_gateway.server_response import (
+    DEFAULT_IDLE_LIMIT_MS,
+    Response,
+    ResponseCollector,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from lagoonsail_core.clock import Clock
-    from lagoonsail_gateway.request_format import Headers
 
 MAX_READ_BYTES = 65_536
 """Maximum size of one read."""
@@ -28,10 +31,9 @@
 """Maximum size of one write; early responses are detected between writes."""
 EARLY_RESPONSE_CHECK_MS = 100.0
 """Time after which a blocked write checks for an early response."""
-DEFAULT_IDLE_LIMIT_MS = 2500.0
-"""Idle limit of a connection if the server announces no keep-alive timeout."""
-IDLE_MARGIN_MS = 1500.0
-"""How long before the server's keep-alive timeout an idle connection is closed."""
+MAX_UNUSED_BYTES = 131_072
+"""Maximum number of bytes received without a part of the expected body: its head,
+interim and foreign responses, chunk extensions and trailers."""
 ABORTED = "aborted"
 """Error text of a connection that the router itself aborted."""
 
@@ -49,74 +51,6 @@
         """Whether the server did not respond in time."""
 
 
-@dataclass(slots=True)
-class Response:
-    """A response, as far as it has been received."""
-
-    status: int = 0
-    """HTTP status code."""
-    headers: Headers = field(default_factory=list)
-    """Headers as received."""
-    has_head: bool = False
-    """Whether the status and all headers have been received."""
-    is_complete: bool = False
-    """Whether the whole body has been received."""
-    is_keep_alive: bool = True
-    """Whether the server keeps the connection open after this response."""
-    is_close_delimited: bool = False
-    """Whether the body ends only when the server closes the connection."""
-    idle_limit_ms: float = DEFAULT_IDLE_LIMIT_MS
-    """How long the connection may be idle after this response."""
-    parts: list[bytes] = field(default_factory=list)
-    """Received parts of the body that have not been returned yet."""
-
-    def take_body(self) -> bytes:
-        """Return the part of the body received since the last call."""
-        if not self.parts:
-            return b""
-        parts, self.parts = self.parts, []
-        return parts[0] if len(parts) == 1 else b"".join(parts)
-
-
-class _ResponseCollector:
-    """Collects responses from the callbacks of the HTTP parser."""
-
-    __slots__ = ("responses", "parser")
-
-    def __init__(self) -> None:
-        self.responses: deque[Response] = deque()
-        self.parser = httptools.HttpResponseParser(self)
-
-    def on_message_begin(self) -> None:
-        self.responses.append(Response())
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        headers = self.responses[-1].headers
-        headers.append((name.decode("latin-1"), value.decode("latin-1")))
-
-    def on_headers_complete(self) -> None:
-        response = self.responses[-1]
-        response.status = self.parser.get_status_code()
-        response.is_keep_alive = self.parser.should_keep_alive()
-        names = {name.lower(): value for name, value in response.headers}
-        response.idle_limit_ms = _read_idle_limit_ms(names.get("keep-alive", ""))
-        has_body = response.status >= 200 and response.status not in (204, 304)
-        is_framed = "content-length" in names or "transfer-encoding" in names
-        response.is_close_delimited = has_body and not is_framed
-        response.has_head = True
-
-    def on_body(self, body: bytes) -> None:
-        self.responses[-1].parts.append(body)
-
-    def on_message_complete(self) -> None:
-        response = self.responses[-1]
-        # A body without a length is complete only when the connection is closed; see
-        # `_handle_eof`.
-        response.is_complete = not response.is_close_delimited
-        if response.is_complete and 100 <= response.status < 200:
-            self.responses.pop()
-
-
 class ServerConnection:
     """A connection that carries one request at a time."""
 
@@ -138,7 +72,7 @@
     def __init__(self, sock: green_socket.socket, clock: Clock) -> None:
         self._sock = sock
         self._clock = clock
-        self._collector = _ResponseCollector()
+        self._collector = ResponseCollector()
         self._is_aborted = False
         self._is_fully_sent = True
         self.idle_since_ms = clock.now_ms()
@@ -343,20 +277,6 @@
         return ABORTED if self._is_aborted else str(error)
 
 
-def _read_idle_limit_ms(keep_alive: str) -> float:
-    """Return the idle limit of a connection with this Keep-Alive header.
-
-    Example:
-        >>> _read_idle_limit_ms("timeout=10, max=100"), _read_idle_limit_ms("")
-        (8500.0, 2500.0)
-    """
-    for parameter in keep_alive.split(","):
-        name, _, value = parameter.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return max(0.0, int(value) * 1000.0 - IDLE_MARGIN_MS)
-    return DEFAULT_IDLE_LIMIT_MS
-
-
 def connect(address: str, clock: Clock, timeout_ms: float) -> ServerConnection:
     """Open a connection to a backend server.
 
