Limit what a connection reads without getting an answer

cause: a server in trouble may send bytes without end: header lines, one line, interim responses, a foreign answer with a huge body, chunk extensions, trailers. Parts of skipped answers are not kept. A foreign answer before the request was sent whole ends the attempt, since the server reads no on.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 import httptools
+from xxhash import xxh64_intdigest
 
 from lagoonsail_core.green import green_socket, trampoline
 from lagoonsail_gateway.server_response import (
@@ -55,11 +56,13 @@
     """A connection that carries one request at a time."""
 
     __slots__ = (
+        "_carried_ids",
         "_clock",
         "_is_aborted",
         "_is_fully_sent",
         "_collector",
         "_sock",
+        "_unused_bytes",
         "idle_limit_ms",
         "idle_since_ms",
     )
@@ -73,11 +76,30 @@
         self._sock = sock
         self._clock = clock
         self._collector = ResponseCollector()
+        self._carried_ids: set[int] = set()
         self._is_aborted = False
         self._is_fully_sent = True
+        self._unused_bytes = 0
         self.idle_since_ms = clock.now_ms()
         self.idle_limit_ms = DEFAULT_IDLE_LIMIT_MS
 
+    @property
+    def request_count(self) -> int:
+        """Number of requests that the connection has carried."""
+        return len(self._carried_ids)
+
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether the connection has carried a request with an id."""
+        return xxh64_intdigest(request_id.encode()) in self._carried_ids
+
+    def record_request(self, request_id: str) -> None:
+        """Note that the connection is about to carry a request.
+
+        Args:
+            request_id: Id of the request.
+        """
+        self._carried_ids.add(xxh64_intdigest(request_id.encode()))
+
     def is_reusable(self) -> bool:
         """Return whether the connection is open and has no unread or unsent data."""
         if self._collector.responses or not self._is_fully_sent or self._is_aborted:
@@ -98,6 +120,7 @@
             ConnectionLostError: If the connection failed or the deadline passed.
         """
         self._is_fully_sent = False
+        self._unused_bytes = 0
         view = memoryview(data)
         while view:
             sent = self._send_part(view[:MAX_WRITE_BYTES], deadline_ms)
@@ -128,12 +151,8 @@
                 self._feed_parser(deadline_ms)
             elif is_expected(response):
                 return response
-            elif response.is_complete and response.is_keep_alive:
-                self._collector.responses.popleft()
-            elif response.is_complete or response.is_close_delimited:
-                raise ConnectionLostError("the answer belongs to another request")
             else:
-                self._feed_parser(deadline_ms)
+                self._skip(response, deadline_ms)
 
     def read_body(self, response: Response, deadline_ms: float) -> bytes:
         """Return the next part of a response body, empty at its end.
@@ -147,6 +166,7 @@
         """
         while not response.parts and not response.is_complete:
             self._feed_parser(deadline_ms)
+        self._unused_bytes = 0
         return response.take_body()
 
     def discard_body(self, response: Response) -> None:
@@ -193,6 +213,18 @@
     def _first_response(self) -> Response | None:
         return self._collector.responses[0] if self._collector.responses else None
 
+    def _skip(self, response: Response, deadline_ms: float) -> None:
+        """Skip a response to another request, or the part of it that has arrived."""
+        is_skippable = response.is_keep_alive and not response.is_close_delimited
+        if not is_skippable or not self._is_fully_sent:
+            # The server does not read on, so no other response can follow.
+            raise ConnectionLostError("the answer belongs to another request")
+        if response.is_complete:
+            self._collector.responses.popleft()
+            return
+        response.parts.clear()
+        self._feed_parser(deadline_ms)
+
     def _has_input(self) -> bool:
         """Return whether data, an end of stream or an error is pending."""
         try:
@@ -225,6 +257,9 @@
         if not data:
             self._handle_eof()
             return
+        self._unused_bytes += len(data)
+        if self._unused_bytes > MAX_UNUSED_BYTES:
+            raise ConnectionLostError(f"no answer in {self._unused_bytes} bytes")
         try:
             self._collector.parser.feed_data(data)
         except httptools.HttpParserError as error:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_response.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_response.py
@@ -51,18 +51,27 @@
 
     __slots__ = ("responses", "parser")
 
+    responses: deque[Response]
+    """The responses of which something has been received, oldest first."""
+    parser: httptools.HttpResponseParser
+    """Parser that is fed with the received bytes."""
+
     def __init__(self) -> None:
-        self.responses: deque[Response] = deque()
+        """Create a collector for the responses of one connection."""
+        self.responses = deque()
         self.parser = httptools.HttpResponseParser(self)
 
     def on_message_begin(self) -> None:
+        """Begin a response."""
         self.responses.append(Response())
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header to the newest response."""
         headers = self.responses[-1].headers
         headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
+        """Decode the head of the newest response."""
         response = self.responses[-1]
         response.status = self.parser.get_status_code()
         response.is_keep_alive = self.parser.should_keep_alive()
@@ -74,9 +83,11 @@
         response.has_head = True
 
     def on_body(self, body: bytes) -> None:
+        """Add a part of the body to the newest response."""
         self.responses[-1].parts.append(body)
 
     def on_message_complete(self) -> None:
+        """Complete the newest response, or drop it if it is an interim one."""
         response = self.responses[-1]
         # A body without a length is complete only when the connection is closed; see
         # `_handle_eof`.
