Believe that a request was not run only by its own id

cause: an answer without an id counted as the answer to the request that waited. A copy of an earlier refusal without its id, on a kept connection, was therefore taken for the refusal of the next request: the caller was told that it had not run, or it ran at a second server. A connection that carried an id is not used for that id again. The body of a refusal is waited for 20 ms and not until the deadline. An event of a resumable stream may have 1 MiB.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/connection_pool.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/connection_pool.py
@@ -18,6 +18,9 @@
 servers may close connections earlier than they announce."""
 MAX_IDLE_PER_SERVER = 64
 """Maximum number of idle connections kept per server."""
+MAX_REQUESTS_PER_CONNECTION = 1000
+"""Number of requests after which a connection is closed, because it remembers the id
+of each."""
 
 
 class ConnectionPool:
@@ -36,11 +39,16 @@
         self.opened = 0
         self.reused = 0
 
-    def acquire(self, server: Server, *, is_retryable: bool) -> ServerConnection:
+    def acquire(
+        self, server: Server, request_id: str, *, is_retryable: bool
+    ) -> ServerConnection:
         """Return an idle connection to a server, or open a new one.
 
         Args:
             server: The server.
+            request_id: Id of the request. A connection that has carried a request with
+                this id is closed, because a late copy of that response would be taken
+                for the response to this request.
             is_retryable: Whether the request may be retried after it may have run.
 
         Raises:
@@ -50,18 +58,19 @@
         while idle:
             # The server is least likely to have closed the most recently used one.
             connection = idle.pop()
-            if self._is_fresh(connection) and connection.is_reusable():
-                if (
-                    is_retryable
-                    or self._idle_ms(connection) < MAX_IDLE_NON_RETRYABLE_MS
-                ):
-                    self.reused += 1
-                    return connection
-                idle.append(connection)
-                break
-            connection.close()
+            if not self._is_usable(connection, request_id):
+                connection.close()
+                continue
+            if is_retryable or self._idle_ms(connection) < MAX_IDLE_NON_RETRYABLE_MS:
+                self.reused += 1
+                connection.record_request(request_id)
+                return connection
+            idle.append(connection)
+            break
         self.opened += 1
-        return connect(server.record.address, self._clock, CONNECT_TIMEOUT_MS)
+        connection = connect(server.record.address, self._clock, CONNECT_TIMEOUT_MS)
+        connection.record_request(request_id)
+        return connection
 
     def release(self, server: Server, connection: ServerConnection) -> None:
         """Keep a connection for reuse.
@@ -71,7 +80,8 @@
             connection: A connection without unread data.
         """
         idle = self._idle.setdefault(server.record.incarnation(), [])
-        if len(idle) >= MAX_IDLE_PER_SERVER:
+        is_worn = connection.request_count >= MAX_REQUESTS_PER_CONNECTION
+        if is_worn or len(idle) >= MAX_IDLE_PER_SERVER:
             connection.close()
             return
         idle.append(connection)
@@ -99,6 +109,13 @@
             else:
                 del self._idle[key]
 
+    def _is_usable(self, connection: ServerConnection, request_id: str) -> bool:
+        return (
+            self._is_fresh(connection)
+            and connection.is_reusable()
+            and not connection.has_carried(request_id)
+        )
+
     def _is_fresh(self, connection: ServerConnection) -> bool:
         return self._idle_ms(connection) < connection.idle_limit_ms
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
@@ -35,6 +35,11 @@
 MAX_BUFFERED_BYTES = 1 << 20
 """Maximum size of a response body that is buffered, so that the request can be retried
 if the body is incomplete."""
+MAX_EVENT_BYTES = 1 << 20
+"""Maximum size of one event of a resumable stream, which is held until it is whole."""
+REFUSAL_DRAIN_MS = 20.0
+"""Time for the body of a refusal to arrive, so that its connection can be reused. The
+head of the refusal is sufficient, and the body may never end."""
 DEADLINE_GRACE_MS = 100.0
 """Time beyond the deadline in which a response that the server sent at the deadline may
 arrive."""
@@ -179,6 +184,8 @@
                 self._running_request.record_data()
                 if self.call.route.is_resumable:
                     part, partial_event = split_events(partial_event + part)
+                    if len(partial_event) > MAX_EVENT_BYTES:
+                        raise ConnectionLostError("an event of the stream has no end")
                     self._update_last_event_id(part)
                 if part:
                     yield part
@@ -214,7 +221,9 @@
         server = self.state.server
         is_retryable = self.call.route.is_retryable()
         try:
-            connection = self._pool.acquire(server, is_retryable=is_retryable)
+            connection = self._pool.acquire(
+                server, self.call.head.request_id, is_retryable=is_retryable
+            )
         except ConnectFailedError as error:
             self._finish_request(is_success=False)
             raise AttemptFailedError(UNREACHABLE, str(error)) from error
@@ -251,19 +260,23 @@
         head = self._response_head = self._format.read_response(
             response.status, response.headers
         )
-        return not head.request_id or head.request_id == self.call.head.request_id
+        if not head.request_id:
+            # Only on a new connection it cannot belong to an earlier request.
+            return self._connection.request_count == 1
+        return head.request_id == self.call.head.request_id
 
     def _check_head(self, response: Response) -> None:
         # Set by `_is_expected`, which has just accepted this response.
         head = self._response_head
-        if head.is_not_executed or head.is_wrong_server:
+        if _is_proven_refusal(response, head):
             self.call.possible_runs -= 1
-            self._drain_and_finish(response, is_success=None)
+            self._drain_and_finish(response)
             raise AttemptFailedError(
                 NOT_RUN_BY_SERVER, f"the server answered {response.status}, not run"
             )
         is_unsealed = response.status < 300 and not head.is_sealed
-        if is_unsealed or response.status in (408, 421, 429, 503):
+        is_doubtful = head.is_not_executed or response.status in (408, 421, 429, 503)
+        if is_unsealed or is_doubtful:
             self.cancel_as_failed()
             raise AttemptFailedError(LOST, f"no proper answer ({response.status})")
 
@@ -272,16 +285,17 @@
         self._connection.close()
         self._finish_request(is_success=False)
 
-    def _drain_and_finish(self, response: Response, *, is_success: bool | None) -> None:
+    def _drain_and_finish(self, response: Response) -> None:
+        deadline_ms = self._context.clock.now_ms() + REFUSAL_DRAIN_MS
         try:
-            while self._connection.read_body(response, self._response_deadline_ms()):
+            while self._connection.read_body(response, deadline_ms):
                 continue
         except ConnectionLostError:
             # The head of the response is sufficient here; only the connection is lost.
             self.cancel()
             return
         self.response = response
-        self._finish_response(is_success=is_success)
+        self._finish_response(is_success=None)
         self.response = None
 
     def _fail(self, error: ConnectionLostError) -> AttemptFailedError:
@@ -321,3 +335,12 @@
         running_request, self._running_request = self._running_request, None
         if running_request is not None:
             running_request.finish(is_success=is_success)
+
+
+def _is_proven_refusal(response: Response, head: ResponseHead) -> bool:
+    """Return whether a response proves that the server did not run the request.
+
+    A refusal without an id may be a copy of one for another request.
+    """
+    is_refusal = head.is_not_executed or head.is_wrong_server
+    return is_refusal and response.status >= 400 and bool(head.request_id)
