--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -348,6 +348,7 @@
             [state.load for state in states],
             PREFILL_TOKENS_PER_MS,
             lambda load: load.engine_id in by_id,
+            call.route.objective_ms,
         )
         usage_ratio = self.accounts.usage_ratio(call.account)
         delay_ms = choice.delay_ms
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/first_token.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/first_token.py
@@ -4,9 +4,12 @@
 engines lack the capacity to prefill (read) all prompts in full: many prefixes of
 similar popularity, a few hot ones, and prompts of very different lengths. All costs are
 in milliseconds of engine time: the prompt tokens queued at an engine, and the tokens of
-this prompt that are not in its cache. Routers without knowledge of each other make the
-same choice, because a prefix not known to be cached anywhere has the same home engine
-at every router (rendezvous hashing).
+this prompt that are not in its cache. While the first token is early enough for its
+caller, a prompt stays at the engine that has it in its cache; recomputing it elsewhere
+would delay other requests.
+
+Each prefix has a home engine, the same at every router (rendezvous hashing). Routers
+without knowledge of each other, or of what was before their start, send a prefix there.
 """
 
 from __future__ import annotations
@@ -22,14 +25,25 @@
 
 BATCH_MS_PER_REQUEST = 0.5
 """Delay of the first token per running request, because decoding steps take longer."""
-COST_RESOLUTION_MS = 20.0
+COST_RESOLUTION_MS = 5.0
 """Cost differences below this are within the error of the estimates."""
-RECOMPUTE_WEIGHT = 2.0
+EARLY_FRACTION = 0.65
+"""Fraction of its objective by which a first token is early: its caller gains little if
+it comes sooner."""
+EARLY_WEIGHT = 0.1
+"""Weight of the time until an early first token. Far below 1, because recomputing a
+prompt elsewhere delays other requests by its full time."""
+LATE_WEIGHT = 1.5
+"""Weight of the time after that."""
+RECOMPUTE_WEIGHT = 3.0
 """Extra weight of recomputing tokens that another engine has in its cache.
 
 Recomputing delays all requests queued behind it by the same time, so avoiding the queue
 of one engine must save more than that.
 """
+HOME_WEIGHT = 0.3
+"""Weight of the tokens that are in no known cache, at engines other than the home: the
+home may have them, read for a router that has not reported it."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -179,14 +193,16 @@
     loads: Sequence[EngineLoad],
     tokens_per_ms: float,
     is_allowed: Callable[[EngineLoad], bool],
+    objective_ms: float,
 ) -> Choice | None:
-    """Return the engine with the lowest expected time to the first token.
+    """Return the engine with the lowest cost of the first token.
 
     Args:
         prompt: The prompt.
         loads: Loads of the engines.
         tokens_per_ms: Prefill rate of an engine.
         is_allowed: Returns whether an engine may get a request now.
+        objective_ms: Time within which the first token should arrive.
 
     Returns:
         The choice, or None if no engine is allowed.
@@ -194,20 +210,40 @@
     unread = {load.engine_id: load.cache.unread_tokens(prompt) for load in loads}
     # Tokens in no cache must be computed by some engine; only the rest is recomputed.
     min_unread = min(unread.values(), default=0)
+    unknown_ms = min_unread / tokens_per_ms
+    ranks = {load.engine_id: rank(prompt.prefix, load.engine_id) for load in loads}
+    home_rank = max(ranks.values(), default=0)
     best: tuple[float, int] | None = None
     choice = None
     for load in loads:
         if not is_allowed(load):
             continue
+        queue_ms = load.queue_ms(tokens_per_ms)
         recompute_ms = (unread[load.engine_id] - min_unread) / tokens_per_ms
-        delay_ms = load.queue_ms(tokens_per_ms) + RECOMPUTE_WEIGHT * recompute_ms
-        cost_ms = delay_ms + recompute_ms + load.total_running() * BATCH_MS_PER_REQUEST
-        # Among similar costs the home engine wins, so that all routers agree.
-        key = (cost_ms // COST_RESOLUTION_MS, -rank(prompt.prefix, load.engine_id))
+        prefill_ms = (unread[load.engine_id] + prompt.unshared_tokens) / tokens_per_ms
+        expected_ms = (
+            queue_ms + prefill_ms + load.total_running() * BATCH_MS_PER_REQUEST
+        )
+        cost_ms = (
+            _weighted_ms(expected_ms, objective_ms) + RECOMPUTE_WEIGHT * recompute_ms
+        )
+        if ranks[load.engine_id] != home_rank:
+            cost_ms += HOME_WEIGHT * unknown_ms
+        # Among similar costs the highest rank wins, so that all routers agree.
+        key = (cost_ms // COST_RESOLUTION_MS, -ranks[load.engine_id])
         if best is None or key < best:
             best = key
-            prefill_ms = (
-                unread[load.engine_id] + prompt.unshared_tokens
-            ) / tokens_per_ms
+            delay_ms = queue_ms + RECOMPUTE_WEIGHT * recompute_ms
             choice = Choice(load, delay_ms, prefill_ms)
     return choice
+
+
+def _weighted_ms(expected_ms: float, objective_ms: float) -> float:
+    """Return the weighted time until a first token.
+
+    Example:
+        >>> [_weighted_ms(time_ms, 800.0) for time_ms in (200.0, 520.0, 600.0)]
+        [20.0, 52.0, 172.0]
+    """
+    early_ms = min(expected_ms, EARLY_FRACTION * objective_ms)
+    return EARLY_WEIGHT * early_ms + LATE_WEIGHT * (expected_ms - early_ms)
--- a/packages/lagoonsail-sharing/tests/test_first_token.py
+++ b/packages/lagoonsail-sharing/tests/test_first_token.py
@@ -30,8 +30,12 @@
     return Prompt((SharedPart(key, shared),), own)
 
 
+OBJECTIVE_MS = 800.0
+"""Time within which a first token should arrive."""
+
+
 def choose(prompt, loads, is_allowed=lambda load: True):
-    return choose_engine(prompt, loads, TOKENS_PER_MS, is_allowed)
+    return choose_engine(prompt, loads, TOKENS_PER_MS, is_allowed, OBJECTIVE_MS)
 
 
 def send_all(prompts, loads):
@@ -79,6 +83,41 @@
     assert choose(prompt, loads).load is not home
 
 
+def test_cached_prompt_waits_for_its_engine_while_its_first_token_is_early(engines):
+    """Unequal queues on a calm day: one very long prompt at the home of others."""
+    loads = engines(3)
+    prompt = prompt_of(7, shared=5_000, own=2_000)
+    home = choose(prompt, loads).load
+    home.cache.record_prefill(prompt)
+    home.pending_tokens = TOKENS_PER_MS * 0.4 * OBJECTIVE_MS
+    assert choose(prompt, loads).load is home
+    home.pending_tokens = TOKENS_PER_MS * OBJECTIVE_MS
+    assert choose(prompt, loads).load is not home
+
+
+def test_unshared_prompts_go_where_they_are_read_first(engines):
+    loads = engines(3)
+    for load, waiting in zip(loads, (9_000, 3_000, 15_000), strict=True):
+        load.pending_tokens = waiting
+    for own in (100, 5_000, 40_000):
+        assert choose(Prompt((), own), loads).load is loads[1]
+
+
+def test_restarted_router_finds_most_prompts_at_their_homes(engines):
+    """All routers restart after uneven load; engines keep their caches."""
+    loads = engines(5, capacity=2_000_000)
+    prompts = [prompt_of(1 + n % 60, shared=5_000, own=2_000) for n in range(1200)]
+    for number, prompt in enumerate(prompts):
+        loads[number // 8 % 5].pending_tokens = 9_000 * (number % 3)
+        choose(prompt, loads).load.cache.record_prefill(prompt)
+    found = 0
+    for prompt in prompts[:60]:
+        chosen = choose(prompt, engines(5)).load.engine_id
+        load = next(load for load in loads if load.engine_id == chosen)
+        found += not load.cache.unread_tokens(prompt)
+    assert found >= 0.8 * 60
+
+
 def test_short_prompts_avoid_an_engine_busy_with_a_long_one(engines):
     loads = engines(3)
     prompt = prompt_of(7, shared=300, own=1_000)
