Report to relays by failure domain in fleets of more than 13 routers

cause: a router reported to 12 others in turn, so each heard of another every N/12 rounds: 0.6 s at 71 routers, 1.6 s at 195; each digest repeated the prompts of two rotations; a dead router's load was believed for 15 rotations. ruled out: gossip of entries (bytes grow with the square), relays agreed on in the store (a death would cost a lease), sums on store records (a call a round); see DESIGN.md. change: two relays a failure domain add up reports, exchange sums and hand them down; whoever gets reports acts as a relay. A member's key in the store names its failure domain.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -9,17 +9,17 @@
 
 from lagoonsail_gateway.admission import AccountLoad, Refusal, check_wait
 from lagoonsail_gateway.fleet_share import WindowLimit
-from lagoonsail_gateway.sent_prompts import RecentPrompts, SentPrompt
+from lagoonsail_gateway.sent_prompts import RecentPrompts, SentPrompt, sender_number
 from lagoonsail_gateway.server_health import ServerHealth
 from lagoonsail_sharing.first_token import EngineLoad, PrefixCache, choose_engine
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from lagoonsail_gateway.digest import Digest
     from lagoonsail_gateway.fleet_share import FleetMembers
     from lagoonsail_gateway.gateway_call import GatewayCall
     from lagoonsail_gateway.manifest import Manifest, Service
-    from lagoonsail_gateway.peer_digests import Digest
     from lagoonsail_gateway.server_directory import Server, ServerDirectory
     from lagoonsail_router.context import RouterContext
 
@@ -132,6 +132,7 @@
         "_on_large_prompt",
         "_peer_pending",
         "_routers",
+        "_sender_number",
         "_states",
         "_last_digest_ms",
         "accounts",
@@ -154,6 +155,7 @@
         self.recent_prompts = RecentPrompts(context.clock)
         self._directory = directory
         self._routers = routers
+        self._sender_number = sender_number(routers.name)
         self._manifest: Manifest | None = None
         self._on_large_prompt: Callable[[], None] = lambda: None
         self._states: dict[tuple[str, int], ServerState] = {}
@@ -215,8 +217,10 @@
             shared = state.load.cache.unread_tokens(call.prompt)
             unread = call.prompt.unshared_tokens + shared
             state.load.cache.record_prefill(call.prompt)
-            server_id = state.server.record.server_id
-            self.recent_prompts.add(SentPrompt(server_id, call.prompt))
+            sent = SentPrompt(
+                state.server.record.server_id, call.prompt, self._sender_number
+            )
+            self.recent_prompts.add(sent.encode())
         run = RunningRequest(self, state, unread)
         if unread >= LARGE_PROMPT_TOKENS:
             self._on_large_prompt()
@@ -234,13 +238,14 @@
         }
 
     def record_peer_prompt(self, sent_prompt: SentPrompt) -> None:
-        """Note a prompt that another router has sent.
+        """Note a prompt that a router has sent, by way of others perhaps this one.
 
         Args:
             sent_prompt: The prompt and its engine.
         """
         state = self._states_by_id.get(sent_prompt.server_id)
-        if state is not None:
+        is_own = sent_prompt.sender == self._sender_number
+        if state is not None and not is_own:
             state.load.cache.record_prefill(sent_prompt.prompt)
 
     def replace_digest(self, previous: Digest | None, newest: Digest | None) -> None:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_share.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_share.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import defaultdict, deque
 from typing import TYPE_CHECKING
 
 from xxhash import xxh64_intdigest
@@ -25,7 +25,7 @@
 class FleetMembers:
     """The routers among which fleet-wide limits are split."""
 
-    __slots__ = ("_addresses", "_members", "_names", "name")
+    __slots__ = ("_domains", "_members", "_names", "_peers", "name")
 
     name: str
     """Name of this router."""
@@ -33,26 +33,40 @@
     def __init__(self, name: str) -> None:
         self.name = name
         self._names: set[str] = {name}
-        self._addresses: list[tuple[str, int]] = []
+        self._peers: dict[str, tuple[str, int]] = {}
+        self._domains: dict[str, list[str]] = {}
         self._members = 0
 
-    def update(self, addresses: Mapping[str, str]) -> None:
+    def update(self, locations: Mapping[str, str]) -> None:
         """Replace the members with those listed in the store.
 
         Args:
-            addresses: IP address and port of each router with a lease, by router name.
+            locations: Location of each router with a lease, by router name; see
+                `format_location`.
         """
-        self._names = {*addresses, self.name}
+        self._names = {*locations, self.name}
         self._members = len(self._names)
-        others = [a for name, a in sorted(addresses.items()) if name != self.name]
-        pairs = [address.rpartition(":") for address in others]
-        self._addresses = [
-            (host, int(port)) for host, _, port in pairs if host and port.isdigit()
-        ]
+        self._peers = {}
+        domains = defaultdict(list)
+        for name, location in sorted(locations.items()):
+            address, _, domain = location.partition(" ")
+            host, _, port = address.rpartition(":")
+            domains[domain].append(name)
+            if name != self.name and host and port.isdigit():
+                self._peers[name] = (host, int(port))
+        self._domains = dict(domains)
 
     def peer_addresses(self) -> list[tuple[str, int]]:
         """Return the addresses at which the other routers receive digests."""
-        return self._addresses
+        return list(self._peers.values())
+
+    def address_of(self, name: str) -> tuple[str, int] | None:
+        """Return the address at which another router receives digests."""
+        return self._peers.get(name)
+
+    def routers_by_domain(self) -> Mapping[str, list[str]]:
+        """Return the names of the routers of each failure domain."""
+        return self._domains
 
     def count(self) -> int:
         """Return how many routers share a limit."""
@@ -77,6 +91,20 @@
         return quota + (self.name in ranked[:remainder])
 
 
+def format_location(address: str, failure_domain: str) -> str:
+    """Return what a member's key in the store says about the router.
+
+    Args:
+        address: IP address and port at which it receives digests.
+        failure_domain: Its failure domain.
+
+    Example:
+        >>> format_location("10.0.0.1:7400", "north")
+        '10.0.0.1:7400 north'
+    """
+    return f"{address} {failure_domain}"
+
+
 class WindowLimit:
     """Sliding-window rate limit: bounds the permits used in any window.
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -12,9 +12,10 @@
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_gateway.call_service import HISTOGRAMS, CallService
 from lagoonsail_gateway.connection_pool import ConnectionPool
+from lagoonsail_gateway.digest import Digest
 from lagoonsail_gateway.dispatcher import Dispatcher
 from lagoonsail_gateway.fleet_share import FleetMembers
-from lagoonsail_gateway.peer_digests import ROUND_INTERVAL_MS, Digest, PeerDigests
+from lagoonsail_gateway.peer_digests import ROUND_INTERVAL_MS, PeerDigests
 from lagoonsail_gateway.server_directory import ServerDirectory
 from lagoonsail_gateway.store_view import StoreView
 from lagoonsail_router.context import (
@@ -156,6 +157,8 @@
         self.digests = PeerDigests(
             context,
             self.routers,
+            settings.failure_domain,
+            self.dispatcher.recent_prompts,
             self._make_digest,
             self._replace_digest,
             self.dispatcher.record_peer_prompt,
@@ -247,17 +250,14 @@
         self.digests.send_round()
         self.dispatcher.update_shares()
 
-    def _make_digest(self, number: int, history_ms: float) -> Digest:
+    def _make_digest(self, number: int, sums_age_ms: float) -> Digest:
         return Digest(
             self._settings.name,
             self.context.incarnation,
             number,
             self.dispatcher.pending_by_server(),
-            self.dispatcher.accounts.recent_sums(history_ms),
-            self.dispatcher.recent_prompts.encoded_within(history_ms),
-            self.dispatcher.recent_prompts.count,
-            self.view.revision or 0,
-            self.digests.resync_peers(),
+            self.dispatcher.accounts.recent_sums(sums_age_ms),
+            store_revision=self.view.revision or 0,
         )
 
     def _replace_digest(self, previous: Digest | None, newest: Digest | None) -> None:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
@@ -1,34 +1,43 @@
 """Exchange of load digests between routers, so that each knows the fleet's load.
 
 Digests are sent as UDP datagrams. Each digest replaces the previous one, so a lost,
-late or duplicate datagram does no harm, and there is no connection that could hang.
-In each round a router sends to a bounded number of peers in rotation, so its traffic
-does not grow with the fleet. The age of its information does: a full rotation takes
-`routers / MAX_PEERS_PER_ROUND` rounds.
+late or duplicate datagram does no harm, and there is no connection that could hang. In
+a small fleet each router reports to all others in each round; in a large one it reports
+to relays, see `digest_relay`.
 """
 
 from __future__ import annotations
 
 import math
 import socket
-from dataclasses import dataclass, field
+from collections import OrderedDict
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
-import msgpack
-
 from lagoonsail_core.green import green_socket
-from lagoonsail_gateway.sent_prompts import (
-    DECODE_ERRORS,
-    MAX_RECENT_PROMPTS,
-    decode_sent_prompt,
+from lagoonsail_gateway.digest import (
+    DOMAIN_SUM,
+    FLEET_SUM,
+    REPORT,
+    Digest,
+    decode_digest,
+)
+from lagoonsail_gateway.digest_relay import (
+    MAX_RELAYED_PROMPTS,
+    DigestRelay,
+    RelayChoice,
+    is_better_sum,
+    subtract_report,
 )
+from lagoonsail_gateway.prompt_inbox import PromptInbox
+from lagoonsail_gateway.sent_prompts import MAX_RECENT_PROMPTS, decode_sent_prompt
 from lagoonsail_router.context import start_later
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from lagoonsail_gateway.fleet_share import FleetMembers
-    from lagoonsail_gateway.sent_prompts import SentPrompt
+    from lagoonsail_gateway.sent_prompts import RecentPrompts, SentPrompt
     from lagoonsail_router.context import RouterContext
 
 Address = tuple[str, int]
@@ -38,118 +47,54 @@
 """Interval between rounds."""
 EARLY_DIGEST_DELAY_MS = 5.0
 """Delay before a large prompt is reported, so that the digest includes further ones."""
-MAX_PEERS_PER_ROUND = 12
-"""Peers that receive a digest in one round."""
+MAX_DIRECT_PEERS = 12
+"""Other routers up to which each reports to all."""
+REPEAT_MS = 2.5 * ROUND_INTERVAL_MS
+"""Age up to which prompts are included, so that each is sent in two rounds: datagrams
+can be lost."""
+RECENT_SUMS_MS = 4 * ROUND_INTERVAL_MS
+"""Period in which an account had a request if a report to all routers includes it."""
 DIGEST_EXPIRY_MS = 1500.0
 """Age at which a digest expires: its router has stopped or is unreachable."""
 MAX_DATAGRAM_BYTES = 60_000
 """Maximum size of an encoded digest."""
-FORMAT_VERSION = 2
-"""Version of the digest layout; digests of other versions are discarded."""
-
-
-@dataclass(slots=True)
-class Digest:
-    """A router's report of its own load."""
-
-    router: str
-    """Name of the router."""
-    incarnation: int
-    """Number that grows with each start of the router."""
-    number: int
-    """Sequence number of the digest within the incarnation."""
-    pending: dict[str, tuple[int, int]] = field(default_factory=dict)
-    """Running requests and unread prompt tokens by server."""
-    sums: dict[str, tuple[int, int]] = field(default_factory=dict)
-    """Demand and admitted cost as fading sums, by client account; only accounts with
-    recent requests."""
-    prompts: list[bytes] = field(default_factory=list)
-    """The last prompts that it sent, oldest first. Each is encoded separately, because
-    the receiver has decoded most of them before and skips those."""
-    prompt_count: int = 0
-    """Number of prompts sent since its start, including the last of `prompts`."""
-    store_revision: int = 0
-    """Store revision up to which its view is current."""
-    resync_peers: list[str] = field(default_factory=list)
-    """Routers some of whose prompts it missed; each is asked to resend all prompts that
-    it keeps."""
-
-    def encode(self) -> bytes:
-        """Return the datagram payload."""
-        return msgpack.packb(
-            [
-                FORMAT_VERSION,
-                self.router,
-                self.incarnation,
-                self.number,
-                self.pending,
-                self.sums,
-                self.prompts,
-                self.prompt_count,
-                self.store_revision,
-                self.resync_peers,
-            ]
-        )
-
-
-def decode_digest(data: bytes) -> Digest | None:
-    """Decode a digest.
-
-    Args:
-        data: The datagram payload.
-
-    Returns:
-        The digest, None if the data is malformed or of another format version.
-
-    Example:
-        >>> decode_digest(Digest("r1", 7, 1, {"s": (1, 20)}).encode()).pending
-        {'s': (1, 20)}
-        >>> decode_digest(b"garbage") is None
-        True
-    """
-    try:
-        version, *fields = msgpack.unpackb(data)
-        if version != FORMAT_VERSION:
-            return None
-        router, incarnation, number, pending, sums, *tail = fields
-        prompts, count, store_revision, resync_peers = tail
-        return Digest(
-            str(router),
-            int(incarnation),
-            int(number),
-            {str(server): (int(n), int(t)) for server, (n, t) in pending.items()},
-            {str(account): (int(a), int(b)) for account, (a, b) in sums.items()},
-            list(prompts),
-            int(count),
-            int(store_revision),
-            [str(name) for name in resync_peers],
-        )
-    except DECODE_ERRORS:
-        return None
+MAX_OWN_REPORTS = 32
+"""Own reports that are kept, to subtract them from fleet sums that include them."""
+FLEET = "(fleet)"
+"""Name under which the load of all other routers together is kept."""
+_ANSWER_KINDS = {REPORT: FLEET_SUM, DOMAIN_SUM: DOMAIN_SUM, FLEET_SUM: REPORT}
 
 
 class PeerDigests:
     """Sends this router's digests and keeps the newest digest of each peer."""
 
     __slots__ = (
+        "_choice",
         "_context",
+        "_domain",
+        "_fleet_sum",
+        "_inbox",
+        "_is_early_send_scheduled",
         "_latest",
         "_make_digest",
-        "_next_peer",
         "_number",
-        "_is_early_send_scheduled",
-        "_on_replaced",
         "_on_prompt",
+        "_on_replaced",
+        "_own_prompts",
+        "_own_reports",
+        "_relay",
+        "_relayed_count",
         "_routers",
         "_sock",
-        "_prompt_positions",
-        "_resync_peers",
+        "_versions",
     )
 
     def __init__(
         self,
         context: RouterContext,
         routers: FleetMembers,
+        domain: str,
+        own_prompts: RecentPrompts,
         make_digest: Callable[[int, float], Digest],
         on_replaced: Callable[[Digest | None, Digest | None], None],
         on_prompt: Callable[[SentPrompt], None],
@@ -159,23 +104,31 @@
         Args:
             context: The router's shared state.
             routers: The other routers and their addresses.
-            make_digest: Creates this router's digest from its number and the period, in
-                milliseconds, for which it includes prompts and accounts.
+            domain: Failure domain of this router.
+            own_prompts: The prompts that this router has sent.
+            make_digest: Creates this router's report, without prompts, from its number
+                and the period, in milliseconds, for which it includes accounts.
             on_replaced: Called with a peer's previous and new digest; the previous is
                 None for a new peer, the new one is None if the peer went silent.
             on_prompt: Called once for each prompt that another router has sent.
         """
         self._context = context
         self._routers = routers
+        self._domain = domain
+        self._own_prompts = own_prompts
         self._make_digest = make_digest
         self._is_early_send_scheduled = False
         self._on_replaced = on_replaced
         self._on_prompt = on_prompt
+        self._choice = RelayChoice(context.clock)
+        self._relay = DigestRelay(context.clock, domain)
+        self._inbox = PromptInbox()
         self._latest: dict[str, tuple[float, Digest]] = {}
-        self._prompt_positions: dict[str, tuple[int, int]] = {}
-        self._resync_peers: set[str] = set()
+        self._versions: dict[tuple[str, int], tuple[float, Digest]] = {}
+        self._own_reports: OrderedDict[int, tuple[float, Digest]] = OrderedDict()
+        self._relayed_count = 0
+        self._fleet_sum: tuple[float, Digest] | None = None
         self._number = 0
-        self._next_peer = 0
         self._sock: green_socket.socket | None = None
 
     def open(self, address: str) -> None:
@@ -215,77 +168,217 @@
         if digest is None:
             self._context.count("digests_malformed_total")
             return
-        if digest.router == self._routers.name:
-            return
-        now_ms = self._context.clock.now_ms()
-        known = self._latest.get(digest.router)
-        if known is None:
-            self._context.timeline.record("peer_heard", peer=digest.router)
-        elif _version_key(known[1]) >= _version_key(digest):
+        if digest.router == self._routers.name or not self._is_newer(digest):
             return
-        previous = known[1] if known else None
-        self._latest[digest.router] = (now_ms, digest)
-        self._on_replaced(previous, digest)
+        if digest.kind == FLEET_SUM:
+            self._choice.record_heard(digest.router)
+            self._apply_fleet_sum(digest)
+        elif digest.kind == DOMAIN_SUM:
+            self._choice.record_heard(digest.router)
+            self._relay.record_domain_sum(digest)
+        elif self._uses_relays():
+            self._relay.record_report(digest)
+        else:
+            self._replace(digest.router, digest)
         self._handle_prompts(digest)
         if self._routers.name in digest.resync_peers:
-            self._send_to([sender], math.inf)
-
-    def _handle_prompts(self, digest: Digest) -> None:
-        incarnation, position = self._prompt_positions.get(
-            digest.router, (digest.incarnation, 0)
-        )
-        missing = digest.prompt_count - (
-            position if incarnation == digest.incarnation else 0
-        )
-        count = min(missing, len(digest.prompts))
-        if count < min(missing, MAX_RECENT_PROMPTS):
-            self._resync_peers.add(digest.router)
-        else:
-            self._resync_peers.discard(digest.router)
-            self._prompt_positions[digest.router] = (
-                digest.incarnation,
-                digest.prompt_count,
-            )
-        for data in digest.prompts[len(digest.prompts) - count :]:
-            prompt = decode_sent_prompt(data)
-            if prompt is None:
-                self._context.count("digests_malformed_total")
-            else:
-                self._on_prompt(prompt)
+            self._resend_prompts(digest, sender)
 
     def send_round(self) -> None:
-        """Expire silent peers and send a digest to the next peers in rotation."""
+        """Expire silent peers and send the digests of one round."""
         self._expire_silent_peers()
-        self._send_next()
+        self._send_report()
+        if self._uses_relays():
+            self._relay_own_prompts()
+            if self._relay.is_active(self._routers.name):
+                self._send_sums()
 
     def schedule_early_send(self) -> None:
-        """Send a digest before the next round, after a large prompt was sent."""
+        """Send a report before the next round, after a large prompt was sent."""
         if not self._is_early_send_scheduled:
             self._is_early_send_scheduled = True
             start_later(
                 self._context, "digest", EARLY_DIGEST_DELAY_MS, self._send_early
             )
 
-    def resync_peers(self) -> list[str]:
-        """Return the routers some of whose prompts were missed."""
-        return list(self._resync_peers)
+    def _uses_relays(self) -> bool:
+        return len(self._routers.peer_addresses()) > MAX_DIRECT_PEERS
+
+    # Receiving.
+
+    def _is_newer(self, digest: Digest) -> bool:
+        key = (digest.router, digest.kind)
+        known = self._versions.get(key)
+        if known is not None and known[1].version_key() >= digest.version_key():
+            return False
+        if known is None:
+            self._context.timeline.record("peer_heard", peer=digest.router)
+        self._versions[key] = (self._context.clock.now_ms(), digest)
+        return True
+
+    def _replace(self, name: str, digest: Digest) -> None:
+        previous = self._latest.get(name)
+        self._latest[name] = (self._context.clock.now_ms(), digest)
+        self._on_replaced(previous[1] if previous else None, digest)
+
+    def _apply_fleet_sum(self, digest: Digest) -> None:
+        now_ms = self._context.clock.now_ms()
+        if not is_better_sum(digest, self._fleet_sum, now_ms):
+            return
+        self._fleet_sum = (now_ms, digest)
+        own = self._own_reports.get(digest.members.get(self._routers.name, 0))
+        if own is not None:
+            digest = subtract_report(digest, own[1], now_ms - own[0])
+        # Sums of different relays replace each other, so they have one incarnation.
+        self._replace(FLEET, replace(digest, router=FLEET, incarnation=0))
+
+    def _handle_prompts(self, digest: Digest) -> None:
+        uses_relays = self._uses_relays()
+        # Relays send each prompt twice. All that a relay keeps is of use only after the
+        # start: who changes its relay knows most of it.
+        wants_missed = not uses_relays or (
+            digest.kind == FLEET_SUM and self._inbox.is_empty(FLEET_SUM)
+        )
+        is_report = digest.kind == REPORT
+        kept = MAX_RECENT_PROMPTS if is_report else MAX_RELAYED_PROMPTS
+        for data in self._inbox.take_new(digest, kept, wants_missed=wants_missed):
+            prompt = decode_sent_prompt(data)
+            if prompt is None:
+                self._context.count("digests_malformed_total")
+                continue
+            self._on_prompt(prompt)
+            if uses_relays and digest.kind != FLEET_SUM:
+                self._relay_prompt(data, is_of_domain=is_report)
+
+    def _expire_silent_peers(self) -> None:
+        expiry_ms = self._context.clock.now_ms() - DIGEST_EXPIRY_MS
+        for name, (received_ms, digest) in list(self._latest.items()):
+            if received_ms < expiry_ms:
+                del self._latest[name]
+                self._on_replaced(digest, None)
+        for source, (received_ms, _) in list(self._versions.items()):
+            if received_ms < expiry_ms:
+                del self._versions[source]
+                self._inbox.forget(source)
+                self._context.timeline.record("peer_silent", peer=source[0])
+
+    # Sending.
 
     def _send_early(self) -> None:
         self._is_early_send_scheduled = False
-        self._send_next()
-
-    def _send_next(self) -> None:
-        addresses = self._next_addresses()
-        if addresses:
-            # The period covers two rotations, so that each peer gets every prompt
-            # twice: datagrams can be lost.
-            self._send_to(
-                addresses, 2 * ROUND_INTERVAL_MS * (self._rounds_per_cycle() + 1)
-            )
+        self._send_report()
+
+    def _send_report(self) -> None:
+        if not self._uses_relays():
+            report = self._next_report()
+            self._add_prompts(report, self._own_prompts, REPEAT_MS)
+            self._send_to(report, self._routers.peer_addresses())
+            return
+        report = self._next_report()
+        self._remember_report(report)
+        self._send_to_relays(report, self._own_prompts, self._domain)
 
-    def _send_to(self, addresses: list[Address], history_ms: float) -> None:
+    def _send_to_relays(
+        self, digest: Digest, prompts: RecentPrompts, domain: str
+    ) -> None:
+        """Send a digest to the relays of a failure domain, the prompts only to one."""
+        relays = self._relays(domain)
+        prompt_relay = self._prompt_relay(relays) if relays else ""
+        for name in relays:
+            if name == self._routers.name:
+                continue
+            self._choice.record_used(name)
+            digest.prompts, digest.prompt_count = [], 0
+            if name == prompt_relay:
+                self._add_prompts(digest, prompts, REPEAT_MS)
+            self._send_to(digest, self._addresses([name]))
+
+    def _prompt_relay(self, relays: list[str]) -> str:
+        """Return the relay that passes the prompts on; only one does."""
+        own_name = self._routers.name
+        heard = [n for n in relays if n == own_name or self._choice.is_heard(n)]
+        return (heard or relays)[0]
+
+    def _send_sums(self) -> None:
+        incarnation, name = self._context.incarnation, self._routers.name
+        relay = self._relay
+        domain_sum = relay.domain_sum(name, incarnation, self._next_number())
+        for domain in self._routers.routers_by_domain():
+            if domain != self._domain:
+                self._send_to_relays(domain_sum, relay.domain_prompts, domain)
+        fleet_sum = relay.fleet_sum(name, incarnation, self._next_number())
+        self._add_prompts(fleet_sum, relay.fleet_prompts, REPEAT_MS)
+        others = self._routers.routers_by_domain().get(self._domain, ())
+        self._send_to(fleet_sum, self._addresses({*others, *fleet_sum.members}))
+        self._apply_fleet_sum(fleet_sum)
+
+    def _relays(self, domain: str) -> list[str]:
+        routers = self._routers.routers_by_domain().get(domain, ())
+        return self._choice.choose(domain, routers, self._routers.name)
+
+    def _relay_own_prompts(self) -> None:
+        """Relay the own prompts, if this router is its own first relay."""
+        count = self._own_prompts.count - self._relayed_count
+        self._relayed_count = self._own_prompts.count
+        relays = self._relays(self._domain)
+        if count and relays and self._prompt_relay(relays) == self._routers.name:
+            for data in self._own_prompts.encoded_within(math.inf)[-count:]:
+                self._relay_prompt(data, is_of_domain=True)
+
+    def _relay_prompt(self, data: bytes, *, is_of_domain: bool) -> None:
+        self._relay.fleet_prompts.add(data)
+        if is_of_domain:
+            self._relay.domain_prompts.add(data)
+
+    def _resend_prompts(self, digest: Digest, address: Address) -> None:
+        """Send all prompts of the list of which the sender of a digest missed some."""
+        kind = _ANSWER_KINDS[digest.kind] if self._uses_relays() else REPORT
+        incarnation, name = self._context.incarnation, self._routers.name
+        if kind == REPORT:
+            answer, prompts = self._next_report(), self._own_prompts
+            self._remember_report(answer)
+        elif kind == DOMAIN_SUM:
+            answer = self._relay.domain_sum(name, incarnation, self._next_number())
+            prompts = self._relay.domain_prompts
+        else:
+            answer = self._relay.fleet_sum(name, incarnation, self._next_number())
+            prompts = self._relay.fleet_prompts
+        self._add_prompts(answer, prompts, math.inf)
+        self._send_to(answer, [address])
+
+    def _add_prompts(
+        self, digest: Digest, prompts: RecentPrompts, age_ms: float
+    ) -> None:
+        digest.prompts = prompts.encoded_within(age_ms)
+        digest.prompt_count = prompts.count
+        wanted_kind = _ANSWER_KINDS[digest.kind] if self._uses_relays() else REPORT
+        digest.resync_peers = self._inbox.missed(wanted_kind)
+
+    def _next_number(self) -> int:
         self._number += 1
-        data = self._make_digest(self._number, history_ms).encode()
+        return self._number
+
+    def _next_report(self) -> Digest:
+        # A relay adds up complete sums; other receivers let theirs decay.
+        age_ms = math.inf if self._uses_relays() else RECENT_SUMS_MS
+        report = self._make_digest(self._next_number(), age_ms)
+        report.domain = self._domain
+        return report
+
+    def _remember_report(self, report: Digest) -> None:
+        self._own_reports[report.number] = (self._context.clock.now_ms(), report)
+        if len(self._own_reports) > MAX_OWN_REPORTS:
+            self._own_reports.popitem(last=False)
+        self._relay.record_report(report)
+
+    def _addresses(self, names: Iterable[str]) -> list[Address]:
+        addresses = [self._routers.address_of(name) for name in sorted(names)]
+        return [address for address in addresses if address is not None]
+
+    def _send_to(self, digest: Digest, addresses: list[Address]) -> None:
+        if not addresses:
+            return
+        data = digest.encode()
         if len(data) > MAX_DATAGRAM_BYTES:
             self._context.count("digests_too_long_total")
             return
@@ -298,32 +391,3 @@
         except OSError:
             # A later digest replaces this one.
             self._context.count("digests_not_sent_total")
-
-    def _next_addresses(self) -> list[Address]:
-        addresses = self._routers.peer_addresses()
-        count = min(len(addresses), MAX_PEERS_PER_ROUND)
-        if not count:
-            return []
-        start = self._next_peer % len(addresses)
-        self._next_peer = start + count
-        return (addresses[start:] + addresses[:start])[:count]
-
-    def _expire_silent_peers(self) -> None:
-        expiry_ms = (
-            self._context.clock.now_ms() - DIGEST_EXPIRY_MS * self._rounds_per_cycle()
-        )
-        for router, (received_ms, digest) in list(self._latest.items()):
-            if received_ms < expiry_ms:
-                del self._latest[router]
-                self._prompt_positions.pop(router, None)
-                self._resync_peers.discard(router)
-                self._on_replaced(digest, None)
-                self._context.timeline.record("peer_silent", peer=router)
-
-    def _rounds_per_cycle(self) -> float:
-        peers = len(self._routers.peer_addresses())
-        return max(1.0, peers / MAX_PEERS_PER_ROUND)
-
-
-def _version_key(digest: Digest) -> tuple[int, int]:
-    return digest.incarnation, digest.number
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/sent_prompts.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/sent_prompts.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 import msgpack
+from xxhash import xxh32_intdigest
 
 from lagoonsail_sharing.first_token import Prompt, SharedPart
 
@@ -32,11 +33,24 @@
     """The engine."""
     prompt: Prompt
     """The prompt."""
+    sender: int = 0
+    """Number of the router that sent it; see `sender_number`."""
 
     def encode(self) -> bytes:
         """Return the encoding used in digests."""
         parts = [[part.key, part.tokens] for part in self.prompt.shared]
-        return msgpack.packb([self.server_id, parts, self.prompt.unshared_tokens])
+        return msgpack.packb(
+            [self.server_id, parts, self.prompt.unshared_tokens, self.sender]
+        )
+
+
+def sender_number(router: str) -> int:
+    """Return the number by which prompts name a router, shorter than its name.
+
+    Args:
+        router: Name of the router.
+    """
+    return xxh32_intdigest(router.encode())
 
 
 def decode_sent_prompt(data: bytes) -> SentPrompt | None:
@@ -56,33 +70,40 @@
         True
     """
     try:
-        server_id, parts, unshared_tokens = msgpack.unpackb(data)
+        server_id, parts, unshared_tokens, sender = msgpack.unpackb(data)
         shared = tuple(SharedPart(int(key), int(tokens)) for key, tokens in parts)
-        return SentPrompt(str(server_id), Prompt(shared, int(unshared_tokens)))
+        prompt = Prompt(shared, int(unshared_tokens))
+        return SentPrompt(str(server_id), prompt, int(sender))
     except DECODE_ERRORS:
         return None
 
 
 class RecentPrompts:
-    """The last prompts that this router sent, each encoded once."""
+    """The last prompts of one list, each encoded once."""
 
     __slots__ = ("_clock", "_prompts", "count")
 
     count: int
-    """Number of prompts sent since the start."""
+    """Number of prompts added since the start."""
+
+    def __init__(self, clock: Clock, max_count: int = MAX_RECENT_PROMPTS) -> None:
+        """Create an empty list.
 
-    def __init__(self, clock: Clock) -> None:
+        Args:
+            clock: The clock.
+            max_count: Number of prompts that are kept.
+        """
         self._clock = clock
-        self._prompts: deque[tuple[float, bytes]] = deque(maxlen=MAX_RECENT_PROMPTS)
+        self._prompts: deque[tuple[float, bytes]] = deque(maxlen=max_count)
         self.count = 0
 
-    def add(self, sent_prompt: SentPrompt) -> None:
-        """Store a prompt that is being sent.
+    def add(self, encoded: bytes) -> None:
+        """Add a prompt.
 
         Args:
-            sent_prompt: The prompt and its engine.
+            encoded: The encoded prompt.
         """
-        self._prompts.append((self._clock.now_ms(), sent_prompt.encode()))
+        self._prompts.append((self._clock.now_ms(), encoded))
         self.count += 1
 
     def encoded_within(self, age_ms: float) -> list[bytes]:
--- a/packages/lagoonsail-gateway/tests/test_peer_digests.py
+++ b/packages/lagoonsail-gateway/tests/test_peer_digests.py
@@ -9,13 +9,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lagoonsail_gateway.digest import REPORT, Digest, decode_digest
 from lagoonsail_gateway.fleet_share import FleetMembers
 from lagoonsail_gateway.peer_digests import (
     DIGEST_EXPIRY_MS,
-    MAX_PEERS_PER_ROUND,
-    Digest,
+    MAX_DIRECT_PEERS,
     PeerDigests,
-    decode_digest,
 )
 from lagoonsail_gateway.sent_prompts import (
     MAX_RECENT_PROMPTS,
@@ -33,21 +32,24 @@
 @pytest.fixture
 def peers(context):
     routers = FleetMembers("r1")
-    replaced, prompts, ages = [], [], []
-
-    def make(number, age_ms):
-        ages.append(age_ms)
-        return Digest("r1", 1, number)
-
+    replaced, prompts = [], []
+    own_prompts = RecentPrompts(context.clock)
     digests = PeerDigests(
         context,
         routers,
-        make,
+        "north",
+        own_prompts,
+        lambda number, _age_ms: Digest("r1", 1, number),
         lambda previous, newest: replaced.append((previous, newest)),
         prompts.append,
     )
     return SimpleNamespace(
-        digests=digests, routers=routers, replaced=replaced, prompts=prompts, ages=ages
+        digests=digests,
+        routers=routers,
+        replaced=replaced,
+        prompts=prompts,
+        own_prompts=own_prompts,
+        missed=lambda: digests._inbox.missed(REPORT),
     )
 
 
@@ -124,32 +126,35 @@
     receive(peers, incarnation=1, number=1, prompts=prompts[:1], prompt_count=1)
     # Two digests with the second prompt are lost.
     receive(peers, incarnation=1, number=4, prompts=prompts[2:3], prompt_count=3)
-    assert peers.digests.resync_peers() == ["r2"]
+    assert peers.missed() == ["r2"]
     receive(peers, incarnation=1, number=5, prompts=prompts[2:4], prompt_count=4)
-    assert peers.digests.resync_peers() == ["r2"]
+    assert peers.missed() == ["r2"]
     receive(peers, incarnation=1, number=6, prompts=prompts, prompt_count=4)
-    assert peers.digests.resync_peers() == []
+    assert peers.missed() == []
     assert peers.prompts[-3:] == prompts[1:]
 
 
 def test_started_router_learns_all_that_the_others_remember(peers):
     prompts = [make_prompt(number) for number in range(MAX_RECENT_PROMPTS)]
     receive(peers, incarnation=1, number=1, prompts=prompts[-1:], prompt_count=500)
-    assert peers.digests.resync_peers() == ["r2"]
+    assert peers.missed() == ["r2"]
     receive(peers, incarnation=1, number=2, prompts=prompts, prompt_count=500)
-    assert peers.digests.resync_peers() == []
+    assert peers.missed() == []
     assert set(peers.prompts) == set(prompts)
 
 
-def test_router_that_missed_prompts_gets_all_at_once(peers):
-    recipients = []
-    fd = SimpleNamespace(sendto=lambda data, flags, to: recipients.append(to))
+def test_router_that_missed_prompts_gets_all_at_once(peers, manual_clock):
+    sent = []
+    fd = SimpleNamespace(sendto=lambda data, flags, to: sent.append((data, to)))
     peers.digests._sock = SimpleNamespace(fd=fd)
+    peers.own_prompts.add(make_prompt(1).encode())
+    manual_clock.ms += 10_000.0
     receive(peers, incarnation=1, number=1, resync_peers=["r7"])
-    assert recipients == []
+    assert sent == []
     receive(peers, incarnation=1, number=2, resync_peers=["r1"])
-    assert recipients == [SENDER]
-    assert peers.ages == [math.inf]
+    [(data, recipient)] = sent
+    assert recipient == SENDER
+    assert decode_digest(data).prompts == [make_prompt(1).encode()]
 
 
 def test_malformed_prompt_harms_no_other(peers):
@@ -162,9 +167,9 @@
 
 def test_digests_of_a_round_tell_only_the_last_prompts(context, manual_clock):
     recent = RecentPrompts(context.clock)
-    recent.add(make_prompt(1))
+    recent.add(make_prompt(1).encode())
     manual_clock.ms += 300.0
-    recent.add(make_prompt(2))
+    recent.add(make_prompt(2).encode())
     assert recent.encoded_within(250.0) == [make_prompt(2).encode()]
     assert recent.encoded_within(math.inf) == [
         make_prompt(1).encode(),
@@ -186,13 +191,14 @@
     assert newest(peers) == {}
 
 
-def test_rounds_reach_all_routers_in_turn(peers):
-    peers.routers.update({f"p{n}": f"10.0.0.1:{7000 + n}" for n in range(30)})
-    reached = []
-    for _ in range(3):
-        reached += [port for _, port in peers.digests._next_addresses()]
-    assert len(reached) == 3 * MAX_PEERS_PER_ROUND
-    assert len(set(reached)) == 30
+def test_small_fleet_reports_to_all_in_each_round(peers):
+    recipients = []
+    fd = SimpleNamespace(sendto=lambda data, flags, to: recipients.append(to))
+    peers.digests._sock = SimpleNamespace(fd=fd)
+    count = MAX_DIRECT_PEERS
+    peers.routers.update({f"p{n}": f"10.0.0.1:{7000 + n} north" for n in range(count)})
+    peers.digests.send_round()
+    assert sorted(port for _, port in recipients) == [7000 + n for n in range(count)]
 
 
 @given(st.binary(max_size=300))
