--- /dev/null
+++ b/tests/platform/test_store_channel.py
@@ -0,0 +1,53 @@
+"""Answers of the store that do not end."""
+
+from __future__ import annotations
+
+import socket
+import threading
+
+import pytest
+
+from lagoonsail_core.clock import Clock
+from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_platform.store_calls import CALL_TIMEOUT_MS, StoreChannel
+
+ENDLESS_BODY = b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n"
+ENDLESS_HEAD = b"HTTP/1.1 200 OK\r\nA: "
+WAIT_MS = 5000.0
+
+
+@pytest.fixture
+def serve_endless():
+    """Serve connections with a start and then bytes without end."""
+    servers = []
+
+    def serve(sock: socket.socket, start: bytes) -> None:
+        try:
+            connection, _ = sock.accept()
+            connection.recv(65_536)
+            connection.sendall(start)
+            while True:
+                connection.sendall(b"x" * 60_000)
+        except OSError:
+            return
+
+    def start_server(start: bytes) -> str:
+        sock = socket.create_server(("127.0.0.1", 0))
+        servers.append(sock)
+        threading.Thread(target=serve, args=(sock, start), daemon=True).start()
+        return f"127.0.0.1:{sock.getsockname()[1]}"
+
+    yield start_server
+    for sock in servers:
+        sock.close()
+
+
+@pytest.mark.parametrize("start", [ENDLESS_HEAD, ENDLESS_BODY])
+def test_answer_without_end_is_given_up_before_the_timeout(serve_endless, start):
+    clock = Clock()
+    channel = StoreChannel(serve_endless(start), clock)
+    started_ms = clock.now_ms()
+    reply = channel.call("GET", "/-/kv-watch", wait_ms=WAIT_MS)
+    assert isinstance(reply, Unavailable)
+    assert "bytes" in reply.reason
+    assert clock.now_ms() - started_ms < WAIT_MS + CALL_TIMEOUT_MS
