--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/digest_relay.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/digest_relay.py
@@ -21,7 +21,7 @@
 
 from xxhash import xxh64_intdigest
 
-from lagoonsail_gateway.digest import DOMAIN_SUM, FLEET_SUM, Digest
+from lagoonsail_gateway.digest import FLEET_SUM, Digest
 from lagoonsail_gateway.sent_prompts import RecentPrompts
 from lagoonsail_sharing.account_shares import DECAY_TIME_MS
 
@@ -67,6 +67,13 @@
         """Record that a router has sent a sum, as relays do."""
         self._heard_ms[router] = self._clock.now_ms()
 
+    def drop_silent(self) -> None:
+        """Forget when routers were heard that have been silent for long."""
+        expiry_ms = self._clock.now_ms() - RELAY_RETRY_MS
+        for router, heard_ms in list(self._heard_ms.items()):
+            if heard_ms < expiry_ms:
+                del self._heard_ms[router]
+
     def is_heard(self, router: str) -> bool:
         """Return whether a relay has sent a sum recently."""
         silent_ms = self._clock.now_ms() - self._heard_ms.get(router, -math.inf)
@@ -165,39 +172,26 @@
         self._drop_expired()
         return any(name != own_name for name in self._reports)
 
-    def domain_sum(self, router: str, incarnation: int, number: int) -> Digest:
-        """Return the sum of this domain for the relays of other domains.
-
-        Args:
-            router: Name of this router.
-            incarnation: Number of its start.
-            number: Sequence number of the digest.
-        """
-        self._drop_expired()
-        total = self._add_up(self._reports.values())
-        return Digest(
-            router,
-            incarnation,
-            number,
-            total.pending,
-            total.sums,
-            store_revision=total.store_revision,
-            kind=DOMAIN_SUM,
-            domain=self._domain,
-            report_count=len(self._reports),
-        )
-
-    def fleet_sum(self, router: str, incarnation: int, number: int) -> Digest:
-        """Return the sum of all domains for the routers of this one.
+    def make_sum(self, kind: int, router: str, incarnation: int, number: int) -> Digest:
+        """Return the sum of this domain or of the fleet, without prompts.
 
         Args:
+            kind: DOMAIN_SUM for the relays of other domains, or FLEET_SUM for the
+                routers of this one.
             router: Name of this router.
             incarnation: Number of its start.
             number: Sequence number of the digest.
         """
         self._drop_expired()
-        total = self._add_up([*self._reports.values(), *self._domain_sums.values()])
-        of_others = sum(known.report_count for _, known in self._domain_sums.values())
+        received = list(self._reports.values())
+        report_count = len(received)
+        members = {}
+        if kind == FLEET_SUM:
+            members = {digest.router: digest.number for _, digest in received}
+            others = list(self._domain_sums.values())
+            report_count += sum(digest.report_count for _, digest in others)
+            received += others
+        total = self._add_up(received)
         return Digest(
             router,
             incarnation,
@@ -205,12 +199,10 @@
             total.pending,
             total.sums,
             store_revision=total.store_revision,
-            kind=FLEET_SUM,
+            kind=kind,
             domain=self._domain,
-            members={
-                name: report.number for name, (_, report) in self._reports.items()
-            },
-            report_count=len(self._reports) + of_others,
+            members=members,
+            report_count=report_count,
         )
 
     def _drop_expired(self) -> None:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
@@ -63,6 +63,7 @@
 FLEET = "(fleet)"
 """Name under which the load of all other routers together is kept."""
 _ANSWER_KINDS = {REPORT: FLEET_SUM, DOMAIN_SUM: DOMAIN_SUM, FLEET_SUM: REPORT}
+"""Kind of the digests that the sender of a digest of each kind gets from relays."""
 
 
 class PeerDigests:
@@ -251,6 +252,7 @@
                 self._relay_prompt(data, is_of_domain=is_report)
 
     def _expire_silent_peers(self) -> None:
+        self._choice.drop_silent()
         expiry_ms = self._context.clock.now_ms() - DIGEST_EXPIRY_MS
         for name, (received_ms, digest) in list(self._latest.items()):
             if received_ms < expiry_ms:
@@ -300,18 +302,22 @@
         return (heard or relays)[0]
 
     def _send_sums(self) -> None:
-        incarnation, name = self._context.incarnation, self._routers.name
         relay = self._relay
-        domain_sum = relay.domain_sum(name, incarnation, self._next_number())
+        domain_sum = self._next_sum(DOMAIN_SUM)
         for domain in self._routers.routers_by_domain():
             if domain != self._domain:
                 self._send_to_relays(domain_sum, relay.domain_prompts, domain)
-        fleet_sum = relay.fleet_sum(name, incarnation, self._next_number())
+        fleet_sum = self._next_sum(FLEET_SUM)
         self._add_prompts(fleet_sum, relay.fleet_prompts, REPEAT_MS)
         others = self._routers.routers_by_domain().get(self._domain, ())
         self._send_to(fleet_sum, self._addresses({*others, *fleet_sum.members}))
         self._apply_fleet_sum(fleet_sum)
 
+    def _next_sum(self, kind: int) -> Digest:
+        return self._relay.make_sum(
+            kind, self._routers.name, self._context.incarnation, self._next_number()
+        )
+
     def _relays(self, domain: str) -> list[str]:
         routers = self._routers.routers_by_domain().get(domain, ())
         return self._choice.choose(domain, routers, self._routers.name)
@@ -333,16 +339,14 @@
     def _resend_prompts(self, digest: Digest, address: Address) -> None:
         """Send all prompts of the list of which the sender of a digest missed some."""
         kind = _ANSWER_KINDS[digest.kind] if self._uses_relays() else REPORT
-        incarnation, name = self._context.incarnation, self._routers.name
         if kind == REPORT:
             answer, prompts = self._next_report(), self._own_prompts
             self._remember_report(answer)
-        elif kind == DOMAIN_SUM:
-            answer = self._relay.domain_sum(name, incarnation, self._next_number())
-            prompts = self._relay.domain_prompts
         else:
-            answer = self._relay.fleet_sum(name, incarnation, self._next_number())
-            prompts = self._relay.fleet_prompts
+            answer = self._next_sum(kind)
+            is_fleet = kind == FLEET_SUM
+            relay = self._relay
+            prompts = relay.fleet_prompts if is_fleet else relay.domain_prompts
         self._add_prompts(answer, prompts, math.inf)
         self._send_to(answer, [address])
 
--- a/packages/lagoonsail-gateway/tests/test_digest_relay.py
+++ b/packages/lagoonsail-gateway/tests/test_digest_relay.py
@@ -16,7 +16,7 @@
 from lagoonsail_core.clock import Clock
 from lagoonsail_gateway.admission import AccountLoad
 from lagoonsail_gateway.digest import Digest
-from lagoonsail_gateway.digest_relay import RelayChoice
+from lagoonsail_gateway.digest_relay import RELAY_RETRY_MS, RelayChoice
 from lagoonsail_gateway.fleet_share import FleetMembers, format_location
 from lagoonsail_gateway.peer_digests import ROUND_INTERVAL_MS, PeerDigests
 from lagoonsail_gateway.sent_prompts import RecentPrompts, SentPrompt, sender_number
@@ -298,3 +298,14 @@
         ]
         assert len(keys) == len(set(keys))
         assert len(keys) >= 0.99 * (len(senders) - (router in senders))
+
+
+def test_names_of_routers_that_are_gone_are_forgotten():
+    network = Network(1)
+    choice = RelayChoice(network.clock)
+    for number in range(1000):
+        choice.record_heard(f"r{number}")
+    network.now_ms += RELAY_RETRY_MS + 1.0
+    choice.record_heard("last")
+    choice.drop_silent()
+    assert len(choice._heard_ms) == 1
