--- a/packages/lagoonsail-gateway/tests/test_peer_digests.py
+++ b/packages/lagoonsail-gateway/tests/test_peer_digests.py
@@ -95,6 +95,17 @@
     assert newest(peers)["r2"].sums == {}
 
 
+def test_router_restarted_with_its_clock_set_back_is_heard_again(peers, manual_clock):
+    """Incarnations come from the time of day, which may jump back."""
+    receive(peers, incarnation=5, number=9, sums={"a": (5, 0)})
+    receive(peers, incarnation=4, number=1, sums={"a": (1, 0)})
+    assert newest(peers)["r2"].sums == {"a": (5, 0)}
+    manual_clock.ms += DIGEST_EXPIRY_MS + 1.0
+    newest(peers)
+    receive(peers, incarnation=4, number=2, sums={"a": (2, 0)})
+    assert newest(peers)["r2"].sums == {"a": (2, 0)}
+
+
 def test_each_digest_is_told_with_the_one_that_it_replaces(peers, manual_clock):
     receive(peers, incarnation=1, number=1, pending={"s": (1, 10)})
     receive(peers, incarnation=1, number=2, pending={"s": (2, 30)})
