--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/first_token.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/first_token.py
@@ -1,4 +1,4 @@
-"""Chooses the engine with the lowest expected time to the first token.
+"""Chooses the engine with the lowest cost of the first token of a response.
 
 Designed for loads in which most of each prompt is shared with other prompts and the
 engines lack the capacity to prefill (read) all prompts in full: many prefixes of
