Rank the routers of a domain when members change, in one function with the quotas

cause: relays were ranked by hashing all routers of a domain several times a round, though the order changes only with the members; quota_of had the same ranking already. The record of versions kept whole digests to compare two numbers. ruled out: a change of behaviour (same hash, same text, same order). change: rank_routers in fleet_share serves both; RelayChoice.choose takes ranked names; only version keys are kept. run: lint; tests of lagoonsail-gateway and tests/platform, 198 passed.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/digest_relay.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/digest_relay.py
@@ -19,8 +19,6 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from xxhash import xxh64_intdigest
-
 from lagoonsail_gateway.digest import FLEET_SUM, Digest
 from lagoonsail_gateway.sent_prompts import RecentPrompts
 from lagoonsail_sharing.account_shares import DECAY_TIME_MS
@@ -79,17 +77,13 @@
         silent_ms = self._clock.now_ms() - self._heard_ms.get(router, -math.inf)
         return silent_ms <= RELAY_TIMEOUT_MS
 
-    def choose(self, domain: str, routers: Iterable[str], own_name: str) -> list[str]:
-        """Return the relays of a failure domain to send to now, by rank.
+    def choose(self, ranked: list[str], own_name: str) -> list[str]:
+        """Return the relays of a failure domain to send to now.
 
         Args:
-            domain: The failure domain.
-            routers: Names of its routers.
+            ranked: Names of its routers, by rank.
             own_name: Name of this router, which never is silent to itself.
         """
-        ranked = sorted(
-            routers, key=lambda name: xxh64_intdigest(f"{domain}\0{name}".encode())
-        )
         chosen = []
         for name in ranked:
             if name == own_name or not self._is_silent(name):
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_share.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_share.py
@@ -12,7 +12,7 @@
 from xxhash import xxh64_intdigest
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
 
     from lagoonsail_core.clock import Clock
 
@@ -54,7 +54,9 @@
             domains[domain].append(name)
             if name != self.name and host and port.isdigit():
                 self._peers[name] = (host, int(port))
-        self._domains = dict(domains)
+        self._domains = {
+            domain: rank_routers(domain, names) for domain, names in domains.items()
+        }
 
     def peer_addresses(self) -> list[tuple[str, int]]:
         """Return the addresses at which the other routers receive digests."""
@@ -65,7 +67,7 @@
         return self._peers.get(name)
 
     def routers_by_domain(self) -> Mapping[str, list[str]]:
-        """Return the names of the routers of each failure domain."""
+        """Return the names of the routers of each failure domain, by rank in it."""
         return self._domains
 
     def count(self) -> int:
@@ -85,10 +87,17 @@
         quota, remainder = divmod(total, count)
         if not remainder or not self._members:
             return quota
-        ranked = sorted(
-            self._names, key=lambda name: xxh64_intdigest(f"{key}\0{name}".encode())
-        )
-        return quota + (self.name in ranked[:remainder])
+        return quota + (self.name in rank_routers(key, self._names)[:remainder])
+
+
+def rank_routers(key: str, names: Iterable[str]) -> list[str]:
+    """Return routers in an order that differs by key (rendezvous hashing).
+
+    Args:
+        key: What the ranking is for.
+        names: Names of the routers.
+    """
+    return sorted(names, key=lambda name: xxh64_intdigest(f"{key}\0{name}".encode()))
 
 
 def format_location(address: str, failure_domain: str) -> str:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
@@ -37,6 +37,7 @@
     from collections.abc import Callable, Iterable
 
     from lagoonsail_gateway.fleet_share import FleetMembers
+    from lagoonsail_gateway.prompt_inbox import Source
     from lagoonsail_gateway.sent_prompts import RecentPrompts, SentPrompt
     from lagoonsail_router.context import RouterContext
 
@@ -125,7 +126,7 @@
         self._relay = DigestRelay(context.clock, domain)
         self._inbox = PromptInbox()
         self._latest: dict[str, tuple[float, Digest]] = {}
-        self._versions: dict[tuple[str, int], tuple[float, Digest]] = {}
+        self._versions: dict[Source, tuple[float, tuple[int, int]]] = {}
         self._own_reports: OrderedDict[int, tuple[float, Digest]] = OrderedDict()
         self._relayed_count = 0
         self._fleet_sum: tuple[float, Digest] | None = None
@@ -208,13 +209,13 @@
     # Receiving.
 
     def _is_newer(self, digest: Digest) -> bool:
-        key = (digest.router, digest.kind)
-        known = self._versions.get(key)
-        if known is not None and known[1].version_key() >= digest.version_key():
+        source = (digest.router, digest.kind)
+        known = self._versions.get(source)
+        if known is not None and known[1] >= digest.version_key():
             return False
         if known is None:
             self._context.timeline.record("peer_heard", peer=digest.router)
-        self._versions[key] = (self._context.clock.now_ms(), digest)
+        self._versions[source] = (self._context.clock.now_ms(), digest.version_key())
         return True
 
     def _replace(self, name: str, digest: Digest) -> None:
@@ -319,8 +320,8 @@
         )
 
     def _relays(self, domain: str) -> list[str]:
-        routers = self._routers.routers_by_domain().get(domain, ())
-        return self._choice.choose(domain, routers, self._routers.name)
+        ranked = self._routers.routers_by_domain().get(domain, [])
+        return self._choice.choose(ranked, self._routers.name)
 
     def _relay_own_prompts(self) -> None:
         """Relay the own prompts, if this router is its own first relay."""
--- a/packages/lagoonsail-gateway/tests/test_digest_relay.py
+++ b/packages/lagoonsail-gateway/tests/test_digest_relay.py
@@ -17,7 +17,7 @@
 from lagoonsail_gateway.admission import AccountLoad
 from lagoonsail_gateway.digest import Digest
 from lagoonsail_gateway.digest_relay import RELAY_RETRY_MS, RelayChoice
-from lagoonsail_gateway.fleet_share import FleetMembers, format_location
+from lagoonsail_gateway.fleet_share import FleetMembers, format_location, rank_routers
 from lagoonsail_gateway.peer_digests import ROUND_INTERVAL_MS, PeerDigests
 from lagoonsail_gateway.sent_prompts import RecentPrompts, SentPrompt, sender_number
 from lagoonsail_router.context import RouterContext
@@ -168,7 +168,7 @@
 
     def relays(self, number):
         names = [r.name for n, r in self.routers.items() if n % DOMAINS == number]
-        return RelayChoice(self.clock).choose(f"d{number}", names, "")
+        return RelayChoice(self.clock).choose(rank_routers(f"d{number}", names), "")
 
     def router(self, name):
         return self.routers[int(name[1:])]
