--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
@@ -109,6 +109,7 @@
     """Keeps the manifest, servers, evacuations and members up to date."""
 
     __slots__ = (
+        "_call_started_ms",
         "_calls",
         "_context",
         "_directory",
@@ -158,6 +159,7 @@
         self._lag_timeout_ms = LAG_TIMEOUT_MS
         self._peer_revision = 0
         self._behind_since_ms = float("inf")
+        self._call_started_ms = float("-inf")
         self._last_failure_ms = float("-inf")
         self.revision = None
         self.manifest = None
@@ -198,6 +200,7 @@
         now_ms = self._context.clock.now_ms()
         if self._relist_at_ms is not None and now_ms >= self._relist_at_ms:
             self.revision = None
+        self._call_started_ms = now_ms
         if self.revision is None:
             return self._list()
         return self._watch()
@@ -217,6 +220,7 @@
         for item in listing.items:
             self._apply_item(item)
         self._apply_evacuations_and_members()
+        self._update_behind()
         return True
 
     def _watch(self) -> bool:
@@ -239,6 +243,7 @@
         if changes.items:
             self._apply_evacuations_and_members()
             self._has_new_changes = True
+        self._update_behind()
         return True
 
     def _watch_timeout_ms(self) -> float:
@@ -297,9 +302,18 @@
             reason=reason,
             revision=self.revision or 0,
             told=self._peer_revision,
+            **self._wait_fields(),
         )
         self._calls.interrupt()
 
+    def _wait_fields(self) -> dict[str, float]:
+        """Return log fields that tell a late change from a late call."""
+        now_ms = self._context.clock.now_ms()
+        return {
+            "waited_ms": round(now_ms - self._call_started_ms, 1),
+            "behind_ms": round(max(0.0, now_ms - self._behind_since_ms), 1),
+        }
+
     def _record_failure(self, problem: Unavailable) -> None:
         self._directory.record_store_outage()
         self._last_failure_ms = self._context.clock.now_ms()
@@ -348,6 +362,7 @@
             revision=item.revision,
             routes=len(manifest.routes),
             tokens_per_s=manifest.limits.tokens_per_s,
+            **self._wait_fields(),
         )
         self._on_manifest(manifest)
 
