Show by tests that a change comes late after connections to the store fell silent

Seen: a router had a change 3.15 s after it was written, 2 s allowed, when its connections to the store had fallen silent without a reset; of 73 routers one whose watch lost its answer is ended by its peers' news after 2.9 s.

--- a/packages/lagoonsail-gateway/tests/test_store_view.py
+++ b/packages/lagoonsail-gateway/tests/test_store_view.py
@@ -8,6 +8,7 @@
 
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_gateway.fleet_share import FleetMembers
+from lagoonsail_gateway.peer_digests import ROUND_INTERVAL_MS
 from lagoonsail_gateway.server_directory import REGISTRATION_GRACE_MS, ServerDirectory
 from lagoonsail_gateway.store_view import (
     LAG_TIMEOUT_MS,
@@ -23,6 +24,11 @@
     StoreView,
 )
 
+MAX_CHANGE_DELAY_MS = 2000.0
+"""Time within which a change must be in force."""
+MAX_DIGEST_AGE_MS = 300.0
+"""Age up to which digests of a large fleet tell what other routers know."""
+
 
 def decode_manifest(data):
     if data == b"broken":
@@ -197,6 +203,34 @@
     assert harness.view.manifest.version == 3
 
 
+# CONFIG: in a large fleet a change came late where the answer to a watch was lost.
+@pytest.mark.parametrize("peers", [5, 72, 194])
+def test_lost_answer_delays_a_change_by_less_than_the_bound(
+    harness, manual_clock, peers
+):
+    harness.step(page(5, ("config", b"2", 5)))
+    join(harness, peers)
+    harness.step(page(5))
+    # The other routers know the change after a batch pause, and digests tell of it.
+    manual_clock.ms += harness.view._batch_pause_ms() + MAX_DIGEST_AGE_MS
+    harness.view.update_peer_revision(7)
+    while not harness.interrupts:
+        manual_clock.ms += ROUND_INTERVAL_MS
+        harness.view.check_lag()
+    call_ms = 100.0
+    assert manual_clock.ms + call_ms <= MAX_CHANGE_DELAY_MS
+
+
+def test_watch_is_not_ended_right_after_it_was_sent(harness, manual_clock):
+    harness.step(page(5, ("config", b"2", 5)))
+    harness.view.update_peer_revision(7)
+    manual_clock.ms += LAG_TIMEOUT_MS - 1.0
+    harness.step(page(5))
+    manual_clock.ms += 2.0
+    harness.view.check_lag()
+    assert harness.interrupts == []
+
+
 def test_listing_is_not_ended_though_others_know_more(harness, manual_clock):
     harness.view.update_peer_revision(7)
     manual_clock.ms += 60_000.0
