Detect a dead connection to the store, and follow other routers' news sooner

Cause: a watch that waits on a connection that fell silent ends by its own timeout, 4 s in a small fleet and 21 s in a large one, by a lease renewal that fails, up to 5 s later, or when another router has known more for 1 s and a batch pause of up to 0.8 s. None of them is bound to the time in which a change must be in force. Change: connections to the store have TCP keepalive (lost after 2 s without a sign of the peer); a pending watch is restarted 0.4 s after another router is known to know more, counted from when the watch was sent, so that the batch pause need not be added. Why it works: routers count as in touch 3 s after such a failure; 2 s and a call are less, and a lost answer costs a pause, 0.3 s of digests, 0.4 s and a round.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
@@ -35,6 +35,11 @@
 MAX_UNUSED_BYTES = 131_072
 """Maximum number of bytes received without a part of the expected body: its head,
 interim and foreign responses, chunk extensions and trailers."""
+KEEPALIVE_IDLE_S = 1
+"""Time without data after which the kernel probes whether the peer is still there."""
+KEEPALIVE_PROBES = 1
+"""Unanswered probes, one second apart, after which the connection is lost. A lost probe
+costs a new connection only."""
 ABORTED = "aborted"
 """Error text of a connection that the router itself aborted."""
 
@@ -100,6 +105,17 @@
         """
         self._carried_ids.add(xxh64_intdigest(request_id.encode()))
 
+    def detect_dead_peer(self) -> None:
+        """Let pending reads fail once the peer has been gone for two seconds.
+
+        A peer that is alive but has nothing to send is not affected.
+        """
+        tcp = socket.IPPROTO_TCP
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        self._sock.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+        self._sock.setsockopt(tcp, socket.TCP_KEEPINTVL, 1)
+        self._sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
     def is_reusable(self) -> bool:
         """Return whether the connection is open and has no unread or unsent data."""
         if self._collector.responses or not self._is_fully_sent or self._is_aborted:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
@@ -38,8 +38,11 @@
 MAX_BATCH_FRACTION = 0.4
 """Maximum of this pause, as a fraction of the time within which a change must be in
 force."""
-LAG_TIMEOUT_MS = 1000.0
-"""Time within which a change that another router knows should arrive here, too."""
+LAG_TIMEOUT_MS = 400.0
+"""Time within which a pending watch should bring a change that another router knows: a
+small part of the time within which it must be in force."""
+MAX_SILENCE_MS = 1000.0
+"""Silence of the store after which a watch is restarted if another call fails."""
 INITIAL_RETRY_MS = 150.0
 """Pause after the first failed call; doubled after each further one."""
 MAX_RETRY_MS = 600.0
@@ -123,6 +126,7 @@
         "_routers",
         "_peer_revision",
         "_last_failure_ms",
+        "_watch_sent_ms",
         "last_answer_ms",
         "is_up",
         "manifest",
@@ -161,6 +165,7 @@
         self._behind_since_ms = float("inf")
         self._call_started_ms = float("-inf")
         self._last_failure_ms = float("-inf")
+        self._watch_sent_ms = float("inf")
         self.revision = None
         self.manifest = None
         self.last_answer_ms = float("-inf")
@@ -228,7 +233,9 @@
         if self._relist_at_ms is not None:
             remaining_ms = self._relist_at_ms - self._context.clock.now_ms()
             wait_ms = max(1.0, min(wait_ms, remaining_ms))
+        self._watch_sent_ms = self._context.clock.now_ms()
         changes = self._calls.watch(self.revision, wait_ms)
+        self._watch_sent_ms = float("inf")
         if isinstance(changes, HistoryLost):
             self._context.timeline.record("store_history_lost", after=self.revision)
             self.revision = None
@@ -269,10 +276,8 @@
         """Restart the watch if a peer has had a newer revision for some time."""
         self._update_behind()
         now_ms = self._context.clock.now_ms()
-        if (
-            now_ms - self._behind_since_ms
-            < self._lag_timeout_ms + self._batch_pause_ms()
-        ):
+        late_since_ms = max(self._behind_since_ms, self._watch_sent_ms)
+        if now_ms - late_since_ms < self._lag_timeout_ms:
             return
         self._behind_since_ms = now_ms
         # Back off, so that a slow store is not called again before it can answer.
@@ -293,7 +298,7 @@
             reason: How that call failed.
         """
         silent_ms = self._context.clock.now_ms() - self.last_answer_ms
-        if self.is_up and silent_ms > LAG_TIMEOUT_MS:
+        if self.is_up and silent_ms > MAX_SILENCE_MS:
             self._interrupt(reason)
 
     def _interrupt(self, reason: str) -> None:
--- a/packages/lagoonsail-gateway/tests/test_store_view.py
+++ b/packages/lagoonsail-gateway/tests/test_store_view.py
@@ -13,6 +13,7 @@
 from lagoonsail_gateway.store_view import (
     LAG_TIMEOUT_MS,
     MAX_BATCH_FRACTION,
+    MAX_SILENCE_MS,
     MAX_WATCH_MS,
     MIN_WATCH_MS,
     RELIST_AFTER_OUTAGE_MS,
@@ -40,7 +41,10 @@
 
 @pytest.fixture
 def harness(context, make_record, manual_clock):
-    """A view of a store whose answers the test queues with `step`."""
+    """A view of a store whose answers the test queues with `step`.
+
+    A function among them is called while the watch waits, and returns its answer.
+    """
     directory = ServerDirectory(context.clock)
     routers = FleetMembers("r1")
     answers = []
@@ -58,7 +62,8 @@
 
     def watch(after, wait_ms):
         waits.append(wait_ms)
-        return answers.pop(0)
+        answer = answers.pop(0)
+        return answer() if callable(answer) else answer
 
     calls = StoreCalls(
         lambda: answers.pop(0), watch, lambda: interrupts.append(manual_clock.ms)
@@ -186,19 +191,29 @@
 ):
     join(harness, 5)
     harness.step(page(5, ("config", b"2", 5)))
-    harness.view.update_peer_revision(7)
-    harness.view.check_lag()
-    assert harness.interrupts == []
-    manual_clock.ms += LAG_TIMEOUT_MS + 100.0
-    harness.view.check_lag()
-    assert len(harness.interrupts) == 1
-    # The watch is restarted, and its answer gets more time than at first.
-    manual_clock.ms += LAG_TIMEOUT_MS + 100.0
-    harness.view.check_lag()
-    assert len(harness.interrupts) == 1
-    harness.step(page(7, ("config", b"3", 7)))
-    manual_clock.ms += 60_000.0
-    harness.view.check_lag()
+
+    def lose_answer():
+        harness.view.update_peer_revision(7)
+        harness.view.check_lag()
+        assert harness.interrupts == []
+        manual_clock.ms += LAG_TIMEOUT_MS + 100.0
+        harness.view.check_lag()
+        assert len(harness.interrupts) == 1
+        return Unavailable("aborted")
+
+    def answer_late():
+        # The watch that follows gets more time than the first one.
+        manual_clock.ms += LAG_TIMEOUT_MS + 100.0
+        harness.view.check_lag()
+        assert len(harness.interrupts) == 1
+        return page(7, ("config", b"3", 7))
+
+    def wait_long():
+        manual_clock.ms += 60_000.0
+        harness.view.check_lag()
+        return page(7)
+
+    harness.step(lose_answer, answer_late, wait_long)
     assert len(harness.interrupts) == 1
     assert harness.view.manifest.version == 3
 
@@ -210,13 +225,17 @@
 ):
     harness.step(page(5, ("config", b"2", 5)))
     join(harness, peers)
-    harness.step(page(5))
-    # The other routers know the change after a batch pause, and digests tell of it.
-    manual_clock.ms += harness.view._batch_pause_ms() + MAX_DIGEST_AGE_MS
-    harness.view.update_peer_revision(7)
-    while not harness.interrupts:
-        manual_clock.ms += ROUND_INTERVAL_MS
-        harness.view.check_lag()
+
+    def lose_answer():
+        # The others know the change after a batch pause, and digests tell of it.
+        manual_clock.ms += harness.view._batch_pause_ms() + MAX_DIGEST_AGE_MS
+        harness.view.update_peer_revision(7)
+        while not harness.interrupts and manual_clock.ms < 2 * MAX_CHANGE_DELAY_MS:
+            manual_clock.ms += ROUND_INTERVAL_MS
+            harness.view.check_lag()
+        return Unavailable("aborted")
+
+    harness.step(lose_answer)
     call_ms = 100.0
     assert manual_clock.ms + call_ms <= MAX_CHANGE_DELAY_MS
 
@@ -224,10 +243,15 @@
 def test_watch_is_not_ended_right_after_it_was_sent(harness, manual_clock):
     harness.step(page(5, ("config", b"2", 5)))
     harness.view.update_peer_revision(7)
-    manual_clock.ms += LAG_TIMEOUT_MS - 1.0
-    harness.step(page(5))
-    manual_clock.ms += 2.0
+    manual_clock.ms += 10 * LAG_TIMEOUT_MS
     harness.view.check_lag()
+
+    def answer_soon():
+        manual_clock.ms += LAG_TIMEOUT_MS - 1.0
+        harness.view.check_lag()
+        return page(7)
+
+    harness.step(answer_soon)
     assert harness.interrupts == []
 
 
@@ -244,6 +268,6 @@
     harness.step(page(5, ("config", b"2", 5)))
     harness.view.restart_silent_watch("no answer")
     assert harness.interrupts == []
-    manual_clock.ms += LAG_TIMEOUT_MS + 1.0
+    manual_clock.ms += MAX_SILENCE_MS + 1.0
     harness.view.restart_silent_watch("no answer")
     assert len(harness.interrupts) == 1
