Handle a request by the version that is in force when its body has come

Seen by callers: a request whose body took long was run on a route, or with a key, that had been withdrawn seconds before its last byte was sent. Cause: route and key were looked up when the head had come, and not again. Evidence: test_slow_bodies, both cases answered 200 and ran before; 404 and 401 now. Change: if another version has come in force while the body was read, they are looked up again.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_reading.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_reading.py
@@ -9,19 +9,24 @@
 from lagoonsail_router.problems import CallProblem
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lagoonsail_gateway.manifest import ClientAccount, Manifest, Route
     from lagoonsail_gateway.request_format import RequestHead
 
 
 def read_call(
-    env: dict, head: RequestHead | None, manifest: Manifest, now_ms: float
+    env: dict,
+    head: RequestHead | None,
+    get_manifest: Callable[[], Manifest],
+    now_ms: float,
 ) -> GatewayCall:
     """Validate a request and read its body.
 
     Args:
         env: The WSGI environment.
         head: Its decoded head, None if malformed.
-        manifest: The manifest in force.
+        get_manifest: Returns the manifest in force.
         now_ms: Monotonic time.
 
     Returns:
@@ -37,9 +42,12 @@
             "the headers of the request are malformed",
             "send an id, and numbers where numbers belong",
         )
-    route = _find_route(manifest, env)
-    account = _find_account(manifest, route, head)
+    manifest = get_manifest()
+    route, account = _find_route_and_account(manifest, env, head)
     body = read_body(env, manifest.limits.max_body_bytes)
+    if get_manifest() is not manifest:
+        # A body may take seconds, and the request must be handled as it ends.
+        route, account = _find_route_and_account(get_manifest(), env, head)
     prompt = make_prompt(head)
     timeout_ms = route.timeout_ms
     if head.caller_timeout_ms is not None:
@@ -58,6 +66,13 @@
     )
 
 
+def _find_route_and_account(
+    manifest: Manifest, env: dict, head: RequestHead
+) -> tuple[Route, ClientAccount | None]:
+    route = _find_route(manifest, env)
+    return route, _find_account(manifest, route, head)
+
+
 def _find_route(manifest: Manifest, env: dict) -> Route:
     path = env["lagoonsail.target"].partition("?")[0]
     route = manifest.find_route(env.get("HTTP_HOST", ""), path)
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
@@ -130,7 +130,7 @@
         is_streamed = False
         try:
             self._check_serving(now_ms)
-            call = read_call(env, head, self._manifest, now_ms)
+            call = read_call(env, head, lambda: self._manifest, now_ms)
             body = self._respond(call, env, start_response)
             is_streamed = not isinstance(body, list)
         except CallProblem as problem:
