Log the shared parts of a prompt that was lost, and whether its answer had begun

Change: attempt_failed has first_ms and the ids of the shared parts; first_ms is null if no part came, in answer too.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
@@ -264,6 +264,8 @@
             reason=failure.reason,
             after_ms=round(self._clock.now_ms() - call.arrived_ms),
             may_have_run=call.may_have_run,
+            first_ms=_first_part_ms(call, attempt),
+            prompt=call.shared_part_ids(),
         )
 
     def _retry_quota(self, call: GatewayCall) -> RetryQuota:
@@ -371,7 +373,7 @@
             server=attempt.state.server.record.server_id,
             status=attempt.response.status if attempt.response else 0,
             attempts=call.send_count,
-            first_ms=round(attempt.first_ms - call.arrived_ms, 1),
+            first_ms=_first_part_ms(call, attempt),
             total_ms=round(now_ms - call.arrived_ms, 1),
             outcome=outcome,
             **attempt.selection_load,
@@ -421,6 +423,13 @@
     return checks.add(check)
 
 
+def _first_part_ms(call: GatewayCall, attempt: ServerAttempt) -> float | None:
+    """Return when the first part of the body came, since the call, None if none did."""
+    if not attempt.first_ms:
+        return None
+    return round(attempt.first_ms - call.arrived_ms, 1)
+
+
 def _is_stream(call: GatewayCall, attempt: ServerAttempt) -> bool:
     return call.route.kind == STREAMING and attempt.response.status == 200
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_call.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_call.py
@@ -54,6 +54,10 @@
         """Whether any server may have run it."""
         return self.possible_runs > 0
 
+    def shared_part_ids(self) -> list[str]:
+        """Return the ids of the parts of its prompt that other requests may share."""
+        return [part.part_id for part in self.head.prompt_parts[:-1]]
+
     def cost(self) -> int:
         """Return its cost in tokens, 0 without a prompt; see `token_cost`."""
         if self.prompt is None:
