Keep a part of a prompt from engines once several have crashed under it

Cause: nothing connected the crashes. Each router saw connections lost, and held that against the server; no router knew what the prompts lost in several crashes had in common. Change: a router that loses a request before its answer began checks whether the server refuses connections. The shared parts of what it lost in a crash go to all routers by digests; a part lost in three crashes at different times and never answered is refused with 503. Who has seen a part answered says so, and it is cleared everywhere. Digests have format 4. Not covered: evidence that all routers lose at once is rebuilt by three more crashes.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.durations import DurationHistogram
@@ -11,6 +12,7 @@
 from lagoonsail_gateway.manifest import STREAMING
 from lagoonsail_gateway.server_attempt import (
     CALLER_GONE,
+    LOST,
     NOT_RUN_BY_SERVER,
     UNREACHABLE,
     AttemptFailedError,
@@ -26,6 +28,7 @@
     from lagoonsail_core.clock import Clock
     from lagoonsail_core.decision_log import DecisionLog
     from lagoonsail_gateway.connection_pool import ConnectionPool
+    from lagoonsail_gateway.crash_check import CrashCheck
     from lagoonsail_gateway.dispatcher import Dispatcher, ServerState
     from lagoonsail_gateway.fleet_share import FleetMembers
     from lagoonsail_gateway.gateway_call import GatewayCall
@@ -43,11 +46,17 @@
 """Retry-After of a router that has not loaded a manifest yet."""
 RETRY_AFTER_NO_RETRIES_S = 0.5
 """Retry-After of a request that exceeds the retry quota."""
+RETRY_AFTER_HARMFUL_S = 60.0
+"""Retry-After of a request with a part under which servers crash: it will not soon be
+served."""
 RETRY_AFTER_LEAVING_S = 0.05
 """Retry-After of a router that is stopping; another router can serve immediately."""
 ACCEPT_WHILE_STOPPING_MS = 3000.0
 """Time after the start of a planned stop during which requests are still accepted.
 Later ones are refused, so that the running requests can finish."""
+ANSWER_BEGUN_MS = 200.0
+"""Time after the first part of an answer from which a crash of its server is not due to
+its prompt."""
 MIN_REMAINING_MS = 5.0
 """Minimum time before the deadline at which a request is still sent."""
 
@@ -58,6 +67,7 @@
     __slots__ = (
         "_checks",
         "_context",
+        "_crash_check",
         "_dispatcher",
         "_format",
         "_log",
@@ -86,6 +96,7 @@
         dispatcher: Dispatcher,
         pool: ConnectionPool,
         routers: FleetMembers,
+        crash_check: CrashCheck,
         log: DecisionLog,
     ) -> None:
         self._context = context
@@ -94,6 +105,7 @@
         self._dispatcher = dispatcher
         self._pool = pool
         self._routers = routers
+        self._crash_check = crash_check
         self._log = log
         self._checks = PeriodicChecks(context, "callers", CHECK_INTERVAL_MS)
         self._retry_quotas: dict[str, RetryQuota] = {}
@@ -169,6 +181,7 @@
     def _respond(
         self, call: GatewayCall, env: dict, start_response: Callable
     ) -> Iterable[bytes]:
+        self._check_prompt(call)
         self._retry_quota(call).record_request()
         self._dispatcher.accounts.record_demand(call.account, call.cost())
         is_caller_gone = make_caller_watch(env)
@@ -204,7 +217,7 @@
                 if not _is_stream(call, attempt):
                     attempt.buffer_body()
             except AttemptFailedError as failure:
-                self._log_failure(call, attempt, failure)
+                self._record_failure(call, attempt, failure)
                 self._check_retry_allowed(call, failure)
                 continue
             finally:
@@ -214,6 +227,7 @@
     def _select_server(self, call: GatewayCall) -> ServerState:
         if call.deadline_ms - self._clock.now_ms() < MIN_REMAINING_MS:
             raise _deadline_problem(call)
+        self._check_prompt(call)
         result = self._dispatcher.select_server(call)
         if not isinstance(result, Refusal):
             self._dispatcher.accounts.record_admitted(call.account, call.cost())
@@ -228,6 +242,22 @@
             retry_after_s=result.retry_after_s,
         )
 
+    def _check_prompt(self, call: GatewayCall) -> None:
+        """Raise the problem for the caller if servers crash under the prompt."""
+        part = self._crash_check.find_blocked(call.shared_part_ids())
+        if part is None:
+            return
+        reason = f"servers crashed under part {part} of the prompt"
+        if call.may_have_run:
+            raise _unknown_outcome_problem(call, reason)
+        raise CallProblem(
+            503,
+            "harmful_prompt",
+            reason,
+            "leave this part out of the prompt",
+            retry_after_s=RETRY_AFTER_HARMFUL_S,
+        )
+
     def _check_retry_allowed(
         self, call: GatewayCall, failure: AttemptFailedError
     ) -> None:
@@ -253,9 +283,12 @@
             )
         self._context.count("retries_total", call.service)
 
-    def _log_failure(
+    def _record_failure(
         self, call: GatewayCall, attempt: ServerAttempt, failure: AttemptFailedError
     ) -> None:
+        answering_ms = self._clock.now_ms() - (attempt.first_ms or math.inf)
+        if failure.kind == LOST and answering_ms < ANSWER_BEGUN_MS and call.prompt:
+            self._crash_check.record_lost(attempt.state.server, call.shared_part_ids())
         self._log.write(
             "attempt_failed",
             request=call.head.request_id,
@@ -327,7 +360,7 @@
                     return
                 except AttemptFailedError as failure:
                     outcome = "broken"
-                    self._log_failure(call, attempt, failure)
+                    self._record_failure(call, attempt, failure)
                     stop_watch()
                     attempt = self._resume(call, failure, is_caller_gone)
                     stop_watch = watch_caller(self._checks, attempt, is_caller_gone)
@@ -364,6 +397,8 @@
             self.durations["answer_first"].add(attempt.first_ms - call.arrived_ms)
         self.durations["answer"].add(now_ms - call.arrived_ms)
         self._context.count("answers_total", outcome)
+        if outcome == "answered" and attempt.response.status < 300:
+            self._crash_check.record_answer(call.shared_part_ids())
         self._log.write(
             "answer",
             request=call.head.request_id,
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/digest.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/digest.py
@@ -7,8 +7,9 @@
 import msgpack
 
 from lagoonsail_gateway.sent_prompts import DECODE_ERRORS
+from lagoonsail_sharing.crash_suspects import CrashEvidence
 
-FORMAT_VERSION = 3
+FORMAT_VERSION = 4
 """Version of the digest layout; digests of other versions are discarded."""
 
 REPORT = 0
@@ -54,6 +55,8 @@
     so that each of them can subtract its own."""
     report_count: int = 0
     """In a sum: how many reports it includes."""
+    crashes: CrashEvidence = field(default_factory=CrashEvidence)
+    """What the sender knows of prompts that were lost in crashes."""
 
     def encode(self) -> bytes:
         """Return the datagram payload."""
@@ -73,6 +76,8 @@
                 self.domain,
                 self.members,
                 self.report_count,
+                [[part, *ages.items()] for part, ages in self.crashes.ages_ms.items()],
+                self.crashes.cleared,
             ]
         )
 
@@ -101,7 +106,8 @@
         if version != FORMAT_VERSION:
             return None
         router, incarnation, number, pending, sums, prompts, count, *tail = fields
-        store_revision, resync_peers, kind, domain, members, report_count = tail
+        store_revision, resync_peers, kind, domain, members, *tail = tail
+        report_count, lost, cleared = tail
         return Digest(
             str(router),
             int(incarnation),
@@ -116,6 +122,10 @@
             str(domain),
             {str(name): int(number) for name, number in members.items()},
             int(report_count),
+            CrashEvidence(
+                {int(p): {int(c): int(ms) for c, ms in ages} for p, *ages in lost},
+                [int(part) for part in cleared],
+            ),
         )
     except DECODE_ERRORS:
         return None
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -12,6 +12,7 @@
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_gateway.call_service import HISTOGRAMS, CallService
 from lagoonsail_gateway.connection_pool import ConnectionPool
+from lagoonsail_gateway.crash_check import CrashCheck
 from lagoonsail_gateway.digest import Digest
 from lagoonsail_gateway.dispatcher import Dispatcher
 from lagoonsail_gateway.fleet_share import FleetMembers
@@ -27,6 +28,7 @@
 )
 from lagoonsail_router.http_server import listen, start_serving
 from lagoonsail_router.open_connections import OpenConnections
+from lagoonsail_sharing.crash_suspects import CrashSuspects
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -95,6 +97,7 @@
         "_settings",
         "calls",
         "context",
+        "crash_check",
         "digests",
         "directory",
         "dispatcher",
@@ -145,6 +148,7 @@
         self.directory = ServerDirectory(context.clock)
         self.pool = ConnectionPool(context.clock)
         self.dispatcher = Dispatcher(context, self.directory, self.routers)
+        self.crash_check = CrashCheck(context, CrashSuspects(context.clock))
         self.calls = CallService(
             context,
             settings,
@@ -152,6 +156,7 @@
             self.dispatcher,
             self.pool,
             self.routers,
+            self.crash_check,
             self.log,
         )
         self.digests = PeerDigests(
@@ -159,6 +164,7 @@
             self.routers,
             settings.failure_domain,
             self.dispatcher.recent_prompts,
+            self.crash_check,
             self._make_digest,
             self._replace_digest,
             self.dispatcher.record_peer_prompt,
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
@@ -36,6 +36,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from lagoonsail_gateway.crash_check import CrashCheck
     from lagoonsail_gateway.fleet_share import FleetMembers
     from lagoonsail_gateway.prompt_inbox import Source
     from lagoonsail_gateway.sent_prompts import RecentPrompts, SentPrompt
@@ -73,6 +74,7 @@
     __slots__ = (
         "_choice",
         "_context",
+        "_crash_check",
         "_domain",
         "_fleet_sum",
         "_inbox",
@@ -97,6 +99,7 @@
         routers: FleetMembers,
         domain: str,
         own_prompts: RecentPrompts,
+        crash_check: CrashCheck,
         make_digest: Callable[[int, float], Digest],
         on_replaced: Callable[[Digest | None, Digest | None], None],
         on_prompt: Callable[[SentPrompt], None],
@@ -108,6 +111,7 @@
             routers: The other routers and their addresses.
             domain: Failure domain of this router.
             own_prompts: The prompts that this router has sent.
+            crash_check: Has the evidence of crashes, which digests carry.
             make_digest: Creates this router's report, without prompts, from its number
                 and the period, in milliseconds, for which it includes accounts.
             on_replaced: Called with a peer's previous and new digest; the previous is
@@ -118,6 +122,7 @@
         self._routers = routers
         self._domain = domain
         self._own_prompts = own_prompts
+        self._crash_check = crash_check
         self._make_digest = make_digest
         self._is_early_send_scheduled = False
         self._on_replaced = on_replaced
@@ -172,6 +177,9 @@
             return
         if digest.router == self._routers.name or not self._is_newer(digest):
             return
+        # Evidence is a set, so it does not matter by way of whom it comes.
+        suspects = self._crash_check.suspects
+        self._crash_check.log_blocked(suspects.merge(digest.crashes))
         if digest.kind == FLEET_SUM:
             self._choice.record_heard(digest.router)
             self._apply_fleet_sum(digest)
@@ -383,6 +391,7 @@
     def _send_to(self, digest: Digest, addresses: list[Address]) -> None:
         if not addresses:
             return
+        digest.crashes = self._crash_check.suspects.evidence()
         data = digest.encode()
         if len(data) > MAX_DATAGRAM_BYTES:
             self._context.count("digests_too_long_total")
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
@@ -47,6 +47,11 @@
 class ConnectFailedError(Exception):
     """The connection could not be opened; no byte of a request was sent."""
 
+    def __init__(self, reason: str, *, is_refused: bool = False) -> None:
+        super().__init__(reason)
+        self.is_refused = is_refused
+        """Whether nobody listens at the address."""
+
 
 class ConnectionLostError(Exception):
     """The connection failed or carried invalid data after a request was sent."""
@@ -350,5 +355,8 @@
         sock.connect((host, int(port)))
     except OSError as error:
         sock.close()
-        raise ConnectFailedError(f"cannot connect to {address}: {error}") from error
+        raise ConnectFailedError(
+            f"cannot connect to {address}: {error}",
+            is_refused=isinstance(error, ConnectionRefusedError),
+        ) from error
     return ServerConnection(sock, clock)
--- a/packages/lagoonsail-gateway/tests/test_digest_relay.py
+++ b/packages/lagoonsail-gateway/tests/test_digest_relay.py
@@ -15,12 +15,14 @@
 
 from lagoonsail_core.clock import Clock
 from lagoonsail_gateway.admission import AccountLoad
+from lagoonsail_gateway.crash_check import CrashCheck
 from lagoonsail_gateway.digest import Digest
 from lagoonsail_gateway.digest_relay import RELAY_RETRY_MS, RelayChoice
 from lagoonsail_gateway.fleet_share import FleetMembers, format_location, rank_routers
 from lagoonsail_gateway.peer_digests import ROUND_INTERVAL_MS, PeerDigests
 from lagoonsail_gateway.sent_prompts import RecentPrompts, SentPrompt, sender_number
 from lagoonsail_router.context import RouterContext
+from lagoonsail_sharing.crash_suspects import CrashSuspects
 from lagoonsail_sharing.first_token import Prompt, SharedPart
 
 DOMAINS = 6
@@ -55,6 +57,7 @@
             self.members,
             network.domain_of(number),
             self.own_prompts,
+            CrashCheck(context, CrashSuspects(context.clock)),
             self.make_digest,
             self.replace,
             self.prompts.append,
--- a/packages/lagoonsail-gateway/tests/test_peer_digests.py
+++ b/packages/lagoonsail-gateway/tests/test_peer_digests.py
@@ -9,6 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from lagoonsail_gateway.crash_check import CrashCheck
 from lagoonsail_gateway.digest import REPORT, Digest, decode_digest
 from lagoonsail_gateway.fleet_share import FleetMembers
 from lagoonsail_gateway.peer_digests import (
@@ -22,6 +23,7 @@
     SentPrompt,
     decode_sent_prompt,
 )
+from lagoonsail_sharing.crash_suspects import CrashSuspects
 from lagoonsail_sharing.first_token import Prompt, SharedPart
 
 
@@ -39,6 +41,7 @@
         routers,
         "north",
         own_prompts,
+        CrashCheck(context, CrashSuspects(context.clock)),
         lambda number, _age_ms: Digest("r1", 1, number),
         lambda previous, newest: replaced.append((previous, newest)),
         prompts.append,
