--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_share.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_share.py
@@ -11,6 +11,8 @@
 
 from xxhash import xxh64_intdigest
 
+from lagoonsail_gateway.addresses import parse_address
+
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
@@ -50,10 +52,10 @@
         domains = defaultdict(list)
         for name, location in sorted(locations.items()):
             address, _, domain = location.partition(" ")
-            host, _, port = address.rpartition(":")
             domains[domain].append(name)
-            if name != self.name and host and port.isdigit():
-                self._peers[name] = (host, int(port))
+            peer = parse_address(address)
+            if name != self.name and peer is not None:
+                self._peers[name] = peer
         self._domains = {
             domain: rank_routers(domain, names) for domain, names in domains.items()
         }
