Take a stream that ends inside an event for one that was broken off

Seen: a server that closed a stream without a length, or ended its chunks, in the middle of an event: callers got the stream as complete, with a part of an event. Cause: the end of the body was taken for the end of the stream. Change: a stream must end after an event; else it goes on at another server if it may, or the caller's answer is broken off.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
@@ -4,12 +4,17 @@
 
 from typing import TYPE_CHECKING
 
+from lagoonsail_gateway.manifest import STREAMING
 from lagoonsail_gateway.request_format import HOP_BY_HOP_HEADERS
 from lagoonsail_gateway.server_connection import (
     ConnectFailedError,
     ConnectionLostError,
 )
-from lagoonsail_router.event_stream import split_events
+from lagoonsail_router.event_stream import (
+    MAX_EVENT_END_BYTES,
+    is_event_end,
+    split_events,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -176,12 +181,14 @@
         if self.body:
             yield self.body
         partial_event = b""
+        tail = b""
         try:
             while part := self._connection.read_body(
                 self.response, self._response_deadline_ms()
             ):
                 self._record_first_part()
                 self._running_request.record_data()
+                tail = (tail + part)[-MAX_EVENT_END_BYTES:]
                 if self.call.route.is_resumable:
                     part, partial_event = split_events(partial_event + part)
                     if len(partial_event) > MAX_EVENT_BYTES:
@@ -189,6 +196,8 @@
                     self._update_last_event_id(part)
                 if part:
                     yield part
+            if self.call.route.kind == STREAMING and not is_event_end(tail):
+                raise ConnectionLostError("the stream ended inside an event")
         except ConnectionLostError as error:
             raise self._fail(error) from error
         if partial_event:
--- a/packages/lagoonsail-gateway/tests/test_endless_events.py
+++ b/packages/lagoonsail-gateway/tests/test_endless_events.py
@@ -7,6 +7,7 @@
 import pytest
 
 from lagoonsail_core.clock import Clock
+from lagoonsail_gateway.manifest import STREAMING
 from lagoonsail_gateway.server_attempt import (
     LOST,
     MAX_EVENT_BYTES,
@@ -26,7 +27,7 @@
 
     def make(parts):
         call = SimpleNamespace(
-            route=SimpleNamespace(is_resumable=True),
+            route=SimpleNamespace(is_resumable=True, kind=STREAMING),
             deadline_ms=clock.now_ms() + 1000.0,
             last_event_id="",
         )
--- a/packages/lagoonsail-router/src/lagoonsail_router/event_stream.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/event_stream.py
@@ -5,6 +5,22 @@
 END_OF_EVENT = b"\n\n"
 """Terminator of a server-sent event."""
 
+MAX_EVENT_END_BYTES = 4
+"""Number of bytes that show whether a stream is at the end of an event."""
+
+
+def is_event_end(tail: bytes) -> bool:
+    r"""Return whether a stream may end here: before its first event, or after one.
+
+    Args:
+        tail: The last `MAX_EVENT_END_BYTES` of the stream, or all that it had.
+
+    Example:
+        >>> [is_event_end(tail) for tail in (b"", b"a: 1\n\n", b"1\r\n\r\n", b"a: 1")]
+        [True, True, True, False]
+    """
+    return not tail or tail.endswith((END_OF_EVENT, b"\r\n\r\n"))
+
 
 def split_events(data: bytes) -> tuple[bytes, bytes]:
     r"""Return the complete events at the beginning, and the incomplete remainder.
--- /dev/null
+++ b/tests/platform/test_broken_streams.py
@@ -0,0 +1,134 @@
+"""Answers that servers break off, at each place in which they can."""
+
+from __future__ import annotations
+
+import pytest
+from lagoonsail_platform_standin.answer_reader import AnswerReader, CallerAnswer
+
+from lagoonsail_core.green import eventlet, green_socket
+
+ROUTER = "router-1"
+SEAL = b"Lagoonsail-Server-Seal: seal\r\n"
+STREAM = b"Content-Type: text/event-stream\r\n"
+UNFRAMED = b"Connection: close\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+ERROR_TEXT = b"secret error of the server"
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def ok(fields, body):
+    return b"HTTP/1.1 200 OK\r\n" + SEAL + STREAM + fields + b"\r\n" + body
+
+
+def failure(status, *, body=ERROR_TEXT, fields=SEAL):
+    length = b"Content-Length: %d\r\n" % len(body)
+    return b"HTTP/1.1 " + status + b"\r\n" + fields + length + b"\r\n" + body
+
+
+def serve_raw(answers):
+    """Serve each connection with the next answer, and close it; return the address."""
+    listener = green_socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(16)
+
+    def serve():
+        for answer in answers:
+            connection, _ = listener.accept()
+            with connection:
+                request = connection.recv(65_536)
+                head = request.lower()
+                start = head.index(b"lagoonsail-attempt-id:")
+                line = request[start : head.index(b"\r\n", start) + 2]
+                status, _, rest = answer.partition(b"\r\n")
+                connection.sendall(status + b"\r\n" + line + rest)
+        listener.close()
+
+    eventlet.spawn(serve)
+    return f"127.0.0.1:{listener.getsockname()[1]}"
+
+
+@pytest.fixture
+def ask(fleet):
+    """Return a function that asks a router whose engines give one answer each."""
+
+    def ask(path, *answers):
+        for number, answer in enumerate(answers, start=1):
+            server = fleet.servers[f"engine-{number}"]
+            server.address = serve_raw([answer] * 4)
+            record = server.record() | {"born": 2}
+            fleet.store.put_json(f"servers/{server.server_id}", record)
+        eventlet.sleep(0.2)
+        answer = CallerAnswer()
+        with fleet.send(ROUTER, "POST", path, "id-1") as sock:
+            try:
+                AnswerReader(sock).read(answer)
+            except OSError:
+                assert not answer.is_whole
+        return answer
+
+    return ask
+
+
+# ORDER: a stream that ended inside an event was passed on as complete.
+@pytest.mark.parametrize("path", ["/stream/1", "/resume/1"])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        ok(UNFRAMED, EVENTS + b"id: 3\nda"),
+        ok(CHUNKED, chunk(EVENTS + b"id: 3\nda") + b"0\r\n\r\n"),
+    ],
+    ids=["unframed", "chunked"],
+)
+def test_stream_that_ends_inside_an_event_is_not_complete(ask, path, answer):
+    received = ask(path, answer, answer)
+    assert not received.is_whole
+
+
+@pytest.mark.parametrize("path", ["/stream/1", "/resume/1"])
+def test_stream_without_a_length_is_passed_on_as_a_whole(ask, path):
+    received = ask(path, *[ok(UNFRAMED, EVENTS)] * 2)
+    assert (received.status, received.body) == (200, EVENTS)
+    assert received.is_whole
+
+
+# ORDER, MIXED: the next server's error, or its head, came in the middle of a stream.
+@pytest.mark.parametrize(
+    "error",
+    [
+        failure(b"500 Error"),
+        failure(b"500 Error", fields=b""),
+        failure(b"503 Full"),
+        failure(b"404 None"),
+        failure(b"302 Moved"),
+        failure(b"200 OK", fields=b""),
+        failure(b"200 OK", fields=SEAL + b"Content-Encoding: br\r\n"),
+        ERROR_TEXT,
+        b"HTTP/1.1 200 OK\r\n" + SEAL + STREAM,
+    ],
+    ids=["500", "500 unsealed", "503", "404", "302", "200", "encoded", "text", "head"],
+)
+def test_error_of_the_next_server_does_not_come_into_a_stream(ask, error):
+    broken = ok(CHUNKED, chunk(EVENTS + b"id: 3\nda"))
+    received = ask("/resume/1", broken, error)
+    if received.status == 200:
+        assert received.body in (b"", EVENTS)
+        assert not received.is_whole
+    else:
+        assert b"HTTP/1.1" not in received.body
+    # The other engine is as likely to be asked first.
+    received = ask("/resume/1", error, broken)
+    assert received.status != 200 or not received.is_whole
+
+
+# MIXED: an answer that stopped in its head became a success with an empty body.
+@pytest.mark.parametrize("path", ["/stream/1", "/resume/1"])
+@pytest.mark.parametrize("length", range(1, 200, 13))
+def test_answer_that_stops_in_its_head_is_not_a_success(ask, path, length):
+    head = ok(CHUNKED, b"").partition(b"\r\n\r\n")[0]
+    answer = head[: max(10, length)]
+    received = ask(path, answer, answer)
+    assert received.status != 200
