Obey servers that say in their answers that they leave or want a pause

A server that says that it leaves got requests until the store said so, and one that asked for a pause got them at once. Change: the dispatcher leaves out an incarnation that said that it leaves, whatever the store says, and one that wants a pause until its end; it looks again right before a request is sent. If all servers of a service are out, callers are refused at once with the earliest end, spread over 0.5 s.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from dataclasses import dataclass
 from statistics import median
@@ -12,6 +13,7 @@
 from lagoonsail_gateway.sent_prompts import RecentPrompts, SentPrompt, sender_number
 from lagoonsail_gateway.server_health import ServerHealth
 from lagoonsail_sharing.first_token import EngineLoad, PrefixCache, choose_engine
+from lagoonsail_sharing.server_notices import ServerNotices
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -27,6 +29,8 @@
 """Assumed prefill rate of an engine."""
 NO_SERVER_RETRY_AFTER_S = 0.5
 """Retry-After of a request for which no server is available."""
+MAX_RETURN_SPREAD_MS = 500.0
+"""Time over which callers return after servers wanted no requests."""
 MAX_SILENCE_MS = 1000.0
 """How long a server with running requests may send nothing, beyond its prefill time."""
 PREFILL_OVERRUN_FACTOR = 1.5
@@ -137,6 +141,7 @@
         "_last_digest_ms",
         "accounts",
         "context",
+        "notices",
         "recent_prompts",
     )
 
@@ -144,6 +149,8 @@
     """Demand and admitted cost of the client accounts."""
     context: RouterContext
     """Clock, counters and timeline."""
+    notices: ServerNotices
+    """What servers say of themselves in their answers."""
     recent_prompts: RecentPrompts
     """The prompts that this router sent recently."""
 
@@ -152,6 +159,7 @@
     ) -> None:
         self.context = context
         self.accounts = AccountLoad(context.clock)
+        self.notices = ServerNotices(context.clock)
         self.recent_prompts = RecentPrompts(context.clock)
         self._directory = directory
         self._routers = routers
@@ -194,10 +202,15 @@
         ]
         if not states or service is None:
             return _no_server(f"no server of {call.service} is there")
-        allowed = [s for s in self._healthy(states) if self._has_cold_quota(s, service)]
+        wanting = [s for s in states if self._wants_requests(s)]
+        if not wanting:
+            return self._refuse_by_notices(call, states)
+        allowed = [
+            s for s in self._healthy(wanting) if self._has_cold_quota(s, service)
+        ]
         if not allowed:
             return _no_server(f"{len(states)} servers of {call.service} are held back")
-        state = self._select(call, states, allowed)
+        state = self._select(call, wanting, allowed)
         if isinstance(state, Refusal):
             return state
         if self._directory.is_cold(state.server):
@@ -212,6 +225,7 @@
             state: The server.
         """
         state.health.record_attempt(self.context.clock.now_ms())
+        self.notices.record_sent(state.server.record.incarnation())
         unread = 0
         if call.prompt is not None:
             shared = state.load.cache.unread_tokens(call.prompt)
@@ -292,8 +306,55 @@
         self.accounts.update(_median_queue_ms(engines) if engines else 0.0)
 
     def is_usable(self, state: ServerState) -> bool:
-        """Return whether a selected server may still get the request."""
-        return self._directory.is_usable(state.server)
+        """Return whether a server may be selected for a request."""
+        return self._directory.is_usable(state.server) and self._wants_requests(state)
+
+    def is_still_usable(self, state: ServerState) -> bool:
+        """Return whether a server that was selected may still get the request."""
+        is_out = self.notices.is_out(state.server.record.incarnation())
+        return self._directory.is_usable(state.server) and not is_out
+
+    def record_leaving(self, state: ServerState) -> None:
+        """Note that a server says in an answer that it is leaving.
+
+        Args:
+            state: The server.
+        """
+        record = state.server.record
+        if self.notices.record_leaving(record.incarnation()):
+            self.context.timeline.record("server_leaving", server=record.server_id)
+
+    def record_answer(self, state: ServerState, backoff_ms: float | None) -> None:
+        """Note that a server answered, and whether it wants a pause.
+
+        Args:
+            state: The server.
+            backoff_ms: Time for which it wants no requests, None if not stated.
+        """
+        record = state.server.record
+        if backoff_ms is None:
+            self.notices.record_answer(record.incarnation())
+        elif self.notices.record_backoff(record.incarnation(), backoff_ms):
+            self.context.timeline.record(
+                "server_paused", server=record.server_id, pause_ms=round(backoff_ms)
+            )
+
+    def _wants_requests(self, state: ServerState) -> bool:
+        return self.notices.allows(state.server.record.incarnation())
+
+    def _refuse_by_notices(
+        self, call: GatewayCall, states: list[ServerState]
+    ) -> Refusal:
+        wait_ms = self.notices.wait_ms(s.server.record.incarnation() for s in states)
+        if wait_ms == math.inf:
+            return _no_server(f"all servers of {call.service} are leaving")
+        # Spread, so that the callers do not return at the same moment.
+        spread_ms = random.uniform(0.0, MAX_RETURN_SPREAD_MS)
+        return Refusal(
+            "servers_paused",
+            f"the servers of {call.service} want no requests for {wait_ms:.0f} ms",
+            (wait_ms + spread_ms) / 1000.0,
+        )
 
     def record_result(
         self, state: ServerState, is_success: bool, sent_ms: float
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/request_format.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/request_format.py
@@ -86,6 +86,10 @@
     """Whether the response carries the server's proof of origin."""
     load: ServerLoad | None
     """Load of the server, None if not reported."""
+    is_leaving: bool = False
+    """Whether the server states that it is leaving."""
+    backoff_ms: float | None = None
+    """Time for which the server wants no requests, None if not stated."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
@@ -241,7 +241,7 @@
             self.cancel()
             raise AttemptFailedError(CALLER_GONE, "the caller closed its connection")
         # The manifest or the server's state may have changed during the connect.
-        if not self._dispatcher.is_usable(self.state):
+        if not self._dispatcher.is_still_usable(self.state):
             self.cancel()
             raise AttemptFailedError(UNREACHABLE, "the server became unavailable")
         return connection
@@ -269,6 +269,9 @@
         head = self._response_head = self._format.read_response(
             response.status, response.headers
         )
+        if head.is_leaving and not head.is_wrong_server:
+            # True of the server, whichever request it answers.
+            self._dispatcher.record_leaving(self.state)
         if not head.request_id:
             # Only on a new connection it cannot belong to an earlier request.
             return self._connection.request_count == 1
@@ -277,6 +280,8 @@
     def _check_head(self, response: Response) -> None:
         # Set by `_is_expected`, which has just accepted this response.
         head = self._response_head
+        if not head.is_wrong_server:
+            self._dispatcher.record_answer(self.state, head.backoff_ms)
         if _is_proven_refusal(response, head):
             self.call.possible_runs -= 1
             self._drain_and_finish(response)
--- a/packages/lagoonsail-gateway/tests/test_refusal_copies.py
+++ b/packages/lagoonsail-gateway/tests/test_refusal_copies.py
@@ -55,9 +55,12 @@
             finish=lambda is_success: None,
         )
 
-    def is_usable(self, _state):
+    def is_still_usable(self, _state):
         return True
 
+    def record_answer(self, _state, _backoff_ms):
+        pass
+
 
 @pytest.fixture
 def ask(serve_script, make_record):
