--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_notices.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_notices.py
@@ -1,8 +1,8 @@
 """What servers say of themselves in their answers: that they leave, or want a pause.
 
-A notice holds for one incarnation of a server, whatever the registry says of it, and only
-for the router that got it. It does not need the registry, so that it also holds while
-that cannot be reached.
+A notice holds for one incarnation of a server, whatever the registry says of it, and
+only for the router that got it. It does not need the registry, so that it also holds
+while that cannot be reached.
 """
 
 from __future__ import annotations
--- a/tests/platform/test_broken_streams.py
+++ b/tests/platform/test_broken_streams.py
@@ -59,8 +59,8 @@
         for number, answer in enumerate(answers, start=1):
             server = fleet.servers[f"engine-{number}"]
             server.address = serve_raw([answer] * 4)
-            record = server.record() | {"born": 2}
-            fleet.store.put_json(f"servers/{server.server_id}", record)
+            server.born += 1
+            fleet.store.put_json(f"servers/{server.server_id}", server.record())
         eventlet.sleep(0.2)
         answer = CallerAnswer()
         with fleet.send(ROUTER, "POST", path, "id-1") as sock:
--- a/tests/platform/test_server_notices_path.py
+++ b/tests/platform/test_server_notices_path.py
@@ -52,7 +52,8 @@
     ask_many(fleet, 10, "renewed")
     assert arrivals(server) == known
     server.is_leaving = False
-    fleet.store.put_json("servers/plain-1", server.record() | {"born": 99})
+    server.born += 1
+    fleet.store.put_json("servers/plain-1", server.record())
     eventlet.sleep(0.1)
     ask_many(fleet, 10, "restarted")
     assert arrivals(server) > known
