Look up service and account again when the body of a call has come

Evidence: test_call_is_handled_by_the_document_in_force_when_its_body_ends failed before. Change: both are looked up once more after the body.

--- a/packages/lagoonsail-router/src/lagoonsail_router/call.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/call.py
@@ -107,6 +107,9 @@
     account = _find_account(env, document)
     key = _read_idempotency_key(env)
     body = read_body(env, document.max_body_bytes)
+    # A body may take seconds, and the request must be handled as it ends.
+    document, raw_path = _find_service(env, configuration)
+    account = _find_account(env, document)
     method = env["REQUEST_METHOD"]
     is_repeatable = document.is_repeatable(method, raw_path)
     prompt, is_stream, estimate = _read_completion(document, raw_path, body)
--- a/packages/lagoonsail-router/tests/test_call.py
+++ b/packages/lagoonsail-router/tests/test_call.py
@@ -1,5 +1,6 @@
 from __future__ import annotations
 
+import hashlib
 import json
 from types import SimpleNamespace
 
@@ -55,6 +56,27 @@
     assert (call.is_repeatable, call.idempotency_key, call.key_hash) == (True, "k-1", 0)
 
 
+# A key that was withdrawn while the body arrived was served.
+def test_call_is_handled_by_the_document_in_force_when_its_body_ends(
+    configuration, make_document, make_env
+):
+    name = "documents/cordero/registro"
+    configuration.apply(name, 1, make_document())
+    env = make_env(method="POST", body=b"x")
+    key_sha256 = hashlib.sha256(b"norte-key").hexdigest()
+    without_key = make_document().replace(key_sha256, "0" * 64)
+
+    def read(_size):
+        configuration.apply(name, 2, without_key)
+        return b"x"
+
+    env["wsgi.input"] = SimpleNamespace(read=read)
+    assert refusal(lambda: read_call(env, configuration, 5.0)) == (
+        401,
+        "unknown_account",
+    )
+
+
 def test_key_is_hashed_with_service_and_account(read):
     def key_hash(path="/cordero/registro/bibs", account="norte"):
         return read(
