Skip servers' notices while there are none, and copy less of each event

Change: placement looks at notices only if there are any; the end of an event is remembered without copying the event.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -202,7 +202,9 @@
         ]
         if not states or service is None:
             return _no_server(f"no server of {call.service} is there")
-        wanting = [s for s in states if self._wants_requests(s)]
+        wanting = states
+        if self.notices.has_any():
+            wanting = [s for s in states if self._wants_requests(s)]
         if not wanting:
             return self._refuse_by_notices(call, states)
         allowed = [
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
@@ -188,7 +188,8 @@
             ):
                 self._record_first_part()
                 self._running_request.record_data()
-                tail = (tail + part)[-MAX_EVENT_END_BYTES:]
+                is_long = len(part) >= MAX_EVENT_END_BYTES
+                tail = (part if is_long else tail + part)[-MAX_EVENT_END_BYTES:]
                 if self.call.route.is_resumable:
                     part, partial_event = split_events(partial_event + part)
                     if len(partial_event) > MAX_EVENT_BYTES:
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_notices.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_notices.py
@@ -67,6 +67,10 @@
         self._clock = clock
         self._notices: dict[Incarnation, Notice] = {}
 
+    def has_any(self) -> bool:
+        """Return whether any server has said something."""
+        return bool(self._notices)
+
     def record_leaving(self, incarnation: Incarnation) -> bool:
         """Record that a server is leaving.
 
