--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
@@ -7,6 +7,16 @@
 
 from lagoonsail_core.durations import DurationHistogram
 from lagoonsail_gateway.admission import Refusal
+from lagoonsail_gateway.call_problems import (
+    caller_gone_problem,
+    deadline_problem,
+    harmful_prompt_problem,
+    leaving_problem,
+    no_manifest_problem,
+    no_retries_problem,
+    refusal_problem,
+    unknown_outcome_problem,
+)
 from lagoonsail_gateway.call_reading import read_call
 from lagoonsail_gateway.fleet_share import RetryQuota
 from lagoonsail_gateway.manifest import STREAMING
@@ -20,7 +30,7 @@
 )
 from lagoonsail_router.caller_watch import CHECK_INTERVAL_MS, make_caller_watch
 from lagoonsail_router.periodic_checks import PeriodicChecks
-from lagoonsail_router.problems import UNKNOWN, CallProblem, internal_problem
+from lagoonsail_router.problems import CallProblem, internal_problem
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -42,15 +52,6 @@
     "answer": "Time until the end of an answer was passed on.",
 }
 """Help texts of the duration histograms, by metric name."""
-RETRY_AFTER_NO_MANIFEST_S = 0.3
-"""Retry-After of a router that has not loaded a manifest yet."""
-RETRY_AFTER_NO_RETRIES_S = 0.5
-"""Retry-After of a request that exceeds the retry quota."""
-RETRY_AFTER_HARMFUL_S = 60.0
-"""Retry-After of a request with a part under which servers crash: it will not soon be
-served."""
-RETRY_AFTER_LEAVING_S = 0.05
-"""Retry-After of a router that is stopping; another router can serve immediately."""
 ACCEPT_WHILE_STOPPING_MS = 3000.0
 """Time after the start of a planned stop during which requests are still accepted.
 Later ones are refused, so that the running requests can finish."""
@@ -160,21 +161,9 @@
 
     def _check_serving(self, now_ms: float) -> None:
         if now_ms > self.stop_started_ms + ACCEPT_WHILE_STOPPING_MS:
-            raise CallProblem(
-                503,
-                "leaving",
-                "this router is about to stop",
-                "try again at another router",
-                retry_after_s=RETRY_AFTER_LEAVING_S,
-            )
+            raise leaving_problem()
         if self._manifest is None:
-            raise CallProblem(
-                503,
-                "no_manifest",
-                "this router does not know the configuration yet",
-                "try again",
-                retry_after_s=RETRY_AFTER_NO_MANIFEST_S,
-            )
+            raise no_manifest_problem()
 
     # Sending the request to servers.
 
@@ -210,7 +199,7 @@
             )
             if is_caller_gone():
                 # A lagging router reads requests whose callers have left already.
-                raise _caller_gone_problem()
+                raise caller_gone_problem()
             stop_watch = watch_caller(self._checks, attempt, is_caller_gone)
             try:
                 attempt.send()
@@ -226,21 +215,15 @@
 
     def _select_server(self, call: GatewayCall) -> ServerState:
         if call.deadline_ms - self._clock.now_ms() < MIN_REMAINING_MS:
-            raise _deadline_problem(call)
+            raise deadline_problem(call)
         self._check_prompt(call)
         result = self._dispatcher.select_server(call)
         if not isinstance(result, Refusal):
             self._dispatcher.accounts.record_admitted(call.account, call.cost())
             return result
         if call.may_have_run:
-            raise _unknown_outcome_problem(call, result.reason)
-        raise CallProblem(
-            429 if result.is_over_share else 503,
-            result.kind,
-            result.reason,
-            "try again after the time in Retry-After",
-            retry_after_s=result.retry_after_s,
-        )
+            raise unknown_outcome_problem(result.reason)
+        raise refusal_problem(result)
 
     def _check_prompt(self, call: GatewayCall) -> None:
         """Raise the problem for the caller if servers crash under the prompt."""
@@ -249,38 +232,26 @@
             return
         reason = f"servers crashed under part {part} of the prompt"
         if call.may_have_run:
-            raise _unknown_outcome_problem(call, reason)
-        raise CallProblem(
-            503,
-            "harmful_prompt",
-            reason,
-            "leave this part out of the prompt",
-            retry_after_s=RETRY_AFTER_HARMFUL_S,
-        )
+            raise unknown_outcome_problem(reason)
+        raise harmful_prompt_problem(reason)
 
     def _check_retry_allowed(
         self, call: GatewayCall, failure: AttemptFailedError
     ) -> None:
         """Raise the problem for the caller unless the request may be retried."""
         if failure.kind == CALLER_GONE:
-            raise _caller_gone_problem()
+            raise caller_gone_problem()
         if failure.kind == UNREACHABLE:
             return
         if failure.kind != NOT_RUN_BY_SERVER:
             is_retryable = call.route.is_retryable()
             if not is_retryable or call.possible_runs >= call.route.max_servers:
-                raise _unknown_outcome_problem(call, failure.reason)
+                raise unknown_outcome_problem(failure.reason)
         if not self._retry_quota(call).try_acquire():
             self._context.count("repeats_refused_total")
             if call.may_have_run:
-                raise _unknown_outcome_problem(call, failure.reason)
-            raise CallProblem(
-                503,
-                "repeats_used_up",
-                f"{failure.reason}, and no repeats are left for {call.service}",
-                "try again after the time in Retry-After",
-                retry_after_s=RETRY_AFTER_NO_RETRIES_S,
-            )
+                raise unknown_outcome_problem(failure.reason)
+            raise no_retries_problem(call, failure.reason)
         self._context.count("retries_total", call.service)
 
     def _record_failure(
@@ -382,12 +353,12 @@
             CallProblem: If it cannot be resumed; the caller gets a truncated response.
         """
         if not call.route.is_resumable:
-            raise _unknown_outcome_problem(call, failure.reason)
+            raise unknown_outcome_problem(failure.reason)
         self._check_retry_allowed(call, failure)
         resumed = self._attempt_until_head(call, is_caller_gone)
         if resumed.response.status == 200:
             return resumed
-        raise _unknown_outcome_problem(call, "the stream was not taken up")
+        raise unknown_outcome_problem("the stream was not taken up")
 
     def _record_end(
         self, call: GatewayCall, attempt: ServerAttempt, outcome: str
@@ -467,29 +438,3 @@
 
 def _is_stream(call: GatewayCall, attempt: ServerAttempt) -> bool:
     return call.route.kind == STREAMING and attempt.response.status == 200
-
-
-def _deadline_problem(call: GatewayCall) -> CallProblem:
-    return CallProblem(
-        504,
-        "too_late",
-        "the time of the request is over",
-        "allow more time",
-        UNKNOWN if call.may_have_run else "no",
-    )
-
-
-def _unknown_outcome_problem(call: GatewayCall, reason: str) -> CallProblem:
-    return CallProblem(
-        502,
-        "no_answer",
-        f"no whole answer came ({reason})",
-        "find out whether the request ran before sending it again",
-        UNKNOWN,
-    )
-
-
-def _caller_gone_problem() -> CallProblem:
-    return CallProblem(
-        502, "caller_gone", "the caller closed its connection", "call again", UNKNOWN
-    )
