--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
@@ -19,7 +19,6 @@
 )
 from lagoonsail_gateway.call_reading import read_call
 from lagoonsail_gateway.fleet_share import RetryQuota
-from lagoonsail_gateway.manifest import STREAMING
 from lagoonsail_gateway.server_attempt import (
     CALLER_GONE,
     LOST,
@@ -175,7 +174,7 @@
         self._dispatcher.accounts.record_demand(call.account, call.cost())
         is_caller_gone = make_caller_watch(env)
         attempt = self._attempt_until_head(call, is_caller_gone)
-        if _is_stream(call, attempt):
+        if attempt.is_event_stream():
             self._start_response(attempt, start_response, [])
             return self._stream(call, attempt, is_caller_gone)
         return self._forward_buffered(call, attempt, is_caller_gone, start_response)
@@ -203,7 +202,7 @@
             stop_watch = watch_caller(self._checks, attempt, is_caller_gone)
             try:
                 attempt.send()
-                if not _is_stream(call, attempt):
+                if not attempt.is_event_stream():
                     attempt.buffer_body()
             except AttemptFailedError as failure:
                 self._record_failure(call, attempt, failure)
@@ -434,7 +433,3 @@
     if not attempt.first_ms:
         return None
     return round(attempt.first_ms - call.arrived_ms, 1)
-
-
-def _is_stream(call: GatewayCall, attempt: ServerAttempt) -> bool:
-    return call.route.kind == STREAMING and attempt.response.status == 200
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -202,17 +202,17 @@
         ]
         if not states or service is None:
             return _no_server(f"no server of {call.service} is there")
-        wanting = states
+        accepting = states
         if self.notices.has_any():
-            wanting = [s for s in states if self._wants_requests(s)]
-        if not wanting:
+            accepting = [s for s in states if self._wants_requests(s)]
+        if not accepting:
             return self._refuse_by_notices(call, states)
         allowed = [
-            s for s in self._healthy(wanting) if self._has_cold_quota(s, service)
+            s for s in self._healthy(accepting) if self._has_cold_quota(s, service)
         ]
         if not allowed:
             return _no_server(f"{len(states)} servers of {call.service} are held back")
-        state = self._select(call, wanting, allowed)
+        state = self._select(call, accepting, allowed)
         if isinstance(state, Refusal):
             return state
         if self._directory.is_cold(state.server):
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
@@ -197,7 +197,7 @@
                     self._update_last_event_id(part)
                 if part:
                     yield part
-            if self.call.route.kind == STREAMING and not is_event_end(tail):
+            if self.is_event_stream() and not is_event_end(tail):
                 raise ConnectionLostError("the stream ended inside an event")
         except ConnectionLostError as error:
             raise self._fail(error) from error
@@ -205,6 +205,10 @@
             yield partial_event
         self._finish_response(is_success=True)
 
+    def is_event_stream(self) -> bool:
+        """Return whether the response is a stream of events, of which the head came."""
+        return self.call.route.kind == STREAMING and self.response.status == 200
+
     def headers_to_forward(self) -> Headers:
         """Return the response headers without the hop-by-hop ones."""
         return [
--- a/packages/lagoonsail-gateway/tests/test_endless_events.py
+++ b/packages/lagoonsail-gateway/tests/test_endless_events.py
@@ -34,6 +34,7 @@
         attempt = ServerAttempt(
             context, None, None, None, call, SimpleNamespace(server=None)
         )
+        attempt.response = SimpleNamespace(status=200)
         remaining = iter(parts)
         attempt._connection = SimpleNamespace(
             read_body=lambda _response, _deadline_ms: next(remaining, b""),
