--- a/tests/platform/test_broken_streams.py
+++ b/tests/platform/test_broken_streams.py
@@ -40,6 +40,9 @@
             connection, _ = listener.accept()
             with connection:
                 request = connection.recv(65_536)
+                if not request:
+                    # The router looked whether the server still listens.
+                    continue
                 head = request.lower()
                 start = head.index(b"lagoonsail-attempt-id:")
                 line = request[start : head.index(b"\r\n", start) + 2]
--- a/tests/platform/test_server_notices_path.py
+++ b/tests/platform/test_server_notices_path.py
@@ -13,10 +13,7 @@
 ROUTER = "router-1"
 PLAIN = ("plain-1", "plain-2")
 PAUSE_S = 2.0
-IN_FLIGHT_S = 0.5
-"""Time in which requests that were on their way may still arrive."""
-MAX_LATE = 2
-"""Requests that may arrive after that, until the end of the pause."""
+TIMEOUT_S = 10.0
 
 
 def arrivals(server):
@@ -30,11 +27,19 @@
     ]
 
 
+def ask_until_arrival(fleet, server):
+    """Ask until one more request has reached a server."""
+    known = arrivals(server)
+    with eventlet.Timeout(TIMEOUT_S):
+        while arrivals(server) == known:
+            ask_many(fleet, 1)
+
+
 # DRAIN: a server that said in its answers that it leaves got further requests.
 def test_server_that_says_that_it_leaves_gets_no_more_requests(fleet):
     server = fleet.servers["plain-1"]
     server.is_leaving = True
-    ask_many(fleet, 6)
+    ask_until_arrival(fleet, server)
     known = arrivals(server)
     assert set(ask_many(fleet, 20, "later")) == {200}
     assert arrivals(server) == known
@@ -43,7 +48,7 @@
 def test_notice_holds_whatever_the_store_says_and_ends_with_the_incarnation(fleet):
     server = fleet.servers["plain-1"]
     server.is_leaving = True
-    ask_many(fleet, 6)
+    ask_until_arrival(fleet, server)
     known = arrivals(server)
     fleet.store.remove("servers/plain-1")
     eventlet.sleep(0.1)
@@ -54,33 +59,29 @@
     server.is_leaving = False
     server.born += 1
     fleet.store.put_json("servers/plain-1", server.record())
-    eventlet.sleep(0.1)
-    ask_many(fleet, 10, "restarted")
-    assert arrivals(server) > known
+    ask_until_arrival(fleet, server)
 
 
 # BUDGET: a server that had asked for a pause got requests before its end.
 def test_server_that_wants_a_pause_gets_it(fleet):
     server = fleet.servers["plain-1"]
     server.is_shedding, server.retry_after = True, str(PAUSE_S)
-    while not server.refusals:
-        ask_many(fleet, 1)
+    ask_until_arrival(fleet, server)
     end_s = time.monotonic() + PAUSE_S
     known = arrivals(server)
     while time.monotonic() < end_s - 0.1:
         assert ask_many(fleet, 1, "paused") == [200]
     assert arrivals(server) == known
     server.is_shedding = False
-    eventlet.sleep(0.2)
-    ask_many(fleet, 10, "after")
-    assert arrivals(server) > known
+    ask_until_arrival(fleet, server)
 
 
 def test_callers_are_refused_at_once_while_all_servers_want_a_pause(fleet):
     for name in PLAIN:
         server = fleet.servers[name]
         server.is_shedding, server.retry_after = True, str(PAUSE_S)
-    ask_many(fleet, 2)
+    while not all(fleet.servers[name].refusals for name in PLAIN):
+        ask_many(fleet, 1)
     started_s = time.monotonic()
     status, headers, _ = fleet.ask(ROUTER, "POST", "/write/1", "id-last")
     assert status == 503
@@ -103,7 +104,7 @@
 def test_router_that_was_stopped_looks_again_before_it_sends(fleet):
     server = fleet.servers["plain-1"]
     server.is_leaving = True
-    ask_many(fleet, 6)
+    ask_until_arrival(fleet, server)
     known = arrivals(server)
     router = fleet.routers[ROUTER]
     os.kill(router.pid, signal.SIGSTOP)
