--- a/review/standins/platform_standin.py
+++ b/review/standins/platform_standin.py
@@ -592,6 +592,15 @@
         self._record.write(f"{self.name} starts")
         return self.process
 
+    def change_settings(self, line: str) -> None:
+        """Put one line with a new value into the settings file, as a whole."""
+        name = line.partition("=")[0]
+        lines = self._settings.read_text().splitlines()
+        lines = [old for old in lines if old.partition("=")[0] != name]
+        new = self._settings.with_suffix(".new")
+        new.write_text("\n".join([*lines, line, ""]))
+        new.replace(self._settings)
+
     def is_ready(self) -> bool:
         """Return whether the process says that it is ready."""
         address = ("127.0.0.1", self._readiness_port)
