--- a/review/standins/platform_standin.py
+++ b/review/standins/platform_standin.py
@@ -35,6 +35,10 @@
 """`grace-s` of the settings."""
 
 
+MAX_CASE_S = 110
+"""Time after which a case ends with all its processes, as one that could not run."""
+
+
 class Record:
     """The record of a case: one line for each event, with seconds since its start."""
 
@@ -662,6 +666,9 @@
 def run_case(folder: Path, body: Callable[[Case], int]) -> None:
     """Run a case and exit with its code; 2 also if it fails for another reason."""
     case = Case(folder)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, lambda *_: case.end(2))
+    signal.alarm(MAX_CASE_S)
     code = 2
     try:
         code = body(case)
