Remove servers that leave soon after an outage of the store in time

Cause: a removal within 2.5 s of an outage was taken for an expired record, and its server was kept for the rest of that time. The time was counted from the router's first answer after the outage, which was the answer to a watch: often the very change that removed the server. A watch that the router itself ended, as others knew more, counted as an outage.

Ruled out: that the removal came late (the watch answered at once; the server was then held).

Change: the first watch after a failure does not wait, so the return of the store is known. A server is kept only if its service would lose more than half of its servers at once, as when records expire, and for 0.8 of the time in which a removal must be in force at most. A watch that was ended for lag is no outage. The log tells which servers are kept (server_kept).

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -472,6 +472,7 @@
             service=record.service,
             state=record.state,
             cold_ms=record.cold_left_ms,
+            **_kept_fields(server, self.context.clock.now_ms()),
         )
         if kind == "left":
             state = self._states.pop(record.incarnation(), None)
@@ -479,6 +480,13 @@
                 del self._states_by_id[record.server_id]
 
 
+def _kept_fields(server: Server, now_ms: float) -> dict[str, int]:
+    """Return log fields of a server that is kept without a record."""
+    if server.expires_at_ms is None:
+        return {}
+    return {"kept_ms": round(max(0.0, server.expires_at_ms - now_ms))}
+
+
 def _median_queue_ms(states: list[ServerState]) -> float:
     """Return the median queueing delay of engines.
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -145,7 +145,7 @@
         )
         _DecisionLogHandler(self.log).push_application()
         self.routers = FleetMembers(settings.name)
-        self.directory = ServerDirectory(context.clock)
+        self.directory = ServerDirectory(context.clock, settings.max_change_delay_ms)
         self.pool = ConnectionPool(context.clock)
         self.dispatcher = Dispatcher(context, self.directory, self.routers)
         self.crash_check = CrashCheck(context, CrashSuspects(context.clock))
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_directory.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_directory.py
@@ -17,6 +17,9 @@
 """State of a server that is shutting down and accepts no new requests."""
 REGISTRATION_GRACE_MS = 2500.0
 """Time after an outage of the store within which live servers register again."""
+MAX_KEPT_FRACTION = 0.8
+"""Maximum time for which a removed server is kept, as a fraction of the time within
+which its removal must be in force."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -63,16 +66,26 @@
         "_by_service",
         "_clock",
         "_listeners",
+        "_max_kept_ms",
         "_servers",
         "_last_outage_ms",
+        "_removed",
         "evacuated",
     )
 
     evacuated: set[str]
     """Failure domains that get no new requests."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, max_change_delay_ms: float) -> None:
+        """Create an empty directory.
+
+        Args:
+            clock: The clock.
+            max_change_delay_ms: Time within which a removal must be in force.
+        """
         self._clock = clock
+        self._max_kept_ms = MAX_KEPT_FRACTION * max_change_delay_ms
+        self._removed: list[Server] = []
         self._servers: dict[str, Server] = {}
         self._by_service: dict[str, list[Server]] | None = None
         self._last_outage_ms = float("-inf")
@@ -80,7 +93,13 @@
         self.evacuated = set()
 
     def subscribe(self, listener: Callable[[str, Server], None]) -> None:
-        """Register a callback for `joined`, `changed`, `restarted`, `left` servers."""
+        """Register a callback for servers and what happened to them.
+
+        That is `joined`, `changed`, `restarted`, `left`, or `kept` without a record.
+
+        Args:
+            listener: Called with the kind of the change and the server.
+        """
         self._listeners.append(listener)
 
     def record_store_outage(self) -> None:
@@ -115,7 +134,7 @@
         """Remove a server whose record is no longer in the store.
 
         Shortly after a store outage the record may have expired although the server is
-        alive. The server is then kept until it has had time to register again.
+        alive. Whether it is kept is decided by `settle_removals`.
 
         Args:
             server_id: The server.
@@ -125,18 +144,48 @@
             return
         now_ms = self._clock.now_ms()
         end_ms = self._last_outage_ms + REGISTRATION_GRACE_MS
-        server.expires_at_ms = max(now_ms, end_ms)
-        self._by_service = None
-        self.expire()
+        if end_ms <= now_ms:
+            self._drop(server)
+            return
+        server.expires_at_ms = min(end_ms, now_ms + self._max_kept_ms)
+        self._removed.append(server)
+
+    def settle_removals(self) -> None:
+        """Decide which of the servers that were removed at the same time are kept.
+
+        After an outage most records of a service have expired, and its live servers
+        register again. A server that left is one of few. Without knowing which is the
+        case, only a service that would lose most of its servers keeps them for a time.
+        """
+        removed, self._removed = self._removed, []
+        for server in removed:
+            is_registered = server.expires_at_ms is None
+            if (
+                is_registered
+                or self._servers.get(server.record.server_id) is not server
+            ):
+                continue
+            if self._has_lost_most(server.record.service):
+                self._notify("kept", server)
+            else:
+                self._drop(server)
 
     def expire(self) -> None:
         """Remove the servers that did not register again in time."""
         now_ms = self._clock.now_ms()
-        for server_id, server in list(self._servers.items()):
+        for server in list(self._servers.values()):
             if server.expires_at_ms is not None and server.expires_at_ms <= now_ms:
-                del self._servers[server_id]
-                self._by_service = None
-                self._notify("left", server)
+                self._drop(server)
+
+    def _has_lost_most(self, service: str) -> bool:
+        records = [s for s in self._servers.values() if s.record.service == service]
+        lost = sum(server.expires_at_ms is not None for server in records)
+        return 2 * lost > len(records)
+
+    def _drop(self, server: Server) -> None:
+        del self._servers[server.record.server_id]
+        self._by_service = None
+        self._notify("left", server)
 
     def evacuate(self, failure_domains: set[str]) -> None:
         """Replace the failure domains that get no new requests.
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
@@ -30,6 +30,9 @@
 """Watch timeout per router of the fleet, which bounds the call rate of all routers. A
 longer timeout is harmless in a larger fleet: the more routers watch, the sooner one of
 them reports a change to the others."""
+FIRST_WATCH_MS = 1.0
+"""Timeout of the first watch after a failure. Its answer tells that the store is back,
+which a longer one would tell only with the next change."""
 SHORT_WATCH_PERIOD_MS = 15_000.0
 """Time after a failure in which watches use the minimum timeout."""
 BATCH_MS_PER_ROUTER = 20.0
@@ -122,6 +125,7 @@
         "_on_manifest",
         "_lag_timeout_ms",
         "_behind_since_ms",
+        "_is_interrupted_for_lag",
         "_relist_at_ms",
         "_routers",
         "_peer_revision",
@@ -163,6 +167,7 @@
         self._lag_timeout_ms = LAG_TIMEOUT_MS
         self._peer_revision = 0
         self._behind_since_ms = float("inf")
+        self._is_interrupted_for_lag = False
         self._call_started_ms = float("-inf")
         self._last_failure_ms = float("-inf")
         self._watch_sent_ms = float("inf")
@@ -224,6 +229,7 @@
                 self._apply_item(StoreItem(key, None, listing.revision))
         for item in listing.items:
             self._apply_item(item)
+        self._directory.settle_removals()
         self._apply_evacuations_and_members()
         self._update_behind()
         return True
@@ -233,6 +239,7 @@
         if self._relist_at_ms is not None:
             remaining_ms = self._relist_at_ms - self._context.clock.now_ms()
             wait_ms = max(1.0, min(wait_ms, remaining_ms))
+        self._is_interrupted_for_lag = False
         self._watch_sent_ms = self._context.clock.now_ms()
         changes = self._calls.watch(self.revision, wait_ms)
         self._watch_sent_ms = float("inf")
@@ -241,12 +248,17 @@
             self.revision = None
             return True
         if isinstance(changes, Unavailable):
+            if self._is_interrupted_for_lag:
+                # No outage: the store serves other routers.
+                self._last_failure_ms = self._context.clock.now_ms()
+                return True
             self._record_failure(changes)
             return False
         self._record_answer()
         self.revision = max(self.revision, changes.revision)
         for item in changes.items:
             self._apply_item(item)
+        self._directory.settle_removals()
         if changes.items:
             self._apply_evacuations_and_members()
             self._has_new_changes = True
@@ -254,6 +266,8 @@
         return True
 
     def _watch_timeout_ms(self) -> float:
+        if not self.is_up:
+            return FIRST_WATCH_MS
         if self._context.clock.now_ms() - self._last_failure_ms < SHORT_WATCH_PERIOD_MS:
             return MIN_WATCH_MS
         wait_ms = WATCH_MS_PER_ROUTER * self._routers.count()
@@ -282,6 +296,7 @@
         self._behind_since_ms = now_ms
         # Back off, so that a slow store is not called again before it can answer.
         self._lag_timeout_ms = min(2 * self._lag_timeout_ms, MIN_WATCH_MS)
+        self._is_interrupted_for_lag = True
         self._interrupt("another router has a newer revision")
 
     def _update_behind(self) -> None:
--- a/packages/lagoonsail-gateway/tests/test_dispatcher.py
+++ b/packages/lagoonsail-gateway/tests/test_dispatcher.py
@@ -23,7 +23,7 @@
 @pytest.fixture
 def harness(context, make_record, manual_clock):
     """A dispatcher with three servers."""
-    directory = ServerDirectory(context.clock)
+    directory = ServerDirectory(context.clock, 2000.0)
     for name in ("s1", "s2", "s3"):
         directory.put(make_record(name))
     routers = FleetMembers("r1")
--- a/packages/lagoonsail-gateway/tests/test_server_directory.py
+++ b/packages/lagoonsail-gateway/tests/test_server_directory.py
@@ -10,10 +10,13 @@
     ServerDirectory,
 )
 
+MAX_CHANGE_DELAY_MS = 2000.0
+"""Time within which a removal must be in force."""
+
 
 @pytest.fixture
 def directory(manual_clock):
-    return ServerDirectory(manual_clock.clock())
+    return ServerDirectory(manual_clock.clock(), MAX_CHANGE_DELAY_MS)
 
 
 def usable_ids(directory):
@@ -83,3 +86,62 @@
     assert directory.is_cold(server)
     manual_clock.ms += 501.0
     assert not directory.is_cold(server)
+
+
+# DRAIN: a server that left soon after an outage was kept as if its record had expired.
+def test_server_that_leaves_soon_after_an_outage_is_gone_at_once(
+    directory, make_record
+):
+    for name in ("s1", "s2", "s3", "s4"):
+        directory.put(make_record(name))
+    directory.record_store_outage()
+    directory.remove("s1")
+    directory.settle_removals()
+    assert usable_ids(directory) == {"s2", "s3", "s4"}
+
+
+def test_records_that_expire_together_in_an_outage_are_kept(
+    directory, make_record, manual_clock
+):
+    for name in ("s1", "s2", "s3"):
+        directory.put(make_record(name))
+    directory.put(make_record("p1", service="plain"))
+    directory.record_store_outage()
+    directory.remove("s1")
+    directory.remove("s2")
+    directory.settle_removals()
+    assert usable_ids(directory) == {"s1", "s2", "s3"}
+    directory.put(make_record("s1"))
+    manual_clock.ms += REGISTRATION_GRACE_MS + 1.0
+    directory.expire()
+    assert usable_ids(directory) == {"s1", "s3"}
+
+
+# DRAIN: however often the store fails, a removal is in force within its time.
+def test_removed_server_is_not_kept_longer_than_a_removal_may_take(
+    directory, make_record, manual_clock
+):
+    directory.put(make_record())
+    directory.record_store_outage()
+    directory.remove("s1")
+    directory.settle_removals()
+    assert usable_ids(directory) == {"s1"}
+    manual_clock.ms += MAX_CHANGE_DELAY_MS
+    directory.record_store_outage()
+    directory.expire()
+    assert usable_ids(directory) == set()
+
+
+def test_kept_server_that_registers_again_is_not_dropped_when_settled(
+    directory, make_record
+):
+    kinds = []
+    directory.put(make_record())
+    directory.put(make_record("s2"))
+    directory.subscribe(lambda kind, server: kinds.append(kind))
+    directory.record_store_outage()
+    directory.remove("s1")
+    directory.put(make_record("s1"))
+    directory.settle_removals()
+    assert usable_ids(directory) == {"s1", "s2"}
+    assert "left" not in kinds
--- a/packages/lagoonsail-gateway/tests/test_store_view.py
+++ b/packages/lagoonsail-gateway/tests/test_store_view.py
@@ -11,6 +11,7 @@
 from lagoonsail_gateway.peer_digests import ROUND_INTERVAL_MS
 from lagoonsail_gateway.server_directory import REGISTRATION_GRACE_MS, ServerDirectory
 from lagoonsail_gateway.store_view import (
+    FIRST_WATCH_MS,
     LAG_TIMEOUT_MS,
     MAX_BATCH_FRACTION,
     MAX_SILENCE_MS,
@@ -45,7 +46,7 @@
 
     A function among them is called while the watch waits, and returns its answer.
     """
-    directory = ServerDirectory(context.clock)
+    directory = ServerDirectory(context.clock, MAX_CHANGE_DELAY_MS)
     routers = FleetMembers("r1")
     answers = []
     key_format = KeyFormat(
@@ -139,6 +140,44 @@
     assert servers(harness) == set()
 
 
+def names(count):
+    return [f"servers/s{n}" for n in range(count)]
+
+
+# DRAIN: the return of the store was noticed with the change that removed a server.
+def test_return_of_the_store_is_noticed_before_the_next_change(harness, manual_clock):
+    listing = page(5, *((name, b"", 5) for name in names(2)))
+    harness.step(listing, Unavailable("down"), page(5))
+    assert harness.waits[-1] == FIRST_WATCH_MS
+    manual_clock.ms += max(RELIST_AFTER_OUTAGE_MS, REGISTRATION_GRACE_MS) + 1.0
+    # The next watch waits for changes again, and both servers leave while it does.
+    harness.step(listing, page(7, *((name, None, 7) for name in names(2))))
+    assert harness.waits[-1] > FIRST_WATCH_MS
+    assert servers(harness) == set()
+
+
+# DRAIN: a server that left soon after an outage was kept for longer than allowed.
+def test_server_that_leaves_soon_after_an_outage_gets_nothing_more(harness):
+    harness.step(page(5, *((name, b"", 5) for name in names(4))))
+    harness.step(Unavailable("down"), page(5), page(7, ("servers/s0", None, 7)))
+    assert servers(harness) == {"s1", "s2", "s3"}
+
+
+# DRAIN: a watch that the router itself ended counted as an outage of the store.
+def test_watch_that_was_ended_for_lag_is_no_outage(harness, manual_clock):
+    harness.step(page(5, ("servers/a", b"", 4)))
+
+    def fall_behind():
+        harness.view.update_peer_revision(7)
+        manual_clock.ms += LAG_TIMEOUT_MS + 100.0
+        harness.view.check_lag()
+        return Unavailable("aborted")
+
+    harness.step(fall_behind, page(7, ("servers/a", None, 7)))
+    assert len(harness.interrupts) == 1
+    assert servers(harness) == set()
+
+
 def test_malformed_entries_harm_nothing_else(harness):
     harness.step(
         page(
