Log how late the event loop is, and keep lines for changes under a flood

200 of a burst of 800 lines are kept for changes of what the router believes. A histogram loop_late, a line loop_late and loop_late_ms in manifest_in_force and store_watch_ended tell by how much the loop was late.

Test: test_flood_of_requests_leaves_lines_for_changes (before, all lines were alike), test_loop_lateness.

--- a/packages/lagoonsail-core/src/lagoonsail_core/decision_log.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/decision_log.py
@@ -14,6 +14,9 @@
 """Sustained number of lines per second."""
 BURST_LINES = 800.0
 """Largest number of lines in a burst."""
+RESERVED_LINES = 200.0
+"""Lines of a burst that requests leave to changes of what the router believes: under a
+flood of requests these tell why they were decided as they were."""
 
 
 class DecisionLog:
@@ -48,17 +51,31 @@
         os.set_blocking(self._descriptor, False)
 
     def write(self, event: str, **fields: object) -> None:
-        """Write a line, or drop it if the rate limit is exceeded.
+        """Write a line on a request, or drop it if the rate limit is exceeded.
 
         Args:
             event: Stable name of the kind of decision.
             **fields: Subject, reason and outcome of the decision, as JSON values.
         """
+        self._write_above(RESERVED_LINES, event, fields)
+
+    def write_change(self, event: str, **fields: object) -> None:
+        """Write a line on a change of what the router believes, or on a failure.
+
+        Args:
+            event: Stable name of the kind of change.
+            **fields: Subject, reason and outcome, as JSON values.
+        """
+        self._write_above(0.0, event, fields)
+
+    def _write_above(
+        self, reserved_lines: float, event: str, fields: dict[str, object]
+    ) -> None:
         now_ms = self._clock.now_ms()
         refill_lines = (now_ms - self._refilled_ms) / 1000.0 * LINES_PER_S
         self._available_lines = min(BURST_LINES, self._available_lines + refill_lines)
         self._refilled_ms = now_ms
-        if self._available_lines < 1.0:
+        if self._available_lines < reserved_lines + 1.0:
             self.dropped += 1
             return
         self._available_lines -= 1.0
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -10,7 +10,8 @@
 from lagoonsail_core.decision_log import DecisionLog
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.unavailable import Unavailable
-from lagoonsail_gateway.call_service import HISTOGRAMS, CallService
+from lagoonsail_gateway.call_service import HISTOGRAMS as CALL_HISTOGRAMS
+from lagoonsail_gateway.call_service import CallService
 from lagoonsail_gateway.connection_pool import ConnectionPool
 from lagoonsail_gateway.crash_check import CrashCheck
 from lagoonsail_gateway.digest import Digest
@@ -54,6 +55,10 @@
     "task_errors_total": "Failures inside the router's tasks, by task.",
 }
 """Help texts of the counters, by metric name."""
+HISTOGRAMS = CALL_HISTOGRAMS | {
+    "loop_late": "Time by which the event loop ran a task too late.",
+}
+"""Help texts of the duration histograms, by metric name."""
 EXPIRY_CHECK_INTERVAL_MS = 200.0
 """Interval between checks for expired servers."""
 MEMBERSHIP_RETRY_MS = 1000.0
@@ -80,7 +85,7 @@
         self._log = log
 
     def emit(self, record: logbook.LogRecord) -> None:
-        self._log.write(
+        self._log.write_change(
             "failure",
             message=record.message,
             traceback=record.formatted_exception or "",
@@ -141,7 +146,7 @@
         self._metrics: Metrics | None = None
         self.log = DecisionLog(settings.name, context.clock)
         context.timeline.subscribe(
-            lambda event: self.log.write(event.name, **event.fields)
+            lambda event: self.log.write_change(event.name, **event.fields)
         )
         _DecisionLogHandler(self.log).push_application()
         self.routers = FleetMembers(settings.name)
@@ -318,7 +323,10 @@
 
         metrics = Metrics()
         metrics.declare_all(
-            COUNTERS, self.context.counts_of, HISTOGRAMS, self.calls.durations
+            COUNTERS,
+            self.context.counts_of,
+            HISTOGRAMS,
+            self.calls.durations | {"loop_late": self.context.loop_lateness.durations},
         )
         metrics.observable_counter(
             "server_connections",
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
@@ -332,6 +332,7 @@
         return {
             "waited_ms": round(now_ms - self._call_started_ms, 1),
             "behind_ms": round(max(0.0, now_ms - self._behind_since_ms), 1),
+            "loop_late_ms": round(self._context.loop_lateness.recent_ms(), 1),
         }
 
     def _record_failure(self, problem: Unavailable) -> None:
--- a/packages/lagoonsail-router/src/lagoonsail_router/context.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/context.py
@@ -11,6 +11,7 @@
 from lagoonsail_core.clock import Clock
 from lagoonsail_core.events import Timeline
 from lagoonsail_core.green import eventlet
+from lagoonsail_router.loop_lateness import LoopLateness
 from lagoonsail_router.open_connections import OpenConnections
 
 if TYPE_CHECKING:
@@ -45,6 +46,7 @@
         "counters",
         "incarnation",
         "logger",
+        "loop_lateness",
         "settings",
         "state",
         "timeline",
@@ -58,6 +60,8 @@
     """Clock of this router."""
     incarnation: int
     """Number that is unique to each start."""
+    loop_lateness: LoopLateness
+    """How late the event loop is; measured by the periodic steps."""
     timeline: Timeline
     """State changes, for operators."""
     counters: Counter
@@ -71,6 +75,7 @@
         self.clock = clock or Clock()
         self.incarnation = make_incarnation(self.clock)
         self.timeline = Timeline(settings.name, self.clock)
+        self.loop_lateness = LoopLateness(self.clock, self.timeline)
         self.counters = Counter()
         self.logger = Logger("lagoonsail")
         self.state = SERVING
@@ -190,7 +195,10 @@
                 if now_ms >= due_ms[name]:
                     due_ms[name] = now_ms + interval_ms - shortest_ms / 2
                     _run_guarded(context, name, step)
+            slept_ms = context.clock.now_ms()
             eventlet.sleep(shortest_ms / 1000.0)
+            late_ms = context.clock.now_ms() - slept_ms - shortest_ms
+            context.loop_lateness.record(late_ms)
 
     eventlet.spawn_n(loop)
 
