Handle few sockets in a round of the loop, and urgent ones in each

Cause: eventlet's loop handles all sockets that are ready, up to 1,023, and all callers that wait to be accepted, before it looks again. A refusal takes 0.8 ms, so a round takes a second, and to learn of a change takes several.

The sockets of urgent tasks are looked at in each round: the view of the store, the lease, digests, accepting, and requests that a server works for. A new connection waits in turn for its first request. A watch that was ended for lag is followed by the next at once.

--- a/packages/lagoonsail-core/src/lagoonsail_core/green.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/green.py
@@ -25,6 +25,8 @@
     import eventlet.queue
     import eventlet.semaphore
     import eventlet.wsgi
+    from eventlet.hubs.epolls import Hub as EpollHub
+    from greenlet import getcurrent
 
 trampoline = eventlet.hubs.trampoline
 
@@ -38,4 +40,11 @@
     return module
 
 
-__all__ = ["eventlet", "green_select", "green_socket", "trampoline"]
+__all__ = [
+    "EpollHub",
+    "eventlet",
+    "getcurrent",
+    "green_select",
+    "green_socket",
+    "trampoline",
+]
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.durations import DurationHistogram
+from lagoonsail_core.fair_hub import mark_urgent
 from lagoonsail_gateway.admission import Refusal
 from lagoonsail_gateway.call_problems import (
     caller_gone_problem,
@@ -193,6 +194,8 @@
         """
         while True:
             state = self._select_server(call)
+            # Those that are refused may wait, not those that a server works for.
+            mark_urgent()
             attempt = ServerAttempt(
                 self._context, self._format, self._dispatcher, self._pool, call, state
             )
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -8,6 +8,7 @@
 import logbook
 
 from lagoonsail_core.decision_log import DecisionLog
+from lagoonsail_core.fair_hub import mark_urgent
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_gateway.call_service import HISTOGRAMS as CALL_HISTOGRAMS
@@ -281,6 +282,7 @@
             self.pool.close_idle(server)
 
     def _keep_membership(self) -> None:
+        mark_urgent()
         while True:
             delay_ms = self._membership()
             if isinstance(delay_ms, Unavailable):
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
@@ -14,6 +14,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from lagoonsail_core.fair_hub import mark_urgent
 from lagoonsail_core.green import green_socket
 from lagoonsail_gateway.digest import (
     DOMAIN_SUM,
@@ -150,6 +151,7 @@
 
     def receive(self) -> None:
         """Receive digests until the task ends."""
+        mark_urgent()
         while True:
             data, sender = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
             self._handle_datagram_safely(data, sender)
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from lagoonsail_core.fair_hub import mark_urgent
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.unavailable import Unavailable
 
@@ -178,6 +179,7 @@
 
     def run(self) -> None:
         """Follow the store until the task ends."""
+        mark_urgent()
         pause_ms = INITIAL_RETRY_MS
         while True:
             if self._step_safely():
@@ -293,11 +295,11 @@
         late_since_ms = max(self._behind_since_ms, self._watch_sent_ms)
         if now_ms - late_since_ms < self._lag_timeout_ms:
             return
+        self._is_interrupted_for_lag = True
+        self._interrupt("another router has a newer revision")
         self._behind_since_ms = now_ms
         # Back off, so that a slow store is not called again before it can answer.
         self._lag_timeout_ms = min(2 * self._lag_timeout_ms, MIN_WATCH_MS)
-        self._is_interrupted_for_lag = True
-        self._interrupt("another router has a newer revision")
 
     def _update_behind(self) -> None:
         # A listing in progress returns at least the revision that the peers have.
--- a/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
@@ -13,7 +13,8 @@
 import socket
 from typing import TYPE_CHECKING
 
-from lagoonsail_core.green import eventlet
+from lagoonsail_core.fair_hub import mark_urgent
+from lagoonsail_core.green import eventlet, trampoline
 from lagoonsail_router.problems import CallProblem
 
 if TYPE_CHECKING:
@@ -61,14 +62,26 @@
         """Serve requests until the connection ends."""
         self.connections.count += 1
         try:
+            # New connections wait in turn with others for their first request.
+            trampoline(
+                self.connection.fd,
+                read=True,
+                timeout=self.connection.gettimeout(),
+                timeout_exc=TimeoutError,
+            )
             super().handle()
             if self._must_linger:
                 self._linger()
+        except TimeoutError:
+            # The caller opened a connection and sent nothing.
+            return
         finally:
             self.connections.count -= 1
 
     def handle_one_request(self) -> None:
         """Serve a request, or answer it with a problem document if it is malformed."""
+        # The next request waits in turn, whatever the one before was.
+        mark_urgent(False)
         self._client_wfile = self.wfile
         self.wfile = library_answer = io.BytesIO()
         try:
--- a/packages/lagoonsail-router/src/lagoonsail_router/http_server.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/http_server.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.errors import LagoonsailError
+from lagoonsail_core.fair_hub import mark_urgent
 from lagoonsail_core.green import eventlet, green_socket
 from lagoonsail_router.http_port import make_protocol
 
@@ -65,14 +66,19 @@
         idle_timeout_ms: How long a connection may stay idle.
         on_refused: Called with the problem kind of each malformed request.
     """
-    eventlet.spawn_n(
-        eventlet.wsgi.server,
-        sock,
-        application,
-        max_size=connections.max_count,
-        protocol=make_protocol(on_refused, connections),
-        log_output=False,
-        debug=False,
-        minimum_chunk_size=1,
-        socket_timeout=idle_timeout_ms / 1000.0,
-    )
+
+    def serve() -> None:
+        # Accepting is cheap, and the kernel refuses callers while its queue is full.
+        mark_urgent()
+        eventlet.wsgi.server(
+            sock,
+            application,
+            max_size=connections.max_count,
+            protocol=make_protocol(on_refused, connections),
+            log_output=False,
+            debug=False,
+            minimum_chunk_size=1,
+            socket_timeout=idle_timeout_ms / 1000.0,
+        )
+
+    eventlet.spawn_n(serve)
--- a/packages/lagoonsail-router/src/lagoonsail_router/loop_lateness.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/loop_lateness.py
@@ -17,7 +17,7 @@
 LATE_MS = 200.0
 """Lateness from which it is logged: a tenth of the time in which changes are in force
 in a small fleet."""
-RECENT_MS = 2000.0
+RECENT_MS = 5000.0
 """Period whose largest lateness counts as recent."""
 
 
--- /dev/null
+++ b/tests/platform/test_view_under_flood.py
@@ -0,0 +1,68 @@
+"""A router under a flood of callers knows of changes in time."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+import time
+
+import pytest
+from lagoonsail_platform_standin import fleet as standin_fleet
+
+from lagoonsail_core.green import eventlet
+
+ROUTER = "router-1"
+CALLERS = 600
+"""Callers of each flooding process."""
+FLOODS = 3
+FLOOD_S = 8.0
+WARM_UP_S = 2.0
+CHANGES = 15
+CHANGE_INTERVAL_S = 0.3
+CHANGE_DELAY_MS = 2000.0
+"""Time within which a change must be in force."""
+
+
+@pytest.fixture
+def flooded_fleet(make_fleet, monkeypatch):
+    """A router with room for all callers of a flood, and the flood."""
+    make_settings = standin_fleet.make_settings
+
+    def make_larger(*arguments):
+        return make_settings(*arguments).replace("max-fds=1000", "max-fds=4100")
+
+    monkeypatch.setattr(standin_fleet, "make_settings", make_larger)
+    fleet = make_fleet(1)
+    path = os.pathsep.join(entry for entry in sys.path if entry)
+    command = [sys.executable, "-m", "lagoonsail_platform_standin.flood"]
+    command += [str(fleet.ports[ROUTER]), str(CALLERS), str(FLOOD_S)]
+    floods = [
+        subprocess.Popen(command, env=os.environ | {"PYTHONPATH": path})
+        for _ in range(FLOODS)
+    ]
+    eventlet.sleep(WARM_UP_S)
+    yield fleet
+    for flood in floods:
+        flood.kill()
+        flood.wait()
+
+
+# CONFIG: a router that refused a flood learned of changes 2 to 3 s late.
+def test_change_is_in_force_in_time_under_a_flood(flooded_fleet):
+    fleet = flooded_fleet
+    written_ms = {}
+    for _ in range(CHANGES):
+        fleet.put_manifest()
+        written_ms[fleet.version] = 1000.0 * time.monotonic()
+        eventlet.sleep(CHANGE_INTERVAL_S)
+    eventlet.sleep(CHANGE_DELAY_MS / 1000.0)
+    events = fleet.read_log(ROUTER)
+    in_force = [e for e in events if e["event"] == "manifest_in_force"]
+    refused = sum(event["event"] == "refused" for event in events)
+    assert refused > CALLERS
+    delays_ms = [
+        min(e["ms"] for e in in_force if e["version"] >= version) - at_ms
+        for version, at_ms in written_ms.items()
+    ]
+    assert max(delays_ms) < CHANGE_DELAY_MS, [round(delay) for delay in delays_ms]
