Do not send the request of a caller that left while a connection was opened

Cause: whether the caller is there was asked before the connection to the server was opened, and then only every 200 ms. Under a late loop the opening alone took a second.

Change: it is asked again once a new connection is open, as it is asked whether the server may still get requests.

test_request_of_a_caller_that_left_meanwhile_is_not_sent failed before: the request was sent.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
@@ -197,7 +197,13 @@
             # Those that are refused may wait, not those that a server works for.
             mark_urgent()
             attempt = ServerAttempt(
-                self._context, self._format, self._dispatcher, self._pool, call, state
+                self._context,
+                self._format,
+                self._dispatcher,
+                self._pool,
+                call,
+                state,
+                is_caller_gone,
             )
             if is_caller_gone():
                 # A lagging router reads requests whose callers have left already.
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
@@ -17,7 +17,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from lagoonsail_gateway.connection_pool import ConnectionPool
     from lagoonsail_gateway.dispatcher import Dispatcher, RunningRequest, ServerState
@@ -70,6 +70,7 @@
         "_dispatcher",
         "_format",
         "_is_aborted",
+        "_is_caller_gone",
         "_pool",
         "_response_head",
         "_running_request",
@@ -100,7 +101,20 @@
         pool: ConnectionPool,
         call: GatewayCall,
         state: ServerState,
+        is_caller_gone: Callable[[], bool] = lambda: False,
     ) -> None:
+        """Create the attempt without sending anything.
+
+        Args:
+            context: Clock, counters and timeline.
+            request_format: Encodes the request and decodes the head of the response.
+            dispatcher: Learns of the request's course.
+            pool: Connections to servers.
+            call: The request.
+            state: The server.
+            is_caller_gone: Returns whether the caller has closed its connection.
+        """
+        self._is_caller_gone = is_caller_gone
         self._context = context
         self._format = request_format
         self._dispatcher = dispatcher
@@ -242,7 +256,9 @@
             self._finish_request(is_success=False)
             raise AttemptFailedError(UNREACHABLE, str(error)) from error
         self._connection = connection
-        if self._is_aborted:
+        # The caller may have left while a connection was opened.
+        is_new = connection.request_count == 1
+        if self._is_aborted or (is_new and self._is_caller_gone()):
             self.cancel()
             raise AttemptFailedError(CALLER_GONE, "the caller closed its connection")
         # The manifest or the server's state may have changed during the connect.
