--- a/tests/platform/test_view_under_flood.py
+++ b/tests/platform/test_view_under_flood.py
@@ -22,6 +22,10 @@
 CHANGE_INTERVAL_S = 0.3
 CHANGE_DELAY_MS = 2000.0
 """Time within which a change must be in force."""
+DRAIN_MS = 2000.0
+"""Time after which a server that left gets no requests."""
+LATE_S = 3.0
+"""Time in which late requests are looked for."""
 
 
 @pytest.fixture
@@ -66,3 +70,14 @@
         for version, at_ms in written_ms.items()
     ]
     assert max(delays_ms) < CHANGE_DELAY_MS, [round(delay) for delay in delays_ms]
+
+
+# DRAIN: a server that left got requests of a flooded router for longer than allowed.
+def test_server_that_leaves_under_a_flood_gets_no_late_request(flooded_fleet):
+    leaving = flooded_fleet.servers["engine-1"]
+    assert leaving.runs
+    flooded_fleet.store.remove("servers/engine-1")
+    eventlet.sleep(DRAIN_MS / 1000.0)
+    in_time = len(leaving.runs)
+    eventlet.sleep(LATE_S)
+    assert len(leaving.runs) == in_time
