Bound the memory of all answers that are held together

Cause: a body is held up to 1 MB so that the request can be sent again if it is not whole. The limit was one of each request, and the part was held on while the rest was passed on.

Change: the bodies that are held count against a tenth of the memory limit of the settings. Beyond that an answer is passed on as it comes. What was passed on is let go, and a whole answer counts until it is written.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
@@ -58,6 +58,8 @@
 ANSWER_BEGUN_MS = 200.0
 """Time after the first part of an answer from which a crash of its server is not due to
 its prompt."""
+SHORT_BODY_BYTES = 16_384
+"""Size up to which a body that is being written is not counted: the kernel holds it."""
 MIN_REMAINING_MS = 5.0
 """Minimum time before the deadline at which a request is still sent."""
 
@@ -333,7 +335,7 @@
                 attempt, start_response, [("Content-Length", str(len(body)))]
             )
             self._record_end(call, attempt, "answered")
-            return [body]
+            return _write_buffered(attempt, body)
         # The body is too large to buffer. After its first bytes are forwarded, the
         # request cannot be retried; on a failure the response is truncated.
         self._start_response(attempt, start_response, [])
@@ -438,6 +440,21 @@
         return self._context.respond_with_problem(problem, request_id, start_response)
 
 
+def _write_buffered(attempt: ServerAttempt, body: bytes) -> Iterable[bytes]:
+    """Return a whole body to be written; a long one counts until it has been."""
+    if len(body) <= SHORT_BODY_BYTES:
+        attempt.release_buffer()
+        return [body]
+
+    def write() -> Iterator[bytes]:
+        try:
+            yield body
+        finally:
+            attempt.release_buffer()
+
+    return write()
+
+
 def _first_part_ms(call: GatewayCall, attempt: ServerAttempt) -> float | None:
     """Return when the first part of the body came, since the call, None if none did."""
     if not attempt.first_ms:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/connection_pool.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/connection_pool.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from lagoonsail_gateway.buffer_budget import BufferBudget
 from lagoonsail_gateway.server_connection import connect
 
 if TYPE_CHECKING:
@@ -18,6 +19,8 @@
 servers may close connections earlier than they announce."""
 MAX_IDLE_PER_SERVER = 64
 """Maximum number of idle connections kept per server."""
+DEFAULT_BUFFERED_BYTES = 30 << 20
+"""Bytes of answers that are held at once unless stated otherwise."""
 MAX_REQUESTS_PER_CONNECTION = 1000
 """Number of requests after which a connection is closed, because it remembers the id
 of each."""
@@ -26,15 +29,26 @@
 class ConnectionPool:
     """Keeps idle connections for reuse and counts opened and reused ones."""
 
-    __slots__ = ("_clock", "_idle", "opened", "reused")
+    __slots__ = ("_clock", "_idle", "buffers", "opened", "reused")
 
+    buffers: BufferBudget
+    """Memory of the answers that are held until they are whole or written."""
     opened: int
     """Number of connections opened."""
     reused: int
     """Number of times that an idle connection was reused."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, max_buffered_bytes: int = DEFAULT_BUFFERED_BYTES
+    ) -> None:
+        """Create an empty pool.
+
+        Args:
+            clock: The clock.
+            max_buffered_bytes: Bytes of answers that may be held at once.
+        """
         self._clock = clock
+        self.buffers = BufferBudget(max_buffered_bytes)
         self._idle: dict[tuple[str, int], list[ServerConnection]] = {}
         self.opened = 0
         self.reused = 0
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -44,6 +44,7 @@
     from lagoonsail_gateway.store_view import KeyFormat, StoreCalls
 
 COUNTERS = {
+    "answers_not_buffered_total": "Answers passed on unfinished for want of memory.",
     "answers_total": "Answers passed on, by outcome.",
     "digests_malformed_total": "Digests of other routers that could not be read.",
     "digests_not_sent_total": "Digests that could not be sent.",
@@ -60,6 +61,9 @@
     "loop_late": "Time by which the event loop ran a task too late.",
 }
 """Help texts of the duration histograms, by metric name."""
+BUFFERED_FRACTION = 0.1
+"""Fraction of the memory limit for answers that are held. They are copied up to three
+times while they are passed on, and the rest is for requests and connections."""
 EXPIRY_CHECK_INTERVAL_MS = 200.0
 """Interval between checks for expired servers."""
 MEMBERSHIP_RETRY_MS = 1000.0
@@ -155,7 +159,9 @@
         _DecisionLogHandler(self.log).push_application()
         self.routers = FleetMembers(settings.name)
         self.directory = ServerDirectory(context.clock, settings.max_change_delay_ms)
-        self.pool = ConnectionPool(context.clock)
+        self.pool = ConnectionPool(
+            context.clock, int(BUFFERED_FRACTION * settings.memory_limit_bytes)
+        )
         self.dispatcher = Dispatcher(context, self.directory, self.routers)
         self.crash_check = CrashCheck(context, CrashSuspects(context.clock))
         self.calls = CallService(
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_settings.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_settings.py
@@ -43,3 +43,5 @@
     """Time within which a change in the store must take effect."""
     max_connections: int
     """Maximum number of concurrent connections from callers."""
+    memory_limit_bytes: float
+    """Memory above which the process is killed."""
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
@@ -65,6 +65,7 @@
     """A request sent to one server on a connection that it holds exclusively."""
 
     __slots__ = (
+        "_buffered_bytes",
         "_connection",
         "_context",
         "_dispatcher",
@@ -115,6 +116,7 @@
             is_caller_gone: Returns whether the caller has closed its connection.
         """
         self._is_caller_gone = is_caller_gone
+        self._buffered_bytes = 0
         self._context = context
         self._format = request_format
         self._dispatcher = dispatcher
@@ -158,30 +160,45 @@
         self.response = response
 
     def buffer_body(self) -> None:
-        """Read the body until it is complete or exceeds `MAX_BUFFERED_BYTES`.
+        """Read the body until it is complete, or as far as it may be held.
+
+        That is `MAX_BUFFERED_BYTES`, or less while other requests hold much.
 
         Raises:
             AttemptFailedError: If the body ends early or its deadline passes.
         """
         parts = []
-        size = 0
+        is_held = False
         try:
-            while size <= MAX_BUFFERED_BYTES:
-                part = self._connection.read_body(
-                    self.response, self._response_deadline_ms()
-                )
-                if not part:
-                    break
+            while part := self._connection.read_body(
+                self.response, self._response_deadline_ms()
+            ):
                 parts.append(part)
-                size += len(part)
+                self._buffered_bytes += len(part)
+                may_hold_more = self._pool.buffers.add(len(part))
+                if not may_hold_more:
+                    self._context.count("answers_not_buffered_total")
+                if not may_hold_more or self._buffered_bytes > MAX_BUFFERED_BYTES:
+                    break
+            is_held = True
         except ConnectionLostError as error:
             self.response = None
             raise self._fail(error) from error
+        finally:
+            if not is_held:
+                self.release_buffer()
         self.body = b"".join(parts)
         self._record_first_part()
         if self.response.is_complete:
             self._finish_response(is_success=self.response.status < 500)
 
+    def release_buffer(self) -> None:
+        """Let go of the part of the body that `buffer_body` has read."""
+        self.body = b""
+        if self._buffered_bytes:
+            self._pool.buffers.remove(self._buffered_bytes)
+            self._buffered_bytes = 0
+
     def is_complete(self) -> bool:
         """Return whether the whole body has been read."""
         return self.response.is_complete
@@ -192,8 +209,11 @@
         Raises:
             AttemptFailedError: If the body ends early or its deadline passes.
         """
-        if self.body:
-            yield self.body
+        try:
+            if self.body:
+                yield self.body
+        finally:
+            self.release_buffer()
         partial_event = b""
         tail = b""
         try:
