Look for urgent sockets only in crowded rounds of the loop

Cause: urgent sockets had an epoll of their own, which costs a call to the kernel for each event and a slower registration, flood or not.

Change: one epoll. Only if more than 16 sockets are ready those of urgent tasks are picked, and 16 others in turn by number, so that no order of the kernel is relied on. If the epoll reports as many as it reports at once, it is asked for all.

--- a/packages/lagoonsail-core/src/lagoonsail_core/fair_hub.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/fair_hub.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import select
+from bisect import bisect_right
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.green import EpollHub, eventlet, getcurrent
@@ -17,8 +18,11 @@
     from collections.abc import Callable
 
 MAX_SOCKETS_PER_ROUND = 16
-"""Sockets handled in a round, besides urgent ones. The kernel reports ready sockets in
-turn, so none is left out."""
+"""Sockets handled in a round, besides urgent ones."""
+MAX_REPORTED_SOCKETS = 1023
+"""Ready sockets that an epoll reports unless asked for more."""
+MAX_DESCRIPTORS = 65_536
+"""More sockets than a router has."""
 URGENT = "is_urgent_task"
 """Attribute of the greenlets of urgent tasks."""
 
@@ -28,83 +32,52 @@
 
     def __init__(self, clock: Callable[[], float] | None = None) -> None:
         super().__init__(clock)
-        self._urgent_poll = select.epoll()
-        self._urgent_poll_fileno = self._urgent_poll.fileno()
-        self._urgent_filenos: set[int] = set()
-        # Wakes the loop, which then asks the urgent sockets.
-        self.poll.register(self._urgent_poll_fileno, select.EPOLLIN)
+        self._last_fileno = -1
 
     @staticmethod
     def is_available() -> bool:
         """Return whether the hub works on this system, as eventlet asks."""
         return hasattr(select, "epoll")
 
-    def add(self, evtype: str, fileno: int, *callbacks: object) -> object:
-        """Register a listener; its socket is urgent if the current task is.
-
-        Args:
-            evtype: READ or WRITE of the hub.
-            fileno: The descriptor.
-            *callbacks: As of eventlet's hub.
-        """
-        if getattr(getcurrent(), URGENT, False) and not self._mask(fileno):
-            self._urgent_filenos.add(fileno)
-        return super().add(evtype, fileno, *callbacks)
-
-    def register(self, fileno: int, new: bool = False) -> None:
-        """Tell the kernel which events of a descriptor are waited for.
-
-        Args:
-            fileno: The descriptor.
-            new: Whether the kernel does not know it.
-        """
-        is_urgent = fileno in self._urgent_filenos
-        poll = self._urgent_poll if is_urgent else self.poll
-        mask = self._mask(fileno)
-        if not mask:
-            self._unregister(fileno)
-        elif new:
-            poll.register(fileno, mask)
-        else:
-            try:
-                poll.modify(fileno, mask)
-            except OSError:
-                # The kernel has forgotten it when it was closed.
-                poll.register(fileno, mask)
-
-    def remove_descriptor(self, fileno: int) -> None:
-        """Remove all listeners of a descriptor that is closed or invalid."""
-        self._unregister(fileno)
-        super().remove_descriptor(fileno)
-
     def do_poll(self, seconds: float) -> list[tuple[int, int]]:
         """Return the sockets of a round with their events.
 
+        The kernel reports those that are left out again.
+
         Args:
             seconds: Longest wait for the first.
         """
-        ready = self.poll.poll(seconds, MAX_SOCKETS_PER_ROUND)
-        others = [event for event in ready if event[0] != self._urgent_poll_fileno]
-        if len(others) == len(ready) < MAX_SOCKETS_PER_ROUND:
+        ready = self.poll.poll(seconds)
+        if len(ready) <= MAX_SOCKETS_PER_ROUND:
             return ready
-        return self._urgent_poll.poll(0) + others
-
-    def _mask(self, fileno: int) -> int:
-        mask = 0
-        if self.listeners[self.READ].get(fileno):
-            mask |= self.READ_MASK | self.EXC_MASK
-        if self.listeners[self.WRITE].get(fileno):
-            mask |= self.WRITE_MASK | self.EXC_MASK
-        return mask
-
-    def _unregister(self, fileno: int) -> None:
-        is_urgent = fileno in self._urgent_filenos
-        self._urgent_filenos.discard(fileno)
-        try:
-            (self._urgent_poll if is_urgent else self.poll).unregister(fileno)
-        except (OSError, ValueError):
-            # The kernel has forgotten it when it was closed.
-            return
+        if len(ready) >= MAX_REPORTED_SOCKETS:
+            ready = self.poll.poll(0, MAX_DESCRIPTORS)
+        urgent, others = [], []
+        for event in ready:
+            (urgent if self._is_urgent(event[0]) else others).append(event)
+        return urgent + self._next_in_turn(others)
+
+    def _next_in_turn(self, ready: list[tuple[int, int]]) -> list[tuple[int, int]]:
+        """Return some sockets, beginning after the last one of the round before."""
+        ready.sort()
+        start = bisect_right(ready, self._last_fileno, key=_fileno)
+        chosen = (ready[start:] + ready[:start])[:MAX_SOCKETS_PER_ROUND]
+        if chosen:
+            self._last_fileno = _fileno(chosen[-1])
+        return chosen
+
+    def _is_urgent(self, fileno: int) -> bool:
+        for listeners in self.listeners.values():
+            listener = listeners.get(fileno)
+            # The callback of a waiting task is a method of its greenlet.
+            task = getattr(listener and listener.cb, "__self__", None)
+            if getattr(task, URGENT, False):
+                return True
+        return False
+
+
+def _fileno(event: tuple[int, int]) -> int:
+    return event[0]
 
 
 def use_fair_hub() -> None:
