Let rounds of the loop grow with the crowd that waits

Seen: with 1,900 callers the router answered 5,800 requests in 10 s, p50 4.3 s, 577 timeouts of callers (before any change 12,600, p50 1.4 s, 978 timeouts). Cause, by a profile: to ask which of 1,800 sockets are ready takes 2.5 ms and to look which are urgent 4 ms, in each round of 16.

Change: a round handles a sixteenth of what is ready, at least 16; urgent tasks are found in one pass.

--- a/packages/lagoonsail-core/src/lagoonsail_core/fair_hub.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/fair_hub.py
@@ -18,11 +18,16 @@
     from collections.abc import Callable
 
 MAX_SOCKETS_PER_ROUND = 16
-"""Sockets handled in a round, besides urgent ones."""
+"""Sockets handled in a round, besides urgent ones, unless very many are ready."""
+MAX_ROUNDS = 16
+"""Rounds in which all that are ready have had their turn, since to ask for them takes
+time in each."""
 MAX_REPORTED_SOCKETS = 1023
 """Ready sockets that an epoll reports unless asked for more."""
 MAX_DESCRIPTORS = 65_536
 """More sockets than a router has."""
+Ready = tuple[int, int]
+"""A descriptor and its events."""
 URGENT = "is_urgent_task"
 """Attribute of the greenlets of urgent tasks."""
 
@@ -39,7 +44,7 @@
         """Return whether the hub works on this system, as eventlet asks."""
         return hasattr(select, "epoll")
 
-    def do_poll(self, seconds: float) -> list[tuple[int, int]]:
+    def do_poll(self, seconds: float) -> list[Ready]:
         """Return the sockets of a round with their events.
 
         The kernel reports those that are left out again.
@@ -52,31 +57,32 @@
             return ready
         if len(ready) >= MAX_REPORTED_SOCKETS:
             ready = self.poll.poll(0, MAX_DESCRIPTORS)
+        urgent, others = self._split(ready)
+        return urgent + self._next_in_turn(others)
+
+    def _split(self, ready: list[Ready]) -> tuple[list[Ready], list[Ready]]:
+        """Return the sockets on which urgent tasks wait, and the others."""
+        readers, writers = self.listeners[self.READ], self.listeners[self.WRITE]
         urgent, others = [], []
         for event in ready:
-            (urgent if self._is_urgent(event[0]) else others).append(event)
-        return urgent + self._next_in_turn(others)
+            listener = readers.get(event[0]) or writers.get(event[0])
+            # The callback of a waiting task is a method of its greenlet.
+            task = getattr(listener.cb, "__self__", None) if listener else None
+            (urgent if getattr(task, URGENT, False) else others).append(event)
+        return urgent, others
 
-    def _next_in_turn(self, ready: list[tuple[int, int]]) -> list[tuple[int, int]]:
+    def _next_in_turn(self, ready: list[Ready]) -> list[Ready]:
         """Return some sockets, beginning after the last one of the round before."""
         ready.sort()
         start = bisect_right(ready, self._last_fileno, key=_fileno)
-        chosen = (ready[start:] + ready[:start])[:MAX_SOCKETS_PER_ROUND]
+        count = max(MAX_SOCKETS_PER_ROUND, len(ready) // MAX_ROUNDS)
+        chosen = (ready[start:] + ready[:start])[:count]
         if chosen:
             self._last_fileno = _fileno(chosen[-1])
         return chosen
 
-    def _is_urgent(self, fileno: int) -> bool:
-        for listeners in self.listeners.values():
-            listener = listeners.get(fileno)
-            # The callback of a waiting task is a method of its greenlet.
-            task = getattr(listener and listener.cb, "__self__", None)
-            if getattr(task, URGENT, False):
-                return True
-        return False
-
 
-def _fileno(event: tuple[int, int]) -> int:
+def _fileno(event: Ready) -> int:
     return event[0]
 
 
