--- a/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
@@ -62,21 +62,27 @@
         """Serve requests until the connection ends."""
         self.connections.count += 1
         try:
-            # New connections wait in turn with others for their first request.
+            if self._has_request():
+                super().handle()
+            if self._must_linger:
+                self._linger()
+        finally:
+            self.connections.count -= 1
+
+    def _has_request(self) -> bool:
+        """Wait in turn with kept connections; return whether a request has come."""
+        timeout_s = self.connection.gettimeout()
+        try:
             trampoline(
                 self.connection.fd,
                 read=True,
-                timeout=self.connection.gettimeout(),
+                timeout=timeout_s,
                 timeout_exc=TimeoutError,
             )
-            super().handle()
-            if self._must_linger:
-                self._linger()
         except TimeoutError:
-            # The caller opened a connection and sent nothing.
-            return
-        finally:
-            self.connections.count -= 1
+            # The caller sent nothing, as one whose kept connection becomes idle.
+            return False
+        return True
 
     def handle_one_request(self) -> None:
         """Serve a request, or answer it with a problem document if it is malformed."""
