Let a stand-in fleet be told how many descriptors its routers may use

Two tests replaced make_settings by the same copy that rewrote its text. The fleet takes the number now; 1000 unless a test wants more. No behaviour of the product changes.

--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from lagoonsail_platform_standin.fleet import StandInFleet
+from lagoonsail_platform_standin.fleet import MAX_DESCRIPTORS, StandInFleet
 
 
 @pytest.fixture
@@ -11,8 +11,8 @@
     """Return a function that starts a platform; all are stopped after the test."""
     fleets = []
 
-    def make(routers: int) -> StandInFleet:
-        fleet = StandInFleet(tmp_path)
+    def make(routers: int, max_descriptors: int = MAX_DESCRIPTORS) -> StandInFleet:
+        fleet = StandInFleet(tmp_path, max_descriptors=max_descriptors)
         fleets.append(fleet)
         fleet.start(routers)
         return fleet
--- a/tests/platform/test_endless_bodies.py
+++ b/tests/platform/test_endless_bodies.py
@@ -22,13 +22,7 @@
 @pytest.fixture
 def faulty_fleet(make_fleet, monkeypatch, status):
     """A platform whose servers send answers without end, with the given status."""
-    make_settings = standin_fleet.make_settings
-
-    def make_larger(*arguments):
-        return make_settings(*arguments).replace("max-fds=1000", "max-fds=4100")
-
-    monkeypatch.setattr(standin_fleet, "make_settings", make_larger)
-    fleet = make_fleet(1)
+    fleet = make_fleet(1, max_descriptors=4100)
 
     def serve(_server, env, start_response):
         head = [("Lagoonsail-Attempt-Id", env["HTTP_LAGOONSAIL_ATTEMPT_ID"])]
--- a/tests/platform/test_view_under_flood.py
+++ b/tests/platform/test_view_under_flood.py
@@ -8,7 +8,6 @@
 import time
 
 import pytest
-from lagoonsail_platform_standin import fleet as standin_fleet
 
 from lagoonsail_core.green import eventlet
 
@@ -31,15 +30,9 @@
 
 
 @pytest.fixture
-def flooded_fleet(make_fleet, monkeypatch):
+def flooded_fleet(make_fleet):
     """A router with room for all callers of a flood, and the flood."""
-    make_settings = standin_fleet.make_settings
-
-    def make_larger(*arguments):
-        return make_settings(*arguments).replace("max-fds=1000", "max-fds=4100")
-
-    monkeypatch.setattr(standin_fleet, "make_settings", make_larger)
-    fleet = make_fleet(1)
+    fleet = make_fleet(1, max_descriptors=4100)
     path = os.pathsep.join(entry for entry in sys.path if entry)
     command = [sys.executable, "-m", "lagoonsail_platform_standin.flood"]
     command += [str(fleet.ports[ROUTER]), str(CALLERS), str(FLOOD_S)]
