Split the dispatcher, and exchange counters between routers

Cause: the dispatcher held what is known of a server, the requests that run and the choice in one class of 500 lines, and the parts to come need counts of the whole fleet (answers of servers that start, answers of a new version).

Change: server_state, running_request and dispatcher are three modules. Digests (format 5) carry counters that relays add up.

Tests: packages/lagoonsail-gateway passes.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
@@ -39,12 +39,13 @@
     from lagoonsail_core.decision_log import DecisionLog
     from lagoonsail_gateway.connection_pool import ConnectionPool
     from lagoonsail_gateway.crash_check import CrashCheck
-    from lagoonsail_gateway.dispatcher import Dispatcher, ServerState
+    from lagoonsail_gateway.dispatcher import Dispatcher
     from lagoonsail_gateway.fleet_share import FleetMembers
     from lagoonsail_gateway.gateway_call import GatewayCall
     from lagoonsail_gateway.gateway_settings import GatewaySettings
     from lagoonsail_gateway.manifest import Manifest
     from lagoonsail_gateway.request_format import RequestFormat, RequestHead
+    from lagoonsail_gateway.server_state import ServerState
     from lagoonsail_router.context import RouterContext
 
 HISTOGRAMS = {
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/digest.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/digest.py
@@ -6,10 +6,11 @@
 
 import msgpack
 
+from lagoonsail_gateway.fleet_counts import Counts
 from lagoonsail_gateway.sent_prompts import DECODE_ERRORS
 from lagoonsail_sharing.crash_suspects import CrashEvidence
 
-FORMAT_VERSION = 4
+FORMAT_VERSION = 5
 """Version of the digest layout; digests of other versions are discarded."""
 
 REPORT = 0
@@ -57,6 +58,8 @@
     """In a sum: how many reports it includes."""
     crashes: CrashEvidence = field(default_factory=CrashEvidence)
     """What the sender knows of prompts that were lost in crashes."""
+    counts: Counts = field(default_factory=dict)
+    """Counters that are summed over all routers; see `fleet_counts`."""
 
     def encode(self) -> bytes:
         """Return the datagram payload."""
@@ -78,6 +81,7 @@
                 self.report_count,
                 [[part, *ages.items()] for part, ages in self.crashes.ages_ms.items()],
                 self.crashes.cleared,
+                self.counts,
             ]
         )
 
@@ -107,7 +111,7 @@
             return None
         router, incarnation, number, pending, sums, prompts, count, *tail = fields
         store_revision, resync_peers, kind, domain, members, *tail = tail
-        report_count, lost, cleared = tail
+        report_count, lost, cleared, counts = tail
         return Digest(
             str(router),
             int(incarnation),
@@ -126,6 +130,7 @@
                 {int(p): {int(c): int(ms) for c, ms in ages} for p, *ages in lost},
                 [int(part) for part in cleared],
             ),
+            {str(key): tuple(map(int, numbers)) for key, numbers in counts.items()},
         )
     except DECODE_ERRORS:
         return None
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/digest_relay.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/digest_relay.py
@@ -20,6 +20,7 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_gateway.digest import FLEET_SUM, Digest
+from lagoonsail_gateway.fleet_counts import Counts, add_counts, subtract_counts
 from lagoonsail_gateway.sent_prompts import RecentPrompts
 from lagoonsail_sharing.account_shares import DECAY_TIME_MS
 
@@ -114,6 +115,8 @@
     """Demand and admitted cost by client account."""
     store_revision: int
     """Highest of the store revisions."""
+    counts: Counts
+    """Counters; see `fleet_counts`."""
 
 
 class DigestRelay:
@@ -197,6 +200,7 @@
             domain=self._domain,
             members=members,
             report_count=report_count,
+            counts=total.counts,
         )
 
     def _drop_expired(self) -> None:
@@ -209,9 +213,11 @@
     def _add_up(self, received: Iterable[tuple[float, Digest]]) -> Total:
         pending: dict[str, list[int]] = defaultdict(lambda: [0, 0])
         sums: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0])
+        counts: Counts = {}
         revision = 0
         now_ms = self._clock.now_ms()
         for received_ms, digest in received:
+            add_counts(counts, digest.counts)
             revision = max(revision, digest.store_revision)
             for server_id, (running, tokens) in digest.pending.items():
                 pending[server_id][0] += running
@@ -224,6 +230,7 @@
             {server_id: tuple(pair) for server_id, pair in pending.items()},
             {name: (round(pair[0]), round(pair[1])) for name, pair in sums.items()},
             revision,
+            counts,
         )
 
 
@@ -271,6 +278,8 @@
             max(0, total[0] - round(asked * decay)),
             max(0, total[1] - round(admitted * decay)),
         )
+    counts = dict(fleet.counts)
+    subtract_counts(counts, report.counts)
     return Digest(
         fleet.router,
         fleet.incarnation,
@@ -278,4 +287,5 @@
         pending,
         sums,
         store_revision=fleet.store_revision,
+        counts=counts,
     )
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -4,15 +4,14 @@
 
 import math
 import random
-from dataclasses import dataclass
 from statistics import median
 from typing import TYPE_CHECKING
 
 from lagoonsail_gateway.admission import AccountLoad, Refusal, check_wait
-from lagoonsail_gateway.fleet_share import WindowLimit
+from lagoonsail_gateway.running_request import RunningRequest
 from lagoonsail_gateway.sent_prompts import RecentPrompts, SentPrompt, sender_number
-from lagoonsail_gateway.server_health import ServerHealth
-from lagoonsail_sharing.first_token import EngineLoad, PrefixCache, choose_engine
+from lagoonsail_gateway.server_state import ServerStates
+from lagoonsail_sharing.first_token import choose_engine
 from lagoonsail_sharing.server_notices import ServerNotices
 
 if TYPE_CHECKING:
@@ -23,6 +22,7 @@
     from lagoonsail_gateway.gateway_call import GatewayCall
     from lagoonsail_gateway.manifest import Manifest, Service
     from lagoonsail_gateway.server_directory import Server, ServerDirectory
+    from lagoonsail_gateway.server_state import ServerState
     from lagoonsail_router.context import RouterContext
 
 PREFILL_TOKENS_PER_MS = 50.0
@@ -38,111 +38,23 @@
 LARGE_PROMPT_TOKENS = 1000
 """Unread prompt tokens from which a digest is sent early: until the other routers know
 of such a prompt, it noticeably delays their requests."""
-COLD_WINDOW_MS = 1000.0
-"""Window in which the requests to a cold server are limited."""
-
-
-@dataclass(slots=True)
-class ServerState:
-    """State of one incarnation of a server, beyond its record."""
-
-    server: Server
-    """The server."""
-    load: EngineLoad
-    """Load from this router's requests and from those that other routers report."""
-    health: ServerHealth
-    """Recent failures of its responses."""
-    cold_requests: WindowLimit
-    """Limit of the requests that are sent while it is cold."""
-    last_response_ms: float = 0.0
-    """When it last sent data, or when its first running request was sent."""
-
-
-class RunningRequest:
-    """One request running at one server."""
-
-    __slots__ = (
-        "_dispatcher",
-        "_has_first_token",
-        "_queue_ms",
-        "_unread_tokens",
-        "sent_ms",
-        "state",
-    )
-
-    sent_ms: float
-    """When it was sent."""
-    state: ServerState
-    """The server."""
-
-    def __init__(self, dispatcher: Dispatcher, state: ServerState, unread: int) -> None:
-        self._dispatcher = dispatcher
-        self._has_first_token = False
-        self._queue_ms = state.load.queue_ms(PREFILL_TOKENS_PER_MS)
-        self._unread_tokens = unread
-        self.sent_ms = dispatcher.context.clock.now_ms()
-        self.state = state
-        state.load.pending_tokens += unread
-        state.load.running += 1
-
-    def describe(self) -> dict[str, object]:
-        """Return the load values on which the selection of the server was based."""
-        load = self.state.load
-        return {
-            "queue_ms": round(self._queue_ms),
-            "unread_tokens": self._unread_tokens,
-            "running_here": load.running,
-            "running_elsewhere": load.others_running,
-            "told_ms_ago": self._dispatcher.last_digest_age_ms(),
-        }
-
-    def record_sent(self) -> None:
-        """Note that the request is being sent and the server is expected to respond."""
-        state = self.state
-        if state.load.running == 1:
-            state.last_response_ms = self._dispatcher.context.clock.now_ms()
-
-    def record_data(self) -> None:
-        """Note that the server has sent data."""
-        self.state.last_response_ms = self._dispatcher.context.clock.now_ms()
-
-    def record_first_token(self) -> None:
-        """Note that the first part of the response has arrived."""
-        if self._has_first_token:
-            return
-        self._has_first_token = True
-        self.state.load.pending_tokens -= self._unread_tokens
-
-    def finish(self, *, is_success: bool | None) -> None:
-        """Note that the request has ended.
-
-        Args:
-            is_success: Whether the server succeeded; None if the outcome says nothing
-                about the server.
-        """
-        self.record_first_token()
-        self.state.load.running -= 1
-        if is_success is not None:
-            self._dispatcher.record_result(self.state, is_success, self.sent_ms)
 
 
 class Dispatcher:
     """Selects servers for requests, based on the router's view of their load."""
 
     __slots__ = (
-        "_states_by_id",
         "_directory",
+        "_last_digest_ms",
         "_manifest",
         "_on_large_prompt",
-        "_peer_pending",
         "_routers",
         "_sender_number",
-        "_states",
-        "_last_digest_ms",
         "accounts",
         "context",
         "notices",
         "recent_prompts",
+        "states",
     )
 
     accounts: AccountLoad
@@ -153,6 +65,8 @@
     """What servers say of themselves in their answers."""
     recent_prompts: RecentPrompts
     """The prompts that this router sent recently."""
+    states: ServerStates
+    """What is known of each server."""
 
     def __init__(
         self, context: RouterContext, directory: ServerDirectory, routers: FleetMembers
@@ -166,9 +80,7 @@
         self._sender_number = sender_number(routers.name)
         self._manifest: Manifest | None = None
         self._on_large_prompt: Callable[[], None] = lambda: None
-        self._states: dict[tuple[str, int], ServerState] = {}
-        self._states_by_id: dict[str, ServerState] = {}
-        self._peer_pending: dict[str, tuple[int, int]] = {}
+        self.states = ServerStates(context.clock)
         self._last_digest_ms = float("-inf")
         directory.subscribe(self._on_server_change)
 
@@ -237,7 +149,13 @@
                 state.server.record.server_id, call.prompt, self._sender_number
             )
             self.recent_prompts.add(sent.encode())
-        run = RunningRequest(self, state, unread)
+        selection_load = {
+            "queue_ms": round(state.load.queue_ms(PREFILL_TOKENS_PER_MS)),
+            "told_ms_ago": self.last_digest_age_ms(),
+        }
+        run = RunningRequest(
+            self.context.clock, state, unread, selection_load, self._record_run
+        )
         if unread >= LARGE_PROMPT_TOKENS:
             self._on_large_prompt()
         return run
@@ -249,7 +167,7 @@
                 state.load.running,
                 int(state.load.pending_tokens),
             )
-            for state in self._states.values()
+            for state in self.states.all()
             if state.load.running
         }
 
@@ -259,7 +177,7 @@
         Args:
             sent_prompt: The prompt and its engine.
         """
-        state = self._states_by_id.get(sent_prompt.server_id)
+        state = self.states.find(sent_prompt.server_id)
         is_own = sent_prompt.sender == self._sender_number
         if state is not None and not is_own:
             state.load.cache.record_prefill(sent_prompt.prompt)
@@ -272,8 +190,7 @@
             newest: The newest digest; None if the router went silent.
         """
         self._last_digest_ms = self.context.clock.now_ms()
-        self._add_pending(previous, -1)
-        self._add_pending(newest, 1)
+        self.states.replace_digest(previous, newest)
         if newest is None:
             self.accounts.remove_peer(previous.router)
         else:
@@ -287,22 +204,11 @@
             return None
         return round(self.context.clock.now_ms() - self._last_digest_ms)
 
-    def _add_pending(self, digest: Digest | None, sign: int) -> None:
-        for server_id, (running, tokens) in digest.pending.items() if digest else ():
-            peer_running, peer_tokens = self._peer_pending.get(server_id, (0, 0))
-            totals = (peer_running + sign * running, peer_tokens + sign * tokens)
-            if totals == (0, 0):
-                self._peer_pending.pop(server_id, None)
-            else:
-                self._peer_pending[server_id] = totals
-            if server_id in self._states_by_id:
-                self._states_by_id[server_id].load.set_others(*totals)
-
     def update_shares(self) -> None:
         """Recompute the shares of the client accounts."""
         engines = [
             state
-            for state in self._states.values()
+            for state in self.states.all()
             if state.load.cache.capacity_tokens and self.is_usable(state)
         ]
         self.accounts.update(_median_queue_ms(engines) if engines else 0.0)
@@ -358,6 +264,9 @@
             (wait_ms + spread_ms) / 1000.0,
         )
 
+    def _record_run(self, run: RunningRequest, is_success: bool) -> None:
+        self.record_result(run.state, is_success, run.sent_ms)
+
     def record_result(
         self, state: ServerState, is_success: bool, sent_ms: float
     ) -> None:
@@ -441,23 +350,7 @@
         return self._routers.quota_of(total, state.server.record.server_id)
 
     def _state(self, server: Server) -> ServerState:
-        key = server.record.incarnation()
-        state = self._states.get(key)
-        if state is None:
-            server_id = server.record.server_id
-            previous = self._states_by_id.get(server_id)
-            if previous is not None:
-                # The server has restarted: its requests and cache are lost.
-                self._states.pop(previous.server.record.incarnation(), None)
-            cache = PrefixCache(self._cache_tokens(server.record.service))
-            state = self._states[key] = self._states_by_id[server_id] = ServerState(
-                server,
-                EngineLoad(server_id, cache),
-                ServerHealth(),
-                WindowLimit(self.context.clock, COLD_WINDOW_MS),
-            )
-            state.load.set_others(*self._peer_pending.get(server_id, (0, 0)))
-        return state
+        return self.states.get(server, self._cache_tokens(server.record.service))
 
     def _cache_tokens(self, service_name: str) -> int:
         service = self._manifest.services.get(service_name)
@@ -475,9 +368,7 @@
             **_kept_fields(server, self.context.clock.now_ms()),
         )
         if kind == "left":
-            state = self._states.pop(record.incarnation(), None)
-            if state is not None and self._states_by_id.get(record.server_id) is state:
-                del self._states_by_id[record.server_id]
+            self.states.remove(server)
 
 
 def _kept_fields(server: Server, now_ms: float) -> dict[str, int]:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -17,6 +17,7 @@
 from lagoonsail_gateway.crash_check import CrashCheck
 from lagoonsail_gateway.digest import Digest
 from lagoonsail_gateway.dispatcher import Dispatcher
+from lagoonsail_gateway.fleet_counts import FleetCounts
 from lagoonsail_gateway.fleet_share import FleetMembers
 from lagoonsail_gateway.peer_digests import ROUND_INTERVAL_MS, PeerDigests
 from lagoonsail_gateway.server_directory import ServerDirectory
@@ -110,6 +111,7 @@
         "_settings",
         "calls",
         "context",
+        "counts",
         "crash_check",
         "digests",
         "directory",
@@ -122,6 +124,8 @@
 
     context: RouterContext
     """Clock, counters and timeline."""
+    counts: FleetCounts
+    """Counters that are summed over all routers."""
     directory: ServerDirectory
     """The backend servers."""
     view: StoreView
@@ -158,6 +162,7 @@
         )
         _DecisionLogHandler(self.log).push_application()
         self.routers = FleetMembers(settings.name)
+        self.counts = FleetCounts(context.clock)
         self.directory = ServerDirectory(context.clock, settings.max_change_delay_ms)
         self.pool = ConnectionPool(
             context.clock, int(BUFFERED_FRACTION * settings.memory_limit_bytes)
@@ -284,10 +289,14 @@
             self.dispatcher.pending_by_server(),
             self.dispatcher.accounts.recent_sums(sums_age_ms),
             store_revision=self.view.revision or 0,
+            counts=self.counts.own(),
         )
 
     def _replace_digest(self, previous: Digest | None, newest: Digest | None) -> None:
         self.dispatcher.replace_digest(previous, newest)
+        self.counts.replace_peer(
+            previous.counts if previous else {}, newest.counts if newest else {}
+        )
         if newest is not None:
             self.view.update_peer_revision(newest.store_revision)
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
@@ -20,10 +20,12 @@
     from collections.abc import Callable, Iterator
 
     from lagoonsail_gateway.connection_pool import ConnectionPool
-    from lagoonsail_gateway.dispatcher import Dispatcher, RunningRequest, ServerState
+    from lagoonsail_gateway.dispatcher import Dispatcher
     from lagoonsail_gateway.gateway_call import GatewayCall
     from lagoonsail_gateway.request_format import Headers, RequestFormat, ResponseHead
+    from lagoonsail_gateway.running_request import RunningRequest
     from lagoonsail_gateway.server_connection import Response, ServerConnection
+    from lagoonsail_gateway.server_state import ServerState
     from lagoonsail_router.context import RouterContext
 
 UNREACHABLE = "unreachable"
--- /dev/null
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_state.py
@@ -0,0 +1,123 @@
+"""What a router knows of each backend server: load, cache, health and cold limit.
+
+The load is that of this router's own requests and the load that other routers report
+in digests. The states of a server end with its incarnation.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from lagoonsail_gateway.fleet_share import WindowLimit
+from lagoonsail_gateway.server_health import ServerHealth
+from lagoonsail_sharing.first_token import EngineLoad, PrefixCache
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from lagoonsail_core.clock import Clock
+    from lagoonsail_gateway.digest import Digest
+    from lagoonsail_gateway.server_directory import Server
+
+COLD_WINDOW_MS = 1000.0
+"""Window in which the requests to a cold server are limited."""
+
+
+@dataclass(slots=True)
+class ServerState:
+    """State of one incarnation of a server, beyond its record."""
+
+    server: Server
+    """The server."""
+    load: EngineLoad
+    """Load from this router's requests and from those that other routers report."""
+    health: ServerHealth
+    """Recent failures of its responses."""
+    cold_requests: WindowLimit
+    """Limit of the requests that are sent while it is cold."""
+    last_response_ms: float = 0.0
+    """When it last sent data, or when its first running request was sent."""
+
+
+class ServerStates:
+    """The states of all servers, and the load on them that digests report."""
+
+    __slots__ = ("_by_id", "_by_incarnation", "_clock", "_peer_pending")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._by_incarnation: dict[tuple[str, int], ServerState] = {}
+        self._by_id: dict[str, ServerState] = {}
+        self._peer_pending: dict[str, tuple[int, int]] = {}
+
+    def all(self) -> Iterable[ServerState]:
+        """Return the states of all servers that were considered for a request."""
+        return self._by_incarnation.values()
+
+    def find(self, server_id: str) -> ServerState | None:
+        """Return the state of a server, None if it was not considered yet.
+
+        Args:
+            server_id: Id of the server.
+        """
+        return self._by_id.get(server_id)
+
+    def get(self, server: Server, cache_tokens: int) -> ServerState:
+        """Return the state of a server, which is created on first use.
+
+        Args:
+            server: The server.
+            cache_tokens: Capacity of its cache, 0 if it runs no language model.
+        """
+        state = self._by_incarnation.get(server.record.incarnation())
+        return state or self._create(server, cache_tokens)
+
+    def remove(self, server: Server) -> None:
+        """Forget a server that has left.
+
+        Args:
+            server: The server.
+        """
+        state = self._by_incarnation.pop(server.record.incarnation(), None)
+        server_id = server.record.server_id
+        if state is not None and self._by_id.get(server_id) is state:
+            del self._by_id[server_id]
+
+    def replace_digest(self, previous: Digest | None, newest: Digest | None) -> None:
+        """Replace the load that another router reported.
+
+        Args:
+            previous: Its previous digest; None if there is none.
+            newest: Its newest digest; None if the router went silent.
+        """
+        self._add_pending(previous, -1)
+        self._add_pending(newest, 1)
+
+    def _create(self, server: Server, cache_tokens: int) -> ServerState:
+        server_id = server.record.server_id
+        previous = self._by_id.get(server_id)
+        if previous is not None:
+            # The server has restarted: its requests and cache are lost.
+            self._by_incarnation.pop(previous.server.record.incarnation(), None)
+        state = ServerState(
+            server,
+            EngineLoad(server_id, PrefixCache(cache_tokens)),
+            ServerHealth(),
+            WindowLimit(self._clock, COLD_WINDOW_MS),
+        )
+        state.load.set_others(*self._peer_pending.get(server_id, (0, 0)))
+        self._by_incarnation[server.record.incarnation()] = state
+        self._by_id[server_id] = state
+        return state
+
+    def _add_pending(self, digest: Digest | None, sign: int) -> None:
+        for server_id, (running, tokens) in digest.pending.items() if digest else ():
+            peer_running, peer_tokens = self._peer_pending.get(server_id, (0, 0))
+            totals = (peer_running + sign * running, peer_tokens + sign * tokens)
+            if totals == (0, 0):
+                self._peer_pending.pop(server_id, None)
+            else:
+                self._peer_pending[server_id] = totals
+            if server_id in self._by_id:
+                self._by_id[server_id].load.set_others(*totals)
--- a/packages/lagoonsail-gateway/tests/test_dispatcher.py
+++ b/packages/lagoonsail-gateway/tests/test_dispatcher.py
@@ -130,7 +130,7 @@
     run.finish(is_success=False)
     assert after is not before
     assert (after.load.running, after.load.pending_tokens) == (0, 0)
-    assert len(harness.dispatcher._states) == 3
+    assert len(list(harness.dispatcher.states.all())) == 3
 
 
 def test_cold_server_gets_no_more_than_the_routers_part(harness, make_record):
