--- a/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
@@ -101,6 +101,8 @@
         """Read the head and check its framing more strictly than the library does."""
         if not super().parse_request():
             return False
+        # The library shortens leading slashes, which may select another route.
+        self.path = self.requestline.split()[1]
         lengths = self.headers.get_all("content-length", [])
         codings = self.headers.get_all("transfer-encoding", [])
         if len(lengths) > 1 or any(not _LENGTH.fullmatch(item) for item in lengths):
