--- a/packages/lagoonsail-router/src/lagoonsail_router/__main__.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/__main__.py
@@ -2,6 +2,6 @@
 
 from __future__ import annotations
 
-from lagoonsail_router.main import main
+from lagoonsail_router.start import main
 
 main()
