Distribute store changes by a few watchers in large fleets

Cause: each router of a large fleet fetches each change itself, with a pause of up to 0.4 of the time in which a change must be in force (1.2 s). Change: two watchers of each failure domain follow the store with shorter pauses and tell the other routers by datagrams; a router that hears no watchers, or misses a change, watches itself (store_feed). Tests: test_store_feed, without a network.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -21,6 +21,7 @@
 from lagoonsail_gateway.fleet_share import FleetMembers
 from lagoonsail_gateway.peer_digests import ROUND_INTERVAL_MS, PeerDigests
 from lagoonsail_gateway.server_directory import ServerDirectory
+from lagoonsail_gateway.store_feed import HEARTBEAT_INTERVAL_MS, WatcherChoice
 from lagoonsail_gateway.store_view import StoreView
 from lagoonsail_router.context import (
     LEAVING,
@@ -54,6 +55,7 @@
     "records_rejected_total": "Malformed entries of the store.",
     "repeats_refused_total": "Requests not sent once more for want of a share.",
     "retries_total": "Requests sent once more, by service.",
+    "store_feed_total": "Changes of the store learned from another router.",
     "store_failures_total": "Calls to the store without an answer.",
     "task_errors_total": "Failures inside the router's tasks, by task.",
 }
@@ -198,7 +200,10 @@
             self.directory,
             self.routers,
             self._apply_manifest,
+            WatcherChoice(context.clock, self.routers, settings.failure_domain),
+            self.digests.send_feed,
         )
+        self.digests.on_feed(self.view.apply_feed)
 
     def start(self) -> None:
         """Open all ports and start all tasks.
@@ -227,6 +232,7 @@
                 (ROUND_INTERVAL_MS, self._exchange_digests, "digests"),
                 (EXPIRY_CHECK_INTERVAL_MS, self.directory.expire, "expiry"),
                 (EXPIRY_CHECK_INTERVAL_MS, self.view.check_lag, "store_view"),
+                (HEARTBEAT_INTERVAL_MS, self.view.send_heartbeat, "store_view"),
                 (IDLE_CHECK_INTERVAL_MS, self.pool.close_expired, "stale"),
             ],
         )
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/peer_digests.py
@@ -32,6 +32,11 @@
 )
 from lagoonsail_gateway.prompt_inbox import PromptInbox
 from lagoonsail_gateway.sent_prompts import MAX_RECENT_PROMPTS, decode_sent_prompt
+from lagoonsail_gateway.store_feed import (
+    FeedMessage,
+    decode_feed_message,
+    is_feed_message,
+)
 from lagoonsail_router.context import start_later
 
 if TYPE_CHECKING:
@@ -83,6 +88,7 @@
         "_latest",
         "_make_digest",
         "_number",
+        "_on_feed",
         "_on_prompt",
         "_on_replaced",
         "_own_prompts",
@@ -128,6 +134,7 @@
         self._is_early_send_scheduled = False
         self._on_replaced = on_replaced
         self._on_prompt = on_prompt
+        self._on_feed: Callable[[FeedMessage], None] = lambda _message: None
         self._choice = RelayChoice(context.clock)
         self._relay = DigestRelay(context.clock, domain)
         self._inbox = PromptInbox()
@@ -149,6 +156,26 @@
         self._sock = green_socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.bind((host, int(port)))
 
+    def on_feed(self, callback: Callable[[FeedMessage], None]) -> None:
+        """Set the callback for what other routers tell of the store.
+
+        Args:
+            callback: Called with each message of the feed.
+        """
+        self._on_feed = callback
+
+    def send_feed(self, message: FeedMessage) -> None:
+        """Send a message of the feed to all routers of this failure domain.
+
+        Args:
+            message: The message. If it does not fit into a datagram, its changes are
+                left out, and the receivers ask the store for them.
+        """
+        data = message.encode_within(MAX_DATAGRAM_BYTES)
+        names = self._routers.routers_by_domain().get(self._domain, ())
+        for host, port in self._addresses(names):
+            self._send(data, host, port)
+
     def receive(self) -> None:
         """Receive digests until the task ends."""
         mark_urgent()
@@ -173,6 +200,9 @@
             data: The datagram payload.
             sender: Its source address.
         """
+        if is_feed_message(data):
+            self._handle_feed_message(data)
+            return
         digest = decode_digest(data)
         if digest is None:
             self._context.count("digests_malformed_total")
@@ -196,6 +226,13 @@
         if self._routers.name in digest.resync_peers:
             self._resend_prompts(digest, sender)
 
+    def _handle_feed_message(self, data: bytes) -> None:
+        message = decode_feed_message(data)
+        if message is None:
+            self._context.count("digests_malformed_total")
+        elif message.router != self._routers.name:
+            self._on_feed(message)
+
     def send_round(self) -> None:
         """Expire silent peers and send the digests of one round."""
         self._expire_silent_peers()
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
@@ -13,6 +13,7 @@
 from lagoonsail_core.fair_hub import mark_urgent
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_gateway.store_feed import FeedMessage, StoreItem
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -20,6 +21,7 @@
     from lagoonsail_gateway.fleet_share import FleetMembers
     from lagoonsail_gateway.manifest import Manifest
     from lagoonsail_gateway.server_directory import ServerDirectory, ServerRecord
+    from lagoonsail_gateway.store_feed import WatcherChoice
     from lagoonsail_router.context import RouterContext
 
 MIN_WATCH_MS = 3000.0
@@ -51,23 +53,20 @@
 """Pause after the first failed call; doubled after each further one."""
 MAX_RETRY_MS = 600.0
 """Maximum pause between calls while the store is unavailable."""
+WATCHER_TIMEOUT_MS = 1500.0
+"""Timeout of the watches of a router on which others rely: a connection that has fallen
+silent is noticed within the time in which a change must be in force."""
+WATCHER_BATCH_FRACTION = 0.15
+"""Pause of such a router after changes, as a fraction of that time."""
+FOLLOW_CHECK_MS = 50.0
+"""Interval at which a follower checks whether it must ask the store itself."""
+FOLLOW_LAG_MS = 300.0
+"""Time within which a follower should be told of a change that another router knows."""
 RELIST_AFTER_OUTAGE_MS = 2500.0
 """Time after an outage until all keys are listed again: by then live servers have
 registered again."""
 
 
-@dataclass(slots=True, frozen=True)
-class StoreItem:
-    """The value or the removal of a key."""
-
-    key: str
-    """The key."""
-    value: bytes | None
-    """The value; None if the key was removed."""
-    revision: int
-    """Revision of the change."""
-
-
 @dataclass(slots=True, frozen=True)
 class StoreItems:
     """The result of a listing or a watch."""
@@ -126,9 +125,11 @@
         "_on_manifest",
         "_lag_timeout_ms",
         "_behind_since_ms",
+        "_choice",
         "_is_interrupted_for_lag",
         "_relist_at_ms",
         "_routers",
+        "_send_feed",
         "_peer_revision",
         "_last_failure_ms",
         "_watch_sent_ms",
@@ -155,8 +156,25 @@
         directory: ServerDirectory,
         routers: FleetMembers,
         on_manifest: Callable[[Manifest], None],
+        choice: WatcherChoice | None = None,
+        send_feed: Callable[[FeedMessage], None] = lambda _message: None,
     ) -> None:
+        """Create an empty view.
+
+        Args:
+            context: The router's shared state.
+            calls: Calls to the store.
+            key_format: Decodes the store's keys and values.
+            directory: Gets the servers and evacuations.
+            routers: Gets the members of the fleet.
+            on_manifest: Called with each new manifest.
+            choice: Decides whether the router watches the store itself; None if it
+                always does.
+            send_feed: Sends a message to the followers of this router.
+        """
         self._context = context
+        self._choice = choice
+        self._send_feed = send_feed
         self._calls = calls
         self._format = key_format
         self._directory = directory
@@ -182,6 +200,9 @@
         mark_urgent()
         pause_ms = INITIAL_RETRY_MS
         while True:
+            if self._can_follow():
+                eventlet.sleep(FOLLOW_CHECK_MS / 1000.0)
+                continue
             if self._step_safely():
                 pause_ms = INITIAL_RETRY_MS
                 if self._has_new_changes:
@@ -257,25 +278,82 @@
             self._record_failure(changes)
             return False
         self._record_answer()
-        self.revision = max(self.revision, changes.revision)
-        for item in changes.items:
+        after = self.revision
+        self._apply_changes(changes.items, changes.revision)
+        if changes.items:
+            self._has_new_changes = True
+            self._tell_followers(after, changes.items)
+        return True
+
+    def _apply_changes(self, items: list[StoreItem], revision: int) -> None:
+        self.revision = max(self.revision, revision)
+        for item in items:
             self._apply_item(item)
         self._directory.settle_removals()
-        if changes.items:
+        if items:
             self._apply_evacuations_and_members()
-            self._has_new_changes = True
         self._update_behind()
-        return True
+
+    # Feed between routers; see `store_feed`.
+
+    def _uses_feed(self) -> bool:
+        return self._choice is not None and self._choice.uses_feed()
+
+    def _can_follow(self) -> bool:
+        """Return whether this router need not ask the store now."""
+        if not self._uses_feed() or self._choice.is_watcher():
+            return False
+        if not self.is_up or self.revision is None or self._relist_at_ms is not None:
+            return False
+        return self._context.clock.now_ms() - self._behind_since_ms < FOLLOW_LAG_MS
+
+    def send_heartbeat(self) -> None:
+        """Tell the followers that this router follows the store, if it does."""
+        if self._uses_feed() and self._choice.is_watcher() and self.is_up:
+            self._tell_followers(self.revision, [])
+
+    def _tell_followers(self, after: int | None, items: list[StoreItem]) -> None:
+        if self.revision is None or not self._uses_feed():
+            return
+        if not self._choice.is_watcher():
+            return
+        age_ms = self._context.clock.now_ms() - self._last_failure_ms
+        name = self._routers.name
+        self._send_feed(FeedMessage(name, after, self.revision, items, age_ms))
+
+    def apply_feed(self, message: FeedMessage) -> None:
+        """Apply what a watcher tells.
+
+        Args:
+            message: The message.
+        """
+        if self._choice is None:
+            return
+        self._choice.record_heard(message.router)
+        if message.failure_age_ms < RELIST_AFTER_OUTAGE_MS:
+            self._directory.record_store_outage()
+        if self.revision is None or message.after > self.revision:
+            # A change was missed; it is asked for unless another watcher tells of it.
+            self.update_peer_revision(message.revision)
+            return
+        if message.revision > self.revision:
+            self._context.count("store_feed_total")
+            self._apply_changes(message.items, message.revision)
 
     def _watch_timeout_ms(self) -> float:
         if not self.is_up:
             return FIRST_WATCH_MS
+        if self._uses_feed():
+            return WATCHER_TIMEOUT_MS
         if self._context.clock.now_ms() - self._last_failure_ms < SHORT_WATCH_PERIOD_MS:
             return MIN_WATCH_MS
         wait_ms = WATCH_MS_PER_ROUTER * self._routers.count()
         return min(MAX_WATCH_MS, max(MIN_WATCH_MS, wait_ms))
 
     def _batch_pause_ms(self) -> float:
+        if self._uses_feed():
+            bound_ms = self._context.settings.max_change_delay_ms
+            return WATCHER_BATCH_FRACTION * bound_ms
         longest_ms = MAX_BATCH_FRACTION * self._context.settings.max_change_delay_ms
         return min(longest_ms, BATCH_MS_PER_ROUTER * self._routers.count())
 
--- /dev/null
+++ b/packages/lagoonsail-gateway/tests/test_store_feed.py
@@ -0,0 +1,193 @@
+"""Few routers watch the store and tell the others: lost, late and missing messages."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+import pytest
+
+from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_gateway.fleet_share import FleetMembers
+from lagoonsail_gateway.server_directory import ServerDirectory
+from lagoonsail_gateway.store_feed import (
+    MIN_FEED_ROUTERS,
+    WATCHER_TIMEOUT_MS,
+    FeedMessage,
+    StoreItem,
+    WatcherChoice,
+    decode_feed_message,
+)
+from lagoonsail_gateway.store_view import (
+    FOLLOW_LAG_MS,
+    KeyFormat,
+    StoreCalls,
+    StoreItems,
+    StoreView,
+)
+
+FLEET_SIZE = MIN_FEED_ROUTERS + 6
+
+
+@pytest.fixture
+def make_view(context, make_record, manual_clock):
+    """Return a function that makes the view of the router with a given rank."""
+
+    def make(rank, size=FLEET_SIZE):
+        routers = FleetMembers("r1")
+        members = {f"r{n}": f"10.0.0.1:{n} north" for n in range(1, size + 1)}
+        routers.update(members)
+        ranked = routers.routers_by_domain()["north"]
+        routers = FleetMembers(ranked[rank])
+        routers.update(members)
+        directory = ServerDirectory(context.clock, 2000.0)
+        key_format = KeyFormat(
+            "config",
+            "evacuate/",
+            "servers/",
+            "routers/",
+            lambda data: Unavailable("none"),
+            lambda server_id, _data: make_record(server_id),
+        )
+        answers, waits, sent = [], [], []
+
+        def watch(_after, wait_ms):
+            waits.append(wait_ms)
+            return answers.pop(0)
+
+        items = [
+            StoreItem(f"routers/{name}", location.encode(), 1)
+            for name, location in members.items()
+        ]
+        view = StoreView(
+            context,
+            StoreCalls(lambda: StoreItems(items, 5), watch, lambda: None),
+            key_format,
+            directory,
+            routers,
+            lambda _manifest: None,
+            WatcherChoice(manual_clock.clock(), routers, "north"),
+            sent.append,
+        )
+        view.step()
+        return SimpleNamespace(
+            view=view,
+            directory=directory,
+            answers=answers,
+            waits=waits,
+            sent=sent,
+            watchers=ranked[:2],
+        )
+
+    return make
+
+
+def tell(harness, after, revision, *servers, watcher=0):
+    items = [StoreItem(f"servers/{name}", b"", revision) for name in servers]
+    name = harness.watchers[watcher]
+    harness.view.apply_feed(FeedMessage(name, after, revision, items))
+
+
+def tell_heartbeats(harness, revision):
+    for watcher in (0, 1):
+        tell(harness, revision, revision, watcher=watcher)
+
+
+def servers(harness):
+    return {s.record.server_id for s in harness.directory.usable_servers("engine")}
+
+
+def test_follower_learns_of_a_change_without_a_call(make_view):
+    """Guards against a call to the store by each router for each change."""
+    follower = make_view(rank=5)
+    tell_heartbeats(follower, 5)
+    assert follower.view._can_follow()
+    tell(follower, 5, 6, "s1")
+    assert servers(follower) == {"s1"}
+    assert (follower.view.revision, follower.waits) == (6, [])
+
+
+def test_change_that_comes_late_takes_nothing_back(make_view):
+    follower = make_view(rank=5)
+    tell(follower, 5, 7, "s1")
+    stale = [StoreItem("servers/s1", None, 6)]
+    follower.view.apply_feed(FeedMessage(follower.watchers[1], 5, 6, stale))
+    assert servers(follower) == {"s1"}
+    assert follower.view.revision == 7
+
+
+def test_follower_that_missed_a_change_asks_the_store(make_view, manual_clock):
+    """Guards against a lost datagram that leaves a router behind for good."""
+    follower = make_view(rank=5)
+    tell_heartbeats(follower, 8)
+    manual_clock.ms += FOLLOW_LAG_MS + 1.0
+    tell_heartbeats(follower, 8)
+    assert not follower.view._can_follow()
+    follower.answers.append(StoreItems([StoreItem("servers/s1", b"", 8)], 8))
+    follower.view.step()
+    assert servers(follower) == {"s1"}
+    assert follower.view._can_follow()
+
+
+def test_second_watcher_fills_the_gap_of_the_first(make_view, manual_clock):
+    follower = make_view(rank=5)
+    tell_heartbeats(follower, 5)
+    tell(follower, 6, 7, "s2")
+    tell(follower, 5, 7, "s1", "s2", watcher=1)
+    manual_clock.ms += FOLLOW_LAG_MS + 1.0
+    tell_heartbeats(follower, 7)
+    assert servers(follower) == {"s1", "s2"}
+    assert follower.view._can_follow()
+
+
+def test_follower_watches_when_its_watchers_are_silent(make_view, manual_clock):
+    """Guards against changes that nobody follows after both watchers died."""
+    follower = make_view(rank=2)
+    tell_heartbeats(follower, 5)
+    assert follower.view._can_follow()
+    manual_clock.ms += WATCHER_TIMEOUT_MS + 1.0
+    assert not follower.view._can_follow()
+    follower.view.send_heartbeat()
+    assert [message.revision for message in follower.sent] == [5]
+
+
+def test_watcher_without_the_store_falls_silent(make_view):
+    """Guards against followers that trust a router whose view no longer changes."""
+    watcher = make_view(rank=0)
+    watcher.answers.append(Unavailable("down"))
+    watcher.view.step()
+    watcher.view.send_heartbeat()
+    assert watcher.sent == []
+
+
+def test_watcher_tells_what_its_watch_returns(make_view):
+    watcher = make_view(rank=1)
+    change = StoreItem("servers/s1", b"x", 9)
+    watcher.answers.append(StoreItems([change], 9))
+    watcher.view.step()
+    [message] = watcher.sent
+    assert (message.after, message.revision, message.items) == (5, 9, [change])
+
+
+def test_outage_that_a_watcher_saw_counts_at_its_followers(make_view):
+    """Guards against removing live servers whose records expired in an outage."""
+    follower = make_view(rank=5)
+    tell(follower, 5, 6, "s1", "s2", "s3")
+    removals = [StoreItem(f"servers/s{n}", None, 7) for n in (1, 2, 3)]
+    name = follower.watchers[0]
+    follower.view.apply_feed(FeedMessage(name, 6, 7, removals, failure_age_ms=50.0))
+    assert servers(follower) == {"s1", "s2", "s3"}
+
+
+def test_small_fleet_does_without_the_feed(make_view):
+    small = make_view(rank=3, size=MIN_FEED_ROUTERS - 1)
+    tell_heartbeats(small, 5)
+    assert not small.view._can_follow()
+    small.view.send_heartbeat()
+    assert small.sent == []
+
+
+def test_changes_that_fit_into_no_datagram_leave_a_heartbeat():
+    item = StoreItem("config", b"x" * 1000, 7)
+    message = FeedMessage("r1", 6, 7, [item])
+    short = decode_feed_message(message.encode_within(500))
+    assert (short.after, short.revision, short.items) == (7, 7, [])
