Run periodic steps that share a task name

Cause: the due time of a step was kept by task name, so of two steps with one name only the first ran. Change: due times are kept by position. Test: test_periodic_steps.

--- a/packages/lagoonsail-router/src/lagoonsail_router/context.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/context.py
@@ -185,15 +185,16 @@
         context: The router's shared state.
         steps: Interval in milliseconds, function and task name of each step.
     """
-    due_ms = {name: context.clock.now_ms() for _, _, name in steps}
+    # By position, because steps may share a task name.
+    due_ms = [context.clock.now_ms()] * len(steps)
     shortest_ms = min(interval_ms for interval_ms, _, _ in steps)
 
     def loop() -> None:
         while True:
             now_ms = context.clock.now_ms()
-            for interval_ms, step, name in steps:
-                if now_ms >= due_ms[name]:
-                    due_ms[name] = now_ms + interval_ms - shortest_ms / 2
+            for index, (interval_ms, step, name) in enumerate(steps):
+                if now_ms >= due_ms[index]:
+                    due_ms[index] = now_ms + interval_ms - shortest_ms / 2
                     _run_guarded(context, name, step)
             slept_ms = context.clock.now_ms()
             eventlet.sleep(shortest_ms / 1000.0)
