--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -232,7 +232,7 @@
                 (ROUND_INTERVAL_MS, self._exchange_digests, "digests"),
                 (EXPIRY_CHECK_INTERVAL_MS, self.directory.expire, "expiry"),
                 (EXPIRY_CHECK_INTERVAL_MS, self.view.check_lag, "store_view"),
-                (HEARTBEAT_INTERVAL_MS, self.view.send_heartbeat, "store_view"),
+                (HEARTBEAT_INTERVAL_MS, self.view.send_heartbeat, "store_feed"),
                 (IDLE_CHECK_INTERVAL_MS, self.pool.close_expired, "stale"),
             ],
         )
