Bound the file descriptors of a router, and keep its ports open

Cause: one accept that failed with EMFILE closed a port for good while the router called itself ready, and nothing bounded connections to servers. A socket that could not be opened ended a request as an internal error. A connection whose last write failed kept its descriptor until garbage was collected.

Change: lagoonsail_overload has one budget of descriptors for all uses of a process, from its settings and from RLIMIT_NOFILE, and levels of load shedding by what is left. Both routers use the same accept loop: a failed accept is logged at most once a second and repeated, an idle caller is closed before another is refused with 503, and a router is not ready while it cannot accept. The pool of connections to servers closes idle ones before a request is refused with 503, not run, and each router keeps to its quota of max-conns. A server that resets a connection beyond its limit is not counted as failed.

--- a/packages/lagoonsail-core/src/lagoonsail_core/green.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/green.py
@@ -25,6 +25,7 @@
     import eventlet.queue
     import eventlet.semaphore
     import eventlet.wsgi
+    from eventlet.hubs import IOClosed
     from eventlet.hubs.epolls import Hub as EpollHub
     from greenlet import getcurrent
 
@@ -42,6 +43,7 @@
 
 __all__ = [
     "EpollHub",
+    "IOClosed",
     "eventlet",
     "getcurrent",
     "green_select",
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
@@ -23,6 +23,7 @@
 from lagoonsail_gateway.server_attempt import (
     CALLER_GONE,
     LOST,
+    NO_CONNECTION,
     NOT_RUN_BY_SERVER,
     UNREACHABLE,
     AttemptFailedError,
@@ -30,7 +31,12 @@
 )
 from lagoonsail_router.caller_watch import CHECK_INTERVAL_MS, make_caller_watch
 from lagoonsail_router.periodic_checks import PeriodicChecks
-from lagoonsail_router.problems import CallProblem, internal_problem
+from lagoonsail_router.problems import (
+    CallProblem,
+    callers_full_problem,
+    internal_problem,
+    no_connection_problem,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
@@ -157,6 +163,21 @@
             )
             return self._refuse(internal_problem(), head, now_ms, start_response)
 
+    def refuse(self, env: dict, start_response: Callable) -> Iterable[bytes]:
+        """Refuse a request for want of connections, as a WSGI application.
+
+        Args:
+            env: The WSGI environment.
+            start_response: The WSGI callback that sends status and headers.
+
+        Returns:
+            The response body.
+        """
+        head = self._format.read_request(env)
+        return self._refuse(
+            callers_full_problem(), head, self._clock.now_ms(), start_response
+        )
+
     def _check_serving(self) -> None:
         if self._clock.now_ms() > self.stop_started_ms + ACCEPT_WHILE_STOPPING_MS:
             raise leaving_problem()
@@ -255,6 +276,10 @@
             raise caller_gone_problem()
         if failure.kind == UNREACHABLE:
             return
+        if failure.kind == NO_CONNECTION:
+            if call.may_have_run:
+                raise unknown_outcome_problem(failure.reason)
+            raise no_connection_problem(failure.reason)
         if failure.kind != NOT_RUN_BY_SERVER:
             is_retryable = call.route.is_retryable()
             if not is_retryable or call.possible_runs >= call.route.max_servers:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -10,7 +10,7 @@
 from lagoonsail_gateway.admission import AccountLoad, Refusal, check_wait
 from lagoonsail_gateway.running_request import RunningRequest
 from lagoonsail_gateway.sent_prompts import RecentPrompts, SentPrompt, sender_number
-from lagoonsail_gateway.server_state import ServerStates
+from lagoonsail_gateway.server_state import ServerState, ServerStates
 from lagoonsail_sharing.first_token import choose_engine
 from lagoonsail_sharing.server_notices import ServerNotices
 
@@ -22,7 +22,6 @@
     from lagoonsail_gateway.gateway_call import GatewayCall
     from lagoonsail_gateway.manifest import Manifest, Service
     from lagoonsail_gateway.server_directory import Server, ServerDirectory
-    from lagoonsail_gateway.server_state import ServerState
     from lagoonsail_router.context import RouterContext
 
 PREFILL_TOKENS_PER_MS = 50.0
@@ -52,6 +51,7 @@
         "_sender_number",
         "accounts",
         "context",
+        "may_connect",
         "notices",
         "recent_prompts",
         "states",
@@ -61,6 +61,8 @@
     """Demand and admitted cost of the client accounts."""
     context: RouterContext
     """Clock, counters and timeline."""
+    may_connect: Callable[[Server], bool]
+    """Returns whether this router has a connection to a server, or may open one."""
     notices: ServerNotices
     """What servers say of themselves in their answers."""
     recent_prompts: RecentPrompts
@@ -73,6 +75,7 @@
     ) -> None:
         self.context = context
         self.accounts = AccountLoad(context.clock)
+        self.may_connect = lambda _server: True
         self.notices = ServerNotices(context.clock)
         self.recent_prompts = RecentPrompts(context.clock)
         self._directory = directory
@@ -125,6 +128,10 @@
         if not allowed:
             return _no_server(f"{len(states)} servers of {call.service} are held back")
         state = self._select(call, accepting, allowed)
+        if isinstance(state, ServerState) and not self.may_connect(state.server):
+            # If no other may be connected to, the request waits for a connection.
+            others = [s for s in allowed if self.may_connect(s.server)] or [state]
+            state = self._select(call, accepting, others)
         if isinstance(state, Refusal):
             return state
         if self._directory.is_cold(state.server):
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_share.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_share.py
@@ -27,13 +27,16 @@
 class FleetMembers:
     """The routers among which fleet-wide limits are split."""
 
-    __slots__ = ("_domains", "_members", "_names", "_peers", "name")
+    __slots__ = ("_domains", "_members", "_names", "_peers", "name", "version")
 
     name: str
     """Name of this router."""
+    version: int
+    """Number that grows with each update, for what is calculated from the members."""
 
     def __init__(self, name: str) -> None:
         self.name = name
+        self.version = 0
         self._names: set[str] = {name}
         self._peers: dict[str, tuple[str, int]] = {}
         self._domains: dict[str, list[str]] = {}
@@ -46,6 +49,7 @@
             locations: Location of each router with a lease, by router name; see
                 `format_location`.
         """
+        self.version += 1
         self._names = {*locations, self.name}
         self._members = len(self._names)
         self._peers = {}
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -14,6 +14,7 @@
 from lagoonsail_gateway.call_service import HISTOGRAMS as CALL_HISTOGRAMS
 from lagoonsail_gateway.call_service import CallService
 from lagoonsail_gateway.connection_pool import ConnectionPool
+from lagoonsail_gateway.connection_quota import ConnectionQuota
 from lagoonsail_gateway.crash_check import CrashCheck
 from lagoonsail_gateway.digest import Digest
 from lagoonsail_gateway.dispatcher import Dispatcher
@@ -22,6 +23,12 @@
 from lagoonsail_gateway.peer_digests import ROUND_INTERVAL_MS, PeerDigests
 from lagoonsail_gateway.server_directory import ServerDirectory
 from lagoonsail_gateway.store_view import StoreView
+from lagoonsail_overload.descriptor_budget import (
+    IDLE_SERVERS,
+    SERVERS,
+    DescriptorBudget,
+)
+from lagoonsail_overload.descriptor_metrics import declare_descriptor_metrics
 from lagoonsail_router.context import (
     LEAVING,
     SERVING,
@@ -29,6 +36,12 @@
     run_periodic_steps,
     start_task,
 )
+from lagoonsail_router.descriptor_shedding import (
+    CHECK_INTERVAL_MS,
+    attach_ports,
+    make_accept_report,
+    make_descriptor_check,
+)
 from lagoonsail_router.http_server import listen, start_serving
 from lagoonsail_router.open_connections import OpenConnections
 from lagoonsail_sharing.crash_suspects import CrashSuspects
@@ -106,13 +119,17 @@
 
     __slots__ = (
         "_callers_port",
+        "_connection_quota",
         "_membership",
         "_metrics",
+        "_operator_ports",
         "_settings",
+        "_update_descriptor_metrics",
         "calls",
         "context",
         "counts",
         "crash_check",
+        "descriptors",
         "digests",
         "directory",
         "dispatcher",
@@ -126,6 +143,8 @@
     """Clock, counters and timeline."""
     counts: FleetCounts
     """Counters that are summed over all routers."""
+    descriptors: DescriptorBudget
+    """File descriptors of the process."""
     directory: ServerDirectory
     """The backend servers."""
     view: StoreView
@@ -164,10 +183,20 @@
         self.routers = FleetMembers(settings.name)
         self.counts = FleetCounts(context.clock)
         self.directory = ServerDirectory(context.clock, settings.max_change_delay_ms)
+        self.descriptors = DescriptorBudget(context.clock, settings.max_descriptors)
         self.pool = ConnectionPool(
-            context.clock, int(BUFFERED_FRACTION * settings.memory_limit_bytes)
+            context.clock,
+            int(BUFFERED_FRACTION * settings.memory_limit_bytes),
+            self.descriptors,
         )
+        self._connection_quota = ConnectionQuota(self.routers)
+        self.pool.max_open_to = self._connection_quota.max_open_to
+        self._operator_ports = [
+            OpenConnections(MAX_OPERATOR_CONNECTIONS) for _ in range(2)
+        ]
+        self._register_descriptors()
         self.dispatcher = Dispatcher(context, self.directory, self.routers)
+        self.dispatcher.may_connect = self.pool.may_connect
         self.crash_check = CrashCheck(context, CrashSuspects(context.clock))
         self.calls = CallService(
             context,
@@ -210,13 +239,9 @@
         callers = self._callers_port = listen(settings.callers_address)
         readiness = listen(settings.readiness_address)
         self._serve(callers, self.calls.serve, self.context.callers)
-        self._serve(
-            readiness, self._serve_readiness, OpenConnections(MAX_OPERATOR_CONNECTIONS)
-        )
+        self._serve(readiness, self._serve_readiness, self._operator_ports[0])
         metrics = listen(settings.metrics_address)
-        self._serve(
-            metrics, self._serve_metrics, OpenConnections(MAX_OPERATOR_CONNECTIONS)
-        )
+        self._serve(metrics, self._serve_metrics, self._operator_ports[1])
         self.digests.open(settings.digests_address)
         start_task(self.context, "digests", self.digests.receive)
         start_task(self.context, "store_view", self.view.run)
@@ -228,6 +253,11 @@
                 (EXPIRY_CHECK_INTERVAL_MS, self.directory.expire, "expiry"),
                 (EXPIRY_CHECK_INTERVAL_MS, self.view.check_lag, "store_view"),
                 (IDLE_CHECK_INTERVAL_MS, self.pool.close_expired, "stale"),
+                (
+                    CHECK_INTERVAL_MS,
+                    make_descriptor_check(self.context, self.descriptors),
+                    "descriptors",
+                ),
             ],
         )
         self.context.timeline.record(
@@ -271,9 +301,19 @@
             connections,
             IDLE_TIMEOUT_MS,
             lambda kind: self.context.count("problems_total", kind),
+            self.calls.refuse,
+            make_accept_report(self.context),
         )
 
+    def _register_descriptors(self) -> None:
+        pool, budget = self.pool, self.descriptors
+        budget.register(SERVERS, lambda: pool.open_count - pool.idle_count)
+        budget.register(IDLE_SERVERS, lambda: pool.idle_count)
+        budget.add_closer("idle_servers_closed", pool.close_oldest_idle)
+        attach_ports(self.context, budget, self._operator_ports)
+
     def _apply_manifest(self, manifest: Manifest) -> None:
+        self._connection_quota.apply_manifest(manifest)
         self.dispatcher.apply_manifest(manifest)
         self.calls.apply_manifest(manifest)
 
@@ -316,7 +356,11 @@
 
     def is_ready(self) -> bool:
         """Return whether the router is ready to serve callers."""
-        return self.view.manifest is not None and self.context.state == SERVING
+        return (
+            self.view.manifest is not None
+            and self.context.state == SERVING
+            and self.context.callers.can_accept()
+        )
 
     def _serve_readiness(self, env: dict, start_response: Callable) -> Iterable[bytes]:
         is_known = env["PATH_INFO"] == self._settings.readiness_path
@@ -335,6 +379,7 @@
             return [b""]
         if self._metrics is None:
             self._metrics = self._make_metrics()
+        self._update_descriptor_metrics()
         text = self._metrics.render()
         start_response(
             "200 OK",
@@ -359,4 +404,7 @@
             "kind",
             lambda: {"opened": self.pool.opened, "reused": self.pool.reused},
         )
+        self._update_descriptor_metrics = declare_descriptor_metrics(
+            metrics, self.descriptors
+        )
         return metrics
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_settings.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_settings.py
@@ -43,5 +43,7 @@
     """Time within which a change in the store must take effect."""
     max_connections: int
     """Maximum number of concurrent connections from callers."""
+    max_descriptors: int
+    """Descriptors that the process may have open, without those reserved for files."""
     memory_limit_bytes: float
     """Memory above which the process is killed."""
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from lagoonsail_gateway.connection_pool import NoConnectionError
 from lagoonsail_gateway.manifest import STREAMING
 from lagoonsail_gateway.request_format import HOP_BY_HOP_HEADERS
 from lagoonsail_gateway.server_connection import (
@@ -30,6 +31,8 @@
 
 UNREACHABLE = "unreachable"
 """The request was not sent."""
+NO_CONNECTION = "no_connection"
+"""The request was not sent, because this router may open no connection now."""
 NOT_RUN_BY_SERVER = "not_run"
 """The server states that it did not run the request."""
 LOST = "lost"
@@ -58,7 +61,8 @@
     def __init__(self, kind: str, reason: str) -> None:
         super().__init__(reason)
         self.kind = kind
-        """UNREACHABLE, NOT_RUN_BY_SERVER, LOST, TIMED_OUT or CALLER_GONE."""
+        """UNREACHABLE, NO_CONNECTION, NOT_RUN_BY_SERVER, LOST, TIMED_OUT or
+        CALLER_GONE."""
         self.reason = reason
         """Description of the failure."""
 
@@ -277,6 +281,9 @@
         except ConnectFailedError as error:
             self._finish_request(is_success=False)
             raise AttemptFailedError(UNREACHABLE, str(error)) from error
+        except NoConnectionError as error:
+            self._finish_request(is_success=None)
+            raise AttemptFailedError(NO_CONNECTION, str(error)) from error
         self._connection = connection
         # The caller may have left while a connection was opened.
         is_new = connection.request_count == 1
@@ -287,6 +294,11 @@
         if not self._dispatcher.is_still_usable(self.state):
             self.cancel()
             raise AttemptFailedError(UNREACHABLE, "the server became unavailable")
+        if is_new and connection.is_closed_by_peer():
+            # Nothing was sent, so another server may get the request.
+            raise self._fail(
+                ConnectionLostError("the server closed the new connection"), UNREACHABLE
+            )
         return connection
 
     def _request_bytes(self) -> bytes:
@@ -355,15 +367,19 @@
         self._finish_response(is_success=None)
         self.response = None
 
-    def _fail(self, error: ConnectionLostError) -> AttemptFailedError:
-        kind = LOST
+    def _fail(self, error: ConnectionLostError, kind: str = LOST) -> AttemptFailedError:
         if self._is_aborted:
             kind = CALLER_GONE
         elif error.is_timeout:
             kind = TIMED_OUT
             self._pool.close_idle(self.state.server)
+        is_at_fault = kind != CALLER_GONE
+        if is_at_fault and self.response is None:
+            is_at_fault = not self._pool.record_lost(
+                self.state.server, self._connection, is_timeout=error.is_timeout
+            )
         self._connection.close()
-        self._finish_request(is_success=None if kind == CALLER_GONE else False)
+        self._finish_request(is_success=False if is_at_fault else None)
         return AttemptFailedError(kind, str(error))
 
     def _record_first_part(self) -> None:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
@@ -20,6 +20,7 @@
     Response,
     ResponseCollector,
 )
+from lagoonsail_overload.local_shortage import is_local_shortage
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -47,10 +48,14 @@
 class ConnectFailedError(Exception):
     """The connection could not be opened; no byte of a request was sent."""
 
-    def __init__(self, reason: str, *, is_refused: bool = False) -> None:
+    def __init__(
+        self, reason: str, *, is_refused: bool = False, is_local: bool = False
+    ) -> None:
         super().__init__(reason)
         self.is_refused = is_refused
         """Whether nobody listens at the address."""
+        self.is_local = is_local
+        """Whether this host is short of something; the server is not to blame."""
 
 
 class ConnectionLostError(Exception):
@@ -69,14 +74,21 @@
         "_carried_ids",
         "_clock",
         "_is_aborted",
+        "_is_closed",
         "_is_fully_sent",
         "_collector",
         "_sock",
         "_unused_bytes",
+        "has_data",
         "idle_limit_ms",
         "idle_since_ms",
+        "on_close",
     )
 
+    has_data: bool
+    """Whether the server has sent anything on the connection."""
+    on_close: Callable[[], None] | None
+    """Called once when the connection is closed, None to call nothing."""
     idle_since_ms: float
     """When the last response was completed."""
     idle_limit_ms: float
@@ -88,7 +100,10 @@
         self._collector = ResponseCollector()
         self._carried_ids: set[int] = set()
         self._is_aborted = False
+        self._is_closed = False
         self._is_fully_sent = True
+        self.has_data = False
+        self.on_close = None
         self._unused_bytes = 0
         self.idle_since_ms = clock.now_ms()
         self.idle_limit_ms = DEFAULT_IDLE_LIMIT_MS
@@ -127,6 +142,15 @@
             return False
         return not self._has_input()
 
+    def is_closed_by_peer(self) -> bool:
+        """Return whether the peer has closed or reset the connection already."""
+        try:
+            return not self._sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def send(self, data: bytes, deadline_ms: float) -> None:
         """Send a request.
 
@@ -230,6 +254,15 @@
         """Close the connection, which cancels the request running on it."""
         self._is_aborted = True
         self._sock.close()
+        if not self._is_closed:
+            self._is_closed = True
+            if self.on_close is not None:
+                self.on_close()
+
+    def __del__(self) -> None:
+        # A connection that an unexpected error drops must not stay counted as open.
+        if not self._is_closed:
+            self.close()
 
     def _first_response(self) -> Response | None:
         return self._collector.responses[0] if self._collector.responses else None
@@ -278,6 +311,7 @@
         if not data:
             self._handle_eof()
             return
+        self.has_data = True
         self._unused_bytes += len(data)
         if self._unused_bytes > MAX_UNUSED_BYTES:
             raise ConnectionLostError(f"no answer in {self._unused_bytes} bytes")
@@ -348,7 +382,12 @@
         ConnectFailedError: If the connection fails or times out.
     """
     host, _, port = address.rpartition(":")
-    sock = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock = green_socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        raise ConnectFailedError(
+            f"cannot open a socket for {address}: {error}", is_local=True
+        ) from error
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.settimeout(timeout_ms / 1000.0)
     try:
@@ -358,5 +397,6 @@
         raise ConnectFailedError(
             f"cannot connect to {address}: {error}",
             is_refused=isinstance(error, ConnectionRefusedError),
+            is_local=is_local_shortage(error),
         ) from error
     return ServerConnection(sock, clock)
--- a/packages/lagoonsail-router/src/lagoonsail_router/admin.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/admin.py
@@ -231,4 +231,6 @@
         return "neither the key-value service nor another router can be reached"
     if daemon.right.level() == LAPSED and not daemon.peers.has_streams():
         return "the right has lapsed and no other router can be reached"
+    if not context.callers.can_accept():
+        return "no connection of a caller can be accepted"
     return ""
--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -8,6 +8,8 @@
 
 from lagoonsail_core.errors import LagoonsailError
 from lagoonsail_core.green import eventlet
+from lagoonsail_overload.descriptor_budget import SERVERS, DescriptorBudget
+from lagoonsail_overload.descriptor_metrics import declare_descriptor_metrics
 from lagoonsail_router.admin import Admin, unready_reason
 from lagoonsail_router.call_queue import CallQueue
 from lagoonsail_router.configuration import Configuration
@@ -17,6 +19,12 @@
     run_periodically,
     start_task,
 )
+from lagoonsail_router.descriptor_shedding import (
+    CHECK_INTERVAL_MS,
+    attach_ports,
+    make_accept_report,
+    make_descriptor_check,
+)
 from lagoonsail_router.entry import Entry
 from lagoonsail_router.host_state import host_list_pause_ms, make_host_reader
 from lagoonsail_router.http_server import listen, start_serving
@@ -67,6 +75,7 @@
     """A router, assembled from its parts."""
 
     __slots__ = (
+        "_admin_connections",
         "_gauges",
         "_host_list",
         "_last_contact_ms",
@@ -78,8 +87,10 @@
         "_shard_messages",
         "_store",
         "_store_sync",
+        "_update_descriptor_metrics",
         "configuration",
         "context",
+        "descriptors",
         "entry",
         "ownership",
         "peers",
@@ -91,6 +102,8 @@
     """State shared by all parts."""
     configuration: Configuration
     """The newest known configuration."""
+    descriptors: DescriptorBudget
+    """File descriptors of the process."""
     peers: PeerDirectory
     """Streams to other routers."""
     right: Right
@@ -138,6 +151,11 @@
             context, self.configuration, self.slot_client, self.is_isolated
         )
         self.entry = Entry(context, self.configuration, self.slot_client, queue)
+        self.descriptors = DescriptorBudget(context.clock, None)
+        self._admin_connections = OpenConnections(MAX_ADMIN_CONNECTIONS)
+        self.entry.descriptors = self.descriptors
+        self.descriptors.register(SERVERS, lambda: len(self.entry.open_attempts))
+        attach_ports(context, self.descriptors, [self._admin_connections])
         key_store = KeyStore(
             context,
             self._store,
@@ -164,6 +182,9 @@
         self._listeners: list = []
         self._metrics = make_metrics(self)
         self._gauges = declare_gauges(self._metrics)
+        self._update_descriptor_metrics = declare_descriptor_metrics(
+            self._metrics, self.descriptors
+        )
 
     # Health.
 
@@ -200,6 +221,7 @@
         self._gauges["waiting"](sum(self.entry.queue.waiting.values()))
         self._gauges["owned"](len(self.ownership.owned))
         self._gauges["known"](len(self.configuration.members))
+        self._update_descriptor_metrics()
         return self._metrics.render()
 
     # Start and stop.
@@ -227,13 +249,16 @@
             self.context.callers,
             settings.stop_timeout_ms,
             lambda kind: count("problems_total", kind),
+            self.entry.refuse,
+            make_accept_report(self.context),
         )
         start_serving(
             admin_socket,
             admin.serve,
-            OpenConnections(MAX_ADMIN_CONNECTIONS),
+            self._admin_connections,
             ADMIN_IDLE_TIMEOUT_MS,
             admin.count_refused,
+            on_accept_failed=make_accept_report(self.context),
         )
         self.context.timeline.record("started", incarnation=self.context.incarnation)
         print(json.dumps({"event": "listening", "router": settings.name}), flush=True)
@@ -279,6 +304,11 @@
                 (PEERS_INTERVAL_MS, self.peers.update_links, "peers"),
                 (DIGEST_INTERVAL_MS, self._shard_messages.send_digests, "digests"),
                 (ISOLATION_INTERVAL_MS, self._update_isolation, "isolation"),
+                (
+                    CHECK_INTERVAL_MS,
+                    make_descriptor_check(context, self.descriptors),
+                    "descriptors",
+                ),
             ],
         )
 
--- a/packages/lagoonsail-router/src/lagoonsail_router/entry.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/entry.py
@@ -17,6 +17,7 @@
     OUTCOME_WHOLE,
     SlotGrant,
 )
+from lagoonsail_overload.local_shortage import is_local_shortage
 from lagoonsail_router.backend import (
     AnswerTimeoutError,
     Attempt,
@@ -29,12 +30,19 @@
 from lagoonsail_router.caller_watch import CHECK_INTERVAL_MS, make_caller_watch
 from lagoonsail_router.held_slot import make_done
 from lagoonsail_router.periodic_checks import PeriodicChecks
-from lagoonsail_router.problems import UNKNOWN, CallProblem, internal_problem
+from lagoonsail_router.problems import (
+    UNKNOWN,
+    CallProblem,
+    callers_full_problem,
+    internal_problem,
+    no_connection_problem,
+)
 from lagoonsail_router.retry_budget import RetryBudget
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
+    from lagoonsail_overload.descriptor_budget import DescriptorBudget
     from lagoonsail_router.backend import Answer
     from lagoonsail_router.call import Call
     from lagoonsail_router.call_queue import CallQueue
@@ -50,6 +58,10 @@
 """Help texts of the latency histograms, by metric name."""
 FIRST_PROGRESS_COST = 128.0
 """Cost at which a running stream is first reported, then each time it doubles."""
+DESCRIPTOR_CHECKS = 6
+"""How often a call looks for a free descriptor before it is refused."""
+DESCRIPTOR_CHECK_INTERVAL_S = 0.01
+"""Pause between these checks."""
 RETRY_PAUSE_MS = 50.0
 """Pause before a call whose attempt was not served requests another slot."""
 
@@ -64,14 +76,20 @@
         "_configuration",
         "_context",
         "_slot_client",
+        "descriptors",
         "durations",
         "last_call_ms",
+        "open_attempts",
         "queue",
         "running",
     )
 
+    descriptors: DescriptorBudget | None
+    """File descriptors of the process, None if nothing bounds them."""
     durations: dict[str, DurationHistogram]
     """Latencies, by metric name."""
+    open_attempts: set[Attempt]
+    """Attempts that have a connection to a server."""
     queue: CallQueue
     """Calls that wait for a slot."""
     running: int
@@ -93,6 +111,8 @@
         self._call_count = 0
         self._checks = PeriodicChecks(context, "running_calls", CHECK_INTERVAL_MS)
         self.durations = {name: DurationHistogram() for name in HISTOGRAMS}
+        self.descriptors = None
+        self.open_attempts = set()
         self.queue = queue
         self.running = 0
         self.last_call_ms = context.clock.now_ms()
@@ -142,6 +162,21 @@
             self.running -= 1
         return body
 
+    def refuse(self, env: dict, start_response: Callable) -> list[bytes]:
+        """Refuse a request for want of connections, as a WSGI application.
+
+        Args:
+            env: The WSGI environment.
+            start_response: The WSGI function that starts the answer.
+
+        Returns:
+            The body.
+        """
+        request_id = env.get("HTTP_X_REQUEST_ID", "")[:128]
+        return self._context.respond_with_problem(
+            callers_full_problem(), request_id, start_response
+        )
+
     def _serve_call(self, call: Call, env: dict, start_response) -> Iterable[bytes]:
         budget = self._retry_budget(call)
         budget.record_call()
@@ -187,9 +222,17 @@
         if not address:
             self._finish(grant, OUTCOME_NOT_RUN, attempt)
             return None
+        if not self._has_descriptor():
+            self._finish(grant, OUTCOME_NOT_RUN, attempt)
+            raise _no_connection_problem(call)
+        self.open_attempts.add(attempt)
         try:
             attempt.connect()
-        except NotSentError:
+        except NotSentError as error:
+            if is_local_shortage(error):
+                # The server is not to blame.
+                self._finish(grant, OUTCOME_NOT_RUN, attempt)
+                raise _no_connection_problem(call) from error
             self._finish(grant, OUTCOME_UNREACHABLE, attempt)
             return None
         # The process may have been paused since the grant arrived.
@@ -200,6 +243,19 @@
             return None
         return self._run_attempt(call, grant, attempt, is_gone)
 
+    def _has_descriptor(self) -> bool:
+        """Return whether a connection may be opened, after a short wait if needed."""
+        budget = self.descriptors
+        if budget is None:
+            return True
+        budget.update_limit()
+        for _ in range(DESCRIPTOR_CHECKS):
+            if budget.free() > budget.thresholds.reserve:
+                return True
+            eventlet.sleep(DESCRIPTOR_CHECK_INTERVAL_S)
+        budget.actions["server_connections_refused"] += 1
+        return False
+
     def _server_address(self, call: Call, grant: SlotGrant) -> str:
         document = self._configuration.documents.get(call.document.qualified())
         server = document.servers.get(grant.server) if document else None
@@ -284,6 +340,7 @@
 
     def _finish(self, grant: SlotGrant, outcome: str, attempt: Attempt) -> None:
         attempt.close()
+        self.open_attempts.discard(attempt)
         measurement = attempt.measurement
         if measurement.sent_ms and not measurement.duration_ms:
             measurement.duration_ms = self._context.clock.now_ms() - measurement.sent_ms
@@ -353,6 +410,18 @@
             self._finish(grant, outcome, attempt)
 
 
+def _no_connection_problem(call: Call) -> CallProblem:
+    if call.may_have_run:
+        return CallProblem(
+            502,
+            "answer_broken",
+            "this router has no connection left to send the call again",
+            "find out whether the request ran before sending it again",
+            UNKNOWN,
+        )
+    return no_connection_problem("this router may open no connection to a server now")
+
+
 def _caller_gone_problem() -> CallProblem:
     # The caller is gone; the answer only lets the WSGI server end the request.
     return CallProblem(
--- a/packages/lagoonsail-router/src/lagoonsail_router/problems.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/problems.py
@@ -24,6 +24,10 @@
 }
 """Reason phrases of the statuses in use."""
 
+RETRY_AFTER_CONNECTIONS_S = 0.3
+"""Retry-After of a request for which this router has no connection left; another router
+may have one."""
+
 
 class CallProblem(LagoonsailError):
     """A request that is answered with a problem document."""
@@ -92,3 +96,29 @@
         "find out whether the request ran, and report the router's log",
         UNKNOWN,
     )
+
+
+def callers_full_problem() -> CallProblem:
+    """Return the problem of a request on a connection beyond those that are served."""
+    return CallProblem(
+        503,
+        "connections_full",
+        "this router has no connections left for callers",
+        "try again after the time in Retry-After",
+        retry_after_s=RETRY_AFTER_CONNECTIONS_S,
+    )
+
+
+def no_connection_problem(reason: str) -> CallProblem:
+    """Return the problem of a request that no connection to a server is left for.
+
+    Args:
+        reason: Which connections are open.
+    """
+    return CallProblem(
+        503,
+        "server_connections_full",
+        reason,
+        "try again after the time in Retry-After",
+        retry_after_s=RETRY_AFTER_CONNECTIONS_S,
+    )
