--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/connection_pool.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/connection_pool.py
@@ -66,6 +66,7 @@
         "_waiting",
         "buffers",
         "idle_count",
+        "max_kept_to",
         "max_open_to",
         "open_count",
         "opened",
@@ -76,6 +77,8 @@
     """Memory of the answers that are held until they are whole or written."""
     idle_count: int
     """Number of idle connections."""
+    max_kept_to: Callable[[Server], float]
+    """Returns how many may be open to a server for one of them to be kept idle."""
     max_open_to: Callable[[Server], float]
     """Returns how many connections to a server this router may have."""
     open_count: int
@@ -106,6 +109,7 @@
         self._learned = LearnedLimits()
         self._waiting: list[tuple[Server, eventlet.event.Event]] = []
         self.idle_count = 0
+        self.max_kept_to = lambda _server: math.inf
         self.max_open_to = lambda _server: math.inf
         self.open_count = 0
         self.opened = 0
@@ -157,7 +161,9 @@
         key = server.record.incarnation()
         idle = self._idle.setdefault(key, [])
         is_worn = connection.request_count >= MAX_REQUESTS_PER_CONNECTION
-        is_beyond = self._open.get(key, 0) > self._max_open(server, key)
+        is_beyond = self._open.get(key, 0) > min(
+            self.max_kept_to(server), self._max_open(server, key)
+        )
         if is_worn or is_beyond or len(idle) >= MAX_IDLE_PER_SERVER:
             connection.close()
             return
@@ -265,11 +271,11 @@
             self._close_all([idle.pop(0)])
             decision = self._decide_opening(server)
         if decision == CLOSE_IDLE:
+            # The new connection takes the descriptor of the idle one.
             self.close_oldest_idle(1)
             self._descriptors.actions["idle_servers_replaced"] += 1
-            decision = self._decide_opening(server)
-        # After one was closed, another idle one need not be.
-        return decision in (OPEN, CLOSE_IDLE)
+            return True
+        return decision == OPEN
 
     def _decide_opening(self, server: Server) -> str:
         key = server.record.incarnation()
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -86,6 +86,8 @@
 """Interval between checks for idle connections to close."""
 IDLE_TIMEOUT_MS = 20_000.0
 """Idle timeout of connections from callers."""
+MAX_DIGEST_AGE_MS = 1000.0
+"""Age of the last digest up to which connections are borrowed by what digests show."""
 MAX_OPERATOR_CONNECTIONS = 64
 """Maximum number of connections from the load balancer or from metrics scrapers."""
 BALANCER_REACTION_MS = 3000.0
@@ -189,7 +191,8 @@
             int(BUFFERED_FRACTION * settings.memory_limit_bytes),
             self.descriptors,
         )
-        self._connection_quota = ConnectionQuota(self.routers)
+        self._connection_quota = ConnectionQuota(self.routers, self._others_running)
+        self.pool.max_kept_to = self._connection_quota.max_kept_to
         self.pool.max_open_to = self._connection_quota.max_open_to
         self._operator_ports = [
             OpenConnections(MAX_OPERATOR_CONNECTIONS) for _ in range(2)
@@ -305,6 +308,16 @@
             make_accept_report(self.context),
         )
 
+    def _others_running(self, server_id: str) -> int | None:
+        """Return other routers' requests at a server, None without recent digests."""
+        if self.routers.count() == 1:
+            return 0
+        age_ms = self.dispatcher.last_digest_age_ms()
+        if age_ms is None or age_ms > MAX_DIGEST_AGE_MS:
+            return None
+        state = self.dispatcher.states.find(server_id)
+        return state.load.others_running if state else 0
+
     def _register_descriptors(self) -> None:
         pool, budget = self.pool, self.descriptors
         budget.register(SERVERS, lambda: pool.open_count - pool.idle_count)
