Add roll-outs: judgement, phases, leader, and their wiring

Cause: an operator's order to move a service to another version had no effect, and new versions got requests like the old ones from the start.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -21,6 +21,7 @@
     from lagoonsail_gateway.fleet_share import FleetMembers
     from lagoonsail_gateway.gateway_call import GatewayCall
     from lagoonsail_gateway.manifest import Manifest, Service
+    from lagoonsail_gateway.rollout_control import RolloutControl
     from lagoonsail_gateway.server_directory import Server, ServerDirectory
     from lagoonsail_gateway.server_state import ServerState
     from lagoonsail_router.context import RouterContext
@@ -48,6 +49,7 @@
         "_last_digest_ms",
         "_manifest",
         "_on_large_prompt",
+        "_rollouts",
         "_routers",
         "_sender_number",
         "accounts",
@@ -79,6 +81,7 @@
         self._routers = routers
         self._sender_number = sender_number(routers.name)
         self._manifest: Manifest | None = None
+        self._rollouts: RolloutControl | None = None
         self._on_large_prompt: Callable[[], None] = lambda: None
         self.states = ServerStates(context.clock)
         self._last_digest_ms = float("-inf")
@@ -101,6 +104,14 @@
         self._manifest = manifest
         self.accounts.set_rate(manifest.limits.tokens_per_s)
 
+    def set_rollouts(self, rollouts: RolloutControl | None) -> None:
+        """Set what restricts requests to some versions of a service.
+
+        Args:
+            rollouts: The roll-outs; None if there is no order.
+        """
+        self._rollouts = rollouts
+
     def select_server(self, call: GatewayCall) -> ServerState | Refusal:
         """Return the server for a request, or a refusal if none can take it now.
 
@@ -114,6 +125,12 @@
         ]
         if not states or service is None:
             return _no_server(f"no server of {call.service} is there")
+        if self._rollouts is not None:
+            states = self._rollouts.restrict(
+                call, states, lambda state: self._is_open(state, service)
+            )
+            if not states:
+                return _no_server(f"no server of {call.service} may be used")
         accepting = states
         if self.notices.has_any():
             accepting = [s for s in states if self._wants_requests(s)]
@@ -153,9 +170,13 @@
             "queue_ms": round(state.load.queue_ms(PREFILL_TOKENS_PER_MS)),
             "told_ms_ago": self.last_digest_age_ms(),
         }
+        observer = None
+        if self._rollouts is not None:
+            observer = self._rollouts.observe(call, state, unread)
         run = RunningRequest(
             self.context.clock, state, unread, selection_load, self._record_run
         )
+        run.observer = observer
         if unread >= LARGE_PROMPT_TOKENS:
             self._on_large_prompt()
         return run
@@ -340,6 +361,14 @@
         load = state.load
         return load.running + load.others_running, random.random()
 
+    def _is_open(self, state: ServerState, service: Service) -> bool:
+        """Return whether a server can take a request now."""
+        return (
+            self._wants_requests(state)
+            and state.health.allows_request(self.context.clock.now_ms())
+            and self._has_cold_quota(state, service)
+        )
+
     def _has_cold_quota(self, state: ServerState, service: Service) -> bool:
         if not self._directory.is_cold(state.server):
             return True
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -20,6 +20,8 @@
 from lagoonsail_gateway.fleet_counts import FleetCounts
 from lagoonsail_gateway.fleet_share import FleetMembers
 from lagoonsail_gateway.peer_digests import ROUND_INTERVAL_MS, PeerDigests
+from lagoonsail_gateway.rollout_control import RolloutControl
+from lagoonsail_gateway.rollout_leader import RolloutLeader
 from lagoonsail_gateway.server_directory import ServerDirectory
 from lagoonsail_gateway.store_view import StoreView
 from lagoonsail_router.context import (
@@ -41,8 +43,10 @@
     from lagoonsail_gateway.gateway_settings import GatewaySettings
     from lagoonsail_gateway.manifest import Manifest
     from lagoonsail_gateway.request_format import RequestFormat
+    from lagoonsail_gateway.rollout_records import RolloutStore
     from lagoonsail_gateway.server_directory import Server
     from lagoonsail_gateway.store_view import KeyFormat, StoreCalls
+    from lagoonsail_rollout.exposure import ExposureBounds
 
 COUNTERS = {
     "answers_not_buffered_total": "Answers passed on unfinished for want of memory.",
@@ -54,6 +58,8 @@
     "records_rejected_total": "Malformed entries of the store.",
     "repeats_refused_total": "Requests not sent once more for want of a share.",
     "retries_total": "Requests sent once more, by service.",
+    "rollout_exposed_total": "Requests sent to the new version, by service.",
+    "rollout_writes_total": "Writes of roll-outs to the store, by outcome.",
     "store_failures_total": "Calls to the store without an answer.",
     "task_errors_total": "Failures inside the router's tasks, by task.",
 }
@@ -116,8 +122,10 @@
         "digests",
         "directory",
         "dispatcher",
+        "leader",
         "log",
         "pool",
+        "rollouts",
         "routers",
         "view",
     )
@@ -140,6 +148,7 @@
         key_format: KeyFormat,
         store_calls: StoreCalls,
         membership: Callable[[], float | Unavailable],
+        rollout_store: RolloutStore | None = None,
     ) -> None:
         """Create and connect the parts without opening ports.
 
@@ -150,6 +159,7 @@
             store_calls: Calls to the store.
             membership: Registers the router or renews its lease. Returns the
                 milliseconds until the next call, or the reason of a failure.
+            rollout_store: Keys and calls of roll-outs, None for a router without them.
         """
         context = self.context = RouterContext(settings)
         self._settings = settings
@@ -199,6 +209,27 @@
             self.routers,
             self._apply_manifest,
         )
+        self.rollouts: RolloutControl | None = None
+        self.leader: RolloutLeader | None = None
+        if settings.exposure is not None and rollout_store is not None:
+            self._add_rollouts(settings.exposure, rollout_store)
+
+    def _add_rollouts(self, bounds: ExposureBounds, store: RolloutStore) -> None:
+        self.rollouts = RolloutControl(
+            self.context,
+            bounds,
+            store,
+            self.directory,
+            self.dispatcher,
+            self.routers,
+            self.counts,
+        )
+        self.leader = RolloutLeader(
+            self.context, bounds, store, self.rollouts, self.routers
+        )
+        for prefix in self.rollouts.prefixes():
+            self.view.subscribe(prefix, self.rollouts.apply_item)
+        self.view.subscribe(store.leader_key, self.leader.apply_item)
 
     def start(self) -> None:
         """Open all ports and start all tasks.
@@ -221,6 +252,8 @@
         start_task(self.context, "digests", self.digests.receive)
         start_task(self.context, "store_view", self.view.run)
         start_task(self.context, "membership", self._keep_membership)
+        if self.leader is not None:
+            start_task(self.context, "rollout", self.leader.run)
         run_periodic_steps(
             self.context,
             [
@@ -276,10 +309,14 @@
     def _apply_manifest(self, manifest: Manifest) -> None:
         self.dispatcher.apply_manifest(manifest)
         self.calls.apply_manifest(manifest)
+        if self.rollouts is not None:
+            self.rollouts.apply_manifest(manifest)
 
     def _exchange_digests(self) -> None:
         self.digests.send_round()
         self.dispatcher.update_shares()
+        if self.rollouts is not None:
+            self.rollouts.step()
 
     def _make_digest(self, number: int, sums_age_ms: float) -> Digest:
         return Digest(
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_settings.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_settings.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from lagoonsail_rollout.exposure import ExposureBounds
 
 
 @dataclass(slots=True, frozen=True)
@@ -45,3 +49,5 @@
     """Maximum number of concurrent connections from callers."""
     memory_limit_bytes: float
     """Memory above which the process is killed."""
+    exposure: ExposureBounds | None = None
+    """Bounds of roll-outs; None if there are none."""
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/running_request.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/running_request.py
@@ -8,6 +8,7 @@
     from collections.abc import Callable
 
     from lagoonsail_core.clock import Clock
+    from lagoonsail_gateway.rollout_answers import AnswerObserver
     from lagoonsail_gateway.server_state import ServerState
 
 
@@ -20,10 +21,13 @@
         "_on_result",
         "_selection_load",
         "_unread_tokens",
+        "observer",
         "sent_ms",
         "state",
     )
 
+    observer: AnswerObserver | None
+    """Judges the answer during a roll-out, else None."""
     sent_ms: float
     """When it was sent."""
     state: ServerState
@@ -52,6 +56,7 @@
         self._on_result = on_result
         self._selection_load = selection_load
         self._unread_tokens = unread_tokens
+        self.observer = None
         self.sent_ms = clock.now_ms()
         self.state = state
         state.load.pending_tokens += unread_tokens
@@ -70,10 +75,14 @@
         """Note that the request is being sent and the server is expected to respond."""
         if self.state.load.running == 1:
             self.state.last_response_ms = self._clock.now_ms()
+        if self.observer is not None:
+            self.observer.record_sent()
 
     def record_data(self) -> None:
         """Note that the server has sent data."""
-        self.state.last_response_ms = self._clock.now_ms()
+        now_ms = self.state.last_response_ms = self._clock.now_ms()
+        if self.observer is not None:
+            self.observer.record_data(now_ms)
 
     def record_first_token(self) -> None:
         """Note that the first part of the response has arrived."""
@@ -81,6 +90,8 @@
             return
         self._has_first_token = True
         self.state.load.pending_tokens -= self._unread_tokens
+        if self.observer is not None:
+            self.observer.record_first_part(self._clock.now_ms())
 
     def finish(self, *, is_success: bool | None) -> None:
         """Note that the request has ended.
@@ -89,7 +100,10 @@
             is_success: Whether the server succeeded; None if the outcome says nothing
                 about the server.
         """
+        observer, self.observer = self.observer, None
         self.record_first_token()
         self.state.load.running -= 1
+        if observer is not None:
+            observer.finish(is_success=is_success)
         if is_success is not None:
             self._on_result(self, is_success)
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_directory.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_directory.py
@@ -40,6 +40,8 @@
     """Remaining cold time when the record was written."""
     started_at_ms: int
     """Unix time of its start; distinguishes its incarnations."""
+    version: str = ""
+    """Version of its software."""
 
     def incarnation(self) -> tuple[str, int]:
         """Return the key of this incarnation of the server."""
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -15,8 +16,6 @@
 from lagoonsail_core.unavailable import Unavailable
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from lagoonsail_gateway.fleet_share import FleetMembers
     from lagoonsail_gateway.manifest import Manifest
     from lagoonsail_gateway.server_directory import ServerDirectory, ServerRecord
@@ -51,6 +50,9 @@
 """Pause after the first failed call; doubled after each further one."""
 MAX_RETRY_MS = 600.0
 """Maximum pause between calls while the store is unavailable."""
+ANSWER_DELAY_MS = 100.0
+"""Time that the answer to a waiting watch takes: a watch that waited longer was
+answered because of a change of the last moment."""
 RELIST_AFTER_OUTAGE_MS = 2500.0
 """Time after an outage until all keys are listed again: by then live servers have
 registered again."""
@@ -68,6 +70,10 @@
     """Revision of the change."""
 
 
+ItemListener = Callable[[StoreItem, float | None], None]
+"""Gets a change, and the time before which it was not made."""
+
+
 @dataclass(slots=True, frozen=True)
 class StoreItems:
     """The result of a listing or a watch."""
@@ -131,6 +137,7 @@
         "_routers",
         "_peer_revision",
         "_last_failure_ms",
+        "_subscribers",
         "_watch_sent_ms",
         "last_answer_ms",
         "is_up",
@@ -172,11 +179,22 @@
         self._call_started_ms = float("-inf")
         self._last_failure_ms = float("-inf")
         self._watch_sent_ms = float("inf")
+        self._subscribers: list[tuple[str, ItemListener]] = []
         self.revision = None
         self.manifest = None
         self.last_answer_ms = float("-inf")
         self.is_up = False
 
+    def subscribe(self, prefix: str, listener: ItemListener) -> None:
+        """Register a callback for the changes of some keys.
+
+        Args:
+            prefix: Prefix of the keys.
+            listener: Called with each change, and with the monotonic time before which
+                it was not made, None if that is not known.
+        """
+        self._subscribers.append((prefix, listener))
+
     def run(self) -> None:
         """Follow the store until the task ends."""
         mark_urgent()
@@ -242,7 +260,8 @@
             remaining_ms = self._relist_at_ms - self._context.clock.now_ms()
             wait_ms = max(1.0, min(wait_ms, remaining_ms))
         self._is_interrupted_for_lag = False
-        self._watch_sent_ms = self._context.clock.now_ms()
+        sent_ms = self._watch_sent_ms = self._context.clock.now_ms()
+        known_ms = self.last_answer_ms
         changes = self._calls.watch(self.revision, wait_ms)
         self._watch_sent_ms = float("inf")
         if isinstance(changes, HistoryLost):
@@ -258,8 +277,9 @@
             return False
         self._record_answer()
         self.revision = max(self.revision, changes.revision)
+        earliest_ms = self._earliest_change_ms(known_ms, sent_ms)
         for item in changes.items:
-            self._apply_item(item)
+            self._apply_item(item, earliest_ms)
         self._directory.settle_removals()
         if changes.items:
             self._apply_evacuations_and_members()
@@ -356,7 +376,18 @@
                 self._relist_at_ms = now_ms + RELIST_AFTER_OUTAGE_MS
             self._context.timeline.record("store_regained", revision=self.revision or 0)
 
-    def _apply_item(self, item: StoreItem) -> None:
+    def _earliest_change_ms(self, known_ms: float, sent_ms: float) -> float:
+        """Return a time before which the changes of a watch were not made.
+
+        Args:
+            known_ms: Time of the answer before, which had all changes until then.
+            sent_ms: When the watch was sent.
+        """
+        now_ms = self._context.clock.now_ms()
+        is_waited_for = now_ms - sent_ms > ANSWER_DELAY_MS
+        return max(known_ms, now_ms - ANSWER_DELAY_MS) if is_waited_for else known_ms
+
+    def _apply_item(self, item: StoreItem, earliest_ms: float | None = None) -> None:
         known = self._items.get(item.key)
         if known is not None and known.revision >= item.revision:
             return
@@ -365,6 +396,9 @@
             self._apply_manifest(item)
         elif item.key.startswith(self._format.server_prefix):
             self._apply_server(item)
+        for prefix, listener in self._subscribers:
+            if item.key.startswith(prefix):
+                listener(item, earliest_ms)
 
     def _apply_manifest(self, item: StoreItem) -> None:
         if item.value is None:
