--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_answers.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_answers.py
@@ -21,8 +21,11 @@
     AnswerCounts,
     slowness_bin,
 )
+from lagoonsail_router.loop_lateness import LATE_MS
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lagoonsail_core.clock import Clock
     from lagoonsail_gateway.fleet_counts import FleetCounts
     from lagoonsail_gateway.gateway_call import GatewayCall
@@ -118,7 +121,7 @@
             self._first_ms = now_ms
             # Parts are counted from here on, without the head.
             self._parts = 0
-            self._add_first((now_ms - self._sent_ms) / self._expected_ms)
+            self._add_first(self._ratio(now_ms))
 
     def check_overdue(self, now_ms: float) -> None:
         """Count the first part as very late if it is overdue.
@@ -126,7 +129,7 @@
         Args:
             now_ms: The monotonic time.
         """
-        ratio = (now_ms - self._sent_ms) / self._expected_ms
+        ratio = self._ratio(now_ms)
         if not self._first_ms and ratio > OVERDUE_RATIO:
             self._first_ms = now_ms
             self._add_first(ratio)
@@ -154,6 +157,13 @@
             number = slowness_bin(pause_ms / EXPECTED_PAUSE_MS)
             self._answers.count(f"{self._key}/p", number)
 
+    def _ratio(self, now_ms: float) -> float:
+        """Return the time taken so far, relative to the expected time."""
+        late_ms = self._answers.loop_late_ms()
+        # Small delays meet both versions alike.
+        taken_ms = now_ms - self._sent_ms - (late_ms if late_ms >= LATE_MS else 0.0)
+        return max(0.0, taken_ms) / self._expected_ms
+
     def _add_first(self, ratio: float) -> None:
         self._answers.count(self._key, FIRST_BINS + slowness_bin(ratio))
 
@@ -161,9 +171,26 @@
 class RolloutAnswers:
     """Counts the answers of all services with a roll-out."""
 
-    __slots__ = ("_clock", "_counts", "_crashed_ms", "_held", "_running")
+    __slots__ = (
+        "_clock",
+        "_counts",
+        "_crashed_ms",
+        "_held",
+        "_running",
+        "loop_late_ms",
+    )
+
+    loop_late_ms: Callable[[], float]
+    """Returns by how much the event loop was late recently, which is no fault of a
+    server."""
 
-    def __init__(self, clock: Clock, counts: FleetCounts) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        counts: FleetCounts,
+        loop_late_ms: Callable[[], float] = lambda: 0.0,
+    ) -> None:
+        self.loop_late_ms = loop_late_ms
         self._clock = clock
         self._counts = counts
         self._crashed_ms: dict[str, float] = {}
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_control.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_control.py
@@ -22,7 +22,7 @@
 )
 from lagoonsail_gateway.server_directory import READY
 from lagoonsail_rollout.answer_counts import AnswerCounts, subtract_answer_counts
-from lagoonsail_rollout.exposure import ROUTE_ANSWERS, canary_chance, canary_servers
+from lagoonsail_rollout.exposure import canary_chance, canary_servers, route_chance
 from lagoonsail_rollout.judgement import Judgement, combine, judge
 from lagoonsail_rollout.phases import (
     CANARY,
@@ -77,19 +77,17 @@
     """The order, status and phase of one service, and what is known of its versions."""
 
     __slots__ = (
-        "chance",
+        "chances",
         "crashes",
         "deadline_ms",
         "has_exact_deadline",
         "is_stopped",
         "judgement",
-        "max_chance",
         "order",
         "order_revision",
         "phase",
         "phase_revision",
         "phase_since_ms",
-        "rare_routes",
         "rule",
         "service",
         "started_ms",
@@ -99,10 +97,8 @@
         "windows",
     )
 
-    chance: float
-    """Chance of a request to be sent to the new version as a trial."""
-    max_chance: float
-    """The largest chance at which the canary's servers have the load of old ones."""
+    chances: dict[str, float]
+    """Chance of a request to be sent to the new version as a trial, by route."""
     crashes: dict[str, int]
     """Crashes since the order, by version."""
     deadline_ms: float
@@ -123,8 +119,6 @@
     """Revision of its key, 0 if there is none."""
     phase_since_ms: float
     """When this router saw the phase, or the order if that is newer."""
-    rare_routes: frozenset[str]
-    """Routes with few answers of the new version."""
     rule: VersionRule | None
     """Which versions requests may use; None for all."""
     service: str
@@ -142,19 +136,17 @@
 
     def __init__(self, service: str) -> None:
         self.service = service
-        self.chance = 0.0
+        self.chances = {}
         self.crashes = {}
         self.deadline_ms = float("inf")
         self.has_exact_deadline = False
         self.is_stopped = False
         self.judgement = Judgement()
-        self.max_chance = 0.0
         self.order = None
         self.order_revision = 0
         self.phase = None
         self.phase_revision = 0
         self.phase_since_ms = 0.0
-        self.rare_routes = frozenset()
         self.rule = None
         self.started_ms = 0.0
         self.status_revision = 0
@@ -218,7 +210,9 @@
         self._routers = routers
         self._routes: dict[str, list[str]] = {}
         self._store = store
-        self.answers = RolloutAnswers(context.clock, counts)
+        self.answers = RolloutAnswers(
+            context.clock, counts, context.loop_lateness.recent_ms
+        )
         self.services = {}
         directory.subscribe(self._on_server_change)
 
@@ -268,6 +262,21 @@
                 self._apply_phase(rollout, item)
         self.update_rule(rollout)
 
+    def correct(self, item: StoreItem) -> None:
+        """Take over the current value of a key from a write that was refused.
+
+        Args:
+            item: The key as it is now, whatever revision was expected.
+        """
+        if item.key.startswith(self._store.status_prefix):
+            rollout = self._find(item.key.removeprefix(self._store.status_prefix))
+            rollout.status_revision = item.revision
+        elif item.key.startswith(self._store.phase_prefix):
+            rollout = self._find(item.key.removeprefix(self._store.phase_prefix))
+            if rollout.phase_revision != item.revision:
+                self._apply_phase(rollout, item)
+                self.update_rule(rollout)
+
     def _apply_order(
         self, rollout: ServiceRollout, item: StoreItem, earliest_ms: float | None
     ) -> None:
@@ -287,7 +296,7 @@
         rollout.started_ms = rollout.phase_since_ms = now_ms
         rollout.is_stopped = False
         rollout.judgement = Judgement()
-        rollout.chance = 0.0
+        rollout.chances = {}
         rollout.crashes = {}
         rollout.window_starts = []
         rollout.windows = 0
@@ -408,15 +417,10 @@
             if rollout.is_active():
                 self._counts.add(rollout.key(), REQUESTS)
             # Retries don't go to the new version: callers have waited long enough.
-            if random.random() < self._chance(rollout, call):
+            if random.random() < rollout.chances.get(call.route.name, 0.0):
                 is_trial = self._make_trial_check(rollout)
         return choose_servers(rollout.rule, states, _version_of, is_open, is_trial)
 
-    def _chance(self, rollout: ServiceRollout, call: GatewayCall) -> float:
-        if not rollout.chance or call.route.name not in rollout.rare_routes:
-            return rollout.chance
-        return rollout.max_chance
-
     def _make_trial_check(self, rollout: ServiceRollout) -> Callable:
         return lambda state: state.server.record.server_id in rollout.trial_ids
 
@@ -458,13 +462,19 @@
         old = self._answers_by_route(rollout, OLD)
         new = self._answers_by_route(rollout, NEW)
         rollout.judgement = self._judge_answers(rollout, old, new)
-        self._pick_trial_servers(rollout)
+        max_chance = self._pick_trial_servers(rollout)
         is_good = rollout.judgement.is_good
         chance = canary_chance(self._bounds, requests, exposed, is_good=is_good)
-        rollout.chance = min(chance, rollout.max_chance)
-        rollout.rare_routes = frozenset(
-            route for route, counts in new.items() if counts.answers < ROUTE_ANSWERS
-        )
+        old_answers = max(1, sum(counts.answers for counts in old.values()))
+        rollout.chances = {
+            route: route_chance(
+                min(chance, max_chance),
+                counts.answers,
+                old[route].answers / old_answers,
+                max_chance,
+            )
+            for route, counts in new.items()
+        }
         is_outvoted = votes >= MIN_VOTE_FRACTION * self._routers.count()
         is_bad = rollout.judgement.is_bad or is_outvoted
         if is_bad and not rollout.is_stopped and not self._is_in_service(rollout):
@@ -551,7 +561,8 @@
             for route in self._routes.get(rollout.service, ())
         }
 
-    def _pick_trial_servers(self, rollout: ServiceRollout) -> None:
+    def _pick_trial_servers(self, rollout: ServiceRollout) -> float:
+        """Pick the canary's servers; return the chance that gives them usual load."""
         servers = self._directory.usable_servers(rollout.service)
         target = rollout.order.target
         ids = [s.record.server_id for s in servers if s.record.version == target]
@@ -560,7 +571,7 @@
         ranked = rank_routers(rollout.key(), ids)
         count = canary_servers(ranked, old_servers, self._bounds.share)
         rollout.trial_ids = frozenset(ranked[:count])
-        rollout.max_chance = min(self._bounds.share, count / max(1, old_servers))
+        return min(self._bounds.share, count / max(1, old_servers))
 
     def _on_server_change(self, kind: str, server: Server) -> None:
         record = server.record
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_leader.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_leader.py
@@ -56,6 +56,7 @@
         "_context",
         "_control",
         "_key_item",
+        "_last_failure",
         "_lease",
         "_pending_lease",
         "_renewed_ms",
@@ -78,6 +79,7 @@
         self._context = context
         self._control = control
         self._key_item: StoreItem | None = None
+        self._last_failure = ("", "")
         self._lease = ""
         self._pending_lease = ""
         self._renewed_ms = 0.0
@@ -138,7 +140,8 @@
         if now_ms >= self._renewed_ms + RENEW_INTERVAL_MS:
             self._renew(now_ms)
         for rollout in active:
-            if self._term:
+            # Calls wait for the store, and the view may bring another phase meanwhile.
+            if self._term and rollout.is_active():
                 self._advance(rollout)
 
     # The election.
@@ -198,6 +201,7 @@
             self._record_failure("renewal", kept)
         else:
             self._renewed_ms = now_ms
+            self._last_failure = ("", "")
 
     def _resign(self, reason: str) -> None:
         if self._term:
@@ -271,17 +275,16 @@
         self._renewed_ms = float("-inf")
         for item in problem.items:
             self.apply_item(item, None)
-            # An order must come with the time at which it was seen, by the view.
-            if item.key.startswith(
-                (self._store.status_prefix, self._store.phase_prefix)
-            ):
-                self._control.apply_item(item, None)
+            # A newer order comes by the view, which knows since when it counts.
+            self._control.correct(item)
 
     def _record_failure(self, call: str, problem: Unavailable) -> None:
         is_conflict = isinstance(problem, WriteConflict)
         outcome = "refused" if is_conflict else "unanswered"
         self._context.count("rollout_writes_total", outcome)
         self._wait_until_ms = self._context.clock.now_ms() + RETRY_MS
-        self._context.timeline.record(
-            "rollout_call_failed", call=call, reason=problem.reason
-        )
+        if (call, problem.reason) != self._last_failure:
+            self._last_failure = (call, problem.reason)
+            self._context.timeline.record(
+                "rollout_call_failed", call=call, reason=problem.reason
+            )
--- a/packages/lagoonsail-rollout/src/lagoonsail_rollout/judgement.py
+++ b/packages/lagoonsail-rollout/src/lagoonsail_rollout/judgement.py
@@ -18,6 +18,7 @@
 
 from lagoonsail_rollout.answer_counts import AnswerCounts, add_answer_counts
 from lagoonsail_rollout.sequential_test import (
+    MIN_USUAL_SLOW_SHARE,
     log_bad_ratio,
     log_evidence,
     usual_share,
@@ -161,7 +162,8 @@
         # What is slow depends on the route, so other routes don't help here.
         if total >= MIN_OLD_ANSWERS:
             start = slow_bin(old_bins)
-            usual = usual_share(sum(old_bins[start:]), total)
+            old_slow = sum(old_bins[start:])
+            usual = usual_share(old_slow, total, MIN_USUAL_SLOW_SHARE)
             slow = sum(new_bins[start:])
             yield _Test(f"{name} {route}".strip(), slow, sum(new_bins), usual)
 
--- a/packages/lagoonsail-rollout/src/lagoonsail_rollout/phases.py
+++ b/packages/lagoonsail-rollout/src/lagoonsail_rollout/phases.py
@@ -24,10 +24,10 @@
 PHASES = (CANARY, FULL, COMPLETED, ROLLED_BACK)
 """All phases."""
 
-COMPLETION_MARGIN_MS = 900.0
-"""Time before the limit at which the end is written: one call to the store may stay
-without an answer for 400 ms, and the next one must still be in time."""
-MIN_FULL_MS = 1400.0
+COMPLETION_MARGIN_MS = 1500.0
+"""Time before the limit at which the end is written. A call to the store may stay
+without an answer for 400 ms and is repeated after a pause: two calls may be lost."""
+MIN_FULL_MS = 1300.0
 """Least time with all requests at the new version: other routers get to know of it
 within a second or so, and a version that is bad under load shows it."""
 MAX_FULL_MS = 4000.0
@@ -45,7 +45,7 @@
     """What the leader knows of a roll-out."""
 
     phase: str
-    """CANARY or FULL."""
+    """The phase; the others than CANARY and FULL are final."""
     remaining_ms: float
     """Time until the limit."""
     in_phase_ms: float
@@ -85,6 +85,8 @@
         situation: What is known.
         bounds: The bounds of the settings.
     """
+    if situation.phase not in (CANARY, FULL):
+        return None
     if situation.judgement.is_bad:
         return Step(ROLLED_BACK, situation.judgement.reason)
     is_last_moment = situation.remaining_ms <= COMPLETION_MARGIN_MS
