--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -59,6 +59,7 @@
     "repeats_refused_total": "Requests not sent once more for want of a share.",
     "retries_total": "Requests sent once more, by service.",
     "rollout_exposed_total": "Requests sent to the new version, by service.",
+    "rollout_requests_total": "Requests during a roll-out, by service.",
     "rollout_writes_total": "Writes of roll-outs to the store, by outcome.",
     "store_failures_total": "Calls to the store without an answer.",
     "task_errors_total": "Failures inside the router's tasks, by task.",
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_control.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_control.py
@@ -38,7 +38,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Sequence
+    from collections.abc import Callable, Sequence
 
     from lagoonsail_gateway.dispatcher import Dispatcher
     from lagoonsail_gateway.fleet_counts import FleetCounts
@@ -416,6 +416,7 @@
         if not call.tried_server_ids:
             if rollout.is_active():
                 self._counts.add(rollout.key(), REQUESTS)
+                self._context.count("rollout_requests_total", call.service)
             # Retries don't go to the new version: callers have waited long enough.
             if random.random() < rollout.chances.get(call.route.name, 0.0):
                 is_trial = self._make_trial_check(rollout)
@@ -584,17 +585,6 @@
             crashes[record.version] = crashes.get(record.version, 0) + 1
             self.answers.record_crash(crash_key(rollout.key(), record))
 
-    # What the operator sees.
-
-    def gauges(self) -> Iterable[tuple[str, str, float]]:
-        """Return service, name and value of what is known of active roll-outs."""
-        for rollout in self.services.values():
-            if rollout.is_active():
-                requests, exposed, _ = self._totals(rollout)
-                yield rollout.service, "requests", requests
-                yield rollout.service, "exposed", exposed
-                yield rollout.service, "answers", rollout.judgement.answers
-
 
 def _since(counts: AnswersByRoute, start: AnswersByRoute) -> AnswersByRoute:
     return {
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
@@ -261,7 +261,8 @@
             wait_ms = max(1.0, min(wait_ms, remaining_ms))
         self._is_interrupted_for_lag = False
         sent_ms = self._watch_sent_ms = self._context.clock.now_ms()
-        known_ms = self.last_answer_ms
+        # After an outage it is not known when a change was made.
+        known_ms = self.last_answer_ms if self.is_up else None
         changes = self._calls.watch(self.revision, wait_ms)
         self._watch_sent_ms = float("inf")
         if isinstance(changes, HistoryLost):
@@ -376,13 +377,18 @@
                 self._relist_at_ms = now_ms + RELIST_AFTER_OUTAGE_MS
             self._context.timeline.record("store_regained", revision=self.revision or 0)
 
-    def _earliest_change_ms(self, known_ms: float, sent_ms: float) -> float:
+    def _earliest_change_ms(
+        self, known_ms: float | None, sent_ms: float
+    ) -> float | None:
         """Return a time before which the changes of a watch were not made.
 
         Args:
-            known_ms: Time of the answer before, which had all changes until then.
+            known_ms: Time of the answer before, which had all changes until then; None
+                after an outage.
             sent_ms: When the watch was sent.
         """
+        if known_ms is None:
+            return None
         now_ms = self._context.clock.now_ms()
         is_waited_for = now_ms - sent_ms > ANSWER_DELAY_MS
         return max(known_ms, now_ms - ANSWER_DELAY_MS) if is_waited_for else known_ms
--- a/packages/lagoonsail-gateway/tests/test_rollouts.py
+++ b/packages/lagoonsail-gateway/tests/test_rollouts.py
@@ -518,14 +518,17 @@
 # the view brought the completion while the leader waited for a renewal.
 def test_completion_without_an_answer_is_final(fleet):
     start(fleet)
-    fleet.run(LIMIT_S - 3.0)
+    fleet.run(LIMIT_S - 2.2)
     fleet.store.loses_answers = True
+    leader = fleet.leader()
+    read_store, leader.read_store = leader.read_store, lambda log: None
     while fleet.status() != "completed v2":
         fleet.run(STEP_MS / 1000.0)
+        assert fleet.manual.ms < fleet.ordered_ms + 1000.0 * LIMIT_S
     fleet.store.loses_answers = False
-    leader = fleet.leader()
     leader.control.services["plain"].is_stopped = True
-    fleet.store.on_keep = lambda: leader.read_store(fleet.store.log)
+    leader.leader._renewed_ms = float("-inf")
+    fleet.store.on_keep = lambda: read_store(fleet.store.log)
     fleet.run(4.0)
     assert fleet.status() == "completed v2"
     assert fleet.last_sent_ms("v1") < fleet.manual.ms - 3000.0
--- a/packages/lagoonsail-gateway/tests/test_store_view.py
+++ b/packages/lagoonsail-gateway/tests/test_store_view.py
@@ -11,6 +11,7 @@
 from lagoonsail_gateway.peer_digests import ROUND_INTERVAL_MS
 from lagoonsail_gateway.server_directory import REGISTRATION_GRACE_MS, ServerDirectory
 from lagoonsail_gateway.store_view import (
+    ANSWER_DELAY_MS,
     FIRST_WATCH_MS,
     LAG_TIMEOUT_MS,
     MAX_BATCH_FRACTION,
@@ -104,6 +105,30 @@
     assert servers(harness) == {"b"}
 
 
+# A time limit that counts from too late a moment ends a roll-out too late.
+def test_subscriber_learns_since_when_a_change_may_count(harness, manual_clock):
+    seen = []
+    harness.view.subscribe("order/", lambda item, ms: seen.append((item.key, ms)))
+
+    def wait_then_answer():
+        manual_clock.ms = 9000.0
+        return page(9, ("order/late", b"", 9))
+
+    manual_clock.ms = 1000.0
+    harness.step(page(5, ("order/listed", b"", 5), ("config", b"2", 4)))
+    manual_clock.ms = 2000.0
+    harness.step(page(6, ("order/at-once", b"", 6)))
+    manual_clock.ms = 3000.0
+    harness.step(wait_then_answer, Unavailable("down"))
+    harness.step(page(12, ("order/after-an-outage", b"", 12)))
+    assert seen == [
+        ("order/listed", None),
+        ("order/at-once", 1000.0),
+        ("order/late", 9000.0 - ANSWER_DELAY_MS),
+        ("order/after-an-outage", None),
+    ]
+
+
 def test_older_manifest_never_returns(harness):
     harness.step(page(5, ("config", b"7", 5)), page(6, ("config", b"4", 6)))
     assert harness.view.manifest.version == 7
--- a/tests/platform/test_settings_file.py
+++ b/tests/platform/test_settings_file.py
@@ -6,11 +6,13 @@
 from lagoonsail_platform_standin.fleet import make_settings
 
 from lagoonsail_platform.settings_file import (
+    EXPOSURE_FIELDS,
     SettingsFileError,
     decode_settings,
     load_settings_file,
     read_fields,
 )
+from lagoonsail_rollout.exposure import ExposureBounds
 
 
 @pytest.fixture
@@ -40,6 +42,16 @@
         decode_settings(fields | {name: value})
 
 
+# An earlier deployment without these fields must be served as before.
+@pytest.mark.parametrize("value", [None, ""])
+def test_roll_outs_are_off_unless_all_their_bounds_are_set(fields, value):
+    assert decode_settings(fields).exposure == ExposureBounds(0.1, 50.0, 5000.0)
+    for name in EXPOSURE_FIELDS:
+        changed = {k: v for k, v in fields.items() if k != name}
+        changed |= {} if value is None else {name: value}
+        assert decode_settings(changed).exposure is None
+
+
 def test_missing_field_is_named(fields):
     del fields["node-name"]
     with pytest.raises(SettingsFileError, match="node-name"):
