--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_control.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_control.py
@@ -23,7 +23,7 @@
 from lagoonsail_gateway.server_directory import READY
 from lagoonsail_rollout.answer_counts import AnswerCounts, subtract_answer_counts
 from lagoonsail_rollout.exposure import canary_chance, canary_servers, route_chance
-from lagoonsail_rollout.judgement import Judgement, combine, judge
+from lagoonsail_rollout.judgement import Judgement, combine, is_rare_route, judge
 from lagoonsail_rollout.phases import (
     CANARY,
     COMPLETED,
@@ -466,13 +466,13 @@
         max_chance = self._pick_trial_servers(rollout)
         is_good = rollout.judgement.is_good
         chance = canary_chance(self._bounds, requests, exposed, is_good=is_good)
-        old_answers = max(1, sum(counts.answers for counts in old.values()))
+        old_answers = sum(counts.answers for counts in old.values())
         rollout.chances = {
             route: route_chance(
                 min(chance, max_chance),
                 counts.answers,
-                old[route].answers / old_answers,
                 max_chance,
+                is_rare=is_rare_route(old[route].answers, old_answers),
             )
             for route, counts in new.items()
         }
--- a/packages/lagoonsail-rollout/src/lagoonsail_rollout/exposure.py
+++ b/packages/lagoonsail-rollout/src/lagoonsail_rollout/exposure.py
@@ -33,8 +33,6 @@
 fall before the time limit."""
 ROUTE_ANSWERS = 30
 """Answers on a route below which its requests get the full chance."""
-RARE_ROUTE_FRACTION = 0.1
-"""Fraction of the service's answers below which a route is rare."""
 RARE_ROUTE_FACTOR = 3.0
 """Factor of the chance of requests on rare routes, which else would bring no evidence.
 It adds at most a fifth to the share for each of them."""
@@ -85,30 +83,30 @@
     return min(chance, TRICKLE_FRACTION * bounds.share) if is_good else chance
 
 
-def route_chance(chance: float, answers: int, part: float, max_chance: float) -> float:
+def route_chance(
+    chance: float, answers: int, max_chance: float, *, is_rare: bool
+) -> float:
     """Return the chance of a request on one route, so that each route is judged.
 
     Args:
         chance: Chance of a request of the service; see `canary_chance`.
         answers: Answers of the new version on the route.
-        part: The route's part of the answers of the old version.
         max_chance: Chance at which the canary's servers have the load of old ones.
+        is_rare: Whether the route is rare; see `is_rare_route`.
 
     Example:
-        >>> route_chance(0.04, answers=90, part=0.5, max_chance=0.1)
+        >>> route_chance(0.04, answers=90, max_chance=0.1, is_rare=False)
         0.04
-        >>> route_chance(0.04, answers=9, part=0.5, max_chance=0.1)
+        >>> route_chance(0.04, answers=9, max_chance=0.1, is_rare=False)
         0.1
-        >>> round(route_chance(0.04, answers=9, part=0.01, max_chance=0.1), 2)
+        >>> round(route_chance(0.04, answers=9, max_chance=0.1, is_rare=True), 2)
         0.3
-        >>> route_chance(0.0, answers=9, part=0.01, max_chance=0.1)
+        >>> route_chance(0.0, answers=9, max_chance=0.1, is_rare=True)
         0.0
     """
     if not chance or answers >= ROUTE_ANSWERS:
         return chance
-    if part < RARE_ROUTE_FRACTION:
-        return RARE_ROUTE_FACTOR * max_chance
-    return max_chance
+    return RARE_ROUTE_FACTOR * max_chance if is_rare else max_chance
 
 
 def may_move_all(
--- a/packages/lagoonsail-rollout/src/lagoonsail_rollout/judgement.py
+++ b/packages/lagoonsail-rollout/src/lagoonsail_rollout/judgement.py
@@ -33,12 +33,23 @@
 """The same for a good version to be under suspicion, which only delays it."""
 MISS_RATE = 0.01
 """Probability that a clearly bad version is ever taken for good, by each test."""
+ROUTE_MISS_RATE = 0.1
+"""The same on each route that is not rare. Larger, as it needs half as many answers,
+and most of all answers are on few routes."""
 MIN_OLD_ANSWERS = 20
 """Answers of the old version without which slowness is not judged."""
 USUAL_TAIL = 0.12
 """Share of the old version's answers that may be slower than the edge of slow ones."""
 CRASH_FAILURES = 3
 """Failures for which the crash of a server counts, whatever it had running."""
+RARE_ROUTE_FRACTION = 0.1
+"""Fraction of the service's answers below which a route is rare."""
+FAILURES = "failures"
+"""Measure: answers that failed."""
+SLOW_FIRST_PARTS = "slow first parts"
+"""Measure: answers that began late."""
+SLOW_STREAMS = "slow streams"
+"""Measure: streams with long pauses."""
 ALL_ROUTES = ""
 """Name of the sum over all routes."""
 
@@ -61,7 +72,8 @@
 
 @dataclass(slots=True, frozen=True)
 class _Test:
-    name: str
+    route: str
+    measure: str
     bad: int
     total: int
     usual: float
@@ -101,12 +113,30 @@
     return Judgement(
         is_bad=worst >= log(count / FALSE_ALARM_RATE),
         is_suspect=is_suspect,
-        is_good=not is_suspect and _are_all_passed(overall),
+        is_good=not is_suspect
+        and all(_is_passed(test, MISS_RATE) for test in overall)
+        and all(
+            _is_passed(test, ROUTE_MISS_RATE)
+            for test in tests[len(overall) :]
+            if not is_rare_route(
+                old.get(test.route, AnswerCounts()).answers, old_sum.answers
+            )
+        ),
         answers=new_sum.answers,
         reason=_describe(tests[scores.index(worst)]),
     )
 
 
+def is_rare_route(answers: int, all_answers: int) -> bool:
+    """Return whether a route is so rare that a version is found good without it.
+
+    Args:
+        answers: Answers of the old version on the route.
+        all_answers: Answers of the old version on all routes.
+    """
+    return answers < RARE_ROUTE_FRACTION * all_answers
+
+
 def combine(overall: Judgement, recent: Judgement) -> Judgement:
     """Return the judgement by all answers and by those of a recent window.
 
@@ -153,10 +183,10 @@
     # A route without answers of the old version is compared with all routes.
     old_rate = old if old.answers >= MIN_OLD_ANSWERS else old_sum
     usual = usual_share(old_rate.failures, old_rate.answers)
-    yield _Test(f"failures {route}".strip(), new.failures, new.answers, usual)
+    yield _Test(route, FAILURES, new.failures, new.answers, usual)
     for name, old_bins, new_bins in (
-        ("slow first parts", old.first, new.first),
-        ("slow streams", old.pauses, new.pauses),
+        (SLOW_FIRST_PARTS, old.first, new.first),
+        (SLOW_STREAMS, old.pauses, new.pauses),
     ):
         total = sum(old_bins)
         # What is slow depends on the route, so other routes don't help here.
@@ -165,16 +195,14 @@
             old_slow = sum(old_bins[start:])
             usual = usual_share(old_slow, total, MIN_USUAL_SLOW_SHARE)
             slow = sum(new_bins[start:])
-            yield _Test(f"{name} {route}".strip(), slow, sum(new_bins), usual)
+            yield _Test(route, name, slow, sum(new_bins), usual)
 
 
-def _are_all_passed(tests: list[_Test]) -> bool:
-    return all(
-        log_bad_ratio(test.bad, test.total, test.usual) <= log(MISS_RATE)
-        # Routes without streams have none that could be slow.
-        or (not test.total and "streams" in test.name)
-        for test in tests
-    )
+def _is_passed(test: _Test, miss_rate: float) -> bool:
+    if not test.total and test.measure == SLOW_STREAMS:
+        # There are routes without long streams.
+        return True
+    return log_bad_ratio(test.bad, test.total, test.usual) <= log(miss_rate)
 
 
 def _with_crashes(counts: AnswerCounts, crashes: int) -> AnswerCounts:
@@ -185,4 +213,5 @@
 
 
 def _describe(test: _Test) -> str:
-    return f"{test.name}: {test.bad} of {test.total}, usual {test.usual:.3f}"
+    name = f"{test.measure} {test.route}".strip()
+    return f"{name}: {test.bad} of {test.total}, usual {test.usual:.3f}"
--- a/packages/lagoonsail-rollout/tests/test_rollout_error_rates.py
+++ b/packages/lagoonsail-rollout/tests/test_rollout_error_rates.py
@@ -11,6 +11,7 @@
 from lagoonsail_rollout.judgement import (
     FALSE_ALARM_RATE,
     MISS_RATE,
+    ROUTE_MISS_RATE,
     SUSPICION_RATE,
     judge,
     slow_bin,
@@ -128,6 +129,9 @@
     results = [play(seed, **fields) for seed in range(RUNS // 4)]
     missed = sum(batch is None for batch, _ in results)
     assert missed <= MISS_RATE * len(results)
+    # A version that is taken for good gets few requests, which would hide the rest.
+    passed = sum(passed is not None for _, passed in results)
+    assert passed <= ROUTE_MISS_RATE * len(results)
 
 
 def test_overload_of_both_versions_condemns_neither():
