Time of an order learned by the feed; fewer vain elections

Cause: a follower of the store feed would have counted an order from its own last call, long ago. Routers learn of a new leader later than the next in rank tried. Tests: test_follower_learns_since_when_a_change_may_count.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_leader.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_leader.py
@@ -37,9 +37,9 @@
 leader costs this and `RANK_DELAY_MS`, out of the time of the order."""
 RENEW_INTERVAL_MS = 800.0
 """Time between two renewals; two of them may be lost."""
-RANK_DELAY_MS = 250.0
-"""Time by which a router waits longer than the one that ranks before it, so that most
-routers see the key of a new leader before they try."""
+RANK_DELAY_MS = 500.0
+"""Time by which a router waits longer than the one that ranks before it. Routers learn
+of a new leader some 450 ms after another change, and a vain try costs three calls."""
 INEXACT_DELAY_MS = 1500.0
 """Time by which a router waits longer if it didn't see the order as it came, and knows
 the time limit less well."""
--- a/packages/lagoonsail-gateway/tests/test_store_feed.py
+++ b/packages/lagoonsail-gateway/tests/test_store_feed.py
@@ -10,6 +10,7 @@
 from lagoonsail_gateway.fleet_share import FleetMembers
 from lagoonsail_gateway.server_directory import ServerDirectory
 from lagoonsail_gateway.store_feed import (
+    HEARTBEAT_INTERVAL_MS,
     MIN_FEED_ROUTERS,
     WATCHER_TIMEOUT_MS,
     FeedMessage,
@@ -106,6 +107,18 @@
     assert (follower.view.revision, follower.waits) == (6, [])
 
 
+def test_follower_learns_since_when_a_change_may_count(make_view, manual_clock):
+    """Guards against a time limit that counts from the last call, long ago."""
+    follower = make_view(rank=5)
+    seen = []
+    follower.view.subscribe("servers/", lambda _item, ms: seen.append(ms))
+    manual_clock.ms = 20_000.0
+    tell_heartbeats(follower, 5)
+    manual_clock.ms += HEARTBEAT_INTERVAL_MS
+    tell(follower, 5, 6, "s1")
+    assert 20_000.0 - 1000.0 < seen[0] < 20_000.0
+
+
 def test_change_that_comes_late_takes_nothing_back(make_view):
     follower = make_view(rank=5)
     tell(follower, 5, 7, "s1")
