Keep servers whose version is no text

Cause: records of earlier deployments need no version, and one of another type would have been rejected with the server. Tests: test_server_is_known_whatever_its_version.

--- a/tests/platform/test_values.py
+++ b/tests/platform/test_values.py
@@ -39,6 +39,16 @@
     assert manifest.find_route(HOSTNAME, "/other") is None
 
 
+# Only roll-outs need the version; a server without one was used before there were any.
+@pytest.mark.parametrize(
+    ("version", "expected"), [("v2", "v2"), (None, ""), (2, ""), ([], "")]
+)
+def test_server_is_known_whatever_its_version(version, expected):
+    record = StandInServer("s1", "plain", "10.0.0.1:80").record()
+    decoded = decode_server("s1", json.dumps(record | {"version": version}).encode())
+    assert decoded.version == expected
+
+
 def test_longest_prefix_wins():
     fields = make_manifest(7)
     fields["routes"].append(fields["routes"][0] | {"name": "x", "prefix": "/read/x/"})
