--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -16,8 +17,6 @@
 from lagoonsail_gateway.store_feed import FeedMessage, StoreItem
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from lagoonsail_gateway.fleet_share import FleetMembers
     from lagoonsail_gateway.manifest import Manifest
     from lagoonsail_gateway.server_directory import ServerDirectory, ServerRecord
@@ -53,6 +52,9 @@
 """Pause after the first failed call; doubled after each further one."""
 MAX_RETRY_MS = 600.0
 """Maximum pause between calls while the store is unavailable."""
+ANSWER_DELAY_MS = 100.0
+"""Time that the answer to a waiting watch takes: a watch that waited longer was
+answered because of a change of the last moment."""
 WATCHER_TIMEOUT_MS = 1500.0
 """Timeout of the watches of a router on which others rely: a connection that has fallen
 silent is noticed within the time in which a change must be in force."""
@@ -67,6 +69,10 @@
 registered again."""
 
 
+ItemListener = Callable[[StoreItem, float | None], None]
+"""Gets a change, and the time before which it was not made."""
+
+
 @dataclass(slots=True, frozen=True)
 class StoreItems:
     """The result of a listing or a watch."""
@@ -131,7 +137,9 @@
         "_routers",
         "_send_feed",
         "_peer_revision",
+        "_known_ms",
         "_last_failure_ms",
+        "_subscribers",
         "_watch_sent_ms",
         "last_answer_ms",
         "is_up",
@@ -190,11 +198,23 @@
         self._call_started_ms = float("-inf")
         self._last_failure_ms = float("-inf")
         self._watch_sent_ms = float("inf")
+        self._known_ms: float | None = None
+        self._subscribers: list[tuple[str, ItemListener]] = []
         self.revision = None
         self.manifest = None
         self.last_answer_ms = float("-inf")
         self.is_up = False
 
+    def subscribe(self, prefix: str, listener: ItemListener) -> None:
+        """Register a callback for the changes of some keys.
+
+        Args:
+            prefix: Prefix of the keys.
+            listener: Called with each change, and with the monotonic time before which
+                it was not made, None if that is not known.
+        """
+        self._subscribers.append((prefix, listener))
+
     def run(self) -> None:
         """Follow the store until the task ends."""
         mark_urgent()
@@ -263,7 +283,8 @@
             remaining_ms = self._relist_at_ms - self._context.clock.now_ms()
             wait_ms = max(1.0, min(wait_ms, remaining_ms))
         self._is_interrupted_for_lag = False
-        self._watch_sent_ms = self._context.clock.now_ms()
+        sent_ms = self._watch_sent_ms = self._context.clock.now_ms()
+        known_ms = self._known_ms
         changes = self._calls.watch(self.revision, wait_ms)
         self._watch_sent_ms = float("inf")
         if isinstance(changes, HistoryLost):
@@ -279,16 +300,19 @@
             return False
         self._record_answer()
         after = self.revision
-        self._apply_changes(changes.items, changes.revision)
+        earliest_ms = self._earliest_change_ms(known_ms, sent_ms)
+        self._apply_changes(changes.items, changes.revision, earliest_ms)
         if changes.items:
             self._has_new_changes = True
             self._tell_followers(after, changes.items)
         return True
 
-    def _apply_changes(self, items: list[StoreItem], revision: int) -> None:
+    def _apply_changes(
+        self, items: list[StoreItem], revision: int, earliest_ms: float | None
+    ) -> None:
         self.revision = max(self.revision, revision)
         for item in items:
-            self._apply_item(item)
+            self._apply_item(item, earliest_ms)
         self._directory.settle_removals()
         if items:
             self._apply_evacuations_and_members()
@@ -338,7 +362,12 @@
             return
         if message.revision > self.revision:
             self._context.count("store_feed_total")
-            self._apply_changes(message.items, message.revision)
+            self._apply_changes(message.items, message.revision, self._known_ms)
+        if message.revision == self.revision and self._known_ms is not None:
+            # The watcher pauses after changes, and may have missed some meanwhile.
+            delay_ms = self._batch_pause_ms() + ANSWER_DELAY_MS
+            now_ms = self._context.clock.now_ms()
+            self._known_ms = max(self._known_ms, now_ms - delay_ms)
 
     def _watch_timeout_ms(self) -> float:
         if not self.is_up:
@@ -416,6 +445,8 @@
         }
 
     def _record_failure(self, problem: Unavailable) -> None:
+        # After an outage it is not known when a change was made.
+        self._known_ms = None
         self._directory.record_store_outage()
         self._last_failure_ms = self._context.clock.now_ms()
         self._context.count("store_failures_total")
@@ -425,7 +456,7 @@
 
     def _record_answer(self) -> None:
         now_ms = self._context.clock.now_ms()
-        self.last_answer_ms = now_ms
+        self.last_answer_ms = self._known_ms = now_ms
         self._lag_timeout_ms = LAG_TIMEOUT_MS
         if not self.is_up:
             self.is_up = True
@@ -434,7 +465,23 @@
                 self._relist_at_ms = now_ms + RELIST_AFTER_OUTAGE_MS
             self._context.timeline.record("store_regained", revision=self.revision or 0)
 
-    def _apply_item(self, item: StoreItem) -> None:
+    def _earliest_change_ms(
+        self, known_ms: float | None, sent_ms: float
+    ) -> float | None:
+        """Return a time before which the changes of a watch were not made.
+
+        Args:
+            known_ms: Time of the answer before, which had all changes until then; None
+                after an outage.
+            sent_ms: When the watch was sent.
+        """
+        if known_ms is None:
+            return None
+        now_ms = self._context.clock.now_ms()
+        is_waited_for = now_ms - sent_ms > ANSWER_DELAY_MS
+        return max(known_ms, now_ms - ANSWER_DELAY_MS) if is_waited_for else known_ms
+
+    def _apply_item(self, item: StoreItem, earliest_ms: float | None = None) -> None:
         known = self._items.get(item.key)
         if known is not None and known.revision >= item.revision:
             return
@@ -443,6 +490,9 @@
             self._apply_manifest(item)
         elif item.key.startswith(self._format.server_prefix):
             self._apply_server(item)
+        for prefix, listener in self._subscribers:
+            if item.key.startswith(prefix):
+                listener(item, earliest_ms)
 
     def _apply_manifest(self, item: StoreItem) -> None:
         if item.value is None:
