Test crowds of hostile callers against the memory of both kinds of router

Callers outside the operators' control made a router run out of memory. The INI router gets the setting limits.memory_mb, which is read but not used yet.

--- a/packages/lagoonsail-config/src/lagoonsail_config/settings.py
+++ b/packages/lagoonsail-config/src/lagoonsail_config/settings.py
@@ -101,6 +101,7 @@
         number_key("drain_lag_ms", 0, 60_000, "ms", "1000"),
         number_key("stop_timeout_ms", 0, 3_600_000, "ms", "60000"),
         number_key("max_connections", 1, 100_000, "connections", "2000"),
+        number_key("memory_mb", 100, 1_000_000, "MB", "512"),
         number_key("reject_after_ms", 0, 600_000, "ms", "5000"),
         choice_key(
             "invariants",
@@ -171,6 +172,8 @@
     """Timeout of a planned stop."""
     max_connections: int
     """Maximum number of concurrent caller connections."""
+    memory_mb: int
+    """Memory that the process may use, in units of 1,000,000 bytes."""
     reject_after_ms: int
     """Time without any owner after which requests are refused immediately."""
     invariants: str
--- a/packages/lagoonsail-config/tests/test_settings.py
+++ b/packages/lagoonsail-config/tests/test_settings.py
@@ -36,6 +36,7 @@
     assert settings.peers_transport == "tcp"
     assert (settings.drain_lag_ms, settings.stop_timeout_ms) == (1000, 60_000)
     assert (settings.max_connections, settings.reject_after_ms) == (2000, 5000)
+    assert settings.memory_mb == 512
     assert (settings.invariants, settings.log_level) == ("fatal", "info")
 
 
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from lagoonsail_platform_standin.fleet import MAX_DESCRIPTORS, StandInFleet
+from lagoonsail_platform_standin.fleet import MAX_DESCRIPTORS, MEMORY_MB, StandInFleet
 
 
 @pytest.fixture
@@ -11,8 +11,14 @@
     """Return a function that starts a platform; all are stopped after the test."""
     fleets = []
 
-    def make(routers: int, max_descriptors: int = MAX_DESCRIPTORS) -> StandInFleet:
-        fleet = StandInFleet(tmp_path, max_descriptors=max_descriptors)
+    def make(
+        routers: int,
+        max_descriptors: int = MAX_DESCRIPTORS,
+        memory_mb: int = MEMORY_MB,
+    ) -> StandInFleet:
+        fleet = StandInFleet(
+            tmp_path, max_descriptors=max_descriptors, memory_mb=memory_mb
+        )
         fleets.append(fleet)
         fleet.start(routers)
         return fleet
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -13,8 +13,13 @@
 WORKER_COUNT = "6"
 """Number of parallel test processes; each starts several further processes."""
 
-SERIAL_TESTS = "packages/lagoonsail-lab/tests/test_prove_short.py"
-"""Tests that load the whole machine; they run serially after all others."""
+SERIAL_TESTS = (
+    "packages/lagoonsail-lab/tests/test_prove_short.py",
+    "packages/lagoonsail-router/tests/test_hostile_callers.py",
+    "tests/platform/test_hostile_bodies.py",
+)
+"""Tests that load the whole machine or need it for themselves; they run serially after
+all others."""
 
 
 def read_known_red() -> set[str]:
@@ -43,9 +48,9 @@
         WORKER_COUNT,
         "--dist",
         "worksteal",
-        f"--ignore={SERIAL_TESTS}",
+        *(f"--ignore={path}" for path in SERIAL_TESTS),
     ]
-    runs = [run_pytest(parallel_options), run_pytest([SERIAL_TESTS])]
+    runs = [run_pytest(parallel_options), run_pytest([*SERIAL_TESTS])]
     known = read_known_red()
     for entry in sorted(known):
         print(f"known red: {entry}")
