Hold bodies, heads and answers within one byte budget of the process

Cause: a router held chunked bodies, chunk size lines and trailers without a bound, and copied each body when it sent it, so that a crowd of callers made it run out of memory.

Change: lagoonsail_overload has the budget (who may use how much, long bodies refused first) and the intake of bodies (reserved before they are read, in steps when chunked; silent ones given up for others). Both kinds of router read bodies through it: 503 with Retry-After when the budget is short, 413 over the limit, 408 without progress, the connection closed. Framing of chunked bodies is bounded, heads have a length and a time. Bodies are sent without a copy and dropped when there is an answer. A server that cuts off an answer that its caller left unread does not count as failed. Parts of answers are read in smaller pieces while much is held.

--- a/packages/lagoonsail-core/src/lagoonsail_core/metrics.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/metrics.py
@@ -333,6 +333,31 @@
 
         self._update_callbacks.append(update)
 
+    def observable_gauge(
+        self,
+        name: str,
+        doc: str,
+        unit: str,
+        label: str,
+        read: Callable[[], Mapping[str, float]],
+    ) -> None:
+        """Declare a gauge whose values are read when the metrics are rendered.
+
+        Args:
+            name: What is measured, without prefix and unit.
+            doc: Help text, one sentence.
+            unit: Unit, or the plural of what is counted.
+            label: Name of its label.
+            read: Returns the values, by label value.
+        """
+        gauge = self.gauge(name, doc, unit, (label,))
+
+        def update() -> None:
+            for label_value, value in read().items():
+                gauge.set(value, label_value)
+
+        self._update_callbacks.append(update)
+
     def declare_all(
         self,
         counters: Mapping[str, str],
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_reading.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_reading.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_gateway.gateway_call import GatewayCall, choose_service, make_prompt
-from lagoonsail_router.call import read_body
+from lagoonsail_router.body_reading import read_body, release_body
 from lagoonsail_router.problems import CallProblem
 
 if TYPE_CHECKING:
@@ -44,14 +44,13 @@
         )
     manifest = get_manifest()
     route, account = _find_route_and_account(manifest, env, head)
-    body = read_body(env, manifest.limits.max_body_bytes)
+    body = read_body(
+        env, manifest.limits.max_body_bytes, now_ms + _timeout_ms(route, head)
+    )
     if get_manifest() is not manifest:
         # A body may take seconds, and the request must be handled as it ends.
         route, account = _find_route_and_account(get_manifest(), env, head)
     prompt = make_prompt(head)
-    timeout_ms = route.timeout_ms
-    if head.caller_timeout_ms is not None:
-        timeout_ms = min(timeout_ms, head.caller_timeout_ms)
     return GatewayCall(
         head=head,
         route=route,
@@ -61,11 +60,18 @@
         target=env["lagoonsail.target"],
         body=body,
         arrived_ms=now_ms,
-        deadline_ms=now_ms + timeout_ms,
+        deadline_ms=now_ms + _timeout_ms(route, head),
         prompt=prompt,
+        release_body=lambda: release_body(env),
     )
 
 
+def _timeout_ms(route: Route, head: RequestHead) -> float:
+    if head.caller_timeout_ms is None:
+        return route.timeout_ms
+    return min(route.timeout_ms, head.caller_timeout_ms)
+
+
 def _find_route_and_account(
     manifest: Manifest, env: dict, head: RequestHead
 ) -> tuple[Route, ClientAccount | None]:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_service.py
@@ -173,6 +173,8 @@
         self._dispatcher.accounts.record_demand(call.account, call.cost())
         is_caller_gone = make_caller_watch(env)
         attempt = self._attempt_until_head(call, is_caller_gone)
+        if not call.route.is_resumable:
+            call.drop_body()
         if attempt.is_event_stream():
             self._start_response(attempt, start_response, [])
             return self._stream(call, attempt, is_caller_gone)
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/connection_pool.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/connection_pool.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from lagoonsail_gateway.buffer_budget import BufferBudget
 from lagoonsail_gateway.server_connection import connect
+from lagoonsail_overload.byte_budget import ByteBudget
 
 if TYPE_CHECKING:
     from lagoonsail_core.clock import Clock
@@ -19,8 +19,8 @@
 servers may close connections earlier than they announce."""
 MAX_IDLE_PER_SERVER = 64
 """Maximum number of idle connections kept per server."""
-DEFAULT_BUFFERED_BYTES = 30 << 20
-"""Bytes of answers that are held at once unless stated otherwise."""
+DEFAULT_BUDGET_BYTES = 200_000_000
+"""Byte budget unless another is given."""
 MAX_REQUESTS_PER_CONNECTION = 1000
 """Number of requests after which a connection is closed, because it remembers the id
 of each."""
@@ -31,24 +31,22 @@
 
     __slots__ = ("_clock", "_idle", "buffers", "opened", "reused")
 
-    buffers: BufferBudget
-    """Memory of the answers that are held until they are whole or written."""
+    buffers: ByteBudget
+    """Budget of the answers that are held until they are whole or written."""
     opened: int
     """Number of connections opened."""
     reused: int
     """Number of times that an idle connection was reused."""
 
-    def __init__(
-        self, clock: Clock, max_buffered_bytes: int = DEFAULT_BUFFERED_BYTES
-    ) -> None:
+    def __init__(self, clock: Clock, buffers: ByteBudget | None = None) -> None:
         """Create an empty pool.
 
         Args:
             clock: The clock.
-            max_buffered_bytes: Bytes of answers that may be held at once.
+            buffers: Byte budget of the process, None for one of the pool's own.
         """
         self._clock = clock
-        self.buffers = BufferBudget(max_buffered_bytes)
+        self.buffers = buffers or ByteBudget(DEFAULT_BUDGET_BYTES)
         self._idle: dict[tuple[str, int], list[ServerConnection]] = {}
         self.opened = 0
         self.reused = 0
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -22,6 +22,8 @@
 from lagoonsail_gateway.peer_digests import ROUND_INTERVAL_MS, PeerDigests
 from lagoonsail_gateway.server_directory import ServerDirectory
 from lagoonsail_gateway.store_view import StoreView
+from lagoonsail_overload.body_intake import BodyIntake
+from lagoonsail_overload.process_memory import make_byte_budget
 from lagoonsail_router.context import (
     LEAVING,
     SERVING,
@@ -31,6 +33,7 @@
 )
 from lagoonsail_router.http_server import listen, start_serving
 from lagoonsail_router.open_connections import OpenConnections
+from lagoonsail_router.port_limits import PortLimits
 from lagoonsail_sharing.crash_suspects import CrashSuspects
 
 if TYPE_CHECKING:
@@ -62,9 +65,6 @@
     "loop_late": "Time by which the event loop ran a task too late.",
 }
 """Help texts of the duration histograms, by metric name."""
-BUFFERED_FRACTION = 0.1
-"""Fraction of the memory limit for answers that are held. They are copied up to three
-times while they are passed on, and the rest is for requests and connections."""
 EXPIRY_CHECK_INTERVAL_MS = 200.0
 """Interval between checks for expired servers."""
 MEMBERSHIP_RETRY_MS = 1000.0
@@ -116,6 +116,7 @@
         "digests",
         "directory",
         "dispatcher",
+        "limits",
         "log",
         "pool",
         "routers",
@@ -128,6 +129,8 @@
     """Counters that are summed over all routers."""
     directory: ServerDirectory
     """The backend servers."""
+    limits: PortLimits
+    """Limits on what connections may send, with the byte budget of the process."""
     view: StoreView
     """View of the store's content."""
     calls: CallService
@@ -164,9 +167,9 @@
         self.routers = FleetMembers(settings.name)
         self.counts = FleetCounts(context.clock)
         self.directory = ServerDirectory(context.clock, settings.max_change_delay_ms)
-        self.pool = ConnectionPool(
-            context.clock, int(BUFFERED_FRACTION * settings.memory_limit_bytes)
-        )
+        budget = make_byte_budget(settings.memory_limit_bytes)
+        self.limits = PortLimits(BodyIntake(budget, context.clock))
+        self.pool = ConnectionPool(context.clock, budget)
         self.dispatcher = Dispatcher(context, self.directory, self.routers)
         self.crash_check = CrashCheck(context, CrashSuspects(context.clock))
         self.calls = CallService(
@@ -271,9 +274,13 @@
             connections,
             IDLE_TIMEOUT_MS,
             lambda kind: self.context.count("problems_total", kind),
+            self.limits,
         )
 
     def _apply_manifest(self, manifest: Manifest) -> None:
+        self.limits.max_head_bytes = manifest.limits.max_head_bytes
+        self.limits.head_timeout_ms = manifest.limits.head_timeout_ms
+        self.limits.intake.stall_ms = manifest.limits.idle_timeout_ms
         self.dispatcher.apply_manifest(manifest)
         self.calls.apply_manifest(manifest)
 
@@ -345,6 +352,7 @@
     def _make_metrics(self) -> Metrics:
         # Imported on first use, because a slow start delays serving.
         from lagoonsail_core.metrics import Metrics
+        from lagoonsail_router.memory_metrics import declare_memory_metrics
 
         metrics = Metrics()
         metrics.declare_all(
@@ -359,4 +367,5 @@
             "kind",
             lambda: {"opened": self.pool.opened, "reused": self.pool.reused},
         )
+        declare_memory_metrics(metrics, self.limits.intake)
         return metrics
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_call.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_call.py
@@ -12,6 +12,8 @@
 from lagoonsail_sharing.first_token import Prompt, SharedPart
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from lagoonsail_gateway.manifest import Route
     from lagoonsail_gateway.request_format import RequestHead
 
@@ -32,7 +34,7 @@
     """HTTP method."""
     target: str
     """Path and query as received."""
-    body: bytes
+    body: bytes | bytearray
     """Request body."""
     arrived_ms: float
     """When its head was read."""
@@ -48,6 +50,13 @@
     """Number of times that it was sent to a server."""
     last_event_id: str = ""
     """Id of the last complete event sent to the caller."""
+    release_body: Callable[[], None] = lambda: None
+    """Returns the bytes of the body to the budget of the process."""
+
+    def drop_body(self) -> None:
+        """Let go of the body, which is not sent again."""
+        self.body = b""
+        self.release_body()
 
     @property
     def may_have_run(self) -> bool:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/manifest.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/manifest.py
@@ -107,6 +107,10 @@
     tokens_per_s: float
     """Cost in tokens that all servers together process per second, 0 if unknown; see
     `token_cost`."""
+    max_head_bytes: int = 65_536
+    """Maximum size of the headers of a request."""
+    head_timeout_ms: float = 3000.0
+    """Maximum time in which the head of a request arrives."""
 
 
 @dataclass(slots=True)
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
@@ -7,9 +7,12 @@
 from lagoonsail_gateway.manifest import STREAMING
 from lagoonsail_gateway.request_format import HOP_BY_HOP_HEADERS
 from lagoonsail_gateway.server_connection import (
+    CROWDED_READ_BYTES,
+    MAX_READ_BYTES,
     ConnectFailedError,
     ConnectionLostError,
 )
+from lagoonsail_overload.byte_budget import ANSWERS, UNREAD
 from lagoonsail_router.event_stream import (
     MAX_EVENT_END_BYTES,
     is_event_end,
@@ -36,6 +39,8 @@
 """The request was sent, but no complete valid response was received."""
 TIMED_OUT = "overdue"
 """The request was sent, but the response was not complete at its deadline."""
+LEFT_UNREAD = "unread"
+"""The server cut off a response that the caller left unread for long."""
 CALLER_GONE = "gone"
 """The caller closed its connection, and the request was cancelled."""
 
@@ -47,6 +52,13 @@
 REFUSAL_DRAIN_MS = 20.0
 """Time for the body of a refusal to arrive, so that its connection can be reused. The
 head of the refusal is sufficient, and the body may never end."""
+UNREAD_MS = 1000.0
+"""Time for which a caller leaves a part of a response unread, from which on the server
+may cut the response off without being at fault."""
+UNREAD_COPIES = 2
+"""Copies of a part of a response while it is written: as received, and framed."""
+MIN_COUNTED_BYTES = 4096
+"""Size from which an unread part is counted; a connection has room for shorter ones."""
 DEADLINE_GRACE_MS = 100.0
 """Time beyond the deadline in which a response that the server sent at the deadline may
 arrive."""
@@ -58,7 +70,8 @@
     def __init__(self, kind: str, reason: str) -> None:
         super().__init__(reason)
         self.kind = kind
-        """UNREACHABLE, NOT_RUN_BY_SERVER, LOST, TIMED_OUT or CALLER_GONE."""
+        """UNREACHABLE, NOT_RUN_BY_SERVER, LOST, TIMED_OUT, LEFT_UNREAD or
+        CALLER_GONE."""
         self.reason = reason
         """Description of the failure."""
 
@@ -74,6 +87,7 @@
         "_format",
         "_is_aborted",
         "_is_caller_gone",
+        "_is_left_unread",
         "_pool",
         "_response_head",
         "_running_request",
@@ -127,6 +141,7 @@
         self._running_request: RunningRequest | None = None
         self._response_head: ResponseHead | None = None
         self._is_aborted = False
+        self._is_left_unread = False
         self.call = call
         self.state = state
         self.response = None
@@ -149,7 +164,9 @@
         call.possible_runs += 1
         self._running_request.record_sent()
         try:
-            connection.send(self._request_bytes(), self._response_deadline_ms())
+            connection.send(
+                self._request_head(), self._response_deadline_ms(), call.body
+            )
             response = connection.read_head(
                 self._response_deadline_ms(), self._is_expected
             )
@@ -177,7 +194,7 @@
             ):
                 parts.append(part)
                 self._buffered_bytes += len(part)
-                may_hold_more = self._pool.buffers.add(len(part))
+                may_hold_more = self._pool.buffers.add(ANSWERS, len(part))
                 if not may_hold_more:
                     self._context.count("answers_not_buffered_total")
                 if not may_hold_more or self._buffered_bytes > MAX_BUFFERED_BYTES:
@@ -198,7 +215,7 @@
         """Let go of the part of the body that `buffer_body` has read."""
         self.body = b""
         if self._buffered_bytes:
-            self._pool.buffers.remove(self._buffered_bytes)
+            self._pool.buffers.remove(ANSWERS, self._buffered_bytes)
             self._buffered_bytes = 0
 
     def is_complete(self) -> bool:
@@ -213,30 +230,29 @@
         """
         try:
             if self.body:
-                yield self.body
+                yield from self._pass_on(self.body)
         finally:
             self.release_buffer()
         partial_event = b""
         tail = b""
         try:
-            while part := self._connection.read_body(
-                self.response, self._response_deadline_ms()
-            ):
+            while part := self._read_next_part():
                 self._record_first_part()
                 self._running_request.record_data()
                 is_long = len(part) >= MAX_EVENT_END_BYTES
                 tail = (part if is_long else tail + part)[-MAX_EVENT_END_BYTES:]
                 if self.call.route.is_resumable:
                     part, partial_event = split_events(partial_event + part)
-                    if len(partial_event) > MAX_EVENT_BYTES:
-                        raise ConnectionLostError("an event of the stream has no end")
+                    self._hold_partial_event(len(partial_event))
                     self._update_last_event_id(part)
                 if part:
-                    yield part
+                    yield from self._pass_on(part)
             if self.is_event_stream() and not is_event_end(tail):
                 raise ConnectionLostError("the stream ended inside an event")
         except ConnectionLostError as error:
             raise self._fail(error) from error
+        finally:
+            self.release_buffer()
         if partial_event:
             yield partial_event
         self._finish_response(is_success=True)
@@ -267,6 +283,37 @@
 
     # Parts of an attempt.
 
+    def _read_next_part(self) -> bytes:
+        is_ample = self._pool.buffers.is_ample()
+        connection = self._connection
+        connection.max_read_bytes = MAX_READ_BYTES if is_ample else CROWDED_READ_BYTES
+        return connection.read_body(self.response, self._response_deadline_ms())
+
+    def _hold_partial_event(self, size: int) -> None:
+        """Count the part of an event that is held until the event is whole."""
+        if size > MAX_EVENT_BYTES:
+            raise ConnectionLostError("an event of the stream has no end")
+        added_bytes = size - self._buffered_bytes
+        if abs(added_bytes) < MIN_COUNTED_BYTES and size:
+            return
+        self._buffered_bytes = size
+        may_hold_more = self._pool.buffers.add(ANSWERS, added_bytes)
+        if added_bytes > 0 and not may_hold_more:
+            self._context.count("answers_not_buffered_total")
+            raise ConnectionLostError("no memory is left for an event of the stream")
+
+    def _pass_on(self, part: bytes) -> Iterator[bytes]:
+        """Yield a part of the body; it counts until the caller has taken it."""
+        size = UNREAD_COPIES * len(part) if len(part) >= MIN_COUNTED_BYTES else 0
+        started_ms = self._context.clock.now_ms()
+        self._pool.buffers.add(UNREAD, size)
+        try:
+            yield part
+        finally:
+            self._pool.buffers.remove(UNREAD, size)
+            passed_ms = self._context.clock.now_ms() - started_ms
+            self._is_left_unread = passed_ms >= UNREAD_MS
+
     def _connect(self) -> ServerConnection:
         server = self.state.server
         is_retryable = self.call.route.is_retryable()
@@ -289,7 +336,7 @@
             raise AttemptFailedError(UNREACHABLE, "the server became unavailable")
         return connection
 
-    def _request_bytes(self) -> bytes:
+    def _request_head(self) -> bytes:
         call = self.call
         remaining_ms = max(1.0, call.deadline_ms - self._context.clock.now_ms())
         headers = self._format.write_request(
@@ -303,7 +350,7 @@
         lines += [f"{name}: {value}" for name, value in headers]
         if call.body or call.method in ("POST", "PUT", "PATCH"):
             lines.append(f"Content-Length: {len(call.body)}")
-        return "\r\n".join([*lines, "", ""]).encode("latin-1") + call.body
+        return "\r\n".join([*lines, "", ""]).encode("latin-1")
 
     def _response_deadline_ms(self) -> float:
         return self.call.deadline_ms + DEADLINE_GRACE_MS
@@ -359,11 +406,14 @@
         kind = LOST
         if self._is_aborted:
             kind = CALLER_GONE
+        elif self._is_left_unread:
+            kind = LEFT_UNREAD
         elif error.is_timeout:
             kind = TIMED_OUT
             self._pool.close_idle(self.state.server)
+        is_blameless = kind in (CALLER_GONE, LEFT_UNREAD)
         self._connection.close()
-        self._finish_request(is_success=None if kind == CALLER_GONE else False)
+        self._finish_request(is_success=None if is_blameless else False)
         return AttemptFailedError(kind, str(error))
 
     def _record_first_part(self) -> None:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
@@ -28,6 +28,8 @@
 
 MAX_READ_BYTES = 65_536
 """Maximum size of one read."""
+CROWDED_READ_BYTES = 8192
+"""Maximum size of one read while the process holds much in memory."""
 MAX_WRITE_BYTES = 32_768
 """Maximum size of one write; early responses are detected between writes."""
 EARLY_RESPONSE_CHECK_MS = 100.0
@@ -75,12 +77,15 @@
         "_unused_bytes",
         "idle_limit_ms",
         "idle_since_ms",
+        "max_read_bytes",
     )
 
     idle_since_ms: float
     """When the last response was completed."""
     idle_limit_ms: float
     """How long it may be idle."""
+    max_read_bytes: int
+    """Maximum size of one read."""
 
     def __init__(self, sock: green_socket.socket, clock: Clock) -> None:
         self._sock = sock
@@ -90,6 +95,7 @@
         self._is_aborted = False
         self._is_fully_sent = True
         self._unused_bytes = 0
+        self.max_read_bytes = MAX_READ_BYTES
         self.idle_since_ms = clock.now_ms()
         self.idle_limit_ms = DEFAULT_IDLE_LIMIT_MS
 
@@ -127,27 +133,34 @@
             return False
         return not self._has_input()
 
-    def send(self, data: bytes, deadline_ms: float) -> None:
+    def send(
+        self, data: bytes, deadline_ms: float, body: bytes | bytearray = b""
+    ) -> None:
         """Send a request.
 
         If a response arrives before everything is sent, the rest is not sent, and the
         connection is not reused.
 
         Args:
-            data: Head and body of the request.
+            data: Head of the request, or all of it.
             deadline_ms: Monotonic time at which the call times out.
+            body: Body of the request; a long one is not copied.
 
         Raises:
             ConnectionLostError: If the connection failed or the deadline passed.
         """
         self._is_fully_sent = False
         self._unused_bytes = 0
-        view = memoryview(data)
-        while view:
-            sent = self._send_part(view[:MAX_WRITE_BYTES], deadline_ms)
-            view = view[sent:]
-            if view and self._has_input():
-                return
+        if len(body) <= MAX_WRITE_BYTES:
+            data, body = data + body, b""
+        unsent_bytes = len(data) + len(body)
+        for view in (memoryview(data), memoryview(body)):
+            while view:
+                sent = self._send_part(view[:MAX_WRITE_BYTES], deadline_ms)
+                view = view[sent:]
+                unsent_bytes -= sent
+                if unsent_bytes and self._has_input():
+                    return
         self._is_fully_sent = True
 
     def read_head(
@@ -300,7 +313,7 @@
         while True:
             timeout_s = self._remaining_ms(deadline_ms) / 1000.0
             try:
-                return self._sock.fd.recv(MAX_READ_BYTES)
+                return self._sock.fd.recv(self.max_read_bytes)
             except BlockingIOError:
                 trampoline(
                     self._sock.fd,
--- a/packages/lagoonsail-gateway/tests/test_endless_events.py
+++ b/packages/lagoonsail-gateway/tests/test_endless_events.py
@@ -7,6 +7,7 @@
 import pytest
 
 from lagoonsail_core.clock import Clock
+from lagoonsail_gateway.connection_pool import ConnectionPool
 from lagoonsail_gateway.manifest import STREAMING
 from lagoonsail_gateway.server_attempt import (
     LOST,
@@ -32,7 +33,12 @@
             last_event_id="",
         )
         attempt = ServerAttempt(
-            context, None, None, None, call, SimpleNamespace(server=None)
+            context,
+            None,
+            None,
+            ConnectionPool(clock),
+            call,
+            SimpleNamespace(server=None),
         )
         attempt.response = SimpleNamespace(status=200)
         remaining = iter(parts)
--- a/packages/lagoonsail-router/src/lagoonsail_router/call.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/call.py
@@ -11,6 +11,7 @@
 from xxhash import xxh64_intdigest
 
 from lagoonsail_config.call_path import normalise_path
+from lagoonsail_router.body_reading import read_body, release_body
 from lagoonsail_router.problems import CallProblem
 from lagoonsail_sharing.prefix_index import prefix_hashes
 
@@ -29,9 +30,6 @@
 COMPLETIONS_PATH = "/v1/completions"
 """Path of a model engine's completions endpoint."""
 
-MAX_CHUNK_BYTES = 65_536
-"""Largest part of a body that is read at once."""
-
 _DROPPED_HEADERS = {
     "HTTP_AUTHORIZATION",
     "HTTP_CONNECTION",
@@ -66,7 +64,7 @@
     """Path and query at the backend server."""
     headers: dict[str, str]
     """Headers forwarded to the backend server."""
-    body: bytes
+    body: bytes | bytearray
     """Request body."""
     idempotency_key: str
     """The caller's key, empty if there is none."""
@@ -86,6 +84,13 @@
     """Sequence number of the call at this router."""
     may_have_run: bool = False
     """Whether an earlier attempt may have run."""
+    release_body: Callable[[], None] = lambda: None
+    """Returns the bytes of the body to the budget of the process."""
+
+    def drop_body(self) -> None:
+        """Let go of the body, which is not sent again."""
+        self.body = b""
+        self.release_body()
 
 
 def read_call(env: dict, configuration: Configuration, now_ms: float) -> Call:
@@ -128,6 +133,7 @@
         estimate=_read_cost_hint(env) or estimate,
         prefix=prefix_hashes(prompt) if prompt else [],
         arrived_ms=now_ms,
+        release_body=lambda: release_body(env),
     )
 
 
@@ -220,61 +226,8 @@
     )
 
 
-def read_body(env: dict, max_bytes: int) -> bytes:
-    """Read the body of a request.
-
-    Args:
-        env: The WSGI environment.
-        max_bytes: Longest body that is accepted.
-
-    Raises:
-        CallProblem: If the body is longer or truncated.
-    """
-    length = int(env.get("CONTENT_LENGTH") or 0)
-    is_chunked = "chunked" in env.get("HTTP_TRANSFER_ENCODING", "").lower()
-    if length > max_bytes:
-        raise _body_too_large(max_bytes)
-    if not length and not is_chunked:
-        return b""
-    parts = []
-    remaining_bytes = length if not is_chunked else max_bytes + 1
-    while remaining_bytes > 0:
-        part = _read_part(env, min(remaining_bytes, MAX_CHUNK_BYTES))
-        if not part:
-            break
-        parts.append(part)
-        remaining_bytes -= len(part)
-    body = b"".join(parts)
-    if len(body) > max_bytes:
-        raise _body_too_large(max_bytes)
-    if not is_chunked and len(body) != length:
-        raise _body_truncated(f"the body ended after {len(body)} of {length} bytes")
-    return body
-
-
-def _read_part(env: dict, size: int) -> bytes:
-    try:
-        return env["wsgi.input"].read(size)
-    except (OSError, ValueError) as error:
-        # The connection broke, or the length of a chunk is malformed.
-        raise _body_truncated(f"the body broke off ({error})") from error
-
-
-def _body_truncated(problem: str) -> CallProblem:
-    return CallProblem(400, "truncated_body", problem, "send the whole body")
-
-
-def _body_too_large(max_bytes: int) -> CallProblem:
-    return CallProblem(
-        413,
-        "body_too_large",
-        f"the body is larger than {max_bytes} bytes",
-        "send less, or raise max_body_bytes in the service document",
-    )
-
-
 def _read_completion(
-    document: ServiceDocument, raw_path: str, body: bytes
+    document: ServiceDocument, raw_path: str, body: bytes | bytearray
 ) -> tuple[str, bool, float]:
     # The server receives the path as sent and resolves it to its normal form.
     if document.kind != "engine" or normalise_path(raw_path) != COMPLETIONS_PATH:
--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -8,6 +8,8 @@
 
 from lagoonsail_core.errors import LagoonsailError
 from lagoonsail_core.green import eventlet
+from lagoonsail_overload.body_intake import BodyIntake
+from lagoonsail_overload.process_memory import make_byte_budget
 from lagoonsail_router.admin import Admin, unready_reason
 from lagoonsail_router.call_queue import CallQueue
 from lagoonsail_router.configuration import Configuration
@@ -22,11 +24,13 @@
 from lagoonsail_router.http_server import listen, start_serving
 from lagoonsail_router.key_store import KeyStore
 from lagoonsail_router.local_stream import LocalStream
+from lagoonsail_router.memory_metrics import declare_memory_metrics
 from lagoonsail_router.metrics import declare_gauges, make_metrics
 from lagoonsail_router.open_connections import OpenConnections
 from lagoonsail_router.ownership import Ownership
 from lagoonsail_router.peers import PeerDirectory
 from lagoonsail_router.planned_stop import PlannedStop
+from lagoonsail_router.port_limits import PortLimits
 from lagoonsail_router.right import RENEWALS_PER_TTL, Right
 from lagoonsail_router.shard_messages import ShardMessages
 from lagoonsail_router.slot_client import SlotClient
@@ -81,6 +85,7 @@
         "configuration",
         "context",
         "entry",
+        "limits",
         "ownership",
         "peers",
         "right",
@@ -101,9 +106,13 @@
     """Requests slots for the calls that this router received."""
     entry: Entry
     """Serves callers."""
+    limits: PortLimits
+    """Limits on what callers may send, with the byte budget of the process."""
 
     def __init__(self, settings: RouterSettings) -> None:
         context = self.context = RouterContext(settings)
+        budget = make_byte_budget(settings.memory_mb * 1e6)
+        self.limits = PortLimits(BodyIntake(budget, context.clock))
         self.configuration = Configuration(context)
         self.peers = PeerDirectory(context, self.configuration)
         self._store = StoreClient(
@@ -164,6 +173,7 @@
         self._listeners: list = []
         self._metrics = make_metrics(self)
         self._gauges = declare_gauges(self._metrics)
+        declare_memory_metrics(self._metrics, self.limits.intake)
 
     # Health.
 
@@ -227,6 +237,7 @@
             self.context.callers,
             settings.stop_timeout_ms,
             lambda kind: count("problems_total", kind),
+            self.limits,
         )
         start_serving(
             admin_socket,
--- a/packages/lagoonsail-router/src/lagoonsail_router/entry.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/entry.py
@@ -157,6 +157,7 @@
                 continue
             answer, problem, attempt = result
             if answer is not None:
+                call.drop_body()
                 return self._forward_answer(
                     call, grant, attempt, answer, start_response
                 )
--- a/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
@@ -3,7 +3,7 @@
 The eventlet server answers some malformed requests itself, with an HTML page or not at
 all, and reads unread bodies to their end. Here each malformed request gets a problem
 document and is counted, and a connection with a large unread body is closed after the
-answer.
+answer. Connections and heads count in the byte budget of the process.
 """
 
 from __future__ import annotations
@@ -13,9 +13,15 @@
 import socket
 from typing import TYPE_CHECKING
 
+from lagoonsail_core.clock import Clock
 from lagoonsail_core.fair_hub import mark_urgent
 from lagoonsail_core.green import eventlet, trampoline
+from lagoonsail_overload.body_intake import BodyIntake
+from lagoonsail_overload.byte_budget import CONNECTIONS, HEADS, ByteBudget
+from lagoonsail_router.body_reading import INTAKE_KEY, release_body
+from lagoonsail_router.port_limits import PortLimits
 from lagoonsail_router.problems import CallProblem
+from lagoonsail_router.request_input import BoundedHead, BoundedInput
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,6 +32,15 @@
 """Longest unread body that is read and discarded to reuse the connection."""
 LINGER_MS = 500.0
 """How long input is discarded after the last answer, so that the answer arrives."""
+CONNECTION_BYTES = 40_960
+"""Memory of an open connection with its buffers and its task."""
+HEAD_COPIES = 4
+"""Copies of a head while its request is served: parsed, as environment, forwarded."""
+DEFAULT_BUDGET_BYTES = 64_000_000
+"""Byte budget of a port that shares none with others."""
+HEAD_TIMEOUT_KIND = "head_timed_out"
+"""Problem kind of heads that did not arrive in time, also their label in the metrics;
+they get no answer."""
 PROBLEM_KIND = "malformed_request"
 """Problem kind of malformed requests, also their label in the metrics."""
 
@@ -33,15 +48,23 @@
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] (4[0-9]{2}|5[0-9]{2}) ")
 
 
+class HeadTimeoutError(Exception):
+    """The head of a request did not arrive in time."""
+
+
 class HttpProtocol(eventlet.wsgi.HttpProtocol):
     """One connection to an HTTP port."""
 
     connections: OpenConnections
     """The port's open connections; see `make_protocol`."""
+    limits: PortLimits
+    """Limits on what a connection may send; see `make_protocol`."""
 
     def __init__(self, conn_state: list, server: object) -> None:
         self._must_linger = False
         self._client_wfile = None
+        self._head_timer = None
+        self._head_bytes = 0
         super().__init__(conn_state, server)
 
     def on_refused(self, kind: str) -> None:
@@ -61,6 +84,8 @@
     def handle(self) -> None:
         """Serve requests until the connection ends."""
         self.connections.count += 1
+        budget = self.limits.intake.budget
+        budget.add(CONNECTIONS, CONNECTION_BYTES)
         try:
             if self._has_request():
                 super().handle()
@@ -68,6 +93,7 @@
                 self._linger()
         finally:
             self.connections.count -= 1
+            budget.remove(CONNECTIONS, CONNECTION_BYTES)
 
     def _has_request(self) -> bool:
         """Wait in turn with kept connections; return whether a request has come."""
@@ -92,15 +118,25 @@
         self.wfile = library_answer = io.BytesIO()
         try:
             super().handle_one_request()
+        except HeadTimeoutError:
+            self.on_refused(HEAD_TIMEOUT_KIND)
+            self.close_connection = 1
         finally:
+            self._stop_head_timer()
             self.wfile = self._client_wfile
         if library_answer.getvalue():
             self._refuse(library_answer.getvalue())
 
     def parse_request(self) -> bool:
         """Read the head and check its framing more strictly than the library does."""
-        if not super().parse_request():
-            return False
+        # The library restores its reader after the head.
+        head = self.rfile = BoundedHead(self.rfile.fp, self.limits.max_head_bytes)
+        try:
+            if not super().parse_request():
+                return False
+        finally:
+            self._stop_head_timer()
+        self._head_bytes = head.read_bytes
         lengths = self.headers.get_all("content-length", [])
         codings = self.headers.get_all("transfer-encoding", [])
         if len(lengths) > 1 or any(not _LENGTH.fullmatch(item) for item in lengths):
@@ -117,8 +153,35 @@
         env = super().get_environ()
         # The WSGI path and query do not distinguish "/x" from "/x?".
         env["lagoonsail.target"] = self.path
+        env[INTAKE_KEY] = self.limits.intake
+        library_input = env["wsgi.input"]
+        env["wsgi.input"] = env["eventlet.input"] = BoundedInput(
+            library_input.rfile,
+            library_input.content_length,
+            self.connection,
+            wfile=library_input.wfile,
+            wfile_line=library_input.wfile_line,
+            chunked_input=library_input.chunked_input,
+        )
         return env
 
+    def _read_request_line(self) -> bytes:
+        """Wait for a request, and start the time in which its head must arrive."""
+        try:
+            if self.rfile.closed or not self.rfile.peek(1):
+                return b""
+        except ConnectionError:
+            return b""
+        self._head_timer = eventlet.Timeout(
+            self.limits.head_timeout_ms / 1000.0, HeadTimeoutError()
+        )
+        return super()._read_request_line()
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
     def handle_one_response(self) -> None:
         """Run the application; close the connection if too much is left unread."""
         application = self.application
@@ -135,10 +198,15 @@
 
         self.application = serve
         self.connections.answering += 1
+        head_bytes = HEAD_COPIES * self._head_bytes
+        budget = self.limits.intake.budget
+        budget.add(HEADS, head_bytes)
         try:
             super().handle_one_response()
         finally:
             self.connections.answering -= 1
+            budget.remove(HEADS, head_bytes)
+            release_body(self.environ)
 
     def _refuse(self, library_answer: bytes) -> None:
         match = _STATUS_LINE.match(library_answer)
@@ -174,26 +242,37 @@
                 return
 
 
-def _unread_bytes(body_input: object) -> float:
+def _unread_bytes(body_input: BoundedInput) -> float:
+    if body_input.must_close:
+        return float("inf")
     if body_input.chunked_input:
         return 0 if body_input.chunk_length == 0 else float("inf")
     return (body_input.content_length or 0) - body_input.position
 
 
+def _make_own_limits() -> PortLimits:
+    return PortLimits(BodyIntake(ByteBudget(DEFAULT_BUDGET_BYTES), Clock()))
+
+
 def make_protocol(
-    on_refused: Callable[[str], None], connections: OpenConnections
+    on_refused: Callable[[str], None],
+    connections: OpenConnections,
+    limits: PortLimits | None = None,
 ) -> type[HttpProtocol]:
     """Return the protocol class of a port.
 
     Args:
         on_refused: Called with the kind of each refused request, to count it.
         connections: Counter of the port's open connections.
+        limits: Limits on what a connection may send; None for usual ones, and a budget
+            of the port's own.
 
     Returns:
         The class to pass to `eventlet.wsgi.server`.
     """
     members = {
         "connections": connections,
+        "limits": limits or _make_own_limits(),
         "on_refused": lambda _self, kind: on_refused(kind),
     }
     return type("PortProtocol", (HttpProtocol,), members)
--- a/packages/lagoonsail-router/src/lagoonsail_router/http_server.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/http_server.py
@@ -14,6 +14,7 @@
     from collections.abc import Callable
 
     from lagoonsail_router.open_connections import OpenConnections
+    from lagoonsail_router.port_limits import PortLimits
 
 BACKLOG = 1024
 """Connections that may wait to be accepted."""
@@ -56,6 +57,7 @@
     connections: OpenConnections,
     idle_timeout_ms: float,
     on_refused: Callable[[str], None],
+    limits: PortLimits | None = None,
 ) -> None:
     """Serve an application in a new task.
 
@@ -65,6 +67,7 @@
         connections: Limit and counter of open connections.
         idle_timeout_ms: How long a connection may stay idle.
         on_refused: Called with the problem kind of each malformed request.
+        limits: Limits on what a connection may send, None for usual ones.
     """
 
     def serve() -> None:
@@ -74,7 +77,7 @@
             sock,
             application,
             max_size=connections.max_count,
-            protocol=make_protocol(on_refused, connections),
+            protocol=make_protocol(on_refused, connections, limits),
             log_output=False,
             debug=False,
             minimum_chunk_size=1,
--- a/packages/lagoonsail-router/src/lagoonsail_router/problems.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/problems.py
@@ -15,6 +15,7 @@
     400: "Bad Request",
     401: "Unauthorized",
     404: "Not Found",
+    408: "Request Timeout",
     409: "Conflict",
     413: "Content Too Large",
     429: "Too Many Requests",
