--- a/packages/lagoonsail-router/src/lagoonsail_router/backend.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/backend.py
@@ -19,6 +19,7 @@
 
     from lagoonsail_core.clock import Clock
     from lagoonsail_core.messages import SlotGrant
+    from lagoonsail_router.answer_holding import HeldAnswer
     from lagoonsail_router.call import Call
 
 CONNECT_TIMEOUT_S = 1.0
@@ -27,6 +28,8 @@
 """Longest pause within a stream before it counts as broken."""
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """Longest answer that is forwarded in one piece."""
+MAX_EVENT_BYTES = 1 << 20
+"""Longest event of a stream, which is held until it is whole."""
 MAX_TOKENS = 1e9
 """Highest token count accepted from an answer."""
 ID_PATTERN = re.compile("[A-Za-z0-9._~-]{1,200}")
@@ -112,6 +115,7 @@
         "_clock",
         "_connection",
         "_grant",
+        "_held_answer",
         "_response",
         "_sock",
         "measurement",
@@ -121,8 +125,14 @@
     """Cost and times, reported to the owner."""
 
     def __init__(
-        self, call: Call, grant: SlotGrant, address: str, clock: Clock
+        self,
+        call: Call,
+        grant: SlotGrant,
+        address: str,
+        clock: Clock,
+        held_answer: HeldAnswer | None = None,
     ) -> None:
+        self._held_answer = held_answer
         self._call = call
         self._grant = grant
         self._address = address
@@ -279,6 +289,8 @@
             for part in self._response.stream(65_536, decode_content=False):
                 parts.append(part)
                 size += len(part)
+                if self._held_answer is not None:
+                    self._held_answer.hold(len(part))
                 if size > MAX_ANSWER_BYTES:
                     raise IncompleteAnswerError(
                         f"answer above {MAX_ANSWER_BYTES} bytes"
@@ -302,6 +314,8 @@
             complete_events, state.partial_event = split_events(
                 state.partial_event + chunk
             )
+            if len(state.partial_event) > MAX_EVENT_BYTES:
+                raise ValueError("an event of the stream has no end")
             if not complete_events:
                 continue
             self._count_events(state, complete_events)
--- a/packages/lagoonsail-router/src/lagoonsail_router/call.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/call.py
@@ -19,6 +19,7 @@
     from collections.abc import Callable
 
     from lagoonsail_config.document import ServiceDocument
+    from lagoonsail_router.answer_holding import HeldAnswer
     from lagoonsail_router.configuration import Configuration
 
 REQUEST_ID_PATTERN = re.compile(r"[\x21-\x7e]{1,128}")
@@ -84,6 +85,8 @@
     """Sequence number of the call at this router."""
     may_have_run: bool = False
     """Whether an earlier attempt may have run."""
+    held_answer: HeldAnswer | None = None
+    """Counts the answer while it is held."""
     release_body: Callable[[], None] = lambda: None
     """Returns the bytes of the body to the budget of the process."""
 
--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -146,7 +146,7 @@
         queue = CallQueue(
             context, self.configuration, self.slot_client, self.is_isolated
         )
-        self.entry = Entry(context, self.configuration, self.slot_client, queue)
+        self.entry = Entry(context, self.configuration, self.slot_client, queue, budget)
         key_store = KeyStore(
             context,
             self._store,
--- a/packages/lagoonsail-router/src/lagoonsail_router/entry.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/entry.py
@@ -17,6 +17,9 @@
     OUTCOME_WHOLE,
     SlotGrant,
 )
+from lagoonsail_overload.answer_room import AnswerRoom
+from lagoonsail_overload.byte_budget import ByteBudget
+from lagoonsail_router.answer_holding import ANSWER_KEY, HeldAnswer
 from lagoonsail_router.backend import (
     AnswerTimeoutError,
     Attempt,
@@ -50,6 +53,8 @@
 """Help texts of the latency histograms, by metric name."""
 FIRST_PROGRESS_COST = 128.0
 """Cost at which a running stream is first reported, then each time it doubles."""
+DEFAULT_BUDGET_BYTES = 400_000_000
+"""Byte budget of the answers unless another is given."""
 RETRY_PAUSE_MS = 50.0
 """Pause before a call whose attempt was not served requests another slot."""
 
@@ -58,6 +63,7 @@
     """Serves callers, with one task per connection."""
 
     __slots__ = (
+        "_answer_room",
         "_budgets",
         "_call_count",
         "_checks",
@@ -85,7 +91,9 @@
         configuration: Configuration,
         slot_client: SlotClient,
         queue: CallQueue,
+        budget: ByteBudget | None = None,
     ) -> None:
+        self._answer_room = AnswerRoom(budget or ByteBudget(DEFAULT_BUDGET_BYTES))
         self._context = context
         self._configuration = configuration
         self._slot_client = slot_client
@@ -116,6 +124,7 @@
             request_id = call.request_id
             self._call_count += 1
             call.number = self._call_count
+            call.held_answer = env[ANSWER_KEY] = HeldAnswer(self._answer_room)
             self._context.count("calls_total", call.document.qualified())
             body = self._serve_call(call, env, start_response)
         except CallProblem as problem:
@@ -184,7 +193,10 @@
             answer or the problem is None.
         """
         address = self._server_address(call, grant)
-        attempt = Attempt(call, grant, address, self._context.clock)
+        if call.held_answer is not None:
+            # What an earlier attempt held is not passed on.
+            call.held_answer.release()
+        attempt = Attempt(call, grant, address, self._context.clock, call.held_answer)
         if not address:
             self._finish(grant, OUTCOME_NOT_RUN, attempt)
             return None
--- a/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
@@ -18,6 +18,7 @@
 from lagoonsail_core.green import eventlet, trampoline
 from lagoonsail_overload.body_intake import BodyIntake
 from lagoonsail_overload.byte_budget import CONNECTIONS, HEADS, ByteBudget
+from lagoonsail_router.answer_holding import ANSWER_KEY
 from lagoonsail_router.body_reading import INTAKE_KEY, release_body
 from lagoonsail_router.port_limits import PortLimits
 from lagoonsail_router.problems import CallProblem
@@ -32,9 +33,9 @@
 """Longest unread body that is read and discarded to reuse the connection."""
 LINGER_MS = 500.0
 """How long input is discarded after the last answer, so that the answer arrives."""
-CONNECTION_BYTES = 40_960
-"""Memory of an open connection with its buffers and its task."""
-HEAD_COPIES = 4
+CONNECTION_BYTES = 24_576
+"""Memory of an open connection with its buffers and its task; 21 KB were measured."""
+HEAD_COPIES = 3
 """Copies of a head while its request is served: parsed, as environment, forwarded."""
 DEFAULT_BUDGET_BYTES = 64_000_000
 """Byte budget of a port that shares none with others."""
@@ -207,6 +208,8 @@
             self.connections.answering -= 1
             budget.remove(HEADS, head_bytes)
             release_body(self.environ)
+            if ANSWER_KEY in self.environ:
+                self.environ[ANSWER_KEY].release()
 
     def _refuse(self, library_answer: bytes) -> None:
         match = _STATUS_LINE.match(library_answer)
