--- a/packages/lagoonsail-router/src/lagoonsail_router/body_reading.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/body_reading.py
@@ -102,14 +102,13 @@
     deadline_ms: float,
 ) -> bytes | bytearray:
     source = env["wsgi.input"]
-    read = getattr(source, "read_some", source.read)
     limit = max_bytes + 1 if body.length is None else body.length
     data: bytes | bytearray = b""
     parts = 0
     try:
         while len(data) < limit:
             part = _read_part(
-                read,
+                source,
                 min(limit - len(data), MAX_PART_BYTES),
                 intake.remaining_ms(body, deadline_ms),
             )
@@ -140,13 +139,26 @@
     return data
 
 
-def _read_part(read: Callable[[int], bytes], size: int, timeout_ms: float) -> bytes:
+def _read_part(source: object, size: int, timeout_ms: float) -> bytes:
     if timeout_ms <= 0:
         raise BodyStalledError
-    if math.isinf(timeout_ms):
-        return read(size)
-    with eventlet.Timeout(timeout_ms / 1000.0, BodyStalledError()):
+    read = getattr(source, "read_some", None)
+    if read is None:
+        # The input of another server, or of a test.
+        return source.read(size)
+    if source.chunked_input:
+        # A part may take many reads from the socket.
+        with eventlet.Timeout(timeout_ms / 1000.0, BodyStalledError()):
+            return read(size)
+    sock = source.get_socket()
+    usual_timeout_s = sock.gettimeout()
+    sock.settimeout(timeout_ms / 1000.0)
+    try:
         return read(size)
+    except TimeoutError as error:
+        raise BodyStalledError from error
+    finally:
+        sock.settimeout(usual_timeout_s)
 
 
 def _make_cancel(env: dict) -> Callable[[], None]:
--- a/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
@@ -169,13 +169,16 @@
     def _read_request_line(self) -> bytes:
         """Wait for a request, and start the time in which its head must arrive."""
         try:
-            if self.rfile.closed or not self.rfile.peek(1):
-                return b""
+            received = b"" if self.rfile.closed else self.rfile.peek(1)
         except ConnectionError:
             return b""
-        self._head_timer = eventlet.Timeout(
-            self.limits.head_timeout_ms / 1000.0, HeadTimeoutError()
-        )
+        if not received:
+            return b""
+        # A timer for each head would cost some percent of a request's processor time.
+        if b"\r\n\r\n" not in received:
+            self._head_timer = eventlet.Timeout(
+                self.limits.head_timeout_ms / 1000.0, HeadTimeoutError()
+            )
         return super()._read_request_line()
 
     def _stop_head_timer(self) -> None:
