--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -73,6 +73,10 @@
 """Interval between checks for idle connections to close."""
 IDLE_TIMEOUT_MS = 20_000.0
 """Idle timeout of connections from callers."""
+MIN_HEAD_BYTES = 4096
+"""Least length of a request head that is accepted, whatever the manifest says."""
+MIN_TIMEOUT_MS = 500.0
+"""Least time for a head, or without progress of a body, whatever the manifest says."""
 MAX_OPERATOR_CONNECTIONS = 64
 """Maximum number of connections from the load balancer or from metrics scrapers."""
 BALANCER_REACTION_MS = 3000.0
@@ -278,9 +282,10 @@
         )
 
     def _apply_manifest(self, manifest: Manifest) -> None:
-        self.limits.max_head_bytes = manifest.limits.max_head_bytes
-        self.limits.head_timeout_ms = manifest.limits.head_timeout_ms
-        self.limits.intake.stall_ms = manifest.limits.idle_timeout_ms
+        limits = manifest.limits
+        self.limits.max_head_bytes = max(MIN_HEAD_BYTES, limits.max_head_bytes)
+        self.limits.head_timeout_ms = max(MIN_TIMEOUT_MS, limits.head_timeout_ms)
+        self.limits.intake.stall_ms = max(MIN_TIMEOUT_MS, limits.idle_timeout_ms)
         self.dispatcher.apply_manifest(manifest)
         self.calls.apply_manifest(manifest)
 
