--- a/packages/lagoonsail-router/tests/test_hostile_callers.py
+++ b/packages/lagoonsail-router/tests/test_hostile_callers.py
@@ -11,6 +11,7 @@
     CROWDS,
     MAX_BODY_BYTES,
     close_crowds,
+    peak_memory_bytes,
     run_crowd,
 )
 
@@ -66,3 +67,15 @@
             eventlet.sleep(0.2)
     assert 0 < result.peak_memory_bytes < MEMORY_MB * 1_000_000
     assert result.peak_descriptors <= MAX_DESCRIPTORS
+
+
+# A budget that is too small, or bodies that are held twice, would refuse it.
+def test_longest_body_is_served_by_a_router_with_little_memory(fleet):
+    router = fleet.routers["cordero-1"]
+    host, _, port = router.callers.rpartition(":")
+    with green_socket.create_connection((host, int(port)), timeout=20.0) as sock:
+        head = [*make_head("POST"), f"Content-Length: {MAX_BODY_BYTES}", "", ""]
+        sock.sendall("\r\n".join(head).encode() + b"x" * MAX_BODY_BYTES)
+        assert sock.recv(1000).startswith(b"HTTP/1.1 200")
+    peak_bytes = peak_memory_bytes(router.process.pid)
+    assert 0 < peak_bytes < MEMORY_MB * 1_000_000
--- a/tests/platform/test_hostile_bodies.py
+++ b/tests/platform/test_hostile_bodies.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import pytest
-from lagoonsail_platform_standin.fleet import API_KEY, HOSTNAME
+from lagoonsail_platform_standin.answer_reader import AnswerReader, CallerAnswer
+from lagoonsail_platform_standin.fleet import API_KEY, HOSTNAME, make_request
 
-from lagoonsail_core.green import eventlet
+from lagoonsail_core.green import eventlet, green_socket
 from lagoonsail_lab.hostile_callers import (
     CROWDS,
     MAX_BODY_BYTES,
@@ -59,3 +60,24 @@
     assert process.poll() is None
     assert 0 < result.peak_memory_bytes < MEMORY_MB * 1_000_000
     assert result.peak_descriptors <= MAX_DESCRIPTORS
+
+
+# A budget that is too small, or bodies that are held twice, would refuse it.
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_longest_body_is_served_by_a_router_with_little_memory(small_fleet, is_chunked):
+    data = make_request("POST", "/write/1", "id-1")
+    if is_chunked:
+        framing, body = b"Transfer-Encoding: chunked", b"%x\r\n%s\r\n0\r\n\r\n"
+        body = body % (MAX_BODY_BYTES, b"x" * MAX_BODY_BYTES)
+    else:
+        framing = b"Content-Length: %d" % MAX_BODY_BYTES
+        body = b"x" * MAX_BODY_BYTES
+    address = ("127.0.0.1", small_fleet.ports[ROUTER])
+    with green_socket.create_connection(address, timeout=20.0) as sock:
+        sock.sendall(data.replace(b"Content-Length: 0", framing) + body)
+        answer = CallerAnswer()
+        AnswerReader(sock).read(answer)
+    assert answer.status == 200
+    runs = [run for server in small_fleet.servers.values() for run in server.runs]
+    lengths = [run["CONTENT_LENGTH"] for run in runs if run["REQUEST_METHOD"] == "POST"]
+    assert lengths == [str(MAX_BODY_BYTES)]
