Excuse servers for some seconds after an answer was left unread

What a server had sent before it cut the answer off may still arrive and be taken at once, so that the part before the end was not the one that was left unread.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
@@ -55,6 +55,9 @@
 UNREAD_MS = 1000.0
 """Time for which a caller leaves a part of a response unread, from which on the server
 may cut the response off without being at fault."""
+UNREAD_EXCUSE_MS = 5000.0
+"""Time after that in which the end of the response is put down to the caller: what the
+server had sent before it cut the response off may still arrive."""
 UNREAD_COPIES = 2
 """Copies of a part of a response while it is written: as received, and framed."""
 MIN_COUNTED_BYTES = 4096
@@ -87,10 +90,10 @@
         "_format",
         "_is_aborted",
         "_is_caller_gone",
-        "_is_left_unread",
         "_pool",
         "_response_head",
         "_running_request",
+        "_unread_excuse_until_ms",
         "body",
         "call",
         "first_ms",
@@ -141,7 +144,7 @@
         self._running_request: RunningRequest | None = None
         self._response_head: ResponseHead | None = None
         self._is_aborted = False
-        self._is_left_unread = False
+        self._unread_excuse_until_ms = 0.0
         self.call = call
         self.state = state
         self.response = None
@@ -311,8 +314,9 @@
             yield part
         finally:
             self._pool.buffers.remove(UNREAD, size)
-            passed_ms = self._context.clock.now_ms() - started_ms
-            self._is_left_unread = passed_ms >= UNREAD_MS
+            now_ms = self._context.clock.now_ms()
+            if now_ms - started_ms >= UNREAD_MS:
+                self._unread_excuse_until_ms = now_ms + UNREAD_EXCUSE_MS
 
     def _connect(self) -> ServerConnection:
         server = self.state.server
@@ -406,7 +410,7 @@
         kind = LOST
         if self._is_aborted:
             kind = CALLER_GONE
-        elif self._is_left_unread:
+        elif self._context.clock.now_ms() < self._unread_excuse_until_ms:
             kind = LEFT_UNREAD
         elif error.is_timeout:
             kind = TIMED_OUT
