--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -14,6 +14,7 @@
 from lagoonsail_gateway.call_service import HISTOGRAMS as CALL_HISTOGRAMS
 from lagoonsail_gateway.call_service import CallService
 from lagoonsail_gateway.connection_pool import ConnectionPool
+from lagoonsail_gateway.connection_quota import ConnectionQuota
 from lagoonsail_gateway.crash_check import CrashCheck
 from lagoonsail_gateway.digest import Digest
 from lagoonsail_gateway.dispatcher import Dispatcher
@@ -21,8 +22,15 @@
 from lagoonsail_gateway.fleet_share import FleetMembers
 from lagoonsail_gateway.peer_digests import ROUND_INTERVAL_MS, PeerDigests
 from lagoonsail_gateway.server_directory import ServerDirectory
+from lagoonsail_gateway.store_feed import HEARTBEAT_INTERVAL_MS, WatcherChoice
 from lagoonsail_gateway.store_view import StoreView
 from lagoonsail_overload.body_intake import BodyIntake
+from lagoonsail_overload.descriptor_budget import (
+    IDLE_SERVERS,
+    SERVERS,
+    DescriptorBudget,
+)
+from lagoonsail_overload.descriptor_metrics import declare_descriptor_metrics
 from lagoonsail_overload.process_memory import make_byte_budget
 from lagoonsail_router.context import (
     LEAVING,
@@ -31,6 +39,12 @@
     run_periodic_steps,
     start_task,
 )
+from lagoonsail_router.descriptor_shedding import (
+    CHECK_INTERVAL_MS,
+    attach_ports,
+    make_accept_report,
+    make_descriptor_check,
+)
 from lagoonsail_router.http_server import listen, start_serving
 from lagoonsail_router.open_connections import OpenConnections
 from lagoonsail_router.port_limits import PortLimits
@@ -57,6 +71,7 @@
     "records_rejected_total": "Malformed entries of the store.",
     "repeats_refused_total": "Requests not sent once more for want of a share.",
     "retries_total": "Requests sent once more, by service.",
+    "store_feed_total": "Changes of the store learned from another router.",
     "store_failures_total": "Calls to the store without an answer.",
     "task_errors_total": "Failures inside the router's tasks, by task.",
 }
@@ -73,6 +88,8 @@
 """Interval between checks for idle connections to close."""
 IDLE_TIMEOUT_MS = 20_000.0
 """Idle timeout of connections from callers."""
+MAX_DIGEST_AGE_MS = 1000.0
+"""Age of the last digest up to which connections are borrowed by what digests show."""
 MIN_HEAD_BYTES = 4096
 """Least length of a request head that is accepted, whatever the manifest says."""
 MIN_TIMEOUT_MS = 500.0
@@ -110,13 +127,17 @@
 
     __slots__ = (
         "_callers_port",
+        "_connection_quota",
         "_membership",
         "_metrics",
+        "_operator_ports",
         "_settings",
+        "_update_descriptor_metrics",
         "calls",
         "context",
         "counts",
         "crash_check",
+        "descriptors",
         "digests",
         "directory",
         "dispatcher",
@@ -131,6 +152,8 @@
     """Clock, counters and timeline."""
     counts: FleetCounts
     """Counters that are summed over all routers."""
+    descriptors: DescriptorBudget
+    """File descriptors of the process."""
     directory: ServerDirectory
     """The backend servers."""
     limits: PortLimits
@@ -173,8 +196,21 @@
         self.directory = ServerDirectory(context.clock, settings.max_change_delay_ms)
         budget = make_byte_budget(settings.memory_limit_bytes)
         self.limits = PortLimits(BodyIntake(budget, context.clock))
-        self.pool = ConnectionPool(context.clock, budget)
+        self.descriptors = DescriptorBudget(context.clock, settings.max_descriptors)
+        self.pool = ConnectionPool(
+            context.clock,
+            budget,
+            self.descriptors,
+        )
+        self._connection_quota = ConnectionQuota(self.routers, self._others_running)
+        self.pool.max_kept_to = self._connection_quota.max_kept_to
+        self.pool.max_open_to = self._connection_quota.max_open_to
+        self._operator_ports = [
+            OpenConnections(MAX_OPERATOR_CONNECTIONS) for _ in range(2)
+        ]
+        self._register_descriptors()
         self.dispatcher = Dispatcher(context, self.directory, self.routers)
+        self.dispatcher.may_connect = self.pool.may_connect
         self.crash_check = CrashCheck(context, CrashSuspects(context.clock))
         self.calls = CallService(
             context,
@@ -205,7 +241,10 @@
             self.directory,
             self.routers,
             self._apply_manifest,
+            WatcherChoice(context.clock, self.routers, settings.failure_domain),
+            self.digests.send_feed,
         )
+        self.digests.on_feed(self.view.apply_feed)
 
     def start(self) -> None:
         """Open all ports and start all tasks.
@@ -217,13 +256,9 @@
         callers = self._callers_port = listen(settings.callers_address)
         readiness = listen(settings.readiness_address)
         self._serve(callers, self.calls.serve, self.context.callers)
-        self._serve(
-            readiness, self._serve_readiness, OpenConnections(MAX_OPERATOR_CONNECTIONS)
-        )
+        self._serve(readiness, self._serve_readiness, self._operator_ports[0])
         metrics = listen(settings.metrics_address)
-        self._serve(
-            metrics, self._serve_metrics, OpenConnections(MAX_OPERATOR_CONNECTIONS)
-        )
+        self._serve(metrics, self._serve_metrics, self._operator_ports[1])
         self.digests.open(settings.digests_address)
         start_task(self.context, "digests", self.digests.receive)
         start_task(self.context, "store_view", self.view.run)
@@ -234,7 +269,13 @@
                 (ROUND_INTERVAL_MS, self._exchange_digests, "digests"),
                 (EXPIRY_CHECK_INTERVAL_MS, self.directory.expire, "expiry"),
                 (EXPIRY_CHECK_INTERVAL_MS, self.view.check_lag, "store_view"),
+                (HEARTBEAT_INTERVAL_MS, self.view.send_heartbeat, "store_feed"),
                 (IDLE_CHECK_INTERVAL_MS, self.pool.close_expired, "stale"),
+                (
+                    CHECK_INTERVAL_MS,
+                    make_descriptor_check(self.context, self.descriptors),
+                    "descriptors",
+                ),
             ],
         )
         self.context.timeline.record(
@@ -278,10 +319,30 @@
             connections,
             IDLE_TIMEOUT_MS,
             lambda kind: self.context.count("problems_total", kind),
+            self.calls.refuse,
+            make_accept_report(self.context),
             self.limits,
         )
 
+    def _others_running(self, server_id: str) -> int | None:
+        """Return other routers' requests at a server, None without recent digests."""
+        if self.routers.count() == 1:
+            return 0
+        age_ms = self.dispatcher.last_digest_age_ms()
+        if age_ms is None or age_ms > MAX_DIGEST_AGE_MS:
+            return None
+        state = self.dispatcher.states.find(server_id)
+        return state.load.others_running if state else 0
+
+    def _register_descriptors(self) -> None:
+        pool, budget = self.pool, self.descriptors
+        budget.register(SERVERS, lambda: pool.open_count - pool.idle_count)
+        budget.register(IDLE_SERVERS, lambda: pool.idle_count)
+        budget.add_closer("idle_servers_closed", pool.close_oldest_idle)
+        attach_ports(self.context, budget, self._operator_ports)
+
     def _apply_manifest(self, manifest: Manifest) -> None:
+        self._connection_quota.apply_manifest(manifest)
         limits = manifest.limits
         self.limits.max_head_bytes = max(MIN_HEAD_BYTES, limits.max_head_bytes)
         self.limits.head_timeout_ms = max(MIN_TIMEOUT_MS, limits.head_timeout_ms)
@@ -328,7 +389,11 @@
 
     def is_ready(self) -> bool:
         """Return whether the router is ready to serve callers."""
-        return self.view.manifest is not None and self.context.state == SERVING
+        return (
+            self.view.manifest is not None
+            and self.context.state == SERVING
+            and self.context.callers.can_accept()
+        )
 
     def _serve_readiness(self, env: dict, start_response: Callable) -> Iterable[bytes]:
         is_known = env["PATH_INFO"] == self._settings.readiness_path
@@ -347,6 +412,7 @@
             return [b""]
         if self._metrics is None:
             self._metrics = self._make_metrics()
+        self._update_descriptor_metrics()
         text = self._metrics.render()
         start_response(
             "200 OK",
@@ -373,4 +439,7 @@
             lambda: {"opened": self.pool.opened, "reused": self.pool.reused},
         )
         declare_memory_metrics(metrics, self.limits.intake)
+        self._update_descriptor_metrics = declare_descriptor_metrics(
+            metrics, self.descriptors
+        )
         return metrics
--- a/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
@@ -138,6 +138,8 @@
         finally:
             self._stop_head_timer()
         self._head_bytes = head.read_bytes
+        # The library shortens leading slashes, which may select another route.
+        self.path = self.requestline.split()[1]
         lengths = self.headers.get_all("content-length", [])
         codings = self.headers.get_all("transfer-encoding", [])
         if len(lengths) > 1 or any(not _LENGTH.fullmatch(item) for item in lengths):
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -16,10 +16,12 @@
 SERIAL_TESTS = (
     "packages/lagoonsail-lab/tests/test_prove_short.py",
     "packages/lagoonsail-router/tests/test_hostile_callers.py",
+    "packages/lagoonsail-router/tests/test_router_descriptors.py",
+    "tests/platform/test_descriptor_shortage.py",
     "tests/platform/test_hostile_bodies.py",
 )
-"""Tests that load the whole machine or need it for themselves; they run serially after
-all others."""
+"""Tests that load the whole machine or use up a limit of a process; they run serially
+after all others."""
 
 
 def read_known_red() -> set[str]:
