--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/connection_pool.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/connection_pool.py
@@ -10,8 +10,8 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.green import eventlet
-from lagoonsail_gateway.buffer_budget import BufferBudget
 from lagoonsail_gateway.server_connection import ConnectFailedError, connect
+from lagoonsail_overload.byte_budget import ByteBudget
 from lagoonsail_overload.server_connections import (
     CLOSE_IDLE,
     CLOSE_IDLE_HERE,
@@ -43,8 +43,8 @@
 """Requests that may wait so at once; the next is refused without waiting."""
 MAX_IDLE_PER_SERVER = 64
 """Maximum number of idle connections kept per server."""
-DEFAULT_BUFFERED_BYTES = 30 << 20
-"""Bytes of answers that are held at once unless stated otherwise."""
+DEFAULT_BUDGET_BYTES = 200_000_000
+"""Byte budget unless another is given."""
 MAX_REQUESTS_PER_CONNECTION = 1000
 """Number of requests after which a connection is closed, because it remembers the id
 of each."""
@@ -73,8 +73,8 @@
         "reused",
     )
 
-    buffers: BufferBudget
-    """Memory of the answers that are held until they are whole or written."""
+    buffers: ByteBudget
+    """Budget of the answers that are held until they are whole or written."""
     idle_count: int
     """Number of idle connections."""
     max_kept_to: Callable[[Server], float]
@@ -91,19 +91,19 @@
     def __init__(
         self,
         clock: Clock,
-        max_buffered_bytes: int = DEFAULT_BUFFERED_BYTES,
+        buffers: ByteBudget | None = None,
         descriptors: DescriptorBudget | None = None,
     ) -> None:
         """Create an empty pool.
 
         Args:
             clock: The clock.
-            max_buffered_bytes: Bytes of answers that may be held at once.
+            buffers: Byte budget of the process, None for one of the pool's own.
             descriptors: Descriptors of the process; None if nothing bounds them.
         """
         self._clock = clock
         self._descriptors = descriptors
-        self.buffers = BufferBudget(max_buffered_bytes)
+        self.buffers = buffers or ByteBudget(DEFAULT_BUDGET_BYTES)
         self._idle: dict[ServerKey, list[ServerConnection]] = {}
         self._open: dict[ServerKey, int] = {}
         self._learned = LearnedLimits()
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -26,12 +26,14 @@
 from lagoonsail_gateway.server_directory import ServerDirectory
 from lagoonsail_gateway.store_feed import HEARTBEAT_INTERVAL_MS, WatcherChoice
 from lagoonsail_gateway.store_view import StoreView
+from lagoonsail_overload.body_intake import BodyIntake
 from lagoonsail_overload.descriptor_budget import (
     IDLE_SERVERS,
     SERVERS,
     DescriptorBudget,
 )
 from lagoonsail_overload.descriptor_metrics import declare_descriptor_metrics
+from lagoonsail_overload.process_memory import make_byte_budget
 from lagoonsail_router.context import (
     LEAVING,
     SERVING,
@@ -47,6 +49,7 @@
 )
 from lagoonsail_router.http_server import listen, start_serving
 from lagoonsail_router.open_connections import OpenConnections
+from lagoonsail_router.port_limits import PortLimits
 from lagoonsail_sharing.crash_suspects import CrashSuspects
 
 if TYPE_CHECKING:
@@ -84,9 +87,6 @@
     "loop_late": "Time by which the event loop ran a task too late.",
 }
 """Help texts of the duration histograms, by metric name."""
-BUFFERED_FRACTION = 0.1
-"""Fraction of the memory limit for answers that are held. They are copied up to three
-times while they are passed on, and the rest is for requests and connections."""
 EXPIRY_CHECK_INTERVAL_MS = 200.0
 """Interval between checks for expired servers."""
 MEMBERSHIP_RETRY_MS = 1000.0
@@ -97,6 +97,10 @@
 """Idle timeout of connections from callers."""
 MAX_DIGEST_AGE_MS = 1000.0
 """Age of the last digest up to which connections are borrowed by what digests show."""
+MIN_HEAD_BYTES = 4096
+"""Least length of a request head that is accepted, whatever the manifest says."""
+MIN_TIMEOUT_MS = 500.0
+"""Least time for a head, or without progress of a body, whatever the manifest says."""
 MAX_OPERATOR_CONNECTIONS = 64
 """Maximum number of connections from the load balancer or from metrics scrapers."""
 BALANCER_REACTION_MS = 3000.0
@@ -145,6 +149,7 @@
         "directory",
         "dispatcher",
         "leader",
+        "limits",
         "log",
         "pool",
         "rollouts",
@@ -160,6 +165,8 @@
     """File descriptors of the process."""
     directory: ServerDirectory
     """The backend servers."""
+    limits: PortLimits
+    """Limits on what connections may send, with the byte budget of the process."""
     view: StoreView
     """View of the store's content."""
     calls: CallService
@@ -198,10 +205,12 @@
         self.routers = FleetMembers(settings.name)
         self.counts = FleetCounts(context.clock)
         self.directory = ServerDirectory(context.clock, settings.max_change_delay_ms)
+        budget = make_byte_budget(settings.memory_limit_bytes)
+        self.limits = PortLimits(BodyIntake(budget, context.clock))
         self.descriptors = DescriptorBudget(context.clock, settings.max_descriptors)
         self.pool = ConnectionPool(
             context.clock,
-            int(BUFFERED_FRACTION * settings.memory_limit_bytes),
+            budget,
             self.descriptors,
         )
         self._connection_quota = ConnectionQuota(self.routers, self._others_running)
@@ -346,6 +355,7 @@
             lambda kind: self.context.count("problems_total", kind),
             self.calls.refuse,
             make_accept_report(self.context),
+            self.limits,
         )
 
     def _others_running(self, server_id: str) -> int | None:
@@ -367,6 +377,10 @@
 
     def _apply_manifest(self, manifest: Manifest) -> None:
         self._connection_quota.apply_manifest(manifest)
+        limits = manifest.limits
+        self.limits.max_head_bytes = max(MIN_HEAD_BYTES, limits.max_head_bytes)
+        self.limits.head_timeout_ms = max(MIN_TIMEOUT_MS, limits.head_timeout_ms)
+        self.limits.intake.stall_ms = max(MIN_TIMEOUT_MS, limits.idle_timeout_ms)
         self.dispatcher.apply_manifest(manifest)
         self.calls.apply_manifest(manifest)
         if self.rollouts is not None:
@@ -447,6 +461,7 @@
     def _make_metrics(self) -> Metrics:
         # Imported on first use, because a slow start delays serving.
         from lagoonsail_core.metrics import Metrics
+        from lagoonsail_router.memory_metrics import declare_memory_metrics
 
         metrics = Metrics()
         metrics.declare_all(
@@ -461,6 +476,7 @@
             "kind",
             lambda: {"opened": self.pool.opened, "reused": self.pool.reused},
         )
+        declare_memory_metrics(metrics, self.limits.intake)
         self._update_descriptor_metrics = declare_descriptor_metrics(
             metrics, self.descriptors
         )
--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -8,8 +8,10 @@
 
 from lagoonsail_core.errors import LagoonsailError
 from lagoonsail_core.green import eventlet
+from lagoonsail_overload.body_intake import BodyIntake
 from lagoonsail_overload.descriptor_budget import SERVERS, DescriptorBudget
 from lagoonsail_overload.descriptor_metrics import declare_descriptor_metrics
+from lagoonsail_overload.process_memory import make_byte_budget
 from lagoonsail_router.admin import Admin, unready_reason
 from lagoonsail_router.call_queue import CallQueue
 from lagoonsail_router.configuration import Configuration
@@ -30,11 +32,13 @@
 from lagoonsail_router.http_server import listen, start_serving
 from lagoonsail_router.key_store import KeyStore
 from lagoonsail_router.local_stream import LocalStream
+from lagoonsail_router.memory_metrics import declare_memory_metrics
 from lagoonsail_router.metrics import declare_gauges, make_metrics
 from lagoonsail_router.open_connections import OpenConnections
 from lagoonsail_router.ownership import Ownership
 from lagoonsail_router.peers import PeerDirectory
 from lagoonsail_router.planned_stop import PlannedStop
+from lagoonsail_router.port_limits import PortLimits
 from lagoonsail_router.right import RENEWALS_PER_TTL, Right
 from lagoonsail_router.shard_messages import ShardMessages
 from lagoonsail_router.slot_client import SlotClient
@@ -92,6 +96,7 @@
         "context",
         "descriptors",
         "entry",
+        "limits",
         "ownership",
         "peers",
         "right",
@@ -114,9 +119,13 @@
     """Requests slots for the calls that this router received."""
     entry: Entry
     """Serves callers."""
+    limits: PortLimits
+    """Limits on what callers may send, with the byte budget of the process."""
 
     def __init__(self, settings: RouterSettings) -> None:
         context = self.context = RouterContext(settings)
+        budget = make_byte_budget(settings.memory_mb * 1e6)
+        self.limits = PortLimits(BodyIntake(budget, context.clock))
         self.configuration = Configuration(context)
         self.peers = PeerDirectory(context, self.configuration)
         self._store = StoreClient(
@@ -150,7 +159,7 @@
         queue = CallQueue(
             context, self.configuration, self.slot_client, self.is_isolated
         )
-        self.entry = Entry(context, self.configuration, self.slot_client, queue)
+        self.entry = Entry(context, self.configuration, self.slot_client, queue, budget)
         self.descriptors = DescriptorBudget(context.clock, None)
         self._admin_connections = OpenConnections(MAX_ADMIN_CONNECTIONS)
         self.entry.descriptors = self.descriptors
@@ -182,6 +191,7 @@
         self._listeners: list = []
         self._metrics = make_metrics(self)
         self._gauges = declare_gauges(self._metrics)
+        declare_memory_metrics(self._metrics, self.limits.intake)
         self._update_descriptor_metrics = declare_descriptor_metrics(
             self._metrics, self.descriptors
         )
@@ -251,6 +261,7 @@
             lambda kind: count("problems_total", kind),
             self.entry.refuse,
             make_accept_report(self.context),
+            self.limits,
         )
         start_serving(
             admin_socket,
--- a/packages/lagoonsail-router/src/lagoonsail_router/entry.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/entry.py
@@ -17,7 +17,10 @@
     OUTCOME_WHOLE,
     SlotGrant,
 )
+from lagoonsail_overload.answer_room import AnswerRoom
+from lagoonsail_overload.byte_budget import ByteBudget
 from lagoonsail_overload.local_shortage import is_local_shortage
+from lagoonsail_router.answer_holding import ANSWER_KEY, HeldAnswer
 from lagoonsail_router.backend import (
     AnswerTimeoutError,
     Attempt,
@@ -58,6 +61,8 @@
 """Help texts of the latency histograms, by metric name."""
 FIRST_PROGRESS_COST = 128.0
 """Cost at which a running stream is first reported, then each time it doubles."""
+DEFAULT_BUDGET_BYTES = 400_000_000
+"""Byte budget of the answers unless another is given."""
 DESCRIPTOR_CHECKS = 6
 """How often a call looks for a free descriptor before it is refused."""
 DESCRIPTOR_CHECK_INTERVAL_S = 0.01
@@ -70,6 +75,7 @@
     """Serves callers, with one task per connection."""
 
     __slots__ = (
+        "_answer_room",
         "_budgets",
         "_call_count",
         "_checks",
@@ -103,7 +109,9 @@
         configuration: Configuration,
         slot_client: SlotClient,
         queue: CallQueue,
+        budget: ByteBudget | None = None,
     ) -> None:
+        self._answer_room = AnswerRoom(budget or ByteBudget(DEFAULT_BUDGET_BYTES))
         self._context = context
         self._configuration = configuration
         self._slot_client = slot_client
@@ -136,6 +144,7 @@
             request_id = call.request_id
             self._call_count += 1
             call.number = self._call_count
+            call.held_answer = env[ANSWER_KEY] = HeldAnswer(self._answer_room)
             self._context.count("calls_total", call.document.qualified())
             body = self._serve_call(call, env, start_response)
         except CallProblem as problem:
@@ -192,6 +201,7 @@
                 continue
             answer, problem, attempt = result
             if answer is not None:
+                call.drop_body()
                 return self._forward_answer(
                     call, grant, attempt, answer, start_response
                 )
@@ -218,7 +228,10 @@
             answer or the problem is None.
         """
         address = self._server_address(call, grant)
-        attempt = Attempt(call, grant, address, self._context.clock)
+        if call.held_answer is not None:
+            # What an earlier attempt held is not passed on.
+            call.held_answer.release()
+        attempt = Attempt(call, grant, address, self._context.clock, call.held_answer)
         if not address:
             self._finish(grant, OUTCOME_NOT_RUN, attempt)
             return None
--- a/packages/lagoonsail-router/src/lagoonsail_router/http_server.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/http_server.py
@@ -18,6 +18,7 @@
 
     from lagoonsail_router.http_port import HttpProtocol
     from lagoonsail_router.open_connections import OpenConnections
+    from lagoonsail_router.port_limits import PortLimits
 
 BACKLOG = 1024
 """Connections that may wait to be accepted."""
@@ -73,6 +74,7 @@
     on_refused: Callable[[str], None],
     refuse: Callable | None = None,
     on_accept_failed: Callable[[str, int], None] = lambda _reason, _count: None,
+    limits: PortLimits | None = None,
 ) -> None:
     """Serve an application in a new task.
 
@@ -88,13 +90,14 @@
             needed if the connections have a budget.
         on_accept_failed: Called at most once a second while accepting fails, with the
             last error and the number of failures.
+        limits: Limits on what a connection may send, None for usual ones.
     """
     clock = Clock()
     server = eventlet.wsgi.Server(
         sock,
         sock.getsockname(),
         application,
-        protocol=_make_protocol(on_refused, connections, refuse, clock),
+        protocol=_make_protocol(on_refused, connections, refuse, clock, limits),
         log_output=False,
         debug=False,
         minimum_chunk_size=1,
@@ -216,9 +219,10 @@
     connections: OpenConnections,
     refuse: Callable | None,
     clock: Clock,
+    limits: PortLimits | None,
 ) -> type[HttpProtocol]:
     """Return the protocol class of a port, which notes which connections are idle."""
-    base = make_protocol(on_refused, connections)
+    base = make_protocol(on_refused, connections, limits)
 
     class AcceptedProtocol(base):
         """One connection, whose state is a `CallerConnection`."""
--- a/tests/platform/conftest.py
+++ b/tests/platform/conftest.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import pytest
-from lagoonsail_platform_standin.fleet import MAX_DESCRIPTORS, StandInFleet
+from lagoonsail_platform_standin.fleet import MAX_DESCRIPTORS, MEMORY_MB, StandInFleet
 
 
 @pytest.fixture
@@ -14,11 +14,15 @@
     def make(
         routers: int,
         max_descriptors: int = MAX_DESCRIPTORS,
+        memory_mb: int = MEMORY_MB,
         *,
         has_store_ports: bool = False,
     ) -> StandInFleet:
         fleet = StandInFleet(
-            tmp_path, max_descriptors=max_descriptors, has_store_ports=has_store_ports
+            tmp_path,
+            max_descriptors=max_descriptors,
+            memory_mb=memory_mb,
+            has_store_ports=has_store_ports,
         )
         fleets.append(fleet)
         fleet.start(routers)
