Learn the speed of servers, and use their load reports

Cause: prefill was assumed to take 50 tokens a ms at every engine, and the load report of servers was decoded but never used, or ignored if it has four figures. Engines of unequal speed were loaded unequally, and plain servers were chosen by running requests only.

Change: ServerSpeeds learns the speed of each server from the time until the first part of its answers. The evidence of all routers is added up by FleetCounts (new: put, remove), with the reported slowdowns and the memory in use. EngineLoad carries the estimated speed, which placement, admission, the silence check and the logged delay use; queue_ms takes no argument any more. Placement prefers engines with room in memory and slots and, among similar costs, the own failure domain; much-used prefixes get a copy in each domain, and prefixes of lost engines the same new home at all routers. Plain servers are chosen by their expected delay.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -8,10 +8,12 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_gateway.admission import AccountLoad, Refusal, check_wait
+from lagoonsail_gateway.fleet_counts import FleetCounts
 from lagoonsail_gateway.running_request import RunningRequest
 from lagoonsail_gateway.sent_prompts import RecentPrompts, SentPrompt, sender_number
+from lagoonsail_gateway.server_speeds import ServerSpeeds
 from lagoonsail_gateway.server_state import ServerStates
-from lagoonsail_sharing.first_token import choose_engine
+from lagoonsail_sharing.first_token import HotPrefixes, choose_engine
 from lagoonsail_sharing.server_notices import ServerNotices
 
 if TYPE_CHECKING:
@@ -20,13 +22,11 @@
     from lagoonsail_gateway.digest import Digest
     from lagoonsail_gateway.fleet_share import FleetMembers
     from lagoonsail_gateway.gateway_call import GatewayCall
-    from lagoonsail_gateway.manifest import Manifest, Service
+    from lagoonsail_gateway.manifest import Engine, Manifest, Service
     from lagoonsail_gateway.server_directory import Server, ServerDirectory
     from lagoonsail_gateway.server_state import ServerState
     from lagoonsail_router.context import RouterContext
 
-PREFILL_TOKENS_PER_MS = 50.0
-"""Assumed prefill rate of an engine."""
 NO_SERVER_RETRY_AFTER_S = 0.5
 """Retry-After of a request for which no server is available."""
 MAX_RETURN_SPREAD_MS = 500.0
@@ -45,15 +45,18 @@
 
     __slots__ = (
         "_directory",
+        "_hot_prefixes",
         "_last_digest_ms",
         "_manifest",
         "_on_large_prompt",
+        "_own_domain",
         "_routers",
         "_sender_number",
         "accounts",
         "context",
         "notices",
         "recent_prompts",
+        "speeds",
         "states",
     )
 
@@ -65,12 +68,28 @@
     """What servers say of themselves in their answers."""
     recent_prompts: RecentPrompts
     """The prompts that this router sent recently."""
+    speeds: ServerSpeeds
+    """How fast the servers work."""
     states: ServerStates
     """What is known of each server."""
 
     def __init__(
-        self, context: RouterContext, directory: ServerDirectory, routers: FleetMembers
+        self,
+        context: RouterContext,
+        directory: ServerDirectory,
+        routers: FleetMembers,
+        counts: FleetCounts | None = None,
+        own_domain: str = "",
     ) -> None:
+        """Create without a manifest.
+
+        Args:
+            context: Clock, counters and timeline.
+            directory: The servers.
+            routers: The routers, among which quotas are divided.
+            counts: Counters that are summed over all routers; own ones if None.
+            own_domain: Failure domain of this router, empty if there are none.
+        """
         self.context = context
         self.accounts = AccountLoad(context.clock)
         self.notices = ServerNotices(context.clock)
@@ -80,7 +99,12 @@
         self._sender_number = sender_number(routers.name)
         self._manifest: Manifest | None = None
         self._on_large_prompt: Callable[[], None] = lambda: None
-        self.states = ServerStates(context.clock)
+        self._own_domain = own_domain
+        self._hot_prefixes = HotPrefixes()
+        self.speeds = ServerSpeeds(
+            context, counts or FleetCounts(context.clock), own_domain
+        )
+        self.states = ServerStates(context.clock, self.speeds.service_factor)
         self._last_digest_ms = float("-inf")
         directory.subscribe(self._on_server_change)
 
@@ -140,21 +164,30 @@
         """
         state.health.record_attempt(self.context.clock.now_ms())
         self.notices.record_sent(state.server.record.incarnation())
-        unread = 0
+        unread = held = 0
         if call.prompt is not None:
             shared = state.load.cache.unread_tokens(call.prompt)
             unread = call.prompt.unshared_tokens + shared
+            held = call.prompt.held_tokens()
             state.load.cache.record_prefill(call.prompt)
+            self._hot_prefixes.record(call.prompt.prefix, self.context.clock.now_ms())
             sent = SentPrompt(
                 state.server.record.server_id, call.prompt, self._sender_number
             )
             self.recent_prompts.add(sent.encode())
         selection_load = {
-            "queue_ms": round(state.load.queue_ms(PREFILL_TOKENS_PER_MS)),
+            "queue_ms": round(state.load.queue_ms()),
+            "slowdown": round(state.speed.slowdown, 2),
             "told_ms_ago": self.last_digest_age_ms(),
         }
         run = RunningRequest(
-            self.context.clock, state, unread, selection_load, self._record_run
+            self.context.clock,
+            state,
+            unread,
+            held,
+            selection_load,
+            self.speeds.start_timing(state, unread),
+            self._record_run,
         )
         if unread >= LARGE_PROMPT_TOKENS:
             self._on_large_prompt()
@@ -181,6 +214,8 @@
         is_own = sent_prompt.sender == self._sender_number
         if state is not None and not is_own:
             state.load.cache.record_prefill(sent_prompt.prompt)
+            now_ms = self.context.clock.now_ms()
+            self._hot_prefixes.record(sent_prompt.prompt.prefix, now_ms)
 
     def replace_digest(self, previous: Digest | None, newest: Digest | None) -> None:
         """Replace the previous digest of another router with its newest one.
@@ -232,6 +267,10 @@
         if self.notices.record_leaving(record.incarnation()):
             self.context.timeline.record("server_leaving", server=record.server_id)
 
+    def update_speeds(self) -> None:
+        """Publish what the answers told of the servers' speeds, and estimate them."""
+        self.speeds.update(self.states.all())
+
     def record_answer(self, state: ServerState, backoff_ms: float | None) -> None:
         """Note that a server answered, and whether it wants a pause.
 
@@ -308,7 +347,7 @@
         """
         if not state.load.running:
             return False
-        read_ms = state.load.queue_ms(PREFILL_TOKENS_PER_MS)
+        read_ms = state.load.queue_ms()
         return (
             now_ms - state.last_response_ms
             > MAX_SILENCE_MS + PREFILL_OVERRUN_FACTOR * read_ms
@@ -318,14 +357,15 @@
         self, call: GatewayCall, states: list[ServerState], allowed: list[ServerState]
     ) -> ServerState | Refusal:
         if call.prompt is None:
-            return min(allowed, key=self._running_key)
+            return self.speeds.choose_plain_server(allowed)
         by_id = {state.load.engine_id: state for state in allowed}
         choice = choose_engine(
             call.prompt,
             [state.load for state in states],
-            PREFILL_TOKENS_PER_MS,
             lambda load: load.engine_id in by_id,
             call.route.objective_ms,
+            self._own_domain,
+            self._hot_prefixes.is_hot(call.prompt.prefix, self.context.clock.now_ms()),
         )
         usage_ratio = self.accounts.usage_ratio(call.account)
         delay_ms = choice.delay_ms
@@ -336,10 +376,6 @@
         )
         return refusal or by_id[choice.load.engine_id]
 
-    def _running_key(self, state: ServerState) -> tuple[float, float]:
-        load = state.load
-        return load.running + load.others_running, random.random()
-
     def _has_cold_quota(self, state: ServerState, service: Service) -> bool:
         if not self._directory.is_cold(state.server):
             return True
@@ -350,12 +386,11 @@
         return self._routers.quota_of(total, state.server.record.server_id)
 
     def _state(self, server: Server) -> ServerState:
-        return self.states.get(server, self._cache_tokens(server.record.service))
+        return self.states.get(server, self._engine(server.record.service))
 
-    def _cache_tokens(self, service_name: str) -> int:
+    def _engine(self, service_name: str) -> Engine | None:
         service = self._manifest.services.get(service_name)
-        has_engine = service is not None and service.engine is not None
-        return service.engine.cache_tokens if has_engine else 0
+        return None if service is None else service.engine
 
     def _on_server_change(self, kind: str, server: Server) -> None:
         record = server.record
@@ -367,6 +402,8 @@
             cold_ms=record.cold_left_ms,
             **_kept_fields(server, self.context.clock.now_ms()),
         )
+        if kind in ("left", "restarted"):
+            self.speeds.remove(record.server_id)
         if kind == "left":
             self.states.remove(server)
 
@@ -386,7 +423,7 @@
     idle, or is estimated to be. While the other engines are busy, the idle one is left
     to other accounts.
     """
-    return median(state.load.queue_ms(PREFILL_TOKENS_PER_MS) for state in states)
+    return median(state.load.queue_ms() for state in states)
 
 
 def _no_server(reason: str) -> Refusal:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_counts.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_counts.py
@@ -86,6 +86,25 @@
         add_counts(self._own, {key: numbers})
         self._changed_ms[key] = self._clock.now_ms()
 
+    def put(self, key: str, numbers: tuple[int, ...]) -> None:
+        """Replace this router's numbers of a key, for sums of values that also fall.
+
+        Args:
+            key: What the numbers are about; see `add`.
+            numbers: The new numbers, which may be negative.
+        """
+        self._own[key] = numbers
+        self._changed_ms[key] = self._clock.now_ms()
+
+    def remove(self, key: str) -> None:
+        """Drop this router's numbers of a key, if there are any.
+
+        Args:
+            key: The key.
+        """
+        if self._own.pop(key, None) is not None:
+            del self._changed_ms[key]
+
     def total(self, key: str) -> tuple[int, ...]:
         """Return the counts of all routers, as new as their digests.
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -50,6 +50,7 @@
     "digests_malformed_total": "Digests of other routers that could not be read.",
     "digests_not_sent_total": "Digests that could not be sent.",
     "digests_too_long_total": "Digests that fit into no datagram.",
+    "load_reports_total": "Load reports of servers, with and without a slowdown.",
     "problems_total": "Refusals and problem documents, by kind.",
     "records_rejected_total": "Malformed entries of the store.",
     "repeats_refused_total": "Requests not sent once more for want of a share.",
@@ -167,7 +168,13 @@
         self.pool = ConnectionPool(
             context.clock, int(BUFFERED_FRACTION * settings.memory_limit_bytes)
         )
-        self.dispatcher = Dispatcher(context, self.directory, self.routers)
+        self.dispatcher = Dispatcher(
+            context,
+            self.directory,
+            self.routers,
+            self.counts,
+            settings.failure_domain,
+        )
         self.crash_check = CrashCheck(context, CrashSuspects(context.clock))
         self.calls = CallService(
             context,
@@ -278,6 +285,7 @@
         self.calls.apply_manifest(manifest)
 
     def _exchange_digests(self) -> None:
+        self.dispatcher.update_speeds()
         self.digests.send_round()
         self.dispatcher.update_shares()
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_call.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_call.py
@@ -109,4 +109,8 @@
         key = xxh64_intdigest(text.encode()) >> 1
         shared.append(SharedPart(key, part.tokens))
     shared_tokens = sum(part.tokens for part in shared)
-    return Prompt(tuple(shared), max(0, head.prompt_tokens - shared_tokens))
+    return Prompt(
+        tuple(shared),
+        max(0, head.prompt_tokens - shared_tokens),
+        head.max_output_tokens,
+    )
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/request_format.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/request_format.py
@@ -11,6 +11,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
+    from lagoonsail_sharing.server_load import LoadReport
+
 Headers = list[tuple[str, str]]
 """Header fields as (name, value) pairs, in order."""
 HOP_BY_HOP_HEADERS = frozenset(
@@ -60,18 +62,6 @@
     """Headers that are forwarded unchanged to a backend server."""
 
 
-@dataclass(slots=True, frozen=True)
-class ServerLoad:
-    """Load that a server reports in a response."""
-
-    running: int
-    """Number of running requests."""
-    waiting: int
-    """Number of requests waiting for a slot."""
-    slots: int
-    """Number of requests that can run concurrently."""
-
-
 @dataclass(slots=True, frozen=True)
 class ResponseHead:
     """Decoded head of a server's response."""
@@ -84,7 +74,7 @@
     """Whether the response came from a different server than expected."""
     is_sealed: bool
     """Whether the response carries the server's proof of origin."""
-    load: ServerLoad | None
+    load: LoadReport | None
     """Load of the server, None if not reported."""
     is_leaving: bool = False
     """Whether the server states that it is leaving."""
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/running_request.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/running_request.py
@@ -16,7 +16,9 @@
 
     __slots__ = (
         "_clock",
-        "_has_first_token",
+        "_held_tokens",
+        "_is_prefilled",
+        "_on_first_token",
         "_on_result",
         "_selection_load",
         "_unread_tokens",
@@ -34,7 +36,9 @@
         clock: Clock,
         state: ServerState,
         unread_tokens: int,
+        held_tokens: int,
         selection_load: dict[str, object],
+        on_first_token: Callable[[float], None] | None,
         on_result: Callable[[RunningRequest, bool], None],
     ) -> None:
         """Count the request as running at its server.
@@ -43,12 +47,17 @@
             clock: The clock.
             state: The server.
             unread_tokens: Prompt tokens that the server has yet to prefill.
+            held_tokens: Memory of the server that it takes, in tokens.
             selection_load: Load values on which its selection was based, for the log.
+            on_first_token: Called with the time in ms until the first part of a proper
+                response; None if it does not matter.
             on_result: Called with the request and whether the server succeeded, unless
                 the end says nothing about the server.
         """
         self._clock = clock
-        self._has_first_token = False
+        self._held_tokens = held_tokens
+        self._is_prefilled = False
+        self._on_first_token = on_first_token
         self._on_result = on_result
         self._selection_load = selection_load
         self._unread_tokens = unread_tokens
@@ -56,6 +65,7 @@
         self.state = state
         state.load.pending_tokens += unread_tokens
         state.load.running += 1
+        state.load.held_tokens += held_tokens
 
     def describe(self) -> dict[str, object]:
         """Return the load values on which the selection of the server was based."""
@@ -76,11 +86,10 @@
         self.state.last_response_ms = self._clock.now_ms()
 
     def record_first_token(self) -> None:
-        """Note that the first part of the response has arrived."""
-        if self._has_first_token:
-            return
-        self._has_first_token = True
-        self.state.load.pending_tokens -= self._unread_tokens
+        """Note that the first part of a proper response has arrived."""
+        if not self._is_prefilled and self._on_first_token is not None:
+            self._on_first_token(self._clock.now_ms() - self.sent_ms)
+        self._end_prefill()
 
     def finish(self, *, is_success: bool | None) -> None:
         """Note that the request has ended.
@@ -89,7 +98,13 @@
             is_success: Whether the server succeeded; None if the outcome says nothing
                 about the server.
         """
-        self.record_first_token()
+        self._end_prefill()
         self.state.load.running -= 1
+        self.state.load.held_tokens -= self._held_tokens
         if is_success is not None:
             self._on_result(self, is_success)
+
+    def _end_prefill(self) -> None:
+        if not self._is_prefilled:
+            self._is_prefilled = True
+            self.state.load.pending_tokens -= self._unread_tokens
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
@@ -325,6 +325,8 @@
         head = self._response_head
         if not head.is_wrong_server:
             self._dispatcher.record_answer(self.state, head.backoff_ms)
+            if head.load is not None:
+                self._dispatcher.speeds.record_report(self.state, head.load)
         if _is_proven_refusal(response, head):
             self.call.possible_runs -= 1
             self._drain_and_finish(response)
@@ -369,7 +371,9 @@
     def _record_first_part(self) -> None:
         if not self.first_ms:
             self.first_ms = self._context.clock.now_ms()
-            self._running_request.record_first_token()
+            # The time of an error tells nothing of the server's speed.
+            if self.response.status < 300:
+                self._running_request.record_first_token()
 
     def _update_last_event_id(self, events: bytes) -> None:
         start = events.rfind(b"\nid:")
--- /dev/null
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_speeds.py
@@ -0,0 +1,295 @@
+"""Keeps the speed estimates of all servers up to date, from the answers of all routers.
+
+Each router adds the evidence of its own answers to the counters that digests carry, and
+estimates the speeds from the totals. No router waits for another: without digests the
+estimates rest on the router's own answers.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import defaultdict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from lagoonsail_sharing.first_token import BATCH_MS_PER_REQUEST
+from lagoonsail_sharing.server_load import PlainLoad, choose_plain, queue_rounds
+from lagoonsail_sharing.server_speed import (
+    DEFAULT_ANSWER_MS,
+    DEFAULT_TOKENS_PER_MS,
+    Numbers,
+    SpeedEvidence,
+    decode_evidence,
+    estimate_servers,
+    estimate_service,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Collection, Iterable
+
+    from lagoonsail_gateway.fleet_counts import FleetCounts
+    from lagoonsail_gateway.server_state import ServerState
+    from lagoonsail_router.context import RouterContext
+    from lagoonsail_sharing.server_load import LoadReport
+
+KEY_PREFIX = "speed/"
+"""Prefix of the keys of the evidence; the id of the server follows."""
+ESTIMATE_INTERVAL_MS = 400.0
+"""Interval between estimates of the speeds. Slowdowns are smoothed at each update."""
+HELD_UNIT_TOKENS = 64
+"""Resolution of the memory in use that digests carry, in tokens."""
+MIN_TIMED_TOKENS = 500
+"""Unread tokens from which a first token tells the prefill rate. The time of fewer is
+mostly that of the network and of decoding steps."""
+NETWORK_MS = 2.0
+"""Time of an answer that does not depend on the speed of its server."""
+MIN_TIMING_WEIGHT = 0.1
+"""Weight below which an answer does not count: its time was that of the requests before
+it, whose remaining work is not known exactly."""
+LOGGED_CHANGE = 0.3
+"""Change of the logarithm of a speed, since the last log line, that is logged."""
+LOG_INTERVAL_MS = 2000.0
+"""Minimum interval between log lines on the speed of one server."""
+
+
+@dataclass(slots=True, frozen=True)
+class AnswerTiming:
+    """What the time of an answer tells of its server's speed."""
+
+    expected_ms: float
+    """Expected time at the default speed."""
+    weight: float
+    """Weight of the answer as evidence."""
+    overhead_ms: float
+    """Time that does not depend on the speed."""
+
+
+def make_timing(
+    state: ServerState, unread_tokens: int, now_ms: float
+) -> AnswerTiming | None:
+    """Return what the answer to a request that is being sent will tell of the speed.
+
+    Args:
+        state: The server, without the request.
+        unread_tokens: Prompt tokens of the request that are not in its cache.
+        now_ms: The time.
+
+    Returns:
+        None if the answer will tell nothing.
+    """
+    load = state.load
+    if not load.cache.capacity_tokens:
+        requests = state.reported.requests_there(
+            load.running, load.others_running, now_ms
+        )
+        slots = state.reported.slots
+        rounds = queue_rounds(requests, slots) if slots else 1.0
+        return AnswerTiming(DEFAULT_ANSWER_MS * rounds, 1.0 / rounds, NETWORK_MS)
+    if unread_tokens < MIN_TIMED_TOKENS:
+        return None
+    tokens = load.pending_tokens + load.others_pending_tokens + unread_tokens
+    weight = unread_tokens / tokens
+    if weight < MIN_TIMING_WEIGHT:
+        return None
+    overhead_ms = NETWORK_MS + BATCH_MS_PER_REQUEST * load.total_running()
+    return AnswerTiming(tokens / DEFAULT_TOKENS_PER_MS, weight, overhead_ms)
+
+
+class ServerSpeeds:
+    """Speeds of all services and servers."""
+
+    __slots__ = (
+        "_context",
+        "_counts",
+        "_estimated_ms",
+        "_logged",
+        "_own_domain",
+        "_services",
+    )
+
+    def __init__(
+        self, context: RouterContext, counts: FleetCounts, own_domain: str
+    ) -> None:
+        """Start without evidence.
+
+        Args:
+            context: Clock, counters and timeline.
+            counts: Counters that are summed over all routers.
+            own_domain: Failure domain of this router, empty if there are none.
+        """
+        self._context = context
+        self._counts = counts
+        self._estimated_ms = -math.inf
+        self._logged: dict[str, tuple[float, float]] = {}
+        self._own_domain = own_domain
+        self._services: dict[str, float] = {}
+
+    def service_factor(self, service: str) -> float:
+        """Return the speed of the median server of a service, relative to the default.
+
+        Args:
+            service: Name of the service.
+        """
+        return math.exp(self._services.get(service, 0.0))
+
+    def start_timing(
+        self, state: ServerState, unread_tokens: int
+    ) -> Callable[[float], None] | None:
+        """Return a function that records the time until the first part of an answer.
+
+        Args:
+            state: The server, without the request.
+            unread_tokens: Prompt tokens of the request that are not in its cache.
+
+        Returns:
+            The function, which takes the time in ms; None if that will tell nothing.
+        """
+        clock = self._context.clock
+        timing = make_timing(state, unread_tokens, clock.now_ms())
+        if timing is None:
+            return None
+
+        def record(observed_ms: float) -> None:
+            working_ms = max(1.0, observed_ms - timing.overhead_ms)
+            # The slowdown of the moment says nothing of the speed at other moments.
+            state.speed.own.add_timing(
+                timing.expected_ms,
+                working_ms / state.speed.slowdown,
+                timing.weight,
+                clock.now_ms(),
+            )
+
+        return record
+
+    def record_report(self, state: ServerState, report: LoadReport) -> None:
+        """Record the load that a server reports.
+
+        Args:
+            state: The server.
+            report: The report.
+        """
+        now_ms = self._context.clock.now_ms()
+        state.reported.record(report, state.load.running, now_ms)
+        kind = "plain" if report.slowdown is None else "slowdown"
+        self._context.count("load_reports_total", kind)
+        if report.slowdown is not None:
+            state.speed.own.add_slowdown(report.slowdown, now_ms)
+            self._update_slowdown(state, self._evidence(state, now_ms))
+
+    def update(self, states: Iterable[ServerState]) -> None:
+        """Publish this router's evidence and update the estimates.
+
+        Args:
+            states: The states of all servers.
+        """
+        now_ms = self._context.clock.now_ms()
+        is_due = now_ms - self._estimated_ms >= ESTIMATE_INTERVAL_MS
+        by_service = defaultdict(list)
+        for state in states:
+            evidence = self._evidence(state, now_ms)
+            if is_due:
+                service = state.server.record.service
+                by_service[service].append((state, evidence))
+            elif evidence.reports:
+                self._update_slowdown(state, evidence)
+        if is_due:
+            self._estimated_ms = now_ms
+            for service, rows in by_service.items():
+                self._estimate(service, rows, now_ms)
+
+    def remove(self, server_id: str) -> None:
+        """Forget a server that has left or restarted.
+
+        Args:
+            server_id: Id of the server.
+        """
+        self._counts.remove(KEY_PREFIX + server_id)
+        self._logged.pop(server_id, None)
+
+    def choose_plain_server(self, states: Collection[ServerState]) -> ServerState:
+        """Return the server for a request without a prompt.
+
+        Args:
+            states: The servers that may get it, at least one.
+        """
+        now_ms = self._context.clock.now_ms()
+        # Servers of one service usually have the same number of slots.
+        usual_slots = max(1, *(state.reported.slots for state in states))
+        loads = [self._plain_load(state, usual_slots, now_ms) for state in states]
+        return list(states)[choose_plain(loads, random.random)]
+
+    def _plain_load(
+        self, state: ServerState, usual_slots: int, now_ms: float
+    ) -> PlainLoad:
+        load = state.load
+        return PlainLoad(
+            state.reported.requests_there(load.running, load.others_running, now_ms),
+            load.others_running,
+            state.reported.slots or usual_slots,
+            DEFAULT_ANSWER_MS / state.speed.factor,
+            not self._own_domain or load.failure_domain == self._own_domain,
+        )
+
+    def _evidence(self, state: ServerState, now_ms: float) -> SpeedEvidence:
+        """Publish this router's evidence of a server, and return that of all routers.
+
+        The memory that its requests take there is published together with it.
+        """
+        key = KEY_PREFIX + state.server.record.server_id
+        held = state.load.held_tokens // HELD_UNIT_TOKENS
+        own: Numbers = (*state.speed.own.at(now_ms).encode(), held)
+        if any(own):
+            self._counts.put(key, own)
+        else:
+            self._counts.remove(key)
+        total = self._counts.total(key)
+        held_total = total[len(own) - 1] if len(total) >= len(own) else 0
+        state.load.others_held_tokens = max(0, held_total - held) * HELD_UNIT_TOKENS
+        return decode_evidence(total)
+
+    def _estimate(
+        self,
+        service: str,
+        rows: list[tuple[ServerState, SpeedEvidence]],
+        now_ms: float,
+    ) -> None:
+        evidences = [evidence for _, evidence in rows]
+        used = self._services.get(service, 0.0)
+        estimate = self._services[service] = estimate_service(evidences, used)
+        if estimate != used:
+            self._context.timeline.record(
+                "service_speed", service=service, factor=round(math.exp(estimate), 2)
+            )
+        relatives = estimate_servers(evidences, estimate)
+        for (state, evidence), relative in zip(rows, relatives, strict=True):
+            state.speed.update_slowdown(evidence)
+            state.speed.update_factor(estimate, relative)
+            _apply_factor(state)
+            self._log_change(state, now_ms)
+
+    def _update_slowdown(self, state: ServerState, evidence: SpeedEvidence) -> None:
+        service = self._services.get(state.server.record.service, 0.0)
+        state.speed.update_slowdown(evidence)
+        state.speed.update_factor(service, state.speed.relative)
+        _apply_factor(state)
+
+    def _log_change(self, state: ServerState, now_ms: float) -> None:
+        server_id = state.server.record.server_id
+        logged, logged_ms = self._logged.get(server_id, (0.0, -math.inf))
+        relative = state.speed.relative
+        is_change = abs(relative - logged) >= LOGGED_CHANGE
+        if not is_change or now_ms - logged_ms < LOG_INTERVAL_MS:
+            return
+        self._logged[server_id] = (relative, now_ms)
+        self._context.timeline.record(
+            "server_speed",
+            server=server_id,
+            relative=round(math.exp(relative), 2),
+            tokens_per_ms=round(state.load.tokens_per_ms, 1),
+            slowdown=round(state.speed.slowdown, 2),
+        )
+
+
+def _apply_factor(state: ServerState) -> None:
+    state.load.tokens_per_ms = DEFAULT_TOKENS_PER_MS * state.speed.factor
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_state.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_state.py
@@ -1,4 +1,4 @@
-"""What a router knows of each backend server: load, cache, health and cold limit.
+"""What a router knows of each backend server: load, speed, cache, health, cold limit.
 
 The load is that of this router's own requests and the load that other routers report
 in digests. The states of a server end with its incarnation.
@@ -12,12 +12,15 @@
 from lagoonsail_gateway.fleet_share import WindowLimit
 from lagoonsail_gateway.server_health import ServerHealth
 from lagoonsail_sharing.first_token import EngineLoad, PrefixCache
+from lagoonsail_sharing.server_load import ReportedLoad
+from lagoonsail_sharing.server_speed import DEFAULT_TOKENS_PER_MS, ServerSpeed
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from lagoonsail_core.clock import Clock
     from lagoonsail_gateway.digest import Digest
+    from lagoonsail_gateway.manifest import Engine
     from lagoonsail_gateway.server_directory import Server
 
 COLD_WINDOW_MS = 1000.0
@@ -36,6 +39,10 @@
     """Recent failures of its responses."""
     cold_requests: WindowLimit
     """Limit of the requests that are sent while it is cold."""
+    speed: ServerSpeed
+    """How fast it works."""
+    reported: ReportedLoad
+    """The load that it last reported to this router."""
     last_response_ms: float = 0.0
     """When it last sent data, or when its first running request was sent."""
 
@@ -43,13 +50,29 @@
 class ServerStates:
     """The states of all servers, and the load on them that digests report."""
 
-    __slots__ = ("_by_id", "_by_incarnation", "_clock", "_peer_pending")
+    __slots__ = (
+        "_by_id",
+        "_by_incarnation",
+        "_clock",
+        "_peer_pending",
+        "_service_factor",
+    )
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(
+        self, clock: Clock, service_factor: Callable[[str], float] = lambda service: 1.0
+    ) -> None:
+        """Create without servers.
+
+        Args:
+            clock: The clock.
+            service_factor: Returns the speed that a new server of a service is assumed
+                to have, relative to the default.
+        """
         self._clock = clock
         self._by_incarnation: dict[tuple[str, int], ServerState] = {}
         self._by_id: dict[str, ServerState] = {}
         self._peer_pending: dict[str, tuple[int, int]] = {}
+        self._service_factor = service_factor
 
     def all(self) -> Iterable[ServerState]:
         """Return the states of all servers that were considered for a request."""
@@ -63,15 +86,15 @@
         """
         return self._by_id.get(server_id)
 
-    def get(self, server: Server, cache_tokens: int) -> ServerState:
+    def get(self, server: Server, engine: Engine | None) -> ServerState:
         """Return the state of a server, which is created on first use.
 
         Args:
             server: The server.
-            cache_tokens: Capacity of its cache, 0 if it runs no language model.
+            engine: Engine properties, None if it runs no language model.
         """
         state = self._by_incarnation.get(server.record.incarnation())
-        return state or self._create(server, cache_tokens)
+        return state or self._create(server, engine)
 
     def remove(self, server: Server) -> None:
         """Forget a server that has left.
@@ -94,17 +117,27 @@
         self._add_pending(previous, -1)
         self._add_pending(newest, 1)
 
-    def _create(self, server: Server, cache_tokens: int) -> ServerState:
+    def _create(self, server: Server, engine: Engine | None) -> ServerState:
         server_id = server.record.server_id
         previous = self._by_id.get(server_id)
         if previous is not None:
             # The server has restarted: its requests and cache are lost.
             self._by_incarnation.pop(previous.server.record.incarnation(), None)
+        factor = self._service_factor(server.record.service)
+        load = EngineLoad(
+            server_id,
+            PrefixCache(engine.cache_tokens if engine else 0),
+            tokens_per_ms=DEFAULT_TOKENS_PER_MS * factor,
+            slots=engine.slots if engine else 0,
+            failure_domain=server.record.failure_domain,
+        )
         state = ServerState(
             server,
-            EngineLoad(server_id, PrefixCache(cache_tokens)),
+            load,
             ServerHealth(),
             WindowLimit(self._clock, COLD_WINDOW_MS),
+            ServerSpeed(factor, self._clock.now_ms()),
+            ReportedLoad(),
         )
         state.load.set_others(*self._peer_pending.get(server_id, (0, 0)))
         self._by_incarnation[server.record.incarnation()] = state
--- a/packages/lagoonsail-gateway/tests/test_fleet_counts.py
+++ b/packages/lagoonsail-gateway/tests/test_fleet_counts.py
@@ -40,3 +40,13 @@
     manual_clock.ms += COUNTS_EXPIRY_MS + 1.0
     counts.add("start/s2", index=0)
     assert counts.own() == {"start/s2": (1,)}
+
+
+def test_numbers_that_are_replaced_may_fall(counts):
+    counts.put("speed/s1", (5, -3))
+    counts.replace_peer({}, {"speed/s1": (1, 1)})
+    counts.put("speed/s1", (2, 4))
+    assert counts.total("speed/s1") == (3, 5)
+    counts.remove("speed/s1")
+    counts.remove("speed/s1")
+    assert (counts.total("speed/s1"), counts.own()) == ((1, 1), {})
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/first_token.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/first_token.py
@@ -10,16 +10,26 @@
 
 Each prefix has a home engine, the same at every router (rendezvous hashing). Routers
 without knowledge of each other, or of what was before their start, send a prefix there.
+When engines are lost, the next in rank is the home of their prefixes, at all routers.
+
+Engines may differ in speed, and each queue counts at the speed of its engine. Engines
+reject what does not fit into their memory or slots, so those with room are preferred.
+Among similar costs an engine of the router's own failure domain is chosen, and a prefix
+that is used much gets a copy there (`HotPrefixes`).
 """
 
 from __future__ import annotations
 
+import math
+import random
 from collections import OrderedDict
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 from xxhash import xxh64_intdigest
 
+from lagoonsail_sharing.server_speed import DEFAULT_TOKENS_PER_MS
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
@@ -44,6 +54,21 @@
 HOME_WEIGHT = 0.3
 """Weight of the tokens that are in no known cache, at engines other than the home: the
 home may have them, read for a router that has not reported it."""
+ROOMY_FRACTION = 0.9
+"""Fraction of an engine's memory up to which it counts as having room."""
+FULL_COST_MS = 400.0
+"""Cost of an engine whose memory would just be full. Not prohibitive: parts of prompts
+that requests share are counted for each, and few requests use all of their output."""
+HOT_USES = 30.0
+"""Uses of a prefix in the last seconds, at all routers, from which each failure domain
+should have a copy: prefilling it once more costs little of what the uses cost."""
+HOT_DECAY_MS = 5000.0
+"""Time in which the uses of a prefix decay to 1/e."""
+MAX_TRACKED_PREFIXES = 2000
+"""Prefixes whose uses are counted; the least recently used are dropped."""
+SLOT_WAIT_MS = 80.0
+"""Cost per request that would wait for a slot: the time in which one becomes free, with
+some 64 slots and requests of some 5 s."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -64,6 +89,13 @@
     """Parts that other prompts may share, in order."""
     unshared_tokens: int
     """Number of tokens after the shared parts."""
+    output_tokens: int = 0
+    """Maximum number of tokens of the output."""
+
+    def held_tokens(self) -> int:
+        """Return the tokens of engine memory that it takes until its end."""
+        shared_tokens = sum(part.tokens for part in self.shared)
+        return shared_tokens + self.unshared_tokens + self.output_tokens
 
     @property
     def prefix(self) -> int:
@@ -152,6 +184,21 @@
     """Pending prompt tokens of all other routers, as last reported."""
     others_running: int = 0
     """Running requests of all other routers, as last reported."""
+    held_tokens: int = 0
+    """Memory that this router's running requests take, in tokens."""
+    others_held_tokens: int = 0
+    """Memory that those of all other routers take, as last reported."""
+    tokens_per_ms: float = DEFAULT_TOKENS_PER_MS
+    """Estimated prefill rate of the engine now."""
+    slots: int = 0
+    """Maximum number of concurrent requests, 0 if unknown."""
+    failure_domain: str = ""
+    """Failure domain of the engine."""
+    roomy_tokens: float = field(init=False)
+    """Memory in use up to which it has room."""
+
+    def __post_init__(self) -> None:
+        self.roomy_tokens = ROOMY_FRACTION * self.cache.capacity_tokens
 
     def set_others(self, running: int, pending_tokens: float) -> None:
         """Set the load reported by the other routers."""
@@ -162,13 +209,34 @@
         """Return the number of running requests of all routers."""
         return self.running + self.others_running
 
-    def queue_ms(self, tokens_per_ms: float) -> float:
-        """Return the time that the engine needs to prefill all pending tokens.
+    def queue_ms(self) -> float:
+        """Return the time that the engine needs to prefill all pending tokens."""
+        return (self.pending_tokens + self.others_pending_tokens) / self.tokens_per_ms
+
+    def no_room_ms(self, held_tokens: int) -> float:
+        """Return the cost of one more request for want of memory or slots.
 
         Args:
-            tokens_per_ms: Prefill rate of the engine.
+            held_tokens: Memory that the request takes, in tokens.
+
+        Example:
+            >>> load = EngineLoad("e", PrefixCache(1000), held_tokens=850, slots=4)
+            >>> round(load.no_room_ms(20)), round(load.no_room_ms(150))
+            (0, 400)
+            >>> load.others_running = 5
+            >>> load.no_room_ms(20)
+            160.0
         """
-        return (self.pending_tokens + self.others_pending_tokens) / tokens_per_ms
+        held = self.held_tokens + self.others_held_tokens + held_tokens
+        capacity = self.cache.capacity_tokens
+        cost_ms = 0.0
+        if held > ROOMY_FRACTION * capacity > 0:
+            excess = held / capacity - ROOMY_FRACTION
+            cost_ms = FULL_COST_MS * excess / (1.0 - ROOMY_FRACTION)
+        running = self.running + self.others_running
+        if running >= self.slots > 0:
+            cost_ms += SLOT_WAIT_MS * (running + 1 - self.slots)
+        return cost_ms
 
 
 @dataclass(slots=True, frozen=True)
@@ -183,54 +251,118 @@
     """Time that the engine needs to prefill the prompt."""
 
 
+class HotPrefixes:
+    """Finds the prefixes that are used much, from the prompts that all routers send.
+
+    Example:
+        >>> hot = HotPrefixes()
+        >>> for _ in range(40):
+        ...     hot.record(7, now_ms=0.0)
+        >>> hot.is_hot(7, now_ms=0.0), hot.is_hot(7, now_ms=30_000.0)
+        (True, False)
+    """
+
+    __slots__ = ("_uses",)
+
+    def __init__(self) -> None:
+        self._uses: OrderedDict[int, tuple[float, float]] = OrderedDict()
+
+    def record(self, prefix: int, now_ms: float) -> None:
+        """Record a prompt with a prefix.
+
+        Args:
+            prefix: Key of the prefix, 0 if there is none.
+            now_ms: The time.
+        """
+        if not prefix:
+            return
+        self._uses[prefix] = (self._decayed(prefix, now_ms) + 1.0, now_ms)
+        self._uses.move_to_end(prefix)
+        if len(self._uses) > MAX_TRACKED_PREFIXES:
+            self._uses.popitem(last=False)
+
+    def is_hot(self, prefix: int, now_ms: float) -> bool:
+        """Return whether a prefix was used much recently.
+
+        Args:
+            prefix: Key of the prefix.
+            now_ms: The time.
+        """
+        return self._decayed(prefix, now_ms) >= HOT_USES
+
+    def _decayed(self, prefix: int, now_ms: float) -> float:
+        uses, used_ms = self._uses.get(prefix, (0.0, now_ms))
+        return uses * math.exp((used_ms - now_ms) / HOT_DECAY_MS)
+
+
 def rank(prefix: int, engine_id: str) -> int:
-    """Return the rank of an engine for a prefix; the highest-ranked is its home."""
+    """Return the rank of an engine for a prefix; the highest-ranked is its home.
+
+    Prompts without a prefix have no home. Their rank is random, because otherwise all
+    routers would send them to the same one of several equal engines.
+    """
+    if not prefix:
+        return random.getrandbits(64)
     return xxh64_intdigest(f"{prefix}/{engine_id}".encode())
 
 
 def choose_engine(
     prompt: Prompt,
     loads: Sequence[EngineLoad],
-    tokens_per_ms: float,
     is_allowed: Callable[[EngineLoad], bool],
     objective_ms: float,
+    own_domain: str = "",
+    is_hot: bool = False,
 ) -> Choice | None:
     """Return the engine with the lowest cost of the first token.
 
     Args:
         prompt: The prompt.
         loads: Loads of the engines.
-        tokens_per_ms: Prefill rate of an engine.
         is_allowed: Returns whether an engine may get a request now.
         objective_ms: Time within which the first token should arrive.
+        own_domain: Failure domain of this router, empty if there are none.
+        is_hot: Whether its prefix is used so much that each failure domain should have
+            a copy.
 
     Returns:
         The choice, or None if no engine is allowed.
     """
+    # Engines that are lost neither have a cache nor are a home.
+    loads = [load for load in loads if is_allowed(load)]
     unread = {load.engine_id: load.cache.unread_tokens(prompt) for load in loads}
     # Tokens in no cache must be computed by some engine; only the rest is recomputed.
     min_unread = min(unread.values(), default=0)
-    unknown_ms = min_unread / tokens_per_ms
     ranks = {load.engine_id: rank(prompt.prefix, load.engine_id) for load in loads}
     home_rank = max(ranks.values(), default=0)
-    best: tuple[float, int] | None = None
+    copy_rank = _copy_rank(loads, unread, ranks, own_domain) if is_hot else -1
+    held_tokens = prompt.held_tokens()
+    best: tuple[float, bool, int] | None = None
     choice = None
     for load in loads:
-        if not is_allowed(load):
-            continue
-        queue_ms = load.queue_ms(tokens_per_ms)
-        recompute_ms = (unread[load.engine_id] - min_unread) / tokens_per_ms
-        prefill_ms = (unread[load.engine_id] + prompt.unshared_tokens) / tokens_per_ms
-        expected_ms = (
-            queue_ms + prefill_ms + load.total_running() * BATCH_MS_PER_REQUEST
-        )
+        own_rank = ranks[load.engine_id]
+        own_unread = unread[load.engine_id]
+        tokens_per_ms = load.tokens_per_ms
+        queue_ms = (load.pending_tokens + load.others_pending_tokens) / tokens_per_ms
+        recompute_ms = (own_unread - min_unread) / tokens_per_ms
+        prefill_ms = (own_unread + prompt.unshared_tokens) / tokens_per_ms
+        running = load.running + load.others_running
+        expected_ms = queue_ms + prefill_ms + running * BATCH_MS_PER_REQUEST
+        if own_rank == copy_rank and expected_ms < EARLY_FRACTION * objective_ms:
+            # Many later requests gain by the copy, and this one is still early.
+            expected_ms -= recompute_ms
+            recompute_ms = 0.0
         cost_ms = (
             _weighted_ms(expected_ms, objective_ms) + RECOMPUTE_WEIGHT * recompute_ms
         )
-        if ranks[load.engine_id] != home_rank:
-            cost_ms += HOME_WEIGHT * unknown_ms
+        held = load.held_tokens + load.others_held_tokens
+        if running >= load.slots or held + held_tokens > load.roomy_tokens:
+            cost_ms += load.no_room_ms(held_tokens)
+        if own_rank != home_rank:
+            cost_ms += HOME_WEIGHT * min_unread / tokens_per_ms
         # Among similar costs the highest rank wins, so that all routers agree.
-        key = (cost_ms // COST_RESOLUTION_MS, -ranks[load.engine_id])
+        is_far = bool(own_domain) and load.failure_domain != own_domain
+        key = (cost_ms // COST_RESOLUTION_MS, is_far, -own_rank)
         if best is None or key < best:
             best = key
             delay_ms = queue_ms + RECOMPUTE_WEIGHT * recompute_ms
@@ -238,6 +370,23 @@
     return choice
 
 
+def _copy_rank(
+    loads: Sequence[EngineLoad],
+    unread: dict[str, int],
+    ranks: dict[str, int],
+    own_domain: str,
+) -> int:
+    """Return the rank of the engine that gets a copy for a failure domain, or -1.
+
+    It is the highest-ranked one of the domain, unless one there has the prefix already.
+    """
+    near = [load.engine_id for load in loads if load.failure_domain == own_domain]
+    least = min(unread.values(), default=0)
+    if not near or any(unread[engine_id] <= least for engine_id in near):
+        return -1
+    return max(ranks[engine_id] for engine_id in near)
+
+
 def _weighted_ms(expected_ms: float, objective_ms: float) -> float:
     """Return the weighted time until a first token.
 
--- a/packages/lagoonsail-sharing/tests/test_first_token.py
+++ b/packages/lagoonsail-sharing/tests/test_first_token.py
@@ -35,7 +35,7 @@
 
 
 def choose(prompt, loads, is_allowed=lambda load: True):
-    return choose_engine(prompt, loads, TOKENS_PER_MS, is_allowed, OBJECTIVE_MS)
+    return choose_engine(prompt, loads, is_allowed, OBJECTIVE_MS)
 
 
 def send_all(prompts, loads):
@@ -160,3 +160,126 @@
     home = choose(prompt, loads).load
     assert choose(prompt, loads, lambda load: load is not home).load is not home
     assert choose(prompt, loads, lambda load: False) is None
+
+
+def test_queue_counts_at_the_speed_of_its_engine(engines):
+    """Servers of unequal speed: the same queue takes longer at the slower one."""
+    slow, usual = engines(2)
+    slow.tokens_per_ms = 0.4 * TOKENS_PER_MS
+    slow.pending_tokens, usual.pending_tokens = 15_000, 20_000
+    assert choose(Prompt((), 5_000), [slow, usual]).load is usual
+    assert slow.queue_ms() > usual.queue_ms()
+
+
+def test_engine_that_slows_down_for_a_moment_loses_a_cached_prompt(engines):
+    loads = engines(3)
+    prompt = prompt_of(7, shared=2_000, own=12_000)
+    home = choose(prompt, loads).load
+    home.cache.record_prefill(prompt)
+    home.tokens_per_ms = TOKENS_PER_MS / 2
+    assert choose(prompt, loads).load is home
+    home.tokens_per_ms = TOKENS_PER_MS / 4
+    assert choose(prompt, loads).load is not home
+
+
+def test_engine_whose_memory_is_full_is_left_to_others(engines):
+    """Full memory: engines reject a request, or crash, if it does not fit."""
+    loads = engines(3)
+    prompt = prompt_of(7)
+    home = choose(prompt, loads).load
+    home.held_tokens = 150_000
+    assert choose(prompt, loads).load is home
+    home.others_held_tokens = 240_000
+    assert choose(prompt, loads).load is not home
+
+
+def test_engine_without_a_free_slot_is_left_to_others(engines):
+    loads = engines(3)
+    for load in loads:
+        load.slots = 8
+    prompt = prompt_of(7)
+    home = choose(prompt, loads).load
+    home.others_running = 7
+    assert choose(prompt, loads).load is home
+    home.others_running = 9
+    assert choose(prompt, loads).load is not home
+
+
+def test_prompts_without_a_prefix_spread_over_equal_engines(engines):
+    """All routers read the same loads, and none of the engines is a home."""
+    loads = engines(5)
+    counts = Counter(choose(Prompt((), 800), loads).load.engine_id for _ in range(500))
+    assert min(counts.values()) > 60
+
+
+def in_domains(loads, domains="abc"):
+    for number, load in enumerate(loads):
+        load.failure_domain = domains[number % len(domains)]
+    return loads
+
+
+def choose_near(prompt, loads, domain, is_hot=False):
+    return choose_engine(
+        prompt, loads, lambda load: True, OBJECTIVE_MS, domain, is_hot
+    ).load
+
+
+def test_own_domain_is_chosen_where_the_delay_is_equal(engines):
+    loads = in_domains(engines(9))
+    chosen = {choose_near(Prompt((), 800), loads, "b").engine_id for _ in range(50)}
+    assert chosen == {"e1", "e4", "e7"}
+    for load in loads[1::3]:
+        load.pending_tokens = 20_000
+    assert choose_near(Prompt((), 800), loads, "b").failure_domain != "b"
+
+
+def test_prefix_that_is_used_little_stays_at_its_home_for_all_domains(engines):
+    loads = in_domains(engines(9))
+    home = choose_near(prompt_of(7), loads, "a")
+    home.cache.record_prefill(prompt_of(7))
+    assert {choose_near(prompt_of(7), loads, d).engine_id for d in "abc"} == {
+        home.engine_id
+    }
+
+
+def test_hot_prefix_gets_one_copy_in_each_domain(engines):
+    """Bytes between failure domains, for a prefix that many requests begin with."""
+    loads = in_domains(engines(9))
+    prompt = prompt_of(7)
+    choose_near(prompt, loads, "a").cache.record_prefill(prompt)
+    for domain in "abc" * 5:
+        load = choose_near(prompt, loads, domain, is_hot=True)
+        assert load.failure_domain == domain
+        load.cache.record_prefill(prompt)
+    copies = [load for load in loads if not load.cache.unread_tokens(prompt)]
+    assert len(copies) == 3
+
+
+def test_hot_prefix_gets_no_copy_at_a_busy_engine(engines):
+    loads = in_domains(engines(9))
+    prompt = prompt_of(7)
+    home = choose_near(prompt, loads, "a")
+    home.cache.record_prefill(prompt)
+    other = "b" if home.failure_domain != "b" else "c"
+    for load in loads:
+        if load.failure_domain == other:
+            load.pending_tokens = 25_000
+    assert choose_near(prompt, loads, other, is_hot=True) is home
+
+
+def test_prefixes_of_lost_engines_get_the_same_new_homes_at_all_routers(engines):
+    """Servers lost: routers that have and have not seen their caches agree."""
+    first, second = engines(9), engines(9)
+    prompts = [prompt_of(key) for key in range(1, 60)]
+    for prompt in prompts:
+        choose(prompt, first).load.cache.record_prefill(prompt)
+    lost = {"e0", "e1", "e2"}
+    homes = Counter()
+    for prompt in prompts:
+        choice = choose(prompt, first, lambda load: load.engine_id not in lost)
+        again = choose(prompt, second, lambda load: load.engine_id not in lost)
+        assert choice.load.engine_id == again.load.engine_id
+        # Nobody has it any more, so the delay has no part for recomputing it.
+        assert choice.delay_ms == 0.0
+        homes[choice.load.engine_id] += 1
+    assert len(homes) == 6
--- a/tests/platform/test_values.py
+++ b/tests/platform/test_values.py
@@ -11,10 +11,10 @@
 
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_gateway.manifest import STREAMING, Manifest
-from lagoonsail_gateway.request_format import ServerLoad
 from lagoonsail_gateway.server_directory import ServerRecord
 from lagoonsail_platform.headers import read_request, read_response, write_request
 from lagoonsail_platform.manifest_values import decode_manifest, decode_server
+from lagoonsail_sharing.server_load import LoadReport
 
 WORDS = st.sampled_from(["", "a", "/x/", "10.0.0.1:80", "ready", "name", "\x00é"])
 JSON = st.recursive(
@@ -139,5 +139,22 @@
     head = read_response(
         200, [("lagoonsail-server-seal", "x"), ("Lagoonsail-Server-Load", "3,0,8")]
     )
-    assert (head.is_sealed, head.load) == (True, ServerLoad(3, 0, 8))
+    assert (head.is_sealed, head.load) == (True, LoadReport(3, 0, 8))
     assert read_response(200, [("Lagoonsail-Server-Load", "3,x")]).load is None
+
+
+@pytest.mark.parametrize(
+    ("text", "load"),
+    [
+        ("3, 1,8,250", LoadReport(3, 1, 8, 2.5)),
+        ("3,1,8,0", LoadReport(3, 1, 8, 0.0)),
+        ("3,1,8,", None),
+        ("3,1,8,-5", None),
+        ("3,1,8,1e3", None),
+        ("3,1", None),
+        ("3,1,8,100,7", None),
+    ],
+)
+def test_load_report_has_three_or_four_figures(text, load):
+    """Guards against a report that is ignored because its server tells its slowdown."""
+    assert read_response(200, [("Lagoonsail-Server-Load", text)]).load == load
