Avoid engines that refuse, and spread overload over nearly equal engines

Cause: after a refusal for want of room the next request with the same prefix went to the same engine, at every router. In overload all routers read the same loads, which are as old as digests, and chose the same least-loaded engine.

Change: refusals (429, 503) count as cost of their engine for about a second, at all routers. Engines whose weighted time differs by less than a tenth count as equal, and the rank decides, which differs by prefix. The cost of the choice is computed in one pass.

Tests: test_first_token, test_server_speeds, test_server_speed; StubDispatcher of test_refusal_copies accepts the new call.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -55,6 +55,7 @@
     "records_rejected_total": "Malformed entries of the store.",
     "repeats_refused_total": "Requests not sent once more for want of a share.",
     "retries_total": "Requests sent once more, by service.",
+    "server_refusals_total": "Requests for which a server had no room, by service.",
     "store_failures_total": "Calls to the store without an answer.",
     "task_errors_total": "Failures inside the router's tasks, by task.",
 }
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
@@ -329,6 +329,8 @@
                 self._dispatcher.speeds.record_report(self.state, head.load)
         if _is_proven_refusal(response, head):
             self.call.possible_runs -= 1
+            if response.status in (429, 503) and not head.is_leaving:
+                self._dispatcher.speeds.record_refusal(self.state)
             self._drain_and_finish(response)
             raise AttemptFailedError(
                 NOT_RUN_BY_SERVER, f"the server answered {response.status}, not run"
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_speeds.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_speeds.py
@@ -47,6 +47,8 @@
 MIN_TIMING_WEIGHT = 0.1
 """Weight below which an answer does not count: its time was that of the requests before
 it, whose remaining work is not known exactly."""
+MIN_REFUSALS = 0.2
+"""Decayed sum of refusals below which a server counts as having room again."""
 LOGGED_CHANGE = 0.3
 """Change of the logarithm of a speed, since the last log line, that is logged."""
 LOG_INTERVAL_MS = 2000.0
@@ -177,6 +179,17 @@
             state.speed.own.add_slowdown(report.slowdown, now_ms)
             self._update_slowdown(state, self._evidence(state, now_ms))
 
+    def record_refusal(self, state: ServerState) -> None:
+        """Record that a server refused a request for want of room.
+
+        Args:
+            state: The server.
+        """
+        now_ms = self._context.clock.now_ms()
+        state.speed.own.add_refusal(now_ms)
+        self._context.count("server_refusals_total", state.server.record.service)
+        self._evidence(state, now_ms)
+
     def update(self, states: Iterable[ServerState]) -> None:
         """Publish this router's evidence and update the estimates.
 
@@ -246,7 +259,10 @@
         total = self._counts.total(key)
         held_total = total[len(own) - 1] if len(total) >= len(own) else 0
         state.load.others_held_tokens = max(0, held_total - held) * HELD_UNIT_TOKENS
-        return decode_evidence(total)
+        evidence = decode_evidence(total)
+        is_refusing = evidence.refusals >= MIN_REFUSALS
+        state.load.refusals = evidence.refusals if is_refusing else 0.0
+        return evidence
 
     def _estimate(
         self,
--- a/packages/lagoonsail-gateway/tests/test_refusal_copies.py
+++ b/packages/lagoonsail-gateway/tests/test_refusal_copies.py
@@ -46,6 +46,8 @@
 class StubDispatcher:
     """Accepts each request and takes no notes."""
 
+    speeds = SimpleNamespace(record_refusal=lambda _state: None)
+
     def start_request(self, _call, _state):
         return SimpleNamespace(
             describe=dict,
--- a/packages/lagoonsail-gateway/tests/test_server_speeds.py
+++ b/packages/lagoonsail-gateway/tests/test_server_speeds.py
@@ -131,6 +131,20 @@
     assert state.load.tokens_per_ms == pytest.approx(50.0, rel=0.1)
 
 
+def test_refusals_are_known_to_all_routers_and_forgotten(router):
+    """Full queue or memory at an engine, which other routers go on to choose."""
+    state = router.find("s1")
+    router.dispatcher.speeds.record_refusal(state)
+    reported = router.counts.own()
+    assert state.load.refusals == 1.0
+    router.clock.ms += 2_000.0
+    update(router)
+    assert state.load.refusals == 0.0
+    router.counts.replace_peer({}, reported)
+    update(router)
+    assert state.load.refusals == 1.0
+
+
 def test_memory_in_use_is_known_from_all_routers(router):
     state = router.find("s3")
     run = router.dispatcher.start_request(make_call(), state)
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/first_token.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/first_token.py
@@ -66,6 +66,15 @@
 """Time in which the uses of a prefix decay to 1/e."""
 MAX_TRACKED_PREFIXES = 2000
 """Prefixes whose uses are counted; the least recently used are dropped."""
+REFUSED_COST_MS = 300.0
+"""Cost of an engine that has just refused a request, per refusal: the next one would
+be refused as well, and each refusal costs its caller time and the fleet a retry."""
+MAX_REFUSALS = 3.0
+"""Refusals that count: an engine that refuses without reason is not left out for ever,
+as its refusals are then no worse than a full memory."""
+ERROR_FRACTION = 0.1
+"""Relative error of the weighted time, within which engines are equal: in overload,
+loads are old by digests; if all routers chose the least, all would choose the same."""
 SLOT_WAIT_MS = 80.0
 """Cost per request that would wait for a slot: the time in which one becomes free, with
 some 64 slots and requests of some 5 s."""
@@ -194,6 +203,8 @@
     """Maximum number of concurrent requests, 0 if unknown."""
     failure_domain: str = ""
     """Failure domain of the engine."""
+    refusals: float = 0.0
+    """Recent refusals for want of room, at all routers, as a decaying sum."""
     roomy_tokens: float = field(init=False)
     """Memory in use up to which it has room."""
 
@@ -236,6 +247,7 @@
         running = self.running + self.others_running
         if running >= self.slots > 0:
             cost_ms += SLOT_WAIT_MS * (running + 1 - self.slots)
+        cost_ms += REFUSED_COST_MS * min(self.refusals, MAX_REFUSALS)
         return cost_ms
 
 
@@ -330,61 +342,69 @@
     """
     # Engines that are lost neither have a cache nor are a home.
     loads = [load for load in loads if is_allowed(load)]
-    unread = {load.engine_id: load.cache.unread_tokens(prompt) for load in loads}
+    if not loads:
+        return None
+    unread = [load.cache.unread_tokens(prompt) for load in loads]
     # Tokens in no cache must be computed by some engine; only the rest is recomputed.
-    min_unread = min(unread.values(), default=0)
-    ranks = {load.engine_id: rank(prompt.prefix, load.engine_id) for load in loads}
-    home_rank = max(ranks.values(), default=0)
+    min_unread = min(unread)
+    ranks = [rank(prompt.prefix, load.engine_id) for load in loads]
+    home_rank = max(ranks)
     copy_rank = _copy_rank(loads, unread, ranks, own_domain) if is_hot else -1
     held_tokens = prompt.held_tokens()
-    best: tuple[float, bool, int] | None = None
-    choice = None
-    for load in loads:
-        own_rank = ranks[load.engine_id]
-        own_unread = unread[load.engine_id]
+    candidates = []
+    least_ms = least_time_ms = math.inf
+    for load, own_unread, own_rank in zip(loads, unread, ranks, strict=True):
         tokens_per_ms = load.tokens_per_ms
-        queue_ms = (load.pending_tokens + load.others_pending_tokens) / tokens_per_ms
-        recompute_ms = (own_unread - min_unread) / tokens_per_ms
-        prefill_ms = (own_unread + prompt.unshared_tokens) / tokens_per_ms
         running = load.running + load.others_running
-        expected_ms = queue_ms + prefill_ms + running * BATCH_MS_PER_REQUEST
+        tokens = load.pending_tokens + load.others_pending_tokens + own_unread
+        expected_ms = (tokens + prompt.unshared_tokens) / tokens_per_ms
+        expected_ms += running * BATCH_MS_PER_REQUEST
+        recompute_ms = (own_unread - min_unread) / tokens_per_ms
         if own_rank == copy_rank and expected_ms < EARLY_FRACTION * objective_ms:
             # Many later requests gain by the copy, and this one is still early.
             expected_ms -= recompute_ms
             recompute_ms = 0.0
-        cost_ms = (
-            _weighted_ms(expected_ms, objective_ms) + RECOMPUTE_WEIGHT * recompute_ms
-        )
-        held = load.held_tokens + load.others_held_tokens
-        if running >= load.slots or held + held_tokens > load.roomy_tokens:
+        time_cost_ms = _weighted_ms(expected_ms, objective_ms)
+        cost_ms = time_cost_ms + RECOMPUTE_WEIGHT * recompute_ms
+        held = load.held_tokens + load.others_held_tokens + held_tokens
+        if running >= load.slots or held > load.roomy_tokens or load.refusals:
             cost_ms += load.no_room_ms(held_tokens)
         if own_rank != home_rank:
             cost_ms += HOME_WEIGHT * min_unread / tokens_per_ms
-        # Among similar costs the highest rank wins, so that all routers agree.
-        is_far = bool(own_domain) and load.failure_domain != own_domain
-        key = (cost_ms // COST_RESOLUTION_MS, is_far, -own_rank)
-        if best is None or key < best:
-            best = key
-            delay_ms = queue_ms + RECOMPUTE_WEIGHT * recompute_ms
-            choice = Choice(load, delay_ms, prefill_ms)
-    return choice
+        if cost_ms < least_ms:
+            least_ms, least_time_ms = cost_ms, time_cost_ms
+        candidates.append((cost_ms, own_rank, load, own_unread, recompute_ms))
+    end_ms = (least_ms // COST_RESOLUTION_MS + 1.0) * COST_RESOLUTION_MS
+    end_ms = max(end_ms, least_ms + ERROR_FRACTION * least_time_ms)
+    similar = [candidate for candidate in candidates if candidate[0] < end_ms]
+    # Among similar costs the highest rank wins, so that all routers agree.
+    _, _, load, own_unread, recompute_ms = max(
+        similar, key=lambda row: (row[2].failure_domain == own_domain, row[1])
+    )
+    delay_ms = load.queue_ms() + RECOMPUTE_WEIGHT * recompute_ms
+    prefill_ms = (own_unread + prompt.unshared_tokens) / load.tokens_per_ms
+    return Choice(load, delay_ms, prefill_ms)
 
 
 def _copy_rank(
     loads: Sequence[EngineLoad],
-    unread: dict[str, int],
-    ranks: dict[str, int],
+    unread: Sequence[int],
+    ranks: Sequence[int],
     own_domain: str,
 ) -> int:
     """Return the rank of the engine that gets a copy for a failure domain, or -1.
 
     It is the highest-ranked one of the domain, unless one there has the prefix already.
     """
-    near = [load.engine_id for load in loads if load.failure_domain == own_domain]
-    least = min(unread.values(), default=0)
-    if not near or any(unread[engine_id] <= least for engine_id in near):
+    least = min(unread)
+    near = [
+        (own_rank, own_unread)
+        for load, own_unread, own_rank in zip(loads, unread, ranks, strict=True)
+        if load.failure_domain == own_domain
+    ]
+    if not near or min(own_unread for _, own_unread in near) <= least:
         return -1
-    return max(ranks[engine_id] for engine_id in near)
+    return max(near)[0]
 
 
 def _weighted_ms(expected_ms: float, objective_ms: float) -> float:
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_load.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_load.py
@@ -109,7 +109,7 @@
         return known + freshness * (reported - known)
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class PlainLoad:
     """Load of a plain server, for `choose_plain`."""
 
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_speed.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_speed.py
@@ -34,6 +34,8 @@
 """The same for the recent evidence, which only serves to notice a slower server."""
 MOMENT_DECAY_MS = 250.0
 """The same for reported slowdowns, which change many times a second."""
+REFUSAL_DECAY_MS = 500.0
+"""The same for refusals for want of room."""
 MOMENT_PRIOR = 0.5
 """Weight of the usual slowdown of a server, relative to one new report."""
 USUAL_RATE = 0.02
@@ -60,6 +62,9 @@
 SCALE = 16.0
 """Resolution of the sums in digests, which carry integers."""
 
+NUMBER_COUNT = 8
+"""Number of sums in `SpeedEvidence`."""
+
 Numbers = tuple[int, ...]
 """Evidence as it is carried by digests."""
 
@@ -85,6 +90,8 @@
     """Weight of the reported slowdowns."""
     slowdown_total: float = 0.0
     """Weighted sum of the reported slowdowns."""
+    refusals: float = 0.0
+    """Weight of the requests that the server refused for want of room."""
 
     def mean(self) -> float:
         """Return the mean logarithm of the speed; 0 without evidence."""
@@ -104,6 +111,7 @@
             round(self.recent_total * SCALE),
             round(self.reports * SCALE),
             round(self.slowdown_total * SCALE),
+            round(self.refusals * SCALE),
         )
 
 
@@ -120,8 +128,8 @@
         >>> decode_evidence((-16, 3)).mean()
         0.0
     """
-    values = [number / SCALE for number in numbers[:7]]
-    values += [0.0] * (7 - len(values))
+    values = [number / SCALE for number in numbers[:NUMBER_COUNT]]
+    values += [0.0] * (NUMBER_COUNT - len(values))
     evidence = SpeedEvidence(*values)
     if evidence.weight <= 0.0:
         evidence.weight = evidence.total = evidence.squares = 0.0
@@ -129,6 +137,7 @@
         evidence.recent_weight = evidence.recent_total = 0.0
     if evidence.reports <= 0.0 or evidence.slowdown_total <= 0.0:
         evidence.reports = evidence.slowdown_total = 0.0
+    evidence.refusals = max(0.0, evidence.refusals)
     return evidence
 
 
@@ -180,6 +189,14 @@
         sums.reports += 1.0
         sums.slowdown_total += min(MAX_FACTOR, max(1.0 / MAX_FACTOR, slowdown))
 
+    def add_refusal(self, now_ms: float) -> None:
+        """Add a refusal for want of room.
+
+        Args:
+            now_ms: The time.
+        """
+        self.at(now_ms).refusals += 1.0
+
     def at(self, now_ms: float) -> SpeedEvidence:
         """Return the sums, decayed until now.
 
@@ -200,6 +217,8 @@
             fraction = math.exp(-age_ms / MOMENT_DECAY_MS)
             sums.reports *= fraction
             sums.slowdown_total *= fraction
+            if sums.refusals:
+                sums.refusals *= math.exp(-age_ms / REFUSAL_DECAY_MS)
         return sums
 
 
--- a/packages/lagoonsail-sharing/tests/test_first_token.py
+++ b/packages/lagoonsail-sharing/tests/test_first_token.py
@@ -205,6 +205,27 @@
     assert choose(prompt, loads).load is not home
 
 
+def test_engine_that_refuses_requests_is_left_to_others_for_a_moment(engines):
+    """Guards against one refusal after the other at the engine of a prefix."""
+    loads = engines(3)
+    prompt = prompt_of(7, shared=2_000)
+    home = choose(prompt, loads).load
+    home.cache.record_prefill(prompt)
+    home.refusals = 1.0
+    assert choose(prompt, loads).load is not home
+    home.refusals = 0.2
+    assert choose(prompt, loads).load is home
+
+
+def test_overload_is_spread_over_engines_that_are_nearly_equal(engines):
+    """All routers read the same stale loads, and every engine is late."""
+    loads = engines(9)
+    for number, load in enumerate(loads):
+        load.pending_tokens = 60_000 + 400 * number
+    chosen = {choose(prompt_of(n), loads).load.engine_id for n in range(1, 60)}
+    assert len(chosen) >= 6
+
+
 def test_prompts_without_a_prefix_spread_over_equal_engines(engines):
     """All routers read the same loads, and none of the engines is a home."""
     loads = engines(5)
