--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -61,6 +61,7 @@
 }
 """Help texts of the counters, by metric name."""
 HISTOGRAMS = CALL_HISTOGRAMS | {
+    "first_part_late": "Time by which the first part of an answer came too late.",
     "loop_late": "Time by which the event loop ran a task too late.",
 }
 """Help texts of the duration histograms, by metric name."""
@@ -360,7 +361,11 @@
             COUNTERS,
             self.context.counts_of,
             HISTOGRAMS,
-            self.calls.durations | {"loop_late": self.context.loop_lateness.durations},
+            self.calls.durations
+            | {
+                "first_part_late": self.dispatcher.speeds.lateness,
+                "loop_late": self.context.loop_lateness.durations,
+            },
         )
         metrics.observable_counter(
             "server_connections",
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_speeds.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_speeds.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from lagoonsail_core.durations import DurationHistogram
 from lagoonsail_sharing.first_token import BATCH_MS_PER_REQUEST
 from lagoonsail_sharing.server_load import PlainLoad, choose_plain, queue_rounds
 from lagoonsail_sharing.server_speed import (
@@ -108,8 +109,12 @@
         "_logged",
         "_own_domain",
         "_services",
+        "lateness",
     )
 
+    lateness: DurationHistogram
+    """Time by which the first parts of answers came later than expected."""
+
     def __init__(
         self, context: RouterContext, counts: FleetCounts, own_domain: str
     ) -> None:
@@ -126,6 +131,7 @@
         self._logged: dict[str, tuple[float, float]] = {}
         self._own_domain = own_domain
         self._services: dict[str, float] = {}
+        self.lateness = DurationHistogram()
 
     def service_factor(self, service: str) -> float:
         """Return the speed of the median server of a service, relative to the default.
@@ -152,7 +158,10 @@
         if timing is None:
             return None
 
+        expected_ms = timing.overhead_ms + timing.expected_ms / state.speed.factor
+
         def record(observed_ms: float) -> None:
+            self.lateness.add(max(0.0, observed_ms - expected_ms))
             working_ms = max(1.0, observed_ms - timing.overhead_ms)
             # The slowdown of the moment says nothing of the speed at other moments.
             state.speed.own.add_timing(
