Prefer the own failure domain only for what need not be prefilled there

Cause: parts of prompts that no engine had, or that were late at their engine, were prefilled once for each failure domain, as each preferred its own among equal engines.

Change: engines that would prefill shared parts go by rank alone, which all routers agree on; a hot prefix still gets its copy, from 60 uses in 5 s instead of 30.

--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/first_token.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/first_token.py
@@ -24,6 +24,7 @@
 import random
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from operator import itemgetter
 from typing import TYPE_CHECKING
 
 from xxhash import xxh64_intdigest
@@ -59,7 +60,7 @@
 FULL_COST_MS = 400.0
 """Cost of an engine whose memory would just be full. Not prohibitive: parts of prompts
 that requests share are counted for each, and few requests use all of their output."""
-HOT_USES = 30.0
+HOT_USES = 60.0
 """Uses of a prefix in the last seconds, at all routers, from which each failure domain
 should have a copy: prefilling it once more costs little of what the uses cost."""
 HOT_DECAY_MS = 5000.0
@@ -268,7 +269,7 @@
 
     Example:
         >>> hot = HotPrefixes()
-        >>> for _ in range(40):
+        >>> for _ in range(80):
         ...     hot.record(7, now_ms=0.0)
         >>> hot.is_hot(7, now_ms=0.0), hot.is_hot(7, now_ms=30_000.0)
         (True, False)
@@ -373,14 +374,17 @@
             cost_ms += HOME_WEIGHT * min_unread / tokens_per_ms
         if cost_ms < least_ms:
             least_ms, least_time_ms = cost_ms, time_cost_ms
-        candidates.append((cost_ms, own_rank, load, own_unread, recompute_ms))
+        # What has to be prefilled goes by rank alone: a copy in each domain costs more
+        # than the transfer, unless the prefix is hot.
+        is_near = load.failure_domain == own_domain and (
+            not own_unread or own_rank == copy_rank
+        )
+        candidates.append((cost_ms, is_near, own_rank, load, own_unread, recompute_ms))
     end_ms = (least_ms // COST_RESOLUTION_MS + 1.0) * COST_RESOLUTION_MS
     end_ms = max(end_ms, least_ms + ERROR_FRACTION * least_time_ms)
     similar = [candidate for candidate in candidates if candidate[0] < end_ms]
     # Among similar costs the highest rank wins, so that all routers agree.
-    _, _, load, own_unread, recompute_ms = max(
-        similar, key=lambda row: (row[2].failure_domain == own_domain, row[1])
-    )
+    _, _, _, load, own_unread, recompute_ms = max(similar, key=itemgetter(1, 2))
     delay_ms = load.queue_ms() + RECOMPUTE_WEIGHT * recompute_ms
     prefill_ms = (own_unread + prompt.unshared_tokens) / load.tokens_per_ms
     return Choice(load, delay_ms, prefill_ms)
--- a/packages/lagoonsail-sharing/tests/test_first_token.py
+++ b/packages/lagoonsail-sharing/tests/test_first_token.py
@@ -254,6 +254,14 @@
     assert choose_near(Prompt((), 800), loads, "b").failure_domain != "b"
 
 
+def test_prefix_that_is_in_no_cache_gets_no_copies_by_domain(engines):
+    """Parts of prompts that are prefilled once more in each failure domain."""
+    loads = in_domains(engines(9))
+    for key in range(1, 40):
+        short = prompt_of(key, shared=200)
+        assert len({choose_near(short, loads, d).engine_id for d in "abc"}) == 1
+
+
 def test_prefix_that_is_used_little_stays_at_its_home_for_all_domains(engines):
     loads = in_domains(engines(9))
     home = choose_near(prompt_of(7), loads, "a")
