Learn the speed of all servers from the work that they do

Cause: the answers of plain servers were timed while they queued unseen: a server that answers in 90 ms was taken for one of 207 ms. The usual slowdown of a server counted twice, as it is part of the work done.

The slowdown is relative to what is usual at the server. Equal servers are treated as equal unless their speeds differ by three standard deviations, and a single server's difference is believed sooner beyond.

Tests of add_timing now feed the work done instead, with the same bounds; the bound of a server with false answers is tested at the limit itself, since such a server hardly works and so gives little evidence.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_speeds.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_speeds.py
@@ -103,18 +103,19 @@
         Returns:
             The function, which takes the time in ms.
         """
-        if state.load.cache.capacity_tokens:
-            return self._start_prefill(state, unread_tokens)
-        return self._start_answer(state)
-
-    def _start_prefill(
-        self, state: ServerState, unread_tokens: int
-    ) -> Callable[[float], None]:
         clock = self._context.clock
         load = state.load
-        expected_ms = load.queue_ms() + unread_tokens / load.tokens_per_ms
-        expected_ms += NETWORK_MS + BATCH_MS_PER_REQUEST * load.total_running()
-        work_ms = unread_tokens / DEFAULT_TOKENS_PER_MS
+        if load.cache.capacity_tokens:
+            work_ms = unread_tokens / DEFAULT_TOKENS_PER_MS
+            expected_ms = load.queue_ms() + work_ms / state.speed.factor
+            expected_ms += BATCH_MS_PER_REQUEST * load.total_running()
+        else:
+            requests = self._requests_there(state, clock.now_ms())
+            work_ms = DEFAULT_ANSWER_MS
+            expected_ms = work_ms / state.speed.factor
+            if state.reported.slots:
+                expected_ms *= queue_rounds(requests, state.reported.slots)
+        expected_ms += NETWORK_MS
 
         def record(observed_ms: float) -> None:
             self.lateness.add(max(0.0, observed_ms - expected_ms))
@@ -122,25 +123,6 @@
 
         return record
 
-    def _start_answer(self, state: ServerState) -> Callable[[float], None]:
-        clock = self._context.clock
-        load, speed, slots = state.load, state.speed, state.reported.slots
-        requests = state.reported.requests_there(
-            load.running, load.others_running, clock.now_ms()
-        )
-        rounds = queue_rounds(requests, slots) if slots else 1.0
-        expected_ms = NETWORK_MS + rounds * DEFAULT_ANSWER_MS / speed.factor
-
-        def record(observed_ms: float) -> None:
-            self.lateness.add(max(0.0, observed_ms - expected_ms))
-            if rounds > 1.0:
-                return
-            # The slowdown of the moment says nothing of the speed at other moments.
-            working_ms = max(1.0, observed_ms - NETWORK_MS) / speed.slowdown
-            speed.own.add_timing(DEFAULT_ANSWER_MS, working_ms, 1.0, clock.now_ms())
-
-        return record
-
     def record_report(self, state: ServerState, report: LoadReport) -> None:
         """Record the load that a server reports.
 
@@ -178,9 +160,7 @@
         by_service = defaultdict(list)
         for state in states:
             evidence = self._evidence(state, now_ms)
-            load = state.load
-            has_pending = load.pending_tokens + load.others_pending_tokens > 0
-            state.speed.busy.sample(is_busy=has_pending, now_ms=now_ms)
+            state.speed.busy.sample(_busy_level(state), now_ms)
             if is_due:
                 state.speed.busy.add_throughput(evidence)
                 service = state.server.record.service
@@ -218,13 +198,17 @@
     ) -> PlainLoad:
         load = state.load
         return PlainLoad(
-            state.reported.requests_there(load.running, load.others_running, now_ms),
+            self._requests_there(state, now_ms),
             load.others_running,
             state.reported.slots or usual_slots,
             DEFAULT_ANSWER_MS / state.speed.factor,
             not self._own_domain or load.failure_domain == self._own_domain,
         )
 
+    def _requests_there(self, state: ServerState, now_ms: float) -> float:
+        load = state.load
+        return state.reported.requests_there(load.running, load.others_running, now_ms)
+
     def _evidence(self, state: ServerState, now_ms: float) -> SpeedEvidence:
         """Publish this router's evidence of a server, and return that of all routers.
 
@@ -288,5 +272,14 @@
         )
 
 
+def _busy_level(state: ServerState) -> int:
+    """Return the number of requests on which a server works at once, as known."""
+    load = state.load
+    if load.cache.capacity_tokens:
+        return int(load.pending_tokens + load.others_pending_tokens > 0)
+    running = load.total_running()
+    return min(running, state.reported.slots) if state.reported.slots else running
+
+
 def _apply_factor(state: ServerState) -> None:
     state.load.tokens_per_ms = DEFAULT_TOKENS_PER_MS * state.speed.factor
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_speed.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_speed.py
@@ -3,13 +3,10 @@
 Designed for servers of one service that differ in speed, that share their hosts with
 other workloads, and that slow down for moments. A router sees few answers of each
 server, so the evidence of all routers is added up, as decaying sums that digests carry.
-
-For an engine that is the work of the prompts that it has prefilled, against the time in
-which it had prompts to prefill (`BusyTime`). The time of a single answer would depend
-on what was queued before it, which is not known exactly under load: estimates from
-single answers were too slow by half on a busy service. Plain servers are timed by
-answers that did not queue. Sums are of the logarithm of the speed, so single answers
-have little influence.
+It is the work that a server has done, against the time in which it worked (`BusyTime`).
+The time of a single answer would depend on what was queued before it, which is not
+known exactly under load: estimates from single answers were too slow by half on a busy
+service.
 
 The estimate of a server differs from the service's only as far as the evidence shows a
 difference: servers that are equal are treated as equal, whatever the noise. It stays
@@ -51,13 +48,6 @@
 updates a second it covers five seconds."""
 PRIOR_WEIGHT = 8.0
 """Weight of the default speed of a service, in answers."""
-MIN_VARIANCE = 0.02
-"""Lower bound of the variance of one answer's logarithm, so that a few answers that
-happen to agree do not count as certain."""
-DEFAULT_VARIANCE = 0.25
-"""Assumed variance while there are too few answers to measure it."""
-MIN_VARIANCE_WEIGHT = 20.0
-"""Weight of the evidence of a service from which the variance is measured."""
 SIGNIFICANT = 3.0
 """Standard errors from which a single server counts as different from its service."""
 MIN_DONE = 3.0
@@ -68,11 +58,12 @@
 """Bound of the weight of a prefilled prompt as evidence."""
 IDLE_MARGIN = 0.1
 """Error of the fraction of time in which an engine had prompts to prefill."""
-THROUGHPUT_VARIANCE = 0.2
-"""Variance of the logarithm of the throughput, for one prefilled prompt."""
+THROUGHPUT_VARIANCE = 0.3
+"""Variance of the logarithm of the throughput, per request: prompts are unequal, and
+loads are sampled. With 0.2, equal servers differed by up to 0.1 in trials."""
 MAX_LOGARITHM = 2.0 * math.log(MAX_FACTOR)
 """Bound of the logarithm of a single measurement, either way."""
-MIN_RECENT_WEIGHT = 1.5
+MIN_RECENT_WEIGHT = 2.5
 """Weight of recent evidence from which a server may be believed to be slower."""
 SERVICE_STEP = 0.15
 """Change of the logarithm from which a service's speed is changed: its servers' delays
@@ -82,8 +73,8 @@
 SCALE = 16.0
 """Resolution of the sums in digests, which carry integers."""
 
-NUMBER_COUNT = 12
-"""Number of sums in `SpeedEvidence`."""
+NUMBER_COUNT = 7
+"""Number of sums that digests carry."""
 
 Numbers = tuple[int, ...]
 """Evidence as it is carried by digests."""
@@ -91,21 +82,8 @@
 
 @dataclass(slots=True)
 class SpeedEvidence:
-    """Decaying sums about one server. Those of all routers are added up.
-
-    The logarithms are those of the speed relative to the default one.
-    """
+    """Decaying sums about one server. Those of all routers are added up."""
 
-    weight: float = 0.0
-    """Weight of the timed answers."""
-    total: float = 0.0
-    """Weighted sum of their logarithms."""
-    squares: float = 0.0
-    """Weighted sum of the squares of their logarithms."""
-    recent_weight: float = 0.0
-    """Weight of the recent ones."""
-    recent_total: float = 0.0
-    """Weighted sum of the logarithms of the recent ones."""
     reports: float = 0.0
     """Weight of the reported slowdowns."""
     slowdown_total: float = 0.0
@@ -113,30 +91,26 @@
     refusals: float = 0.0
     """Weight of the requests that the server refused for want of room."""
     done: float = 0.0
-    """Weight of the prompts that it has prefilled."""
+    """Weight of the prompts that it has prefilled, or of its plain answers."""
     done_work: float = 0.0
     """Their work: the time at the default speed, in units of `DONE_UNIT_MS`."""
     recent_done: float = 0.0
     """Weight of the recent ones."""
     recent_done_work: float = 0.0
     """Work of the recent ones."""
-
-    def mean(self) -> float:
-        """Return the mean logarithm of the speed; 0 without evidence."""
-        return self.total / self.weight if self.weight > 0.0 else 0.0
-
-    def spread(self) -> float:
-        """Return the weighted sum of the squared deviations from the mean."""
-        return max(0.0, self.squares - self.mean() * self.total)
+    weight: float = 0.0
+    """Weight of `logarithm`, in requests. Like the ones below it is not in digests;
+    see `BusyTime.add_throughput`."""
+    logarithm: float = 0.0
+    """Logarithm of the speed, relative to the default."""
+    recent_weight: float = 0.0
+    """Weight of `recent_logarithm`."""
+    recent_logarithm: float = 0.0
+    """The same logarithm, of the recent work."""
 
     def encode(self) -> Numbers:
         """Return the sums as integers, for digests."""
         return (
-            round(self.weight * SCALE),
-            round(self.total * SCALE),
-            round(self.squares * SCALE),
-            round(self.recent_weight * SCALE),
-            round(self.recent_total * SCALE),
             round(self.reports * SCALE),
             round(self.slowdown_total * SCALE),
             round(self.refusals * SCALE),
@@ -155,18 +129,14 @@
             sums that a router's death made inconsistent count as none.
 
     Example:
-        >>> decode_evidence(SpeedEvidence(2.0, 1.0).encode()).mean()
-        0.5
-        >>> decode_evidence((-16, 3)).mean()
+        >>> decode_evidence(SpeedEvidence(2.0, 1.0).encode()).slowdown_total
+        1.0
+        >>> decode_evidence((-16, 3)).slowdown_total
         0.0
     """
     values = [number / SCALE for number in numbers[:NUMBER_COUNT]]
     values += [0.0] * (NUMBER_COUNT - len(values))
     evidence = SpeedEvidence(*values)
-    if evidence.weight <= 0.0:
-        evidence.weight = evidence.total = evidence.squares = 0.0
-    if evidence.recent_weight <= 0.0:
-        evidence.recent_weight = evidence.recent_total = 0.0
     if evidence.reports <= 0.0 or evidence.slowdown_total <= 0.0:
         evidence.reports = evidence.slowdown_total = 0.0
     evidence.refusals = max(0.0, evidence.refusals)
@@ -182,9 +152,9 @@
 
     Example:
         >>> own = OwnEvidence(now_ms=0.0)
-        >>> own.add_timing(expected_ms=100.0, observed_ms=200.0, weight=1.0, now_ms=0.0)
-        >>> round(math.exp(own.at(0.0).mean()), 3)
-        0.5
+        >>> own.add_done(expected_ms=200.0, now_ms=0.0)
+        >>> own.at(0.0).done_work, round(own.at(DECAY_MS).done_work, 2)
+        (2.0, 0.74)
     """
 
     __slots__ = ("_sums", "_updated_ms")
@@ -193,25 +163,6 @@
         self._sums = SpeedEvidence()
         self._updated_ms = now_ms
 
-    def add_timing(
-        self, expected_ms: float, observed_ms: float, weight: float, now_ms: float
-    ) -> None:
-        """Add the time of an answer.
-
-        Args:
-            expected_ms: Time that it would take at the default speed.
-            observed_ms: Time that it took.
-            weight: Its weight, at most 1.
-            now_ms: The time.
-        """
-        sums = self.at(now_ms)
-        logarithm = _bounded_log(expected_ms, observed_ms)
-        sums.weight += weight
-        sums.total += weight * logarithm
-        sums.squares += weight * logarithm**2
-        sums.recent_weight += weight
-        sums.recent_total += weight * logarithm
-
     def add_slowdown(self, slowdown: float, now_ms: float) -> None:
         """Add a reported slowdown.
 
@@ -224,7 +175,7 @@
         sums.slowdown_total += min(MAX_FACTOR, max(1.0 / MAX_FACTOR, slowdown))
 
     def add_done(self, expected_ms: float, now_ms: float) -> None:
-        """Add a prompt that the server has prefilled.
+        """Add a prompt that the server has prefilled, or a plain answer.
 
         Args:
             expected_ms: Time that it would take at the default speed.
@@ -255,14 +206,9 @@
         if age_ms > 0.0:
             self._updated_ms = now_ms
             fraction = math.exp(-age_ms / DECAY_MS)
-            sums.weight *= fraction
-            sums.total *= fraction
-            sums.squares *= fraction
             sums.done *= fraction
             sums.done_work *= fraction
             fraction = math.exp(-age_ms / RECENT_DECAY_MS)
-            sums.recent_weight *= fraction
-            sums.recent_total *= fraction
             sums.recent_done *= fraction
             sums.recent_done_work *= fraction
             fraction = math.exp(-age_ms / MOMENT_DECAY_MS)
@@ -274,15 +220,18 @@
 
 
 class BusyTime:
-    """Decaying sums of the time in which an engine had prompts to prefill.
+    """Decaying sums of the time in which a server worked.
+
+    An engine prefills one prompt after the other, a plain server answers as many
+    requests at once as it has slots.
 
     Example:
         >>> busy = BusyTime()
         >>> for n in range(40):
-        ...     busy.sample(is_busy=n % 2 == 0, now_ms=100.0 * n)
+        ...     busy.sample(n % 2, now_ms=100.0 * n)
         >>> evidence = SpeedEvidence(done=10.0, done_work=15.0)
         >>> busy.add_throughput(evidence)
-        >>> 0.7 < math.exp(evidence.mean()) < 1.0
+        >>> 0.7 < math.exp(evidence.logarithm) < 1.0
         True
     """
 
@@ -301,16 +250,16 @@
         self._sampled_ms: float | None = None
         self._total_ms = 0.0
 
-    def sample(self, *, is_busy: bool, now_ms: float) -> None:
-        """Record whether it has prompts to prefill, as known now.
+    def sample(self, level: float, now_ms: float) -> None:
+        """Record on how many requests it works at once, as known now.
 
         Args:
-            is_busy: Whether it has.
+            level: Number of requests; 0 or 1 for an engine.
             now_ms: The time.
         """
         if self._sampled_ms is not None:
             passed_ms = now_ms - self._sampled_ms
-            busy_ms = passed_ms if is_busy else 0.0
+            busy_ms = passed_ms * level
             fraction = math.exp(-passed_ms / DECAY_MS)
             self._total_ms = self._total_ms * fraction + passed_ms
             self._busy_ms = self._busy_ms * fraction + busy_ms
@@ -320,7 +269,7 @@
         self._sampled_ms = now_ms
 
     def add_throughput(self, evidence: SpeedEvidence) -> None:
-        """Add to evidence what the prompts prefilled in that time tell of the speed.
+        """Add to evidence what the work done in that time tells of the speed.
 
         Args:
             evidence: Evidence of all routers, which is changed.
@@ -329,22 +278,18 @@
             weight = evidence.done * _busy_odds(self._busy_ms, self._total_ms)
             work_ms = evidence.done_work * DONE_UNIT_MS
             logarithm = _bounded_log(work_ms, self._busy_ms)
-            evidence.weight += weight
-            evidence.total += weight * logarithm
-            evidence.squares += weight * (logarithm**2 + THROUGHPUT_VARIANCE)
+            evidence.weight, evidence.logarithm = weight, logarithm
         if evidence.recent_done > 0.0 and self._recent_busy_ms > 0.0:
             weight = evidence.recent_done
             weight *= _busy_odds(self._recent_busy_ms, self._recent_ms)
             work_ms = evidence.recent_done_work * DONE_UNIT_MS
-            evidence.recent_weight += weight
-            evidence.recent_total += weight * _bounded_log(
-                work_ms, self._recent_busy_ms
-            )
+            evidence.recent_weight = weight
+            evidence.recent_logarithm = _bounded_log(work_ms, self._recent_busy_ms)
 
 
 def _busy_odds(busy_ms: float, total_ms: float) -> float:
-    """Return the weight of a prompt: the busier an engine, the surer its busy time."""
-    fraction = busy_ms / total_ms
+    """Return the weight of a request: the busier a server, the surer its busy time."""
+    fraction = min(1.0, busy_ms / total_ms)
     return min(MAX_BUSY_ODDS, fraction / (1.0 + IDLE_MARGIN - fraction))
 
 
@@ -359,7 +304,7 @@
     __slots__ = ("_usual_slowdown", "busy", "factor", "own", "relative", "slowdown")
 
     busy: BusyTime
-    """When it had prompts to prefill, as this router knows."""
+    """When it worked, as this router knows from the loads."""
     factor: float
     """Speed now, relative to the default: of the server, its service and its slowdown
     together. All delays are computed with it."""
@@ -397,7 +342,8 @@
             usual += USUAL_RATE * (reported - usual)
             self._usual_slowdown = usual
         total = evidence.slowdown_total + MOMENT_PRIOR * usual
-        self.slowdown = total / (reports + MOMENT_PRIOR)
+        # The work done includes what is usual, so only the rest counts.
+        self.slowdown = total / (reports + MOMENT_PRIOR) / usual
 
     def update_factor(self, service: float, relative: float) -> None:
         """Set the speed from that of the service and the server's difference from it.
@@ -424,7 +370,7 @@
         used: The logarithm that is in use, which is kept if the new one is close.
     """
     weight = sum(evidence.weight for evidence in evidences)
-    means = [evidence.mean() for evidence in evidences if evidence.weight >= 1.0]
+    means = [evidence.logarithm for evidence in evidences if evidence.weight >= 1.0]
     if not means:
         return used
     estimate = median(means) * weight / (weight + PRIOR_WEIGHT)
@@ -435,67 +381,56 @@
     """Return the logarithms of the servers' speeds, relative to their service's.
 
     Deviations are shrunk by the ratio of the variance between servers to the one that
-    noise would cause, both measured. A deviation of a single server that noise cannot
-    explain is believed without that.
+    noise would cause. A deviation of a single server that noise cannot explain is
+    believed without that.
 
     Args:
         evidences: Evidence of all routers, by server.
         service: Logarithm of the service's speed, relative to the default.
 
     Example:
-        >>> alike = [SpeedEvidence(30.0, total, 4.0) for total in (1.0, 0.0, 2.0)]
+        >>> alike = [SpeedEvidence(weight=30.0, logarithm=n / 30) for n in (1, 0, 2)]
         >>> any(estimate_servers(alike, 0.0))
         False
     """
-    variance = _answer_variance(evidences)
-    center = _median_of_means(evidences, service)
-    between = _variance_between(evidences, center, variance)
-    return [_deviation(evidence, center, variance, between) for evidence in evidences]
+    center = _median_logarithm(evidences, service)
+    between = _variance_between(evidences, center)
+    return [_deviation(evidence, center, between) for evidence in evidences]
 
 
-def _deviation(
-    evidence: SpeedEvidence, center: float, variance: float, between: float
-) -> float:
+def _deviation(evidence: SpeedEvidence, center: float, between: float) -> float:
     if evidence.weight <= 0.0:
         return 0.0
-    deviation = evidence.mean() - center
-    error = variance / evidence.weight
+    deviation = evidence.logarithm - center
+    error = THROUGHPUT_VARIANCE / evidence.weight
     shrink = between / (between + error)
-    # The fraction of the deviation that exceeds what noise explains.
-    excess = 1.0 - SIGNIFICANT**2 * error / max(deviation**2, 1e-9)
+    # Nothing of a deviation that noise explains, and nearly all of one twice as large.
+    noise = SIGNIFICANT**2 * error / max(deviation**2, 1e-9)
+    excess = 1.0 - noise**2
     estimate = max(shrink, excess) * deviation
     if evidence.recent_weight >= MIN_RECENT_WEIGHT:
-        recent = evidence.recent_total / evidence.recent_weight - center
-        error = variance / evidence.recent_weight
+        recent = evidence.recent_logarithm - center
+        error = THROUGHPUT_VARIANCE / evidence.recent_weight
         if recent < estimate - SIGNIFICANT * math.sqrt(error):
             return recent
     return estimate
 
 
-def _answer_variance(evidences: Sequence[SpeedEvidence]) -> float:
-    """Return the variance of one answer's logarithm around the mean of its server."""
-    weight = sum(evidence.weight for evidence in evidences)
-    if weight < MIN_VARIANCE_WEIGHT + len(evidences):
-        return DEFAULT_VARIANCE
-    spread = sum(evidence.spread() for evidence in evidences)
-    return max(MIN_VARIANCE, spread / (weight - len(evidences)))
-
-
-def _median_of_means(evidences: Sequence[SpeedEvidence], default: float) -> float:
-    means = [evidence.mean() for evidence in evidences if evidence.weight >= 1.0]
+def _median_logarithm(evidences: Sequence[SpeedEvidence], default: float) -> float:
+    means = [evidence.logarithm for evidence in evidences if evidence.weight >= 1.0]
     return median(means) if means else default
 
 
-def _variance_between(
-    evidences: Sequence[SpeedEvidence], center: float, variance: float
-) -> float:
+def _variance_between(evidences: Sequence[SpeedEvidence], center: float) -> float:
     """Return the variance of the servers' speeds beyond what noise explains."""
     seen = [evidence for evidence in evidences if evidence.weight >= 1.0]
     if len(seen) < 2:
         return 0.0
-    chi_square = sum(e.weight * (e.mean() - center) ** 2 for e in seen) / variance
+    chi_square = (
+        sum(e.weight * (e.logarithm - center) ** 2 for e in seen) / THROUGHPUT_VARIANCE
+    )
     freedom = len(seen) - 1.0
-    # Two standard deviations of chi-square: equal servers are treated as equal.
-    excess = chi_square - freedom - 2.0 * math.sqrt(2.0 * freedom)
+    # Three standard deviations of chi-square: equal servers are treated as equal.
+    excess = chi_square - freedom - SIGNIFICANT * math.sqrt(2.0 * freedom)
     weight = sum(evidence.weight for evidence in seen)
-    return max(0.0, excess) * variance / weight
+    return max(0.0, excess) * THROUGHPUT_VARIANCE / weight
