--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -71,6 +71,7 @@
     "digests_malformed_total": "Digests of other routers that could not be read.",
     "digests_not_sent_total": "Digests that could not be sent.",
     "digests_too_long_total": "Digests that fit into no datagram.",
+    "load_reports_total": "Load reports of servers, with and without a slowdown.",
     "problems_total": "Refusals and problem documents, by kind.",
     "records_rejected_total": "Malformed entries of the store.",
     "repeats_refused_total": "Requests not sent once more for want of a share.",
@@ -79,11 +80,13 @@
     "rollout_requests_total": "Requests during a roll-out, by service.",
     "rollout_writes_total": "Writes of roll-outs to the store, by outcome.",
     "store_feed_total": "Changes of the store learned from another router.",
+    "server_refusals_total": "Requests for which a server had no room, by service.",
     "store_failures_total": "Calls to the store without an answer.",
     "task_errors_total": "Failures inside the router's tasks, by task.",
 }
 """Help texts of the counters, by metric name."""
 HISTOGRAMS = CALL_HISTOGRAMS | {
+    "first_part_late": "Time by which the first part of an answer came too late.",
     "loop_late": "Time by which the event loop ran a task too late.",
 }
 """Help texts of the duration histograms, by metric name."""
@@ -220,7 +223,13 @@
             OpenConnections(MAX_OPERATOR_CONNECTIONS) for _ in range(2)
         ]
         self._register_descriptors()
-        self.dispatcher = Dispatcher(context, self.directory, self.routers)
+        self.dispatcher = Dispatcher(
+            context,
+            self.directory,
+            self.routers,
+            self.counts,
+            settings.failure_domain,
+        )
         self.dispatcher.may_connect = self.pool.may_connect
         self.crash_check = CrashCheck(context, CrashSuspects(context.clock))
         self.calls = CallService(
@@ -387,6 +396,7 @@
             self.rollouts.apply_manifest(manifest)
 
     def _exchange_digests(self) -> None:
+        self.dispatcher.update_speeds()
         self.digests.send_round()
         self.dispatcher.update_shares()
         if self.rollouts is not None:
@@ -468,7 +478,11 @@
             COUNTERS,
             self.context.counts_of,
             HISTOGRAMS,
-            self.calls.durations | {"loop_late": self.context.loop_lateness.durations},
+            self.calls.durations
+            | {
+                "first_part_late": self.dispatcher.speeds.lateness,
+                "loop_late": self.context.loop_lateness.durations,
+            },
         )
         metrics.observable_counter(
             "server_connections",
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_answers.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_answers.py
@@ -40,7 +40,8 @@
 that the server did not crash, but refuses some connections."""
 EXPECTED_TOKENS_PER_MS = 50.0
 """Prefill rate by which first parts are expected. Both versions are compared by the
-same figure, so it needs no more than the right order of magnitude."""
+same figure, so it needs no more than the right order of magnitude. The learned speed of
+a server would hide that its version is slow."""
 EXPECTED_BASE_MS = 10.0
 """Expected time to the first part of an answer beyond its prefill."""
 EXPECTED_MS_PER_RUNNING = 0.5
@@ -329,10 +330,10 @@
     """
     if call.prompt is None:
         return PLAIN_OBJECTIVE_FRACTION * call.route.objective_ms
-    queue_ms = state.load.queue_ms(EXPECTED_TOKENS_PER_MS)
+    load = state.load
+    tokens = load.pending_tokens + load.others_pending_tokens + unread_tokens
     return (
         EXPECTED_BASE_MS
-        + queue_ms
-        + unread_tokens / EXPECTED_TOKENS_PER_MS
-        + EXPECTED_MS_PER_RUNNING * state.load.total_running()
+        + tokens / EXPECTED_TOKENS_PER_MS
+        + EXPECTED_MS_PER_RUNNING * load.total_running()
     )
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/running_request.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/running_request.py
@@ -17,7 +17,9 @@
 
     __slots__ = (
         "_clock",
-        "_has_first_token",
+        "_held_tokens",
+        "_is_prefilled",
+        "_on_first_token",
         "_on_result",
         "_selection_load",
         "_unread_tokens",
@@ -38,7 +40,9 @@
         clock: Clock,
         state: ServerState,
         unread_tokens: int,
+        held_tokens: int,
         selection_load: dict[str, object],
+        on_first_token: Callable[[float], None],
         on_result: Callable[[RunningRequest, bool], None],
     ) -> None:
         """Count the request as running at its server.
@@ -47,12 +51,17 @@
             clock: The clock.
             state: The server.
             unread_tokens: Prompt tokens that the server has yet to prefill.
+            held_tokens: Memory of the server that it takes, in tokens.
             selection_load: Load values on which its selection was based, for the log.
+            on_first_token: Called with the time in ms until the first part of a proper
+                response.
             on_result: Called with the request and whether the server succeeded, unless
                 the end says nothing about the server.
         """
         self._clock = clock
-        self._has_first_token = False
+        self._held_tokens = held_tokens
+        self._is_prefilled = False
+        self._on_first_token = on_first_token
         self._on_result = on_result
         self._selection_load = selection_load
         self._unread_tokens = unread_tokens
@@ -61,6 +70,7 @@
         self.state = state
         state.load.pending_tokens += unread_tokens
         state.load.running += 1
+        state.load.held_tokens += held_tokens
 
     def describe(self) -> dict[str, object]:
         """Return the load values on which the selection of the server was based."""
@@ -85,13 +95,14 @@
             self.observer.record_data(now_ms)
 
     def record_first_token(self) -> None:
-        """Note that the first part of the response has arrived."""
-        if self._has_first_token:
+        """Note that the first part of a proper response has arrived."""
+        if self._is_prefilled:
             return
-        self._has_first_token = True
-        self.state.load.pending_tokens -= self._unread_tokens
+        now_ms = self._clock.now_ms()
+        self._on_first_token(now_ms - self.sent_ms)
+        self._end_prefill()
         if self.observer is not None:
-            self.observer.record_first_part(self._clock.now_ms())
+            self.observer.record_first_part(now_ms)
 
     def finish(self, *, is_success: bool | None) -> None:
         """Note that the request has ended.
@@ -101,9 +112,15 @@
                 about the server.
         """
         observer, self.observer = self.observer, None
-        self.record_first_token()
+        self._end_prefill()
         self.state.load.running -= 1
+        self.state.load.held_tokens -= self._held_tokens
         if observer is not None:
             observer.finish(is_success=is_success)
         if is_success is not None:
             self._on_result(self, is_success)
+
+    def _end_prefill(self) -> None:
+        if not self._is_prefilled:
+            self._is_prefilled = True
+            self.state.load.pending_tokens -= self._unread_tokens
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
@@ -387,8 +387,12 @@
         head = self._response_head
         if not head.is_wrong_server:
             self._dispatcher.record_answer(self.state, head.backoff_ms)
+            if head.load is not None:
+                self._dispatcher.speeds.record_report(self.state, head.load)
         if _is_proven_refusal(response, head):
             self.call.possible_runs -= 1
+            if response.status in (429, 503) and not head.is_leaving:
+                self._dispatcher.speeds.record_refusal(self.state)
             self._drain_and_finish(response)
             raise AttemptFailedError(
                 NOT_RUN_BY_SERVER, f"the server answered {response.status}, not run"
@@ -437,7 +441,9 @@
     def _record_first_part(self) -> None:
         if not self.first_ms:
             self.first_ms = self._context.clock.now_ms()
-            self._running_request.record_first_token()
+            # The time of an error tells nothing of the server's speed.
+            if self.response.status < 300:
+                self._running_request.record_first_token()
 
     def _update_last_event_id(self, events: bytes) -> None:
         start = events.rfind(b"\nid:")
