--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_speeds.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_speeds.py
@@ -44,9 +44,9 @@
 MIN_REFUSALS = 0.2
 """Decayed sum of refusals below which a server counts as having room again."""
 MIN_SLOWDOWN = 0.1
-"""Deviation of a reported slowdown from 1 from which the servers of its service count as
-uneven, so that their speeds are learned. Where no host is shared, servers are alike, and
-estimates would only add noise to the choice between them."""
+"""Deviation of a reported slowdown from 1 from which the servers of its service count
+as uneven, so that their speeds are learned. Where no host is shared, servers are alike,
+and estimates would only add noise to the choice between them."""
 LOGGED_CHANGE = 0.3
 """Change of the logarithm of a speed, since the last log line, that is logged."""
 LOG_INTERVAL_MS = 2000.0
--- a/packages/lagoonsail-gateway/tests/test_server_speeds.py
+++ b/packages/lagoonsail-gateway/tests/test_server_speeds.py
@@ -39,6 +39,8 @@
     dispatcher.apply_manifest(Manifest(1, [], services, {}, limits, True))
     for service in services:
         dispatcher.select_server(make_call(service))
+    # As after a report of a slowdown, see `test_slowdown_of_a_host_starts_learning`.
+    dispatcher.speeds._uneven_services.update(services)
     return SimpleNamespace(
         dispatcher=dispatcher,
         directory=directory,
@@ -101,6 +103,27 @@
     assert router.find("s1").load.tokens_per_ms < 30.0
 
 
+def test_speeds_of_alike_servers_are_not_learned(router):
+    """Guards against estimates that add noise where no host is shared."""
+    router.dispatcher.speeds._uneven_services.clear()
+    for _ in range(8):
+        for name, first_ms in zip(ENGINES, (300.0, 100.0, 100.0), strict=True):
+            answer(router, name, first_ms)
+        update(router)
+    assert {router.find(name).load.tokens_per_ms for name in ENGINES} == {50.0}
+
+
+def test_slowdown_of_a_host_starts_learning(router):
+    speeds = router.dispatcher.speeds
+    speeds._uneven_services.clear()
+    speeds.record_report(router.find("s2"), LoadReport(0, 0, 8, slowdown=1.0))
+    update(router)
+    assert not speeds._uneven_services
+    speeds.record_report(router.find("s2"), LoadReport(0, 0, 8, slowdown=1.5))
+    update(router)
+    assert speeds._uneven_services == {"engine"}
+
+
 def test_errors_and_short_prompts_tell_nothing_of_the_speed(router):
     """A server whose answers are failures is not taken for a fast one."""
     for _ in range(20):
