--- a/packages/lagoonsail-config/src/lagoonsail_config/settings.py
+++ b/packages/lagoonsail-config/src/lagoonsail_config/settings.py
@@ -29,6 +29,9 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+DEFAULT_MEMORY_MB = 512
+"""Memory that a router may use unless its settings say otherwise, in MB."""
+
 MAX_SETTINGS_BYTES = 100_000
 """Largest size of a settings file."""
 
@@ -101,7 +104,7 @@
         number_key("drain_lag_ms", 0, 60_000, "ms", "1000"),
         number_key("stop_timeout_ms", 0, 3_600_000, "ms", "60000"),
         number_key("max_connections", 1, 100_000, "connections", "2000"),
-        number_key("memory_mb", 100, 1_000_000, "MB", "512"),
+        number_key("memory_mb", 100, 1_000_000, "MB", str(DEFAULT_MEMORY_MB)),
         number_key("reject_after_ms", 0, 600_000, "ms", "5000"),
         choice_key(
             "invariants",
