Report findings and differences in lagoonctl check

Cause: lagoonctl check listed mistakes only. Whether apply would refuse a file, or what it would change, showed only when it was applied.

Change: check also reports the findings of document_findings, the differences from the version in force and whether apply would refuse the file. The condition on the revision is a function that apply and check share.

--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/document_commands.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/document_commands.py
@@ -1,4 +1,4 @@
-"""The commands check, get and apply."""
+"""The commands get and apply."""
 
 from __future__ import annotations
 
@@ -21,9 +21,9 @@
     missing_document_error,
     resolve_key,
 )
-from lagoonsail_ctl.errors import BadInputError, ConflictError
+from lagoonsail_ctl.errors import ConflictError
 from lagoonsail_ctl.in_force import add_wait, push_documents
-from lagoonsail_ctl.report import Report, render_table
+from lagoonsail_ctl.report import Report
 from lagoonsail_store.store_client import Conflict
 
 if TYPE_CHECKING:
@@ -79,47 +79,6 @@
     return (int(match[1]), document) if match else (None, text)
 
 
-def check(connection: Connection, *files: Path) -> Report:
-    """Check service documents and list every mistake.
-
-    Does not contact the fleet. Exit code 2 means that there is a mistake.
-
-    Example::
-
-        lagoonctl check asistente.ini registro.ini
-
-    Args:
-        connection: Key-value service and routers.
-        files: INI files, one service document each.
-    """
-    if not files:
-        raise BadInputError("no file to check", "name at least one FILE")
-    problems: list[Problem] = []
-    rows: list[list[object]] = []
-    file_by_service: dict[str, Path] = {}
-    for file in files:
-        try:
-            document = parse_document(
-                split_revision_line(read_file(file))[1], str(file)
-            )
-        except DocumentError as error:
-            problems += error.problems
-            continue
-        service = document.qualified()
-        first_file = file_by_service.setdefault(service, file)
-        if first_file != file:
-            found = f"{service}, which {first_file} describes too"
-            allowed = "one file for each service"
-            problems.append(Problem(str(file), "service", "name", found, allowed))
-        counts = [len(document.servers), len(document.accounts)]
-        rows.append([str(file), service, document.kind, *counts])
-    if problems:
-        raise DocumentError(problems)
-    headers = ["file", "service", "kind", "servers", "accounts"]
-    data = {"documents": [dict(zip(headers, row, strict=True)) for row in rows]}
-    return Report(data, render_table(headers, rows))
-
-
 def get(connection: Connection, service: str) -> Report:
     """Print the stored document of a service, with its revision.
 
@@ -178,10 +137,7 @@
     if stored.text == text:
         accepted = stored
     else:
-        if expected is None:
-            _check_not_brought_in(stored, document)
-        elif expected != stored.revision:
-            raise _stale_revision_error(stored, expected, changes)
+        check_replaceable(stored, document, expected, changes)
         if dry_run:
             return _change_report(stored, changes, ["not applied (--dry-run)"], {})
         accepted = _replace(documents, stored, text)
@@ -194,6 +150,30 @@
     return add_wait(report, connection, {key: accepted.revision}, wait_s)
 
 
+def check_replaceable(
+    stored: StoredDocument,
+    document: ServiceDocument,
+    expected: int | None,
+    changes: list[str],
+) -> None:
+    """Check that a file may replace the stored document.
+
+    Args:
+        stored: The stored document.
+        document: The document of the file.
+        expected: Revision that the file replaces, or None if it names none.
+        changes: What the file would change.
+
+    Raises:
+        ConflictError: If the stored document has another revision, or the file names
+            none and would bring something back into service.
+    """
+    if expected is None:
+        _check_not_brought_in(stored, document)
+    elif expected != stored.revision:
+        raise _stale_revision_error(stored, expected, changes)
+
+
 def describe_push(pushed: dict[str, object]) -> list[str]:
     """Return lines on how many routers accepted a push and which did not.
 
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/errors.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/errors.py
@@ -20,6 +20,8 @@
 """No router answered."""
 EXIT_IN_USE = 7
 """The object to delete is in use; it was not deleted."""
+EXIT_FINDINGS = 8
+"""The check of documents found no mistake, but entries that cannot take effect."""
 
 
 class CommandError(LagoonsailError):
@@ -84,3 +86,9 @@
     """The object to delete is in use."""
 
     exit_code = EXIT_IN_USE
+
+
+class FindingsError(CommandError):
+    """Documents are valid, but have entries that cannot take effect."""
+
+    exit_code = EXIT_FINDINGS
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/main.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/main.py
@@ -9,9 +9,10 @@
 
 import defopt
 
+from lagoonsail_ctl.check_command import check
 from lagoonsail_ctl.command import command, print_error
 from lagoonsail_ctl.delete_command import delete
-from lagoonsail_ctl.document_commands import apply, check, get
+from lagoonsail_ctl.document_commands import apply, get
 from lagoonsail_ctl.errors import EXIT_UNEXPECTED, UsageError
 from lagoonsail_ctl.fleet_commands import show, status, wait
 from lagoonsail_ctl.state_commands import (
@@ -49,6 +50,7 @@
   0 done   1 unexpected failure   2 bad input   3 key-value service unavailable
   4 conflict with another change   5 not in force on all routers in time
   6 no router answered   7 still in use, not deleted
+  8 check: entries that cannot take effect
 
 examples:
   lagoonctl check asistente.ini
