Limit the requests at servers that start or recover, over all routers

A server that has just started has no queue and attracts the requests of all routers at once, or is left idle by a cold mark that is too long.

A service whose servers all start is not refused.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -11,7 +11,9 @@
 from lagoonsail_gateway.fleet_counts import FleetCounts
 from lagoonsail_gateway.running_request import RunningRequest
 from lagoonsail_gateway.sent_prompts import RecentPrompts, SentPrompt, sender_number
+from lagoonsail_gateway.server_health import RESTORED
 from lagoonsail_gateway.server_speeds import ServerSpeeds
+from lagoonsail_gateway.server_starts import ServerStarts
 from lagoonsail_gateway.server_state import ServerState, ServerStates
 from lagoonsail_sharing.first_token import HotPrefixes, choose_engine
 from lagoonsail_sharing.server_notices import ServerNotices
@@ -57,6 +59,7 @@
         "notices",
         "recent_prompts",
         "speeds",
+        "starts",
         "states",
     )
 
@@ -72,6 +75,8 @@
     """The prompts that this router sent recently."""
     speeds: ServerSpeeds
     """How fast the servers work."""
+    starts: ServerStarts
+    """The servers in slow start."""
     states: ServerStates
     """What is known of each server."""
 
@@ -104,10 +109,13 @@
         self._on_large_prompt: Callable[[], None] = lambda: None
         self._own_domain = own_domain
         self._hot_prefixes = HotPrefixes()
-        self.speeds = ServerSpeeds(
-            context, counts or FleetCounts(context.clock), own_domain
-        )
+        counts = counts or FleetCounts(context.clock)
+        self.speeds = ServerSpeeds(context, counts, own_domain)
         self.states = ServerStates(context.clock, self.speeds.service_factor)
+        self.starts = ServerStarts(
+            context, directory, routers, counts, self.states, self._engine
+        )
+        self.speeds.on_refusal = self.starts.record_refusal
         self._last_digest_ms = float("-inf")
         directory.subscribe(self._on_server_change)
 
@@ -151,6 +159,8 @@
         ]
         if not allowed:
             return _no_server(f"{len(states)} servers of {call.service} are held back")
+        if self.starts.has_any():
+            allowed = self.starts.within_limits(call.service, allowed)
         state = self._select(call, accepting, allowed)
         if isinstance(state, ServerState) and not self.may_connect(state.server):
             # If no other may be connected to, the request waits for a connection.
@@ -187,13 +197,16 @@
             "slowdown": round(state.speed.slowdown, 2),
             "told_ms_ago": self.last_digest_age_ms(),
         }
+        on_first_part = self.speeds.start_timing(state, unread)
+        if self.starts.has_any():
+            on_first_part = self.starts.start_request(state, unread, on_first_part)
         run = RunningRequest(
             self.context.clock,
             state,
             unread,
             held,
             selection_load,
-            self.speeds.start_timing(state, unread),
+            on_first_part,
             self._record_run,
         )
         if unread >= LARGE_PROMPT_TOKENS:
@@ -312,6 +325,8 @@
 
     def _record_run(self, run: RunningRequest, is_success: bool) -> None:
         self.record_result(run.state, is_success, run.sent_ms)
+        if not is_success:
+            self.starts.record_failure(run.state, run.sent_ms)
 
     def record_result(
         self, state: ServerState, is_success: bool, sent_ms: float
@@ -333,6 +348,8 @@
                 failures=round(state.health.failure_rate, 2),
                 until_ms=round(state.health.suspended_until_ms),
             )
+        if change == RESTORED:
+            self.starts.begin_after_suspension(state.server)
 
     def _healthy(self, states: list[ServerState]) -> list[ServerState]:
         now_ms = self.context.clock.now_ms()
@@ -396,7 +413,7 @@
         return self.states.get(server, self._engine(server.record.service))
 
     def _engine(self, service_name: str) -> Engine | None:
-        service = self._manifest.services.get(service_name)
+        service = self._manifest and self._manifest.services.get(service_name)
         return None if service is None else service.engine
 
     def _on_server_change(self, kind: str, server: Server) -> None:
@@ -409,6 +426,7 @@
             cold_ms=record.cold_left_ms,
             **_kept_fields(server, self.context.clock.now_ms()),
         )
+        self.starts.apply_change(kind, server)
         if kind in ("left", "restarted"):
             self.speeds.remove(record.server_id)
         if kind == "left":
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_counts.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_counts.py
@@ -117,6 +117,14 @@
         """
         return _sum(self._own.get(key, ()), self._peers.get(key, ()))
 
+    def reported_keys(self, prefix: str) -> list[str]:
+        """Return the keys that other routers report.
+
+        Args:
+            prefix: Beginning of the keys.
+        """
+        return [key for key in self._peers if key.startswith(prefix)]
+
     def own(self) -> Counts:
         """Return this router's counts, for its digest."""
         expiry_ms = self._clock.now_ms() - COUNTS_EXPIRY_MS
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -72,6 +72,8 @@
     "store_feed_total": "Changes of the store learned from another router.",
     "server_refusals_total": "Requests for which a server had no room, by service.",
     "store_failures_total": "Calls to the store without an answer.",
+    "start_held_total": "Requests kept from a server in slow start, by service.",
+    "start_waived_total": "Requests beyond the limits of slow start, by service.",
     "task_errors_total": "Failures inside the router's tasks, by task.",
 }
 """Help texts of the counters, by metric name."""
@@ -131,6 +133,7 @@
         "_metrics",
         "_operator_ports",
         "_settings",
+        "_starting_servers",
         "_update_descriptor_metrics",
         "calls",
         "context",
@@ -347,6 +350,7 @@
 
     def _exchange_digests(self) -> None:
         self.dispatcher.update_speeds()
+        self.dispatcher.starts.update()
         self.digests.send_round()
         self.dispatcher.update_shares()
 
@@ -409,6 +413,7 @@
         if self._metrics is None:
             self._metrics = self._make_metrics()
         self._update_descriptor_metrics()
+        self._starting_servers.set(self.dispatcher.starts.count())
         text = self._metrics.render()
         start_response(
             "200 OK",
@@ -437,6 +442,9 @@
             "kind",
             lambda: {"opened": self.pool.opened, "reused": self.pool.reused},
         )
+        self._starting_servers = metrics.gauge(
+            "starting", "Backend servers in slow start.", "servers"
+        )
         self._update_descriptor_metrics = declare_descriptor_metrics(
             metrics, self.descriptors
         )
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_directory.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_directory.py
@@ -54,6 +54,8 @@
     """Its newest record."""
     cold_until_ms: float
     """Monotonic time until which it gets only a limited rate of requests."""
+    was_cold: bool = False
+    """Whether it was cold when its record last changed."""
     expires_at_ms: float | None = None
     """Monotonic time at which it is removed unless it registers again; None if
     registered."""
@@ -71,10 +73,13 @@
         "_last_outage_ms",
         "_removed",
         "evacuated",
+        "listed_ms",
     )
 
     evacuated: set[str]
     """Failure domains that get no new requests."""
+    listed_ms: float | None
+    """Monotonic time of the first complete list of servers, None before."""
 
     def __init__(self, clock: Clock, max_change_delay_ms: float) -> None:
         """Create an empty directory.
@@ -91,6 +96,7 @@
         self._last_outage_ms = float("-inf")
         self._listeners: list[Callable[[str, Server], None]] = []
         self.evacuated = set()
+        self.listed_ms = None
 
     def subscribe(self, listener: Callable[[str, Server], None]) -> None:
         """Register a callback for servers and what happened to them.
@@ -123,6 +129,7 @@
             server, kind = known, "changed"
             is_same = known.record == record and known.expires_at_ms is None
             server.record = record
+            server.was_cold = now_ms < server.cold_until_ms
             server.expires_at_ms = None
             server.cold_until_ms = cold_until_ms
             if is_same:
@@ -157,6 +164,8 @@
         register again. A server that left is one of few. Without knowing which is the
         case, only a service that would lose most of its servers keeps them for a time.
         """
+        if self.listed_ms is None:
+            self.listed_ms = self._clock.now_ms()
         removed, self._removed = self._removed, []
         for server in removed:
             is_registered = server.expires_at_ms is None
@@ -218,6 +227,14 @@
         """Return whether a server is cold and gets only a limited rate of requests."""
         return self._clock.now_ms() < server.cold_until_ms
 
+    def find(self, server_id: str) -> Server | None:
+        """Return a known server, None if it is not known.
+
+        Args:
+            server_id: The server.
+        """
+        return self._servers.get(server_id)
+
     def count(self) -> int:
         """Return the number of known servers."""
         return len(self._servers)
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_speeds.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_speeds.py
@@ -110,10 +110,13 @@
         "_own_domain",
         "_services",
         "lateness",
+        "on_refusal",
     )
 
     lateness: DurationHistogram
     """Time by which the first parts of answers came later than expected."""
+    on_refusal: Callable[[ServerState], None]
+    """Called when a server refused a request for want of room."""
 
     def __init__(
         self, context: RouterContext, counts: FleetCounts, own_domain: str
@@ -132,6 +135,7 @@
         self._own_domain = own_domain
         self._services: dict[str, float] = {}
         self.lateness = DurationHistogram()
+        self.on_refusal = lambda _state: None
 
     def service_factor(self, service: str) -> float:
         """Return the speed of the median server of a service, relative to the default.
@@ -198,6 +202,7 @@
         state.speed.own.add_refusal(now_ms)
         self._context.count("server_refusals_total", state.server.record.service)
         self._evidence(state, now_ms)
+        self.on_refusal(state)
 
     def update(self, states: Iterable[ServerState]) -> None:
         """Publish this router's evidence and update the estimates.
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_state.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_state.py
@@ -86,6 +86,14 @@
         """
         return self._by_id.get(server_id)
 
+    def others_running(self, server_id: str) -> int:
+        """Return the requests of other routers at a server, by their digests.
+
+        Args:
+            server_id: Id of the server.
+        """
+        return self._peer_pending.get(server_id, (0, 0))[0]
+
     def get(self, server: Server, engine: Engine | None) -> ServerState:
         """Return the state of a server, which is created on first use.
 
