--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_starts.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_starts.py
@@ -255,14 +255,22 @@
         if not self._paces:
             self._demand.clear()
             return
+        peer_means = self._peer_means()
         for server_id, pace in list(self._paces.items()):
             server = self._directory.find(server_id)
             if server is not None:
-                self._update(server, pace, now_ms)
+                peer_mean = peer_means.get(server.record.service)
+                self._update(server, pace, peer_mean, now_ms)
         for service in self._demand:
             self._demand[service] *= DEMAND_DECAY
 
-    def _update(self, server: Server, pace: StartPace, now_ms: float) -> None:
+    def _update(
+        self,
+        server: Server,
+        pace: StartPace,
+        peer_mean: float | None,
+        now_ms: float,
+    ) -> None:
         record = server.record
         key = _key(server)
         pace.slots = self._slots(server)
@@ -278,7 +286,7 @@
             now_ms,
             totals,
             own_running + others_running,
-            self._peer_mean(record.service),
+            peer_mean,
         ):
             self._end(server, pace, now_ms)
             return
@@ -385,15 +393,15 @@
         service = server.record.service
         return [s for s in self._states.all() if s.server.record.service == service]
 
-    def _peer_mean(self, service: str) -> float | None:
-        running = [
-            state.load.total_running()
-            for state in self._states.all()
-            if state.server.record.service == service
-            and state.server.record.server_id not in self._paces
-            and self._directory.is_usable(state.server)
-        ]
-        return fmean(running) if running else None
+    def _peer_means(self) -> dict[str, float]:
+        """Return the mean load of the servers beyond slow start, by service."""
+        running = defaultdict(list)
+        for state in self._states.all():
+            record = state.server.record
+            is_peer = record.server_id not in self._paces
+            if is_peer and self._directory.is_usable(state.server):
+                running[record.service].append(state.load.total_running())
+        return {service: fmean(loads) for service, loads in running.items()}
 
 
 def _key(server: Server) -> str:
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/start_pace.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/start_pace.py
@@ -39,7 +39,8 @@
 
 import math
 from collections import Counter
-from dataclasses import astuple, dataclass, replace
+from dataclasses import dataclass, fields, replace
+from operator import attrgetter
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -75,9 +76,9 @@
 """Further time beyond which it is late, for the network and unknown queues."""
 PULL = 0.1
 """Weight of the mean of the other routers' limits, at each update."""
-USED_PER_UPDATE = 0.34
-"""Fraction of the room that all routers use in one update: the sums that they see may
-be three updates old."""
+USED_PER_UPDATE = 0.25
+"""Fraction of the room that all routers use in one update: the sums that they see are
+up to three updates old, and are used until the next."""
 MIN_COVERAGE = 0.5
 """Fraction of the routers beyond which their sums are used. If fewer report, each
 router keeps to a fixed part of the limit."""
@@ -118,7 +119,11 @@
 
     def encode(self) -> tuple[int, ...]:
         """Return the numbers for `FleetCounts`."""
-        return astuple(self)
+        return _numbers_of(self)
+
+
+_FIELD_NAMES = [field.name for field in fields(StartEvidence)]
+_numbers_of = attrgetter(*_FIELD_NAMES)
 
 
 def decode_evidence(numbers: tuple[int, ...]) -> StartEvidence:
@@ -131,7 +136,7 @@
         >>> decode_evidence((2, 0, -16)).limits
         0
     """
-    return StartEvidence(*(max(0, number) for number in numbers[:10]))
+    return StartEvidence(*(max(0, number) for number in numbers[: len(_FIELD_NAMES)]))
 
 
 def is_in_time(observed_ms: float, expected_ms: float) -> bool:
