Let permits of slow start wait for a request, and end it only when it holds

A trial with 16 dispatchers showed that a restarted engine got 10 requests in 6 s instead of some 60: a router that was granted a permit for 0.1 s seldom had a request for that engine. Permits now stay until used, at most the router's part of the room, and grow while the limit is not used although requests are held off. Use of the first sums, and a server that takes more while the others are full, let twice the limit through; quotas apply for the first 0.4 s, and the others' being full raises the limit by half within the same permits.

Slow start ended as soon as the limit reached the slots, before the late answers to what was sent up to it came; it must stay there for 1 s now (test_many_routers_with_old_sums_stay_near_the_limit).

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_starts.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_starts.py
@@ -11,6 +11,7 @@
 
 import random
 from collections import defaultdict, deque
+from dataclasses import dataclass
 from statistics import fmean
 from typing import TYPE_CHECKING
 
@@ -52,13 +53,20 @@
 """Factor of the counted demand at each update."""
 DEMAND_UNIT = 10.0
 """Resolution of the demand that digests carry, per request."""
-OVERFLOW_FACTOR = 2.0
-"""Multiple of the limit up to which a server in slow start is used while all others are
-full: a longer queue there would delay requests more than theirs."""
 MAX_REMEMBERED = 256
 """Servers that left, remembered to recognise them when they register again."""
 
 
+@dataclass(slots=True, frozen=True)
+class StartedServers:
+    """The servers of a service that are not in slow start."""
+
+    mean_running: float
+    """Mean number of requests that run at one, of all routers."""
+    are_full: bool
+    """Whether all of them are full."""
+
+
 class ServerStarts:
     """Slow start of all servers, at one router."""
 
@@ -178,10 +186,7 @@
             return states
         for state in held:
             self._paces[state.server.record.server_id].held += 1
-        if all(_is_full(state) for state in free):
-            free += [state for state in held if self._may_overflow(state)]
-        if len(free) < len(states):
-            self._context.count("start_held_total", service)
+        self._context.count("start_held_total", service)
         return free
 
     def start_request(
@@ -255,12 +260,11 @@
         if not self._paces:
             self._demand.clear()
             return
-        peer_means = self._peer_means()
+        peers = self._started_servers()
         for server_id, pace in list(self._paces.items()):
             server = self._directory.find(server_id)
             if server is not None:
-                peer_mean = peer_means.get(server.record.service)
-                self._update(server, pace, peer_mean, now_ms)
+                self._update(server, pace, peers.get(server.record.service), now_ms)
         for service in self._demand:
             self._demand[service] *= DEMAND_DECAY
 
@@ -268,7 +272,7 @@
         self,
         server: Server,
         pace: StartPace,
-        peer_mean: float | None,
+        peers: StartedServers | None,
         now_ms: float,
     ) -> None:
         record = server.record
@@ -286,7 +290,7 @@
             now_ms,
             totals,
             own_running + others_running,
-            peer_mean,
+            peers.mean_running if peers else None,
         ):
             self._end(server, pace, now_ms)
             return
@@ -298,6 +302,7 @@
             routers,
             lambda total: self._routers.quota_of(total, record.server_id),
             random.random(),
+            are_others_full=peers is not None and peers.are_full,
         )
 
     def _begin(self, server: Server, reason: str, limit: float | None = None) -> None:
@@ -378,10 +383,6 @@
             return False
         return self._context.clock.now_ms() - listed_ms >= FLEET_START_MS
 
-    def _may_overflow(self, state: ServerState) -> bool:
-        pace = self._paces[state.server.record.server_id]
-        return state.load.total_running() < OVERFLOW_FACTOR * pace.limit
-
     def _slots(self, server: Server) -> int:
         engine = self._find_engine(server.record.service)
         if engine is not None:
@@ -393,15 +394,21 @@
         service = server.record.service
         return [s for s in self._states.all() if s.server.record.service == service]
 
-    def _peer_means(self) -> dict[str, float]:
-        """Return the mean load of the servers beyond slow start, by service."""
-        running = defaultdict(list)
+    def _started_servers(self) -> dict[str, StartedServers]:
+        """Return the usable servers that are not in slow start, by service."""
+        states = defaultdict(list)
         for state in self._states.all():
             record = state.server.record
             is_peer = record.server_id not in self._paces
             if is_peer and self._directory.is_usable(state.server):
-                running[record.service].append(state.load.total_running())
-        return {service: fmean(loads) for service, loads in running.items()}
+                states[record.service].append(state)
+        return {
+            service: StartedServers(
+                fmean(state.load.total_running() for state in started),
+                all(_is_full(state) for state in started),
+            )
+            for service, started in states.items()
+        }
 
 
 def _key(server: Server) -> str:
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/start_pace.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/start_pace.py
@@ -5,9 +5,9 @@
 than it will be, because its caches are empty or its code is not yet compiled.
 
 The limit counts the requests outstanding at the server, of all routers. It starts
-small. Each first part of an answer that comes in time, to a request sent while the
-limit was nearly reached, makes room for two further ones: the requests that may be sent
-double in a round of first parts, although streams stay outstanding long after theirs.
+small. Each first part of an answer that comes in time, to a request sent while half of
+the limit was reached, raises it by some requests, since streams stay outstanding long
+after their first part; in 0.3 s the limit at most doubles.
 The limit is halved on a setback: a refusal for want of room, or too many late or failed
 answers among those of a round. Answers to requests sent before the last setback do not
 count.
@@ -52,7 +52,7 @@
 """Minimum initial limit: one answer alone shows little."""
 MIN_LIMIT = 1.0
 """Limit of a server that answers late or fails all the time."""
-RAISE = 2.0
+RAISE = 3.0
 """Raise of the limit by an answer in time. With 1, a server of long streams would get
 one new request for each first part, and its load would grow linearly."""
 MAX_GROWTH = 2.0
@@ -79,14 +79,27 @@
 USED_PER_UPDATE = 0.25
 """Fraction of the room that all routers use in one update: the sums that they see are
 up to three updates old, and are used until the next."""
+SUMS_AGE_MS = 400.0
+"""Age up to which sums are used: that of digests, and the interval of updates."""
 MIN_COVERAGE = 0.5
 """Fraction of the routers beyond which their sums are used. If fewer report, each
 router keeps to a fixed part of the limit."""
+MAX_OVERCOMMIT = 3.0
+"""Maximum factor of the permits of all routers to the room. Many permits are unused: a
+router has one, but its requests are sent to the servers that know their prompts."""
+OVERCOMMIT_GROWTH = 1.1
+"""Growth of that factor in each update in which requests are held off, although less
+than half of the limit is outstanding."""
+OVERFLOW_FACTOR = 1.5
+"""Factor of the limit while the other servers are full, which would refuse requests."""
 PROBE_INTERVAL_MS = 1000.0
 """Interval in which all routers with a part of 0 send about as many requests as the
 limit is."""
 PEER_FACTOR = 2.0
 """Slow start ends at this multiple of the requests outstanding at other servers."""
+END_HOLD_MS = 1000.0
+"""Time for which the limit must stay there: the answers to what was sent up to it come
+later, and only they show whether the server can do it."""
 UNUSED_MS = 2000.0
 """Slow start ends also if for this time no router held off a request, and the limit is
 that multiple of what is outstanding at the server."""
@@ -166,19 +179,27 @@
     """Slow start of one server, at one router."""
 
     __slots__ = (
+        "_credit",
+        "_draw",
+        "_drawn_ms",
         "_ended_before",
+        "_granted",
         "_held_before",
         "_held_now",
+        "_is_holding",
+        "_overcommit",
         "_own",
         "_probed_ms",
         "_proofs_needed",
         "_raised_ms",
+        "_reached_ms",
         "_seen",
         "_setback_ms",
         "_unused_since_ms",
         "_window_answers",
         "_window_trouble",
         "answered",
+        "began_ms",
         "held",
         "limit",
         "permits",
@@ -189,6 +210,8 @@
 
     answered: float
     """Answers in time since the start, of all routers as far as known."""
+    began_ms: float
+    """When it began, or began anew."""
     held: int
     """Requests that this router sent elsewhere because of the limit."""
     limit: float
@@ -226,14 +249,21 @@
         self._seen = seen
         self._ended_before = seen.ended
         self._held_before = self._held_now = 0
+        self._credit = self._draw = 0.0
+        self._drawn_ms = -math.inf
+        self._is_holding = False
+        self._overcommit = 1.0
+        self._granted = 0
         self._probed_ms = self._unused_since_ms = now_ms
-        self._begin(limit)
+        self._begin(now_ms, limit)
 
-    def _begin(self, limit: float | None) -> None:
+    def _begin(self, now_ms: float, limit: float | None) -> None:
+        self.began_ms = now_ms
         self.limit = limit or initial_limit(self.slots)
         self.answered = 0.0
         self._proofs_needed = initial_limit(self.slots)
         self._raised_ms = self._setback_ms = -math.inf
+        self._reached_ms = math.inf
         self._window_answers = self._window_trouble = 0.0
 
     def restart(self, now_ms: float, reason: str, limit: float | None = None) -> None:
@@ -244,7 +274,7 @@
             reason: The reason, for the log.
             limit: The new limit; the initial one if None.
         """
-        self._begin(limit)
+        self._begin(now_ms, limit)
         self._setback_ms = now_ms
         self.setbacks[reason] += 1
 
@@ -316,7 +346,8 @@
         seen, self._seen = self._seen, totals
         self._held_before, self._held_now = self._held_now, self.held
         self._follow_others(totals)
-        if totals.held > seen.held:
+        self._is_holding = totals.held > seen.held
+        if self._is_holding:
             self._unused_since_ms = now_ms
         # With reports of few routers, their answers stand for those of all.
         coverage = _coverage(totals, routers)
@@ -350,6 +381,8 @@
         routers: int,
         quota_of: Callable[[int], int],
         random_value: float,
+        *,
+        are_others_full: bool = False,
     ) -> None:
         """Set the permits until the next update.
 
@@ -361,16 +394,33 @@
             routers: Number of routers.
             quota_of: Returns this router's fixed part of a number of requests.
             random_value: A random number from 0 up to 1.
+            are_others_full: Whether the other servers of the service are full.
         """
-        if routers > 1 and _coverage(totals, routers) > MIN_COVERAGE:
-            room = max(0.0, self.limit - own_running - others_running)
-            part = room * self._share(totals, routers) * USED_PER_UPDATE
-            # Rounded at random, so that small parts add up over routers and updates.
-            self.permits = int(part) + (random_value < part - int(part))
+        # The sums do not yet show what was sent at the beginning.
+        is_settled = now_ms - self.began_ms >= SUMS_AGE_MS
+        is_known = _coverage(totals, routers) > MIN_COVERAGE
+        is_overflow = are_others_full and is_settled
+        limit = self.limit * (OVERFLOW_FACTOR if is_overflow else 1.0)
+        if routers > 1 and is_settled and is_known:
+            outstanding = own_running + others_running
+            self._update_overcommit(outstanding)
+            room = max(0.0, limit - outstanding)
+            part = room * self._share(totals, routers) * self._overcommit
+            # What was granted beyond the part is owed.
+            used = self._granted - max(0, self.permits)
+            credit = max(-1.0, self._credit - used)
+            self._credit = min(part, credit + part * USED_PER_UPDATE)
+            if now_ms - self._drawn_ms >= SUMS_AGE_MS:
+                self._drawn_ms = now_ms
+                self._draw = random_value
+            # Rounded at random, so that small parts add up over the routers.
+            self.permits = max(0, math.floor(self._credit + self._draw))
+            self._granted = self.permits
             return
-        quota = quota_of(int(self.limit))
+        self._granted = self.permits = 0
+        quota = quota_of(int(limit))
         self.permits = quota - own_running
-        interval_ms = PROBE_INTERVAL_MS * routers / self.limit
+        interval_ms = PROBE_INTERVAL_MS * routers / limit
         is_due = now_ms - self._probed_ms >= interval_ms * (0.5 + random_value)
         if not quota and not own_running and is_due:
             self.permits = 1
@@ -403,6 +453,8 @@
     ) -> bool:
         """Return whether the server would get no more without the limit.
 
+        To be called after each update.
+
         Args:
             now_ms: The time.
             totals: Evidence of all routers.
@@ -420,7 +472,15 @@
         needed = float(self.slots)
         if peer_mean is not None:
             needed = min(needed, PEER_FACTOR * peer_mean + 1.0)
-        return self.limit >= needed
+        is_reached = self.limit >= needed
+        self._reached_ms = min(self._reached_ms, now_ms) if is_reached else math.inf
+        return now_ms - self._reached_ms >= END_HOLD_MS
+
+    def _update_overcommit(self, outstanding: int) -> None:
+        if 2 * outstanding >= self.limit:
+            self._overcommit = 1.0
+        elif self._is_holding:
+            self._overcommit = min(MAX_OVERCOMMIT, self._overcommit * OVERCOMMIT_GROWTH)
 
     def _follow_others(self, totals: StartEvidence) -> None:
         others = totals.starting - 1
@@ -440,6 +500,7 @@
         self.limit = max(MIN_LIMIT, SETBACK_FACTOR * self.limit)
         self.setbacks[reason] += 1
         self._setback_ms = now_ms
+        self._reached_ms = math.inf
         self._window_answers = self._window_trouble = 0.0
 
     def _share(self, totals: StartEvidence, routers: int) -> float:
