--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_starts.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_starts.py
@@ -53,6 +53,9 @@
 """Factor of the counted demand at each update."""
 DEMAND_UNIT = 10.0
 """Resolution of the demand that digests carry, per request."""
+MAX_HELD_FRACTION = 0.2
+"""Fraction of the servers of a service from which requests may be held off. If more
+have started at once, the others would get more than they can do."""
 MAX_REMEMBERED = 256
 """Servers that left, remembered to recognise them when they register again."""
 
@@ -167,7 +170,8 @@
     ) -> list[ServerState]:
         """Return the servers that may get a request now.
 
-        If there is no other, all of them may: a service is not refused for slow start.
+        If there are too few others, all of them may: a service is not refused for slow
+        start, and the others do not get the load of many servers that start at once.
 
         Args:
             service: Their service.
@@ -181,7 +185,8 @@
             (held if is_held else free).append(state)
         if not held:
             return free
-        if not free:
+        is_most = len(held) > max(1.0, MAX_HELD_FRACTION * len(states))
+        if not free or is_most:
             self._context.count("start_waived_total", service)
             return states
         for state in held:
--- a/packages/lagoonsail-gateway/tests/test_server_starts.py
+++ b/packages/lagoonsail-gateway/tests/test_server_starts.py
@@ -233,3 +233,12 @@
     exchange(router)
     assert not router.starts.has_any()
     assert not router.counts.total(KEY_PREFIX + "s3/1")
+
+
+def test_started_servers_do_not_get_the_load_of_many_that_start(router):
+    """Guards against limits that leave one server of six for all requests."""
+    for name in ("s2", "s3", "s4", "s5", "s6"):
+        router.put(name, started_at_ms=2)
+    runs = send(router, 200)
+    assert len(sent_to(runs, "s1")) <= 60
+    assert router.context.counts_of("start_waived_total")["engine"] > 0
