Compare answers of starting servers with those of the service's others

Where speeds are not learned, or the time to a first token has a fixed part, every answer would be late against the default speed and slow start would never end. While servers start, the mean by which first parts of the others come later than expected is added to what is expected; until three are known, an answer is late beyond its objective only.

test_answers_are_late_only_compared_with_those_of_the_others shows both cases.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -199,7 +199,9 @@
         }
         on_first_part = self.speeds.start_timing(state, unread)
         if self.starts.has_any():
-            on_first_part = self.starts.start_request(state, unread, on_first_part)
+            on_first_part = self.starts.start_request(
+                state, unread, call.route.objective_ms, on_first_part
+            )
         run = RunningRequest(
             self.context.clock,
             state,
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_starts.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_starts.py
@@ -20,6 +20,7 @@
 from lagoonsail_sharing.server_load import queue_rounds
 from lagoonsail_sharing.server_speed import DEFAULT_ANSWER_MS
 from lagoonsail_sharing.start_pace import (
+    LATE_FACTOR,
     StartEvidence,
     StartPace,
     decode_evidence,
@@ -53,6 +54,11 @@
 """Factor of the counted demand at each update."""
 DEMAND_UNIT = 10.0
 """Resolution of the demand that digests carry, per request."""
+USUAL_WEIGHT = 0.1
+"""Weight of the newest answer in the mean by which answers come late."""
+MIN_USUAL_ANSWERS = 3
+"""Answers of other servers from which that is known. Until then an answer is late only
+beyond its caller's objective."""
 MAX_HELD_FRACTION = 0.2
 """Fraction of the servers of a service from which requests may be held off. If more
 have started at once, the others would get more than they can do."""
@@ -70,6 +76,30 @@
     """Whether all of them are full."""
 
 
+@dataclass(slots=True)
+class UsualExcess:
+    """Time by which first parts of a service come later than expected.
+
+    The speeds of a service may not be learned, and a fixed part of the time not be
+    known: without this, every answer of its starting servers would be late.
+    """
+
+    mean_ms: float = 0.0
+    """Moving mean over the servers that are not in slow start."""
+    answers: int = 0
+    """Answers that were counted."""
+
+    def add(self, excess_ms: float) -> None:
+        """Count an answer.
+
+        Args:
+            excess_ms: Time by which it was later than expected.
+        """
+        self.answers += 1
+        weight = max(USUAL_WEIGHT, 1.0 / self.answers)
+        self.mean_ms += weight * (excess_ms - self.mean_ms)
+
+
 class ServerStarts:
     """Slow start of all servers, at one router."""
 
@@ -84,6 +114,7 @@
         "_paces",
         "_routers",
         "_states",
+        "_usual",
     )
 
     def __init__(
@@ -115,6 +146,7 @@
         self._paces: dict[str, StartPace] = {}
         self._ended: dict[str, float] = {}
         self._demand: dict[str, float] = defaultdict(float)
+        self._usual: dict[str, UsualExcess] = {}
         self._former: deque[tuple[str, int]] = deque(maxlen=MAX_REMEMBERED)
 
     def has_any(self) -> bool:
@@ -198,29 +230,44 @@
         self,
         state: ServerState,
         unread_tokens: int,
+        objective_ms: float,
         on_first_part: Callable[[float], None] | None,
     ) -> Callable[[float], None] | None:
-        """Note that a request is sent, if its server is in slow start.
+        """Note that a request is sent while servers are in slow start.
+
+        Answers of the other servers show how late those of the service usually are.
 
         Args:
             state: The server, without the request.
             unread_tokens: Prompt tokens of the request that are not in its cache.
+            objective_ms: Time in which its caller wants the first part.
             on_first_part: Called with the time in ms until the first part of the
                 answer; may be None.
 
         Returns:
             The function to be called then instead; None if there is none.
         """
-        pace = self._paces.get(state.server.record.server_id)
+        record = state.server.record
+        pace = self._paces.get(record.server_id)
+        sent_ms = self._context.clock.now_ms()
+        expected_ms = _expected_ms(state, unread_tokens, sent_ms)
+        usual = self._usual.setdefault(record.service, UsualExcess())
         if pace is None:
-            return on_first_part
+
+            def record_usual(observed_ms: float) -> None:
+                usual.add(observed_ms - expected_ms)
+                if on_first_part is not None:
+                    on_first_part(observed_ms)
+
+            return record_usual
+        expected_ms += max(0.0, usual.mean_ms)
+        if usual.answers < MIN_USUAL_ANSWERS:
+            expected_ms = max(expected_ms, objective_ms / LATE_FACTOR)
         pace.permits -= 1
-        sent_ms = self._context.clock.now_ms()
         is_at_limit = pace.is_at_limit(state.load.total_running() + 1)
-        expected_ms = _expected_ms(state, unread_tokens, sent_ms)
         is_engine = state.load.cache.capacity_tokens > 0
 
-        def record(observed_ms: float) -> None:
+        def record_answer(observed_ms: float) -> None:
             pace.record_answer(
                 sent_ms, is_in_time(observed_ms, expected_ms), is_at_limit
             )
@@ -230,7 +277,7 @@
             if on_first_part is not None:
                 on_first_part(observed_ms)
 
-        return record
+        return record_answer
 
     def record_failure(self, state: ServerState, sent_ms: float) -> None:
         """Record that a request failed at a server.
--- a/packages/lagoonsail-gateway/tests/test_server_starts.py
+++ b/packages/lagoonsail-gateway/tests/test_server_starts.py
@@ -242,3 +242,20 @@
     runs = send(router, 200)
     assert len(sent_to(runs, "s1")) <= 60
     assert router.context.counts_of("start_waived_total")["engine"] > 0
+
+
+@pytest.mark.parametrize(("usual_ms", "late"), [(40.0, 1), (400.0, 0)])
+def test_answers_are_late_only_compared_with_those_of_the_others(
+    router, usual_ms, late
+):
+    """Guards against a service of unlearned speed whose servers never finish."""
+    router.put("s3")
+    router.dispatcher.select_server(make_call())
+    for name, times in (("s1", 5), ("s3", 1)):
+        state = router.dispatcher.states.find(name)
+        for _ in range(times):
+            run = router.dispatcher.start_request(make_call(), state)
+            router.clock.ms += usual_ms if name == "s1" else 400.0
+            run.record_first_token()
+            run.finish(is_success=True)
+    assert router.starts.find("s3").describe(router.clock.ms)["late"] == late
