--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -82,6 +82,8 @@
     "store_feed_total": "Changes of the store learned from another router.",
     "server_refusals_total": "Requests for which a server had no room, by service.",
     "store_failures_total": "Calls to the store without an answer.",
+    "start_held_total": "Requests kept from a server in slow start, by service.",
+    "start_waived_total": "Requests beyond the limits of slow start, by service.",
     "task_errors_total": "Failures inside the router's tasks, by task.",
 }
 """Help texts of the counters, by metric name."""
@@ -142,6 +144,7 @@
         "_metrics",
         "_operator_ports",
         "_settings",
+        "_starting_servers",
         "_update_descriptor_metrics",
         "calls",
         "context",
@@ -397,6 +400,7 @@
 
     def _exchange_digests(self) -> None:
         self.dispatcher.update_speeds()
+        self.dispatcher.starts.update()
         self.digests.send_round()
         self.dispatcher.update_shares()
         if self.rollouts is not None:
@@ -461,6 +465,7 @@
         if self._metrics is None:
             self._metrics = self._make_metrics()
         self._update_descriptor_metrics()
+        self._starting_servers.set(self.dispatcher.starts.count())
         text = self._metrics.render()
         start_response(
             "200 OK",
@@ -491,6 +496,9 @@
             lambda: {"opened": self.pool.opened, "reused": self.pool.reused},
         )
         declare_memory_metrics(metrics, self.limits.intake)
+        self._starting_servers = metrics.gauge(
+            "starting", "Backend servers in slow start.", "servers"
+        )
         self._update_descriptor_metrics = declare_descriptor_metrics(
             metrics, self.descriptors
         )
