--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -116,7 +116,13 @@
         self.speeds = ServerSpeeds(context, counts, own_domain)
         self.states = ServerStates(context.clock, self.speeds.service_factor)
         self.starts = ServerStarts(
-            context, directory, routers, counts, self.states, self._engine
+            context,
+            directory,
+            routers,
+            counts,
+            self.states,
+            self._engine,
+            self.speeds.is_learned,
         )
         self.speeds.on_refusal = self.starts.record_refusal
         self._last_digest_ms = float("-inf")
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_speeds.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_speeds.py
@@ -93,6 +93,14 @@
         self.lateness = DurationHistogram()
         self.on_refusal = lambda _state: None
 
+    def is_learned(self, service: str) -> bool:
+        """Return whether the speeds of a service's servers are learned.
+
+        Args:
+            service: Name of the service.
+        """
+        return service in self._uneven_services
+
     def service_factor(self, service: str) -> float:
         """Return the speed of the median server of a service, relative to the default.
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_starts.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_starts.py
@@ -111,6 +111,7 @@
         "_ended",
         "_find_engine",
         "_former",
+        "_is_speed_known",
         "_paces",
         "_routers",
         "_states",
@@ -125,6 +126,7 @@
         counts: FleetCounts,
         states: ServerStates,
         find_engine: Callable[[str], Engine | None],
+        is_speed_known: Callable[[str], bool] = lambda _service: True,
     ) -> None:
         """Create without servers in slow start.
 
@@ -136,6 +138,9 @@
             states: What is known of the servers.
             find_engine: Returns the engine properties of a service, None if it runs no
                 language model.
+            is_speed_known: Returns whether the speeds of a service are learned. Without
+                them it is not known which answers are late, and its servers start
+                without a limit.
         """
         self._context = context
         self._directory = directory
@@ -143,6 +148,7 @@
         self._counts = counts
         self._states = states
         self._find_engine = find_engine
+        self._is_speed_known = is_speed_known
         self._paces: dict[str, StartPace] = {}
         self._ended: dict[str, float] = {}
         self._demand: dict[str, float] = defaultdict(float)
@@ -358,6 +364,8 @@
         )
 
     def _begin(self, server: Server, reason: str, limit: float | None = None) -> None:
+        if not self._is_speed_known(server.record.service):
+            return
         server_id = server.record.server_id
         now_ms = self._context.clock.now_ms()
         key = _key(server)
--- a/packages/lagoonsail-gateway/tests/test_server_starts.py
+++ b/packages/lagoonsail-gateway/tests/test_server_starts.py
@@ -31,6 +31,7 @@
     members.update({"r1": "10.0.0.1:1"})
     counts = FleetCounts(context.clock)
     dispatcher = Dispatcher(context, directory, members, counts)
+    dispatcher.speeds._uneven_services.add("engine")
     service = Service("engine", 100, 3000.0, 50.0, Engine(SLOTS, 400_000))
     limits = Limits(1000, 1000.0, 0.0)
     dispatcher.apply_manifest(Manifest(1, [], {"engine": service}, {}, limits, True))
@@ -95,12 +96,20 @@
 def test_servers_of_a_system_that_starts_are_not_in_slow_start(context, make_record):
     directory = ServerDirectory(context.clock, 2000.0)
     dispatcher = Dispatcher(context, directory, FleetMembers("r1"))
+    dispatcher.speeds._uneven_services.add("engine")
     directory.put(make_record("s1", cold_left_ms=100.0))
     directory.settle_removals()
     directory.put(make_record("s2"))
     assert not dispatcher.starts.has_any()
 
 
+def test_server_of_a_service_of_unknown_speed_starts_without_a_limit(router):
+    """Guards against answers that count as late by a speed that nobody learned."""
+    router.dispatcher.speeds._uneven_services.clear()
+    router.put("s3")
+    assert not router.dispatcher.starts.has_any()
+
+
 def test_server_that_joins_is_not_flooded(router):
     """Guards against an empty server that gets the requests of all routers."""
     fill(router, ("s1", "s2"), 10)
