--- a/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
@@ -34,7 +34,7 @@
 LINGER_MS = 500.0
 """How long input is discarded after the last answer, so that the answer arrives."""
 CONNECTION_BYTES = 24_576
-"""Memory of an open connection with its buffers and its task; 21 KB were measured."""
+"""Memory of an open connection with its buffers and its task."""
 HEAD_COPIES = 3
 """Copies of a head while its request is served: parsed, as environment, forwarded."""
 DEFAULT_BUDGET_BYTES = 64_000_000
