Count the calls to the platform's store by purpose

lagoonsail_store_calls_total tells watches, pages of listings, leases, renewals and other calls apart, so that what a reduction saves can be seen. Calls without an answer count too. Tests: test_store_channel.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -53,7 +53,7 @@
 from lagoonsail_sharing.crash_suspects import CrashSuspects
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Iterable, Mapping
 
     from lagoonsail_core.green import green_socket
     from lagoonsail_core.metrics import Metrics
@@ -146,6 +146,7 @@
         "_settings",
         "_starting_servers",
         "_update_descriptor_metrics",
+        "_store_call_counts",
         "calls",
         "context",
         "counts",
@@ -186,6 +187,7 @@
         store_calls: StoreCalls,
         membership: Callable[[], float | Unavailable],
         rollout_store: RolloutStore | None = None,
+        store_call_counts: Mapping[str, int] | None = None,
     ) -> None:
         """Create and connect the parts without opening ports.
 
@@ -197,10 +199,12 @@
             membership: Registers the router or renews its lease. Returns the
                 milliseconds until the next call, or the reason of a failure.
             rollout_store: Keys and calls of roll-outs, None for a router without them.
+            store_call_counts: Numbers of calls to the store by purpose.
         """
         context = self.context = RouterContext(settings)
         self._settings = settings
         self._membership = membership
+        self._store_call_counts = {} if store_call_counts is None else store_call_counts
         self._callers_port: green_socket.socket | None = None
         self._metrics: Metrics | None = None
         self.log = DecisionLog(settings.name, context.clock)
@@ -502,4 +506,10 @@
         self._update_descriptor_metrics = declare_descriptor_metrics(
             metrics, self.descriptors
         )
+        metrics.observable_counter(
+            "store_calls",
+            "Calls to the store, by purpose.",
+            "purpose",
+            lambda: self._store_call_counts,
+        )
         return metrics
--- a/tests/platform/test_store_channel.py
+++ b/tests/platform/test_store_channel.py
@@ -4,6 +4,7 @@
 
 import socket
 import threading
+from collections import Counter
 
 import pytest
 
@@ -51,3 +52,14 @@
     assert isinstance(reply, Unavailable)
     assert "bytes" in reply.reason
     assert clock.now_ms() - started_ms < WAIT_MS + CALL_TIMEOUT_MS
+
+
+def test_calls_are_counted_by_purpose_though_they_fail():
+    """An outage must not hide the calls that were made."""
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        address = f"127.0.0.1:{sock.getsockname()[1]}"
+    counts = Counter()
+    channel = StoreChannel(address, Clock(), counts)
+    for path in ("/-/kv-range?prefix=", "/-/kv-lease", "/-/kv-keep/7", "/-/kv-txn"):
+        assert isinstance(channel.call("POST", path), Unavailable)
+    assert counts == {"listing": 1, "lease": 1, "renewal": 1, "other": 1}
