Keep idle connections to servers beyond the even share

Cause: a router kept no idle connection beyond its even share of max-conns (8 of 720 at 66 routers), so the routers that get most callers opened new ones. Change: up to four shares are kept.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/connection_quota.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/connection_quota.py
@@ -18,6 +18,10 @@
     from lagoonsail_gateway.manifest import Manifest, Service
     from lagoonsail_gateway.server_directory import Server
 
+KEPT_SHARES = 4
+"""Even shares of connections up to which a router keeps idle ones. Load balancers
+spread callers unevenly, so few routers need more than their share, and opening a
+connection for each request costs both sides more than an idle one."""
 MIN_QUOTA = 1
 """Smallest quota: with more routers than connections, each may still use the server."""
 LENT_RATIO = 0.25
@@ -84,7 +88,8 @@
         Args:
             server: The server.
         """
-        return self._share(server)[0]
+        share, lent = self._share(server)
+        return min(KEPT_SHARES * share, share + lent)
 
     def _share(self, server: Server) -> tuple[float, int]:
         """Return the even share, and what is lent to all routers together."""
