Blame no server for a shortage of this router, and keep learned limits

Cause (found in review): a stream event that found no memory counted as a failure of its server; a time-out of a live server dropped what was learned of its connection limit; a connection that expired between two readings of the clock was closed and kept. Change: such errors are local; only a server that leaves is forgotten; freshness is decided once.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/connection_pool.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/connection_pool.py
@@ -207,9 +207,16 @@
         Args:
             server: The server.
         """
-        key = server.record.incarnation()
-        self._close_all(self._idle.pop(key, []))
-        self._learned.remove(key)
+        self._close_all(self._idle.pop(server.record.incarnation(), []))
+
+    def remove_server(self, server: Server) -> None:
+        """Close all idle connections to a server that left, and forget its limit.
+
+        Args:
+            server: The server.
+        """
+        self.close_idle(server)
+        self._learned.remove(server.record.incarnation())
 
     def close_oldest_idle(self, count: int) -> int:
         """Close the connections that have been idle for the longest time.
@@ -234,8 +241,9 @@
     def close_expired(self) -> None:
         """Close the connections that exceed their idle limit."""
         for key, idle in list(self._idle.items()):
-            kept = [connection for connection in idle if self._is_fresh(connection)]
-            expired = [item for item in idle if not self._is_fresh(item)]
+            kept, expired = [], []
+            for connection in idle:
+                (kept if self._is_fresh(connection) else expired).append(connection)
             if kept:
                 self._idle[key] = kept
             else:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -431,7 +431,7 @@
 
     def _on_server_change(self, kind: str, server: Server) -> None:
         if kind in ("left", "restarted"):
-            self.pool.close_idle(server)
+            self.pool.remove_server(server)
 
     def _keep_membership(self) -> None:
         mark_urgent()
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
@@ -306,7 +306,9 @@
         may_hold_more = self._pool.buffers.add(ANSWERS, added_bytes)
         if added_bytes > 0 and not may_hold_more:
             self._context.count("answers_not_buffered_total")
-            raise ConnectionLostError("no memory is left for an event of the stream")
+            raise ConnectionLostError(
+                "no memory is left for an event of the stream", is_local=True
+            )
 
     def _pass_on(self, part: bytes) -> Iterator[bytes]:
         """Yield a part of the body; it counts until the caller has taken it."""
@@ -429,7 +431,7 @@
         elif error.is_timeout:
             kind = TIMED_OUT
             self._pool.close_idle(self.state.server)
-        is_at_fault = kind not in (CALLER_GONE, LEFT_UNREAD)
+        is_at_fault = kind not in (CALLER_GONE, LEFT_UNREAD) and not error.is_local
         if is_at_fault and self.response is None:
             is_at_fault = not self._pool.record_lost(
                 self.state.server, self._connection, is_timeout=error.is_timeout
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
@@ -63,10 +63,14 @@
 class ConnectionLostError(Exception):
     """The connection failed or carried invalid data after a request was sent."""
 
-    def __init__(self, reason: str, *, is_timeout: bool = False) -> None:
+    def __init__(
+        self, reason: str, *, is_timeout: bool = False, is_local: bool = False
+    ) -> None:
         super().__init__(reason)
         self.is_timeout = is_timeout
         """Whether the server did not respond in time."""
+        self.is_local = is_local
+        """Whether this router is short of something; the server is not to blame."""
 
 
 class ServerConnection:
