Roll-outs: crash of the former process, elections without an answer, long orders

Cause (found in review): a restart was charged to the version of the new process; an order withdrawn while a write waited ended the leader's step with an error; an election whose answer was lost got a second lease and met its own key; counts of a rare route expired within an order. Change: the record before a restart is kept, the situation is read before the write, the pending lease is used again, counts last 300 s.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_counts.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_counts.py
@@ -17,8 +17,9 @@
 
 Counts = dict[str, tuple[int, ...]]
 """Counts by key. Sums have as many numbers as the longest of their parts."""
-COUNTS_EXPIRY_MS = 30_000.0
-"""Time without a change after which a router drops the counts of a key."""
+COUNTS_EXPIRY_MS = 300_000.0
+"""Time without a change after which a router drops the counts of a key: longer than a
+roll-out, in which a rare route may have no request for minutes."""
 
 
 def add_counts(totals: Counts, counts: Mapping[str, tuple[int, ...]]) -> None:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_control.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_control.py
@@ -575,12 +575,15 @@
         return min(self._bounds.share, count / max(1, old_servers))
 
     def _on_server_change(self, kind: str, server: Server) -> None:
-        record = server.record
+        # After a restart the record is that of the new process.
+        record = server.previous if kind == "restarted" else server.record
+        if kind not in ("restarted", "left") or record is None:
+            return
         rollout = self.services.get(record.service)
         if rollout is None or not rollout.is_active():
             return
         # A server that drains is stopped by its operator.
-        if kind == "restarted" or (kind == "left" and record.state == READY):
+        if record.state == READY:
             crashes = rollout.crashes
             crashes[record.version] = crashes.get(record.version, 0) + 1
             self.answers.record_crash(crash_key(rollout.key(), record))
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_leader.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_leader.py
@@ -158,7 +158,8 @@
         if now_ms < self._vacant_since_ms + self._delay_ms(active):
             return
         store = self._store
-        lease = store.grant_lease(LEASE_MS)
+        # The write of an election without an answer may still be made, with its lease.
+        lease = self._pending_lease or store.grant_lease(LEASE_MS)
         if isinstance(lease, Unavailable):
             self._record_failure("lease", lease)
             return
@@ -169,9 +170,19 @@
             self._lead(lease, term, now_ms)
             return
         self._record_failure("election", term)
-        if isinstance(term, WriteConflict):
+        if isinstance(term, LeaseLost):
             self._pending_lease = ""
-            store.end_lease(lease)
+        elif isinstance(term, WriteConflict):
+            self._handle_lost_election(term, lease)
+
+    def _handle_lost_election(self, conflict: WriteConflict, lease: str) -> None:
+        for item in conflict.items:
+            self.apply_item(item, None)
+        if self._key_item and self._key_item.value == self._key_value(lease):
+            # An earlier write without an answer was made: the next step leads.
+            return
+        self._pending_lease = ""
+        self._store.end_lease(lease)
 
     def _lead(self, lease: str, term: int, now_ms: float) -> None:
         self._lease, self._term, self._renewed_ms = lease, term, now_ms
@@ -243,10 +254,9 @@
             phase_key: rollout.phase_revision,
         }
         values = {phase_key: store.encode_phase(phase)}
-        status = store.encode_status(phase)
-        is_new_status = is_final(step.phase) or not rollout.has_phase()
-        if is_new_status:
-            values[status_key] = status
+        if is_final(step.phase) or not rollout.has_phase():
+            values[status_key] = store.encode_status(phase)
+        situation = self._control.situation(rollout)
         revision = store.write(expected, values, "")
         if isinstance(revision, Unavailable):
             self._handle_failed_write(revision)
@@ -263,8 +273,8 @@
             reason=step.reason,
             left_ms=round(phase.remaining_ms),
             term=self._term,
-            exposed=self._control.situation(rollout).exposed,
-            requests=self._control.situation(rollout).requests,
+            exposed=situation.exposed,
+            requests=situation.requests,
         )
 
     def _handle_failed_write(self, problem: Unavailable) -> None:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_directory.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_directory.py
@@ -61,6 +61,8 @@
     expires_at_ms: float | None = None
     """Monotonic time at which it is removed unless it registers again; None if
     registered."""
+    previous: ServerRecord | None = None
+    """Last record of the incarnation that it replaced, None if there was none."""
 
 
 class ServerDirectory:
@@ -125,6 +127,7 @@
         cold_until_ms = now_ms + record.cold_left_ms
         if known is None or known.record.incarnation() != record.incarnation():
             server = Server(record, cold_until_ms)
+            server.previous = None if known is None else known.record
             self._servers[record.server_id] = server
             kind = "joined" if known is None else "restarted"
         else:
--- a/packages/lagoonsail-rollout/src/lagoonsail_rollout/exposure.py
+++ b/packages/lagoonsail-rollout/src/lagoonsail_rollout/exposure.py
@@ -5,9 +5,10 @@
 nobody knows of it at once. So all that is sent to a new version counts, and the
 requests of its last phase, in which it gets all, are set aside before.
 
-Each router sends a request to the new version by chance. The chance never exceeds the
-share, so the bound holds in the mean even for routers that know nothing of each other,
-and a sum that is some 0.3 s old can't be overrun by much.
+Each router sends a request to the new version by chance. The chance does not exceed the
+share, except on routes with few answers, where it is up to `RARE_ROUTE_FACTOR` times as
+large. It is 0 once the canary's part of the bound is used, and a sum that is some 0.3 s
+old can't be overrun by much.
 """
 
 from __future__ import annotations
