Let the usual slowdown of a server follow time, not the number of reports

Cause (found in review): it was updated with each report, so at 100 reports a second a slowdown counted as usual after half a second instead of five. Tests: test_server_speed.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_speeds.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_speeds.py
@@ -154,7 +154,7 @@
         self._context.count("load_reports_total", kind)
         if report.slowdown is not None:
             state.speed.own.add_slowdown(report.slowdown, now_ms)
-            self._update_slowdown(state, self._evidence(state, now_ms))
+            self._update_slowdown(state, self._evidence(state, now_ms), now_ms)
 
     def record_refusal(self, state: ServerState) -> None:
         """Record that a server refused a request for want of room.
@@ -185,7 +185,7 @@
                 service = state.server.record.service
                 by_service[service].append((state, evidence))
             elif evidence.reports:
-                self._update_slowdown(state, evidence)
+                self._update_slowdown(state, evidence, now_ms)
         if is_due:
             self._estimated_ms = now_ms
             for service, rows in by_service.items():
@@ -265,7 +265,7 @@
             )
         relatives = estimate_servers(evidences, estimate)
         for (state, evidence), relative in zip(rows, relatives, strict=True):
-            state.speed.update_slowdown(evidence)
+            state.speed.update_slowdown(evidence, now_ms)
             state.speed.update_factor(estimate, relative)
             _apply_factor(state)
             self._log_change(state, now_ms)
@@ -276,9 +276,11 @@
             self._uneven_services.add(service)
         return service in self._uneven_services
 
-    def _update_slowdown(self, state: ServerState, evidence: SpeedEvidence) -> None:
+    def _update_slowdown(
+        self, state: ServerState, evidence: SpeedEvidence, now_ms: float
+    ) -> None:
         service = self._services.get(state.server.record.service, 0.0)
-        state.speed.update_slowdown(evidence)
+        state.speed.update_slowdown(evidence, now_ms)
         state.speed.update_factor(service, state.speed.relative)
         _apply_factor(state)
 
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_speed.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_speed.py
@@ -43,9 +43,8 @@
 the moment that a report tells of is often over when the next request arrives."""
 USUAL_REPORTS = 0.5
 """Weight of the reported slowdowns from which the usual one follows them."""
-USUAL_RATE = 0.02
-"""Rate per update at which the usual slowdown follows the reported one; with ten
-updates a second it covers five seconds."""
+USUAL_DECAY_MS = 5_000.0
+"""Time in which the usual slowdown of a server follows the reported one to 1/e."""
 PRIOR_WEIGHT = 8.0
 """Weight of the default speed of a service, in answers."""
 SIGNIFICANT = 3.0
@@ -301,7 +300,15 @@
 class ServerSpeed:
     """The speed of one server: its estimate, and this router's evidence of it."""
 
-    __slots__ = ("_usual_slowdown", "busy", "factor", "own", "relative", "slowdown")
+    __slots__ = (
+        "_usual_ms",
+        "_usual_slowdown",
+        "busy",
+        "factor",
+        "own",
+        "relative",
+        "slowdown",
+    )
 
     busy: BusyTime
     """When it worked, as this router knows from the loads."""
@@ -322,6 +329,7 @@
             factor: Speed of the service's median server, relative to the default.
             now_ms: The time.
         """
+        self._usual_ms = now_ms
         self._usual_slowdown = 1.0
         self.busy = BusyTime()
         self.factor = factor
@@ -329,18 +337,21 @@
         self.relative = 0.0
         self.slowdown = 1.0
 
-    def update_slowdown(self, evidence: SpeedEvidence) -> None:
+    def update_slowdown(self, evidence: SpeedEvidence, now_ms: float) -> None:
         """Smooth the reported slowdowns, which lose their weight as they age.
 
         Args:
             evidence: Evidence of all routers.
+            now_ms: The time.
         """
         usual = self._usual_slowdown
         reports = evidence.reports
         if reports > USUAL_REPORTS:
             reported = evidence.slowdown_total / reports
-            usual += USUAL_RATE * (reported - usual)
+            age_ms = now_ms - self._usual_ms
+            usual += (1.0 - math.exp(-age_ms / USUAL_DECAY_MS)) * (reported - usual)
             self._usual_slowdown = usual
+        self._usual_ms = now_ms
         total = evidence.slowdown_total + MOMENT_PRIOR * usual
         # The work done includes what is usual, so only the rest counts.
         self.slowdown = total / (reports + MOMENT_PRIOR) / usual
--- a/packages/lagoonsail-sharing/tests/test_server_speed.py
+++ b/packages/lagoonsail-sharing/tests/test_server_speed.py
@@ -183,7 +183,7 @@
 
 def slowdown_after(own, now_ms, speed=None):
     speed = speed or ServerSpeed(1.0, 0.0)
-    speed.update_slowdown(own.at(now_ms))
+    speed.update_slowdown(own.at(now_ms), now_ms)
     return speed.slowdown
 
 
@@ -204,7 +204,7 @@
     speed = ServerSpeed(1.0, 0.0)
     for n in range(100):
         own.add_slowdown(reported, 10.0 * n)
-        speed.update_slowdown(own.at(10.0 * n))
+        speed.update_slowdown(own.at(10.0 * n), 10.0 * n)
         speed.update_factor(0.0, 0.0)
     assert 1.0 / MAX_FACTOR <= speed.factor <= MAX_FACTOR
 
@@ -213,7 +213,7 @@
     own = OwnEvidence(0.0)
     speed = ServerSpeed(1.0, 0.0)
     own.add_slowdown(3.0, 0.0)
-    speed.update_slowdown(own.at(0.0))
+    speed.update_slowdown(own.at(0.0), 0.0)
     speed.update_factor(0.0, 0.0)
     assert speed.factor < 0.65
     assert speed.relative == 0.0
