--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/check_command.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/check_command.py
@@ -165,6 +165,8 @@
 def _describe_comparison(item: CheckedFile) -> list[str]:
     if item.revision is None:
         return []
+    if item.revision == 0:
+        return [f"{item.file}: new, {item.document.qualified()} is not in force yet"]
     changes = item.changes or [NO_EFFECT]
     return [
         f"{item.file}: compared with revision {item.revision}:",
--- a/packages/lagoonsail-overload/src/lagoonsail_overload/caller_connections.py
+++ b/packages/lagoonsail-overload/src/lagoonsail_overload/caller_connections.py
@@ -50,7 +50,7 @@
         max_open: How many may be served at once.
         free: Descriptors that are left, the new connection's already taken off.
         reserve: Descriptors that are not for callers.
-        has_idle: Whether an idle connection may be closed; see `choose_idle`.
+        has_idle: Whether an idle connection may be closed; see `idle_in_order`.
 
     Returns:
         SERVE, REPLACE or REFUSE.
@@ -60,10 +60,10 @@
     return REPLACE if has_idle else REFUSE
 
 
-def choose_idle(
+def idle_in_order(
     connections: Iterable[IdleState], now_ms: float, *, is_refusing: bool
-) -> IdleState | None:
-    """Return the connection that is closed first, None if all are in use.
+) -> list[IdleState]:
+    """Return the connections that may be closed, the one to be closed first first.
 
     Connections that have not sent a whole head in time come first, then those that have
     been idle the longest.
@@ -75,14 +75,14 @@
             is granted for a head.
     """
     max_head_ms = MIN_HEAD_MS if is_refusing else MAX_HEAD_MS
-    best, best_key = None, (False, 0.0)
+    found = []
     for connection in connections:
         if connection.is_busy or connection.is_closing:
             continue
         idle_ms = now_ms - connection.idle_since_ms
-        is_new = connection.requests == 0
-        if idle_ms < (max_head_ms if is_new else MIN_KEPT_IDLE_MS):
-            continue
-        if best is None or (is_new, idle_ms) > best_key:
-            best, best_key = connection, (is_new, idle_ms)
-    return best
+        if idle_ms >= (MIN_KEPT_IDLE_MS if connection.requests else max_head_ms):
+            found.append(connection)
+    found.sort(
+        key=lambda connection: (connection.requests > 0, connection.idle_since_ms)
+    )
+    return found
--- a/packages/lagoonsail-overload/src/lagoonsail_overload/descriptor_levels.py
+++ b/packages/lagoonsail-overload/src/lagoonsail_overload/descriptor_levels.py
@@ -23,7 +23,8 @@
     BOUND_SERVERS = 3
     """A new connection to a server takes the place of an idle one."""
     REFUSE = 4
-    """New callers get 503; connections to servers are only used again."""
+    """New callers get 503; a connection to a server is opened only in place of an idle
+    one."""
     STOP_ACCEPTING = 5
     """No connection is accepted, and the router is not ready."""
 
--- a/packages/lagoonsail-overload/src/lagoonsail_overload/server_connections.py
+++ b/packages/lagoonsail-overload/src/lagoonsail_overload/server_connections.py
@@ -37,7 +37,8 @@
     Args:
         free: Descriptors that are left.
         bound_servers: Fewer are left: a new connection replaces an idle one.
-        reserve: No more are left: nothing is opened.
+        reserve: No more are left: a connection is opened only in place of an idle
+            one.
         open_here: Connections to the server.
         max_here: How many this router may have.
         is_idle_here: Whether one of them is idle, though the request may not use it.
--- a/packages/lagoonsail-overload/tests/test_descriptor_levels.py
+++ b/packages/lagoonsail-overload/tests/test_descriptor_levels.py
@@ -16,8 +16,8 @@
     REFUSE,
     REPLACE,
     SERVE,
-    choose_idle,
     decide_caller,
+    idle_in_order,
 )
 from lagoonsail_overload.descriptor_budget import (
     CALLERS,
@@ -194,17 +194,18 @@
         Connection(MIN_KEPT_IDLE_MS - 1.0, requests=1),
         Connection(MIN_HEAD_MS - 1.0),
     ]
-    assert choose_idle(connections, NOW_MS, is_refusing=True) is None
+    assert idle_in_order(connections, NOW_MS, is_refusing=True) == []
 
 
 def test_half_heads_are_closed_before_kept_connections():
     kept = Connection(60_000.0, requests=5)
     half = Connection(MIN_HEAD_MS)
     older = Connection(MIN_HEAD_MS + 1.0)
-    assert choose_idle([kept, half, older], NOW_MS, is_refusing=True) is older
-    assert choose_idle([kept, half, older], NOW_MS, is_refusing=False) is kept
+    order = idle_in_order([kept, half, older], NOW_MS, is_refusing=True)
+    assert order == [older, half, kept]
+    assert idle_in_order([kept, half, older], NOW_MS, is_refusing=False) == [kept]
     late = Connection(MAX_HEAD_MS)
-    assert choose_idle([kept, late], NOW_MS, is_refusing=False) is late
+    assert idle_in_order([kept, late], NOW_MS, is_refusing=False)[0] is late
 
 
 @pytest.mark.parametrize(
--- a/packages/lagoonsail-router/src/lagoonsail_router/answer_holding.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/answer_holding.py
@@ -34,6 +34,10 @@
             eventlet.sleep(ROOM_CHECK_INTERVAL_S)
             may_go_on = self._room.may_go_on(self)
 
+    def finish(self) -> None:
+        """Note that the answer is whole."""
+        self._room.finish(self)
+
     def release(self) -> None:
         """Return the bytes of the answer to the budget."""
         self._room.release(self)
--- a/packages/lagoonsail-router/src/lagoonsail_router/backend.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/backend.py
@@ -299,6 +299,8 @@
             raise AnswerTimeoutError("the answer stopped midway") from error
         except CONNECTION_ERRORS as error:
             raise IncompleteAnswerError(str(error)) from error
+        if self._held_answer is not None:
+            self._held_answer.finish()
         return b"".join(parts)
 
     def _measure_cost(self, answer: Answer) -> None:
@@ -315,7 +317,7 @@
                 state.partial_event + chunk
             )
             if len(state.partial_event) > MAX_EVENT_BYTES:
-                raise ValueError("an event of the stream has no end")
+                raise IncompleteAnswerError(f"event above {MAX_EVENT_BYTES} bytes")
             if not complete_events:
                 continue
             self._count_events(state, complete_events)
--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -270,6 +270,7 @@
             ADMIN_IDLE_TIMEOUT_MS,
             admin.count_refused,
             on_accept_failed=make_accept_report(self.context),
+            limits=self.limits,
         )
         self.context.timeline.record("started", incarnation=self.context.incarnation)
         print(json.dumps({"event": "listening", "router": settings.name}), flush=True)
--- a/packages/lagoonsail-router/src/lagoonsail_router/entry.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/entry.py
@@ -137,7 +137,7 @@
         """
         self.running += 1
         # Generated here so that a refusal carries the same ID as the call would.
-        request_id = env.setdefault("HTTP_X_REQUEST_ID", secrets.token_hex(8))[:128]
+        request_id = _request_id(env)
         try:
             now_ms = self.last_call_ms = self._context.clock.now_ms()
             call = read_call(env, self._configuration, now_ms)
@@ -181,9 +181,8 @@
         Returns:
             The body.
         """
-        request_id = env.get("HTTP_X_REQUEST_ID", "")[:128]
         return self._context.respond_with_problem(
-            callers_full_problem(), request_id, start_response
+            callers_full_problem(), _request_id(env), start_response
         )
 
     def _serve_call(self, call: Call, env: dict, start_response) -> Iterable[bytes]:
@@ -248,6 +247,9 @@
                 raise _no_connection_problem(call) from error
             self._finish(grant, OUTCOME_UNREACHABLE, attempt)
             return None
+        except BaseException:
+            self._finish(grant, OUTCOME_NOT_RUN, attempt)
+            raise
         # The process may have been paused since the grant arrived.
         if not self._slot_client.may_start(grant):
             attempt.close()
@@ -444,3 +446,8 @@
 
 def _reason_phrase(status: int) -> str:
     return "OK" if status == 200 else "Answer"
+
+
+def _request_id(env: dict) -> str:
+    """Return the id of a request, which is generated if the caller sent none."""
+    return env.setdefault("HTTP_X_REQUEST_ID", secrets.token_hex(8))[:128]
--- a/packages/lagoonsail-router/src/lagoonsail_router/open_connections.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/open_connections.py
@@ -6,7 +6,7 @@
 import socket
 from typing import TYPE_CHECKING
 
-from lagoonsail_overload.caller_connections import choose_idle, decide_caller
+from lagoonsail_overload.caller_connections import decide_caller, idle_in_order
 from lagoonsail_overload.descriptor_levels import Level
 
 if TYPE_CHECKING:
@@ -158,7 +158,7 @@
             free, reserve = self.budget.free() - 1, self.budget.thresholds.reserve
         idle = None
         if served >= max_served or free < reserve:
-            idle = self._find_idle(now_ms, is_refusing=True)
+            idle = self._find_idle(now_ms)
         decision = decide_caller(
             served, max_served, free, reserve, has_idle=idle is not None
         )
@@ -174,17 +174,15 @@
         Returns:
             How many were closed.
         """
-        for closed in range(count):
-            connection = self._find_idle(now_ms, is_refusing=False)
-            if connection is None:
-                return closed
+        idle = idle_in_order(self.open, now_ms, is_refusing=False)[:count]
+        for connection in idle:
             connection.shut()
-        return count
+        return len(idle)
 
-    def _find_idle(self, now_ms: float, *, is_refusing: bool) -> object | None:
+    def _find_idle(self, now_ms: float) -> object | None:
         if now_ms < self._fruitless_until_ms:
             return None
-        found = choose_idle(self.open, now_ms, is_refusing=is_refusing)
+        found = next(iter(idle_in_order(self.open, now_ms, is_refusing=True)), None)
         if found is None:
             self._fruitless_until_ms = now_ms + FRUITLESS_SEARCH_MS
         return found
