--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_speeds.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_speeds.py
@@ -258,7 +258,7 @@
         if not self._is_uneven(service, evidences):
             return
         used = self._services.get(service, 0.0)
-        estimate = self._services[service] = estimate_service(evidences, used)
+        estimate = used
         if estimate != used:
             self._context.timeline.record(
                 "service_speed", service=service, factor=round(math.exp(estimate), 2)
