--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_speeds.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_speeds.py
@@ -18,11 +18,11 @@
 from lagoonsail_sharing.server_speed import (
     DEFAULT_ANSWER_MS,
     DEFAULT_TOKENS_PER_MS,
+    SERVICE_STEP,
     Numbers,
     SpeedEvidence,
     decode_evidence,
     estimate_servers,
-    estimate_service,
 )
 
 if TYPE_CHECKING:
@@ -257,13 +257,18 @@
         evidences = [evidence for _, evidence in rows]
         if not self._is_uneven(service, evidences):
             return
+        relatives = estimate_servers(evidences, 0.0)
+        # The mean server has the default speed: a fixed part of the time to a first
+        # token would make the whole service seem slower than it is.
+        estimate = -math.log(fmean(map(math.exp, relatives)))
         used = self._services.get(service, 0.0)
-        estimate = used
+        if abs(estimate - used) < SERVICE_STEP:
+            estimate = used
+        self._services[service] = estimate
         if estimate != used:
             self._context.timeline.record(
                 "service_speed", service=service, factor=round(math.exp(estimate), 2)
             )
-        relatives = estimate_servers(evidences, estimate)
         for (state, evidence), relative in zip(rows, relatives, strict=True):
             state.speed.update_slowdown(evidence, now_ms)
             state.speed.update_factor(estimate, relative)
