--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_speeds.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_speeds.py
@@ -10,6 +10,7 @@
 import math
 import random
 from collections import defaultdict
+from statistics import fmean
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.durations import DurationHistogram
