Learn only how servers of a service differ, not the service's speed

The speed of a whole service, estimated from first tokens, came out too slow, since a fixed part of their time does not depend on the engine. Admission then refused requests that the engines had room for.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/connection_quota.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/connection_quota.py
@@ -3,7 +3,7 @@
 A server takes a limited number of connections from all routers together and resets
 those beyond it. Three quarters are split evenly, so that no message has to grant them.
 The last quarter is for routers that get more callers than others: a router borrows from
-it what the digests show unused, and keeps no idle connection beyond its even share.
+it what the digests show unused, and keeps idle connections up to a few even shares.
 """
 
 from __future__ import annotations
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_speed.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_speed.py
@@ -5,8 +5,7 @@
 server, so the evidence of all routers is added up, as decaying sums that digests carry.
 It is the work that a server has done, against the time in which it worked (`BusyTime`).
 The time of a single answer would depend on what was queued before it, which is not
-known exactly under load: estimates from single answers were too slow by half on a busy
-service.
+known exactly under load, so a busy server would look slow.
 
 The estimate of a server differs from the service's only as far as the evidence shows a
 difference: servers that are equal are treated as equal, whatever the noise. It stays
@@ -45,8 +44,6 @@
 """Weight of the reported slowdowns from which the usual one follows them."""
 USUAL_DECAY_MS = 5_000.0
 """Time in which the usual slowdown of a server follows the reported one to 1/e."""
-PRIOR_WEIGHT = 8.0
-"""Weight of the default speed of a service, in answers."""
 SIGNIFICANT = 3.0
 """Standard errors from which a single server counts as different from its service."""
 MIN_DONE = 3.0
@@ -59,7 +56,7 @@
 """Error of the fraction of time in which an engine had prompts to prefill."""
 THROUGHPUT_VARIANCE = 0.3
 """Variance of the logarithm of the throughput, per request: prompts are unequal, and
-loads are sampled. With 0.2, equal servers differed by up to 0.1 in trials."""
+loads are sampled. A smaller one makes noise look like a difference between servers."""
 MAX_LOGARITHM = 2.0 * math.log(MAX_FACTOR)
 """Bound of the logarithm of a single measurement, either way."""
 MIN_RECENT_WEIGHT = 2.5
@@ -326,7 +323,7 @@
         """Start from the speed of the service.
 
         Args:
-            factor: Speed of the service's median server, relative to the default.
+            factor: Speed of the service, relative to the default.
             now_ms: The time.
         """
         self._usual_ms = now_ms
@@ -370,24 +367,6 @@
         self.factor = math.exp(service + min(limit, max(-limit, logarithm)))
 
 
-def estimate_service(evidences: Sequence[SpeedEvidence], used: float) -> float:
-    """Return the logarithm of a service's speed, relative to the default.
-
-    It is the median over the servers, so that a few of them, whatever their answers
-    suggest, have no influence on the others.
-
-    Args:
-        evidences: Evidence of all routers, by server.
-        used: The logarithm that is in use, which is kept if the new one is close.
-    """
-    weight = sum(evidence.weight for evidence in evidences)
-    means = [evidence.logarithm for evidence in evidences if evidence.weight >= 1.0]
-    if not means:
-        return used
-    estimate = median(means) * weight / (weight + PRIOR_WEIGHT)
-    return estimate if abs(estimate - used) > SERVICE_STEP else used
-
-
 def estimate_servers(evidences: Sequence[SpeedEvidence], service: float) -> list[float]:
     """Return the logarithms of the servers' speeds, relative to their service's.
 
