Overload: ask budgets without counting, and let metrics update themselves

A byte budget was asked by adding no bytes, the levels had a second list of their names, and gauges were set by hand although metrics can call what sets them. Held answers ask the budget first, which is cheaper than to look for the oldest answer.

--- a/packages/lagoonsail-core/src/lagoonsail_core/metrics.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/metrics.py
@@ -306,7 +306,7 @@
             values.sum = durations.sum_ms
             collector.set_value({}, values)
 
-        self._update_callbacks.append(update)
+        self.before_render(update)
 
     def observable_counter(
         self, name: str, doc: str, label: str, read: Callable[[], Mapping[str, float]]
@@ -331,7 +331,7 @@
                 if labels is not None:
                     collector.set(labels, value)
 
-        self._update_callbacks.append(update)
+        self.before_render(update)
 
     def observable_gauge(
         self,
@@ -356,6 +356,14 @@
             for label_value, value in read().items():
                 gauge.set(value, label_value)
 
+        self.before_render(update)
+
+    def before_render(self, update: Callable[[], None]) -> None:
+        """Register a callback that sets metrics before they are rendered.
+
+        Args:
+            update: The callback.
+        """
         self._update_callbacks.append(update)
 
     def declare_all(
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -144,8 +144,6 @@
         "_metrics",
         "_operator_ports",
         "_settings",
-        "_starting_servers",
-        "_update_descriptor_metrics",
         "_store_call_counts",
         "calls",
         "context",
@@ -468,8 +466,6 @@
             return [b""]
         if self._metrics is None:
             self._metrics = self._make_metrics()
-        self._update_descriptor_metrics()
-        self._starting_servers.set(self.dispatcher.starts.count())
         text = self._metrics.render()
         start_response(
             "200 OK",
@@ -500,12 +496,11 @@
             lambda: {"opened": self.pool.opened, "reused": self.pool.reused},
         )
         declare_memory_metrics(metrics, self.limits.intake)
-        self._starting_servers = metrics.gauge(
+        starting = metrics.gauge(
             "starting", "Backend servers in slow start.", "servers"
         )
-        self._update_descriptor_metrics = declare_descriptor_metrics(
-            metrics, self.descriptors
-        )
+        metrics.before_render(lambda: starting.set(self.dispatcher.starts.count()))
+        declare_descriptor_metrics(metrics, self.descriptors)
         metrics.observable_counter(
             "store_calls",
             "Calls to the store, by purpose.",
--- a/packages/lagoonsail-overload/src/lagoonsail_overload/answer_room.py
+++ b/packages/lagoonsail-overload/src/lagoonsail_overload/answer_room.py
@@ -62,10 +62,12 @@
         """
         if self._held_bytes.get(holder, 0) <= SHORT_BODY_BYTES:
             return True
+        if self._budget.may_hold_more(ANSWERS):
+            return True
         unfinished = (
             other for other in self._held_bytes if other not in self._finished
         )
-        return next(unfinished, holder) == holder or self._budget.add(ANSWERS, 0)
+        return next(unfinished, holder) == holder
 
     def finish(self, holder: object) -> None:
         """Note that an answer is whole; its bytes count until they are released.
--- a/packages/lagoonsail-overload/src/lagoonsail_overload/byte_budget.py
+++ b/packages/lagoonsail-overload/src/lagoonsail_overload/byte_budget.py
@@ -131,10 +131,18 @@
         Returns:
             Whether a request may hold more of this kind.
         """
-        used = self.used_by_kind[kind] = self.used_by_kind[kind] + size
+        self.used_by_kind[kind] += size
         self.used_bytes += size
+        return self.may_hold_more(kind)
+
+    def may_hold_more(self, kind: str) -> bool:
+        """Return whether a request may hold more of a kind.
+
+        Args:
+            kind: Kind of use.
+        """
         if kind == ANSWERS:
-            return used <= ANSWER_SHARE * self.max_bytes
+            return self.used_by_kind[kind] <= ANSWER_SHARE * self.max_bytes
         return self.used_bytes <= self.max_bytes
 
     def remove(self, kind: str, size: int) -> None:
--- a/packages/lagoonsail-overload/src/lagoonsail_overload/descriptor_budget.py
+++ b/packages/lagoonsail-overload/src/lagoonsail_overload/descriptor_budget.py
@@ -168,15 +168,11 @@
     def use(self) -> dict[str, int]:
         """Return how many descriptors are open, by kind."""
         counts = {kind: count() for kind, count in self._kinds.items()}
-        if self._others is None:
-            self._recount(sum(counts.values()))
-        return counts | {OTHERS: self._others}
+        return counts | {OTHERS: self._count_others()}
 
     def free(self) -> int:
         """Return how many descriptors are left; negative if too many are open."""
-        if self._others is None:
-            self._recount(self._registered())
-        return self.limit - self._others - self._registered()
+        return self.limit - self._count_others() - self._registered()
 
     def level(self) -> Level:
         """Return how short descriptors are."""
@@ -184,8 +180,7 @@
 
     def max_callers(self) -> int:
         """Return how many connections of callers may be served at once."""
-        self.free()
-        return max_callers(self.limit, self._others, self.thresholds)
+        return max_callers(self.limit, self._count_others(), self.thresholds)
 
     def max_refusals(self) -> int:
         """Return how many callers may be refused at once."""
@@ -207,7 +202,7 @@
         is_short = is_exhausted or is_starting or self.level() > Level.NORMAL
         interval_ms = SHORT_RECOUNT_MS if is_short else RECOUNT_MS
         if now_ms - self._recount_ms >= interval_ms:
-            self._recount(self._registered())
+            self._recount()
 
     def shed_idle(self) -> int:
         """Close idle connections if the level asks for it.
@@ -215,10 +210,11 @@
         Returns:
             How many were closed.
         """
-        missing = self.thresholds.close_idle - self.free()
+        free = self.free()
         closed = 0
-        if self.level() < Level.CLOSE_IDLE:
+        if level_of(free, self.thresholds) < Level.CLOSE_IDLE:
             return closed
+        missing = self.thresholds.close_idle - free
         for action, close_idle in self._closers:
             if closed < missing:
                 count = close_idle(missing - closed)
@@ -238,7 +234,16 @@
     def _registered(self) -> int:
         return sum([count() for count in self._kinds.values()])
 
-    def _recount(self, registered: int) -> None:
+    def _count_others(self) -> int:
+        """Return the descriptors of other use, which are counted if not known yet."""
+        if self._others is None:
+            self._recount()
+        return self._others
+
+    def _recount(self) -> None:
         self._recount_ms = self._clock.now_ms()
         count = self._count_open()
-        self._others = ASSUMED_OTHERS if count is None else max(0, count - registered)
+        if count is None:
+            self._others = ASSUMED_OTHERS
+        else:
+            self._others = max(0, count - self._registered())
--- a/packages/lagoonsail-overload/src/lagoonsail_overload/descriptor_metrics.py
+++ b/packages/lagoonsail-overload/src/lagoonsail_overload/descriptor_metrics.py
@@ -5,23 +5,16 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from lagoonsail_core.metrics import Metrics
     from lagoonsail_overload.descriptor_budget import DescriptorBudget
 
 
-def declare_descriptor_metrics(
-    metrics: Metrics, budget: DescriptorBudget
-) -> Callable[[], None]:
+def declare_descriptor_metrics(metrics: Metrics, budget: DescriptorBudget) -> None:
     """Declare the metrics of a budget.
 
     Args:
         metrics: The metrics of the process.
         budget: The budget.
-
-    Returns:
-        A function that sets the gauges, to be called before metrics are rendered.
     """
     metrics.observable_counter(
         "descriptor_actions",
@@ -29,8 +22,8 @@
         "kind",
         lambda: budget.actions,
     )
-    in_use = metrics.gauge(
-        "used", "File descriptors in use, by kind.", "descriptors", ["kind"]
+    metrics.observable_gauge(
+        "used", "File descriptors in use, by kind.", "descriptors", "kind", budget.use
     )
     free = metrics.gauge("free", "File descriptors that are left.", "descriptors")
     level = metrics.gauge(
@@ -38,9 +31,7 @@
     )
 
     def update() -> None:
-        for kind, count in budget.use().items():
-            in_use.set(count, kind)
         free.set(budget.free())
         level.set(int(budget.level()))
 
-    return update
+    metrics.before_render(update)
--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -91,7 +91,6 @@
         "_shard_messages",
         "_store",
         "_store_sync",
-        "_update_descriptor_metrics",
         "configuration",
         "context",
         "descriptors",
@@ -192,9 +191,7 @@
         self._metrics = make_metrics(self)
         self._gauges = declare_gauges(self._metrics)
         declare_memory_metrics(self._metrics, self.limits.intake)
-        self._update_descriptor_metrics = declare_descriptor_metrics(
-            self._metrics, self.descriptors
-        )
+        declare_descriptor_metrics(self._metrics, self.descriptors)
 
     # Health.
 
@@ -231,7 +228,6 @@
         self._gauges["waiting"](sum(self.entry.queue.waiting.values()))
         self._gauges["owned"](len(self.ownership.owned))
         self._gauges["known"](len(self.configuration.members))
-        self._update_descriptor_metrics()
         return self._metrics.render()
 
     # Start and stop.
--- a/packages/lagoonsail-router/src/lagoonsail_router/descriptor_shedding.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/descriptor_shedding.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_overload.descriptor_budget import CALLERS, OPERATORS
-from lagoonsail_overload.descriptor_levels import LEVEL_NAMES, Level
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -55,13 +54,12 @@
 
     def check() -> None:
         budget.refresh()
-        if budget.level() >= Level.CLOSE_IDLE:
-            budget.shed_idle()
+        budget.shed_idle()
         level = budget.changed_level()
         if level is not None:
             context.timeline.record(
                 "descriptor_level",
-                level=LEVEL_NAMES[level],
+                level=level.name.lower(),
                 free=budget.free(),
                 limit=budget.limit,
                 **budget.use(),
