Gateway: one expected delay, and no engine lookup for each server of a request

The expected time of a first part was computed by two copies, for the speeds and for slow start. The properties of an engine are needed only when a server's state is created, but were looked up for each server and request.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -114,14 +114,16 @@
         self._hot_prefixes = HotPrefixes()
         counts = counts or FleetCounts(context.clock)
         self.speeds = ServerSpeeds(context, counts, own_domain)
-        self.states = ServerStates(context.clock, self.speeds.service_factor)
+        self.states = ServerStates(
+            context.clock, self._find_engine, self.speeds.service_factor
+        )
         self.starts = ServerStarts(
             context,
             directory,
             routers,
             counts,
             self.states,
-            self._engine,
+            self._find_engine,
             self.speeds.is_learned,
         )
         self.speeds.on_refusal = self.starts.record_refusal
@@ -160,7 +162,9 @@
             call: The request.
         """
         service = self._manifest.services.get(call.service)
-        states = [self._state(s) for s in self._directory.usable_servers(call.service)]
+        states = [
+            self.states.get(s) for s in self._directory.usable_servers(call.service)
+        ]
         states = [
             s for s in states if s.server.record.server_id not in call.tried_server_ids
         ]
@@ -446,10 +450,7 @@
         total = int(service.cold_requests_per_s)
         return self._routers.quota_of(total, state.server.record.server_id)
 
-    def _state(self, server: Server) -> ServerState:
-        return self.states.get(server, self._engine(server.record.service))
-
-    def _engine(self, service_name: str) -> Engine | None:
+    def _find_engine(self, service_name: str) -> Engine | None:
         service = self._manifest and self._manifest.services.get(service_name)
         return None if service is None else service.engine
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_speeds.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_speeds.py
@@ -123,18 +123,10 @@
             The function, which takes the time in ms.
         """
         clock = self._context.clock
-        load = state.load
-        if load.cache.capacity_tokens:
+        expected_ms = expected_delay_ms(state, unread_tokens, clock.now_ms())
+        work_ms = DEFAULT_ANSWER_MS
+        if state.load.cache.capacity_tokens:
             work_ms = unread_tokens / DEFAULT_TOKENS_PER_MS
-            expected_ms = load.queue_ms() + work_ms / state.speed.factor
-            expected_ms += BATCH_MS_PER_REQUEST * load.total_running()
-        else:
-            requests = self._requests_there(state, clock.now_ms())
-            work_ms = DEFAULT_ANSWER_MS
-            expected_ms = work_ms / state.speed.factor
-            if state.reported.slots:
-                expected_ms *= queue_rounds(requests, state.reported.slots)
-        expected_ms += NETWORK_MS
 
         def record(observed_ms: float) -> None:
             self.lateness.add(max(0.0, observed_ms - expected_ms))
@@ -218,17 +210,13 @@
     ) -> PlainLoad:
         load = state.load
         return PlainLoad(
-            self._requests_there(state, now_ms),
+            _requests_there(state, now_ms),
             load.others_running,
             state.reported.slots or usual_slots,
             DEFAULT_ANSWER_MS / state.speed.factor,
             not self._own_domain or load.failure_domain == self._own_domain,
         )
 
-    def _requests_there(self, state: ServerState, now_ms: float) -> float:
-        load = state.load
-        return state.reported.requests_there(load.running, load.others_running, now_ms)
-
     def _evidence(self, state: ServerState, now_ms: float) -> SpeedEvidence:
         """Publish this router's evidence of a server, and return that of all routers.
 
@@ -307,6 +295,34 @@
         )
 
 
+def expected_delay_ms(
+    state: ServerState, unread_tokens: int, now_ms: float, usual_slots: int = 0
+) -> float:
+    """Return the expected time until the first part of the answer to a request.
+
+    Args:
+        state: The server, without the request.
+        unread_tokens: Prompt tokens of the request that are not in its cache.
+        now_ms: The time.
+        usual_slots: Slots of a plain server that has reported none; 0 if unknown, so
+            that no queue is expected there.
+    """
+    load = state.load
+    if load.cache.capacity_tokens:
+        prefill_ms = load.queue_ms() + unread_tokens / load.tokens_per_ms
+        return NETWORK_MS + BATCH_MS_PER_REQUEST * load.total_running() + prefill_ms
+    answer_ms = DEFAULT_ANSWER_MS / state.speed.factor
+    slots = state.reported.slots or usual_slots
+    if slots:
+        answer_ms *= queue_rounds(_requests_there(state, now_ms), slots)
+    return NETWORK_MS + answer_ms
+
+
+def _requests_there(state: ServerState, now_ms: float) -> float:
+    load = state.load
+    return state.reported.requests_there(load.running, load.others_running, now_ms)
+
+
 def _busy_level(state: ServerState) -> int:
     """Return the number of requests on which a server works at once, as known."""
     load = state.load
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_starts.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_starts.py
@@ -15,10 +15,7 @@
 from statistics import fmean
 from typing import TYPE_CHECKING
 
-from lagoonsail_gateway.server_speeds import NETWORK_MS
-from lagoonsail_sharing.first_token import BATCH_MS_PER_REQUEST
-from lagoonsail_sharing.server_load import queue_rounds
-from lagoonsail_sharing.server_speed import DEFAULT_ANSWER_MS
+from lagoonsail_gateway.server_speeds import expected_delay_ms
 from lagoonsail_sharing.start_pace import (
     LATE_FACTOR,
     StartEvidence,
@@ -152,7 +149,7 @@
         self._paces: dict[str, StartPace] = {}
         self._ended: dict[str, float] = {}
         self._demand: dict[str, float] = defaultdict(float)
-        self._usual: dict[str, UsualExcess] = {}
+        self._usual: dict[str, UsualExcess] = defaultdict(UsualExcess)
         self._former: deque[tuple[str, int]] = deque(maxlen=MAX_REMEMBERED)
 
     def has_any(self) -> bool:
@@ -237,8 +234,8 @@
         state: ServerState,
         unread_tokens: int,
         objective_ms: float,
-        on_first_part: Callable[[float], None] | None,
-    ) -> Callable[[float], None] | None:
+        on_first_part: Callable[[float], None],
+    ) -> Callable[[float], None]:
         """Note that a request is sent while servers are in slow start.
 
         Answers of the other servers show how late those of the service usually are.
@@ -248,22 +245,21 @@
             unread_tokens: Prompt tokens of the request that are not in its cache.
             objective_ms: Time in which its caller wants the first part.
             on_first_part: Called with the time in ms until the first part of the
-                answer; may be None.
+                answer.
 
         Returns:
-            The function to be called then instead; None if there is none.
+            The function to be called then instead.
         """
         record = state.server.record
         pace = self._paces.get(record.server_id)
         sent_ms = self._context.clock.now_ms()
-        expected_ms = _expected_ms(state, unread_tokens, sent_ms)
-        usual = self._usual.setdefault(record.service, UsualExcess())
+        expected_ms = expected_delay_ms(state, unread_tokens, sent_ms, DEFAULT_SLOTS)
+        usual = self._usual[record.service]
         if pace is None:
 
             def record_usual(observed_ms: float) -> None:
                 usual.add(observed_ms - expected_ms)
-                if on_first_part is not None:
-                    on_first_part(observed_ms)
+                on_first_part(observed_ms)
 
             return record_usual
         expected_ms += max(0.0, usual.mean_ms)
@@ -280,8 +276,7 @@
             if not is_engine:
                 # An answer of a plain server ends soon after its first part.
                 pace.permits += 1
-            if on_first_part is not None:
-                on_first_part(observed_ms)
+            on_first_part(observed_ms)
 
         return record_answer
 
@@ -479,20 +474,3 @@
     load = state.load
     slots = load.slots or state.reported.slots
     return load.refusals > 0.0 or (0 < slots <= load.total_running())
-
-
-def _expected_ms(state: ServerState, unread_tokens: int, now_ms: float) -> float:
-    """Return the expected time until the first part of the answer to a request.
-
-    Args:
-        state: The server, without the request.
-        unread_tokens: Prompt tokens of the request that are not in its cache.
-        now_ms: The time.
-    """
-    load = state.load
-    if load.cache.capacity_tokens:
-        prefill_ms = load.queue_ms() + unread_tokens / load.tokens_per_ms
-        return NETWORK_MS + BATCH_MS_PER_REQUEST * load.total_running() + prefill_ms
-    requests = state.reported.requests_there(load.running, load.others_running, now_ms)
-    rounds = queue_rounds(requests, state.reported.slots or DEFAULT_SLOTS)
-    return NETWORK_MS + rounds * DEFAULT_ANSWER_MS / state.speed.factor
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_state.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_state.py
@@ -54,21 +54,28 @@
         "_by_id",
         "_by_incarnation",
         "_clock",
+        "_find_engine",
         "_peer_pending",
         "_service_factor",
     )
 
     def __init__(
-        self, clock: Clock, service_factor: Callable[[str], float] = lambda service: 1.0
+        self,
+        clock: Clock,
+        find_engine: Callable[[str], Engine | None],
+        service_factor: Callable[[str], float],
     ) -> None:
         """Create without servers.
 
         Args:
             clock: The clock.
+            find_engine: Returns the engine properties of a service, None if it runs no
+                language model.
             service_factor: Returns the speed that a new server of a service is assumed
                 to have, relative to the default.
         """
         self._clock = clock
+        self._find_engine = find_engine
         self._by_incarnation: dict[tuple[str, int], ServerState] = {}
         self._by_id: dict[str, ServerState] = {}
         self._peer_pending: dict[str, tuple[int, int]] = {}
@@ -94,15 +101,14 @@
         """
         return self._peer_pending.get(server_id, (0, 0))[0]
 
-    def get(self, server: Server, engine: Engine | None) -> ServerState:
+    def get(self, server: Server) -> ServerState:
         """Return the state of a server, which is created on first use.
 
         Args:
             server: The server.
-            engine: Engine properties, None if it runs no language model.
         """
         state = self._by_incarnation.get(server.record.incarnation())
-        return state or self._create(server, engine)
+        return state or self._create(server)
 
     def remove(self, server: Server) -> None:
         """Forget a server that has left.
@@ -125,8 +131,9 @@
         self._add_pending(previous, -1)
         self._add_pending(newest, 1)
 
-    def _create(self, server: Server, engine: Engine | None) -> ServerState:
+    def _create(self, server: Server) -> ServerState:
         server_id = server.record.server_id
+        engine = self._find_engine(server.record.service)
         previous = self._by_id.get(server_id)
         if previous is not None:
             # The server has restarted: its requests and cache are lost.
