Derive ranks, sums and final phases in one place each

A router's rank, the sum of counts of unequal length, whether a phase is final, and other routers' requests at a server each had a second version. The report of waiting requests was kept without a reader, and a timeout had the name of another one.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_counts.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_counts.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from itertools import zip_longest
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -146,9 +147,4 @@
 
 
 def _sum(first: tuple[int, ...], second: tuple[int, ...]) -> tuple[int, ...]:
-    if len(first) < len(second):
-        first, second = second, first
-    return tuple(
-        number + (second[index] if index < len(second) else 0)
-        for index, number in enumerate(first)
-    )
+    return tuple(map(sum, zip_longest(first, second, fillvalue=0)))
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_share.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/fleet_share.py
@@ -93,7 +93,15 @@
         quota, remainder = divmod(total, count)
         if not remainder or not self._members:
             return quota
-        return quota + (self.name in rank_routers(key, self._names)[:remainder])
+        return quota + (self.rank(key) < remainder)
+
+    def rank(self, key: str) -> int:
+        """Return the rank of this router among all, from 0.
+
+        Args:
+            key: What the ranking is for; it differs by key.
+        """
+        return rank_routers(key, self._names).index(self.name)
 
 
 def rank_routers(key: str, names: Iterable[str]) -> list[str]:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -379,8 +379,7 @@
         age_ms = self.dispatcher.last_digest_age_ms()
         if age_ms is None or age_ms > MAX_DIGEST_AGE_MS:
             return None
-        state = self.dispatcher.states.find(server_id)
-        return state.load.others_running if state else 0
+        return self.dispatcher.states.others_running(server_id)
 
     def _register_descriptors(self) -> None:
         pool, budget = self.pool, self.descriptors
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_control.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_control.py
@@ -24,13 +24,7 @@
 from lagoonsail_rollout.answer_counts import AnswerCounts, subtract_answer_counts
 from lagoonsail_rollout.exposure import canary_chance, canary_servers, route_chance
 from lagoonsail_rollout.judgement import Judgement, combine, is_rare_route, judge
-from lagoonsail_rollout.phases import (
-    CANARY,
-    COMPLETED,
-    FULL,
-    ROLLED_BACK,
-    Situation,
-)
+from lagoonsail_rollout.phases import CANARY, Situation, is_final
 from lagoonsail_rollout.version_choice import (
     VersionRule,
     choose_servers,
@@ -168,7 +162,7 @@
 
     def is_active(self) -> bool:
         """Return whether there is an order that is neither completed nor undone."""
-        return self.order is not None and self.current_phase() in (CANARY, FULL)
+        return self.order is not None and not is_final(self.current_phase())
 
 
 class RolloutControl:
@@ -596,10 +590,5 @@
     }
 
 
-def is_final(phase: str) -> bool:
-    """Return whether a phase ends a roll-out."""
-    return phase in (COMPLETED, ROLLED_BACK)
-
-
 def _version_of(state: ServerState) -> str:
     return state.server.record.version
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_leader.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_leader.py
@@ -13,15 +13,13 @@
 
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.unavailable import Unavailable
-from lagoonsail_gateway.fleet_share import rank_routers
-from lagoonsail_gateway.rollout_control import is_final
 from lagoonsail_gateway.rollout_records import (
     LeaseLost,
     RolloutPhase,
     WriteConflict,
 )
 from lagoonsail_gateway.store_view import StoreItem
-from lagoonsail_rollout.phases import CANARY, Step, next_step
+from lagoonsail_rollout.phases import CANARY, Step, is_final, next_step
 
 if TYPE_CHECKING:
     from lagoonsail_gateway.fleet_share import FleetMembers
@@ -193,17 +191,11 @@
         return f"{self._routers.name} {lease}".encode() if lease else b""
 
     def _delay_ms(self, active: list[ServiceRollout]) -> float:
-        names = {self._routers.name, *self._names()}
-        ranked = rank_routers(active[0].key(), names)
-        delay_ms = RANK_DELAY_MS * ranked.index(self._routers.name)
+        delay_ms = RANK_DELAY_MS * self._routers.rank(active[0].key())
         if all(rollout.has_exact_deadline for rollout in active):
             return delay_ms
         return delay_ms + INEXACT_DELAY_MS
 
-    def _names(self) -> list[str]:
-        domains = self._routers.routers_by_domain()
-        return [name for names in domains.values() for name in names]
-
     def _renew(self, now_ms: float) -> None:
         kept = self._store.keep_lease(self._lease)
         if isinstance(kept, LeaseLost):
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
@@ -55,7 +55,7 @@
 ANSWER_DELAY_MS = 100.0
 """Time that the answer to a waiting watch takes: a watch that waited longer was
 answered because of a change of the last moment."""
-WATCHER_TIMEOUT_MS = 1500.0
+WATCHER_WATCH_MS = 1500.0
 """Timeout of the watches of a router on which others rely: a connection that has fallen
 silent is noticed within the time in which a change must be in force."""
 WATCHER_BATCH_FRACTION = 0.15
@@ -333,7 +333,7 @@
 
     def send_heartbeat(self) -> None:
         """Tell the followers that this router follows the store, if it does."""
-        if self._uses_feed() and self._choice.is_watcher() and self.is_up:
+        if self.is_up:
             self._tell_followers(self.revision, [])
 
     def _tell_followers(self, after: int | None, items: list[StoreItem]) -> None:
@@ -373,7 +373,7 @@
         if not self.is_up:
             return FIRST_WATCH_MS
         if self._uses_feed():
-            return WATCHER_TIMEOUT_MS
+            return WATCHER_WATCH_MS
         if self._context.clock.now_ms() - self._last_failure_ms < SHORT_WATCH_PERIOD_MS:
             return MIN_WATCH_MS
         wait_ms = WATCH_MS_PER_ROUTER * self._routers.count()
--- a/packages/lagoonsail-rollout/src/lagoonsail_rollout/answer_counts.py
+++ b/packages/lagoonsail-rollout/src/lagoonsail_rollout/answer_counts.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from itertools import chain, repeat, zip_longest
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -95,15 +96,10 @@
 
 
 def _subtract_bins(bins: tuple[int, ...], before: tuple[int, ...]) -> tuple[int, ...]:
-    return tuple(
-        max(0, count - (before[number] if number < len(before) else 0))
-        for number, count in enumerate(bins)
-    )
+    # As long as the bins now: later ones of before would be negative.
+    pairs = zip(bins, chain(before, repeat(0)), strict=False)
+    return tuple(max(0, count - old) for count, old in pairs)
 
 
 def _add_bins(histograms: list[tuple[int, ...]]) -> tuple[int, ...]:
-    length = max(map(len, histograms), default=0)
-    return tuple(
-        sum(bins[number] for bins in histograms if number < len(bins))
-        for number in range(length)
-    )
+    return tuple(map(sum, zip_longest(*histograms, fillvalue=0)))
--- a/packages/lagoonsail-rollout/src/lagoonsail_rollout/phases.py
+++ b/packages/lagoonsail-rollout/src/lagoonsail_rollout/phases.py
@@ -78,6 +78,15 @@
     """Why it follows."""
 
 
+def is_final(phase: str) -> bool:
+    """Return whether a phase ends a roll-out.
+
+    Args:
+        phase: One of `PHASES`.
+    """
+    return phase in (COMPLETED, ROLLED_BACK)
+
+
 def next_step(situation: Situation, bounds: ExposureBounds) -> Step | None:
     """Return the change of phase that is due, None if there is none.
 
@@ -85,7 +94,7 @@
         situation: What is known.
         bounds: The bounds of the settings.
     """
-    if situation.phase not in (CANARY, FULL):
+    if is_final(situation.phase):
         return None
     if situation.judgement.is_bad:
         return Step(ROLLED_BACK, situation.judgement.reason)
--- a/packages/lagoonsail-rollout/src/lagoonsail_rollout/version_choice.py
+++ b/packages/lagoonsail-rollout/src/lagoonsail_rollout/version_choice.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeVar
 
-from lagoonsail_rollout.phases import CANARY, COMPLETED, FULL
+from lagoonsail_rollout.phases import COMPLETED, FULL, is_final
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -60,6 +60,7 @@
         sent to the new version as a trial; None if it is not.
 
     Example:
+        >>> from lagoonsail_rollout.phases import CANARY
         >>> rule = VersionRule("v2", frozenset(["v1"]), CANARY)
         >>> servers = ["a.v1", "b.v2", "c.v3"]
         >>> version_of = lambda name: name[2:]
@@ -72,7 +73,7 @@
     old = _old_servers(rule, servers, version_of)
     if rule.phase == COMPLETED:
         return new or old
-    if rule.is_stopped or rule.phase not in (CANARY, FULL):
+    if rule.is_stopped or is_final(rule.phase):
         return old
     if rule.phase == FULL:
         return new if any(map(is_open, new)) else old or new
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/first_token.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/first_token.py
@@ -240,12 +240,11 @@
             160.0
         """
         held = self.held_tokens + self.others_held_tokens + held_tokens
-        capacity = self.cache.capacity_tokens
         cost_ms = 0.0
-        if held > ROOMY_FRACTION * capacity > 0:
-            excess = held / capacity - ROOMY_FRACTION
+        if held > self.roomy_tokens > 0:
+            excess = held / self.cache.capacity_tokens - ROOMY_FRACTION
             cost_ms = FULL_COST_MS * excess / (1.0 - ROOMY_FRACTION)
-        running = self.running + self.others_running
+        running = self.total_running()
         if running >= self.slots > 0:
             cost_ms += SLOT_WAIT_MS * (running + 1 - self.slots)
         cost_ms += REFUSED_COST_MS * min(self.refusals, MAX_REFUSALS)
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_load.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/server_load.py
@@ -62,19 +62,16 @@
         2.0
     """
 
-    __slots__ = ("_own_running", "_received_ms", "_requests", "slots", "waiting")
+    __slots__ = ("_own_running", "_received_ms", "_requests", "slots")
 
     slots: int
     """Reported number of slots, 0 if there was no report."""
-    waiting: int
-    """Reported number of waiting requests."""
 
     def __init__(self) -> None:
         self._own_running = 0
         self._received_ms = -math.inf
         self._requests = 0
         self.slots = 0
-        self.waiting = 0
 
     def record(self, report: LoadReport, own_running: int, now_ms: float) -> None:
         """Record a report.
@@ -85,7 +82,6 @@
             now_ms: The time.
         """
         self.slots = min(report.slots, MAX_REPORTED_REQUESTS)
-        self.waiting = min(report.waiting, MAX_REPORTED_REQUESTS)
         self._requests = min(report.running + report.waiting, MAX_REPORTED_REQUESTS)
         self._own_running = own_running
         self._received_ms = now_ms
