--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
@@ -15,6 +15,7 @@
 from xxhash import xxh64_intdigest
 
 from lagoonsail_core.green import green_socket, trampoline
+from lagoonsail_core.socket_input import is_closed_by_peer, peek
 from lagoonsail_gateway.server_response import (
     DEFAULT_IDLE_LIMIT_MS,
     Response,
@@ -154,12 +155,7 @@
 
     def is_closed_by_peer(self) -> bool:
         """Return whether the peer has closed or reset the connection already."""
-        try:
-            return not self._sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+        return is_closed_by_peer(self._sock.fd)
 
     def send(
         self, data: bytes, deadline_ms: float, body: bytes | bytearray = b""
@@ -298,13 +294,7 @@
 
     def _has_input(self) -> bool:
         """Return whether data, an end of stream or an error is pending."""
-        try:
-            self._sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        return True
+        return peek(self._sock.fd) is not None
 
     def _send_part(self, part: memoryview, deadline_ms: float) -> int:
         while True:
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/control_traffic.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/control_traffic.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 import random
 import re
 from dataclasses import dataclass, fields
@@ -16,6 +15,7 @@
 from lagoonsail_lab.deployments import Deployment, ServerShape, ServiceShape
 from lagoonsail_lab.figures import AT_MOST, Measure, Series
 from lagoonsail_lab.fleet import Fleet
+from lagoonsail_lab.process_usage import processor_s
 from lagoonsail_router.daemon import host_list_pause_ms
 
 if TYPE_CHECKING:
@@ -121,13 +121,6 @@
     return Deployment(side, region, domains, [service], routers)
 
 
-def processor_s(pid: int) -> float:
-    """Return the processor time used by a process, seconds."""
-    fields_after_name = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    ticks = int(fields_after_name[11]) + int(fields_after_name[12])
-    return ticks / os.sysconf("SC_CLK_TCK")
-
-
 def _resident_mb(pid: int) -> float:
     status = Path(f"/proc/{pid}/status").read_text()
     return int(re.search(r"VmRSS:\s+(\d+)", status)[1]) / 1024.0
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/descriptors.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/descriptors.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import resource
-from pathlib import Path
 
 from lagoonsail_core.green import eventlet, green_socket
+from lagoonsail_lab.process_usage import count_descriptors
 
 HALF_HEAD = b"GET /half HTTP/1.1\r\nHost: a\r\nX-Half: "
 """A request head that ends in the middle of a header line."""
@@ -23,11 +23,6 @@
     resource.prlimit(pid, resource.RLIMIT_NOFILE, (count, count))
 
 
-def count_descriptors(pid: int) -> int:
-    """Return how many descriptors a process has open."""
-    return len(list(Path(f"/proc/{pid}/fd").iterdir()))
-
-
 def watch_descriptors(pid: int, duration_s: float) -> int:
     """Return the most descriptors that a process has open within some time.
 
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/hostile_callers.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/hostile_callers.py
@@ -6,13 +6,15 @@
 
 from __future__ import annotations
 
-import os
-import re
 from dataclasses import dataclass
-from pathlib import Path
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.green import eventlet, green_socket
+from lagoonsail_lab.process_usage import (
+    count_descriptors,
+    peak_memory_bytes,
+    processor_s,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -106,24 +108,6 @@
             connection.close()
 
 
-def peak_memory_bytes(pid: int) -> int:
-    """Return the largest resident memory of a process, 0 after its end."""
-    try:
-        status = Path(f"/proc/{pid}/status").read_text()
-    except OSError:
-        return 0
-    match = re.search(r"VmHWM:\s+(\d+) kB", status)
-    return 1024 * int(match[1]) if match else 0
-
-
-def count_descriptors(pid: int) -> int:
-    """Return the number of open descriptors of a process, 0 after its end."""
-    try:
-        return len(list(Path(f"/proc/{pid}/fd").iterdir()))
-    except OSError:
-        return 0
-
-
 def _wait_idle(pid: int) -> None:
     """Wait until a process has read what its callers sent, and has little to do."""
     used_s = -1.0
@@ -135,10 +119,10 @@
 
 def _processor_time_s(pid: int) -> float:
     try:
-        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+        return processor_s(pid)
     except OSError:
+        # The process has ended.
         return 0.0
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
 
 _open_crowds: list[list[green_socket.socket]] = []
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/path_cost.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/path_cost.py
@@ -17,7 +17,6 @@
 
 from lagoonsail_core.clock import Clock
 from lagoonsail_core.green import eventlet, urllib3
-from lagoonsail_lab.control_traffic import processor_s
 from lagoonsail_lab.deployments import (
     Deployment,
     ServerShape,
@@ -26,6 +25,7 @@
 )
 from lagoonsail_lab.fleet import Fleet
 from lagoonsail_lab.percentile import percentile
+from lagoonsail_lab.process_usage import processor_s
 
 SIDE, REGION, ACCOUNT = "cordero", "sierra-central", "prensa"
 """Names of the only deployment: side, region and account."""
--- a/packages/lagoonsail-rollout/tests/test_rollout_error_rates.py
+++ b/packages/lagoonsail-rollout/tests/test_rollout_error_rates.py
@@ -17,7 +17,6 @@
     slow_bin,
 )
 from lagoonsail_rollout.sequential_test import (
-    answers_until_found,
     clearly_bad_share,
     log_bad_ratio,
     log_evidence,
@@ -61,6 +60,30 @@
         }
 
 
+def answers_until_found(
+    share: float, usual: float, log_limit: float, total: int = 100_000
+) -> int:
+    """Return after how many answers a bad version is found, if they come evenly.
+
+    Args:
+        share: Its share of bad answers.
+        usual: Share of bad answers that is usual.
+        log_limit: Log of the likelihood ratio at which a version is condemned.
+        total: Number of answers at which the search ends.
+
+    Example:
+        >>> answers_until_found(1.0, usual=0.01, log_limit=7.0)
+        3
+        >>> answers_until_found(0.01, usual=0.01, log_limit=7.0, total=1000)
+        1000
+    """
+    for answers in range(1, total):
+        bad = int(share * answers)
+        if log_evidence(bad, answers, usual) >= log_limit:
+            return answers
+    return total
+
+
 def play(seed, **fields):
     """Judge a version after each batch; return the batch of its condemnation."""
     rng = random.Random(seed)
--- a/packages/lagoonsail-router/src/lagoonsail_router/caller_watch.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/caller_watch.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from lagoonsail_core.green import green_socket
+from lagoonsail_core.socket_input import is_closed_by_peer
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -28,14 +28,6 @@
     raw_socket = getattr(sock, "fd", sock)
 
     def is_gone() -> bool:
-        if raw_socket is None:
-            return False
-        flags = green_socket.MSG_PEEK | green_socket.MSG_DONTWAIT
-        try:
-            return raw_socket.recv(1, flags) == b""
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+        return raw_socket is not None and is_closed_by_peer(raw_socket)
 
     return is_gone
--- a/packages/lagoonsail-router/tests/test_hostile_callers.py
+++ b/packages/lagoonsail-router/tests/test_hostile_callers.py
@@ -11,9 +11,9 @@
     CROWDS,
     MAX_BODY_BYTES,
     close_crowds,
-    peak_memory_bytes,
     run_crowd,
 )
+from lagoonsail_lab.process_usage import peak_memory_bytes
 
 MEMORY_MB = 120
 """Memory limit of the router: less than the bodies of a crowd, and enough for one."""
--- a/packages/lagoonsail-router/tests/test_router_descriptors.py
+++ b/packages/lagoonsail-router/tests/test_router_descriptors.py
@@ -7,12 +7,12 @@
 from lagoonsail_core.green import eventlet, urllib3
 from lagoonsail_lab.deployments import account_key, make_cordero
 from lagoonsail_lab.descriptors import (
-    count_descriptors,
     limit_descriptors,
     open_half_heads,
     watch_descriptors,
 )
 from lagoonsail_lab.fleet import Fleet
+from lagoonsail_lab.process_usage import count_descriptors
 
 ROUTER = "cordero-1"
 SPARE_DESCRIPTORS = 40
--- a/packages/lagoonsail-standins/src/lagoonsail_standins/caller_connection.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/caller_connection.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.green import eventlet
+from lagoonsail_core.socket_input import is_closed_by_peer
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -15,15 +16,7 @@
 
 def is_caller_gone() -> bool:
     """Return whether the caller has closed the connection, without blocking."""
-    try:
-        received = _green_thread_local.connection.fd.recv(
-            1, socket.MSG_PEEK | socket.MSG_DONTWAIT
-        )
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-    return not received
+    return is_closed_by_peer(_green_thread_local.connection.fd)
 
 
 def close_caller_connection() -> None:
--- a/packages/lagoonsail-standins/src/lagoonsail_standins/serving.py
+++ b/packages/lagoonsail-standins/src/lagoonsail_standins/serving.py
@@ -16,6 +16,7 @@
 
 from lagoonsail_core.errors import LagoonsailError
 from lagoonsail_core.green import eventlet, green_socket
+from lagoonsail_core.socket_input import is_closed_by_peer
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator, Mapping
@@ -137,13 +138,7 @@
             return
 
     def is_client_gone() -> bool:
-        flags = green_socket.MSG_PEEK | green_socket.MSG_DONTWAIT
-        try:
-            return source.get_socket().fd.recv(1, flags) == b""
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
+        return is_closed_by_peer(source.get_socket().fd)
 
     return Request(
         method=environ["REQUEST_METHOD"],
