--- a/packages/lagoonsail-gateway/tests/test_connection_shortage.py
+++ b/packages/lagoonsail-gateway/tests/test_connection_shortage.py
@@ -123,7 +123,7 @@
     assert short.pool.open_count == 0
 
 
-# MAX-CONNS: servers reset connections beyond those that they take from all routers.
+# CONNECTIONS: servers reset connections beyond those that they take from all routers.
 def test_router_keeps_to_its_quota_of_a_server(short):
     short.pool.max_open_to = lambda _server: 2
     connections = [short.acquire(0), short.acquire(0)]
