--- a/packages/lagoonsail-overload/src/lagoonsail_overload/descriptor_levels.py
+++ b/packages/lagoonsail-overload/src/lagoonsail_overload/descriptor_levels.py
@@ -29,6 +29,15 @@
     """No connection is accepted, and the router is not ready."""
 
 
+LEVEL_NAMES = {
+    Level.NORMAL: "normal",
+    Level.CLOSE_KEPT: "close_kept",
+    Level.CLOSE_IDLE: "close_idle",
+    Level.BOUND_SERVERS: "bound_servers",
+    Level.REFUSE: "refuse",
+    Level.STOP_ACCEPTING: "stop_accepting",
+}
+"""Names of the levels in log lines, written out so that a search finds them."""
 MIN_RESERVE = 8
 """Smallest reserve: the store's two connections, the readiness check, a scraper, and
 four callers that are refused."""
--- a/packages/lagoonsail-router/src/lagoonsail_router/descriptor_shedding.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/descriptor_shedding.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_overload.descriptor_budget import CALLERS, OPERATORS
+from lagoonsail_overload.descriptor_levels import LEVEL_NAMES
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -59,7 +60,7 @@
         if level is not None:
             context.timeline.record(
                 "descriptor_level",
-                level=level.name.lower(),
+                level=LEVEL_NAMES[level],
                 free=budget.free(),
                 limit=budget.limit,
                 **budget.use(),
