Send nothing to servers whose process has ended while the store lists them

Cause: a server that crashes during an outage of the store keeps its record. It seems idle, so it attracts requests.

Change: `EndedServers` avoids an incarnation after a 421 that names another server, and for 1 s after a refused connection; routers tell each other by counters in digests.

Tests: `test_ended_servers` without a network; `test_ended_servers_path` with three routers failed with the check disabled.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_gateway.admission import AccountLoad, Refusal, check_wait
+from lagoonsail_gateway.ended_servers import EndedServers
 from lagoonsail_gateway.fleet_counts import FleetCounts
 from lagoonsail_gateway.running_request import RunningRequest
 from lagoonsail_gateway.sent_prompts import RecentPrompts, SentPrompt, sender_number
@@ -57,6 +58,7 @@
         "_sender_number",
         "accounts",
         "context",
+        "ended",
         "may_connect",
         "notices",
         "recent_prompts",
@@ -69,6 +71,8 @@
     """Demand and admitted cost of the client accounts."""
     context: RouterContext
     """Clock, counters and timeline."""
+    ended: EndedServers
+    """The servers whose process has ended, though the store lists them."""
     may_connect: Callable[[Server], bool]
     """Returns whether this router has a connection to a server, or may open one."""
     notices: ServerNotices
@@ -113,6 +117,7 @@
         self._own_domain = own_domain
         self._hot_prefixes = HotPrefixes()
         counts = counts or FleetCounts(context.clock)
+        self.ended = EndedServers(context, counts)
         self.speeds = ServerSpeeds(context, counts, own_domain)
         self.states = ServerStates(
             context.clock, self._find_engine, self.speeds.service_factor
@@ -168,6 +173,8 @@
         states = [
             s for s in states if s.server.record.server_id not in call.tried_server_ids
         ]
+        if self.ended.has_any():
+            states = self._without_ended(states)
         if not states or service is None:
             return _no_server(f"no server of {call.service} is there")
         if self._rollouts is not None:
@@ -303,7 +310,13 @@
 
     def is_usable(self, state: ServerState) -> bool:
         """Return whether a server may be selected for a request."""
-        return self._directory.is_usable(state.server) and self._wants_requests(state)
+        record = state.server.record
+        return (
+            self._directory.is_usable(state.server)
+            and self._wants_requests(state)
+            and not self.ended.is_replaced(record)
+            and not self.ended.is_refusing(record)
+        )
 
     def is_still_usable(self, state: ServerState) -> bool:
         """Return whether a server that was selected may still get the request."""
@@ -339,6 +352,15 @@
                 "server_paused", server=record.server_id, pause_ms=round(backoff_ms)
             )
 
+    def _without_ended(self, states: list[ServerState]) -> list[ServerState]:
+        """Return the servers that have not ended, as far as is known.
+
+        If all refuse connections, all are tried: one may have restarted since.
+        """
+        present = [s for s in states if not self.ended.is_replaced(s.server.record)]
+        accepting = [s for s in present if not self.ended.is_refusing(s.server.record)]
+        return accepting or present
+
     def _wants_requests(self, state: ServerState) -> bool:
         return self.notices.allows(state.server.record.incarnation())
 
@@ -467,6 +489,7 @@
         self.starts.apply_change(kind, server)
         if kind in ("left", "restarted"):
             self.speeds.remove(record.server_id)
+            self.ended.remove(record if kind == "left" else server.previous)
         if kind == "left":
             self.states.remove(server)
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -401,6 +401,7 @@
 
     def _exchange_digests(self) -> None:
         self.dispatcher.update_speeds()
+        self.dispatcher.ended.update()
         self.dispatcher.starts.update()
         self.digests.send_round()
         self.dispatcher.update_shares()
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/request_format.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/request_format.py
@@ -80,6 +80,8 @@
     """Whether the server states that it is leaving."""
     backoff_ms: float | None = None
     """Time for which the server wants no requests, None if not stated."""
+    server_id: str = ""
+    """Id of the server that responds, empty if not stated."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
@@ -331,6 +331,8 @@
                 server, self.call.head.request_id, is_retryable=is_retryable
             )
         except ConnectFailedError as error:
+            if error.is_refused:
+                self._dispatcher.ended.record_refused(server.record)
             self._finish_request(is_success=False)
             raise AttemptFailedError(UNREACHABLE, str(error)) from error
         except NoConnectionError as error:
@@ -393,6 +395,9 @@
                 self._dispatcher.speeds.record_report(self.state, head.load)
         if _is_proven_refusal(response, head):
             self.call.possible_runs -= 1
+            record = self.state.server.record
+            if head.is_wrong_server and head.server_id not in ("", record.server_id):
+                self._dispatcher.ended.record_replaced(record, head.server_id)
             if response.status in (429, 503) and not head.is_leaving:
                 self._dispatcher.speeds.record_refusal(self.state)
             self._drain_and_finish(response)
