--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/digest.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/digest.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from dataclasses import dataclass, field
 
 import msgpack
@@ -13,6 +14,13 @@
 FORMAT_VERSION = 5
 """Version of the digest layout; digests of other versions are discarded."""
 
+COMPRESSION_LEVEL = 1
+"""Level of zlib: higher ones take longer and save little more."""
+COMPRESSED_MARK = b"x"
+"""First byte of compressed data; a digest that is not compressed begins otherwise."""
+MAX_DECODED_BYTES = 1_000_000
+"""Maximum size of a digest after decompression: no datagram may fill the memory."""
+
 REPORT = 0
 """Kind: a router's own load."""
 DOMAIN_SUM = 1
@@ -62,7 +70,16 @@
     """Counters that are summed over all routers; see `fleet_counts`."""
 
     def encode(self) -> bytes:
-        """Return the datagram payload."""
+        """Return the datagram payload.
+
+        Sums of a failure domain are compressed, as they cross to other domains.
+        """
+        data = self._pack()
+        if self.kind == DOMAIN_SUM:
+            return zlib.compress(data, COMPRESSION_LEVEL)
+        return data
+
+    def _pack(self) -> bytes:
         return msgpack.packb(
             [
                 FORMAT_VERSION,
@@ -102,11 +119,13 @@
     Example:
         >>> decode_digest(Digest("r1", 7, 1, {"s": (1, 20)}).encode()).pending
         {'s': (1, 20)}
+        >>> decode_digest(Digest("r1", 7, 2, kind=DOMAIN_SUM).encode()).number
+        2
         >>> decode_digest(b"garbage") is None
         True
     """
     try:
-        version, *fields = msgpack.unpackb(data)
+        version, *fields = msgpack.unpackb(_decompress(data))
         if version != FORMAT_VERSION:
             return None
         router, incarnation, number, pending, sums, prompts, count, *tail = fields
@@ -132,5 +151,11 @@
             ),
             {str(key): tuple(map(int, numbers)) for key, numbers in counts.items()},
         )
-    except DECODE_ERRORS:
+    except (*DECODE_ERRORS, zlib.error):
         return None
+
+
+def _decompress(data: bytes) -> bytes:
+    if not data.startswith(COMPRESSED_MARK):
+        return data
+    return zlib.decompressobj().decompress(data, MAX_DECODED_BYTES)
--- a/packages/lagoonsail-gateway/tests/test_peer_digests.py
+++ b/packages/lagoonsail-gateway/tests/test_peer_digests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import zlib
 from types import SimpleNamespace
 
 import pytest
@@ -10,7 +11,14 @@
 from hypothesis import strategies as st
 
 from lagoonsail_gateway.crash_check import CrashCheck
-from lagoonsail_gateway.digest import REPORT, Digest, decode_digest
+from lagoonsail_gateway.digest import (
+    COMPRESSED_MARK,
+    DOMAIN_SUM,
+    MAX_DECODED_BYTES,
+    REPORT,
+    Digest,
+    decode_digest,
+)
 from lagoonsail_gateway.fleet_share import FleetMembers
 from lagoonsail_gateway.peer_digests import (
     DIGEST_EXPIRY_MS,
@@ -218,3 +226,26 @@
 @given(st.binary(max_size=300))
 def test_no_datagram_breaks_the_reader(data):
     decode_digest(data)
+
+
+def test_sums_between_failure_domains_are_short():
+    """Bytes between failure domains, which sums of large fleets are a large part of."""
+    counts = {f"speed/i-{n:010x}": (n, 7 * n, 0, 3, 40, 2, 9, n) for n in range(70)}
+    fields = {"router": "r2", "incarnation": 1, "number": 2, "counts": counts}
+    digest = Digest(**fields, kind=DOMAIN_SUM)
+    assert decode_digest(digest.encode()) == digest
+    assert len(digest.encode()) < 0.6 * len(Digest(**fields).encode())
+
+
+def test_datagram_that_decompresses_to_too_much_is_malformed(peers):
+    """A datagram that would fill the memory of the router."""
+    bomb = zlib.compress(bytes(100 * MAX_DECODED_BYTES))
+    assert len(bomb) < 200_000
+    peers.digests.handle_datagram(bomb, SENDER)
+    assert peers.replaced == []
+
+
+@given(st.binary(max_size=200))
+def test_compressed_garbage_is_no_digest(data):
+    assert decode_digest(COMPRESSED_MARK + data) is None
+    assert decode_digest(zlib.compress(data)) is None
