Revert "Read prefixes in the failure domain that asks for them first"

Cause: prefixes are shared by callers of all domains, and each is in one cache. With the load spread evenly, a request finds its prefix in its own domain as often as the domain has engines, wherever the prefix was read first.

--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/first_token.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/first_token.py
@@ -29,11 +29,6 @@
 
 from xxhash import xxh64_intdigest
 
-from lagoonsail_sharing.locality import (
-    CROSSING_COST_MS,
-    find_domain_homes,
-    prefers_own_domain,
-)
 from lagoonsail_sharing.server_speed import DEFAULT_TOKENS_PER_MS
 
 if TYPE_CHECKING:
@@ -353,8 +348,7 @@
     # Tokens in no cache must be computed by some engine; only the rest is recomputed.
     min_unread = min(unread)
     ranks = [rank(prompt.prefix, load.engine_id) for load in loads]
-    is_local = prefers_own_domain(loads, own_domain)
-    home_ranks = find_domain_homes(loads, ranks) if is_local else {max(ranks)}
+    home_rank = max(ranks)
     copy_rank = _copy_rank(loads, unread, ranks, own_domain) if is_hot else -1
     held_tokens = prompt.held_tokens()
     candidates = []
@@ -375,16 +369,14 @@
         held = load.held_tokens + load.others_held_tokens + held_tokens
         if running >= load.slots or held > load.roomy_tokens or load.refusals:
             cost_ms += load.no_room_ms(held_tokens)
-        if own_rank not in home_ranks:
+        if own_rank != home_rank:
             cost_ms += HOME_WEIGHT * min_unread / tokens_per_ms
-        if is_local and load.failure_domain != own_domain:
-            cost_ms += CROSSING_COST_MS
         if cost_ms < least_ms:
             least_ms, least_time_ms = cost_ms, time_cost_ms
-        # What only other engines have read goes by rank alone: a copy in each domain
-        # costs more than the transfer, unless the prefix is hot.
+        # What has to be prefilled goes by rank alone: a copy in each domain costs more
+        # than the transfer, unless the prefix is hot.
         is_near = load.failure_domain == own_domain and (
-            own_unread == (min_unread if is_local else 0) or own_rank == copy_rank
+            not own_unread or own_rank == copy_rank
         )
         candidates.append((cost_ms, is_near, own_rank, load, own_unread, recompute_ms))
     end_ms = (least_ms // COST_RESOLUTION_MS + 1.0) * COST_RESOLUTION_MS
