Split roll-outs of the gateway by concept

rollout_control.py (594 lines) held the state of one service's roll-out, what the store says of all of them, the evidence of all routers, and what a request may use.

- service_rollout: state of one service's roll-out (ServiceRollout)
- rollout_view: orders, phases and the rule on versions (RolloutView)
- rollout_evidence: counts of all routers and their judgement (RolloutEvidence)
- rollout_control: what a request may use, and what follows from the judgement

No change of behaviour, keys, metrics or log lines. In the tests only the import of WINDOW_MS changes.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_leader.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_leader.py
@@ -23,8 +23,9 @@
 
 if TYPE_CHECKING:
     from lagoonsail_gateway.fleet_share import FleetMembers
-    from lagoonsail_gateway.rollout_control import RolloutControl, ServiceRollout
+    from lagoonsail_gateway.rollout_control import RolloutControl
     from lagoonsail_gateway.rollout_records import RolloutStore
+    from lagoonsail_gateway.service_rollout import ServiceRollout
     from lagoonsail_rollout.exposure import ExposureBounds
     from lagoonsail_router.context import RouterContext
 
--- a/packages/lagoonsail-gateway/tests/test_rollouts.py
+++ b/packages/lagoonsail-gateway/tests/test_rollouts.py
@@ -21,7 +21,8 @@
 from lagoonsail_gateway.fleet_counts import FleetCounts
 from lagoonsail_gateway.fleet_share import FleetMembers
 from lagoonsail_gateway.gateway_call import GatewayCall
-from lagoonsail_gateway.rollout_control import WINDOW_MS, RolloutControl
+from lagoonsail_gateway.rollout_control import RolloutControl
+from lagoonsail_gateway.rollout_evidence import WINDOW_MS
 from lagoonsail_gateway.rollout_leader import RETRY_MS, RolloutLeader
 from lagoonsail_gateway.rollout_records import (
     LeaseLost,
