Split the gateway's view of the store by concept

store_view.py (555 lines) held the interface to the store, how often it is called, how far the view lags behind other routers, and what each key means.

- store_access: calls and keys that a platform provides; StoreItem moves here
- watch_pacing: timeouts of watches and pauses between them (WatchPacing)
- view_lag: since when other routers know more (ViewLag)
- store_content: the newest item of each key, and what follows from a change
- store_view: the loop of calls, outages, and the feed between routers

No change of behaviour, keys, metrics or log lines. In the tests only imports change.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -62,7 +62,7 @@
     from lagoonsail_gateway.request_format import RequestFormat
     from lagoonsail_gateway.rollout_records import RolloutStore
     from lagoonsail_gateway.server_directory import Server
-    from lagoonsail_gateway.store_view import KeyFormat, StoreCalls
+    from lagoonsail_gateway.store_access import KeyFormat, StoreCalls
     from lagoonsail_rollout.exposure import ExposureBounds
 
 COUNTERS = {
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_control.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_control.py
@@ -34,7 +34,7 @@
     from lagoonsail_gateway.server_directory import Server, ServerDirectory
     from lagoonsail_gateway.server_state import ServerState
     from lagoonsail_gateway.service_rollout import AnswersByRoute, ServiceRollout
-    from lagoonsail_gateway.store_feed import StoreItem
+    from lagoonsail_gateway.store_access import StoreItem
     from lagoonsail_rollout.exposure import ExposureBounds
     from lagoonsail_router.context import RouterContext
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_leader.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_leader.py
@@ -18,7 +18,7 @@
     RolloutPhase,
     WriteConflict,
 )
-from lagoonsail_gateway.store_view import StoreItem
+from lagoonsail_gateway.store_access import StoreItem
 from lagoonsail_rollout.phases import CANARY, Step, is_final, next_step
 
 if TYPE_CHECKING:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_records.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_records.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from lagoonsail_gateway.store_view import StoreItem
+    from lagoonsail_gateway.store_access import StoreItem
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_view.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_view.py
@@ -19,7 +19,7 @@
 
     from lagoonsail_gateway.rollout_records import RolloutStore
     from lagoonsail_gateway.server_directory import ServerDirectory
-    from lagoonsail_gateway.store_feed import StoreItem
+    from lagoonsail_gateway.store_access import StoreItem
     from lagoonsail_router.context import RouterContext
 
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_feed.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_feed.py
@@ -21,6 +21,7 @@
 import msgpack
 
 from lagoonsail_gateway.sent_prompts import DECODE_ERRORS
+from lagoonsail_gateway.store_access import StoreItem
 
 if TYPE_CHECKING:
     from lagoonsail_core.clock import Clock
@@ -40,18 +41,6 @@
 """First bytes of a datagram of the feed."""
 
 
-@dataclass(slots=True, frozen=True)
-class StoreItem:
-    """The value or the removal of a key."""
-
-    key: str
-    """The key."""
-    value: bytes | None
-    """The value; None if the key was removed."""
-    revision: int
-    """Revision of the change."""
-
-
 @dataclass(slots=True, frozen=True)
 class FeedMessage:
     """What a watcher tells its followers."""
--- a/packages/lagoonsail-gateway/tests/test_rollouts.py
+++ b/packages/lagoonsail-gateway/tests/test_rollouts.py
@@ -32,7 +32,7 @@
     WriteConflict,
 )
 from lagoonsail_gateway.server_directory import ServerDirectory
-from lagoonsail_gateway.store_view import StoreItem
+from lagoonsail_gateway.store_access import StoreItem
 from lagoonsail_rollout.exposure import ExposureBounds
 from lagoonsail_rollout.phases import COMPLETED, Step
 from lagoonsail_router.context import RouterContext
--- a/packages/lagoonsail-gateway/tests/test_store_feed.py
+++ b/packages/lagoonsail-gateway/tests/test_store_feed.py
@@ -9,22 +9,21 @@
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_gateway.fleet_share import FleetMembers
 from lagoonsail_gateway.server_directory import ServerDirectory
+from lagoonsail_gateway.store_access import (
+    KeyFormat,
+    StoreCalls,
+    StoreItem,
+    StoreItems,
+)
 from lagoonsail_gateway.store_feed import (
     HEARTBEAT_INTERVAL_MS,
     MIN_FEED_ROUTERS,
     WATCHER_TIMEOUT_MS,
     FeedMessage,
-    StoreItem,
     WatcherChoice,
     decode_feed_message,
 )
-from lagoonsail_gateway.store_view import (
-    FOLLOW_LAG_MS,
-    KeyFormat,
-    StoreCalls,
-    StoreItems,
-    StoreView,
-)
+from lagoonsail_gateway.store_view import FOLLOW_LAG_MS, StoreView
 
 FLEET_SIZE = MIN_FEED_ROUTERS + 6
 
--- a/packages/lagoonsail-gateway/tests/test_store_view.py
+++ b/packages/lagoonsail-gateway/tests/test_store_view.py
@@ -10,22 +10,26 @@
 from lagoonsail_gateway.fleet_share import FleetMembers
 from lagoonsail_gateway.peer_digests import ROUND_INTERVAL_MS
 from lagoonsail_gateway.server_directory import REGISTRATION_GRACE_MS, ServerDirectory
-from lagoonsail_gateway.store_view import (
-    ANSWER_DELAY_MS,
-    FIRST_WATCH_MS,
-    LAG_TIMEOUT_MS,
-    MAX_BATCH_FRACTION,
-    MAX_SILENCE_MS,
-    MAX_WATCH_MS,
-    MIN_WATCH_MS,
-    RELIST_AFTER_OUTAGE_MS,
+from lagoonsail_gateway.store_access import (
     HistoryLost,
     KeyFormat,
     StoreCalls,
     StoreItem,
     StoreItems,
+)
+from lagoonsail_gateway.store_view import (
+    ANSWER_DELAY_MS,
+    MAX_SILENCE_MS,
+    RELIST_AFTER_OUTAGE_MS,
     StoreView,
 )
+from lagoonsail_gateway.view_lag import LAG_TIMEOUT_MS
+from lagoonsail_gateway.watch_pacing import (
+    FIRST_WATCH_MS,
+    MAX_BATCH_FRACTION,
+    MAX_WATCH_MS,
+    MIN_WATCH_MS,
+)
 
 MAX_CHANGE_DELAY_MS = 2000.0
 """Time within which a change must be in force."""
