Split serving of the gateway's callers by concept

call_service.py (490 lines) mixed three things: the port for callers, sending a request until a server responds, and forwarding the answer.

- call_attempts: servers, retries and their quota (CallAttempts)
- answer_forwarding: whole answers and streams (AnswerForwarding)
- call_service: reading, refusing and handing over (CallService); is_ending becomes answer_running()

No change of behaviour, metrics or log lines; no test changes.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -11,7 +11,7 @@
 from lagoonsail_core.fair_hub import mark_urgent
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.unavailable import Unavailable
-from lagoonsail_gateway.call_service import HISTOGRAMS as CALL_HISTOGRAMS
+from lagoonsail_gateway.answer_forwarding import HISTOGRAMS as CALL_HISTOGRAMS
 from lagoonsail_gateway.call_service import CallService
 from lagoonsail_gateway.connection_pool import ConnectionPool
 from lagoonsail_gateway.connection_quota import ConnectionQuota
@@ -345,7 +345,7 @@
         self._callers_port.close()
         self._wait_while(lambda: context.callers.answering, deadline_ms)
         unfinished = context.callers.answering
-        self.calls.is_ending = True
+        self.calls.answer_running()
         self._wait_while(
             lambda: context.callers.answering, deadline_ms + LAST_ANSWERS_MS
         )
