Split what the gateway does beside connecting its parts

- gateway_metrics: names, help texts and sources of the metrics
- operator_answers: applications for readiness and metrics
- gateway_stop: the planned stop
- membership: renewal of the lease
- failure_log: warnings and errors as lines of the decision log
- gateway: creates, connects and starts the parts

No change of behaviour, metrics or log lines; no test changes.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -2,24 +2,25 @@
 
 from __future__ import annotations
 
-import random
 from typing import TYPE_CHECKING
 
-import logbook
-
 from lagoonsail_core.decision_log import DecisionLog
-from lagoonsail_core.fair_hub import mark_urgent
-from lagoonsail_core.green import eventlet
-from lagoonsail_core.unavailable import Unavailable
-from lagoonsail_gateway.answer_forwarding import HISTOGRAMS as CALL_HISTOGRAMS
 from lagoonsail_gateway.call_service import CallService
 from lagoonsail_gateway.connection_pool import ConnectionPool
 from lagoonsail_gateway.connection_quota import ConnectionQuota
 from lagoonsail_gateway.crash_check import CrashCheck
 from lagoonsail_gateway.digest import Digest
 from lagoonsail_gateway.dispatcher import Dispatcher
+from lagoonsail_gateway.failure_log import FailureLogHandler
 from lagoonsail_gateway.fleet_counts import FleetCounts
 from lagoonsail_gateway.fleet_share import FleetMembers
+from lagoonsail_gateway.gateway_metrics import make_metrics
+from lagoonsail_gateway.gateway_stop import stop_as_planned
+from lagoonsail_gateway.membership import keep_membership
+from lagoonsail_gateway.operator_answers import (
+    make_metrics_application,
+    make_readiness_application,
+)
 from lagoonsail_gateway.peer_digests import ROUND_INTERVAL_MS, PeerDigests
 from lagoonsail_gateway.rollout_control import RolloutControl
 from lagoonsail_gateway.rollout_leader import RolloutLeader
@@ -32,10 +33,8 @@
     SERVERS,
     DescriptorBudget,
 )
-from lagoonsail_overload.descriptor_metrics import declare_descriptor_metrics
 from lagoonsail_overload.process_memory import make_byte_budget
 from lagoonsail_router.context import (
-    LEAVING,
     SERVING,
     RouterContext,
     run_periodic_steps,
@@ -53,10 +52,11 @@
 from lagoonsail_sharing.crash_suspects import CrashSuspects
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable, Mapping
+    from collections.abc import Callable, Mapping
 
     from lagoonsail_core.green import green_socket
     from lagoonsail_core.metrics import Metrics
+    from lagoonsail_core.unavailable import Unavailable
     from lagoonsail_gateway.gateway_settings import GatewaySettings
     from lagoonsail_gateway.manifest import Manifest
     from lagoonsail_gateway.request_format import RequestFormat
@@ -65,37 +65,8 @@
     from lagoonsail_gateway.store_access import KeyFormat, StoreCalls
     from lagoonsail_rollout.exposure import ExposureBounds
 
-COUNTERS = {
-    "answers_not_buffered_total": "Answers passed on unfinished for want of memory.",
-    "answers_total": "Answers passed on, by outcome.",
-    "digests_malformed_total": "Digests of other routers that could not be read.",
-    "digests_not_sent_total": "Digests that could not be sent.",
-    "digests_too_long_total": "Digests that fit into no datagram.",
-    "load_reports_total": "Load reports of servers, with and without a slowdown.",
-    "problems_total": "Refusals and problem documents, by kind.",
-    "records_rejected_total": "Malformed entries of the store.",
-    "repeats_refused_total": "Requests not sent once more for want of a share.",
-    "retries_total": "Requests sent once more, by service.",
-    "rollout_exposed_total": "Requests sent to the new version, by service.",
-    "rollout_requests_total": "Requests during a roll-out, by service.",
-    "rollout_writes_total": "Writes of roll-outs to the store, by outcome.",
-    "store_feed_total": "Changes of the store learned from another router.",
-    "server_refusals_total": "Requests for which a server had no room, by service.",
-    "store_failures_total": "Calls to the store without an answer.",
-    "start_held_total": "Requests kept from a server in slow start, by service.",
-    "start_waived_total": "Requests beyond the limits of slow start, by service.",
-    "task_errors_total": "Failures inside the router's tasks, by task.",
-}
-"""Help texts of the counters, by metric name."""
-HISTOGRAMS = CALL_HISTOGRAMS | {
-    "first_part_late": "Time by which the first part of an answer came too late.",
-    "loop_late": "Time by which the event loop ran a task too late.",
-}
-"""Help texts of the duration histograms, by metric name."""
 EXPIRY_CHECK_INTERVAL_MS = 200.0
 """Interval between checks for expired servers."""
-MEMBERSHIP_RETRY_MS = 1000.0
-"""Delay after a failed registration or lease renewal."""
 IDLE_CHECK_INTERVAL_MS = 500.0
 """Interval between checks for idle connections to close."""
 IDLE_TIMEOUT_MS = 20_000.0
@@ -108,30 +79,6 @@
 """Least time for a head, or without progress of a body, whatever the manifest says."""
 MAX_OPERATOR_CONNECTIONS = 64
 """Maximum number of connections from the load balancer or from metrics scrapers."""
-BALANCER_REACTION_MS = 3000.0
-"""Time until the load balancer detects that a router is no longer ready."""
-STOP_MARGIN_MS = 700.0
-"""Time between the last moment of a stop at which requests run, and the moment at which
-the process would be killed."""
-LAST_ANSWERS_MS = 400.0
-"""Time within that in which callers of requests that still run get an answer."""
-STOP_CHECK_INTERVAL_S = 0.02
-"""Polling interval while waiting during a stop."""
-
-
-class _DecisionLogHandler(logbook.Handler):
-    """Writes warnings and errors of all parts to the decision log."""
-
-    def __init__(self, log: DecisionLog) -> None:
-        super().__init__(level=logbook.WARNING)
-        self._log = log
-
-    def emit(self, record: logbook.LogRecord) -> None:
-        self._log.write_change(
-            "failure",
-            message=record.message,
-            traceback=record.formatted_exception or "",
-        )
 
 
 class Gateway:
@@ -141,7 +88,6 @@
         "_callers_port",
         "_connection_quota",
         "_membership",
-        "_metrics",
         "_operator_ports",
         "_settings",
         "_store_call_counts",
@@ -204,12 +150,11 @@
         self._membership = membership
         self._store_call_counts = {} if store_call_counts is None else store_call_counts
         self._callers_port: green_socket.socket | None = None
-        self._metrics: Metrics | None = None
         self.log = DecisionLog(settings.name, context.clock)
         context.timeline.subscribe(
             lambda event: self.log.write_change(event.name, **event.fields)
         )
-        _DecisionLogHandler(self.log).push_application()
+        FailureLogHandler(self.log).push_application()
         self.routers = FleetMembers(settings.name)
         self.counts = FleetCounts(context.clock)
         self.directory = ServerDirectory(context.clock, settings.max_change_delay_ms)
@@ -298,19 +243,47 @@
         Raises:
             AddressInUseError: If a port is in use.
         """
+        self._open_ports()
+        self._start_tasks()
+        self._start_periodic_steps()
+        self.context.timeline.record(
+            "started",
+            incarnation=self.context.incarnation,
+            callers=self._settings.callers_address,
+        )
+
+    def _open_ports(self) -> None:
         settings = self._settings
         callers = self._callers_port = listen(settings.callers_address)
         readiness = listen(settings.readiness_address)
         self._serve(callers, self.calls.serve, self.context.callers)
-        self._serve(readiness, self._serve_readiness, self._operator_ports[0])
+        self._serve(
+            readiness,
+            make_readiness_application(settings.readiness_path, self.is_ready),
+            self._operator_ports[0],
+        )
         metrics = listen(settings.metrics_address)
-        self._serve(metrics, self._serve_metrics, self._operator_ports[1])
+        self._serve(
+            metrics,
+            make_metrics_application(settings.metrics_path, self._make_metrics),
+            self._operator_ports[1],
+        )
         self.digests.open(settings.digests_address)
+
+    def _start_tasks(self) -> None:
         start_task(self.context, "digests", self.digests.receive)
         start_task(self.context, "store_view", self.view.run)
-        start_task(self.context, "membership", self._keep_membership)
+        start_task(
+            self.context,
+            "membership",
+            keep_membership,
+            self._membership,
+            self.view.restart_silent_watch,
+        )
         if self.leader is not None:
             start_task(self.context, "rollout", self.leader.run)
+
+    def _start_periodic_steps(self) -> None:
         run_periodic_steps(
             self.context,
             [
@@ -326,34 +299,15 @@
                 ),
             ],
         )
-        self.context.timeline.record(
-            "started",
-            incarnation=self.context.incarnation,
-            callers=settings.callers_address,
-        )
 
     def stop(self) -> None:
         """Stop as planned: close the port after a delay and let requests finish."""
-        context = self.context
-        started_ms = self.calls.stop_started_ms = context.clock.now_ms()
-        deadline_ms = started_ms + self._settings.stop_timeout_ms - STOP_MARGIN_MS
-        context.state = LEAVING
-        context.timeline.record("leaving", running=context.callers.answering)
-        # Until the load balancer reacts, callers still connect to this router.
-        accept_until_ms = started_ms + BALANCER_REACTION_MS
-        self._wait_while(lambda: True, min(accept_until_ms, deadline_ms))
-        self._callers_port.close()
-        self._wait_while(lambda: context.callers.answering, deadline_ms)
-        unfinished = context.callers.answering
-        self.calls.answer_running()
-        self._wait_while(
-            lambda: context.callers.answering, deadline_ms + LAST_ANSWERS_MS
+        stop_as_planned(
+            self.context,
+            self.calls,
+            self._callers_port,
+            self._settings.stop_timeout_ms,
         )
-        context.timeline.record("stopped", unfinished=unfinished)
-
-    def _wait_while(self, condition: Callable[[], object], deadline_ms: float) -> None:
-        while condition() and self.context.clock.now_ms() < deadline_ms:
-            eventlet.sleep(STOP_CHECK_INTERVAL_S)
 
     def _serve(
         self,
@@ -430,16 +384,6 @@
         if kind in ("left", "restarted"):
             self.pool.remove_server(server)
 
-    def _keep_membership(self) -> None:
-        mark_urgent()
-        while True:
-            delay_ms = self._membership()
-            if isinstance(delay_ms, Unavailable):
-                self.view.restart_silent_watch(delay_ms.reason)
-                delay_ms = MEMBERSHIP_RETRY_MS
-            # Jitter, because all routers of a fleet may have started at the same time.
-            eventlet.sleep(delay_ms * random.uniform(0.75, 1.0) / 1000.0)
-
     def is_ready(self) -> bool:
         """Return whether the router is ready to serve callers."""
         return (
@@ -448,62 +392,13 @@
             and self.context.callers.can_accept()
         )
 
-    def _serve_readiness(self, env: dict, start_response: Callable) -> Iterable[bytes]:
-        is_known = env["PATH_INFO"] == self._settings.readiness_path
-        if not is_known:
-            status = "404 Not Found"
-        elif self.is_ready():
-            status = "200 OK"
-        else:
-            status = "503 Service Unavailable"
-        start_response(status, [("Content-Length", "0")])
-        return [b""]
-
-    def _serve_metrics(self, env: dict, start_response: Callable) -> Iterable[bytes]:
-        if env["PATH_INFO"] != self._settings.metrics_path:
-            start_response("404 Not Found", [("Content-Length", "0")])
-            return [b""]
-        if self._metrics is None:
-            self._metrics = self._make_metrics()
-        text = self._metrics.render()
-        start_response(
-            "200 OK",
-            [("Content-Type", "text/plain"), ("Content-Length", str(len(text)))],
-        )
-        return [text]
-
     def _make_metrics(self) -> Metrics:
-        # Imported on first use, because a slow start delays serving.
-        from lagoonsail_core.metrics import Metrics
-        from lagoonsail_router.memory_metrics import declare_memory_metrics
-
-        metrics = Metrics()
-        metrics.declare_all(
-            COUNTERS,
-            self.context.counts_of,
-            HISTOGRAMS,
-            self.calls.durations
-            | {
-                "first_part_late": self.dispatcher.speeds.lateness,
-                "loop_late": self.context.loop_lateness.durations,
-            },
-        )
-        metrics.observable_counter(
-            "server_connections",
-            "Connections to backend servers, opened anew and used again.",
-            "kind",
-            lambda: {"opened": self.pool.opened, "reused": self.pool.reused},
-        )
-        declare_memory_metrics(metrics, self.limits.intake)
-        starting = metrics.gauge(
-            "starting", "Backend servers in slow start.", "servers"
-        )
-        metrics.before_render(lambda: starting.set(self.dispatcher.starts.count()))
-        declare_descriptor_metrics(metrics, self.descriptors)
-        metrics.observable_counter(
-            "store_calls",
-            "Calls to the store, by purpose.",
-            "purpose",
-            lambda: self._store_call_counts,
+        return make_metrics(
+            self.context,
+            self.calls.durations,
+            self.dispatcher,
+            self.pool,
+            self.limits.intake,
+            self.descriptors,
+            self._store_call_counts,
         )
-        return metrics
