Split slow start into limit, evidence and permits

start_pace.py (516 lines) held three concepts, and StartPace.grant and update had some twenty steps each.

- start_evidence: what each router counts, sums over routers and their use
- start_permits: one router's part of the room below the limit (StartPermits)
- start_pace: the limit; grant and update call one short function a step
- PULL is named PEER_LIMIT_WEIGHT

In the tests only imports change.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_starts.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_starts.py
@@ -16,14 +16,13 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_gateway.server_speeds import expected_delay_ms
-from lagoonsail_sharing.start_pace import (
+from lagoonsail_sharing.start_evidence import (
     LATE_FACTOR,
     StartEvidence,
-    StartPace,
     decode_evidence,
-    initial_limit,
     is_in_time,
 )
+from lagoonsail_sharing.start_pace import StartPace, initial_limit
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/packages/lagoonsail-gateway/tests/test_server_starts.py
+++ b/packages/lagoonsail-gateway/tests/test_server_starts.py
@@ -18,7 +18,7 @@
     KEY_PREFIX,
 )
 from lagoonsail_sharing.first_token import Prompt
-from lagoonsail_sharing.start_pace import SUMS_AGE_MS, StartEvidence
+from lagoonsail_sharing.start_evidence import SUMS_AGE_MS, StartEvidence
 
 SLOTS = 64
 
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/start_pace.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/start_pace.py
@@ -13,9 +13,9 @@
 count.
 
 Each router applies the counts of all routers to a limit of its own and draws it toward
-the mean of the others' limits. The requests outstanding elsewhere are known with the
-delay of digests; so a router uses only its part of the room that is left, and only a
-fraction of that in each update.
+the mean of the others' limits (`start_evidence`). The requests outstanding elsewhere
+are known with the delay of digests; so a router uses only its part of the room that is
+left, and only a fraction of that in each update (`start_permits`).
 
 `server_limit` does this for a server with one owner, who knows exactly what runs there.
 
@@ -39,10 +39,18 @@
 
 import math
 from collections import Counter
-from dataclasses import dataclass, fields, replace
-from operator import attrgetter
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from lagoonsail_sharing.start_evidence import (
+    SUMS_AGE_MS,
+    StartEvidence,
+    evidence_since,
+    has_usable_sums,
+    scale_to_all,
+)
+from lagoonsail_sharing.start_permits import PROBE_INTERVAL_MS, StartPermits
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -70,31 +78,10 @@
 SETBACK_HOLD_MS = 400.0
 """Time after a setback in which answers do not count: that of a digest on its way
 through relays, and of the other routers' requests that were already sent."""
-LATE_FACTOR = 2.0
-"""Factor of the expected time beyond which an answer is late."""
-LATE_SLACK_MS = 50.0
-"""Further time beyond which it is late, for the network and unknown queues."""
-PULL = 0.1
+PEER_LIMIT_WEIGHT = 0.1
 """Weight of the mean of the other routers' limits, at each update."""
-USED_PER_UPDATE = 0.25
-"""Fraction of the room that all routers use in one update: the sums that they see are
-up to three updates old, and are used until the next."""
-SUMS_AGE_MS = 400.0
-"""Age up to which sums are used: that of digests, and the interval of updates."""
-MIN_COVERAGE = 0.5
-"""Fraction of the routers beyond which their sums are used. If fewer report, each
-router keeps to a fixed part of the limit."""
-MAX_OVERCOMMIT = 3.0
-"""Maximum factor of the permits of all routers to the room. Many permits are unused: a
-router has one, but its requests are sent to the servers that know their prompts."""
-OVERCOMMIT_GROWTH = 1.1
-"""Growth of that factor in each update in which requests are held off, although less
-than half of the limit is outstanding."""
 OVERFLOW_FACTOR = 1.5
 """Factor of the limit while the other servers are full, which would refuse requests."""
-PROBE_INTERVAL_MS = 1000.0
-"""Interval in which all routers with a part of 0 send about as many requests as the
-limit is."""
 PEER_FACTOR = 2.0
 """Slow start ends at this multiple of the requests outstanding at other servers."""
 END_HOLD_MS = 1000.0
@@ -105,63 +92,6 @@
 that multiple of what is outstanding at the server."""
 
 
-@dataclass(slots=True, frozen=True)
-class StartEvidence:
-    """What one router reports of a server that starts, or the sum over routers."""
-
-    starting: int = 0
-    """Routers that have the server in slow start."""
-    ended: int = 0
-    """Routers at which its slow start has ended recently."""
-    limits: int = 0
-    """Sum of the limits of the routers that have it in slow start."""
-    raises: int = 0
-    """Answers in time to requests sent while the limit was reached."""
-    in_time: int = 0
-    """Answers in time."""
-    late: int = 0
-    """Answers that were late."""
-    failed: int = 0
-    """Requests that failed."""
-    refused: int = 0
-    """Requests that it refused for want of room."""
-    demand: int = 0
-    """Recent requests for its service."""
-    held: int = 0
-    """Requests sent elsewhere because of its limit."""
-
-    def encode(self) -> tuple[int, ...]:
-        """Return the numbers for `FleetCounts`."""
-        return _numbers_of(self)
-
-
-_FIELD_NAMES = [field.name for field in fields(StartEvidence)]
-_numbers_of = attrgetter(*_FIELD_NAMES)
-
-
-def decode_evidence(numbers: tuple[int, ...]) -> StartEvidence:
-    """Return evidence from the numbers of `FleetCounts`.
-
-    Args:
-        numbers: The numbers; missing ones are 0, and negative ones count as 0.
-
-    Example:
-        >>> decode_evidence((2, 0, -16)).limits
-        0
-    """
-    return StartEvidence(*(max(0, number) for number in numbers[: len(_FIELD_NAMES)]))
-
-
-def is_in_time(observed_ms: float, expected_ms: float) -> bool:
-    """Return whether the first part of an answer came in time.
-
-    Args:
-        observed_ms: Time that it took.
-        expected_ms: Time that was expected when the request was sent.
-    """
-    return observed_ms <= LATE_FACTOR * expected_ms + LATE_SLACK_MS
-
-
 def initial_limit(slots: int) -> float:
     """Return the limit with which slow start begins.
 
@@ -179,17 +109,12 @@
     """Slow start of one server, at one router."""
 
     __slots__ = (
-        "_credit",
-        "_draw",
-        "_drawn_ms",
         "_ended_before",
-        "_granted",
         "_held_before",
         "_held_now",
         "_is_holding",
-        "_overcommit",
         "_own",
-        "_probed_ms",
+        "_permits",
         "_proofs_needed",
         "_raised_ms",
         "_reached_ms",
@@ -202,7 +127,6 @@
         "began_ms",
         "held",
         "limit",
-        "permits",
         "setbacks",
         "slots",
         "started_ms",
@@ -216,8 +140,6 @@
     """Requests that this router sent elsewhere because of the limit."""
     limit: float
     """Maximum number of requests outstanding at the server, of all routers."""
-    permits: int
-    """Requests that this router may still send there before the next update."""
     setbacks: Counter[str]
     """Number of setbacks by reason."""
     slots: int
@@ -243,18 +165,14 @@
         self.slots = slots
         self.started_ms = now_ms
         self.held = 0
-        self.permits = 0
         self.setbacks = Counter()
         self._own = StartEvidence(starting=1)
         self._seen = seen
         self._ended_before = seen.ended
         self._held_before = self._held_now = 0
-        self._credit = self._draw = 0.0
-        self._drawn_ms = -math.inf
         self._is_holding = False
-        self._overcommit = 1.0
-        self._granted = 0
-        self._probed_ms = self._unused_since_ms = now_ms
+        self._permits = StartPermits(now_ms)
+        self._unused_since_ms = now_ms
         self._begin(now_ms, limit)
 
     def _begin(self, now_ms: float, limit: float | None) -> None:
@@ -266,6 +184,15 @@
         self._reached_ms = math.inf
         self._window_answers = self._window_trouble = 0.0
 
+    @property
+    def permits(self) -> int:
+        """Requests that this router may still send there before the next update."""
+        return self._permits.left
+
+    @permits.setter
+    def permits(self, permits: int) -> None:
+        self._permits.left = permits
+
     def restart(self, now_ms: float, reason: str, limit: float | None = None) -> None:
         """Begin anew, because the server is cold again or was suspended.
 
@@ -346,31 +273,20 @@
         seen, self._seen = self._seen, totals
         self._held_before, self._held_now = self._held_now, self.held
         self._follow_others(totals)
-        self._is_holding = totals.held > seen.held
-        if self._is_holding:
-            self._unused_since_ms = now_ms
-        # With reports of few routers, their answers stand for those of all.
-        coverage = _coverage(totals, routers)
-        scale = 1.0 if coverage > MIN_COVERAGE else 1.0 / coverage
+        self._note_held(now_ms, is_holding=totals.held > seen.held)
         if now_ms - self._setback_ms < SETBACK_HOLD_MS:
             return
-        # Sums fall when a router dies.
-        in_time = max(0, totals.in_time - seen.in_time)
-        late = max(0, totals.late - seen.late)
-        failed = max(0, totals.failed - seen.failed)
-        self.answered += in_time * scale
-        self._window_answers += scale * (in_time + late + failed)
-        self._window_trouble += scale * (late + FAILURE_WEIGHT * failed)
+        new = evidence_since(totals, seen)
+        scale = scale_to_all(totals, routers)
+        self._count_answers(new, scale)
         round_size = self.limit / 2.0
-        allowed = SETBACK_FRACTION * max(round_size, self._window_answers)
-        if totals.refused > seen.refused:
-            self._set_back("refused", now_ms)
-        elif self._window_trouble > allowed:
-            self._set_back("failed" if failed > late else "late", now_ms)
-        else:
-            self._raise_limit(max(0, totals.raises - seen.raises) * scale, now_ms)
-            if self._window_answers >= round_size:
-                self._window_answers = self._window_trouble = 0.0
+        reason = self._find_setback(new, round_size)
+        if reason is not None:
+            self._set_back(reason, now_ms)
+            return
+        self._raise_limit(new.raises * scale, now_ms)
+        if self._window_answers >= round_size:
+            self._window_answers = self._window_trouble = 0.0
 
     def grant(
         self,
@@ -398,33 +314,31 @@
         """
         # The sums do not yet show what was sent at the beginning.
         is_settled = now_ms - self.began_ms >= SUMS_AGE_MS
-        is_known = _coverage(totals, routers) > MIN_COVERAGE
         is_overflow = are_others_full and is_settled
         limit = self.limit * (OVERFLOW_FACTOR if is_overflow else 1.0)
-        if routers > 1 and is_settled and is_known:
+        if routers > 1 and is_settled and has_usable_sums(totals, routers):
             outstanding = own_running + others_running
-            self._update_overcommit(outstanding)
-            room = max(0.0, limit - outstanding)
-            part = room * self._share(totals, routers) * self._overcommit
-            # What was granted beyond the part is owed.
-            used = self._granted - max(0, self.permits)
-            credit = max(-1.0, self._credit - used)
-            self._credit = min(part, credit + part * USED_PER_UPDATE)
-            if now_ms - self._drawn_ms >= SUMS_AGE_MS:
-                self._drawn_ms = now_ms
-                self._draw = random_value
-            # Rounded at random, so that small parts add up over the routers.
-            self.permits = max(0, math.floor(self._credit + self._draw))
-            self._granted = self.permits
+            share = self._share(totals, routers)
+            self._grant_part(now_ms, limit, outstanding, share, random_value)
             return
-        self._granted = self.permits = 0
         quota = quota_of(int(limit))
-        self.permits = quota - own_running
         interval_ms = PROBE_INTERVAL_MS * routers / limit
-        is_due = now_ms - self._probed_ms >= interval_ms * (0.5 + random_value)
-        if not quota and not own_running and is_due:
-            self.permits = 1
-            self._probed_ms = now_ms
+        self._permits.grant_fixed(now_ms, quota, own_running, interval_ms, random_value)
+
+    def _grant_part(
+        self,
+        now_ms: float,
+        limit: float,
+        outstanding: int,
+        share: float,
+        random_value: float,
+    ) -> None:
+        """Grant a share of the room between the limit and what is outstanding."""
+        self._permits.update_overcommit(
+            is_half_used=2 * outstanding >= self.limit, is_holding=self._is_holding
+        )
+        room = max(0.0, limit - outstanding)
+        self._permits.grant_part(now_ms, room * share, random_value)
 
     def describe(self, now_ms: float) -> dict[str, object]:
         """Return log fields: duration, limit, setbacks, and this router's counts.
@@ -476,17 +390,30 @@
         self._reached_ms = min(self._reached_ms, now_ms) if is_reached else math.inf
         return now_ms - self._reached_ms >= END_HOLD_MS
 
-    def _update_overcommit(self, outstanding: int) -> None:
-        if 2 * outstanding >= self.limit:
-            self._overcommit = 1.0
-        elif self._is_holding:
-            self._overcommit = min(MAX_OVERCOMMIT, self._overcommit * OVERCOMMIT_GROWTH)
+    def _note_held(self, now_ms: float, *, is_holding: bool) -> None:
+        self._is_holding = is_holding
+        if is_holding:
+            self._unused_since_ms = now_ms
+
+    def _count_answers(self, new: StartEvidence, scale: float) -> None:
+        self.answered += new.in_time * scale
+        self._window_answers += scale * (new.in_time + new.late + new.failed)
+        self._window_trouble += scale * (new.late + FAILURE_WEIGHT * new.failed)
+
+    def _find_setback(self, new: StartEvidence, round_size: float) -> str | None:
+        """Return the reason of a setback, None if the server keeps up."""
+        if new.refused:
+            return "refused"
+        allowed = SETBACK_FRACTION * max(round_size, self._window_answers)
+        if self._window_trouble <= allowed:
+            return None
+        return "failed" if new.failed > new.late else "late"
 
     def _follow_others(self, totals: StartEvidence) -> None:
         others = totals.starting - 1
         if others > 0:
             mean = max(MIN_LIMIT, (totals.limits - self._own.limits) / others)
-            self.limit += PULL * (mean - self.limit)
+            self.limit += PEER_LIMIT_WEIGHT * (mean - self.limit)
 
     def _raise_limit(self, raises: float, now_ms: float) -> None:
         if raises <= 0.0:
@@ -509,8 +436,3 @@
         if own_demand <= 0 or totals.demand <= 0:
             return 1.0 / routers
         return min(1.0, own_demand / totals.demand)
-
-
-def _coverage(totals: StartEvidence, routers: int) -> float:
-    reporting = max(1, totals.starting + totals.ended)
-    return min(1.0, reporting / max(1, routers))
--- a/packages/lagoonsail-sharing/tests/test_start_pace.py
+++ b/packages/lagoonsail-sharing/tests/test_start_pace.py
@@ -7,14 +7,12 @@
 
 import pytest
 
-from lagoonsail_sharing.start_pace import (
-    END_HOLD_MS,
-    UNUSED_MS,
+from lagoonsail_sharing.start_evidence import (
     StartEvidence,
-    StartPace,
     decode_evidence,
     is_in_time,
 )
+from lagoonsail_sharing.start_pace import END_HOLD_MS, UNUSED_MS, StartPace
 
 STEP_MS = 20.0
 UPDATE_STEPS = 5
