Split accepting and listening from the HTTP server

http_server.py opened ports, decided which connections are accepted, refused or replaced, reported failures of accepting, and made the protocol class.

- listening: opens a port (listen, AddressInUseError, BACKLOG)
- accepting: which connections are served or refused, failed accepts
- http_server: serves a WSGI application on a port

No change of behaviour; in the tests only imports change.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -46,7 +46,8 @@
     make_accept_report,
     make_descriptor_check,
 )
-from lagoonsail_router.http_server import listen, start_serving
+from lagoonsail_router.http_server import start_serving
+from lagoonsail_router.listening import listen
 from lagoonsail_router.open_connections import OpenConnections
 from lagoonsail_router.port_limits import PortLimits
 from lagoonsail_sharing.crash_suspects import CrashSuspects
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/baseline_router.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/baseline_router.py
@@ -25,7 +25,7 @@
 from lagoonsail_router.call import read_call
 from lagoonsail_router.configuration import Configuration
 from lagoonsail_router.context import RouterContext, run_periodically
-from lagoonsail_router.http_server import BACKLOG
+from lagoonsail_router.listening import BACKLOG
 from lagoonsail_router.problems import UNKNOWN, CallProblem
 from lagoonsail_router.store_sync import StoreSync
 from lagoonsail_sharing.baseline import FifoQueue, choose_random_server
--- a/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/daemon.py
@@ -29,8 +29,9 @@
 )
 from lagoonsail_router.entry import Entry
 from lagoonsail_router.host_state import host_list_pause_ms, make_host_reader
-from lagoonsail_router.http_server import listen, start_serving
+from lagoonsail_router.http_server import start_serving
 from lagoonsail_router.key_store import KeyStore
+from lagoonsail_router.listening import listen
 from lagoonsail_router.local_stream import LocalStream
 from lagoonsail_router.memory_metrics import declare_memory_metrics
 from lagoonsail_router.metrics import declare_gauges, make_metrics
--- a/packages/lagoonsail-router/src/lagoonsail_router/main.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/main.py
@@ -90,7 +90,7 @@
 def _serve(daemon: Daemon, stop: eventlet.event.Event) -> int:
     from lagoonsail_peer.server import AddressError
     from lagoonsail_router.daemon import StartError
-    from lagoonsail_router.http_server import AddressInUseError
+    from lagoonsail_router.listening import AddressInUseError
 
     try:
         daemon.start()
--- a/packages/lagoonsail-router/tests/test_accept_failures.py
+++ b/packages/lagoonsail-router/tests/test_accept_failures.py
@@ -10,7 +10,8 @@
 from lagoonsail_core.clock import Clock
 from lagoonsail_core.green import eventlet, green_socket
 from lagoonsail_overload.descriptor_budget import CALLERS, DescriptorBudget
-from lagoonsail_router.http_server import listen, start_serving
+from lagoonsail_router.http_server import start_serving
+from lagoonsail_router.listening import listen
 from lagoonsail_router.open_connections import OpenConnections
 
 LIMIT = 100
