Name two things that needed explaining

- Level.CLOSE_KEPT and Thresholds.close_kept: ASK_TO_CLOSE, ask_to_close, which is what the level does.
Its name in log lines stays close_kept.
- WATCHER_TIMEOUT_MS: MAX_WATCHER_SILENCE_MS.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_feed.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_feed.py
@@ -31,7 +31,7 @@
 """Watchers of one failure domain: a second one hides the death of the first."""
 HEARTBEAT_INTERVAL_MS = 200.0
 """Interval of a watcher's heartbeats."""
-WATCHER_TIMEOUT_MS = 700.0
+MAX_WATCHER_SILENCE_MS = 700.0
 """Silence after which a watcher no longer counts: some lost heartbeats, and a small
 part of the time within which a change must be in force."""
 MIN_FEED_ROUTERS = 14
@@ -169,7 +169,7 @@
         """Return whether this router follows the store itself."""
         if not self.uses_feed():
             return True
-        expiry_ms = self._clock.now_ms() - WATCHER_TIMEOUT_MS
+        expiry_ms = self._clock.now_ms() - MAX_WATCHER_SILENCE_MS
         heard = 0
         for name in self._ranked():
             if name == self._routers.name:
--- a/packages/lagoonsail-gateway/tests/test_store_feed.py
+++ b/packages/lagoonsail-gateway/tests/test_store_feed.py
@@ -17,8 +17,8 @@
 )
 from lagoonsail_gateway.store_feed import (
     HEARTBEAT_INTERVAL_MS,
+    MAX_WATCHER_SILENCE_MS,
     MIN_FEED_ROUTERS,
-    WATCHER_TIMEOUT_MS,
     FeedMessage,
     WatcherChoice,
     decode_feed_message,
@@ -156,7 +156,7 @@
     follower = make_view(rank=2)
     tell_heartbeats(follower, 5)
     assert follower.view._can_follow()
-    manual_clock.ms += WATCHER_TIMEOUT_MS + 1.0
+    manual_clock.ms += MAX_WATCHER_SILENCE_MS + 1.0
     assert not follower.view._can_follow()
     follower.view.send_heartbeat()
     assert [message.revision for message in follower.sent] == [5]
--- a/packages/lagoonsail-overload/src/lagoonsail_overload/descriptor_levels.py
+++ b/packages/lagoonsail-overload/src/lagoonsail_overload/descriptor_levels.py
@@ -16,7 +16,7 @@
 
     NORMAL = 0
     """Enough are left."""
-    CLOSE_KEPT = 1
+    ASK_TO_CLOSE = 1
     """Answers ask callers to close their connections."""
     CLOSE_IDLE = 2
     """Idle connections are closed, those to servers first."""
@@ -31,13 +31,14 @@
 
 LEVEL_NAMES = {
     Level.NORMAL: "normal",
-    Level.CLOSE_KEPT: "close_kept",
+    Level.ASK_TO_CLOSE: "close_kept",
     Level.CLOSE_IDLE: "close_idle",
     Level.BOUND_SERVERS: "bound_servers",
     Level.REFUSE: "refuse",
     Level.STOP_ACCEPTING: "stop_accepting",
 }
-"""Names of the levels in log lines, written out so that a search finds them."""
+"""Names of the levels in log lines, written out so that a search finds them. They stay
+the same when a level of the code is renamed, for whoever filters by them."""
 MIN_RESERVE = 8
 """Smallest reserve: the store's two connections, the readiness check, a scraper, and
 four callers that are refused."""
@@ -45,7 +46,7 @@
 """Largest reserve."""
 RESERVE_DIVISOR = 16
 """Part of the limit that is the reserve."""
-CLOSE_KEPT_DIVISOR = 4
+ASK_TO_CLOSE_DIVISOR = 4
 """Part of the limit, above the reserve, from which callers are asked to close."""
 CLOSE_IDLE_DIVISOR = 8
 """Part of the limit, above the reserve, from which idle connections are closed."""
@@ -57,8 +58,8 @@
 class Thresholds:
     """Numbers of descriptors left from which levels begin."""
 
-    close_kept: int
-    """Fewer are left: CLOSE_KEPT."""
+    ask_to_close: int
+    """Fewer are left: ASK_TO_CLOSE."""
     close_idle: int
     """Fewer are left: CLOSE_IDLE."""
     bound_servers: int
@@ -78,13 +79,13 @@
 
     Example:
         >>> thresholds_of(56)
-        Thresholds(close_kept=22, close_idle=15, bound_servers=12, reserve=8, stop=2)
+        Thresholds(ask_to_close=22, close_idle=15, bound_servers=12, reserve=8, stop=2)
         >>> thresholds_of(1438).reserve, thresholds_of(10_050).reserve
         (64, 64)
     """
     reserve = max(MIN_RESERVE, min(MAX_RESERVE, limit // RESERVE_DIVISOR))
     return Thresholds(
-        reserve + limit // CLOSE_KEPT_DIVISOR,
+        reserve + limit // ASK_TO_CLOSE_DIVISOR,
         reserve + limit // CLOSE_IDLE_DIVISOR,
         reserve + reserve // 2,
         reserve,
@@ -107,8 +108,8 @@
         return Level.BOUND_SERVERS
     if free < thresholds.close_idle:
         return Level.CLOSE_IDLE
-    if free < thresholds.close_kept:
-        return Level.CLOSE_KEPT
+    if free < thresholds.ask_to_close:
+        return Level.ASK_TO_CLOSE
     return Level.NORMAL
 
 
--- a/packages/lagoonsail-router/src/lagoonsail_router/open_connections.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/open_connections.py
@@ -126,7 +126,7 @@
         """Return whether callers should close their connections after an answer."""
         if self.count > CROWDED_RATIO * self.max_count:
             return True
-        return self.budget is not None and self.budget.level() >= Level.CLOSE_KEPT
+        return self.budget is not None and self.budget.level() >= Level.ASK_TO_CLOSE
 
     def can_accept(self) -> bool:
         """Return whether a new connection would be accepted now."""
