Bound the findings of a document

All findings were held and printed, and each [calls] rule was compared with all others, with a list of those that cover it. A document of 1 MB held 40,000 findings (10.5 MB); 3,000 rules took 3.3 s, growing with their square.

At most 200 findings are listed, as many as mistakes; a last one of the new kind more_findings says that there are more. Rules are compared in the order of their prefixes, so that each is compared with few.

--- a/packages/lagoonsail-config/tests/test_document_findings.py
+++ b/packages/lagoonsail-config/tests/test_document_findings.py
@@ -1,12 +1,14 @@
 from __future__ import annotations
 
 import hashlib
+import tracemalloc
 from pathlib import Path
 
 import pytest
 
 from lagoonsail_config.document import parse_document
-from lagoonsail_config.document_findings import find_in_document
+from lagoonsail_config.document_findings import MAX_FINDINGS, find_in_document
+from lagoonsail_config.document_schema import MAX_DOCUMENT_BYTES
 
 EXAMPLES = sorted(
     (Path(__file__).resolve().parents[3] / "deploy" / "documents").glob("*.ini")
@@ -14,6 +16,8 @@
 HASH = "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b"
 SERVICE = "region = sierra-central\n"
 PLAIN = ("kind = engine", "kind = plain")
+MAX_MEMORY_BYTES = 4_000_000
+"""Memory that the findings of a document of the largest size may use."""
 
 
 def find(text, *replacements):
@@ -94,3 +98,62 @@
     """Guards against a finding that no document with one slot could avoid."""
     one = [("slots = 8\ncold_slots = 2", "slots = 1"), ("slots = 8", "slots = 1")]
     assert find(document_text, *one) == []
+
+
+def make_nested_rules(count):
+    """Return rules of which each covers all that follow."""
+    return "".join(
+        f"[calls PUT /{'a' * depth}]\nrepeatable = no\n" for depth in range(1, count)
+    )
+
+
+def make_sibling_rules(count):
+    """Return rules of which the first covers the others, which do not cover any."""
+    siblings = (f"[calls PUT /p/{n:05}]\nrepeatable = no\n" for n in range(count))
+    return "[calls PUT /p]\nrepeatable = no\n" + "".join(siblings)
+
+
+def make_unused_domains(count):
+    return "".join(f"[failure-domain d{n:05}]\n" for n in range(count))
+
+
+@pytest.mark.parametrize(
+    ("make_entries", "count", "kind"),
+    [
+        (make_nested_rules, 1350, "covered_rule"),
+        (make_sibling_rules, 25_000, "covered_rule"),
+        (make_unused_domains, 40_000, "unused_domain"),
+    ],
+)
+def test_findings_of_a_hostile_document_are_bounded(
+    document_text, make_entries, count, kind
+):
+    """Guards against memory and output that grow with the entries of a document."""
+    text = document_text + make_entries(count)
+    assert 0.9 * MAX_DOCUMENT_BYTES < len(text) <= MAX_DOCUMENT_BYTES
+    document = parse_document(text)
+    tracemalloc.start()
+    findings = find_in_document(document)
+    _, most_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    kinds = [item.kind for item in findings]
+    assert kinds == [kind] * MAX_FINDINGS + ["more_findings"]
+    assert most_bytes < MAX_MEMORY_BYTES
+
+
+def test_exactly_the_listed_findings_are_no_more(document_text):
+    """Guards against a remark on further findings that do not exist."""
+    found = find(document_text + make_unused_domains(MAX_FINDINGS))
+    assert [kind for kind, _, _ in found] == ["unused_domain"] * MAX_FINDINGS
+
+
+def test_rules_between_a_rule_and_the_one_that_covers_it(document_text):
+    """Guards against comparison with a neighbour in the order of prefixes alone."""
+    rules = "".join(
+        f"[calls PUT /r{rest}]\nrepeatable = {value}\n"
+        for rest, value in [("/b", "no"), ("", "no"), ("/a/x", "yes"), ("/a", "yes")]
+    )
+    assert find(document_text + rules) == [
+        ("covered_rule", "calls PUT /r/b", ""),
+        ("covered_rule", "calls PUT /r/a/x", ""),
+    ]
