Bound the names that a mistake of a document lists

Each server in an unknown failure domain, or with an unknown model, got a list of all names of its own: 10,000 domains and 2,000 such servers (0.4 MB) took 169 MB, growing with the product. The list is now made once and has at most 200 names, then how many more there are: 26 MB, most of it for parsing. Messages of documents with up to 200 names stay the same.

--- a/packages/lagoonsail-config/src/lagoonsail_config/document.py
+++ b/packages/lagoonsail-config/src/lagoonsail_config/document.py
@@ -26,7 +26,11 @@
 from lagoonsail_core.unavailable import Unavailable
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Set
+
+MAX_LISTED_NAMES = 200
+"""Names listed in a mistake as those that are allowed. A document of the largest size
+may have 20,000 names, and thousands of mistakes that each list them."""
 
 
 @dataclass(slots=True)
@@ -204,16 +208,24 @@
         return [f"{self.qualified()}@{region}" for region in sorted(regions)]
 
 
+def _list_names(names: list[str]) -> str:
+    """Return the first names as a list, and how many more there are."""
+    listed = ", ".join(names[:MAX_LISTED_NAMES])
+    more = len(names) - MAX_LISTED_NAMES
+    return f"{listed} and {more} more" if more > 0 else listed
+
+
 def _check_server(
-    name: str, values: dict, domain_names: list[str], file: str
+    name: str, values: dict, domain_names: Set[str], allowed_domains: str, file: str
 ) -> list[Problem]:
     problems = []
     section = f"server {name}"
     domain = values.get("failure_domain")
     if domain is not None and domain not in domain_names:
-        allowed = ", ".join(domain_names) or "a [failure-domain NAME] of the document"
         found = repr(domain)
-        problems.append(Problem(file, section, "failure_domain", found, allowed))
+        problems.append(
+            Problem(file, section, "failure_domain", found, allowed_domains)
+        )
     slots = values.get("slots")
     cold_slots = values.get("cold_slots")
     if None not in (slots, cold_slots) and cold_slots > slots:
@@ -229,6 +241,8 @@
     """Return the problems of model names, and of models and roles of servers."""
     problems = []
     model_names = [name for kind, name in values_by_section if kind == "model"]
+    known_models = frozenset(model_names)
+    allowed_models = ", ".join(filter(None, [_list_names(model_names), NONE]))
     is_plain = values_by_section.get(("service", ""), {}).get("kind") == KIND_PLAIN
     for (kind, name), values in values_by_section.items():
         if (kind, name) == ("model", NONE):
@@ -238,9 +252,9 @@
             continue
         section = f"server {name}"
         model = values.get("model")
-        if model and model not in model_names:
-            allowed = ", ".join([*model_names, NONE])
-            problems.append(Problem(file, section, "model", repr(model), allowed))
+        if model and model not in known_models:
+            found = repr(model)
+            problems.append(Problem(file, section, "model", found, allowed_models))
         for key in ("model", "role"):
             if is_plain and values.get(key):
                 allowed = f"{NONE}, since the service is plain"
@@ -276,9 +290,15 @@
     domain_names = [
         name for kind, name in values_by_section if kind == "failure-domain"
     ]
+    allowed_domains = _list_names(domain_names)
+    if not domain_names:
+        allowed_domains = "a [failure-domain NAME] of the document"
+    known_domains = frozenset(domain_names)
     for (kind, name), values in values_by_section.items():
         if kind == "server":
-            problems += _check_server(name, values, domain_names, file)
+            problems += _check_server(
+                name, values, known_domains, allowed_domains, file
+            )
     problems += _check_models_and_roles(values_by_section, file)
     problems += _check_unique("server", "address", values_by_section, file)
     problems += _check_unique("account", "key_sha256", values_by_section, file)
--- a/packages/lagoonsail-config/tests/test_document.py
+++ b/packages/lagoonsail-config/tests/test_document.py
@@ -1,8 +1,10 @@
 from __future__ import annotations
 
+import tracemalloc
+
 import pytest
 
-from lagoonsail_config.document import CallEntry, parse_document
+from lagoonsail_config.document import MAX_LISTED_NAMES, CallEntry, parse_document
 from lagoonsail_config.document_changes import describe_changes, edit_state
 from lagoonsail_config.document_schema import MAX_DOCUMENT_BYTES, DocumentError
 
@@ -271,3 +273,34 @@
         ("server asistente-1", "model"),
         ("server asistente-1", "role"),
     }
+
+
+def test_many_mistakes_do_not_each_hold_all_names(document_text):
+    """Guards against memory that grows with the product of names and mistakes.
+
+    With a list of its own for each mistake this document took 169 MB, else 26 MB.
+    """
+    domains = "".join(f"[failure-domain d{n:05}]\n" for n in range(10_000))
+    servers = "".join(
+        f"[server s{n}]\naddress = 127.0.{n // 250}.{n % 250}:1\n"
+        "failure_domain = x\nslots = 1\n"
+        for n in range(2000)
+    )
+    tracemalloc.start()
+    with pytest.raises(DocumentError) as caught:
+        parse_document(document_text + domains + servers)
+    _, most_bytes = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert len(caught.value.problems) == 2000
+    assert most_bytes < 60_000_000
+
+
+def test_mistake_lists_some_of_very_many_names(document_text):
+    """Guards against a message that leaves out names without saying so."""
+    names = [f"d{n:03}" for n in range(MAX_LISTED_NAMES)]
+    domains = "".join(f"[failure-domain {name}]\n" for name in names)
+    server = "[server s]\naddress = 127.0.0.1:1\nfailure_domain = x\nslots = 1\n"
+    problem = find_problems(document_text + domains + server)
+    listed = ", ".join(["banos", "puyo", *names[:-2]])
+    expected = f"allowed {listed} and 2 more"
+    assert problem["server s", "failure_domain"].endswith(expected)
