--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_feed.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_feed.py
@@ -21,6 +21,7 @@
 import msgpack
 
 from lagoonsail_gateway.sent_prompts import DECODE_ERRORS
+from lagoonsail_gateway.store_access import StoreItem
 
 if TYPE_CHECKING:
     from lagoonsail_core.clock import Clock
@@ -30,7 +31,7 @@
 """Watchers of one failure domain: a second one hides the death of the first."""
 HEARTBEAT_INTERVAL_MS = 200.0
 """Interval of a watcher's heartbeats."""
-WATCHER_TIMEOUT_MS = 700.0
+MAX_WATCHER_SILENCE_MS = 700.0
 """Silence after which a watcher no longer counts: some lost heartbeats, and a small
 part of the time within which a change must be in force."""
 MIN_FEED_ROUTERS = 14
@@ -40,18 +41,6 @@
 """First bytes of a datagram of the feed."""
 
 
-@dataclass(slots=True, frozen=True)
-class StoreItem:
-    """The value or the removal of a key."""
-
-    key: str
-    """The key."""
-    value: bytes | None
-    """The value; None if the key was removed."""
-    revision: int
-    """Revision of the change."""
-
-
 @dataclass(slots=True, frozen=True)
 class FeedMessage:
     """What a watcher tells its followers."""
@@ -180,7 +169,7 @@
         """Return whether this router follows the store itself."""
         if not self.uses_feed():
             return True
-        expiry_ms = self._clock.now_ms() - WATCHER_TIMEOUT_MS
+        expiry_ms = self._clock.now_ms() - MAX_WATCHER_SILENCE_MS
         heard = 0
         for name in self._ranked():
             if name == self._routers.name:
