Redirect a router's peers once its member record is written

cause: a fleet with relayed peers edits the member records as soon as all routers are ready, but a router is ready without one: its first registration can time out, and a slow router can lose its lease, after which it writes the record again.

change: redirect_member waits until the record exists, at most 10 s, and reports it as before if it does not. A test writes the record 0.5 s late; it failed before ("no member record /lagoonsail/members/late").

--- a/packages/lagoonsail-lab/src/lagoonsail_lab/process_calls.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/process_calls.py
@@ -5,7 +5,8 @@
 import base64
 import json
 
-from lagoonsail_core.green import urllib3
+from lagoonsail_core.clock import Clock
+from lagoonsail_core.green import eventlet, urllib3
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_lab.processes import ProcessError
 
@@ -13,6 +14,11 @@
 """Timeout of a call, seconds."""
 READY_TIMEOUT_S = 1.0
 """Timeout of a readiness check, seconds."""
+MEMBER_TIMEOUT_MS = 10_000.0
+"""Time until a ready router has written its member record, milliseconds. A slow router
+may lose its lease and then has to write the record again."""
+MEMBER_POLL_INTERVAL_S = 0.05
+"""Time between two reads of a member record that is missing, seconds."""
 
 
 def encode(text: str) -> str:
@@ -110,7 +116,7 @@
             )
 
     def redirect_member(self, store: str, key: str, peers: str) -> None:
-        """Replace the peers address in a router's member record.
+        """Replace the peers address in a router's member record, once it is written.
 
         Args:
             store: Address of the key-value service.
@@ -118,16 +124,26 @@
             peers: Address for other routers to dial.
 
         Raises:
-            ProcessError: If the record cannot be read or written.
+            ProcessError: If the record cannot be read in time, or not written.
         """
         encoded = encode(key)
-        found = self.fetch("POST", store, "/v3/kv/range", {"key": encoded})
-        if not found or not found.get("kvs"):
+        entry = self._wait_for_entry(store, encoded)
+        if entry is None:
             raise ProcessError(f"no member record {key}", "read the router's output")
-        entry = found["kvs"][0]
         member = json.loads(decode(entry["value"]))
         member["peers"] = peers
         value = encode(json.dumps(member))
         put = {"key": encoded, "value": value, "lease": entry.get("lease", "0")}
         if not self.fetch("POST", store, "/v3/kv/put", put):
             raise ProcessError(f"writing {key} failed", "read the output of key_value")
+
+    def _wait_for_entry(self, store: str, encoded_key: str) -> dict | None:
+        clock = Clock()
+        deadline_ms = clock.now_ms() + MEMBER_TIMEOUT_MS
+        while True:
+            found = self.fetch("POST", store, "/v3/kv/range", {"key": encoded_key})
+            if found and found.get("kvs"):
+                return found["kvs"][0]
+            if clock.now_ms() > deadline_ms:
+                return None
+            eventlet.sleep(MEMBER_POLL_INTERVAL_S)
--- a/packages/lagoonsail-lab/tests/test_fleet.py
+++ b/packages/lagoonsail-lab/tests/test_fleet.py
@@ -1,6 +1,7 @@
 from __future__ import annotations
 
 import base64
+import json
 import signal
 from collections import OrderedDict
 from types import SimpleNamespace
@@ -8,9 +9,9 @@
 import pytest
 
 from lagoonsail_config.document import parse_document
-from lagoonsail_core.green import urllib3
+from lagoonsail_core.green import eventlet, urllib3
 from lagoonsail_core.unavailable import Unavailable
-from lagoonsail_lab import processes
+from lagoonsail_lab import process_calls, processes
 from lagoonsail_lab.deployments import (
     SHARED_DOMAIN,
     account_key,
@@ -18,6 +19,7 @@
     make_kalapati,
 )
 from lagoonsail_lab.fleet import Fleet
+from lagoonsail_lab.process_calls import ProcessCalls
 from lagoonsail_lab.processes import Process, ProcessError
 
 
@@ -123,6 +125,31 @@
     assert is_reached(ports[0], sources[0])
 
 
+def test_peers_are_redirected_once_the_member_record_is_written(fleet):
+    """A router on a busy machine can be ready before its member record is written."""
+    key = "/lagoonsail/members/late"
+    encoded = base64.b64encode(key.encode()).decode()
+
+    def write():
+        value = base64.b64encode(json.dumps({"peers": "own"}).encode()).decode()
+        put = {"key": encoded, "value": value}
+        assert fleet.fetch("POST", fleet.store, "/v3/kv/put", put)
+
+    writing = eventlet.spawn_after(0.5, write)
+    calls = ProcessCalls()
+    calls.redirect_member(fleet.store, key, "relay")
+    writing.wait()
+    answer = fleet.fetch("POST", fleet.store, "/v3/kv/range", {"key": encoded})
+    member = json.loads(base64.b64decode(answer["kvs"][0]["value"]))
+    assert member == {"peers": "relay"}
+
+
+def test_missing_member_record_is_reported(fleet, monkeypatch):
+    monkeypatch.setattr(process_calls, "MEMBER_TIMEOUT_MS", 200.0)
+    with pytest.raises(ProcessError, match="no member record /lagoonsail/members/none"):
+        ProcessCalls().redirect_member(fleet.store, "/lagoonsail/members/none", "relay")
+
+
 def test_process_that_does_not_listen_is_reported_with_its_errors(tmp_path):
     process = Process("wrong", "lagoonsail_standins.relay", [], tmp_path)
     process.start()
