Ask a router to stop while an answer passes through it

cause: test_planned_stop_of_an_owner_interrupts_no_call wants an answer 200 through the stopping owner that ended after the stop was asked for, but asked for the stop at an arbitrary moment of real time. No caller need be at the owner then: each caller chooses one of three routers, and none chooses a router whose readiness check was not answered within 0.5 s.

ruled out: a lost or interrupted answer; the earlier checks of the same run (no fault, all calls whole) held when the test failed.

change: the test waits (10 s at most) until the first byte of an answer has come through the owner and its end has not, and then asks for the stop without yielding. It also checks that each of these answers arrived whole with status 200. The earlier checks stay.

--- a/packages/lagoonsail-lab/tests/test_proof_planned_stop.py
+++ b/packages/lagoonsail-lab/tests/test_proof_planned_stop.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+STREAM_MS = 10000.0
+"""Time until an answer passes through a given router, one of three."""
+
 
 @pytest.mark.parametrize("store", ["up", "down"])
 def test_planned_stop_of_an_owner_interrupts_no_call(proof, store):
@@ -18,6 +21,15 @@
         if store == "down":
             fleet.control_store(mode="down")
             traffic.wait(3500.0)
+
+        def find_streaming():
+            attempts = [a for r in traffic.caller.records for a in r.attempts]
+            at_owner = [a for a in attempts if a.router == owner]
+            return [a for a in at_owner if a.first_ms and not a.ended_wall_ms]
+
+        # At a moment without any answer at the owner, its stop could interrupt none.
+        assert proof.wait_until(find_streaming, STREAM_MS) is not None
+        streaming = find_streaming()
         stop_ms = proof.clock.wall_ms()
         assert fleet.stop_router(owner, 30000.0) == 0
         stopped_ms = proof.clock.wall_ms()
@@ -26,6 +38,8 @@
         records = traffic.finish()
         assert traffic.faults() == []
         assert all(record.is_whole for record in records)
+        assert streaming
+        assert all(a.status == 200 and not a.ran and not a.reason for a in streaming)
         # The router answered calls while stopping, and others took over afterwards.
         by_owner = [a for r in records for a in r.attempts if a.router == owner]
         assert any(a.ended_wall_ms > stop_ms for a in by_owner if a.status == 200)
