Wait until calls occupy a region's slots before the call under test

It started four calls of 2.5 s, slept 300 ms and then made the call that shall find no slot. On a busy machine the four do not hold the slots yet: routers were 0.7 to 1.3 s late, or the owner's right was guarded, in which no slot of a cold_slots = slots server is granted. The call under test then gets a slot of its own region. Two filler calls could also move to the third region themselves.

ruled out: a move to the wrong region and a lost call; the router's trace shows that the owner granted a slot that was free.

change: proof.fill_slots waits until the region's server runs all four calls, and makes new ones if it does not within 1.3 s. The call under test must be served by the third region within 2.2 s, which the end of the four calls implied before and is now checked by itself. The sibling test on idle slots and two places in test_proof_regions, which slept 300 and 100 ms, wait in the same way; their calls work longer, so that the wait fits in. All their checks and bounds are as before. runs_at reads the record of one server instead of six.

--- a/packages/lagoonsail-lab/src/lagoonsail_lab/fleet.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/fleet.py
@@ -376,12 +376,13 @@
         """Return the content of a router's `/status`."""
         return self.fetch("GET", self.routers[name].admin, "/status")
 
+    def record(self, name: str) -> dict | Unavailable:
+        """Return the run record of a backend server, by its qualified name."""
+        return self.fetch("GET", self.backends[name].address, "/_record")
+
     def records(self) -> dict[str, dict]:
         """Return the run record of each backend server that answers."""
-        records = {
-            name: self.fetch("GET", backend.address, "/_record")
-            for name, backend in self.backends.items()
-        }
+        records = {name: self.record(name) for name in self.backends}
         return {name: record for name, record in records.items() if record}
 
     def control_backend(self, name: str, **orders: object) -> None:
--- a/packages/lagoonsail-lab/src/lagoonsail_lab/regions.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/regions.py
@@ -145,6 +145,6 @@
 def runs_at(fleet: Fleet, service: str, region: str) -> list[dict]:
     """Return the accepted runs of a region's server of a service, by start time."""
     number = list(SIDES).index(region) + 1
-    record = fleet.records()[qualify(SIDES[NEAR], f"{service}-{number}")]
+    record = fleet.record(qualify(SIDES[NEAR], f"{service}-{number}"))
     runs = [run for run in record["runs"] if run["state"] != "refused"]
     return sorted(runs, key=lambda run: run["started_wall_ms"])
--- a/packages/lagoonsail-lab/tests/conftest.py
+++ b/packages/lagoonsail-lab/tests/conftest.py
@@ -17,7 +17,9 @@
 from lagoonsail_lab.checker import Kill, check_all
 from lagoonsail_lab.deployments import Deployment, ServerShape, ServiceShape
 from lagoonsail_lab.fleet import ROUTER_PREFIX, Fleet
+from lagoonsail_lab.regions import SLOTS, runs_at
 from lagoonsail_sharing.assignment import rendezvous_owner
+from lagoonsail_standins.runs import RUNNING
 
 SIDE = "cordero"
 REGION = "sierra-central"
@@ -29,6 +31,10 @@
 }
 PLAIN = "registro"
 ENGINE = "asistente"
+FILL_MS = 1300.0
+"""Time in which calls must occupy all slots of a region; else they are made again."""
+MAX_FILLS = 5
+"""How often calls are made to occupy all slots of a region."""
 
 
 def make_deployment(routers, servers=2, **limits):
@@ -210,6 +216,43 @@
     assert wait_until(is_warm, 12000.0) is not None
 
 
+def start_searches(traffic, work_ms, calls):
+    """Start calls of the plain service; return their green threads."""
+    return [
+        eventlet.spawn(traffic.caller.make, traffic.search(work_ms))
+        for _ in range(calls)
+    ]
+
+
+def fill_slots(fleet, traffic, region, work_ms):
+    """Occupy all slots of a region's plain server; return the calls' green threads.
+
+    While an owner's process is late, a call can move to another region, or wait behind
+    the call under test, which then gets a slot of its own region. So this waits until
+    the server runs all calls, for at most FILL_MS of their work.
+    """
+    for _ in range(MAX_FILLS):
+        first = len(traffic.caller.records)
+        threads = start_searches(traffic, work_ms, SLOTS)
+
+        def are_all_running(first=first):
+            sent = {
+                attempt.request_id
+                for record in traffic.caller.records[first:]
+                for attempt in record.attempts
+                if record.call.path == "/search"
+            }
+            runs = runs_at(fleet, PLAIN, region)
+            running = {run["request_id"] for run in runs if run["state"] == RUNNING}
+            return len(sent & running) == SLOTS
+
+        if wait_until(are_all_running, FILL_MS) is not None:
+            return threads
+        for thread in threads:
+            thread.wait()
+    pytest.fail(f"calls did not occupy all slots of {region} at the same time")
+
+
 def applied_revisions(fleet, name, service):
     """Return the revisions of a document that a router applied, in order."""
     key = f"documents/{service.qualified()}"
@@ -260,6 +303,8 @@
         find_owner=find_owner,
         settle=settle,
         warm_up=warm_up,
+        fill_slots=fill_slots,
+        fill_ms=FILL_MS,
         applied_revisions=applied_revisions,
         kill=kill,
         read_revisions=read_revisions,
--- a/packages/lagoonsail-lab/tests/test_proof_region_three.py
+++ b/packages/lagoonsail-lab/tests/test_proof_region_three.py
@@ -30,6 +30,8 @@
 """Time after reconnection until every router knows an owner of each shard."""
 FORCE_MS = 5000.0
 """Time until a document is in force at all routers."""
+THIRD_MS = 2200.0
+"""Time until a call that finds no slot in its region is served by the third one."""
 
 
 @pytest.fixture
@@ -68,10 +70,8 @@
     return [thread.wait() for thread in threads]
 
 
-def slot_idle_ms(fleet, callers, region, work_ms):
+def slot_idle_ms(fleet, callers, region, filler_calls):
     """Return how long a region's slot is idle while a call waits in the first one."""
-    filler_calls = start_calls(callers[region], work_ms)
-    callers[region].wait(100.0)
     waiting = callers[NEAR].caller.make(callers[NEAR].search())
     wait_all(filler_calls)
     runs = runs_at(fleet, PLAIN, region)[-SLOTS - 1 :]
@@ -80,18 +80,17 @@
     return runs[-1]["started_wall_ms"] - free_ms
 
 
-def test_slots_of_both_other_regions_do_not_idle_while_a_call_waits(start):
+def test_slots_of_both_other_regions_do_not_idle_while_a_call_waits(proof, start):
     with make_fleet(regions=REGIONS) as fleet:
         callers = start(fleet, 91)
-        long_calls = start_calls(callers[NEAR], 16000.0)
+        long_calls = proof.fill_slots(fleet, callers[NEAR], NEAR, 28000.0)
         idle_ms = []
         for free, full in ((FAR, THIRD), (THIRD, FAR)):
-            filler_calls = start_calls(callers[full], 7000.0)
-            callers[full].wait(300.0)
-            idle_ms += [
-                slot_idle_ms(fleet, callers, free, 900.0 + 170.0 * number)
-                for number in range(3)
-            ]
+            filler_calls = proof.fill_slots(fleet, callers[full], full, 12000.0)
+            for number in range(3):
+                work_ms = 1800.0 + 170.0 * number
+                short_calls = proof.fill_slots(fleet, callers[free], free, work_ms)
+                idle_ms.append(slot_idle_ms(fleet, callers, free, short_calls))
             wait_all(filler_calls)
         wait_all(long_calls)
         for traffic in callers.values():
@@ -113,10 +112,15 @@
         # Each of the two regions can still use the slots of the third.
         moved = []
         for region in (NEAR, FAR):
-            filler_calls = start_calls(callers[region], 2500.0)
-            callers[region].wait(300.0)
+            work_ms = proof.fill_ms + THIRD_MS
+            filler_calls = proof.fill_slots(fleet, callers[region], region, work_ms)
+            sent_ms = proof.clock.wall_ms()
             record = callers[region].caller.make(callers[region].search())
-            served = {run["request_id"] for run in runs_at(fleet, PLAIN, THIRD)}
+            served = {
+                run["request_id"]
+                for run in runs_at(fleet, PLAIN, THIRD)
+                if run["started_wall_ms"] < sent_ms + THIRD_MS
+            }
             moved.append((record.is_whole, record.last.request_id in served))
             wait_all(filler_calls)
         revision = proof.put_document(fleet, service, fleet.document(service))
--- a/packages/lagoonsail-lab/tests/test_proof_regions.py
+++ b/packages/lagoonsail-lab/tests/test_proof_regions.py
@@ -73,15 +73,14 @@
     with make_fleet() as fleet:
         near, far = start(fleet, NEAR, 71), start(fleet, FAR, 72)
         warm_up(fleet, {NEAR: near, FAR: far})
-        long_calls = start_calls(near, 12000.0)
-        near.wait(300.0)
+        long_calls = proof.fill_slots(fleet, near, NEAR, 28000.0)
         # The other region has free slots.
         moved = near.caller.make(near.search())
         # The other region is full, and a slot becomes free while the call waits.
         idle_ms = []
         for number in range(6):
-            filler_calls = start_calls(far, 900.0 + 170.0 * number)
-            far.wait(100.0)
+            work_ms = 1800.0 + 170.0 * number
+            filler_calls = proof.fill_slots(fleet, far, FAR, work_ms)
             waiting = near.caller.make(near.search())
             for thread in filler_calls:
                 thread.wait()
@@ -167,8 +166,7 @@
         joined_ms = proof.wait_until(has_rejoined, JOIN_MS)
         near.wait(3000.0)
         # The other region serves calls that wait here again.
-        long_calls = start_calls(near, 3000.0)
-        near.wait(300.0)
+        long_calls = proof.fill_slots(fleet, near, NEAR, 3000.0)
         moved = near.caller.make(near.search())
         for thread in long_calls:
             thread.wait()
