Give other tasks their turn between pipelined requests

cause: a task reads its next request without the event loop if bytes have arrived. Callers that pipeline faster than they are served kept both routers from all other callers, and from their timers, for as long as they sent. ruled out: the test's own processes as the cause; with the change the same crowd leaves others their turn. change: the port looks for the next request without waiting. If one is there, other tasks have their turn first.

--- a/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
@@ -62,6 +62,7 @@
     """Limits on what a connection may send; see `make_protocol`."""
 
     def __init__(self, conn_state: list, server: object) -> None:
+        self._has_read_request = False
         self._must_linger = False
         self._client_wfile = None
         self._head_timer = None
@@ -171,7 +172,7 @@
     def _read_request_line(self) -> bytes:
         """Wait for a request, and start the time in which its head must arrive."""
         try:
-            received = b"" if self.rfile.closed else self.rfile.peek(1)
+            received = b"" if self.rfile.closed else self._peek_request()
         except ConnectionError:
             return b""
         if not received:
@@ -183,6 +184,24 @@
             )
         return super()._read_request_line()
 
+    def _peek_request(self) -> bytes:
+        """Wait for a request; return the part that has arrived, none at the end."""
+        if not self._has_read_request:
+            # `handle` has waited for the first one.
+            self._has_read_request = True
+            return self.rfile.peek(1)
+        timeout_s = self.connection.gettimeout()
+        self.connection.settimeout(0.0)
+        try:
+            received = self.rfile.peek(1)
+        finally:
+            self.connection.settimeout(timeout_s)
+        if received:
+            # The socket never makes a caller wait that sends faster than it is served.
+            eventlet.sleep(0)
+            return received
+        return self.rfile.peek(1) if self._has_request() else b""
+
     def _stop_head_timer(self) -> None:
         if self._head_timer is not None:
             self._head_timer.cancel()
--- /dev/null
+++ b/packages/lagoonsail-router/tests/test_hostile_peers.py
@@ -0,0 +1,96 @@
+"""Callers and servers that send without end must not keep a router from others."""
+
+from __future__ import annotations
+
+import pytest
+
+from lagoonsail_core.green import eventlet, green_socket
+from lagoonsail_lab.deployments import account_key, make_cordero
+from lagoonsail_lab.endless_peers import EndlessPeers
+from lagoonsail_lab.fleet import Fleet
+from lagoonsail_lab.process_usage import count_descriptors, peak_memory_bytes
+
+MEMORY_MB = 120
+"""Memory limit of the router."""
+MAX_CONNECTIONS = 40
+MAX_DESCRIPTORS = MAX_CONNECTIONS + 200
+FAST_CALLERS = 4
+"""Callers of a crowd that send or read as fast as they can."""
+SLOW_CALLERS = 60
+"""Callers of a crowd that send slowly: more than the router serves at once."""
+SLOW_INTERVAL_S = 0.2
+"""Pause between two bytes of a slow caller."""
+CROWD_S = 1.0
+"""Time that a crowd has before an ordinary request is sent."""
+ANSWER_TIMEOUT_S = 20.0
+"""Ends the test if no request is answered; no promise of the router."""
+
+PIPELINED = {
+    "unknown route": "GET /none HTTP/1.1\r\nHost: a\r\n\r\n",
+    "unread body": "POST /none HTTP/1.1\r\nContent-Length: 9\r\n\r\n123456789",
+}
+
+
+@pytest.fixture
+def fleet():
+    """A fleet with one router that has little memory and few connections."""
+    limits = {"max_connections": MAX_CONNECTIONS, "memory_mb": MEMORY_MB}
+    with Fleet([make_cordero(1, 1, 1)], settings={"limits": limits}) as fleet:
+        yield fleet
+
+
+@pytest.fixture
+def peers():
+    peers = EndlessPeers()
+    yield peers
+    peers.close()
+
+
+def make_head(method, service="registro", path="bibs"):
+    key = account_key("cordero", service, "prensa")
+    return [
+        f"{method} /cordero/{service}/{path} HTTP/1.1",
+        "Host: a",
+        f"Authorization: Bearer {key}",
+    ]
+
+
+def ask(address):
+    """Send an ordinary request; return the first bytes of the answer."""
+    host, _, port = address.rpartition(":")
+    try:
+        with green_socket.create_connection((host, int(port)), timeout=5.0) as sock:
+            sock.sendall("\r\n".join([*make_head("GET"), "", ""]).encode())
+            return sock.recv(1000)
+    except OSError:
+        return b""
+
+
+def check_router(router):
+    """Check that the router answers an ordinary request and keeps its limits."""
+    eventlet.sleep(CROWD_S)
+    with eventlet.Timeout(ANSWER_TIMEOUT_S):
+        while not ask(router.callers).startswith(b"HTTP/1.1 200"):
+            eventlet.sleep(0.2)
+    pid = router.process.pid
+    assert 0 < peak_memory_bytes(pid) < MEMORY_MB * 1_000_000
+    assert 0 < count_descriptors(pid) <= MAX_DESCRIPTORS
+
+
+# HUNG: a task that always found the next request went on without a turn of others.
+@pytest.mark.parametrize("kind", PIPELINED)
+def test_pipelined_requests_without_end_leave_others_their_turn(fleet, peers, kind):
+    router = fleet.routers["cordero-1"]
+    for _ in range(FAST_CALLERS):
+        peers.call(router.callers, b"", PIPELINED[kind].encode())
+    check_router(router)
+
+
+# HUNG: answered requests kept their connections for as long as bytes of their bodies
+# came, and all other callers were refused.
+def test_answered_requests_whose_bodies_trickle_give_way_to_others(fleet, peers):
+    router = fleet.routers["cordero-1"]
+    request = b"POST /none HTTP/1.1\r\nHost: a\r\nContent-Length: 60000\r\n\r\n"
+    for _ in range(SLOW_CALLERS):
+        peers.call(router.callers, request, b"x", SLOW_INTERVAL_S)
+    check_router(router)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -16,8 +16,10 @@
 SERIAL_TESTS = (
     "packages/lagoonsail-lab/tests/test_prove_short.py",
     "packages/lagoonsail-router/tests/test_hostile_callers.py",
+    "packages/lagoonsail-router/tests/test_hostile_peers.py",
     "packages/lagoonsail-router/tests/test_router_descriptors.py",
     "tests/platform/test_descriptor_shortage.py",
+    "tests/platform/test_endless_peers.py",
     "tests/platform/test_hostile_bodies.py",
 )
 """Tests that load the whole machine or use up a limit of a process; they run serially
