Bound the time in which an unread body is discarded

cause: after a refusal the port reads a body of up to 64 KB that the application did not read, to reuse the connection. Each byte renewed the wait, and the connection counted as busy.

--- a/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
@@ -211,6 +211,8 @@
         """Run the application; close the connection if too much is left unread."""
         application = self.application
         body_input = self.environ["eventlet.input"]
+        body_input.on_discard = self._note_answered
+        body_input.max_discard_ms = self.limits.intake.stall_ms
 
         def serve(env: dict, start_response: Callable) -> object:
             def start(status: str, headers: list, *exc_info: object) -> Callable:
@@ -235,6 +237,9 @@
             if ANSWER_KEY in self.environ:
                 self.environ[ANSWER_KEY].release()
 
+    def _note_answered(self) -> None:
+        """Note that the answer is written; called once or twice for a request."""
+
     def _refuse(self, library_answer: bytes) -> None:
         match = _STATUS_LINE.match(library_answer)
         status = int(match[1]) if match else 400
--- a/packages/lagoonsail-router/src/lagoonsail_router/http_server.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/http_server.py
@@ -243,6 +243,12 @@
             try:
                 super().handle_one_response()
             finally:
+                self._note_answered()
+
+        def _note_answered(self) -> None:
+            """Let the connection be closed for others, though a body may be unread."""
+            connection = self.conn_state
+            if connection.is_busy:
                 connection.is_busy = False
                 connection.requests += 1
                 connection.idle_since_ms = clock.now_ms()
--- a/packages/lagoonsail-router/src/lagoonsail_router/request_input.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/request_input.py
@@ -8,14 +8,22 @@
 from __future__ import annotations
 
 import re
+from typing import TYPE_CHECKING
 
 from lagoonsail_core.green import eventlet
 from lagoonsail_overload.body_intake import PROGRESS_BYTES
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 MAX_CHUNK_LINE_BYTES = 4096
 """Longest size line of a chunk with its extensions."""
 MAX_TRAILER_BYTES = 16_384
 """Longest trailer of a chunked body."""
+DISCARDED_PART_BYTES = 16_384
+"""Part of an unread body that is read at once to discard it."""
+DEFAULT_DISCARD_MS = 15_000.0
+"""Time in which an unread body must arrive unless set otherwise."""
 
 _CHUNK_SIZE = re.compile(rb"[0-9a-fA-F]{1,15}")
 
@@ -55,6 +63,10 @@
 
     must_close = False
     """Whether the connection ends with this request, since its body is not read on."""
+    on_discard: Callable[[], None] = staticmethod(lambda: None)
+    """Called when the request is answered and the rest of its body is discarded."""
+    max_discard_ms = DEFAULT_DISCARD_MS
+    """Time in which the rest of the body must arrive, or the connection is closed."""
 
     def read(self, length: int | None = None) -> bytes:
         """Return bytes of the body, fewer than asked for only at its end.
@@ -103,6 +115,22 @@
             joined += self._read_chunk(size - len(joined))
         return bytes(joined)
 
+    def discard(self, buffer_size: int = DISCARDED_PART_BYTES) -> None:
+        """Read the rest of the body, so that the connection can be reused.
+
+        Args:
+            buffer_size: Number of bytes that are read at once.
+
+        Raises:
+            OSError: If the rest does not arrive in time, or the connection breaks.
+        """
+        if self.chunk_length == 0:
+            return
+        self.on_discard()
+        error = OSError("the rest of an unread body did not arrive in time")
+        with eventlet.Timeout(self.max_discard_ms / 1000.0, error):
+            super().discard(buffer_size)
+
     def _read_announced(self, size: int) -> bytes:
         size = min(size, self.content_length - self.position)
         data = self.rfile.read1(size) if size > 0 else b""
