INI router: bound what an answer holds besides its body, and take turns

cause: http.client and urllib3 read on while bytes are there, and skip interim responses and trailers to their end. A server that sends faster than it is read kept the task running. No other task had a turn, and the call's own timer could not end it. An event stream with one long chunk was read as a whole before its first event. Each small chunk of an answer was an object, and each chunk of a long event copied the event. change: answers are read through `AnswerInput`, which lets other tasks have their turn after a read that filled the buffer and after each four reads, and ends an answer with 131,072 bytes without a part of the body, the limit that the gateway has already. Long chunks are read in parts, small ones joined, and events searched from their new bytes on.

--- a/packages/lagoonsail-router/src/lagoonsail_router/backend.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/backend.py
@@ -12,7 +12,8 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.green import eventlet, green_socket, urllib3
-from lagoonsail_router.event_stream import END_OF_EVENT, split_events
+from lagoonsail_router.answer_input import BoundedConnection
+from lagoonsail_router.event_stream import END_OF_EVENT
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -28,6 +29,8 @@
 """Longest pause within a stream before it counts as broken."""
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 """Longest answer that is forwarded in one piece."""
+MAX_PART_BYTES = 65_536
+"""Largest part of an answer that is read at once."""
 MAX_EVENT_BYTES = 1 << 20
 """Longest event of a stream, which is held until it is whole."""
 MAX_TOKENS = 1e9
@@ -94,7 +97,7 @@
     """HTTP status."""
     headers: list[tuple[str, str]]
     """Headers to forward to the caller."""
-    body: bytes = b""
+    body: bytes | bytearray = b""
     """Body, empty for a stream."""
 
 
@@ -103,7 +106,7 @@
     completion_id: str = ""
     events: int = 0
     is_done: bool = False
-    partial_event: bytes = field(default=b"")
+    partial_event: bytearray = field(default_factory=bytearray)
 
 
 class Attempt:
@@ -151,7 +154,7 @@
         """
         host, port = self._address.rsplit(":", 1)
         options = [(green_socket.IPPROTO_TCP, green_socket.TCP_NODELAY, 1)]
-        self._connection = urllib3.connection.HTTPConnection(
+        self._connection = BoundedConnection(
             host, int(port), timeout=CONNECT_TIMEOUT_S, socket_options=options
         )
         try:
@@ -280,18 +283,18 @@
         ]
         return Answer(response.status, headers)
 
-    def _read_body(self) -> bytes:
+    def _read_body(self) -> bytes | bytearray:
         if not self._response.chunked and self._response.length_remaining is None:
             raise IncompleteAnswerError("the answer does not say how long it is")
-        parts = []
-        size = 0
+        body: bytes | bytearray = b""
         try:
-            for part in self._response.stream(65_536, decode_content=False):
-                parts.append(part)
-                size += len(part)
+            for part in self._response.stream(MAX_PART_BYTES, decode_content=False):
+                self._connection.answer_input.note_body()
+                # Small parts would each be an object of many times their length.
+                body = _join(body, part)
                 if self._held_answer is not None:
                     self._held_answer.hold(len(part))
-                if size > MAX_ANSWER_BYTES:
+                if len(body) > MAX_ANSWER_BYTES:
                     raise IncompleteAnswerError(
                         f"answer above {MAX_ANSWER_BYTES} bytes"
                     )
@@ -301,7 +304,7 @@
             raise IncompleteAnswerError(str(error)) from error
         if self._held_answer is not None:
             self._held_answer.finish()
-        return b"".join(parts)
+        return body
 
     def _measure_cost(self, answer: Answer) -> None:
         measurement = self.measurement
@@ -313,9 +316,8 @@
 
     def _read_events(self, state: _StreamState) -> Iterator[bytes]:
         for chunk in self._chunks():
-            complete_events, state.partial_event = split_events(
-                state.partial_event + chunk
-            )
+            self._connection.answer_input.note_body()
+            complete_events = _take_events(state.partial_event, chunk)
             if len(state.partial_event) > MAX_EVENT_BYTES:
                 raise IncompleteAnswerError(f"event above {MAX_EVENT_BYTES} bytes")
             if not complete_events:
@@ -327,8 +329,8 @@
 
     def _chunks(self) -> Iterator[bytes]:
         if self._response.chunked:
-            return self._response.read_chunked(decode_content=False)
-        return self._response.stream(65_536, decode_content=False)
+            return self._response.read_chunked(MAX_PART_BYTES, decode_content=False)
+        return self._response.stream(MAX_PART_BYTES, decode_content=False)
 
     def _count_events(self, state: _StreamState, complete_events: bytes) -> None:
         if not state.completion_id:
@@ -348,7 +350,7 @@
         if not state.completion_id:
             return False
         self.close()
-        state.partial_event = b""
+        state.partial_event.clear()
         path = f"/v1/completions/{state.completion_id}/resume?after={state.events}"
         try:
             self.connect()
@@ -360,6 +362,41 @@
         return self._response.status == 200
 
 
+def _join(body: bytes | bytearray, part: bytes) -> bytes | bytearray:
+    """Return a body with a further part; a body of one part is not copied."""
+    if not body:
+        return part
+    if isinstance(body, bytes):
+        body = bytearray(body)
+    body += part
+    return body
+
+
+def _take_events(partial_event: bytearray, chunk: bytes) -> bytes:
+    r"""Add a chunk to an incomplete event; remove and return the complete events.
+
+    Only the new bytes are searched, since a long event may come in very small chunks.
+
+    Args:
+        partial_event: The incomplete event, which is changed.
+        chunk: The next bytes of the stream.
+
+    Example:
+        >>> partial_event = bytearray(b"id: 1\n")
+        >>> _take_events(partial_event, b"\nid: 2"), bytes(partial_event)
+        (b'id: 1\n\n', b'id: 2')
+    """
+    start = max(0, len(partial_event) - len(END_OF_EVENT) + 1)
+    partial_event += chunk
+    end = partial_event.rfind(END_OF_EVENT, start)
+    if end < 0:
+        return b""
+    end += len(END_OF_EVENT)
+    events = bytes(partial_event[:end])
+    del partial_event[:end]
+    return events
+
+
 def _parse_object(text: bytes) -> dict:
     """Return the JSON object in a text, or an empty one if there is none."""
     try:
--- a/packages/lagoonsail-router/src/lagoonsail_router/engine_calls.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/engine_calls.py
@@ -9,6 +9,7 @@
 
 from lagoonsail_core.green import eventlet, urllib3
 from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_router.answer_input import MAX_UNUSED_BYTES, BoundedConnection
 from lagoonsail_router.backend import CONNECTION_ERRORS
 
 if TYPE_CHECKING:
@@ -42,6 +43,12 @@
 _RESULTS = {200: ACCEPTED, 202: ACCEPTED, 409: BUSY, 412: OUTDATED, 429: RATE_LIMITED}
 
 
+class OrderConnection(BoundedConnection):
+    """A connection for an order, whose response is read at once."""
+
+    max_unused_bytes = MAX_STATE_BYTES + MAX_UNUSED_BYTES
+
+
 @dataclass(slots=True)
 class EngineResponse:
     """An engine's response."""
@@ -96,6 +103,7 @@
     pool = urllib3.HTTPConnectionPool(
         host, int(port), timeout=ORDER_TIMEOUT_S, retries=False
     )
+    pool.ConnectionCls = OrderConnection
     body = None if order is None else json.dumps(order)
     try:
         # The socket timeout restarts with each byte received, so it bounds no total.
--- a/packages/lagoonsail-router/tests/test_hostile_peers.py
+++ b/packages/lagoonsail-router/tests/test_hostile_peers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import json
+
 import pytest
 
 from lagoonsail_core.green import eventlet, green_socket
@@ -18,6 +20,8 @@
 """Callers of a crowd that send or read as fast as they can."""
 SLOW_CALLERS = 60
 """Callers of a crowd that send slowly: more than the router serves at once."""
+ASKING_CALLERS = 12
+"""Callers that ask for answers without end, and read them as fast as they can."""
 SLOW_INTERVAL_S = 0.2
 """Pause between two bytes of a slow caller."""
 CROWD_S = 1.0
@@ -29,6 +33,18 @@
     "unknown route": "GET /none HTTP/1.1\r\nHost: a\r\n\r\n",
     "unread body": "POST /none HTTP/1.1\r\nContent-Length: 9\r\n\r\n123456789",
 }
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+LENGTH = b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n"
+ENDLESS_ANSWERS = {
+    "interim responses": (False, b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+    "small chunks": (False, CHUNKED, b"2\r\nxx\r\n"),
+    "trailers": (False, CHUNKED + b"0\r\n", b"A: b\r\n"),
+    "events": (True, CHUNKED, b"9\r\ndata: x\n\n\r\n"),
+    "one chunk": (True, CHUNKED + b"fffffff\r\n", b"x\n\n" * 1000),
+    "body": (True, LENGTH, b"data: x\n\n" * 1000),
+}
+"""Whether a stream is asked for, the start of the answer, and what is sent over and
+over after it."""
 
 
 @pytest.fixture
@@ -94,3 +110,22 @@
     for _ in range(SLOW_CALLERS):
         peers.call(router.callers, request, b"x", SLOW_INTERVAL_S)
     check_router(router)
+
+
+# HUNG: an answer that came faster than it was read kept its task running, so that no
+# other task had a turn and no timer ended the call.
+@pytest.mark.parametrize("kind", ENDLESS_ANSWERS)
+def test_endless_answers_of_servers_leave_others_their_turn(fleet, peers, kind):
+    router = fleet.routers["cordero-1"]
+    is_stream, start, repeated = ENDLESS_ANSWERS[kind]
+    engine = fleet.backends["cordero/asistente-1"]
+    engine.address = peers.serve(lambda _head: start, repeated)
+    fleet.put_documents()
+    body = json.dumps({"prompt": "a #tokens=5", "stream": is_stream})
+    head = make_head("POST", "asistente", "v1/completions")
+    lines = [*head, f"Content-Length: {len(body)}", "", body]
+    # The router knows the server's new address after a while.
+    eventlet.sleep(CROWD_S)
+    for _ in range(ASKING_CALLERS):
+        peers.call(router.callers, "\r\n".join(lines).encode())
+    check_router(router)
