Gateway: take turns while reading answers, and bound their headers

cause: a task reads the next part of an answer without the event loop if bytes are there. While servers sent, and callers read, as fast as the router, other requests waited until the timeout of the route (6 s and 504 with the 3 s of the stand-in). Headers of a few bytes took many times their length as objects: within the 131,072 bytes that may come without a body, 30,000 of them took some 2 MB for each request. change: other tasks have their turn after a read that filled the buffer, and after four reads without a wait. A read that has waited begins anew, so that short answers cost nothing more.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
@@ -14,7 +14,7 @@
 import httptools
 from xxhash import xxh64_intdigest
 
-from lagoonsail_core.green import green_socket, trampoline
+from lagoonsail_core.green import eventlet, green_socket, trampoline
 from lagoonsail_core.socket_input import is_closed_by_peer, peek
 from lagoonsail_gateway.server_response import (
     DEFAULT_IDLE_LIMIT_MS,
@@ -39,6 +39,8 @@
 MAX_UNUSED_BYTES = 131_072
 """Maximum number of bytes received without a part of the expected body: its head,
 interim and foreign responses, chunk extensions and trailers."""
+READS_PER_TURN = 4
+"""Reads without a wait after which other tasks have their turn."""
 KEEPALIVE_IDLE_S = 1
 """Time without data after which the kernel probes whether the peer is still there."""
 KEEPALIVE_PROBES = 1
@@ -84,6 +86,7 @@
         "_is_closed",
         "_is_fully_sent",
         "_collector",
+        "_reads_without_wait",
         "_sock",
         "_unused_bytes",
         "has_data",
@@ -112,6 +115,7 @@
         self._is_aborted = False
         self._is_closed = False
         self._is_fully_sent = True
+        self._reads_without_wait = 0
         self.has_data = False
         self.on_close = None
         self._unused_bytes = 0
@@ -341,14 +345,30 @@
         while True:
             timeout_s = self._remaining_ms(deadline_ms) / 1000.0
             try:
-                return self._sock.fd.recv(self.max_read_bytes)
+                data = self._sock.fd.recv(self.max_read_bytes)
             except BlockingIOError:
+                self._reads_without_wait = 0
                 trampoline(
                     self._sock.fd,
                     read=True,
                     timeout=timeout_s,
                     timeout_exc=TimeoutError,
                 )
+            else:
+                self._give_turn(len(data))
+                return data
+
+    def _give_turn(self, size: int) -> None:
+        """Let other tasks run if the server sends faster than it is read.
+
+        Args:
+            size: Number of bytes that were read without a wait.
+        """
+        self._reads_without_wait += 1
+        is_full = size == self.max_read_bytes
+        if is_full or self._reads_without_wait == READS_PER_TURN:
+            self._reads_without_wait = 0
+            eventlet.sleep(0)
 
     def _is_first_complete(self) -> bool:
         response = self._first_response()
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_response.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_response.py
@@ -15,6 +15,13 @@
 """Idle limit of a connection if the server announces no keep-alive timeout."""
 IDLE_MARGIN_MS = 1500.0
 """How long before the server's keep-alive timeout an idle connection is closed."""
+MAX_HEADERS = 256
+"""Most headers of a response, with its trailers: a short one takes many times its
+length in memory."""
+
+
+class TooManyHeadersError(Exception):
+    """A response has more headers than `MAX_HEADERS`."""
 
 
 @dataclass(slots=True)
@@ -66,8 +73,14 @@
         self.responses.append(Response())
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header to the newest response."""
+        """Add a header to the newest response.
+
+        Raises:
+            TooManyHeadersError: If there are too many; the parser stops.
+        """
         headers = self.responses[-1].headers
+        if len(headers) >= MAX_HEADERS:
+            raise TooManyHeadersError(f"a response has over {MAX_HEADERS} headers")
         headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
--- a/tests/platform/test_endless_peers.py
+++ b/tests/platform/test_endless_peers.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import re
+
 import pytest
-from lagoonsail_platform_standin.fleet import HOSTNAME, make_request
+from lagoonsail_platform_standin.fleet import HOSTNAME, make_manifest, make_request
 
 from lagoonsail_core.green import eventlet
 from lagoonsail_lab.endless_peers import EndlessPeers
@@ -18,6 +20,14 @@
 """Callers of a crowd that send or read as fast as they can."""
 SLOW_CALLERS = 60
 """Callers of a crowd that send slowly: more than the router serves at once."""
+ASKING_CALLERS = 12
+"""Callers that ask for answers without end, and read them as fast as they can."""
+HEAD_CALLERS = 60
+"""Callers that ask a server for heads without end."""
+HEAD_DESCRIPTORS = 400
+"""Descriptors of the router for these callers and as many connections to servers."""
+LONG_TIMEOUT_MS = 60_000
+"""Timeout of routes to servers whose answers have no end: longer than the test."""
 SLOW_INTERVAL_S = 0.2
 """Pause between two bytes of a slow caller."""
 CROWD_S = 1.0
@@ -29,6 +39,15 @@
     "unknown route": f"GET /none HTTP/1.1\r\nHost: {HOSTNAME}\r\n\r\n",
     "unread body": "POST /none HTTP/1.1\r\nContent-Length: 9\r\n\r\n123456789",
 }
+ATTEMPT_ID = re.compile(rb"(?i)lagoonsail-attempt-id: *([^\r]+)")
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+ENDLESS_ANSWERS = {
+    "/stream/1": b"2\r\nxx\r\n",
+    "/resume/1": b"9\r\ndata: x\n\n\r\n",
+}
+"""What is sent over and over to requests for a path."""
+LONG_HEAD = b"a:\r\n" * 30_000 + b"b: "
+"""Start of a head without end, shorter than what a server may send without a body."""
 
 
 @pytest.fixture
@@ -44,16 +63,49 @@
     peers.close()
 
 
-def check_router(fleet):
+def check_router(fleet, path="/read/1"):
     """Check that the router answers an ordinary request and keeps its limits."""
     eventlet.sleep(CROWD_S)
     with eventlet.Timeout(ANSWER_TIMEOUT_S):
-        while fleet.ask(ROUTER, "GET", "/read/1", "id")[0] != 200:
+        while fleet.ask(ROUTER, "GET", path, "id")[0] != 200:
             eventlet.sleep(0.2)
     process = fleet.routers[ROUTER]
     assert process.poll() is None
     assert 0 < peak_memory_bytes(process.pid) < MEMORY_MB * 1_000_000
-    assert count_descriptors(process.pid) <= MAX_DESCRIPTORS
+    assert count_descriptors(process.pid) <= fleet.max_descriptors
+
+
+def serve_without_end(fleet, peers, service, start, repeated=b""):
+    """Let the servers of a service send answers without end."""
+
+    def make_start(head):
+        lines = [
+            b"HTTP/1.1 200 OK",
+            b"Lagoonsail-Attempt-Id: " + ATTEMPT_ID.search(head)[1],
+            b"Lagoonsail-Server-Seal: seal",
+            start,
+        ]
+        return b"\r\n".join(lines)
+
+    for server in fleet.servers.values():
+        if server.service == service:
+            server.port.close()
+            peers.serve(make_start, repeated, int(server.address.rpartition(":")[2]))
+
+
+def read_manifest_version(fleet):
+    lines = [line for line in fleet.read_log(ROUTER) if line["event"] == "answer"]
+    return lines[-1]["manifest"] if lines else None
+
+
+def use_long_timeouts(fleet):
+    """Write a manifest with long timeouts, and wait until the router uses it."""
+    routes = make_manifest(0)["routes"]
+    fleet.put_manifest(routes=[r | {"timeout-ms": LONG_TIMEOUT_MS} for r in routes])
+    with eventlet.Timeout(ANSWER_TIMEOUT_S):
+        while read_manifest_version(fleet) != fleet.version:
+            fleet.ask(ROUTER, "GET", "/read/1", "version")
+            eventlet.sleep(0.1)
 
 
 # HUNG: a task that always found the next request went on without a turn of others.
@@ -76,3 +128,25 @@
         address = f"127.0.0.1:{small_fleet.ports[ROUTER]}"
         peers.call(address, request, b"x", SLOW_INTERVAL_S)
     check_router(small_fleet)
+
+
+# HUNG: an answer that came faster than it was read kept its task running, so that no
+# other task had a turn until the request's timeout.
+@pytest.mark.parametrize("path", ENDLESS_ANSWERS)
+def test_endless_answers_of_servers_leave_others_their_turn(small_fleet, peers, path):
+    use_long_timeouts(small_fleet)
+    serve_without_end(small_fleet, peers, "engine", CHUNKED, ENDLESS_ANSWERS[path])
+    for number in range(ASKING_CALLERS):
+        address = f"127.0.0.1:{small_fleet.ports[ROUTER]}"
+        peers.call(address, make_request("POST", path, f"id-{number}"))
+    check_router(small_fleet)
+
+
+# LOST: each of the many short headers of an answer took many times its length.
+def test_long_heads_of_servers_stay_within_memory(make_fleet, peers):
+    fleet = make_fleet(1, max_descriptors=HEAD_DESCRIPTORS, memory_mb=MEMORY_MB)
+    serve_without_end(fleet, peers, "plain", LONG_HEAD)
+    for number in range(HEAD_CALLERS):
+        address = f"127.0.0.1:{fleet.ports[ROUTER]}"
+        peers.call(address, make_request("POST", "/write/1", f"id-{number}"))
+    check_router(fleet, "/stream/1")
