Drop surplus trailers instead of failing the head before them

cause: the limit of 256 headers failed the whole read when a head and its endless trailers came in one piece; test_endless_responses[trailers] expects the head to be read. change: only a head with too many headers ends the attempt; trailers beyond the limit are not held.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_response.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_response.py
@@ -16,8 +16,8 @@
 IDLE_MARGIN_MS = 1500.0
 """How long before the server's keep-alive timeout an idle connection is closed."""
 MAX_HEADERS = 256
-"""Most headers of a response, with its trailers: a short one takes many times its
-length in memory."""
+"""Most headers that are held of a response, with its trailers: a short one takes many
+times its length in memory."""
 
 
 class TooManyHeadersError(Exception):
@@ -73,15 +73,17 @@
         self.responses.append(Response())
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header to the newest response.
+        """Add a header to the newest response; later trailers are dropped.
 
         Raises:
-            TooManyHeadersError: If there are too many; the parser stops.
+            TooManyHeadersError: If its head has too many; the parser stops.
         """
-        headers = self.responses[-1].headers
-        if len(headers) >= MAX_HEADERS:
+        response = self.responses[-1]
+        if len(response.headers) >= MAX_HEADERS:
+            if response.has_head:
+                return
             raise TooManyHeadersError(f"a response has over {MAX_HEADERS} headers")
-        headers.append((name.decode("latin-1"), value.decode("latin-1")))
+        response.headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
         """Decode the head of the newest response."""
