Bound connections and unfinished heads by the byte budget

cause: connections were counted in the byte budget and accepted beyond it, and heads were counted only when they were whole. Callers whose heads stop just short of their end took 45 to 65 KB each, as many as the descriptors allow. change: a head that does not arrive in one piece counts with its longest length. When connections and heads use up the budget, a new caller takes the place of an idle connection or gets 503 (not run), and a head that has begun is closed without an answer.

--- a/packages/lagoonsail-lab/src/lagoonsail_lab/endless_peers.py
+++ b/packages/lagoonsail-lab/src/lagoonsail_lab/endless_peers.py
@@ -48,6 +48,22 @@
         self._start(lambda: _send(sock, start, repeated, interval_s))
         self._start(lambda: _discard(sock))
 
+    def hold(self, address: str, start: bytes) -> None:
+        """Open a connection to a router, and leave it open after a start.
+
+        Args:
+            address: IP address and port of the router.
+            start: What is sent.
+        """
+        host, _, port = address.rpartition(":")
+        sock = socket.create_connection((host, int(port)), timeout=10.0)
+        self._sockets.append(sock)
+        try:
+            sock.sendall(start)
+        except OSError:
+            # The router refuses the connection.
+            return
+
     def serve(
         self, make_start: Callable[[bytes], bytes], repeated: bytes, port: int = 0
     ) -> str:
--- a/packages/lagoonsail-overload/src/lagoonsail_overload/byte_budget.py
+++ b/packages/lagoonsail-overload/src/lagoonsail_overload/byte_budget.py
@@ -11,7 +11,7 @@
 CONNECTIONS = "connections"
 """Callers' open connections with their buffers and tasks."""
 HEADS = "heads"
-"""Heads of the requests that are being served."""
+"""Heads of the requests that are being served, and those that have begun to arrive."""
 BODIES = "bodies"
 """Bodies of requests, announced or received."""
 ANSWERS = "answers"
@@ -145,6 +145,14 @@
             return self.used_by_kind[kind] <= ANSWER_SHARE * self.max_bytes
         return self.used_bytes <= self.max_bytes
 
+    def may_connect(self) -> bool:
+        """Return whether connections and heads leave room for a further one.
+
+        Bodies have no room long before.
+        """
+        used = self.used_by_kind[CONNECTIONS] + self.used_by_kind[HEADS]
+        return used <= self.max_bytes
+
     def remove(self, kind: str, size: int) -> None:
         """Count bytes that are no longer held.
 
--- a/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
@@ -50,7 +50,7 @@
 
 
 class HeadTimeoutError(Exception):
-    """The head of a request did not arrive in time."""
+    """The head of a request did not arrive in time, or has no room."""
 
 
 class HttpProtocol(eventlet.wsgi.HttpProtocol):
@@ -67,6 +67,7 @@
         self._client_wfile = None
         self._head_timer = None
         self._head_bytes = 0
+        self._unfinished_head_bytes = 0
         super().__init__(conn_state, server)
 
     def on_refused(self, kind: str) -> None:
@@ -179,6 +180,7 @@
             return b""
         # A timer for each head would cost some percent of a request's processor time.
         if b"\r\n\r\n" not in received:
+            self._reserve_head()
             self._head_timer = eventlet.Timeout(
                 self.limits.head_timeout_ms / 1000.0, HeadTimeoutError()
             )
@@ -202,7 +204,22 @@
             return received
         return self.rfile.peek(1) if self._has_request() else b""
 
+    def _reserve_head(self) -> None:
+        """Count a head that does not arrive in one piece with its longest length.
+
+        Raises:
+            HeadTimeoutError: If connections and heads use up the byte budget.
+        """
+        budget = self.limits.intake.budget
+        self._unfinished_head_bytes = self.limits.max_head_bytes
+        budget.add(HEADS, self._unfinished_head_bytes)
+        if not budget.may_connect():
+            raise HeadTimeoutError
+
     def _stop_head_timer(self) -> None:
+        if self._unfinished_head_bytes:
+            self.limits.intake.budget.remove(HEADS, self._unfinished_head_bytes)
+            self._unfinished_head_bytes = 0
         if self._head_timer is not None:
             self._head_timer.cancel()
             self._head_timer = None
--- a/packages/lagoonsail-router/src/lagoonsail_router/http_server.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/http_server.py
@@ -92,6 +92,8 @@
             last error and the number of failures.
         limits: Limits on what a connection may send, None for usual ones.
     """
+    if limits is not None:
+        connections.memory = limits.intake.budget
     clock = Clock()
     server = eventlet.wsgi.Server(
         sock,
--- a/packages/lagoonsail-router/src/lagoonsail_router/open_connections.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/open_connections.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from lagoonsail_core.green import green_socket
+    from lagoonsail_overload.byte_budget import ByteBudget
     from lagoonsail_overload.descriptor_budget import DescriptorBudget
 
 CROWDED_RATIO = 0.5
@@ -93,6 +94,7 @@
         "count",
         "is_accepting",
         "max_count",
+        "memory",
         "open",
         "refusing",
     )
@@ -107,6 +109,8 @@
     """Whether the port waits for connections, or has just accepted one."""
     max_count: int
     """Connections served at once."""
+    memory: ByteBudget | None
+    """Bytes of the process, None if they do not bound connections."""
     open: set[CallerConnection]
     """Connections that were accepted and are not closed yet."""
     refusing: int
@@ -119,6 +123,7 @@
         self.count = 0
         self.is_accepting = True
         self.max_count = max_count
+        self.memory = None
         self.open = set()
         self.refusing = 0
 
@@ -156,6 +161,8 @@
             max_served = min(max_served, self.budget.max_callers())
             # The new connection is not among the open ones yet.
             free, reserve = self.budget.free() - 1, self.budget.thresholds.reserve
+            if self.memory is not None and not self.memory.may_connect():
+                max_served = 0
         idle = None
         if served >= max_served or free < reserve:
             idle = self._find_idle(now_ms)
--- a/packages/lagoonsail-router/tests/test_hostile_peers.py
+++ b/packages/lagoonsail-router/tests/test_hostile_peers.py
@@ -22,6 +22,10 @@
 """Callers of a crowd that send slowly: more than the router serves at once."""
 ASKING_CALLERS = 12
 """Callers that ask for answers without end, and read them as fast as they can."""
+HEADS_MEMORY_MB = 100
+"""Memory limit of the router that gets unfinished heads."""
+UNFINISHED_HEADS = 750
+UNFINISHED_HEAD_BYTES = 60_000
 SLOW_INTERVAL_S = 0.2
 """Pause between two bytes of a slow caller."""
 CROWD_S = 1.0
@@ -82,15 +86,15 @@
         return b""
 
 
-def check_router(router):
+def check_router(router, memory_mb=MEMORY_MB, max_descriptors=MAX_DESCRIPTORS):
     """Check that the router answers an ordinary request and keeps its limits."""
     eventlet.sleep(CROWD_S)
     with eventlet.Timeout(ANSWER_TIMEOUT_S):
         while not ask(router.callers).startswith(b"HTTP/1.1 200"):
             eventlet.sleep(0.2)
     pid = router.process.pid
-    assert 0 < peak_memory_bytes(pid) < MEMORY_MB * 1_000_000
-    assert 0 < count_descriptors(pid) <= MAX_DESCRIPTORS
+    assert 0 < peak_memory_bytes(pid) < memory_mb * 1_000_000
+    assert 0 < count_descriptors(pid) <= max_descriptors
 
 
 # HUNG: a task that always found the next request went on without a turn of others.
@@ -129,3 +133,15 @@
     for _ in range(ASKING_CALLERS):
         peers.call(router.callers, "\r\n".join(lines).encode())
     check_router(router)
+
+
+# LOST: heads that stop short of their end were not counted in the byte budget, and
+# connections were accepted beyond it.
+def test_unfinished_heads_stay_within_memory(peers):
+    limits = {"max_connections": UNFINISHED_HEADS, "memory_mb": HEADS_MEMORY_MB}
+    with Fleet([make_cordero(1, 1, 1)], settings={"limits": limits}) as fleet:
+        router = fleet.routers["cordero-1"]
+        head = "\r\n".join([*make_head("GET"), "a: "]).encode()
+        for _ in range(UNFINISHED_HEADS):
+            peers.hold(router.callers, head.ljust(UNFINISHED_HEAD_BYTES, b"x"))
+        check_router(router, HEADS_MEMORY_MB, UNFINISHED_HEADS + 200)
--- a/tests/platform/test_endless_peers.py
+++ b/tests/platform/test_endless_peers.py
@@ -26,6 +26,12 @@
 """Callers that ask a server for heads without end."""
 HEAD_DESCRIPTORS = 400
 """Descriptors of the router for these callers and as many connections to servers."""
+HEADS_DESCRIPTORS = 1800
+"""Descriptors of the router that gets unfinished heads, so that it may serve each."""
+HEADS_MEMORY_MB = 60
+"""Memory limit of this router."""
+UNFINISHED_HEADS = 750
+UNFINISHED_HEAD_BYTES = 16_000
 LONG_TIMEOUT_MS = 60_000
 """Timeout of routes to servers whose answers have no end: longer than the test."""
 SLOW_INTERVAL_S = 0.2
@@ -71,7 +77,7 @@
             eventlet.sleep(0.2)
     process = fleet.routers[ROUTER]
     assert process.poll() is None
-    assert 0 < peak_memory_bytes(process.pid) < MEMORY_MB * 1_000_000
+    assert 0 < peak_memory_bytes(process.pid) < fleet.memory_mb * 1_000_000
     assert count_descriptors(process.pid) <= fleet.max_descriptors
 
 
@@ -150,3 +156,14 @@
         address = f"127.0.0.1:{fleet.ports[ROUTER]}"
         peers.call(address, make_request("POST", "/write/1", f"id-{number}"))
     check_router(fleet, "/stream/1")
+
+
+# LOST: heads that stop short of their end were not counted in the byte budget, and
+# connections were accepted beyond it.
+def test_unfinished_heads_stay_within_memory(make_fleet, peers):
+    fleet = make_fleet(1, max_descriptors=HEADS_DESCRIPTORS, memory_mb=HEADS_MEMORY_MB)
+    address = f"127.0.0.1:{fleet.ports[ROUTER]}"
+    head = make_request("GET", "/read/1", "id")[:-2] + b"a: "
+    for _ in range(UNFINISHED_HEADS):
+        peers.hold(address, head.ljust(UNFINISHED_HEAD_BYTES, b"x"))
+    check_router(fleet)
