INI router: a body must be whole within the time of its call

cause: 1 KB in 15 s counts as progress, and nothing bounded the whole. Callers that send at that pace kept connections and reserved bytes for hours, and others were refused with `connections_full`.

--- a/packages/lagoonsail-router/src/lagoonsail_router/body_reading.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/body_reading.py
@@ -37,7 +37,10 @@
 
 
 def read_body(
-    env: dict, max_bytes: int, deadline_ms: float = math.inf
+    env: dict,
+    max_bytes: int,
+    deadline_ms: float = math.inf,
+    max_ms: float = math.inf,
 ) -> bytes | bytearray:
     """Read the body of a request.
 
@@ -47,6 +50,7 @@
         env: The WSGI environment.
         max_bytes: Longest body that is accepted.
         deadline_ms: Monotonic time at which the body must be whole.
+        max_ms: Time from now in which it must be whole.
 
     Raises:
         CallProblem: If the body is longer, truncated, too slow, or more than the budget
@@ -63,6 +67,8 @@
     if body is None:
         raise _memory_short()
     env[BODY_KEY] = body
+    # The first progress of a body is its beginning.
+    deadline_ms = min(deadline_ms, body.progress_ms + max_ms)
     try:
         data = _receive(env, intake, body, max_bytes, deadline_ms)
     except BodyStalledError as error:
--- a/packages/lagoonsail-router/src/lagoonsail_router/call.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/call.py
@@ -114,7 +114,8 @@
     document, raw_path = _find_service(env, configuration)
     account = _find_account(env, document)
     key = _read_idempotency_key(env)
-    body = read_body(env, document.max_body_bytes)
+    max_ms = document.queue_timeout_ms + document.request_timeout_ms
+    body = read_body(env, document.max_body_bytes, max_ms=max_ms)
     # A body may take seconds, and the request must be handled as it ends.
     document, raw_path = _find_service(env, configuration)
     account = _find_account(env, document)
--- a/packages/lagoonsail-router/tests/test_hostile_peers.py
+++ b/packages/lagoonsail-router/tests/test_hostile_peers.py
@@ -22,6 +22,10 @@
 """Callers of a crowd that send slowly: more than the router serves at once."""
 ASKING_CALLERS = 12
 """Callers that ask for answers without end, and read them as fast as they can."""
+SHORT_TIMEOUT_MS = 1000
+"""Time that calls may wait and run at the service whose bodies trickle."""
+TRICKLED_BYTES = 1024
+"""Bytes that a slow caller sends at once: as many as count as progress of a body."""
 HEADS_MEMORY_MB = 100
 """Memory limit of the router that gets unfinished heads."""
 UNFINISHED_HEADS = 750
@@ -145,3 +149,20 @@
         for _ in range(UNFINISHED_HEADS):
             peers.hold(router.callers, head.ljust(UNFINISHED_HEAD_BYTES, b"x"))
         check_router(router, HEADS_MEMORY_MB, UNFINISHED_HEADS + 200)
+
+
+# HUNG: bodies that came slowly kept their connections and their bytes for hours, and
+# all other callers were refused.
+def test_bodies_that_trickle_give_way_to_others(peers):
+    deployment = make_cordero(1, 1, 1)
+    deployment.find("asistente").limits.update(
+        queue_timeout_ms=SHORT_TIMEOUT_MS, request_timeout_ms=SHORT_TIMEOUT_MS
+    )
+    limits = {"max_connections": MAX_CONNECTIONS, "memory_mb": MEMORY_MB}
+    with Fleet([deployment], settings={"limits": limits}) as fleet:
+        router = fleet.routers["cordero-1"]
+        head = make_head("POST", "asistente", "v1/completions")
+        start = "\r\n".join([*head, "Content-Length: 500000", "", ""]).encode()
+        for _ in range(SLOW_CALLERS):
+            peers.call(router.callers, start, b"x" * TRICKLED_BYTES, SLOW_INTERVAL_S)
+        check_router(router)
