--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_response.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_response.py
@@ -15,6 +15,13 @@
 """Idle limit of a connection if the server announces no keep-alive timeout."""
 IDLE_MARGIN_MS = 1500.0
 """How long before the server's keep-alive timeout an idle connection is closed."""
+MAX_HEADERS = 256
+"""Most headers that are held of a response, with its trailers: a short one takes many
+times its length in memory."""
+
+
+class TooManyHeadersError(Exception):
+    """A response has more headers than `MAX_HEADERS`."""
 
 
 @dataclass(slots=True)
@@ -66,9 +73,17 @@
         self.responses.append(Response())
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Add a header to the newest response."""
-        headers = self.responses[-1].headers
-        headers.append((name.decode("latin-1"), value.decode("latin-1")))
+        """Add a header to the newest response; later trailers are dropped.
+
+        Raises:
+            TooManyHeadersError: If its head has too many; the parser stops.
+        """
+        response = self.responses[-1]
+        if len(response.headers) >= MAX_HEADERS:
+            if response.has_head:
+                return
+            raise TooManyHeadersError(f"a response has over {MAX_HEADERS} headers")
+        response.headers.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
         """Decode the head of the newest response."""
--- a/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
@@ -50,7 +50,7 @@
 
 
 class HeadTimeoutError(Exception):
-    """The head of a request did not arrive in time."""
+    """The head of a request did not arrive in time, or has no room."""
 
 
 class HttpProtocol(eventlet.wsgi.HttpProtocol):
@@ -62,10 +62,12 @@
     """Limits on what a connection may send; see `make_protocol`."""
 
     def __init__(self, conn_state: list, server: object) -> None:
+        self._has_read_request = False
         self._must_linger = False
         self._client_wfile = None
         self._head_timer = None
         self._head_bytes = 0
+        self._unfinished_head_bytes = 0
         super().__init__(conn_state, server)
 
     def on_refused(self, kind: str) -> None:
@@ -171,19 +173,53 @@
     def _read_request_line(self) -> bytes:
         """Wait for a request, and start the time in which its head must arrive."""
         try:
-            received = b"" if self.rfile.closed else self.rfile.peek(1)
+            received = b"" if self.rfile.closed else self._peek_request()
         except ConnectionError:
             return b""
         if not received:
             return b""
         # A timer for each head would cost some percent of a request's processor time.
         if b"\r\n\r\n" not in received:
+            self._reserve_head()
             self._head_timer = eventlet.Timeout(
                 self.limits.head_timeout_ms / 1000.0, HeadTimeoutError()
             )
         return super()._read_request_line()
 
+    def _peek_request(self) -> bytes:
+        """Wait for a request; return the part that has arrived, none at the end."""
+        if not self._has_read_request:
+            # `handle` has waited for the first one.
+            self._has_read_request = True
+            return self.rfile.peek(1)
+        timeout_s = self.connection.gettimeout()
+        self.connection.settimeout(0.0)
+        try:
+            received = self.rfile.peek(1)
+        finally:
+            self.connection.settimeout(timeout_s)
+        if received:
+            # The socket never makes a caller wait that sends faster than it is served.
+            eventlet.sleep(0)
+            return received
+        return self.rfile.peek(1) if self._has_request() else b""
+
+    def _reserve_head(self) -> None:
+        """Count a head that does not arrive in one piece with its longest length.
+
+        Raises:
+            HeadTimeoutError: If connections and heads use up the byte budget.
+        """
+        budget = self.limits.intake.budget
+        self._unfinished_head_bytes = self.limits.max_head_bytes
+        budget.add(HEADS, self._unfinished_head_bytes)
+        if not budget.may_connect():
+            raise HeadTimeoutError
+
     def _stop_head_timer(self) -> None:
+        if self._unfinished_head_bytes:
+            self.limits.intake.budget.remove(HEADS, self._unfinished_head_bytes)
+            self._unfinished_head_bytes = 0
         if self._head_timer is not None:
             self._head_timer.cancel()
             self._head_timer = None
@@ -192,6 +228,8 @@
         """Run the application; close the connection if too much is left unread."""
         application = self.application
         body_input = self.environ["eventlet.input"]
+        body_input.on_discard = self._note_answered
+        body_input.max_discard_ms = self.limits.intake.stall_ms
 
         def serve(env: dict, start_response: Callable) -> object:
             def start(status: str, headers: list, *exc_info: object) -> Callable:
@@ -216,6 +254,9 @@
             if ANSWER_KEY in self.environ:
                 self.environ[ANSWER_KEY].release()
 
+    def _note_answered(self) -> None:
+        """Note that the answer is written; called once or twice for a request."""
+
     def _refuse(self, library_answer: bytes) -> None:
         match = _STATUS_LINE.match(library_answer)
         status = int(match[1]) if match else 400
--- a/packages/lagoonsail-router/src/lagoonsail_router/http_server.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/http_server.py
@@ -45,6 +45,8 @@
             last error and the number of failures.
         limits: Limits on what a connection may send, None for usual ones.
     """
+    if limits is not None:
+        connections.memory = limits.intake.budget
     clock = Clock()
     server = eventlet.wsgi.Server(
         sock,
@@ -96,6 +98,12 @@
             try:
                 super().handle_one_response()
             finally:
+                self._note_answered()
+
+        def _note_answered(self) -> None:
+            """Let the connection be closed for others, though a body may be unread."""
+            connection = self.conn_state
+            if connection.is_busy:
                 connection.is_busy = False
                 connection.requests += 1
                 connection.idle_since_ms = clock.now_ms()
