--- a/packages/lagoonsail-config/src/lagoonsail_config/document_findings.py
+++ b/packages/lagoonsail-config/src/lagoonsail_config/document_findings.py
@@ -1,6 +1,6 @@
 """Finds entries of a service document that are valid but cannot take effect.
 
-Answers configurations that apply accepts and that fail or do nothing at run time: rules
+Finds configurations that apply accepts and that fail or do nothing at run time: rules
 that another rule covers, failure domains without servers, limits that contradict. A
 document of the largest size has some ten thousand entries; findings are bounded, and
 rules are compared in order, so that none uses much memory or time.
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/answer_forwarding.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/answer_forwarding.py
@@ -1,6 +1,6 @@
 """Forwards the answer of a server to the caller, and records how it ended.
 
-Answers servers that fail in the middle of an answer: a short one is forwarded whole or
+Handles servers that fail in the middle of an answer: a short one is forwarded whole or
 not at all, and a stream is resumed at another server where its route allows it.
 """
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_attempts.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_attempts.py
@@ -1,6 +1,6 @@
 """Sends a request to servers until one responds, or tells why none does.
 
-Answers servers that refuse, fail, fall silent or crash under a prompt: a request that
+Handles servers that refuse, fail, fall silent or crash under a prompt: a request that
 may have run is sent again only if its route allows it, and all retries of a service
 stay within a quota, so that they cannot multiply the load of a failure.
 """
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -72,7 +72,7 @@
     context: RouterContext
     """Clock, counters and timeline."""
     ended: EndedServers
-    """The servers whose process has ended, though the store lists them."""
+    """The servers that have ended, though the store lists them."""
     may_connect: Callable[[Server], bool]
     """Returns whether this router has a connection to a server, or may open one."""
     notices: ServerNotices
@@ -117,7 +117,7 @@
         self._own_domain = own_domain
         self._hot_prefixes = HotPrefixes()
         counts = counts or FleetCounts(context.clock)
-        self.ended = EndedServers(context, counts)
+        self.ended = EndedServers(context, directory, counts)
         self.speeds = ServerSpeeds(context, counts, own_domain)
         self.states = ServerStates(
             context.clock, self._find_engine, self.speeds.service_factor
@@ -174,7 +174,7 @@
             s for s in states if s.server.record.server_id not in call.tried_server_ids
         ]
         if self.ended.has_any():
-            states = self._without_ended(states)
+            states = [s for s in states if not self.ended.is_replaced(s.server.record)]
         if not states or service is None:
             return _no_server(f"no server of {call.service} is there")
         if self._rollouts is not None:
@@ -183,6 +183,7 @@
             )
             if not states:
                 return _no_server(f"no server of {call.service} may be used")
+        states = self._without_refusing(states)
         accepting = states
         if self.notices.has_any():
             accepting = [s for s in states if self._wants_requests(s)]
@@ -306,22 +307,23 @@
             for state in self.states.all()
             if state.load.cache.capacity_tokens and self.is_usable(state)
         ]
+        engines = self._without_refusing(engines)
         self.accounts.update(_median_queue_ms(engines) if engines else 0.0)
 
     def is_usable(self, state: ServerState) -> bool:
         """Return whether a server may be selected for a request."""
-        record = state.server.record
         return (
             self._directory.is_usable(state.server)
             and self._wants_requests(state)
-            and not self.ended.is_replaced(record)
-            and not self.ended.is_refusing(record)
+            and not self.ended.is_replaced(state.server.record)
         )
 
     def is_still_usable(self, state: ServerState) -> bool:
         """Return whether a server that was selected may still get the request."""
-        is_out = self.notices.is_out(state.server.record.incarnation())
-        return self._directory.is_usable(state.server) and not is_out
+        record = state.server.record
+        is_out = self.notices.is_out(record.incarnation())
+        has_ended = self.ended.is_replaced(record)
+        return self._directory.is_usable(state.server) and not (is_out or has_ended)
 
     def record_leaving(self, state: ServerState) -> None:
         """Note that a server says in an answer that it is leaving.
@@ -352,14 +354,15 @@
                 "server_paused", server=record.server_id, pause_ms=round(backoff_ms)
             )
 
-    def _without_ended(self, states: list[ServerState]) -> list[ServerState]:
-        """Return the servers that have not ended, as far as is known.
+    def _without_refusing(self, states: list[ServerState]) -> list[ServerState]:
+        """Return the servers that do not refuse connections.
 
-        If all refuse connections, all are tried: one may have restarted since.
+        If all do, all are returned: one may have restarted since.
         """
-        present = [s for s in states if not self.ended.is_replaced(s.server.record)]
-        accepting = [s for s in present if not self.ended.is_refusing(s.server.record)]
-        return accepting or present
+        if not self.ended.has_any():
+            return states
+        accepting = [s for s in states if not self.ended.is_refusing(s.server.record)]
+        return accepting or states
 
     def _wants_requests(self, state: ServerState) -> bool:
         return self.notices.allows(state.server.record.incarnation())
@@ -460,6 +463,7 @@
         return (
             self._wants_requests(state)
             and state.health.allows_request(self.context.clock.now_ms())
+            and not self.ended.is_refusing(state.server.record)
             and self._has_cold_quota(state, service)
         )
 
@@ -489,7 +493,6 @@
         self.starts.apply_change(kind, server)
         if kind in ("left", "restarted"):
             self.speeds.remove(record.server_id)
-            self.ended.remove(record if kind == "left" else server.previous)
         if kind == "left":
             self.states.remove(server)
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_evidence.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_evidence.py
@@ -1,6 +1,6 @@
 """Evidence of roll-outs: what all routers counted, and the judgement of the sums.
 
-Answers a bad version that no router alone sees enough of, and the loss of the counts of
+Handles a bad version that no router alone sees enough of, and the loss of the counts of
 a router that died: routers that stopped sending to a version vote against it.
 """
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_content.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_content.py
@@ -1,6 +1,6 @@
 """The store's content as this router knows it, and what the router does with a change.
 
-Answers entries that come late, twice or out of order, and malformed ones. An item is
+Handles entries that come late, twice or out of order, and malformed ones. An item is
 replaced only by a later revision, so a listing can be applied while changes arrive; the
 manifest is replaced only by a higher version; a malformed manifest changes nothing.
 """
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/view_lag.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/view_lag.py
@@ -1,6 +1,6 @@
 """Detects that the view of the store lags behind those of other routers.
 
-Answers a connection to the store that has fallen silent: its watch waits for changes
+Handles a connection to the store that has fallen silent: its watch waits for changes
 that never come, while other routers report a newer revision in their digests.
 """
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/watch_pacing.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/watch_pacing.py
@@ -1,6 +1,6 @@
 """How often a router calls the store: timeouts of its watches, and pauses between them.
 
-Answers the load that a fleet puts on the store, whose calls are counted: each answer to
+Handles the load that a fleet puts on the store, whose calls are counted: each answer to
 a watch costs one call for each router. After a failure watches are short, since the
 answer to a long one may be lost.
 """
--- a/packages/lagoonsail-overload/src/lagoonsail_overload/body_intake.py
+++ b/packages/lagoonsail-overload/src/lagoonsail_overload/body_intake.py
@@ -1,6 +1,6 @@
 """Admits the bodies of requests to the byte budget while they arrive.
 
-Answers the load of callers that announce or send more than the budget holds, and of
+Handles the load of callers that announce or send more than the budget holds, and of
 callers that stop sending and keep what they sent in memory. An announced body is
 reserved as a whole before it is read, a chunked one in steps. A body that does not fit
 is refused at once. Bodies that make no progress are given up when others need their
--- a/packages/lagoonsail-overload/src/lagoonsail_overload/byte_budget.py
+++ b/packages/lagoonsail-overload/src/lagoonsail_overload/byte_budget.py
@@ -1,6 +1,6 @@
 """One budget of bytes for all that a process holds of requests and answers.
 
-Answers the load of callers that send, or leave unread, more than the memory of the host
+Handles the load of callers that send, or leave unread, more than the memory of the host
 holds: a router ran out of memory under chunked bodies that it held without a bound. The
 kinds of use share the budget. Long bodies are refused first: when they have used up
 their share, requests with a short body and answers of running requests still have room.
--- a/packages/lagoonsail-overload/src/lagoonsail_overload/caller_connections.py
+++ b/packages/lagoonsail-overload/src/lagoonsail_overload/caller_connections.py
@@ -1,6 +1,6 @@
 """What happens to a caller's new connection, and which idle one is closed for it.
 
-Answers the load of callers that open connections and send nothing, half a request head,
+Handles the load of callers that open connections and send nothing, half a request head,
 or no further request. A request that has been read is never ended.
 """
 
--- a/packages/lagoonsail-overload/src/lagoonsail_overload/descriptor_levels.py
+++ b/packages/lagoonsail-overload/src/lagoonsail_overload/descriptor_levels.py
@@ -1,6 +1,6 @@
 """Load shedding by the number of file descriptors that are left.
 
-Answers the load of more connections than a process may hold: callers that keep idle
+Handles the load of more connections than a process may hold: callers that keep idle
 connections or send half a request, and many slow answers of servers at once. Each level
 adds an action to those of the levels before it.
 """
--- a/packages/lagoonsail-overload/src/lagoonsail_overload/server_connections.py
+++ b/packages/lagoonsail-overload/src/lagoonsail_overload/server_connections.py
@@ -1,6 +1,6 @@
 """Whether a connection to a server may be opened, and how many a server takes.
 
-Answers the load of many slow answers at once, in which each request needs a connection,
+Handles the load of many slow answers at once, in which each request needs a connection,
 and servers that reset connections beyond their limit.
 """
 
--- a/packages/lagoonsail-router/src/lagoonsail_router/accepting.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/accepting.py
@@ -1,6 +1,6 @@
 """Accepts connections from callers, and decides which are served or refused.
 
-Answers floods of connections and a shortage of file descriptors: accepting pauses while
+Handles floods of connections and a shortage of file descriptors: accepting pauses while
 there is no room, an idle connection makes way for a new one, and a caller that cannot
 be served gets an answer that says so. A failed accept never closes the port.
 """
--- a/packages/lagoonsail-sharing/src/lagoonsail_sharing/start_permits.py
+++ b/packages/lagoonsail-sharing/src/lagoonsail_sharing/start_permits.py
@@ -1,6 +1,6 @@
 """Permits of one router for a server that starts: its part of the room that is left.
 
-Answers routers that all send at once to a server with little room: none of them sees
+Handles routers that all send at once to a server with little room: none of them sees
 what the others send before the next digests.
 """
 
--- a/tests/platform/test_ended_servers_path.py
+++ b/tests/platform/test_ended_servers_path.py
@@ -52,6 +52,7 @@
     server.crash()
     assert set(ask_all(fleet, 5, "crashed")) == {200}
     server.restart()
+    # The store still has the record of the former start.
     server.born -= 1
     with eventlet.Timeout(10.0):
         while not server.runs:
