--- a/packages/lagoonsail-router/src/lagoonsail_router/answer_input.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/answer_input.py
@@ -1,8 +1,8 @@
 """Reads the answers of servers with a bound on bytes that are no part of a body.
 
 http.client and urllib3 skip interim responses, chunk extensions and trailers to their
-end, and do not wait while bytes are there. A server that sends them without end would keep
-the router from all other work, since not even a timer fires.
+end, and do not wait while bytes are there. A server that sends them without end would
+keep the router from all other work, since not even a timer fires.
 """
 
 from __future__ import annotations
