--- a/packages/lagoonsail-router/src/lagoonsail_router/backend.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/backend.py
@@ -13,6 +13,7 @@
 
 from lagoonsail_core.green import eventlet, green_socket, urllib3
 from lagoonsail_router.answer_input import BoundedConnection
+from lagoonsail_router.body_parts import join_part
 from lagoonsail_router.event_stream import END_OF_EVENT
 
 if TYPE_CHECKING:
@@ -291,7 +292,7 @@
             for part in self._response.stream(MAX_PART_BYTES, decode_content=False):
                 self._connection.answer_input.note_body()
                 # Small parts would each be an object of many times their length.
-                body = _join(body, part)
+                body = join_part(body, part)
                 if self._held_answer is not None:
                     self._held_answer.hold(len(part))
                 if len(body) > MAX_ANSWER_BYTES:
@@ -362,16 +363,6 @@
         return self._response.status == 200
 
 
-def _join(body: bytes | bytearray, part: bytes) -> bytes | bytearray:
-    """Return a body with a further part; a body of one part is not copied."""
-    if not body:
-        return part
-    if isinstance(body, bytes):
-        body = bytearray(body)
-    body += part
-    return body
-
-
 def _take_events(partial_event: bytearray, chunk: bytes) -> bytes:
     r"""Add a chunk to an incomplete event; remove and return the complete events.
 
--- a/packages/lagoonsail-router/src/lagoonsail_router/body_reading.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/body_reading.py
@@ -10,6 +10,7 @@
 from lagoonsail_core.green import eventlet
 from lagoonsail_overload.body_intake import BodyIntake
 from lagoonsail_overload.byte_budget import ByteBudget
+from lagoonsail_router.body_parts import join_part
 from lagoonsail_router.problems import CallProblem
 
 if TYPE_CHECKING:
@@ -122,7 +123,7 @@
                 break
             if not intake.record(body, len(part)):
                 raise _close_after(env, _memory_short())
-            data = _join(data, part)
+            data = join_part(data, part)
             parts += 1
             if parts % PARTS_PER_TURN == 0:
                 eventlet.sleep(0)
@@ -135,16 +136,6 @@
     return data
 
 
-def _join(data: bytes | bytearray, part: bytes) -> bytes | bytearray:
-    """Return data with a further part; a body of one part is not copied."""
-    if not data:
-        return part
-    if isinstance(data, bytes):
-        data = bytearray(data)
-    data += part
-    return data
-
-
 def _read_part(source: object, size: int, timeout_ms: float) -> bytes:
     if timeout_ms <= 0:
         raise BodyStalledError
