--- a/review/parts-2/rig.py
+++ b/review/parts-2/rig.py
@@ -664,6 +664,7 @@
             "front": free_port(self.ip),
             "ready": free_port(self.ip),
             "control": free_port(self.ip),
+            "metrics": free_port(self.ip),
         }
         first = free_port(self.ip, is_udp=True)
         self.ports |= {"first": first, "last": first + 15}
@@ -691,6 +692,7 @@
             "LAGOONSAIL_CONFIG": str(self.settings),
             "PYTHONPATH": str(ROOT / "target" / "deps"),
             "PYTHONDONTWRITEBYTECODE": "1",
+            "LAGOONSAIL_METRICS_PORT": str(self.ports["metrics"]),
             "PATH": os.environ.get("PATH", "/usr/bin:/bin"),
         }
         self.process = subprocess.Popen(
@@ -740,11 +742,15 @@
     """Run the coroutine of a case and exit with its code; 2 if it could not run."""
 
     async def bounded() -> int:
+        # The routers are ended also if the script is.
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         return await asyncio.wait_for(main(), limit_s)
 
     try:
         code = asyncio.run(bounded())
-    except Exception as error:  # noqa: BLE001
+    except (Exception, asyncio.CancelledError) as error:
         print(f"the case could not run: {type(error).__name__} {error}")
         import traceback
 
