Ignore records that a server wrote before the known one

Cause: a write whose answer was lost was carried out 6 s later, and the directory replaced the record of a start by any later one, also draining by ready.

Change: a record with an earlier start, or ready after draining, is ignored, also when the server has left meanwhile; a cold time does not end earlier than told.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_directory.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_directory.py
@@ -1,8 +1,12 @@
-"""The known backend servers and whether they may get new requests."""
+"""The known backend servers and whether they may get new requests.
+
+Handles records that the store carries out late: to the store they are newer than those
+that the server wrote afterwards, and they must not undo these.
+"""
 
 from __future__ import annotations
 
-from collections import defaultdict
+from collections import OrderedDict, defaultdict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -20,6 +24,8 @@
 MAX_KEPT_FRACTION = 0.8
 """Maximum time for which a removed server is kept, as a fraction of the time within
 which its removal must be in force."""
+MAX_FORMER_SERVERS = 4096
+"""Servers that have left whose last record is remembered."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -47,6 +53,19 @@
         """Return the key of this incarnation of the server."""
         return self.server_id, self.started_at_ms
 
+    def is_outdated_by(self, known: ServerRecord) -> bool:
+        """Return whether the server wrote this record before another one.
+
+        It does not start again with an earlier time, and does not return from draining.
+        Its clock must not be set back by more than the time that a restart takes.
+
+        Args:
+            known: Another record of the server.
+        """
+        if self.started_at_ms != known.started_at_ms:
+            return self.started_at_ms < known.started_at_ms
+        return known.state == DRAINING and self.state != DRAINING
+
 
 @dataclass(slots=True)
 class Server:
@@ -71,6 +90,7 @@
     __slots__ = (
         "_by_service",
         "_clock",
+        "_former",
         "_listeners",
         "_max_kept_ms",
         "_servers",
@@ -96,6 +116,7 @@
         self._max_kept_ms = MAX_KEPT_FRACTION * max_change_delay_ms
         self._removed: list[Server] = []
         self._servers: dict[str, Server] = {}
+        self._former: OrderedDict[str, ServerRecord] = OrderedDict()
         self._by_service: dict[str, list[Server]] | None = None
         self._last_outage_ms = float("-inf")
         self._listeners: list[Callable[[str, Server], None]] = []
@@ -105,7 +126,8 @@
     def subscribe(self, listener: Callable[[str, Server], None]) -> None:
         """Register a callback for servers and what happened to them.
 
-        That is `joined`, `changed`, `restarted`, `left`, or `kept` without a record.
+        That is `joined`, `changed`, `restarted`, `left`, `kept` without a record, or
+        `outdated` for a record that is not taken over.
 
         Args:
             listener: Called with the kind of the change and the server.
@@ -117,7 +139,7 @@
         self._last_outage_ms = self._clock.now_ms()
 
     def put(self, record: ServerRecord) -> None:
-        """Add or update a server.
+        """Add or update a server, unless the record is older than a known one.
 
         Args:
             record: The record that the server wrote.
@@ -125,6 +147,10 @@
         now_ms = self._clock.now_ms()
         known = self._servers.get(record.server_id)
         cold_until_ms = now_ms + record.cold_left_ms
+        last = self._former.get(record.server_id) if known is None else known.record
+        if last is not None and record.is_outdated_by(last):
+            self._notify("outdated", Server(record, cold_until_ms))
+            return
         if known is None or known.record.incarnation() != record.incarnation():
             server = Server(record, cold_until_ms)
             server.previous = None if known is None else known.record
@@ -136,7 +162,8 @@
             server.record = record
             server.was_cold = now_ms < server.cold_until_ms
             server.expires_at_ms = None
-            server.cold_until_ms = cold_until_ms
+            # A late record may be from before the server became cold.
+            server.cold_until_ms = max(server.cold_until_ms, cold_until_ms)
             if is_same:
                 return
         self._by_service = None
@@ -198,9 +225,16 @@
 
     def _drop(self, server: Server) -> None:
         del self._servers[server.record.server_id]
+        self._remember(server.record)
         self._by_service = None
         self._notify("left", server)
 
+    def _remember(self, record: ServerRecord) -> None:
+        self._former[record.server_id] = record
+        self._former.move_to_end(record.server_id)
+        if len(self._former) > MAX_FORMER_SERVERS:
+            self._former.popitem(last=False)
+
     def evacuate(self, failure_domains: set[str]) -> None:
         """Replace the failure domains that get no new requests.
 
--- a/packages/lagoonsail-gateway/tests/test_server_directory.py
+++ b/packages/lagoonsail-gateway/tests/test_server_directory.py
@@ -145,3 +145,66 @@
     directory.settle_removals()
     assert usable_ids(directory) == {"s1", "s2"}
     assert "left" not in kinds
+
+
+# DRAIN: a report that the store carried out late made a leaving server ready again.
+def test_late_report_does_not_make_a_draining_server_ready(directory, make_record):
+    kinds = []
+    directory.put(make_record())
+    directory.put(make_record(state=DRAINING))
+    directory.subscribe(lambda kind, server: kinds.append(kind))
+    directory.put(make_record())
+    assert usable_ids(directory) == set()
+    assert kinds == ["outdated"]
+
+
+def test_late_report_does_not_bring_back_a_server_that_drained_and_left(
+    directory, make_record
+):
+    """Guards against requests to a server whose last report arrives after its end."""
+    directory.put(make_record(state=DRAINING))
+    directory.remove("s1")
+    directory.put(make_record())
+    assert usable_ids(directory) == set()
+    assert directory.count() == 0
+
+
+def test_server_whose_record_was_lost_while_it_was_ready_comes_back(
+    directory, make_record
+):
+    """Guards against shutting out a server that was only cut off from the store."""
+    directory.put(make_record())
+    directory.remove("s1")
+    directory.put(make_record())
+    assert usable_ids(directory) == {"s1"}
+
+
+def test_restarted_server_is_usable_after_it_drained(directory, make_record):
+    directory.put(make_record(state=DRAINING))
+    directory.put(make_record(started_at_ms=2))
+    assert usable_ids(directory) == {"s1"}
+
+
+# FAILBACK: a late report of the start before replaced that of a starting, cold server.
+@pytest.mark.parametrize("has_left", [False, True])
+def test_late_report_of_an_earlier_start_is_ignored(directory, make_record, has_left):
+    directory.put(make_record(started_at_ms=1))
+    directory.put(make_record(started_at_ms=2, cold_left_ms=3000.0))
+    if has_left:
+        directory.remove("s1")
+    directory.put(make_record(started_at_ms=1))
+    assert usable_ids(directory) == (set() if has_left else {"s1"})
+    server = directory.find("s1")
+    assert has_left or directory.is_cold(server)
+    assert has_left or server.record.started_at_ms == 2
+
+
+# FAILBACK: a late report from before a server became cold ended its cold time.
+def test_late_report_does_not_end_the_cold_time(directory, make_record, manual_clock):
+    directory.put(make_record())
+    directory.put(make_record(cold_left_ms=3000.0))
+    manual_clock.ms += 1000.0
+    directory.put(make_record())
+    assert directory.is_cold(directory.find("s1"))
+    manual_clock.ms += 2001.0
+    assert not directory.is_cold(directory.find("s1"))
