Find servers that become cold while the store is away

Cause: a server was cold by its record in the store alone, and a silent store was noticed only as a watch timed out, after up to 4 s.

Change: digests tell whether the store has just answered any router; after a silence that depends on the load a lease is renewed early, and without an answer servers that get more than the cold rate are asked at their health path, by one router each. Routers that have the store tell those that it turns away. Requests to warm servers count against the limit.

Cost in calm: not measured yet.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/dispatcher.py
@@ -203,8 +203,10 @@
             state = self._select(call, accepting, others)
         if isinstance(state, Refusal):
             return state
-        if self._directory.is_cold(state.server):
-            state.cold_requests.try_acquire(self._cold_quota(state, service))
+        if service.cold_requests_per_s > 0.0:
+            # It may turn out to have been cold already. `count` drops what is over.
+            state.sent_requests.count()
+            state.sent_requests.record()
         return state
 
     def start_request(self, call: GatewayCall, state: ServerState) -> RunningRequest:
@@ -470,7 +472,7 @@
     def _has_cold_quota(self, state: ServerState, service: Service) -> bool:
         if not self._directory.is_cold(state.server):
             return True
-        return state.cold_requests.remaining(self._cold_quota(state, service)) > 0
+        return state.sent_requests.remaining(self._cold_quota(state, service)) > 0
 
     def _cold_quota(self, state: ServerState, service: Service) -> int:
         total = int(service.cold_requests_per_s)
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -6,6 +6,7 @@
 
 from lagoonsail_core.decision_log import DecisionLog
 from lagoonsail_gateway.call_service import CallService
+from lagoonsail_gateway.cold_checks import ColdChecks
 from lagoonsail_gateway.connection_pool import ConnectionPool
 from lagoonsail_gateway.connection_quota import ConnectionQuota
 from lagoonsail_gateway.crash_check import CrashCheck
@@ -16,7 +17,8 @@
 from lagoonsail_gateway.fleet_share import FleetMembers
 from lagoonsail_gateway.gateway_metrics import make_metrics
 from lagoonsail_gateway.gateway_stop import stop_as_planned
-from lagoonsail_gateway.membership import keep_membership
+from lagoonsail_gateway.health_request import make_cold_request
+from lagoonsail_gateway.membership import Membership
 from lagoonsail_gateway.operator_answers import (
     make_metrics_application,
     make_readiness_application,
@@ -26,6 +28,7 @@
 from lagoonsail_gateway.rollout_leader import RolloutLeader
 from lagoonsail_gateway.server_directory import ServerDirectory
 from lagoonsail_gateway.store_feed import HEARTBEAT_INTERVAL_MS, WatcherChoice
+from lagoonsail_gateway.store_presence import StorePresence
 from lagoonsail_gateway.store_view import StoreView
 from lagoonsail_overload.body_intake import BodyIntake
 from lagoonsail_overload.descriptor_budget import (
@@ -89,10 +92,12 @@
         "_callers_port",
         "_connection_quota",
         "_membership",
+        "_presence",
         "_operator_ports",
         "_settings",
         "_store_call_counts",
         "calls",
+        "cold_checks",
         "context",
         "counts",
         "crash_check",
@@ -148,7 +153,6 @@
         """
         context = self.context = RouterContext(settings)
         self._settings = settings
-        self._membership = membership
         self._store_call_counts = {} if store_call_counts is None else store_call_counts
         self._callers_port: green_socket.socket | None = None
         self.log = DecisionLog(settings.name, context.clock)
@@ -216,6 +220,24 @@
             self.digests.send_feed,
         )
         self.digests.on_feed(self.view.apply_feed)
+        self._presence = StorePresence(
+            context, self.counts, self.routers, lambda: self._membership.renew_early()
+        )
+        self.view.on_answer = self._presence.record_answer
+        self._membership = Membership(
+            membership, self._presence.record_answer, self.view.restart_silent_watch
+        )
+        self.cold_checks = ColdChecks(
+            context,
+            self.directory,
+            self.dispatcher.states,
+            self.routers,
+            self.counts,
+            self._presence,
+            make_cold_request(context.clock, self.pool, request_format),
+            lambda: not self._hears_others(),
+            self.digests.schedule_early_send,
+        )
         self.rollouts: RolloutControl | None = None
         self.leader: RolloutLeader | None = None
         if settings.exposure is not None and rollout_store is not None:
@@ -274,13 +296,7 @@
     def _start_tasks(self) -> None:
         start_task(self.context, "digests", self.digests.receive)
         start_task(self.context, "store_view", self.view.run)
-        start_task(
-            self.context,
-            "membership",
-            keep_membership,
-            self._membership,
-            self.view.restart_silent_watch,
-        )
+        start_task(self.context, "membership", self._membership.keep)
         if self.leader is not None:
             start_task(self.context, "rollout", self.leader.run)
 
@@ -335,11 +351,14 @@
         """Return other routers' requests at a server, None without recent digests."""
         if self.routers.count() == 1:
             return 0
-        age_ms = self.dispatcher.last_digest_age_ms()
-        if age_ms is None or age_ms > MAX_DIGEST_AGE_MS:
+        if not self._hears_others():
             return None
         return self.dispatcher.states.others_running(server_id)
 
+    def _hears_others(self) -> bool:
+        age_ms = self.dispatcher.last_digest_age_ms()
+        return age_ms is not None and age_ms <= MAX_DIGEST_AGE_MS
+
     def _register_descriptors(self) -> None:
         pool, budget = self.pool, self.descriptors
         budget.register(SERVERS, lambda: pool.open_count - pool.idle_count)
@@ -354,6 +373,7 @@
         self.limits.head_timeout_ms = max(MIN_TIMEOUT_MS, limits.head_timeout_ms)
         self.limits.intake.stall_ms = max(MIN_TIMEOUT_MS, limits.idle_timeout_ms)
         self.dispatcher.apply_manifest(manifest)
+        self.cold_checks.apply_manifest(manifest)
         self.calls.apply_manifest(manifest)
         if self.rollouts is not None:
             self.rollouts.apply_manifest(manifest)
@@ -362,6 +382,7 @@
         self.dispatcher.update_speeds()
         self.dispatcher.ended.update()
         self.dispatcher.starts.update()
+        self.cold_checks.step()
         self.digests.send_round()
         self.dispatcher.update_shares()
         if self.rollouts is not None:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_metrics.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_metrics.py
@@ -21,6 +21,7 @@
 COUNTERS = {
     "answers_not_buffered_total": "Answers passed on unfinished for want of memory.",
     "answers_total": "Answers passed on, by outcome.",
+    "cold_checks_total": "Servers asked whether they are cold, by answer.",
     "digests_malformed_total": "Digests of other routers that could not be read.",
     "digests_not_sent_total": "Digests that could not be sent.",
     "digests_too_long_total": "Digests that fit into no datagram.",
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/manifest.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/manifest.py
@@ -84,6 +84,8 @@
     """Maximum request rate of a cold server, from all routers together."""
     engine: Engine | None
     """Engine properties, None if the servers run no language models."""
+    health_path: str = ""
+    """Path at which a server says how it is, empty if there is none."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/membership.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/membership.py
@@ -16,21 +16,48 @@
 """Delay after a failed registration or lease renewal."""
 
 
-def keep_membership(
-    renew: Callable[[], float | Unavailable], on_failure: Callable[[str], None]
-) -> None:
-    """Register the router and renew its lease until the task ends.
-
-    Args:
-        renew: Registers the router or renews its lease. Returns the milliseconds until
-            the next call, or the reason of a failure.
-        on_failure: Called with the reason of each failure.
-    """
-    mark_urgent()
-    while True:
-        delay_ms = renew()
-        if isinstance(delay_ms, Unavailable):
-            on_failure(delay_ms.reason)
-            delay_ms = MEMBERSHIP_RETRY_MS
-        # Jitter, because all routers of a fleet may have started at the same time.
-        eventlet.sleep(delay_ms * random.uniform(0.75, 1.0) / 1000.0)
+class Membership:
+    """The registration of this router, and its renewals."""
+
+    __slots__ = ("_due", "_is_due_early", "_on_answer", "_on_failure", "_renew")
+
+    def __init__(
+        self,
+        renew: Callable[[], float | Unavailable],
+        on_answer: Callable[[], None],
+        on_failure: Callable[[str], None],
+    ) -> None:
+        """Create it without calling the store.
+
+        Args:
+            renew: Registers the router or renews its lease. Returns the milliseconds
+                until the next call, or the reason of a failure.
+            on_answer: Called when the store has carried out a call.
+            on_failure: Called with the reason of each failure.
+        """
+        self._due = eventlet.semaphore.Semaphore(0)
+        self._is_due_early = False
+        self._on_answer = on_answer
+        self._on_failure = on_failure
+        self._renew = renew
+
+    def keep(self) -> None:
+        """Register the router and renew its lease until the task ends."""
+        mark_urgent()
+        while True:
+            delay_ms = self._renew()
+            self._is_due_early = False
+            if isinstance(delay_ms, Unavailable):
+                self._on_failure(delay_ms.reason)
+                delay_ms = MEMBERSHIP_RETRY_MS
+            else:
+                self._on_answer()
+            # Jitter, because all routers of a fleet may have started at the same time.
+            delay_ms *= random.uniform(0.75, 1.0)
+            self._due.acquire(timeout=delay_ms / 1000.0)
+
+    def renew_early(self) -> None:
+        """Renew the lease now, to see whether the store answers."""
+        if not self._is_due_early:
+            self._is_due_early = True
+            self._due.release()
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/request_format.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/request_format.py
@@ -82,6 +82,8 @@
     """Time for which the server wants no requests, None if not stated."""
     server_id: str = ""
     """Id of the server that responds, empty if not stated."""
+    cold_left_ms: float | None = None
+    """Remaining cold time of the server, None if it is not known."""
 
 
 @dataclass(slots=True, frozen=True)
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_directory.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_directory.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict, defaultdict
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -75,6 +75,8 @@
     """Its newest record."""
     cold_until_ms: float
     """Monotonic time until which it gets only a limited rate of requests."""
+    told_cold_until_ms: float = float("-inf")
+    """The same by what other routers tell."""
     was_cold: bool = False
     """Whether it was cold when its record last changed."""
     expires_at_ms: float | None = None
@@ -169,6 +171,28 @@
         self._by_service = None
         self._notify(kind, server)
 
+    def record_cold(self, server: Server, cold_left_ms: float) -> None:
+        """Note that a server says it is cold, other than in its record.
+
+        Args:
+            server: The server.
+            cold_left_ms: Its remaining cold time.
+        """
+        now_ms = self._clock.now_ms()
+        server.was_cold = self.is_cold(server)
+        server.record = replace(server.record, cold_left_ms=cold_left_ms)
+        server.cold_until_ms = max(server.cold_until_ms, now_ms + cold_left_ms)
+        self._notify("changed", server)
+
+    def record_told_cold(self, server: Server, cold_left_ms: float) -> None:
+        """Note that another router knows a server to be cold.
+
+        Args:
+            server: The server.
+            cold_left_ms: Its remaining cold time.
+        """
+        server.told_cold_until_ms = self._clock.now_ms() + cold_left_ms
+
     def remove(self, server_id: str) -> None:
         """Remove a server whose record is no longer in the store.
 
@@ -264,7 +288,8 @@
 
     def is_cold(self, server: Server) -> bool:
         """Return whether a server is cold and gets only a limited rate of requests."""
-        return self._clock.now_ms() < server.cold_until_ms
+        until_ms = max(server.cold_until_ms, server.told_cold_until_ms)
+        return self._clock.now_ms() < until_ms
 
     def find(self, server_id: str) -> Server | None:
         """Return a known server, None if it is not known.
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_state.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_state.py
@@ -37,8 +37,9 @@
     """Load from this router's requests and from those that other routers report."""
     health: ServerHealth
     """Recent failures of its responses."""
-    cold_requests: WindowLimit
-    """Limit of the requests that are sent while it is cold."""
+    sent_requests: WindowLimit
+    """Requests that were sent within the last second, which are limited while it is
+    cold."""
     speed: ServerSpeed
     """How fast it works."""
     reported: ReportedLoad
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
@@ -69,6 +69,7 @@
         "_watch_sent_ms",
         "is_up",
         "last_answer_ms",
+        "on_answer",
         "revision",
     )
 
@@ -76,6 +77,8 @@
     """Monotonic time of the store's last answer."""
     is_up: bool
     """Whether the last call was answered."""
+    on_answer: Callable[[], None]
+    """Called when a call was answered."""
     revision: int | None
     """Store revision up to which the view is complete; None if a listing is needed."""
 
@@ -123,6 +126,7 @@
         self.revision = None
         self.last_answer_ms = float("-inf")
         self.is_up = False
+        self.on_answer = lambda: None
 
     @property
     def manifest(self) -> Manifest | None:
@@ -249,6 +253,7 @@
     def _record_answer(self) -> None:
         now_ms = self._context.clock.now_ms()
         self.last_answer_ms = self._known_ms = now_ms
+        self.on_answer()
         self._lag.end_back_off()
         if not self.is_up:
             self.is_up = True
