Take no part of an early answer without a length for the whole

Cause: a close-delimited answer was whole at the end of the stream. A reset that follows it is only an error of the socket, which nobody looked at, and may come later still.

Change: a socket error at the end makes the answer incomplete, and so does a request that is not fully sent, for a success.

Shown by: test_early_answers (4 of 14 failed before), test_early_answers_path with a real router (6 of 6 failed before).

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
@@ -382,6 +382,12 @@
             raise ConnectionLostError(
                 ABORTED if self._is_aborted else "the server closed the connection"
             )
+        if not self._is_fully_sent and response.status < 300:
+            # A server that closes with input unread resets the connection, and the
+            # reset may arrive after the end of the stream.
+            raise ConnectionLostError("the server closed before it read the request")
+        if self._sock.fd.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            raise ConnectionLostError("the server reset the connection")
         response.is_complete = True
         response.is_keep_alive = False
 
