INI fleets: refuse answers whose head is not well-formed

Cause: http.client below urllib3 ends a head at the first line that is no field, or where the connection breaks off, and reads odd statuses and lengths; eventlet's sockets report a reset as the end of the stream.

Change: lines are checked before http.client reads them, lengths afterwards, for servers, orders, reports, the key-value service and lagoonctl; where no answer lacks a length, one without it is refused.

--- a/packages/lagoonsail-core/src/lagoonsail_core/http_syntax.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/http_syntax.py
@@ -18,6 +18,9 @@
 _TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 _REQUEST_LINE = re.compile(_TOKEN + rb" [^\x00-\x20\x7f]+ HTTP/[0-9]\.[0-9]\r?\n")
 _FIELD_LINE = re.compile(_TOKEN + rb":[^\x00-\x08\x0a-\x1f\x7f]*\r?\n")
+_STATUS_LINE = re.compile(
+    rb"HTTP/1\.[01] [1-5][0-9]{2}( [^\x00-\x08\x0a-\x1f\x7f]*)?\r?\n"
+)
 _END_OF_HEAD = (b"\r\n", b"\n")
 
 
@@ -34,6 +37,21 @@
     return _REQUEST_LINE.fullmatch(line) is not None
 
 
+def is_status_line(line: bytes) -> bool:
+    r"""Return whether a line can begin a response.
+
+    Args:
+        line: The line with its end.
+
+    Example:
+        >>> is_status_line(b"HTTP/1.1 200 OK\r\n")
+        True
+        >>> is_status_line(b"HTTP/1.1 000 OK\r\n")
+        False
+    """
+    return _STATUS_LINE.fullmatch(line) is not None
+
+
 def is_status(status: int) -> bool:
     """Return whether a number is a status code of a response.
 
--- a/packages/lagoonsail-ctl/src/lagoonsail_ctl/admin_client.py
+++ b/packages/lagoonsail-ctl/src/lagoonsail_ctl/admin_client.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 from urllib.parse import urlencode
 
+from lagoonsail_core.checked_http import CheckedPool
 from lagoonsail_core.green import eventlet, urllib3
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_ctl.records import RecordError
@@ -54,6 +55,7 @@
         self._timeout_ms = timeout_ms
         self._clock = clock
         self._pool = urllib3.PoolManager(num_pools=1, maxsize=1, retries=False)
+        self._pool.pool_classes_by_scheme = {"http": CheckedPool}
 
     def get_status(self) -> RouterStatus | Unavailable:
         """Return the router's status, or the reason why it is not available."""
--- a/packages/lagoonsail-router/src/lagoonsail_router/answer_input.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/answer_input.py
@@ -8,10 +8,14 @@
 from __future__ import annotations
 
 import io
-from http.client import HTTPResponse
+from typing import TYPE_CHECKING
 
+from lagoonsail_core.checked_http import CheckedResponse
 from lagoonsail_core.green import eventlet, urllib3
 
+if TYPE_CHECKING:
+    from http.client import HTTPResponse
+
 MAX_UNUSED_BYTES = 131_072
 """Bytes that a server may send without a part of the body: its head, interim responses,
 chunk extensions and trailers. At least twice the largest part that is read at once."""
@@ -78,12 +82,14 @@
 
     answer_input: AnswerInput | None = None
     """Input of the latest answer."""
+    answer_class = CheckedResponse
+    """Reader of an answer below the limit on its bytes."""
     max_unused_bytes = MAX_UNUSED_BYTES
     """Bytes that may come without a part of the body."""
 
     def response_class(self, *arguments: object, **options: object) -> HTTPResponse:
         """Return the reader of an answer; http.client looks it up by this name."""
-        response = HTTPResponse(*arguments, **options)
+        response = self.answer_class(*arguments, **options)
         raw = response.fp.detach()
         self.answer_input = AnswerInput(raw, self.max_unused_bytes)
         response.fp = io.BufferedReader(self.answer_input)
--- a/packages/lagoonsail-router/src/lagoonsail_router/batched_gets.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/batched_gets.py
@@ -18,11 +18,12 @@
 from contextlib import suppress
 from dataclasses import dataclass
 from functools import lru_cache
-from http.client import HTTPException, HTTPResponse
+from http.client import HTTPException
 from io import BytesIO
 from typing import TYPE_CHECKING
 
 from lagoonsail_config.ini_keys import split_address
+from lagoonsail_core.checked_http import CheckedResponse
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.unavailable import Unavailable
 
@@ -321,10 +322,7 @@
 
 
 def _parse_with_library(received: bytes) -> GetResponse:
-    if b"\r\n\r\n" not in received:
-        # `http.client` accepts a truncated head as complete.
-        raise HTTPException("response head is truncated")
-    response = HTTPResponse(_BytesSocket(received))
+    response = CheckedResponse(_BytesSocket(received))
     response.begin()
     body = response.read()
     headers = {name.lower(): value for name, value in response.headers.items()}
--- a/packages/lagoonsail-router/src/lagoonsail_router/engine_calls.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/engine_calls.py
@@ -7,6 +7,7 @@
 from email.utils import parsedate_to_datetime
 from typing import TYPE_CHECKING
 
+from lagoonsail_core.checked_http import FramedResponse
 from lagoonsail_core.green import eventlet, urllib3
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_router.answer_input import MAX_UNUSED_BYTES, BoundedConnection
@@ -46,6 +47,7 @@
 class OrderConnection(BoundedConnection):
     """A connection for an order, whose response is read at once."""
 
+    answer_class = FramedResponse
     max_unused_bytes = MAX_STATE_BYTES + MAX_UNUSED_BYTES
 
 
--- a/packages/lagoonsail-store/src/lagoonsail_store/exchange.py
+++ b/packages/lagoonsail-store/src/lagoonsail_store/exchange.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from lagoonsail_core.checked_http import CheckedPool
 from lagoonsail_core.green import eventlet, urllib3
 
 POOL_CONNECTIONS = 64
@@ -43,7 +44,7 @@
         The pool; no connection is open yet.
     """
     host, _, port = address.rpartition(":")
-    return urllib3.HTTPConnectionPool(
+    return CheckedPool(
         host, int(port), maxsize=POOL_CONNECTIONS, block=False, retries=False
     )
 
