--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/digest.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/digest.py
@@ -9,9 +9,10 @@
 
 from lagoonsail_gateway.fleet_counts import Counts
 from lagoonsail_gateway.sent_prompts import DECODE_ERRORS
+from lagoonsail_gateway.store_access import NO_REVISION, StoreRevision
 from lagoonsail_sharing.crash_suspects import CrashEvidence
 
-FORMAT_VERSION = 5
+FORMAT_VERSION = 6
 """Version of the digest layout; digests of other versions are discarded."""
 
 COMPRESSION_LEVEL = 1
@@ -50,7 +51,7 @@
     prompt_count: int = 0
     """Number of prompts of that list since the start, including the last of
     `prompts`."""
-    store_revision: int = 0
+    store_revision: StoreRevision = NO_REVISION
     """Highest store revision up to which a router's view is current."""
     resync_peers: list[str] = field(default_factory=list)
     """Routers some of whose prompts were missed; each is asked to resend all prompts
@@ -139,7 +140,7 @@
             {str(account): (int(a), int(b)) for account, (a, b) in sums.items()},
             list(prompts),
             int(count),
-            int(store_revision),
+            _read_revision(store_revision),
             [str(name) for name in resync_peers],
             int(kind),
             str(domain),
@@ -155,6 +156,11 @@
         return None
 
 
+def _read_revision(fields: list) -> StoreRevision:
+    generation, number = fields
+    return StoreRevision(int(generation), int(number))
+
+
 def _decompress(data: bytes) -> bytes:
     if not data.startswith(COMPRESSED_MARK):
         return data
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/digest_relay.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/digest_relay.py
@@ -22,12 +22,14 @@
 from lagoonsail_gateway.digest import FLEET_SUM, Digest
 from lagoonsail_gateway.fleet_counts import Counts, add_counts, subtract_counts
 from lagoonsail_gateway.sent_prompts import RecentPrompts
+from lagoonsail_gateway.store_access import NO_REVISION
 from lagoonsail_sharing.account_shares import DECAY_TIME_MS
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from lagoonsail_core.clock import Clock
+    from lagoonsail_gateway.store_access import StoreRevision
 
 RELAYS_PER_DOMAIN = 2
 """Relays of one failure domain: a second one hides the death of the first."""
@@ -113,7 +115,7 @@
     """Running requests and unread prompt tokens by server."""
     sums: dict[str, tuple[int, int]]
     """Demand and admitted cost by client account."""
-    store_revision: int
+    store_revision: StoreRevision
     """Highest of the store revisions."""
     counts: Counts
     """Counters; see `fleet_counts`."""
@@ -214,7 +216,7 @@
         pending: dict[str, list[int]] = defaultdict(lambda: [0, 0])
         sums: dict[str, list[float]] = defaultdict(lambda: [0.0, 0.0])
         counts: Counts = {}
-        revision = 0
+        revision = NO_REVISION
         now_ms = self._clock.now_ms()
         for received_ms, digest in received:
             add_counts(counts, digest.counts)
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.decision_log import DecisionLog
@@ -27,7 +28,9 @@
 from lagoonsail_gateway.rollout_control import RolloutControl
 from lagoonsail_gateway.rollout_leader import RolloutLeader
 from lagoonsail_gateway.server_directory import ServerDirectory
+from lagoonsail_gateway.store_access import NO_REVISION, StoreRevision
 from lagoonsail_gateway.store_feed import HEARTBEAT_INTERVAL_MS, WatcherChoice
+from lagoonsail_gateway.store_generation import UNNUMBERED
 from lagoonsail_gateway.store_presence import StorePresence
 from lagoonsail_gateway.store_view import StoreView
 from lagoonsail_overload.body_intake import BodyIntake
@@ -41,6 +44,7 @@
     SERVING,
     RouterContext,
     run_periodic_steps,
+    start_later,
     start_task,
 )
 from lagoonsail_router.descriptor_shedding import (
@@ -60,13 +64,14 @@
 
     from lagoonsail_core.green import green_socket
     from lagoonsail_core.metrics import Metrics
-    from lagoonsail_core.unavailable import Unavailable
     from lagoonsail_gateway.gateway_settings import GatewaySettings
     from lagoonsail_gateway.manifest import Manifest
+    from lagoonsail_gateway.membership import Registration
     from lagoonsail_gateway.request_format import RequestFormat
     from lagoonsail_gateway.rollout_records import RolloutStore
     from lagoonsail_gateway.server_directory import Server
-    from lagoonsail_gateway.store_access import KeyFormat, StoreCalls
+    from lagoonsail_gateway.store_access import KeyFormat, StoreCalls, StoreItem
+    from lagoonsail_gateway.store_generation import StoreGeneration
     from lagoonsail_rollout.exposure import ExposureBounds
 
 EXPIRY_CHECK_INTERVAL_MS = 200.0
@@ -75,6 +80,8 @@
 """Interval between checks for idle connections to close."""
 IDLE_TIMEOUT_MS = 20_000.0
 """Idle timeout of connections from callers."""
+REGISTRATION_SPREAD_MS = 10.0
+"""Time for each router over which all of them register again after a restore."""
 MAX_DIGEST_AGE_MS = 1000.0
 """Age of the last digest up to which connections are borrowed by what digests show."""
 MIN_HEAD_BYTES = 4096
@@ -135,7 +142,8 @@
         request_format: RequestFormat,
         key_format: KeyFormat,
         store_calls: StoreCalls,
-        membership: Callable[[], float | Unavailable],
+        registration: Registration,
+        store_generation: StoreGeneration,
         rollout_store: RolloutStore | None = None,
         store_call_counts: Mapping[str, int] | None = None,
     ) -> None:
@@ -146,8 +154,9 @@
             request_format: Decodes and encodes heads.
             key_format: Decodes the store's keys and values.
             store_calls: Calls to the store.
-            membership: Registers the router or renews its lease. Returns the
-                milliseconds until the next call, or the reason of a failure.
+            registration: Key of this router in the store.
+            store_generation: The newest generation of the store, which these calls
+                note.
             rollout_store: Keys and calls of roll-outs, None for a router without them.
             store_call_counts: Numbers of calls to the store by purpose.
         """
@@ -225,8 +234,9 @@
         )
         self.view.on_answer = self._presence.record_answer
         self._membership = Membership(
-            membership, self._presence.record_answer, self.view.restart_silent_watch
+            registration, self._presence.record_answer, self.view.restart_silent_watch
         )
+        self._follow_generations(store_generation, key_format)
         self.cold_checks = ColdChecks(
             context,
             self.directory,
@@ -241,9 +251,44 @@
         self.rollouts: RolloutControl | None = None
         self.leader: RolloutLeader | None = None
         if settings.exposure is not None and rollout_store is not None:
-            self._add_rollouts(settings.exposure, rollout_store)
+            self._add_rollouts(settings.exposure, rollout_store, store_generation)
 
-    def _add_rollouts(self, bounds: ExposureBounds, store: RolloutStore) -> None:
+    def _follow_generations(
+        self, generation: StoreGeneration, key_format: KeyFormat
+    ) -> None:
+        timeline = self.context.timeline
+        generation.on_refused(
+            lambda answered, newest: timeline.record(
+                "store_answer_refused", generation=answered, newest=newest
+            )
+        )
+        generation.subscribe(self._on_store_generation)
+        own_key = f"{key_format.router_prefix}{self._settings.name}"
+
+        def register_if_gone(item: StoreItem, _earliest_ms: float | None) -> None:
+            if item.key == own_key and item.value is None:
+                self._membership.register_again()
+
+        self.view.subscribe(own_key, register_if_gone)
+
+    def _on_store_generation(self, previous: int, newest: int) -> None:
+        self.context.timeline.record(
+            "store_generation", generation=newest, previous=previous
+        )
+        if previous == UNNUMBERED:
+            # The first answer, or a store that numbers its generations from now on.
+            return
+        self.view.update_peer_revision(StoreRevision(newest, 0))
+        # All routers register again, which the store limits.
+        delay_ms = random.uniform(0.0, REGISTRATION_SPREAD_MS * self.routers.count())
+        start_later(self.context, "membership", delay_ms, self._membership.renew_early)
+
+    def _add_rollouts(
+        self,
+        bounds: ExposureBounds,
+        store: RolloutStore,
+        generation: StoreGeneration,
+    ) -> None:
         self.rollouts = RolloutControl(
             self.context,
             bounds,
@@ -254,7 +299,7 @@
             self.counts,
         )
         self.leader = RolloutLeader(
-            self.context, bounds, store, self.rollouts, self.routers
+            self.context, bounds, store, self.rollouts, self.routers, generation
         )
         for prefix in self.rollouts.prefixes():
             self.view.subscribe(prefix, self.rollouts.apply_item)
@@ -395,7 +440,7 @@
             number,
             self.dispatcher.pending_by_server(),
             self.dispatcher.accounts.recent_sums(sums_age_ms),
-            store_revision=self.view.revision or 0,
+            store_revision=self.view.revision or NO_REVISION,
             counts=self.counts.own(),
         )
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_metrics.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway_metrics.py
@@ -36,6 +36,7 @@
     "store_feed_total": "Changes of the store learned from another router.",
     "server_refusals_total": "Requests for which a server had no room, by service.",
     "store_failures_total": "Calls to the store without an answer.",
+    "store_restores_total": "Restores of the store from an older copy that were seen.",
     "start_held_total": "Requests kept from a server in slow start, by service.",
     "start_waived_total": "Requests beyond the limits of slow start, by service.",
     "task_errors_total": "Failures inside the router's tasks, by task.",
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/membership.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/membership.py
@@ -11,6 +11,21 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from typing import Protocol
+
+    class Registration(Protocol):
+        """The key of this router in the store, under a lease."""
+
+        def renew(self) -> float | Unavailable:
+            """Renew the lease; register if there is none, or the key is gone.
+
+            Returns:
+                The milliseconds until the next call, or the reason of a failure.
+            """
+
+        def forget(self) -> None:
+            """Register anew with the next call."""
+
 
 MEMBERSHIP_RETRY_MS = 1000.0
 """Delay after a failed registration or lease renewal."""
@@ -19,19 +34,18 @@
 class Membership:
     """The registration of this router, and its renewals."""
 
-    __slots__ = ("_due", "_is_due_early", "_on_answer", "_on_failure", "_renew")
+    __slots__ = ("_due", "_is_due_early", "_on_answer", "_on_failure", "_registration")
 
     def __init__(
         self,
-        renew: Callable[[], float | Unavailable],
+        registration: Registration,
         on_answer: Callable[[], None],
         on_failure: Callable[[str], None],
     ) -> None:
         """Create it without calling the store.
 
         Args:
-            renew: Registers the router or renews its lease. Returns the milliseconds
-                until the next call, or the reason of a failure.
+            registration: Makes the calls to the store.
             on_answer: Called when the store has carried out a call.
             on_failure: Called with the reason of each failure.
         """
@@ -39,13 +53,13 @@
         self._is_due_early = False
         self._on_answer = on_answer
         self._on_failure = on_failure
-        self._renew = renew
+        self._registration = registration
 
     def keep(self) -> None:
         """Register the router and renew its lease until the task ends."""
         mark_urgent()
         while True:
-            delay_ms = self._renew()
+            delay_ms = self._registration.renew()
             self._is_due_early = False
             if isinstance(delay_ms, Unavailable):
                 self._on_failure(delay_ms.reason)
@@ -56,6 +70,11 @@
             delay_ms *= random.uniform(0.75, 1.0)
             self._due.acquire(timeout=delay_ms / 1000.0)
 
+    def register_again(self) -> None:
+        """Register now, as the key of this router is not in the store."""
+        self._registration.forget()
+        self.renew_early()
+
     def renew_early(self) -> None:
         """Renew the lease now, to see whether the store answers."""
         if not self._is_due_early:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_leader.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_leader.py
@@ -18,7 +18,8 @@
     RolloutPhase,
     WriteConflict,
 )
-from lagoonsail_gateway.store_access import StoreItem
+from lagoonsail_gateway.store_access import NO_REVISION, StoreItem
+from lagoonsail_gateway.store_generation import StoreGeneration
 from lagoonsail_rollout.phases import CANARY, Step, is_final, next_step
 
 if TYPE_CHECKING:
@@ -26,6 +27,7 @@
     from lagoonsail_gateway.rollout_control import RolloutControl
     from lagoonsail_gateway.rollout_records import RolloutStore
     from lagoonsail_gateway.service_rollout import ServiceRollout
+    from lagoonsail_gateway.store_access import StoreRevision
     from lagoonsail_rollout.exposure import ExposureBounds
     from lagoonsail_router.context import RouterContext
 
@@ -54,6 +56,7 @@
         "_bounds",
         "_context",
         "_control",
+        "_generation",
         "_key_item",
         "_last_failure",
         "_lease",
@@ -61,6 +64,7 @@
         "_renewed_ms",
         "_routers",
         "_store",
+        "_store_generation",
         "_term",
         "_vacant_since_ms",
         "_wait_until_ms",
@@ -73,6 +77,7 @@
         store: RolloutStore,
         control: RolloutControl,
         routers: FleetMembers,
+        store_generation: StoreGeneration | None = None,
     ) -> None:
         self._bounds = bounds
         self._context = context
@@ -84,7 +89,9 @@
         self._renewed_ms = 0.0
         self._routers = routers
         self._store = store
-        self._term = 0
+        self._store_generation = store_generation or StoreGeneration()
+        self._generation = self._store_generation.newest
+        self._term = NO_REVISION
         self._vacant_since_ms: float | None = None
         self._wait_until_ms = 0.0
 
@@ -94,14 +101,14 @@
         Args:
             item: Its new value or its removal.
         """
-        if item.key != self._store.leader_key:
+        if item.key != self._leader_key():
             return
         if self._key_item is None or item.revision > self._key_item.revision:
             self._key_item = item
 
     def is_leader(self) -> bool:
         """Return whether this router believes that it leads."""
-        return self._term > 0
+        return self._term > NO_REVISION
 
     def run(self) -> None:
         """Stand for election and write until the task ends."""
@@ -122,27 +129,41 @@
     def step(self) -> None:
         """Make the calls to the store that are due."""
         now_ms = self._context.clock.now_ms()
+        if self._generation != self._store_generation.newest:
+            self._begin_generation()
         active = [r for r in self._control.services.values() if r.is_active()]
         if not active:
             self._vacant_since_ms = None
-            if self._term:
+            if self.is_leader():
                 self._store.end_lease(self._lease)
                 self._resign("no roll-out is left")
             return
         if now_ms < self._wait_until_ms:
             return
-        if self._term and self._key_item and self._key_item.revision > self._term:
+        is_replaced = self._key_item and self._key_item.revision > self._term
+        if self.is_leader() and is_replaced:
             self._resign("another router leads")
-        if not self._term:
+        if not self.is_leader():
             self._stand(active, now_ms)
             return
         if now_ms >= self._renewed_ms + RENEW_INTERVAL_MS:
             self._renew(now_ms)
         for rollout in active:
             # Calls wait for the store, and the view may bring another phase meanwhile.
-            if self._term and rollout.is_active():
+            if self.is_leader() and rollout.is_active():
                 self._advance(rollout)
 
+    def _begin_generation(self) -> None:
+        """Give up what the store may no longer know, as it was restored from a copy."""
+        self._generation = self._store_generation.newest
+        self._resign("the store was restored")
+        self._key_item = None
+        self._pending_lease = ""
+        self._vacant_since_ms = None
+
+    def _leader_key(self) -> str:
+        return self._store.leader_key_of(self._generation)
+
     # The election.
 
     def _stand(self, active: list[ServiceRollout], now_ms: float) -> None:
@@ -163,8 +184,9 @@
             self._record_failure("lease", lease)
             return
         self._pending_lease = lease
-        values = {store.leader_key: self._key_value(lease)}
-        term = store.write({store.leader_key: 0}, values, lease)
+        key = self._leader_key()
+        values = {key: self._key_value(lease)}
+        term = store.write({key: NO_REVISION}, values, lease)
         if not isinstance(term, Unavailable):
             self._lead(lease, term, now_ms)
             return
@@ -183,10 +205,10 @@
         self._pending_lease = ""
         self._store.end_lease(lease)
 
-    def _lead(self, lease: str, term: int, now_ms: float) -> None:
+    def _lead(self, lease: str, term: StoreRevision, now_ms: float) -> None:
         self._lease, self._term, self._renewed_ms = lease, term, now_ms
         self._pending_lease = ""
-        self._context.timeline.record("rollout_leader", term=term, leads=True)
+        self._context.timeline.record("rollout_leader", term=str(term), leads=True)
 
     def _key_value(self, lease: str) -> bytes:
         return f"{self._routers.name} {lease}".encode() if lease else b""
@@ -208,11 +230,11 @@
             self._last_failure = ("", "")
 
     def _resign(self, reason: str) -> None:
-        if self._term:
+        if self.is_leader():
             self._context.timeline.record(
-                "rollout_leader", term=self._term, leads=False, reason=reason
+                "rollout_leader", term=str(self._term), leads=False, reason=reason
             )
-        self._term = 0
+        self._term = NO_REVISION
         self._lease = ""
 
     # The writes.
@@ -241,7 +263,7 @@
         status_key = f"{store.status_prefix}{rollout.service}"
         phase_key = f"{store.phase_prefix}{rollout.service}"
         expected = {
-            store.leader_key: self._term,
+            self._leader_key(): self._term,
             order_key: rollout.order_revision,
             status_key: rollout.status_revision,
             phase_key: rollout.phase_revision,
@@ -265,7 +287,7 @@
             phase=phase.phase,
             reason=step.reason,
             left_ms=round(phase.remaining_ms),
-            term=self._term,
+            term=str(self._term),
             exposed=situation.exposed,
             requests=situation.requests,
         )
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_records.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_records.py
@@ -6,11 +6,12 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.unavailable import Unavailable
+from lagoonsail_gateway.store_generation import UNNUMBERED
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from lagoonsail_gateway.store_access import StoreItem
+    from lagoonsail_gateway.store_access import StoreItem, StoreRevision
 
 
 @dataclass(slots=True, frozen=True)
@@ -31,7 +32,7 @@
 
     target: str
     """Version that the order names."""
-    order: int
+    order: StoreRevision
     """Revision of the order."""
     phase: str
     """One of `lagoonsail_rollout.phases.PHASES`."""
@@ -67,7 +68,7 @@
     phase_prefix: str
     """Prefix of the phases, for the routers."""
     leader_key: str
-    """Key that names the router that writes phases and status."""
+    """Key that names the router that writes phases and status; see `leader_key_of`."""
     decode_order: Callable[[str, bytes], RolloutOrder | Unavailable]
     """Decodes an order, given its service."""
     decode_phase: Callable[[bytes], RolloutPhase | Unavailable]
@@ -82,7 +83,24 @@
     """Renews a lease; returns LeaseLost if there is none."""
     end_lease: Callable[[str], None | Unavailable]
     """Ends a lease, with the keys under it."""
-    write: Callable[[Mapping[str, int], Mapping[str, bytes], str], int | Unavailable]
-    """Sets keys in one transaction, if other keys have the expected revisions (0: the
-    key does not exist), under a lease or none. Returns the revision, WriteConflict,
-    LeaseLost, or another reason, in which case it may have been made."""
+    write: Callable[
+        [Mapping[str, StoreRevision], Mapping[str, bytes], str],
+        StoreRevision | Unavailable,
+    ]
+    """Sets keys in one transaction, if other keys have the expected revisions
+    (`NO_REVISION`: the key does not exist), under a lease or none. Returns the
+    revision, WriteConflict, LeaseLost, or another reason, in which case it may have
+    been made."""
+
+    def leader_key_of(self, generation: int) -> str:
+        """Return the leader's key in a generation of the store.
+
+        Each has its own: a restored store gives out revisions once more, and a write of
+        a former leader that is carried out late must not find its term again.
+
+        Args:
+            generation: Number of the generation.
+        """
+        if generation == UNNUMBERED:
+            return self.leader_key
+        return f"{self.leader_key}/{generation}"
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_view.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/rollout_view.py
@@ -11,6 +11,7 @@
 
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_gateway.service_rollout import ServiceRollout
+from lagoonsail_gateway.store_access import NO_REVISION
 from lagoonsail_rollout.phases import CANARY
 from lagoonsail_rollout.version_choice import VersionRule, in_service_after
 
@@ -149,13 +150,13 @@
 
     def _apply_status_item(self, rollout: ServiceRollout, item: StoreItem) -> None:
         if item.value is None:
-            rollout.status_revision = 0
+            rollout.status_revision = NO_REVISION
         else:
             rollout.status_revision = max(rollout.status_revision, item.revision)
 
     def _apply_phase_item(self, rollout: ServiceRollout, item: StoreItem) -> None:
         if item.value is None:
-            rollout.phase, rollout.phase_revision = None, 0
+            rollout.phase, rollout.phase_revision = None, NO_REVISION
         elif item.revision > rollout.phase_revision:
             self._apply_phase(rollout, item)
 
@@ -183,7 +184,7 @@
             "rollout_order",
             service=rollout.service,
             version=order.target if order else None,
-            revision=item.revision,
+            revision=str(item.revision),
             left_ms=round(rollout.deadline_ms - now_ms) if order else None,
             in_service=",".join(sorted(previous.in_service)) if previous else None,
         )
@@ -203,7 +204,7 @@
             service=rollout.service,
             version=phase.target,
             phase=phase.phase,
-            order=phase.order,
+            order=str(phase.order),
             left_ms=round(phase.remaining_ms),
         )
 
@@ -212,6 +213,6 @@
         self._context.timeline.record(
             "record_rejected",
             key=item.key,
-            revision=item.revision,
+            revision=str(item.revision),
             reason=problem.reason,
         )
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/service_rollout.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/service_rollout.py
@@ -8,11 +8,13 @@
 
 from typing import TYPE_CHECKING
 
+from lagoonsail_gateway.store_access import NO_REVISION
 from lagoonsail_rollout.judgement import Judgement
 from lagoonsail_rollout.phases import CANARY, is_final
 
 if TYPE_CHECKING:
     from lagoonsail_gateway.rollout_records import RolloutOrder, RolloutPhase
+    from lagoonsail_gateway.store_access import StoreRevision
     from lagoonsail_rollout.answer_counts import AnswerCounts
     from lagoonsail_rollout.version_choice import VersionRule
 
@@ -58,12 +60,12 @@
     """What the answers say so far."""
     order: RolloutOrder | None
     """The newest order, None if it is withdrawn."""
-    order_revision: int
+    order_revision: StoreRevision
     """Revision of the order, or of its removal."""
     phase: RolloutPhase | None
     """The phase in the store, perhaps of an earlier order."""
-    phase_revision: int
-    """Revision of its key, 0 if there is none."""
+    phase_revision: StoreRevision
+    """Revision of its key, `NO_REVISION` if there is none."""
     phase_since_ms: float
     """When this router saw the phase, or the order if that is newer."""
     rule: VersionRule | None
@@ -72,8 +74,8 @@
     """Name of the service."""
     started_ms: float
     """When this router saw the order."""
-    status_revision: int
-    """Revision of the status, 0 if there is none."""
+    status_revision: StoreRevision
+    """Revision of the status, `NO_REVISION` if there is none."""
     trial_ids: frozenset[str]
     """Servers of the new version that the canary uses."""
     window_starts: list[tuple[float, AnswersByRoute, AnswersByRoute]]
@@ -90,13 +92,13 @@
         self.is_stopped = False
         self.judgement = Judgement()
         self.order = None
-        self.order_revision = 0
+        self.order_revision = NO_REVISION
         self.phase = None
-        self.phase_revision = 0
+        self.phase_revision = NO_REVISION
         self.phase_since_ms = 0.0
         self.rule = None
         self.started_ms = 0.0
-        self.status_revision = 0
+        self.status_revision = NO_REVISION
         self.trial_ids = frozenset()
         self.window_starts = []
         self.windows = 0
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_content.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_content.py
@@ -3,15 +3,20 @@
 Handles entries that come late, twice or out of order, and malformed ones. An item is
 replaced only by a later revision, so a listing can be applied while changes arrive; the
 manifest is replaced only by a higher version; a malformed manifest changes nothing.
+
+A store that was restored from an older copy has lost changes, which their writers make
+again. Until then a key that is missing, or a server that is there again, is not
+believed (`restored_keys`).
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.unavailable import Unavailable
-from lagoonsail_gateway.store_access import StoreItem
+from lagoonsail_gateway.restored_keys import RestoredKeys, is_later_generation
+from lagoonsail_gateway.store_access import StoreItem, StoreRevision
 
 if TYPE_CHECKING:
     from lagoonsail_gateway.fleet_share import FleetMembers
@@ -32,6 +37,7 @@
         "_directory",
         "_format",
         "_items",
+        "_held",
         "_on_manifest",
         "_routers",
         "_subscribers",
@@ -65,6 +71,7 @@
         self._directory = directory
         self._format = key_format
         self._items: dict[str, StoreItem] = {}
+        self._held = RestoredKeys(context.clock, key_format.server_prefix)
         self._on_manifest = on_manifest
         self._routers = routers
         self._subscribers: list[tuple[str, ItemListener]] = []
@@ -81,20 +88,64 @@
         """
         self._subscribers.append((prefix, listener))
 
-    def apply_listing(self, listing: StoreItems) -> None:
+    def apply_listing(self, listing: StoreItems) -> list[StoreItem]:
         """Take over all items of the store; keys that it leaves out are removed.
 
         Args:
             listing: The items.
+
+        Returns:
+            The items that differ from the known ones, for the followers.
         """
-        listed = {item.key for item in listing.items}
-        for key, known in list(self._items.items()):
-            if key not in listed and known.revision <= listing.revision:
-                self._apply_item(StoreItem(key, None, listing.revision))
-        for item in listing.items:
+        changes = self._find_changes(listing)
+        for item in changes:
             self._apply_item(item)
+        self._adopt_generation(listing.items)
         self._directory.settle_removals()
         self._apply_evacuations_and_members()
+        return changes
+
+    def _find_changes(self, listing: StoreItems) -> list[StoreItem]:
+        listed = {item.key for item in listing.items}
+        changes = [
+            StoreItem(key, None, listing.revision)
+            for key, known in self._items.items()
+            if key not in listed
+            and (known.value is not None or self._held.has(key))
+            and known.revision <= listing.revision
+        ]
+        for item in listing.items:
+            known = self._items.get(item.key)
+            is_restored = known is not None and is_later_generation(item, known)
+            if not is_restored or known.value != item.value:
+                changes.append(item)
+        return changes
+
+    def _adopt_generation(self, items: Iterable[StoreItem]) -> None:
+        """Give unchanged items the revisions that they have in a restored store."""
+        for item in items:
+            known = self._items.get(item.key)
+            is_restored = known is not None and is_later_generation(item, known)
+            if is_restored and known.value == item.value:
+                self._held.release(item.key)
+                self._items[item.key] = item
+
+    def apply_restore(self, items: list[StoreItem], revision: StoreRevision) -> None:
+        """Take over what a restored store has otherwise than before.
+
+        Args:
+            items: The items that differ.
+            revision: Revision up to which they were listed.
+        """
+        changed = {item.key for item in items}
+        first = StoreRevision(revision.generation, 0)
+        unchanged = [
+            StoreItem(key, item.value, first)
+            for key, item in self._items.items()
+            if key not in changed
+        ]
+        self.apply_changes(items, None)
+        self._adopt_generation(unchanged)
 
     def apply_changes(self, items: list[StoreItem], earliest_ms: float | None) -> None:
         """Take over changes.
@@ -114,6 +165,26 @@
         known = self._items.get(item.key)
         if known is not None and known.revision >= item.revision:
             return
+        if not self._held.hold(known, item):
+            self._take(item, earliest_ms)
+
+    def end_holds(self) -> None:
+        """Believe what a restored store says where it was not written again in time."""
+        items = self._held.take_due()
+        for item in items:
+            self._take(item, None)
+            self._context.timeline.record(
+                "restored_key_believed", key=item.key, is_gone=item.value is None
+            )
+        if items:
+            self._directory.settle_removals()
+            self._apply_evacuations_and_members()
+
+    def held_keys(self) -> list[str]:
+        """Return the keys whose restored state is not believed yet."""
+        return self._held.keys()
+
+    def _take(self, item: StoreItem, earliest_ms: float | None) -> None:
         self._items[item.key] = item
         if item.key == self._format.manifest_key:
             self._apply_manifest(item)
@@ -139,7 +210,7 @@
         self._context.timeline.record(
             "manifest_in_force",
             version=manifest.version,
-            revision=item.revision,
+            revision=str(item.revision),
             routes=len(manifest.routes),
             tokens_per_s=manifest.limits.tokens_per_s,
             **self._wait_fields(),
@@ -180,5 +251,8 @@
     def _reject(self, item: StoreItem, reason: str) -> None:
         self._context.count("records_rejected_total")
         self._context.timeline.record(
-            "record_rejected", key=item.key, revision=item.revision, reason=reason
+            "record_rejected",
+            key=item.key,
+            revision=str(item.revision),
+            reason=reason,
         )
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_feed.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_feed.py
@@ -21,7 +21,7 @@
 import msgpack
 
 from lagoonsail_gateway.sent_prompts import DECODE_ERRORS
-from lagoonsail_gateway.store_access import StoreItem
+from lagoonsail_gateway.store_access import StoreItem, StoreRevision
 
 if TYPE_CHECKING:
     from lagoonsail_core.clock import Clock
@@ -37,7 +37,7 @@
 MIN_FEED_ROUTERS = 14
 """Routers from which the feed is used. In smaller fleets all routers watch, so that no
 change depends on another router."""
-FEED_MARK = b"lagoonsail-feed-1:"
+FEED_MARK = b"lagoonsail-feed-2:"
 """First bytes of a datagram of the feed."""
 
 
@@ -47,9 +47,9 @@
 
     router: str
     """Name of the watcher."""
-    after: int
+    after: StoreRevision
     """Revision after which `items` has all changes."""
-    revision: int
+    revision: StoreRevision
     """Revision up to which it has them; equal to `after` in a heartbeat."""
     items: list[StoreItem]
     """The changes in order."""
@@ -61,9 +61,9 @@
         is_known = math.isfinite(self.failure_age_ms)
         fields = [
             self.router,
-            self.after,
-            self.revision,
-            [[item.key, item.value, item.revision] for item in self.items],
+            *self.after,
+            *self.revision,
+            [[item.key, item.value, *item.revision] for item in self.items],
             round(self.failure_age_ms) if is_known else None,
         ]
         return FEED_MARK + msgpack.packb(fields)
@@ -99,21 +99,28 @@
         The message, None if the data is malformed.
 
     Example:
-        >>> message = FeedMessage("r1", 4, 5, [StoreItem("a", b"1", 5)])
+        >>> before, after = StoreRevision(1, 4), StoreRevision(1, 5)
+        >>> message = FeedMessage("r1", before, after, [StoreItem("a", b"1", after)])
         >>> decode_feed_message(message.encode()) == message
         True
         >>> decode_feed_message(FEED_MARK + b"garbage") is None
         True
     """
     try:
-        router, after, revision, items, age_ms = msgpack.unpackb(data[len(FEED_MARK) :])
+        fields = msgpack.unpackb(data[len(FEED_MARK) :])
+        router, *numbers, items, age_ms = fields
+        after_generation, after, generation, revision = map(int, numbers)
         return FeedMessage(
             str(router),
-            int(after),
-            int(revision),
+            StoreRevision(after_generation, after),
+            StoreRevision(generation, revision),
             [
-                StoreItem(str(key), None if value is None else bytes(value), int(rev))
-                for key, value, rev in items
+                StoreItem(
+                    str(key),
+                    None if value is None else bytes(value),
+                    StoreRevision(int(item_generation), int(number)),
+                )
+                for key, value, item_generation, number in items
             ],
             math.inf if age_ms is None else float(age_ms),
         )
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
@@ -2,8 +2,9 @@
 
 A single watch covers all keys, so there is one pending call and one revision. Answers
 outages of the store, its lost history, and connections that fall silent: what is known
-stays in force meanwhile (`store_content`), and is listed anew afterwards. In a large
-fleet few routers watch, and the others follow them (`store_feed`).
+stays in force meanwhile (`store_content`), and is listed anew afterwards, also when the
+store was restored from an older copy and has lost changes. In a large fleet few routers
+watch, and the others follow them (`store_feed`).
 """
 
 from __future__ import annotations
@@ -13,7 +14,7 @@
 from lagoonsail_core.fair_hub import mark_urgent
 from lagoonsail_core.green import eventlet
 from lagoonsail_core.unavailable import Unavailable
-from lagoonsail_gateway.store_access import HistoryLost
+from lagoonsail_gateway.store_access import NO_REVISION, HistoryLost
 from lagoonsail_gateway.store_content import StoreContent
 from lagoonsail_gateway.store_feed import FeedMessage
 from lagoonsail_gateway.view_lag import ViewLag
@@ -25,7 +26,12 @@
     from lagoonsail_gateway.fleet_share import FleetMembers
     from lagoonsail_gateway.manifest import Manifest
     from lagoonsail_gateway.server_directory import ServerDirectory
-    from lagoonsail_gateway.store_access import KeyFormat, StoreCalls, StoreItem
+    from lagoonsail_gateway.store_access import (
+        KeyFormat,
+        StoreCalls,
+        StoreItem,
+        StoreRevision,
+    )
     from lagoonsail_gateway.store_content import ItemListener
     from lagoonsail_gateway.store_feed import WatcherChoice
     from lagoonsail_router.context import RouterContext
@@ -61,6 +67,7 @@
         "_has_new_changes",
         "_is_interrupted_for_lag",
         "_known_ms",
+        "_listed_after",
         "_lag",
         "_pacing",
         "_relist_at_ms",
@@ -79,7 +86,7 @@
     """Whether the last call was answered."""
     on_answer: Callable[[], None]
     """Called when a call was answered."""
-    revision: int | None
+    revision: StoreRevision | None
     """Store revision up to which the view is complete; None if a listing is needed."""
 
     def __init__(
@@ -123,6 +130,7 @@
         self._call_started_ms = float("-inf")
         self._watch_sent_ms = float("inf")
         self._known_ms: float | None = None
+        self._listed_after: StoreRevision | None = None
         self.revision = None
         self.last_answer_ms = float("-inf")
         self.is_up = False
@@ -171,7 +179,7 @@
             self._context.logger.exception(
                 "unexpected error while updating the store view; listing all keys again"
             )
-            self.revision = None
+            self._forget_revision()
             return False
 
     def step(self) -> bool:
@@ -182,7 +190,7 @@
         """
         now_ms = self._context.clock.now_ms()
         if self._relist_at_ms is not None and now_ms >= self._relist_at_ms:
-            self.revision = None
+            self._forget_revision()
         self._call_started_ms = now_ms
         if self.revision is None:
             return self._list()
@@ -196,10 +204,46 @@
         self._record_answer()
         self._relist_at_ms = None
         self.revision = listing.revision
-        self._content.apply_listing(listing)
+        previous = self._listed_after
+        is_restore = self._is_restore_after(previous)
+        if is_restore:
+            self._relist_at_ms = self._context.clock.now_ms() + RELIST_AFTER_OUTAGE_MS
+            self._expect_missing_records()
+        changes = self._content.apply_listing(listing)
         self._lag.update(self.revision)
+        if is_restore:
+            self._record_restore(previous, changes)
+            self._tell_followers(previous, changes)
         return True
 
+    def _forget_revision(self) -> None:
+        """List all keys with the next call."""
+        if self.revision is not None:
+            self._listed_after = self.revision
+        self.revision = None
+
+    def _is_restore_after(self, previous: StoreRevision | None) -> bool:
+        """Return whether the store was restored since a revision of the view."""
+        return previous is not None and previous.generation < self.revision.generation
+
+    def _expect_missing_records(self) -> None:
+        """Keep servers whose records a restored store does not have yet."""
+        self._known_ms = None
+        self._directory.record_store_outage()
+
+    def _record_restore(
+        self, previous: StoreRevision, changes: list[StoreItem]
+    ) -> None:
+        self._context.count("store_restores_total")
+        self._context.timeline.record(
+            "store_restored",
+            revision=str(self.revision),
+            known=str(previous),
+            changes=len(changes),
+            held=",".join(self._content.held_keys()),
+            manifest=self.manifest.version if self.manifest else None,
+        )
+
     def _watch(self) -> bool:
         wait_ms = self._watch_timeout_ms()
         self._is_interrupted_for_lag = False
@@ -208,8 +252,10 @@
         changes = self._calls.watch(self.revision, wait_ms)
         self._watch_sent_ms = float("inf")
         if isinstance(changes, HistoryLost):
-            self._context.timeline.record("store_history_lost", after=self.revision)
-            self.revision = None
+            self._context.timeline.record(
+                "store_history_lost", after=str(self.revision), reason=changes.reason
+            )
+            self._forget_revision()
             return True
         if isinstance(changes, Unavailable):
             return self._handle_failed_watch(changes)
@@ -260,7 +306,9 @@
             if self.revision is not None:
                 self._directory.record_store_outage()
                 self._relist_at_ms = now_ms + RELIST_AFTER_OUTAGE_MS
-            self._context.timeline.record("store_regained", revision=self.revision or 0)
+            self._context.timeline.record(
+                "store_regained", revision=str(self.revision or NO_REVISION)
+            )
 
     def _earliest_change_ms(
         self, known_ms: float | None, sent_ms: float
@@ -279,7 +327,10 @@
         return max(known_ms, now_ms - ANSWER_DELAY_MS) if is_waited_for else known_ms
 
     def _apply_changes(
-        self, items: list[StoreItem], revision: int, earliest_ms: float | None
+        self,
+        items: list[StoreItem],
+        revision: StoreRevision,
+        earliest_ms: float | None,
     ) -> None:
         self.revision = max(self.revision, revision)
         self._content.apply_changes(items, earliest_ms)
@@ -303,7 +354,9 @@
         if self.is_up:
             self._tell_followers(self.revision, [])
 
-    def _tell_followers(self, after: int | None, items: list[StoreItem]) -> None:
+    def _tell_followers(
+        self, after: StoreRevision | None, items: list[StoreItem]
+    ) -> None:
         if self.revision is None or not self._uses_feed():
             return
         if not self._choice.is_watcher():
@@ -323,22 +376,39 @@
         self._choice.record_heard(message.router)
         if message.failure_age_ms < RELIST_AFTER_OUTAGE_MS:
             self._directory.record_store_outage()
-        if self.revision is None or message.after > self.revision:
-            # A change was missed; it is asked for unless another watcher tells of it.
+        if self._has_missed_changes(message):
+            # They are asked for unless another watcher tells of them.
             self.update_peer_revision(message.revision)
             return
         if message.revision > self.revision:
             self._context.count("store_feed_total")
-            self._apply_changes(message.items, message.revision, self._known_ms)
+            self._apply_feed_changes(message)
         if message.revision == self.revision and self._known_ms is not None:
             # The watcher pauses after changes, and may have missed some meanwhile.
             delay_ms = self._batch_pause_ms() + ANSWER_DELAY_MS
             now_ms = self._context.clock.now_ms()
             self._known_ms = max(self._known_ms, now_ms - delay_ms)
 
+    def _has_missed_changes(self, message: FeedMessage) -> bool:
+        if self.revision is None or message.after > self.revision:
+            return True
+        is_restore = message.revision.generation > self.revision.generation
+        # What a restored store has otherwise depends on what is known.
+        return is_restore and message.after != self.revision
+
+    def _apply_feed_changes(self, message: FeedMessage) -> None:
+        previous, self.revision = self.revision, message.revision
+        if not self._is_restore_after(previous):
+            self._apply_changes(message.items, message.revision, self._known_ms)
+            return
+        self._expect_missing_records()
+        self._content.apply_restore(message.items, message.revision)
+        self._lag.update(self.revision)
+        self._record_restore(previous, message.items)
+
     # Watches that bring nothing, though there are changes or the store is away.
 
-    def update_peer_revision(self, revision: int) -> None:
+    def update_peer_revision(self, revision: StoreRevision) -> None:
         """Note the revision of another router's store view.
 
         Args:
@@ -349,6 +419,7 @@
 
     def check_lag(self) -> None:
         """Restart the watch if a peer has had a newer revision for some time."""
+        self._content.end_holds()
         self._lag.update(self.revision)
         if not self._lag.is_overdue(self._watch_sent_ms):
             return
@@ -370,8 +441,8 @@
         self._context.timeline.record(
             "store_watch_ended",
             reason=reason,
-            revision=self.revision or 0,
-            told=self._lag.peer_revision,
+            revision=str(self.revision or NO_REVISION),
+            told=str(self._lag.peer_revision),
             **self._wait_fields(),
         )
         self._calls.interrupt()
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/view_lag.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/view_lag.py
@@ -8,10 +8,12 @@
 
 from typing import TYPE_CHECKING
 
+from lagoonsail_gateway.store_access import NO_REVISION
 from lagoonsail_gateway.watch_pacing import MIN_WATCH_MS
 
 if TYPE_CHECKING:
     from lagoonsail_core.clock import Clock
+    from lagoonsail_gateway.store_access import StoreRevision
 
 LAG_TIMEOUT_MS = 400.0
 """Time within which a pending watch should bring a change that another router knows: a
@@ -23,7 +25,7 @@
 
     __slots__ = ("_behind_since_ms", "_clock", "_timeout_ms", "peer_revision")
 
-    peer_revision: int
+    peer_revision: StoreRevision
     """The newest revision that another router reported."""
 
     def __init__(self, clock: Clock) -> None:
@@ -35,9 +37,9 @@
         self._behind_since_ms = float("inf")
         self._clock = clock
         self._timeout_ms = LAG_TIMEOUT_MS
-        self.peer_revision = 0
+        self.peer_revision = NO_REVISION
 
-    def update(self, revision: int | None) -> None:
+    def update(self, revision: StoreRevision | None) -> None:
         """Note the revision of the view.
 
         Args:
--- a/packages/lagoonsail-gateway/tests/test_rollouts.py
+++ b/packages/lagoonsail-gateway/tests/test_rollouts.py
@@ -32,7 +32,8 @@
     WriteConflict,
 )
 from lagoonsail_gateway.server_directory import ServerDirectory
-from lagoonsail_gateway.store_access import StoreItem
+from lagoonsail_gateway.store_access import NO_REVISION, StoreItem, StoreRevision
+from lagoonsail_gateway.store_generation import StoreGeneration
 from lagoonsail_rollout.exposure import ExposureBounds
 from lagoonsail_rollout.phases import COMPLETED, Step
 from lagoonsail_router.context import RouterContext
@@ -60,14 +61,15 @@
 
     def put(self, key, value, lease=""):
         self.revision += 1
-        self.items[key] = (value, self.revision, lease)
-        self.log.append(StoreItem(key, value, self.revision))
-        return self.revision
+        revision = StoreRevision(0, self.revision)
+        self.items[key] = (value, revision, lease)
+        self.log.append(StoreItem(key, value, revision))
+        return revision
 
     def remove(self, key):
         self.revision += 1
         del self.items[key]
-        self.log.append(StoreItem(key, None, self.revision))
+        self.log.append(StoreItem(key, None, StoreRevision(0, self.revision)))
 
     def expire(self):
         for lease, (end_ms, _) in list(self.leases.items()):
@@ -96,7 +98,9 @@
     def write(self, expected, values, lease):
         if lease and lease not in self.leases:
             return LeaseLost("no such lease")
-        current = {key: self.items.get(key, (b"", 0, ""))[1] for key in expected}
+        current = {
+            key: self.items.get(key, (b"", NO_REVISION, ""))[1] for key in expected
+        }
         if current != expected:
             return WriteConflict(
                 [
@@ -106,10 +110,11 @@
                 ]
             )
         self.revision += 1
+        revision = StoreRevision(0, self.revision)
         for key, value in values.items():
-            self.items[key] = (value, self.revision, lease)
-            self.log.append(StoreItem(key, value, self.revision))
-        return self.revision
+            self.items[key] = (value, revision, lease)
+            self.log.append(StoreItem(key, value, revision))
+        return revision
 
     def calls_of(self, router):
         def guarded(call):
@@ -127,7 +132,8 @@
 
         def decode_phase(data):
             target, order, phase, versions, left_ms = json.loads(data)
-            return RolloutPhase(target, order, phase, tuple(versions), left_ms)
+            revision = StoreRevision(*order)
+            return RolloutPhase(target, revision, phase, tuple(versions), left_ms)
 
         def decode_order(service, data):
             target, limit_ms = json.loads(data)
@@ -178,8 +184,14 @@
             self.routers,
             self.counts,
         )
+        self.store_generation = StoreGeneration()
         self.leader = RolloutLeader(
-            self.context, BOUNDS, store, self.control, self.routers
+            self.context,
+            BOUNDS,
+            store,
+            self.control,
+            self.routers,
+            self.store_generation,
         )
         manifest = SimpleNamespace(
             routes=[
@@ -515,6 +527,23 @@
     assert not first.leader.is_leader()
 
 
+def test_leader_stops_leading_when_the_store_was_restored(fleet):
+    """Guards against writes under a term that a restored store gives out again."""
+    start(fleet)
+    fleet.run(4.0)
+    first = fleet.leader()
+    old_key, old_term = first.leader._leader_key(), first.leader._term
+    for router in fleet.routers:
+        router.store_generation.accept(1)
+    first.leader.step()
+    # It may have been elected again already, with another key and term.
+    assert first.leader._term != old_term
+    fleet.run(6.0)
+    key = fleet.leader().leader._leader_key()
+    assert key != old_key
+    assert fleet.leader().leader._term == fleet.store.items[key][1]
+
+
 # A roll-out was rolled back 20 ms after its completion, with no server left in service:
 # the view brought the completion while the leader waited for a renewal.
 def test_completion_without_an_answer_is_final(fleet):
--- a/packages/lagoonsail-gateway/tests/test_store_view.py
+++ b/packages/lagoonsail-gateway/tests/test_store_view.py
@@ -1,4 +1,4 @@
-"""The store view under lost history, outages and malformed entries."""
+"""The store view under lost history, outages, restores and malformed entries."""
 
 from __future__ import annotations
 
@@ -9,13 +9,20 @@
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_gateway.fleet_share import FleetMembers
 from lagoonsail_gateway.peer_digests import ROUND_INTERVAL_MS
-from lagoonsail_gateway.server_directory import REGISTRATION_GRACE_MS, ServerDirectory
+from lagoonsail_gateway.restored_keys import HOLD_MS
+from lagoonsail_gateway.server_directory import (
+    DRAINING,
+    READY,
+    REGISTRATION_GRACE_MS,
+    ServerDirectory,
+)
 from lagoonsail_gateway.store_access import (
     HistoryLost,
     KeyFormat,
     StoreCalls,
     StoreItem,
     StoreItems,
+    StoreRevision,
 )
 from lagoonsail_gateway.store_view import (
     ANSWER_DELAY_MS,
@@ -61,7 +68,9 @@
         "routers/",
         decode_manifest,
         lambda server_id, data: (
-            Unavailable("broken") if data == b"broken" else make_record(server_id)
+            Unavailable("broken")
+            if data == b"broken"
+            else make_record(server_id, state=data.decode() or READY)
         ),
     )
     waits, interrupts, manifests = [], [], []
@@ -92,8 +101,13 @@
     )
 
 
-def page(revision, *items):
-    return StoreItems([StoreItem(k, v, r) for k, v, r in items], revision)
+def rev(number, generation=1):
+    return StoreRevision(generation, number)
+
+
+def page(revision, *items, generation=1):
+    items = [StoreItem(k, v, rev(r, generation)) for k, v, r in items]
+    return StoreItems(items, rev(revision, generation))
 
 
 def servers(harness):
@@ -197,7 +211,7 @@
     harness.step(page(5, ("servers/a", b"", 4)))
 
     def fall_behind():
-        harness.view.update_peer_revision(7)
+        harness.view.update_peer_revision(rev(7))
         manual_clock.ms += LAG_TIMEOUT_MS + 100.0
         harness.view.check_lag()
         return Unavailable("aborted")
@@ -261,7 +275,7 @@
     harness.step(page(5, ("config", b"2", 5)))
 
     def lose_answer():
-        harness.view.update_peer_revision(7)
+        harness.view.update_peer_revision(rev(7))
         harness.view.check_lag()
         assert harness.interrupts == []
         manual_clock.ms += LAG_TIMEOUT_MS + 100.0
@@ -297,7 +311,7 @@
     def lose_answer():
         # The others know the change after a batch pause, and digests tell of it.
         manual_clock.ms += harness.view._batch_pause_ms() + MAX_DIGEST_AGE_MS
-        harness.view.update_peer_revision(7)
+        harness.view.update_peer_revision(rev(7))
         while not harness.interrupts and manual_clock.ms < 2 * MAX_CHANGE_DELAY_MS:
             manual_clock.ms += ROUND_INTERVAL_MS
             harness.view.check_lag()
@@ -310,7 +324,7 @@
 
 def test_watch_is_not_ended_right_after_it_was_sent(harness, manual_clock):
     harness.step(page(5, ("config", b"2", 5)))
-    harness.view.update_peer_revision(7)
+    harness.view.update_peer_revision(rev(7))
     manual_clock.ms += 10 * LAG_TIMEOUT_MS
     harness.view.check_lag()
 
@@ -324,7 +338,7 @@
 
 
 def test_listing_is_not_ended_though_others_know_more(harness, manual_clock):
-    harness.view.update_peer_revision(7)
+    harness.view.update_peer_revision(rev(7))
     manual_clock.ms += 60_000.0
     harness.view.check_lag()
     assert harness.interrupts == []
@@ -339,3 +353,138 @@
     manual_clock.ms += MAX_SILENCE_MS + 1.0
     harness.view.restart_silent_watch("no answer")
     assert len(harness.interrupts) == 1
+
+
+# The store is restored from an older copy.
+
+
+def restore(harness, listing):
+    """Let the view learn that its history is gone, and list a new generation."""
+    harness.step(HistoryLost("gone"), listing)
+
+
+def pass_time(harness, manual_clock, duration_ms):
+    manual_clock.ms += duration_ms
+    harness.view.check_lag()
+    harness.directory.expire()
+
+
+# CONFIG, EVAC: changes were ignored until the counter had passed its old value.
+def test_changes_after_a_restore_are_taken_over(harness, manual_clock):
+    harness.step(page(100, ("config", b"7", 90), ("servers/a", b"", 100)))
+    listing = page(
+        40,
+        ("config", b"8", 38),
+        ("servers/b", b"", 39),
+        ("evacuate/south", b"{}", 40),
+        generation=2,
+    )
+    restore(harness, listing)
+    assert harness.view.manifest.version == 8
+    assert harness.directory.evacuated == {"south"}
+    # The record of a may only not be there yet.
+    assert servers(harness) == {"a", "b"}
+    pass_time(harness, manual_clock, REGISTRATION_GRACE_MS + 1.0)
+    assert servers(harness) == {"b"}
+    harness.step(page(41, ("config", b"9", 41), generation=2))
+    assert harness.view.manifest.version == 9
+
+
+# CONFIG, DENIED: a version that the copy has must not come into force again.
+def test_manifest_of_the_copy_does_not_replace_a_newer_one(harness):
+    harness.step(page(100, ("config", b"7", 100)))
+    restore(harness, page(40, ("config", b"5", 30), generation=2))
+    assert harness.view.manifest.version == 7
+    harness.step(page(41, ("config", b"7", 41), generation=2))
+    assert [manifest.version for manifest in harness.manifests] == [7]
+
+
+def test_server_that_drains_does_not_become_ready_by_a_restore(harness):
+    harness.step(page(100, ("servers/a", DRAINING.encode(), 100)))
+    restore(harness, page(40, ("servers/a", b"", 30), generation=2))
+    assert servers(harness) == set()
+
+
+def test_server_that_left_is_not_used_again_because_the_copy_has_it(
+    harness, manual_clock
+):
+    """Guards against requests to a server that has ended since the copy."""
+    harness.step(page(99, ("servers/a", b"", 90)), page(100, ("servers/a", None, 100)))
+    restore(harness, page(40, ("servers/a", b"", 30), generation=2))
+    assert servers(harness) == set()
+    pass_time(harness, manual_clock, REGISTRATION_GRACE_MS + 1.0)
+    # Nobody has removed it since, so that it lives.
+    assert servers(harness) == {"a"}
+
+
+def test_server_that_writes_again_after_a_restore_is_used_at_once(harness):
+    harness.step(page(99, ("servers/a", b"", 90)), page(100, ("servers/a", None, 100)))
+    restore(harness, page(40, ("servers/a", b"", 30), generation=2))
+    harness.step(page(41, ("servers/a", b"", 41), generation=2))
+    assert servers(harness) == {"a"}
+
+
+# DRAIN: what had not changed was of the older generation, and its removal was held.
+def test_server_that_leaves_after_a_restore_is_gone_at_once(harness):
+    listed = [(name, b"", 30) for name in names(4)]
+    harness.step(page(100, *listed))
+    restore(harness, page(40, *listed, generation=2))
+    harness.step(page(41, ("servers/s0", None, 41), generation=2))
+    assert servers(harness) == {"s1", "s2", "s3"}
+
+
+# EVAC: a domain got requests again because the copy did not know of its evacuation.
+def test_evacuation_that_the_copy_lacks_holds_until_it_can_be_written_again(
+    harness, manual_clock
+):
+    harness.step(page(100, ("evacuate/north", b"{}", 100)))
+    restore(harness, page(40, generation=2))
+    pass_time(harness, manual_clock, HOLD_MS - 1.0)
+    assert harness.directory.evacuated == {"north"}
+    harness.step(page(41, generation=2))
+    assert harness.directory.evacuated == {"north"}
+    pass_time(harness, manual_clock, 2.0)
+    assert harness.directory.evacuated == set()
+
+
+def test_evacuation_that_is_written_again_and_ended_ends_at_once(harness):
+    harness.step(page(100, ("evacuate/north", b"{}", 100)))
+    restore(harness, page(40, generation=2))
+    harness.step(page(41, ("evacuate/north", b"{}", 41), generation=2))
+    harness.step(page(42, ("evacuate/north", None, 42), generation=2))
+    assert harness.directory.evacuated == set()
+
+
+# BUDGET, FAILBACK: fewer members would each take a larger part of the limits.
+def test_members_that_the_copy_lacks_still_count(harness, manual_clock):
+    members = [(f"routers/r{n}", b"10.0.0.1:7400 north", 50 + n) for n in (1, 2, 3)]
+    harness.step(page(100, *members))
+    restore(harness, page(51, members[0], generation=2))
+    assert harness.routers.count() == 3
+    pass_time(harness, manual_clock, HOLD_MS + 1.0)
+    assert harness.routers.count() == 1
+
+
+def test_second_restore_does_not_prolong_what_the_first_left_open(
+    harness, manual_clock
+):
+    harness.step(page(100, ("evacuate/north", b"{}", 100)))
+    restore(harness, page(40, generation=2))
+    manual_clock.ms += HOLD_MS - 1.0
+    restore(harness, page(30, generation=3))
+    pass_time(harness, manual_clock, 2.0)
+    assert harness.directory.evacuated == set()
+
+
+def test_router_that_knows_of_a_later_generation_ends_the_watch(harness, manual_clock):
+    """Guards against a watch that waits for a revision that comes again much later."""
+    harness.step(page(100, ("config", b"7", 100)))
+
+    def wait():
+        harness.view.update_peer_revision(rev(3, generation=2))
+        manual_clock.ms += LAG_TIMEOUT_MS + 100.0
+        harness.view.check_lag()
+        return Unavailable("aborted")
+
+    harness.step(wait)
+    assert len(harness.interrupts) == 1
--- a/tests/platform/test_rollout_processes.py
+++ b/tests/platform/test_rollout_processes.py
@@ -67,7 +67,8 @@
 
 
 def leader_of(play):
-    item = play.fleet.store.items["lagoonsail/rollout-leader"]
+    store = play.fleet.store
+    item = store.items[f"lagoonsail/rollout-leader/{store.generation}"]
     return item.value.decode().split()[0]
 
 
