Resume only streams of events, not errors that break off

Cause: an answer too long to buffer is forwarded like a stream, and was resumed by its route alone.

Change: an answer that is no stream of events ends truncated, and is not divided into events.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/answer_forwarding.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/answer_forwarding.py
@@ -10,6 +10,7 @@
 
 from lagoonsail_core.durations import DurationHistogram
 from lagoonsail_gateway.call_attempts import first_part_ms
+from lagoonsail_gateway.call_problems import unknown_outcome_problem
 from lagoonsail_gateway.server_attempt import AttemptFailedError
 
 if TYPE_CHECKING:
@@ -134,6 +135,9 @@
                     outcome = "broken"
                     self._attempts.record_failure(call, attempt, failure)
                     stop_watch()
+                    if not attempt.is_event_stream():
+                        # Only events have ids after which another run can go on.
+                        raise unknown_outcome_problem(failure.reason) from failure
                     attempt = self._attempts.resume(call, failure, is_caller_gone)
                     stop_watch = self._attempts.watch(attempt, is_caller_gone)
         finally:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_attempt.py
@@ -247,7 +247,7 @@
                 self._running_request.record_data()
                 is_long = len(part) >= MAX_EVENT_END_BYTES
                 tail = (part if is_long else tail + part)[-MAX_EVENT_END_BYTES:]
-                if self.call.route.is_resumable:
+                if self._is_resumable():
                     part, partial_event = split_events(partial_event + part)
                     self._hold_partial_event(len(partial_event))
                     self._update_last_event_id(part)
@@ -267,6 +267,10 @@
         """Return whether the response is a stream of events, of which the head came."""
         return self.call.route.kind == STREAMING and self.response.status == 200
 
+    def _is_resumable(self) -> bool:
+        """Return whether another run may go on where the response breaks off."""
+        return self.call.route.is_resumable and self.is_event_stream()
+
     def headers_to_forward(self) -> Headers:
         """Return the response headers without the hop-by-hop ones."""
         return [
--- a/tests/platform/test_broken_streams.py
+++ b/tests/platform/test_broken_streams.py
@@ -148,6 +148,19 @@
     assert EVENTS not in received.body
 
 
+# MIXED: an error that broke off was completed with the events of another server's run.
+@pytest.mark.parametrize("status", [b"500 Error", b"404 None", b"201 Made"])
+def test_answer_that_is_no_stream_is_not_completed_by_another_server(ask, status):
+    head = b"HTTP/1.1 %s\r\n%sContent-Length: 1400000\r\n\r\n" % (status, SEAL)
+    broken = head + b"line\n\n" * 200_000
+    whole = ok(CHUNKED, chunk(EVENTS) + b"0\r\n\r\n")
+    for answers in ((broken, whole), (whole, broken)):
+        received = ask("/resume/1", *answers)
+        is_stream = received.body == EVENTS
+        assert is_stream or EVENTS not in received.body
+        assert is_stream or not received.is_whole
+
+
 # MIXED: an answer that stopped in its head became a success with an empty body.
 @pytest.mark.parametrize("path", ["/stream/1", "/resume/1"])
 @pytest.mark.parametrize("length", range(1, 200, 13))
