--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_attempts.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/call_attempts.py
@@ -181,6 +181,8 @@
         resumed = self.send_until_head(call, is_caller_gone)
         if resumed.response.status == 200:
             return resumed
+        resumed.cancel()
+        resumed.release_buffer()
         raise unknown_outcome_problem("the stream was not taken up")
 
     def watch(
--- a/tests/platform/test_broken_streams.py
+++ b/tests/platform/test_broken_streams.py
@@ -57,7 +57,10 @@
 @pytest.fixture
 def ask(fleet):
     """Return a function that asks a router whose engines give one answer each."""
+    return make_ask(fleet)
 
+
+def make_ask(fleet):
     def ask(path, *answers):
         for number, answer in enumerate(answers, start=1):
             server = fleet.servers[f"engine-{number}"]
@@ -76,6 +79,18 @@
     return ask
 
 
+def read_metric(fleet, name):
+    """Return the sum of a metric of the router, 0 if it has none."""
+    address = ("127.0.0.1", fleet.metrics_ports[ROUTER])
+    text = b""
+    with green_socket.create_connection(address) as sock:
+        sock.sendall(b"GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+        while data := sock.recv(65_536):
+            text += data
+    lines = [line for line in text.decode().splitlines() if line.startswith(name)]
+    return sum(float(line.rpartition(" ")[2]) for line in lines)
+
+
 # ORDER: a stream that ended inside an event was passed on as complete.
 @pytest.mark.parametrize("path", ["/stream/1", "/resume/1"])
 @pytest.mark.parametrize(
@@ -169,3 +184,15 @@
     answer = head[: max(10, length)]
     received = ask(path, answer, answer)
     assert received.status != 200
+
+
+# Each such answer used up a part of the byte budget for good.
+def test_error_that_takes_up_no_stream_is_not_held(make_fleet):
+    fleet = make_fleet(1, memory_mb=120)
+    ask = make_ask(fleet)
+    broken = ok(CHUNKED, chunk(EVENTS) + b"ffff\r\n")
+    error = failure(b"500 Error", body=b"x" * 1_000_000)
+    for _ in range(40):
+        received = ask("/resume/1", broken, error)
+        assert not (received.status == 200 and received.is_whole)
+    assert read_metric(fleet, "lagoonsail_answers_not_buffered_total") == 0.0
