Reset connections whose request is given up

Cause: the connection was closed like an idle one, and the system went on sending what was in its buffers.

Change: a connection with an unanswered request is closed with a reset, which discards what is unsent; to cancel a request only the input is ended, which wakes its reader.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
@@ -4,11 +4,17 @@
 where the response to the next request is expected. Therefore a response is accepted
 only if it carries the id of the request, and a connection with unread data is closed.
 What a server sends without answering is limited in bytes, because it may never end.
+
+The system goes on sending what is in the buffers of a connection that was closed, for
+as long as a partition lasts. A connection that ends while a request is unanswered is
+therefore reset, so that a request that was given up does not run later.
 """
 
 from __future__ import annotations
 
 import socket
+import struct
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 import httptools
@@ -46,6 +52,8 @@
 KEEPALIVE_PROBES = 1
 """Unanswered probes, one second apart, after which the connection is lost. A lost probe
 costs a new connection only."""
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER that discards what is unsent and resets the connection."""
 ABORTED = "aborted"
 """Error text of a connection that the router itself aborted."""
 
@@ -85,6 +93,7 @@
         "_is_aborted",
         "_is_closed",
         "_is_fully_sent",
+        "_is_unanswered",
         "_collector",
         "_reads_without_wait",
         "_sock",
@@ -115,6 +124,7 @@
         self._is_aborted = False
         self._is_closed = False
         self._is_fully_sent = True
+        self._is_unanswered = False
         self._reads_without_wait = 0
         self.has_data = False
         self.on_close = None
@@ -178,6 +188,7 @@
             ConnectionLostError: If the connection failed or the deadline passed.
         """
         self._is_fully_sent = False
+        self._is_unanswered = True
         self._unused_bytes = 0
         if len(body) <= MAX_WRITE_BYTES:
             data, body = data + body, b""
@@ -254,15 +265,20 @@
         if not responses or responses[0] is not response:
             return False
         responses.popleft()
+        self._is_unanswered = not response.is_complete
         self.idle_since_ms = self._clock.now_ms()
         self.idle_limit_ms = response.idle_limit_ms
         return response.is_complete and response.is_keep_alive and self.is_reusable()
 
     def abort(self) -> None:
-        """Shut the connection down and wake its reader; callable from any task."""
+        """Wake the reader of the connection to close it; callable from any task.
+
+        Nothing is said to the server until then: the end of the stream would be sent
+        behind what is unsent.
+        """
         self._is_aborted = True
         try:
-            self._sock.shutdown(socket.SHUT_RDWR)
+            self._sock.shutdown(socket.SHUT_RD)
         except OSError:
             # The connection is closed already.
             return
@@ -270,12 +286,20 @@
     def close(self) -> None:
         """Close the connection, which cancels the request running on it."""
         self._is_aborted = True
+        if self._is_unanswered:
+            self._discard_unsent()
         self._sock.close()
         if not self._is_closed:
             self._is_closed = True
             if self.on_close is not None:
                 self.on_close()
 
+    def _discard_unsent(self) -> None:
+        """Let the socket be reset when it is closed."""
+        # It may be closed already, as the process ends.
+        with suppress(OSError):
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     def __del__(self) -> None:
         # A connection that an unexpected error drops must not stay counted as open.
         if not self._is_closed:
@@ -307,6 +331,8 @@
             try:
                 return self._sock.send(part)
             except TimeoutError:
+                if self._is_aborted:
+                    raise ConnectionLostError(ABORTED) from None
                 if self._has_input():
                     return 0
             except OSError as error:
--- a/packages/lagoonsail-gateway/tests/test_early_answers.py
+++ b/packages/lagoonsail-gateway/tests/test_early_answers.py
@@ -25,6 +25,7 @@
 
     def serve(answer, pause_s, read_bytes, ends_stream):
         peer, _ = listener.accept()
+        peer.recv(1)
         left = read_bytes
         while left > 0:
             left -= len(peer.recv(min(left, 65_536)))
