--- a/tests/platform/test_store_channel.py
+++ b/tests/platform/test_store_channel.py
@@ -7,10 +7,18 @@
 from collections import Counter
 
 import pytest
+from lagoonsail_platform_standin.fleet import serve_http
+from lagoonsail_platform_standin.store import StandInStore
 
 from lagoonsail_core.clock import Clock
 from lagoonsail_core.unavailable import Unavailable
-from lagoonsail_platform.store_calls import CALL_TIMEOUT_MS, StoreChannel
+from lagoonsail_gateway.store_access import HistoryLost
+from lagoonsail_platform import store_calls
+from lagoonsail_platform.store_calls import (
+    CALL_TIMEOUT_MS,
+    StoreChannel,
+    make_store_calls,
+)
 
 ENDLESS_BODY = b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n"
 ENDLESS_HEAD = b"HTTP/1.1 200 OK\r\nA: "
@@ -43,6 +51,21 @@
         sock.close()
 
 
+# CONFIG: a router asked for the same long history again and again.
+def test_history_that_is_too_long_is_listed_instead(monkeypatch):
+    monkeypatch.setattr(store_calls, "MAX_ANSWER_BYTES", 100_000)
+    store = StandInStore()
+    calls = make_store_calls(serve_http(store.serve), Clock())
+    revision = calls.list_all().revision
+    for number in range(40):
+        store.put("op/config", b"%d" % number * 2000)
+    assert isinstance(calls.watch(revision, 1000.0), HistoryLost)
+    listing = calls.list_all()
+    assert listing.items[0].value == b"39" * 2000
+    store.put("op/config", b"last")
+    assert calls.watch(listing.revision, 1000.0).items[0].value == b"last"
+
+
 @pytest.mark.parametrize("start", [ENDLESS_HEAD, ENDLESS_BODY])
 def test_answer_without_end_is_given_up_before_the_timeout(serve_endless, start):
     clock = Clock()
