INI fleets: reset connections whose request is given up

Change: connections of attempts are closed with a reset, and cancelled by the end of their input alone.

Shown by: test_backend, where the new case failed before.

--- a/packages/lagoonsail-core/src/lagoonsail_core/socket_input.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/socket_input.py
@@ -1,8 +1,12 @@
-"""Looks at the input of a socket without reading it."""
+"""Looks at the input of a socket without reading it, and discards its output."""
 
 from __future__ import annotations
 
 import socket
+import struct
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Value of SO_LINGER with which closing discards what is unsent, by a reset."""
 
 
 def peek(sock: socket.socket) -> bytes | None:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_connection.py
@@ -13,7 +13,6 @@
 from __future__ import annotations
 
 import socket
-import struct
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
@@ -21,7 +20,7 @@
 from xxhash import xxh64_intdigest
 
 from lagoonsail_core.green import eventlet, green_socket, trampoline
-from lagoonsail_core.socket_input import is_closed_by_peer, peek
+from lagoonsail_core.socket_input import RESET_ON_CLOSE, is_closed_by_peer, peek
 from lagoonsail_gateway.server_response import (
     DEFAULT_IDLE_LIMIT_MS,
     Response,
@@ -52,8 +51,6 @@
 KEEPALIVE_PROBES = 1
 """Unanswered probes, one second apart, after which the connection is lost. A lost probe
 costs a new connection only."""
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""Value of SO_LINGER that discards what is unsent and resets the connection."""
 ABORTED = "aborted"
 """Error text of a connection that the router itself aborted."""
 
--- a/packages/lagoonsail-router/src/lagoonsail_router/backend.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/backend.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.green import eventlet, green_socket, urllib3
+from lagoonsail_core.socket_input import RESET_ON_CLOSE
 from lagoonsail_router.answer_input import BoundedConnection
 from lagoonsail_router.body_parts import join_part
 from lagoonsail_router.event_stream import END_OF_EVENT
@@ -154,7 +155,11 @@
             NotSentError: If the server cannot be reached.
         """
         host, port = self._address.rsplit(":", 1)
-        options = [(green_socket.IPPROTO_TCP, green_socket.TCP_NODELAY, 1)]
+        options = [
+            (green_socket.IPPROTO_TCP, green_socket.TCP_NODELAY, 1),
+            # What is unsent of a request that is given up must not arrive later.
+            (green_socket.SOL_SOCKET, green_socket.SO_LINGER, RESET_ON_CLOSE),
+        ]
         self._connection = BoundedConnection(
             host, int(port), timeout=CONNECT_TIMEOUT_S, socket_options=options
         )
@@ -238,7 +243,8 @@
         if self._sock is None:
             return
         try:
-            self._sock.shutdown(green_socket.SHUT_RDWR)
+            # The end of the output would be sent behind what is unsent.
+            self._sock.shutdown(green_socket.SHUT_RD)
         except OSError:
             return
 
--- a/packages/lagoonsail-router/tests/test_backend.py
+++ b/packages/lagoonsail-router/tests/test_backend.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lagoonsail_core.clock import Clock
-from lagoonsail_core.green import eventlet
+from lagoonsail_core.green import eventlet, green_socket
 from lagoonsail_core.messages import SlotGrant
 from lagoonsail_router import backend
 from lagoonsail_router.backend import (
@@ -386,3 +386,25 @@
     assert len(sent) * EVENT_BYTES <= SOCKET_BUFFERS_BYTES
     received = sum(event_chunk.count(b"x") for event_chunk in events)
     assert received >= (EVENTS - 1) * EVENT_BYTES
+
+
+# EVAC: a request that was given up in a partition reached its server afterwards.
+def test_request_that_is_given_up_does_not_arrive_later(make_call):
+    listener = green_socket.socket()
+    listener.setsockopt(green_socket.SOL_SOCKET, green_socket.SO_RCVBUF, 2048)
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(1)
+    call = make_call()
+    call.body = b"x" * 30_000
+    call.document.request_timeout_ms = 200.0
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    attempt = Attempt(call, GRANT, address, CLOCK)
+    attempt.connect()
+    peer, _ = listener.accept()
+    with pytest.raises(AnswerTimeoutError):
+        attempt.send()
+    attempt.close()
+    eventlet.sleep(0.05)
+    with pytest.raises(ConnectionResetError):
+        while peer.fd.recv(1000):
+            continue
