--- a/tests/platform/test_store_channel.py
+++ b/tests/platform/test_store_channel.py
@@ -13,12 +13,9 @@
 from lagoonsail_core.clock import Clock
 from lagoonsail_core.unavailable import Unavailable
 from lagoonsail_gateway.store_access import HistoryLost
-from lagoonsail_platform import store_calls
-from lagoonsail_platform.store_calls import (
-    CALL_TIMEOUT_MS,
-    StoreChannel,
-    make_store_calls,
-)
+from lagoonsail_platform import store_channel
+from lagoonsail_platform.store_calls import make_store_calls
+from lagoonsail_platform.store_channel import CALL_TIMEOUT_MS, StoreChannel
 
 ENDLESS_BODY = b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n"
 ENDLESS_HEAD = b"HTTP/1.1 200 OK\r\nA: "
@@ -53,7 +50,7 @@
 
 # CONFIG: a router asked for the same long history again and again.
 def test_history_that_is_too_long_is_listed_instead(monkeypatch):
-    monkeypatch.setattr(store_calls, "MAX_ANSWER_BYTES", 100_000)
+    monkeypatch.setattr(store_channel, "MAX_ANSWER_BYTES", 100_000)
     store = StandInStore()
     calls = make_store_calls(serve_http(store.serve), Clock())
     revision = calls.list_all().revision
--- a/tests/platform/test_store_generations.py
+++ b/tests/platform/test_store_generations.py
@@ -18,13 +18,10 @@
     StoreRevision,
 )
 from lagoonsail_gateway.store_generation import StoreGeneration
-from lagoonsail_platform.store_calls import (
-    RENEW_INTERVAL_MS,
-    Registration,
-    StoreChannel,
-    make_store_calls,
-    make_store_writes,
-)
+from lagoonsail_platform.store_calls import make_store_calls
+from lagoonsail_platform.store_channel import StoreChannel
+from lagoonsail_platform.store_registration import RENEW_INTERVAL_MS, Registration
+from lagoonsail_platform.store_writes import make_store_writes
 
 KEY = "lagoonsail/routers/r1"
 
