Let routers of a large fleet take turns in asking servers

Seen while reading the change over: at the beginning of a silence of the store every router would have asked every busy server at once, and the rank of each was calculated anew in each step, which takes some tens of ms for 195 routers and 270 servers.

Change: the first router in turn asks at once, the others wait for it, those beyond the fifth by 20 ms each; ranks are kept until the members change.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/cold_checks.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/cold_checks.py
@@ -44,7 +44,10 @@
 NEXT_ROUTER_MS = 250.0
 """Time after which the next router makes a check that another one should have made."""
 MAX_RANK = 4
-"""Rank from which all routers make an overdue check at the same time."""
+"""Rank from which the next router follows after `LAST_ROUTERS_MS` already: the first
+ones have failed, and the check is urgent."""
+LAST_ROUTERS_MS = 20.0
+"""Time between two routers of the ranks beyond `MAX_RANK`."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -69,10 +72,10 @@
 class _Checked:
     """Checks of one server, as this router knows of them."""
 
-    own: int = 0
-    total: int = 0
-    changed_ms: float = -math.inf
+    total: int
+    changed_ms: float
     asked_ms: float = -math.inf
+    own: int = 0
     is_running: bool = False
 
 
@@ -92,6 +95,8 @@
         "_on_found",
         "_presence",
         "_published",
+        "_ranks",
+        "_ranks_version",
         "_routers",
         "_states",
         "_steps",
@@ -137,6 +142,8 @@
         self._cold: dict[str, Server] = {}
         self._published: set[str] = set()
         self._max_silence_ms = MAX_SILENCE_MS
+        self._ranks: dict[str, int] = {}
+        self._ranks_version = routers.version
         self._steps = 0
         directory.subscribe(self.record_change)
 
@@ -165,16 +172,13 @@
         self._steps += 1
         self._presence.update(self._max_silence_ms)
         is_in_doubt = self._presence.is_in_doubt()
-        servers = dict(self._cold)
-        if is_in_doubt:
-            services = {_key(server): service for service, server in self._limited()}
-            servers |= {_key(server): server for _, server in self._limited()}
+        limited = list(self._limited()) if is_in_doubt else []
+        servers = self._cold | {_key(server): server for _, server in limited}
         self._publish_all(servers, is_in_doubt)
         self._adopt_all()
-        if is_in_doubt:
-            for key, service in services.items():
-                if not self._directory.is_cold(servers[key]):
-                    self._check_if_due(key, service, servers[key])
+        for service, server in limited:
+            if not self._directory.is_cold(server):
+                self._check_if_due(service, server)
 
     def _limited(self) -> Iterator[tuple[Service, Server]]:
         """Yield the servers that would get a limited rate if they were cold."""
@@ -242,26 +246,47 @@
         server = self._directory.find(server_id)
         return server if server is not None and _key(server) == key else None
 
-    def _check_if_due(self, key: str, service: Service, server: Server) -> None:
+    def _check_if_due(self, service: Service, server: Server) -> None:
         now_ms = self._context.clock.now_ms()
-        checked = self._checked.setdefault(key, _Checked())
+        key = _key(server)
         total = self._total(key)
+        interval_ms = _check_interval_ms(service, total.requests)
+        if not math.isfinite(interval_ms):
+            return
+        checked = self._checked.get(key)
+        if checked is None:
+            # The first router in turn checks at once, the others wait for it.
+            checked = _Checked(total.checks, now_ms - interval_ms)
+            self._checked[key] = checked
         if total.checks != checked.total:
             checked.total, checked.changed_ms = total.checks, now_ms
-        interval_ms = _check_interval_ms(service, total.requests)
-        rank = 0 if self._is_alone() else min(MAX_RANK, self._routers.rank(key))
-        due_ms = checked.changed_ms + interval_ms + rank * NEXT_ROUTER_MS
-        is_due = now_ms >= max(due_ms, checked.asked_ms + interval_ms)
-        if is_due and not checked.is_running:
-            checked.is_running, checked.asked_ms = True, now_ms
-            start_task(
-                self._context,
-                "cold_check",
-                self._check,
-                checked,
-                server,
-                service.health_path,
-            )
+        since_ms = max(checked.changed_ms, checked.asked_ms)
+        if checked.is_running or now_ms < since_ms + interval_ms:
+            return
+        if now_ms < checked.changed_ms + interval_ms + self._turn_ms(key):
+            return
+        checked.is_running, checked.asked_ms = True, now_ms
+        start_task(
+            self._context,
+            "cold_check",
+            self._check,
+            checked,
+            server,
+            service.health_path,
+        )
+
+    def _turn_ms(self, key: str) -> float:
+        """Return how long this router waits for others to check a server."""
+        if self._is_alone():
+            return 0.0
+        if self._ranks_version != self._routers.version:
+            self._ranks_version = self._routers.version
+            self._ranks = {}
+        rank = self._ranks.get(key)
+        if rank is None:
+            rank = self._ranks[key] = self._routers.rank(key)
+        first = min(rank, MAX_RANK)
+        return first * NEXT_ROUTER_MS + (rank - first) * LAST_ROUTERS_MS
 
     def _check(self, checked: _Checked, server: Server, path: str) -> None:
         try:
--- a/packages/lagoonsail-gateway/tests/test_cold_checks.py
+++ b/packages/lagoonsail-gateway/tests/test_cold_checks.py
@@ -7,7 +7,13 @@
 import pytest
 
 from lagoonsail_core.green import eventlet
-from lagoonsail_gateway.cold_checks import KEY_PREFIX, ColdChecks
+from lagoonsail_gateway.cold_checks import (
+    KEY_PREFIX,
+    LAST_ROUTERS_MS,
+    MAX_RANK,
+    NEXT_ROUTER_MS,
+    ColdChecks,
+)
 from lagoonsail_gateway.fleet_counts import FleetCounts
 from lagoonsail_gateway.fleet_share import FleetMembers
 from lagoonsail_gateway.manifest import Limits, Manifest, Service
@@ -45,7 +51,7 @@
         counts,
         presence,
         ask,
-        lambda: True,
+        lambda: routers.count() == 1,
         lambda: found.append(manual_clock.ms),
     )
     directory.put(make_record())
@@ -74,6 +80,7 @@
         directory=directory,
         found=found,
         presence=presence,
+        routers=routers,
         server=server,
     )
 
@@ -145,3 +152,31 @@
     router.advance(2000.0)
     assert 0 < len(router.asked) <= 20
     assert not router.directory.is_cold(router.server)
+
+
+def test_routers_take_turns_in_checking_a_server(router, manual_clock):
+    """Guards against a check by each router of a large fleet at the same time."""
+    members = {f"r{n}": f"10.0.0.{n}:1 north" for n in range(1, 200)}
+    router.routers.update(members)
+    router.advance(1000.0)
+    router.presence.is_away = True
+    away_ms = manual_clock.ms
+    rank = router.routers.rank(f"{KEY_PREFIX}s1/1")
+    assert rank > MAX_RANK
+    router.advance(8000.0)
+    turn_ms = MAX_RANK * NEXT_ROUTER_MS + (rank - MAX_RANK) * LAST_ROUTERS_MS
+    noticed_ms = away_ms + STEP_MS
+    assert router.asked[0][0] - noticed_ms == pytest.approx(turn_ms, abs=STEP_MS)
+
+
+def test_router_does_not_check_what_another_has_checked(router):
+    members = {f"r{n}": f"10.0.0.{n}:1 north" for n in range(1, 200)}
+    router.routers.update(members)
+    router.presence.is_away = True
+    previous = {}
+    for checks in range(1, 20):
+        newest = {f"{KEY_PREFIX}s1/1": (0, 0, 20, checks)}
+        router.counts.replace_peer(previous, newest)
+        previous = newest
+        router.advance(STEP_MS)
+    assert router.asked == []
