--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/gateway.py
@@ -218,40 +218,57 @@
         )
         self.dispatcher.on_large_prompt(self.digests.schedule_early_send)
         self.directory.subscribe(self._on_server_change)
+        self._follow_store(store_calls, key_format, registration, store_generation)
+        self.cold_checks = self._make_cold_checks(request_format)
+        self.rollouts: RolloutControl | None = None
+        self.leader: RolloutLeader | None = None
+        if settings.exposure is not None and rollout_store is not None:
+            self._add_rollouts(settings.exposure, rollout_store, store_generation)
+
+    def _follow_store(
+        self,
+        calls: StoreCalls,
+        key_format: KeyFormat,
+        registration: Registration,
+        generation: StoreGeneration,
+    ) -> None:
         self.view = StoreView(
-            context,
-            store_calls,
+            self.context,
+            calls,
             key_format,
             self.directory,
             self.routers,
             self._apply_manifest,
-            WatcherChoice(context.clock, self.routers, settings.failure_domain),
+            WatcherChoice(
+                self.context.clock, self.routers, self._settings.failure_domain
+            ),
             self.digests.send_feed,
         )
         self.digests.on_feed(self.view.apply_feed)
         self._presence = StorePresence(
-            context, self.counts, self.routers, lambda: self._membership.renew_early()
+            self.context,
+            self.counts,
+            self.routers,
+            lambda: self._membership.renew_early(),
         )
         self.view.on_answer = self._presence.record_answer
         self._membership = Membership(
             registration, self._presence.record_answer, self.view.restart_silent_watch
         )
-        self._follow_generations(store_generation, key_format)
-        self.cold_checks = ColdChecks(
-            context,
+        self._follow_generations(generation, key_format)
+
+    def _make_cold_checks(self, request_format: RequestFormat) -> ColdChecks:
+        return ColdChecks(
+            self.context,
             self.directory,
             self.dispatcher.states,
             self.routers,
             self.counts,
             self._presence,
-            make_cold_request(context.clock, self.pool, request_format),
+            make_cold_request(self.context.clock, self.pool, request_format),
             lambda: not self._hears_others(),
             self.digests.schedule_early_send,
         )
-        self.rollouts: RolloutControl | None = None
-        self.leader: RolloutLeader | None = None
-        if settings.exposure is not None and rollout_store is not None:
-            self._add_rollouts(settings.exposure, rollout_store, store_generation)
 
     def _follow_generations(
         self, generation: StoreGeneration, key_format: KeyFormat
