--- a/tests/platform/test_broken_streams.py
+++ b/tests/platform/test_broken_streams.py
@@ -113,6 +113,34 @@
     assert received.is_whole
 
 
+# Events with CR LF line ends were held back until the stream ended.
+def test_event_with_crlf_line_ends_is_passed_on_at_once(fleet):
+    listener = eventlet.listen(("127.0.0.1", 0))
+
+    def serve():
+        connection, _ = listener.accept()
+        connection.recv(65_536)
+        head = ok(UNFRAMED, b"id: 1\r\ndata: a\r\n\r\n")
+        connection.sendall(
+            head.replace(SEAL, SEAL + b"Lagoonsail-Attempt-Id: id-1\r\n")
+        )
+        eventlet.event.Event().wait()
+
+    eventlet.spawn(serve)
+    for number in (1, 2):
+        server = fleet.servers[f"engine-{number}"]
+        server.address = f"127.0.0.1:{listener.getsockname()[1]}"
+        server.born += 1
+        fleet.store.put_json(f"servers/{server.server_id}", server.record())
+    eventlet.sleep(0.2)
+    received = b""
+    sock = fleet.send(ROUTER, "POST", "/resume/1", "id-1")
+    with sock, eventlet.Timeout(2.0):
+        while b"data: a\r\n\r\n" not in received:
+            received += sock.recv(65_536)
+    listener.close()
+
+
 # ORDER, MIXED: the next server's error, or its head, came in the middle of a stream.
 @pytest.mark.parametrize(
     "error",
