Use a server at once that registers after a restore, though it had left

Seen while reading the change over: the removal of a key that the copy does not have either stayed a belief of the older generation, so that a server which registered under an id that had left was held back for 2.5 s.

Change: such removals are of the generation of the listing; a restore no longer forgets since when changes are known, as what is listed is not timed anyway.

Shown by: a new case of test_store_view, which failed before; test_store_histories.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_content.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_content.py
@@ -100,7 +100,7 @@
         changes = self._find_changes(listing)
         for item in changes:
             self._apply_item(item)
-        self._adopt_generation(listing.items)
+        self._adopt_generation([*listing.items, *self._find_gone(listing)])
         self._directory.settle_removals()
         self._apply_evacuations_and_members()
         return changes
@@ -121,6 +121,15 @@
                 changes.append(item)
         return changes
 
+    def _find_gone(self, listing: StoreItems) -> list[StoreItem]:
+        """Return the removed keys that a listing does not have either."""
+        listed = {item.key for item in listing.items}
+        return [
+            StoreItem(key, None, listing.revision)
+            for key, known in self._items.items()
+            if known.value is None and key not in listed
+        ]
+
     def _adopt_generation(self, items: Iterable[StoreItem]) -> None:
         """Give unchanged items the revisions that they have in a restored store."""
         for item in items:
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_view.py
@@ -208,7 +208,8 @@
         is_restore = self._is_restore_after(previous)
         if is_restore:
             self._relist_at_ms = self._context.clock.now_ms() + RELIST_AFTER_OUTAGE_MS
-            self._expect_missing_records()
+            # Records may be missing, and come back soon.
+            self._directory.record_store_outage()
         changes = self._content.apply_listing(listing)
         self._lag.update(self.revision)
         if is_restore:
@@ -226,11 +227,6 @@
         """Return whether the store was restored since a revision of the view."""
         return previous is not None and previous.generation < self.revision.generation
 
-    def _expect_missing_records(self) -> None:
-        """Keep servers whose records a restored store does not have yet."""
-        self._known_ms = None
-        self._directory.record_store_outage()
-
     def _record_restore(
         self, previous: StoreRevision, changes: list[StoreItem]
     ) -> None:
@@ -401,7 +397,7 @@
         if not self._is_restore_after(previous):
             self._apply_changes(message.items, message.revision, self._known_ms)
             return
-        self._expect_missing_records()
+        self._directory.record_store_outage()
         self._content.apply_restore(message.items, message.revision)
         self._lag.update(self.revision)
         self._record_restore(previous, message.items)
--- a/packages/lagoonsail-gateway/tests/test_store_view.py
+++ b/packages/lagoonsail-gateway/tests/test_store_view.py
@@ -424,6 +424,16 @@
     assert servers(harness) == {"a"}
 
 
+def test_server_that_registers_after_a_restore_is_used_at_once_though_it_had_left(
+    harness,
+):
+    """Guards against holding back what can only have been written since the restore."""
+    harness.step(page(99, ("servers/a", b"", 90)), page(100, ("servers/a", None, 100)))
+    restore(harness, page(40, generation=2))
+    harness.step(page(41, ("servers/a", b"", 41), generation=2))
+    assert servers(harness) == {"a"}
+
+
 # DRAIN: what had not changed was of the older generation, and its removal was held.
 def test_server_that_leaves_after_a_restore_is_gone_at_once(harness):
     listed = [(name, b"", 30) for name in names(4)]
