Take the store to be away only after a call to it was not answered

Change: silence alone is no sign. The store counts as away when a call that a router made in the silence was not answered for 0.3 s; the routers tell each other of it.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_presence.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_presence.py
@@ -22,14 +22,16 @@
 
 ANSWERED_KEY = "store/answered"
 """Key under which routers count that the store has just answered them."""
-ANSWER_TIME_MS = 200.0
+UNANSWERED_KEY = "store/unanswered"
+"""Key under which routers count that the store has not answered a call in time."""
+ANSWER_TIME_MS = 300.0
 """Time that a call may take until the store counts as away."""
 NEXT_ROUTER_MS = 100.0
 """Time after which the next router makes the call that another one should have made."""
 MAX_RANK = 4
 """Rank from which all routers make the call at the same time."""
 MIN_CALL_INTERVAL_MS = 1000.0
-"""Minimum time between two calls of this router, while the store is away."""
+"""Minimum time between two calls of this router that an answer did not follow."""
 
 
 class StorePresence:
@@ -37,6 +39,7 @@
 
     __slots__ = (
         "_answered_ms",
+        "_asked_ms",
         "_call_store",
         "_called_ms",
         "_context",
@@ -49,7 +52,7 @@
     )
 
     is_away: bool
-    """Whether no router has had an answer for some time."""
+    """Whether no router has had an answer for some time, though one has asked."""
 
     def __init__(
         self,
@@ -71,6 +74,8 @@
         self._routers = routers
         self._call_store = call_store
         self._answered_ms = -math.inf
+        # When this router asked first in the present silence, infinite if it did not.
+        self._asked_ms = math.inf
         self._called_ms = -math.inf
         self._heard_ms = self._updated_ms = context.clock.now_ms()
         self._regained_ms = -math.inf
@@ -95,27 +100,34 @@
             max_silence_ms: Longest time without a sign of life.
         """
         now_ms = self._context.clock.now_ms()
-        self._publish(now_ms)
+        self._publish(ANSWERED_KEY, is_true=self._answered_ms >= self._updated_ms)
+        self._updated_ms = now_ms
         if any(self._counts.total(ANSWERED_KEY)):
             self._heard_ms = now_ms
+            self._asked_ms, self._called_ms = math.inf, -math.inf
         silent_ms = now_ms - self._heard_ms
-        if silent_ms >= max_silence_ms:
+        is_silent = silent_ms >= max_silence_ms
+        if is_silent:
             self._call_in_turn(silent_ms - max_silence_ms, now_ms)
-        self._set_away(silent_ms >= max_silence_ms + ANSWER_TIME_MS, silent_ms)
-
-    def _publish(self, now_ms: float) -> None:
-        if self._answered_ms >= self._updated_ms:
-            self._counts.put(ANSWERED_KEY, (1,))
+        is_unanswered = now_ms >= self._asked_ms + ANSWER_TIME_MS
+        self._publish(UNANSWERED_KEY, is_true=is_unanswered)
+        # Another router may have asked.
+        is_away = is_silent and any(self._counts.total(UNANSWERED_KEY))
+        self._set_away(is_away, silent_ms)
+
+    def _publish(self, key: str, *, is_true: bool) -> None:
+        if is_true:
+            self._counts.put(key, (1,))
         else:
-            self._counts.remove(ANSWERED_KEY)
-        self._updated_ms = now_ms
+            self._counts.remove(key)
 
     def _call_in_turn(self, overdue_ms: float, now_ms: float) -> None:
-        if now_ms - self._called_ms < MIN_CALL_INTERVAL_MS and self.is_away:
+        if now_ms - self._called_ms < MIN_CALL_INTERVAL_MS:
             return
         rank = min(MAX_RANK, self._routers.rank(ANSWERED_KEY))
         if overdue_ms >= rank * NEXT_ROUTER_MS:
             self._called_ms = now_ms
+            self._asked_ms = min(self._asked_ms, now_ms)
             self._call_store()
 
     def _set_away(self, is_away: bool, silent_ms: float) -> None:
--- a/packages/lagoonsail-gateway/tests/test_store_presence.py
+++ b/packages/lagoonsail-gateway/tests/test_store_presence.py
@@ -12,8 +12,8 @@
 from lagoonsail_gateway.store_presence import (
     ANSWER_TIME_MS,
     ANSWERED_KEY,
-    MAX_RANK,
     NEXT_ROUTER_MS,
+    UNANSWERED_KEY,
     StorePresence,
 )
 
@@ -67,11 +67,35 @@
 
 def test_silent_store_is_called_and_then_away(router):
     """Guards against trusting what the store told for as long as a watch waits."""
-    router.advance(MAX_SILENCE_MS + ANSWER_TIME_MS + STEP_MS)
+    turn_ms = router.routers.rank(ANSWERED_KEY) * NEXT_ROUTER_MS
+    router.advance(MAX_SILENCE_MS + turn_ms)
+    assert router.calls == [MAX_SILENCE_MS + turn_ms]
+    assert not router.presence.is_away
+    router.advance(ANSWER_TIME_MS)
+    assert router.presence.is_away
+    assert UNANSWERED_KEY in router.counts.own()
+
+
+def test_call_of_another_router_that_was_not_answered_counts(router):
+    router.counts.replace_peer({}, {UNANSWERED_KEY: (1,)})
+    router.advance(MAX_SILENCE_MS)
     assert router.presence.is_away
-    rank = router.routers.rank(ANSWERED_KEY)
-    router.advance(MAX_RANK * NEXT_ROUTER_MS)
-    assert min(router.calls) == MAX_SILENCE_MS + rank * NEXT_ROUTER_MS
+
+
+def test_router_that_the_store_does_not_answer_does_not_hide_its_life(router):
+    """Guards against checks of servers while the store answers others."""
+    router.counts.replace_peer({}, {UNANSWERED_KEY: (1,), ANSWERED_KEY: (2,)})
+    router.advance(3000.0)
+    assert not router.presence.is_in_doubt()
+
+
+# In calm a busy router took the store to be away, before anybody had asked it.
+def test_silence_alone_is_no_sign(router, manual_clock):
+    for _ in range(20):
+        router.advance(MAX_SILENCE_MS + NEXT_ROUTER_MS)
+        assert not router.presence.is_away
+        router.advance(STEP_MS, answered=True)
+    assert not router.presence.is_in_doubt()
 
 
 def test_call_that_is_answered_ends_the_doubt_before_it_begins(router, manual_clock):
