Ask a silent store once, by few routers

In an outage every router renewed its lease early, and again each second.

Change: a router asks once in a silence, and not after another one has asked in vain; those beyond the fifth wait for it by 20 ms each.

Shown by: test_store_presence, two new cases.

--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_presence.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_presence.py
@@ -29,9 +29,9 @@
 NEXT_ROUTER_MS = 100.0
 """Time after which the next router makes the call that another one should have made."""
 MAX_RANK = 4
-"""Rank from which all routers make the call at the same time."""
-MIN_CALL_INTERVAL_MS = 1000.0
-"""Minimum time between two calls of this router that an answer did not follow."""
+"""Rank from which the next router follows after `LAST_ROUTERS_MS` already."""
+LAST_ROUTERS_MS = 20.0
+"""Time between two routers of the ranks beyond `MAX_RANK`."""
 
 
 class StorePresence:
@@ -41,7 +41,6 @@
         "_answered_ms",
         "_asked_ms",
         "_call_store",
-        "_called_ms",
         "_context",
         "_counts",
         "_heard_ms",
@@ -74,9 +73,8 @@
         self._routers = routers
         self._call_store = call_store
         self._answered_ms = -math.inf
-        # When this router asked first in the present silence, infinite if it did not.
+        # When this router asked in the present silence, infinite if it did not.
         self._asked_ms = math.inf
-        self._called_ms = -math.inf
         self._heard_ms = self._updated_ms = context.clock.now_ms()
         self._regained_ms = -math.inf
         self.is_away = False
@@ -103,8 +101,7 @@
         self._publish(ANSWERED_KEY, is_true=self._answered_ms >= self._updated_ms)
         self._updated_ms = now_ms
         if any(self._counts.total(ANSWERED_KEY)):
-            self._heard_ms = now_ms
-            self._asked_ms, self._called_ms = math.inf, -math.inf
+            self._heard_ms, self._asked_ms = now_ms, math.inf
         silent_ms = now_ms - self._heard_ms
         is_silent = silent_ms >= max_silence_ms
         if is_silent:
@@ -122,12 +119,15 @@
             self._counts.remove(key)
 
     def _call_in_turn(self, overdue_ms: float, now_ms: float) -> None:
-        if now_ms - self._called_ms < MIN_CALL_INTERVAL_MS:
+        """Ask the store once in a silence, unless another router has asked in vain."""
+        has_asked = self._asked_ms <= now_ms
+        if has_asked or any(self._counts.total(UNANSWERED_KEY)):
             return
-        rank = min(MAX_RANK, self._routers.rank(ANSWERED_KEY))
-        if overdue_ms >= rank * NEXT_ROUTER_MS:
-            self._called_ms = now_ms
-            self._asked_ms = min(self._asked_ms, now_ms)
+        rank = self._routers.rank(ANSWERED_KEY)
+        first = min(rank, MAX_RANK)
+        turn_ms = first * NEXT_ROUTER_MS + (rank - first) * LAST_ROUTERS_MS
+        if overdue_ms >= turn_ms:
+            self._asked_ms = now_ms
             self._call_store()
 
     def _set_away(self, is_away: bool, silent_ms: float) -> None:
--- a/packages/lagoonsail-gateway/tests/test_store_presence.py
+++ b/packages/lagoonsail-gateway/tests/test_store_presence.py
@@ -114,6 +114,15 @@
     assert not router.presence.is_in_doubt()
 
 
-def test_silent_store_is_called_once_a_second_at_most(router):
+def test_silent_store_is_asked_once(router):
+    """Guards against calls that are added to the retries of an outage."""
     router.advance(10_000.0)
-    assert len(router.calls) <= 12
+    assert len(router.calls) == 1
+
+
+def test_router_does_not_ask_after_another_has_asked_in_vain(router):
+    """Guards against a call by each router of a large fleet."""
+    router.counts.replace_peer({}, {UNANSWERED_KEY: (1,)})
+    router.advance(10_000.0)
+    assert router.presence.is_away
+    assert router.calls == []
