Check lengths and codings of heads by one function each

The port for callers, the reader of INI fleets and the gateway's reader each had their own copy of the two checks. They stand in http_syntax now.

--- a/packages/lagoonsail-core/src/lagoonsail_core/checked_http.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/checked_http.py
@@ -7,25 +7,21 @@
 
 from __future__ import annotations
 
-import re
 from http.client import BadStatusLine, HTTPException, HTTPResponse
 from typing import TYPE_CHECKING
 
 from lagoonsail_core.green import urllib3
 from lagoonsail_core.http_syntax import (
+    is_chunked,
     is_end_of_head,
     is_field_line,
+    is_length,
     is_status_line,
 )
 
 if TYPE_CHECKING:
     import io
 
-MAX_LENGTH_DIGITS = 18
-"""Maximum number of digits of a Content-Length."""
-
-_LENGTH = re.compile(f"[0-9]{{1,{MAX_LENGTH_DIGITS}}}", re.ASCII)
-
 
 class MalformedHeadError(HTTPException):
     """The head of a response is none that HTTP/1.1 allows."""
@@ -77,11 +73,9 @@
     def _check_framing(self) -> None:
         lengths = self.headers.get_all("content-length", [])
         codings = self.headers.get_all("transfer-encoding", [])
-        if len(lengths) > 1 or any(not _LENGTH.fullmatch(item) for item in lengths):
+        if len(lengths) > 1 or not all(map(is_length, lengths)):
             raise MalformedHeadError(f"Content-Length {lengths!r:.80}")
-        if codings and (
-            lengths or [c.strip(" \t").lower() for c in codings] != ["chunked"]
-        ):
+        if codings and (lengths or len(codings) > 1 or not is_chunked(codings[0])):
             raise MalformedHeadError(f"Transfer-Encoding {codings!r:.80}")
 
 
--- a/packages/lagoonsail-core/src/lagoonsail_core/http_syntax.py
+++ b/packages/lagoonsail-core/src/lagoonsail_core/http_syntax.py
@@ -15,6 +15,10 @@
 MAX_STATUS = 599
 """Highest status code of a response."""
 
+MAX_LENGTH_DIGITS = 18
+"""Maximum number of digits of a Content-Length."""
+
+_LENGTH = re.compile(f"[0-9]{{1,{MAX_LENGTH_DIGITS}}}", re.ASCII)
 _TOKEN = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 _REQUEST_LINE = re.compile(_TOKEN + rb" [^\x00-\x20\x7f]+ HTTP/[0-9]\.[0-9]\r?\n")
 _FIELD_LINE = re.compile(_TOKEN + rb":[^\x00-\x08\x0a-\x1f\x7f]*\r?\n")
@@ -65,6 +69,34 @@
     return MIN_STATUS <= status <= MAX_STATUS
 
 
+def is_length(text: str) -> bool:
+    """Return whether the value of a Content-Length is one number.
+
+    Args:
+        text: The value.
+
+    Example:
+        >>> is_length("12"), is_length("+12"), is_length("1_2")
+        (True, False, False)
+    """
+    return _LENGTH.fullmatch(text) is not None
+
+
+def is_chunked(coding: str) -> bool:
+    r"""Return whether the value of a Transfer-Encoding is `chunked` alone.
+
+    Args:
+        coding: The value.
+
+    Example:
+        >>> is_chunked(" Chunked"), is_chunked("gzip, chunked")
+        (True, False)
+        >>> is_chunked("chunked\xa0")
+        False
+    """
+    return coding.strip(" \t").lower() == "chunked"
+
+
 def is_field_line(line: bytes) -> bool:
     r"""Return whether a line is a header field on a line of its own.
 
--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_response.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/server_response.py
@@ -12,7 +12,7 @@
 
 import httptools
 
-from lagoonsail_core.http_syntax import is_status
+from lagoonsail_core.http_syntax import is_chunked, is_status
 
 if TYPE_CHECKING:
     from lagoonsail_gateway.request_format import Headers
@@ -120,7 +120,7 @@
             raise InvalidHeadError(f"the status is {response.status:03}")
         for name, value in response.headers:
             is_coding = name.lower() == "transfer-encoding"
-            if is_coding and value.strip(" \t").lower() != "chunked":
+            if is_coding and not is_chunked(value):
                 raise InvalidHeadError(f"the transfer coding is {value!r:.40}")
 
     def on_body(self, body: bytes) -> None:
--- a/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
+++ b/packages/lagoonsail-router/src/lagoonsail_router/http_port.py
@@ -16,7 +16,7 @@
 from lagoonsail_core.clock import Clock
 from lagoonsail_core.fair_hub import mark_urgent
 from lagoonsail_core.green import eventlet, trampoline
-from lagoonsail_core.http_syntax import is_request_line
+from lagoonsail_core.http_syntax import is_chunked, is_length, is_request_line
 from lagoonsail_overload.body_intake import BodyIntake
 from lagoonsail_overload.byte_budget import CONNECTIONS, HEADS, ByteBudget
 from lagoonsail_router.answer_holding import ANSWER_KEY
@@ -50,7 +50,6 @@
 PROBLEM_KIND = "malformed_request"
 """Problem kind of malformed requests, also their label in the metrics."""
 
-_LENGTH = re.compile("[0-9]{1,18}", re.ASCII)
 _STATUS_LINE = re.compile(rb"HTTP/1\.[01] (4[0-9]{2}|5[0-9]{2}) ")
 
 
@@ -155,10 +154,10 @@
         self.path = self.requestline.split()[1]
         lengths = self.headers.get_all("content-length", [])
         codings = self.headers.get_all("transfer-encoding", [])
-        if len(lengths) > 1 or any(not _LENGTH.fullmatch(item) for item in lengths):
+        if len(lengths) > 1 or not all(map(is_length, lengths)):
             self.send_error(400)
             return False
-        if codings and [item.strip(" \t").lower() for item in codings] != ["chunked"]:
+        if codings and (len(codings) > 1 or not is_chunked(codings[0])):
             self.send_error(501)
             return False
         return True
