--- a/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_generation.py
+++ b/packages/lagoonsail-gateway/src/lagoonsail_gateway/store_generation.py
@@ -27,23 +27,16 @@
         3
     """
 
-    __slots__ = ("_listeners", "_refused", "_on_refused", "newest")
+    __slots__ = ("_listeners", "_is_refusing", "_on_refused", "newest")
 
     newest: int
     """Number of the generation."""
 
-    def __init__(
-        self, on_refused: Callable[[int | None, int], None] = lambda *_: None
-    ) -> None:
-        """Create it for a store that does not number its generations.
-
-        Args:
-            on_refused: Called when answers begin to be refused, with their generation
-                and the newest one.
-        """
+    def __init__(self) -> None:
+        """Create it for a store that does not number its generations."""
         self._listeners: list[Callable[[int, int], None]] = []
-        self._on_refused = on_refused
-        self._refused = False
+        self._on_refused: Callable[[int | None, int], None] = lambda *_: None
+        self._is_refusing = False
         self.newest = UNNUMBERED
 
     def subscribe(self, listener: Callable[[int, int], None]) -> None:
@@ -56,7 +49,12 @@
         self._listeners.append(listener)
 
     def on_refused(self, callback: Callable[[int | None, int], None]) -> None:
-        """Set the callback for refused answers; see `__init__`."""
+        """Set the callback for refused answers.
+
+        Args:
+            callback: Called when answers begin to be refused, with their generation and
+                the newest one.
+        """
         self._on_refused = callback
 
     def accept(self, generation: int | None) -> bool:
@@ -70,11 +68,11 @@
         if generation is None and self.newest == UNNUMBERED:
             return True
         if generation is None or generation < self.newest:
-            if not self._refused:
+            if not self._is_refusing:
                 self._on_refused(generation, self.newest)
-            self._refused = True
+            self._is_refusing = True
             return False
-        self._refused = False
+        self._is_refusing = False
         if generation > self.newest:
             previous, self.newest = self.newest, generation
             for listener in self._listeners:
