--- a/review/standins3/fleet.py
+++ b/review/standins3/fleet.py
@@ -17,6 +17,7 @@
 import tempfile
 import time
 import tomllib
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 
 from httpio import ask, encode
@@ -303,14 +304,14 @@
     return encode(f"{method} {target} HTTP/1.1", headers, body)
 
 
-def run_case(case: Path, play) -> None:
+def run_case(case: Path, run: Callable[[Fleet, bool], Awaitable[bool]]) -> None:
     """Play a case and exit with 1 if the rule was broken, 0 if it held, 2 otherwise."""
 
     async def main() -> int:
         fleet = Fleet(case)
         try:
             async with asyncio.timeout(110.0):
-                is_broken = await play(fleet, os.environ.get("TROUBLE", "1") != "0")
+                is_broken = await run(fleet, os.environ.get("TROUBLE", "1") != "0")
         except (CannotRunError, TimeoutError) as error:
             fleet.record("cannot run", reason=repr(error))
             return 2
