--- a/review/standins3/fleet.py
+++ b/review/standins3/fleet.py
@@ -309,10 +309,13 @@
 
     async def main() -> int:
         fleet = Fleet(case)
+        # Ended from outside, it still ends what it started.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(110.0):
                 is_broken = await run(fleet, os.environ.get("TROUBLE", "1") != "0")
-        except (CannotRunError, TimeoutError) as error:
+        except (CannotRunError, TimeoutError, asyncio.CancelledError) as error:
             fleet.record("cannot run", reason=repr(error))
             return 2
         finally:
